Prove the promises on one box by bringing about their failures

Cause: the path worked only for requests that nothing goes wrong with, as far as anybody knew.

Change: the stand-ins take scripted faults at prefill and decode, on whichever engine is called next. Tests run requests into each of them: refused, dropped before and after the run, crossed, stalled, expired, repeated, skipped, truncated, silent and dying engines; cancels while waiting, prefilling, transferring and streaming; a drain; a leaving engine; services whose connection drops after the call was read; repeated keys and store outages. Three tests run the box as a process of its own and send it SIGKILL, SIGTERM and a second SIGTERM.

Ruled out: a race on the libraries' global logger in parallel tests was in our box.New, which set it for each box; it is now set once per process.

That each test fails without its guard is still to be shown.

--- a/cmd/stoatrampd/main.go
+++ b/cmd/stoatrampd/main.go
@@ -29,13 +29,19 @@
 	if err != nil {
 		return err
 	}
-	b, err := box.New(cfg, telemetry.NewLogger(os.Stderr))
+	b, err := newBox(cfg)
 	if err != nil {
 		return err
 	}
 	return b.Run()
 }
 
+func newBox(cfg *config.Box) (*box.Box, error) {
+	log := telemetry.NewLogger(os.Stderr)
+	box.UseLog(log)
+	return box.New(cfg, log)
+}
+
 type checkCmd struct {
 	File string `arg:"" help:"The box's INI settings."`
 }
@@ -65,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	b, err := box.New(cfg, telemetry.NewLogger(os.Stderr))
+	b, err := newBox(cfg)
 	if err != nil {
 		return err
 	}
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -84,7 +84,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("operators' address: %w", err)
 	}
-	klog.SetLogger(kratosLog{log})
 	b.app = kratos.New(
 		kratos.Name("stoatrampd"),
 		kratos.Server(callers, inner),
@@ -222,6 +221,10 @@
 	return nil
 }
 
+// UseLog sends the lines of the libraries to log. It is for the start of a
+// process, since the libraries keep one logger for all.
+func UseLog(log *zap.Logger) { klog.SetLogger(kratosLog{log}) }
+
 // kratosLog passes kratos' own lines on as JSON, below the box's.
 type kratosLog struct{ log *zap.Logger }
 
--- /dev/null
+++ b/internal/box/fault_test.go
@@ -0,0 +1,435 @@
+package box
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/control"
+	"github.com/stoatramp/stoatramp/internal/demo"
+	"github.com/stoatramp/stoatramp/internal/outcome"
+	"github.com/stoatramp/stoatramp/internal/standin"
+)
+
+const once = "Stoatramp-Repeatable"
+
+func (g *rig) failPrefill(f standin.Fault) {
+	f.At = standin.AtPrefill
+	standin.Fail(f, g.site.Prefills...)
+}
+
+func (g *rig) failDecode(f standin.Fault) {
+	f.At = standin.AtDecode
+	standin.Fail(f, g.site.Decodes...)
+}
+
+// calls counts the prefills, decodes and aborts all engines saw.
+func (g *rig) calls() (s standin.Seen) {
+	for _, e := range append(g.site.Prefills, g.site.Decodes...) {
+		seen := e.Seen()
+		s.Prefills += seen.Prefills
+		s.Decodes += seen.Decodes
+		s.Aborts += seen.Aborts
+		s.Resumes += seen.Resumes
+	}
+	return s
+}
+
+// expectSurvives runs a request into a fault and expects the whole answer.
+func expectSurvives(t *testing.T, atDecode bool, f standin.Fault, retry outcome.Reason) {
+	t.Helper()
+	t.Parallel()
+	g := newRig(t, smallSite())
+	if atDecode {
+		g.failDecode(f)
+	} else {
+		g.failPrefill(f)
+	}
+	g.expectWhole(g.stream("a short question", 30), "a short question", 30)
+	if retry != outcome.OK && g.box.Metrics.RetryCount(retry) == 0 {
+		t.Errorf("expected a retry counted as %s", retry)
+	}
+	g.expectIdle()
+}
+
+// expectOnce runs a request that may run only once into a fault and expects a
+// truthful refusal and no second run.
+func expectOnce(t *testing.T, atDecode bool, f standin.Fault, status int, reason outcome.Reason) {
+	t.Helper()
+	t.Parallel()
+	g := newRig(t, smallSite())
+	if atDecode {
+		g.failDecode(f)
+	} else {
+		g.failPrefill(f)
+	}
+	g.expectRefused(g.stream("certify unit 7", 30, once, "no"), status, reason, "may_have_run")
+	if n := g.calls(); n.Prefills != 1 || n.Decodes > 1 {
+		t.Errorf("expected one run, engines saw %+v", n)
+	}
+	g.expectIdle()
+}
+
+func TestPrefillRefused(t *testing.T) {
+	expectSurvives(t, false, standin.Fault{Do: standin.Refuse}, outcome.EndpointRefused)
+}
+func TestPrefillDropped(t *testing.T) {
+	expectSurvives(t, false, standin.Fault{Do: standin.DropAfterRead}, outcome.EndpointDied)
+}
+func TestPrefillDroppedAfterRun(t *testing.T) {
+	expectSurvives(t, false, standin.Fault{Do: standin.DropAfterRun}, outcome.EndpointDied)
+}
+func TestPrefillCrossed(t *testing.T) {
+	expectSurvives(t, false, standin.Fault{Do: standin.Cross}, outcome.Crossed)
+}
+func TestPrefillStalled(t *testing.T) {
+	expectSurvives(t, false, standin.Fault{Do: standin.Stall, For: time.Minute}, outcome.PrefillStalled)
+}
+func TestPrefillExpired(t *testing.T) {
+	expectSurvives(t, false, standin.Fault{Do: standin.ExpireAtOnce}, outcome.PrefillExpired)
+}
+func TestDecodeRefused(t *testing.T) {
+	expectSurvives(t, true, standin.Fault{Do: standin.Refuse}, outcome.EndpointRefused)
+}
+func TestDecodeDropped(t *testing.T) {
+	expectSurvives(t, true, standin.Fault{Do: standin.DropAfterRead}, outcome.EndpointDied)
+}
+func TestTransferStalled(t *testing.T) {
+	expectSurvives(t, true, standin.Fault{Do: standin.Stall, For: time.Minute}, outcome.TransferStalled)
+}
+func TestChunkCrossed(t *testing.T) {
+	expectSurvives(t, true, standin.Fault{Do: standin.Cross, After: 7}, outcome.OK)
+}
+func TestChunkRepeated(t *testing.T) {
+	expectSurvives(t, true, standin.Fault{Do: standin.Repeat, After: 7}, outcome.OK)
+}
+func TestChunkLost(t *testing.T) {
+	expectSurvives(t, true, standin.Fault{Do: standin.Skip, After: 7}, outcome.Truncated)
+}
+func TestStreamTruncated(t *testing.T) {
+	expectSurvives(t, true, standin.Fault{Do: standin.Truncate, After: 7}, outcome.Truncated)
+}
+func TestStreamDropped(t *testing.T) {
+	expectSurvives(t, true, standin.Fault{Do: standin.DropMidway, After: 7}, outcome.EndpointDied)
+}
+func TestOncePrefillDropped(t *testing.T) {
+	expectOnce(t, false, standin.Fault{Do: standin.DropAfterRead}, 502, outcome.EndpointDied)
+}
+func TestOncePrefillCrossed(t *testing.T) {
+	expectOnce(t, false, standin.Fault{Do: standin.Cross}, 502, outcome.Crossed)
+}
+func TestOnceDecodeDropped(t *testing.T) {
+	expectOnce(t, true, standin.Fault{Do: standin.DropAfterRead}, 502, outcome.EndpointDied)
+}
+func TestOnceTransferStalled(t *testing.T) {
+	expectOnce(t, true, standin.Fault{Do: standin.Stall, For: time.Minute}, 504, outcome.TransferStalled)
+}
+
+// A request that may run once still goes to another engine when the first one
+// says that it did not run it.
+func TestOnceRefusedGoesOn(t *testing.T) {
+	t.Parallel()
+	g := newRig(t, smallSite())
+	g.failPrefill(standin.Fault{Do: standin.Refuse})
+	g.expectWhole(g.stream("certify unit 8", 10, once, "no"), "certify unit 8", 10)
+}
+
+func TestDeadPrefillsMeanNotRun(t *testing.T) {
+	t.Parallel()
+	g := newRig(t, smallSite())
+	g.site.Kill("prefill-1")
+	g.site.Kill("prefill-2")
+	v := g.stream("anyone there?", 10)
+	g.expectRefused(v, 502, outcome.ConnectFailed, "not_run")
+}
+
+// An engine that dies in the middle of an answer cannot be resumed. The caller
+// must see that its answer is not whole.
+func TestDecodeDies(t *testing.T) {
+	t.Parallel()
+	g := newRig(t, smallSite())
+	go func() {
+		g.eventually("tokens flow", func() bool { return g.calls().Decodes == 1 })
+		for _, e := range g.site.Decodes {
+			if e.Seen().Decodes > 0 {
+				g.site.Kill(e.Name)
+			}
+		}
+	}()
+	v := g.stream("tell me a story", 400)
+	if v.done || !v.broken || v.reason != outcome.EndpointDied.String() || v.run != "may_have_run" {
+		t.Errorf("expected a stream that is plainly not whole, got %+v", v)
+	}
+}
+
+func TestDecodeGoesSilent(t *testing.T) {
+	t.Parallel()
+	o := smallSite()
+	o.Route = "first_token = 20s\nbetween_tokens = 10ms"
+	g := newRig(t, o)
+	g.failDecode(standin.Fault{Do: standin.GoSilent, After: 5})
+	v := g.stream("tell me a story", 400)
+	if v.done || !v.broken || v.reason != outcome.DecodeSilent.String() {
+		t.Errorf("expected a stream cut off as silent, got %+v", v)
+	}
+	g.expectIdle()
+}
+
+// Each caller of many gets the whole answer to its own request.
+func TestManyStreams(t *testing.T) {
+	t.Parallel()
+	g := newRig(t, smallSite())
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Go(func() {
+			prompt := fmt.Sprintf("question %d", i)
+			g.expectWhole(g.stream(prompt, 20), prompt, 20)
+		})
+	}
+	wg.Wait()
+	g.expectIdle()
+}
+
+// expectCancelFrees cancels a request at a stage and expects all memory back
+// long before any expiry.
+func expectCancelFrees(t *testing.T, o demo.Options, prompt string, fault func(*rig), at func(*rig) bool) {
+	t.Helper()
+	t.Parallel()
+	o.Model.Expiry = time.Hour
+	g := newRig(t, o)
+	if fault != nil {
+		fault(g)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		resp, err := g.post(ctx, "/v1/completions", fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":2000,"stream":true}`, demo.Model, prompt))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+	}()
+	g.eventually("the request reaches the stage", func() bool { return at(g) })
+	cancel()
+	<-ended
+	g.eventually("the box is done with it", func() bool { return g.box.Gateway.Running() == 0 })
+	g.expectIdle()
+}
+
+func held(engines []*standin.Engine) bool {
+	for _, e := range engines {
+		if r, n := e.Held(); r > 0 || n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func TestCancelWhilePrefilling(t *testing.T) {
+	expectCancelFrees(t, smallSite(), strings.Repeat("long log ", 10000), nil, func(g *rig) bool { return g.calls().Prefills == 1 })
+}
+
+func TestCancelWhileTransferring(t *testing.T) {
+	stall := func(g *rig) { g.failDecode(standin.Fault{Do: standin.Stall, For: time.Minute, Times: 100}) }
+	expectCancelFrees(t, smallSite(), "short", stall, func(g *rig) bool { return g.calls().Decodes >= 1 })
+}
+
+func TestCancelWhileStreaming(t *testing.T) {
+	expectCancelFrees(t, smallSite(), "short", nil, func(g *rig) bool { return held(g.site.Decodes) })
+}
+
+func TestCancelWhileWaiting(t *testing.T) {
+	o := smallSite()
+	o.Model.KVTokens = 2600 // Room for one request of 2,000 tokens on each engine.
+	busy := func(g *rig) {
+		for range 3 {
+			ctx, cancel := context.WithCancel(context.Background())
+			g.t.Cleanup(cancel)
+			go func() {
+				resp, err := g.post(ctx, "/v1/completions", `{"model":"verdict-lm","prompt":"busy","max_tokens":2000}`)
+				if err == nil {
+					resp.Body.Close()
+				}
+			}()
+			time.AfterFunc(1500*time.Millisecond, cancel)
+		}
+		g.eventually("all engines are full", func() bool { return g.box.Gateway.Running() == 3 })
+	}
+	expectCancelFrees(t, o, "waits", busy, func(g *rig) bool {
+		_, waiting, _ := g.box.Gateway.Engines()
+		return waiting == 1
+	})
+}
+
+func TestDrainCutsOffNothing(t *testing.T) {
+	t.Parallel()
+	g := newRig(t, smallSite())
+	var wg sync.WaitGroup
+	for i := range 20 {
+		wg.Go(func() {
+			prompt := fmt.Sprintf("slow %d", i)
+			g.expectWhole(g.stream(prompt, 100), prompt, 100)
+		})
+	}
+	g.eventually("all run", func() bool { return g.calls().Decodes == 20 })
+	go func() { _ = g.box.Stop() }()
+	g.eventually("it is not ready", func() bool { return !g.box.Gateway.Ready() })
+	g.expectRefused(g.stream("too late", 5), 503, outcome.Draining, "not_run")
+	wg.Wait()
+	if err := <-g.done; err != nil {
+		t.Errorf("expected a clean end, got %v", err)
+	}
+	g.done <- nil
+}
+
+func TestLeavingEngineGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	g := newRig(t, smallSite())
+	leaver := g.site.Decodes[0]
+	leaver.SetLeaving(true)
+	g.eventually("the box knows", func() bool {
+		engines, _, _ := g.box.Gateway.Engines()
+		for _, e := range engines {
+			if e.Name == leaver.Name {
+				return e.State == "leaving"
+			}
+		}
+		return false
+	})
+	before := leaver.Seen().Decodes
+	for i := range 20 {
+		prompt := fmt.Sprintf("q %d", i)
+		g.expectWhole(g.stream(prompt, 2), prompt, 2)
+	}
+	if n := leaver.Seen().Decodes - before; n != 0 {
+		t.Errorf("expected no new work on a leaving engine, it got %d requests", n)
+	}
+}
+
+// The HTTP library repeats some requests by itself when a kept connection
+// breaks. A call that may run once must reach the service once all the same.
+func TestServiceCalledOnce(t *testing.T) {
+	t.Parallel()
+	g := newRig(t, smallSite())
+	for _, c := range []struct {
+		method, body, key string
+	}{{"POST", "book bench 4", "k1"}, {"POST", "", "k2"}, {"PUT", "book bench 4", ""}, {"DELETE", "", "k3"}} {
+		// A first call leaves a kept connection behind, if any is kept.
+		g.callService(c.method, "/bookings/warm", c.body, "")
+		g.site.Service.Drop(1)
+		path := "/bookings/" + c.method + c.key
+		v := g.callService(c.method, path, c.body, c.key)
+		g.expectRefused(v, 502, outcome.EndpointDied, "may_have_run")
+		n := 0
+		for _, call := range g.site.Service.Calls() {
+			if call == c.method+" "+path {
+				n++
+			}
+		}
+		if n != 1 {
+			t.Errorf("%s with key %q: expected one call, the service saw %d", c.method, c.key, n)
+		}
+	}
+}
+
+func (g *rig) callService(method, path, body, key string) reply {
+	g.t.Helper()
+	req, err := http.NewRequest(method, "http://"+g.box.Callers+path, strings.NewReader(body))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+demo.ClientKey)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	return readReply(resp)
+}
+
+func TestServiceReadIsRepeated(t *testing.T) {
+	t.Parallel()
+	g := newRig(t, smallSite())
+	second, err := standin.Listen(g.site.Service)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	g.reconfigure(g.site.Shared + fmt.Sprintf("\n[endpoint bookings-2]\nservice = bookings\naddress = %s\nregion = perth\nhall = bentley-hall\n", second.Addr))
+	g.site.Service.Drop(1)
+	if v := g.callService("GET", "/bookings/4", "", ""); v.status != 200 {
+		t.Errorf("expected a read to be tried on the other endpoint, got %+v", v)
+	}
+}
+
+// A repeated key is refused truthfully and never runs a second time.
+func TestKeyRunsOnce(t *testing.T) {
+	t.Parallel()
+	g := newRig(t, smallSite())
+	g.expectWhole(g.stream("certify", 5, once, "no", "Idempotency-Key", "k"), "certify", 5)
+	g.expectRefused(g.stream("certify", 5, once, "no", "Idempotency-Key", "k"), 409, outcome.KeyDone, "not_run")
+
+	g.failPrefill(standin.Fault{Do: standin.DropAfterRead})
+	g.expectRefused(g.stream("certify", 5, once, "no", "Idempotency-Key", "k2"), 502, outcome.EndpointDied, "may_have_run")
+	g.expectRefused(g.stream("certify", 5, once, "no", "Idempotency-Key", "k2"), 409, outcome.KeyRunning, "may_have_run")
+	if n := g.calls().Prefills; n != 2 {
+		t.Errorf("expected 2 prefills in all, engines saw %d", n)
+	}
+}
+
+func TestKeyDuringOutage(t *testing.T) {
+	t.Parallel()
+	g := newRig(t, smallSite())
+	g.site.Platform.SetDown(true)
+	g.expectRefused(g.stream("certify", 5, once, "no", "Idempotency-Key", "k"), 503, outcome.StoreDown, "not_run")
+	g.expectWhole(g.stream("no key, no claim", 5), "no key, no claim", 5)
+	g.site.Platform.SetDown(false)
+	g.site.Platform.LoseWrites(1)
+	g.expectWhole(g.stream("certify", 5, once, "no", "Idempotency-Key", "k"), "certify", 5)
+}
+
+func TestSlowAndHugeCallers(t *testing.T) {
+	t.Parallel()
+	g := newRig(t, smallSite())
+	big := `{"model":"verdict-lm","prompt":"` + strings.Repeat("x", 9<<20) + `"}`
+	if resp, err := g.post(context.Background(), "/v1/completions", big); err == nil {
+		g.expectRefused(readReply(resp), 413, outcome.TooLarge, "not_run")
+		resp.Body.Close()
+	}
+	conn, err := net.Dial("tcp", g.box.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", demo.ClientKey)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	b, _ := io.ReadAll(conn)
+	if !strings.Contains(string(b), `"bad_request"`) {
+		t.Errorf("expected a body that ends early to be refused, got %q", b)
+	}
+}
+
+// reconfigure accepts a text and waits until it is in force.
+func (g *rig) reconfigure(text string) {
+	g.t.Helper()
+	base := g.box.Gateway.Config().Version
+	v, err := g.site.Store.Apply(context.Background(), base, versionOf(text))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.eventually("the configuration is in force", func() bool { return g.box.Gateway.Config().Version == v })
+}
+
+func versionOf(text string) control.Version { return control.Version{Text: text, Author: "test"} }
--- /dev/null
+++ b/internal/box/process_test.go
@@ -0,0 +1,157 @@
+package box
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/stoatramp/stoatramp/internal/config"
+	"github.com/stoatramp/stoatramp/internal/demo"
+	"github.com/stoatramp/stoatramp/internal/telemetry"
+)
+
+// boxFile, where set in the environment, makes the test program run a box with
+// the settings of that file, so that tests can kill a real process.
+const boxFile = "STOATRAMP_TEST_BOX"
+
+func TestMain(m *testing.M) {
+	file := os.Getenv(boxFile)
+	if file == "" {
+		UseLog(zap.NewNop())
+		os.Exit(m.Run())
+	}
+	os.Exit(runBox(file))
+}
+
+func runBox(file string) int {
+	cfg, err := config.LoadBox(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 3
+	}
+	b, err := New(cfg, telemetry.NewLogger(os.Stderr))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 3
+	}
+	fmt.Printf("%s %s\n", b.Callers, b.Operators)
+	if err := b.Run(); errors.Is(err, ErrCut) {
+		return 2
+	} else if err != nil {
+		return 3
+	}
+	return 0
+}
+
+// process is a box in a process of its own, behind the rig's methods.
+type process struct {
+	*rig
+	cmd    *exec.Cmd
+	stderr bytes.Buffer
+}
+
+func startProcess(t *testing.T, o demo.Options) *process {
+	t.Helper()
+	t.Parallel()
+	site, err := demo.Start(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(site.Close)
+	file := t.TempDir() + "/box.ini"
+	if err := os.WriteFile(file, []byte(site.Settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := &process{rig: &rig{t: t, site: site, box: &Box{}}}
+	p.cmd = exec.Command(os.Args[0])
+	p.cmd.Env = append(os.Environ(), boxFile+"="+file)
+	p.cmd.Stderr = &p.stderr
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.cmd.Process.Kill() })
+	if _, err := fmt.Fscan(out, &p.box.Callers, &p.box.Operators); err != nil {
+		t.Fatalf("the box did not start: %v", err)
+	}
+	p.eventually("the box is ready", func() bool {
+		resp, err := http.Get("http://" + p.box.Callers + "/readyz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	return p
+}
+
+// startStream begins a long answer and returns once tokens are being made.
+func (p *process) startStream(prompt string, max int) chan reply {
+	got := make(chan reply, 1)
+	go func() { got <- p.stream(prompt, max) }()
+	p.eventually("tokens are being made", func() bool { return held(p.site.Decodes) })
+	return got
+}
+
+func (p *process) signal(sig syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// A box that is killed leaves its callers with streams that are plainly not
+// whole, and its engines free their memory by themselves.
+func TestKilledBox(t *testing.T) {
+	p := startProcess(t, smallSite())
+	got := p.startStream("a long story", 5000)
+	p.signal(syscall.SIGKILL)
+	if v := <-got; v.done || !v.broken {
+		t.Errorf("expected a broken stream, got done=%v broken=%v", v.done, v.broken)
+	}
+	p.expectIdle()
+}
+
+// SIGTERM finishes what runs and exits 0. Other signals change nothing: the Go
+// runtime sends itself SIGURG all the time.
+func TestTermDrains(t *testing.T) {
+	p := startProcess(t, smallSite())
+	p.signal(syscall.SIGURG)
+	got := p.startStream("a story", 200)
+	p.signal(syscall.SIGTERM)
+	p.expectWhole(<-got, "a story", 200)
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("expected exit 0, got %v", err)
+	}
+}
+
+// A second SIGTERM names what it cuts off and exits non-zero.
+func TestSecondTermCuts(t *testing.T) {
+	p := startProcess(t, smallSite())
+	got := p.startStream("a long story", 5000)
+	p.signal(syscall.SIGTERM)
+	time.Sleep(200 * time.Millisecond) // Signals of one kind that come together are merged.
+	p.signal(syscall.SIGTERM)
+	v := <-got
+	err := p.cmd.Wait()
+	if v.done || !v.broken || p.cmd.ProcessState.ExitCode() != 2 {
+		t.Errorf("expected a cut stream and exit 2, got done=%v broken=%v, %v", v.done, v.broken, err)
+	}
+	if !strings.Contains(p.stderr.String(), v.id) {
+		t.Errorf("expected the log to name request %s", v.id)
+	}
+	p.expectIdle()
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -31,7 +31,7 @@
 	ReportLag time.Duration
 
 	mu      sync.Mutex
-	faults  []Fault
+	faults  []armed
 	kept    map[string]*keptKV // Prefill results by handle.
 	streams map[string]*stream // Decode streams by request id, running or waiting.
 	waiting streamHeap
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -1,6 +1,9 @@
 package standin
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // Do is what a fault makes an engine do.
 type Do uint8
@@ -40,12 +43,21 @@
 	Times int
 }
 
-// Fail scripts a fault for the next calls.
-func (e *Engine) Fail(f Fault) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	f.Times = max(1, f.Times)
-	e.faults = append(e.faults, f)
+// armed is a fault that waits for its calls, perhaps on several engines.
+type armed struct {
+	Fault
+	left *atomic.Int32
+}
+
+// Fail scripts a fault for the next calls that reach any of the engines.
+func Fail(f Fault, engines ...*Engine) {
+	left := &atomic.Int32{}
+	left.Store(int32(max(1, f.Times)))
+	for _, e := range engines {
+		e.mu.Lock()
+		e.faults = append(e.faults, armed{f, left})
+		e.mu.Unlock()
+	}
 }
 
 // takeFault returns the fault that strikes this call, if any.
@@ -53,11 +65,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for i := range e.faults {
-		if e.faults[i].At != at || e.faults[i].Times == 0 {
-			continue
+		if e.faults[i].At == at && e.faults[i].left.Add(-1) >= 0 {
+			return e.faults[i].Fault
 		}
-		e.faults[i].Times--
-		return e.faults[i]
 	}
 	return Fault{}
 }
