Ask the box by command line, run policies, and measure its slopes

Cause: operators could not ask anything, a policy could not be written, and no figure of docs/CAPACITY.md had a measurement behind it.

Change: the tool 'stoatramp' with status, why, config, policy and drain, over connect-go; policies as Starlark programs with test cases, bounded and falling back to the built-in rules; 'make slopes', which measures the decisions, limits, settings, records and claims in one process, and a box in its own process against the same stand-ins called directly.

The decision compared pairs by sorting all of them, and worked out each prefill engine's figures once for each decode engine. It now works them out once and keeps the six cheapest pairs.

--- a/Makefile
+++ b/Makefile
@@ -20,5 +20,8 @@
 	PATH="$(CURDIR)/bin:$$PATH" protoc -I proto --go_out=. --go_opt=module=github.com/stoatramp/stoatramp \
 		--connect-go_out=. --connect-go_opt=module=github.com/stoatramp/stoatramp proto/stoatramp/v1/operator.proto
 
+slopes: ## Reprint every figure of docs/CAPACITY.md.
+	./scripts/slopes.sh
+
 clean:
 	rm -rf bin
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,302 @@
+package bench
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/demo"
+	"github.com/stoatramp/stoatramp/internal/engine"
+	"github.com/stoatramp/stoatramp/internal/standin"
+)
+
+// LoadCmd compares streams through a box with streams straight from the engines.
+type LoadCmd struct {
+	Dir       string        `arg:"" help:"The directory of a running site."`
+	Callers   string        `default:"127.0.0.1:18080" help:"The box's address for callers."`
+	Operators string        `default:"127.0.0.1:18081" help:"The box's address for operators."`
+	Streams   int           `default:"200" help:"Streams at a time."`
+	Tokens    int           `default:"100" help:"Tokens of each answer."`
+	Rounds    int           `default:"3" help:"Rounds of each way, in turns."`
+	Ready     time.Duration `default:"10s" help:"How long to wait for the box."`
+
+	hc  *http.Client
+	eng *engine.Client
+	at  siteFile
+	n   atomic.Int64
+}
+
+// sample is what one way of calling came to.
+type sample struct {
+	mu     sync.Mutex
+	first  []time.Duration
+	tokens int
+	broken int
+}
+
+// Run prints the comparison.
+func (c *LoadCmd) Run() error {
+	b, err := os.ReadFile(c.Dir + "/site.json")
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(b, &c.at); err != nil {
+		return err
+	}
+	c.hc = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}}
+	c.eng = engine.NewClient()
+	if err := c.awaitBox(); err != nil {
+		return err
+	}
+	idle, err := c.process()
+	if err != nil {
+		return err
+	}
+	var direct, routed sample
+	c.round(&sample{}, c.direct)
+	c.round(&sample{}, c.routed)
+	before, err := c.process()
+	if err != nil {
+		return err
+	}
+	peak := 0.0
+	for range c.Rounds {
+		c.round(&direct, c.direct)
+		peak = max(peak, c.roundWatched(&routed))
+	}
+	after, err := c.process()
+	if err != nil {
+		return err
+	}
+	c.report(&direct, &routed, after.cpu-before.cpu, idle.rss, peak)
+	return nil
+}
+
+func (c *LoadCmd) report(direct, routed *sample, cpu, idleRSS, peakRSS float64) {
+	fmt.Printf("%d streams at a time, %d tokens each, %d rounds each way; broken or wrong answers: direct %d, through the box %d\n",
+		c.Streams, c.Tokens, c.Rounds, direct.broken, routed.broken)
+	for _, p := range []float64{0.50, 0.99} {
+		d, r := quantile(direct.first, p), quantile(routed.first, p)
+		fmt.Printf("first token p%.0f: direct %.3f ms, through the box %.3f ms, added %.3f ms, ratio %.3f\n",
+			p*100, ms(d), ms(r), ms(r-d), float64(r)/float64(d))
+	}
+	fmt.Printf("box CPU: %.2f us a streamed token, all its costs included\n", cpu*1e6/float64(routed.tokens))
+	fmt.Printf("box memory: %.1f MB idle, %.1f MB at the peak, %.1f KB a stream\n", idleRSS/1e6, peakRSS/1e6, (peakRSS-idleRSS)/1e3/float64(c.Streams))
+}
+
+func ms(d time.Duration) float64 { return float64(d) / 1e6 }
+
+func quantile(v []time.Duration, p float64) time.Duration {
+	if len(v) == 0 {
+		return 0
+	}
+	slices.Sort(v)
+	return v[min(len(v)-1, int(p*float64(len(v))))]
+}
+
+// round runs all streams once, a little apart so that they do not move in step.
+func (c *LoadCmd) round(s *sample, call func(context.Context, string) (time.Duration, int, error)) {
+	var wg sync.WaitGroup
+	for i := range c.Streams {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * time.Millisecond)
+			prompt := fmt.Sprintf("question %d of many", c.n.Add(1))
+			first, n, err := call(context.Background(), prompt)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.tokens += n
+			if err != nil {
+				s.broken++
+				return
+			}
+			s.first = append(s.first, first)
+		})
+	}
+	wg.Wait()
+}
+
+// roundWatched runs a round through the box and returns its largest memory.
+func (c *LoadCmd) roundWatched(s *sample) float64 {
+	done := make(chan struct{})
+	peak := make(chan float64, 1)
+	go func() {
+		most := 0.0
+		for {
+			if p, err := c.process(); err == nil {
+				most = max(most, p.rss)
+			}
+			select {
+			case <-done:
+				peak <- most
+				return
+			case <-time.After(200 * time.Millisecond):
+			}
+		}
+	}()
+	c.round(s, c.routed)
+	close(done)
+	return <-peak
+}
+
+func (c *LoadCmd) body(prompt string) string {
+	return fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, demo.Model, prompt, c.Tokens)
+}
+
+func (c *LoadCmd) expected(prompt string) string {
+	raw, _ := json.Marshal(prompt)
+	var b strings.Builder
+	for i := range c.Tokens {
+		b.WriteString(standin.Word(standin.PromptHash(raw), i))
+	}
+	return b.String()
+}
+
+var errWrong = errors.New("not the whole answer to its own request")
+
+// routed asks the box.
+func (c *LoadCmd) routed(ctx context.Context, prompt string) (time.Duration, int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Callers+engine.CompletionPath, strings.NewReader(c.body(prompt)))
+	if err != nil {
+		return 0, 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+demo.ClientKey)
+	start := time.Now()
+	resp, err := c.hc.Do(req)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer resp.Body.Close()
+	var first time.Duration
+	var text strings.Builder
+	n := 0
+	sc := bufio.NewScanner(resp.Body)
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			if text.String() != c.expected(prompt) {
+				return first, n, errWrong
+			}
+			return first, n, nil
+		}
+		if n == 0 {
+			first = time.Since(start)
+		}
+		n++
+		text.WriteString(chunkText(data))
+	}
+	return first, n, errWrong
+}
+
+func chunkText(data string) string {
+	var v struct{ Choices []struct{ Text string } }
+	if json.Unmarshal([]byte(data), &v) != nil || len(v.Choices) == 0 {
+		return ""
+	}
+	return v.Choices[0].Text
+}
+
+// direct does what the box does, without it: a prefill and a decode, on engines in turn.
+func (c *LoadCmd) direct(ctx context.Context, prompt string) (time.Duration, int, error) {
+	i := int(c.n.Add(1))
+	start := time.Now()
+	call := engine.Call{
+		Address: c.at.Prefills[i%len(c.at.Prefills)], Path: engine.CompletionPath, RequestID: fmt.Sprintf("direct-%d-1", i),
+		MaxTokens: c.Tokens, Rest: []byte(c.body(prompt)),
+	}
+	rest, err := directRest(prompt)
+	if err != nil {
+		return 0, 0, err
+	}
+	call.Rest = rest
+	pre, err := c.eng.Prefill(ctx, call)
+	if err != nil {
+		return 0, 0, err
+	}
+	call.Address, call.RequestID = c.at.Decodes[i%len(c.at.Decodes)], fmt.Sprintf("direct-%d-2", i)
+	s, err := c.eng.Decode(ctx, call, pre.KV)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer s.Close()
+	var first time.Duration
+	var text strings.Builder
+	n := 0
+	err = s.Read(func(ch engine.Chunk) error {
+		if !ch.HasChoices {
+			return nil
+		}
+		if n == 0 {
+			first = time.Since(start)
+		}
+		n++
+		text.WriteString(chunkText(ch.Data))
+		return nil
+	})
+	if err == nil && text.String() != c.expected(prompt) {
+		err = errWrong
+	}
+	return first, n, err
+}
+
+func directRest(prompt string) ([]byte, error) {
+	return json.Marshal(map[string]string{"model": demo.Model, "prompt": prompt})
+}
+
+func (c *LoadCmd) awaitBox() error {
+	for end := time.Now().Add(c.Ready); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		resp, err := c.hc.Get("http://" + c.Callers + "/readyz")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return errors.New("the box did not become ready")
+}
+
+// process is what a box says of its own process.
+type process struct{ cpu, rss float64 }
+
+func (c *LoadCmd) process() (process, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+c.Operators+"/metrics", nil)
+	if err != nil {
+		return process{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+demo.OperatorKey)
+	resp, err := c.hc.Do(req)
+	if err != nil {
+		return process{}, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return process{}, err
+	}
+	return process{cpu: metric(string(b), "process_cpu_seconds_total"), rss: metric(string(b), "process_resident_memory_anon_bytes")}, nil
+}
+
+func metric(text, name string) float64 {
+	for line := range strings.SplitSeq(text, "\n") {
+		if v, ok := strings.CutPrefix(line, name+" "); ok {
+			n, _ := strconv.ParseFloat(v, 64)
+			return n
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/bench/site.go
@@ -0,0 +1,68 @@
+// Package bench measures the router. It is not part of the product.
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/demo"
+)
+
+// SiteCmd runs the stand-ins in a process of their own.
+type SiteCmd struct {
+	Dir       string        `arg:"" help:"Where box.ini and site.json are written."`
+	Prefills  int           `default:"4" help:"Prefill engines."`
+	Decodes   int           `default:"6" help:"Decode engines."`
+	Step      time.Duration `default:"10ms" help:"Time between tokens."`
+	Callers   string        `default:"127.0.0.1:0" help:"The box's address for callers."`
+	Operators string        `default:"127.0.0.1:0" help:"The box's address for operators."`
+}
+
+// siteFile tells the load generator where the engines are.
+type siteFile struct {
+	Prefills []string `json:"prefills"`
+	Decodes  []string `json:"decodes"`
+}
+
+// Run serves until it is told to stop.
+func (c *SiteCmd) Run() error {
+	m := demo.DefaultModel()
+	m.Step, m.StepPerStream = c.Step, 0
+	m.PrefillRate, m.PrefillBase = 1e6, 0
+	m.KVTokens = 10_000_000
+	site, err := demo.Start(context.Background(), demo.Options{
+		Prefills: c.Prefills, Decodes: c.Decodes, Model: m, Callers: c.Callers, Operators: c.Operators,
+		Route: "first_token = 20s\nbetween_tokens = 1s",
+	})
+	if err != nil {
+		return err
+	}
+	defer site.Close()
+	var f siteFile
+	for _, e := range site.Prefills {
+		f.Prefills = append(f.Prefills, e.Addr)
+	}
+	for _, e := range site.Decodes {
+		f.Decodes = append(f.Decodes, e.Addr)
+	}
+	b, err := json.Marshal(f)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(c.Dir+"/site.json", b, 0o600); err != nil {
+		return err
+	}
+	if err := os.WriteFile(c.Dir+"/box.ini", []byte(site.Settings), 0o600); err != nil {
+		return err
+	}
+	fmt.Println("ready")
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	<-stop
+	return nil
+}
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -75,6 +75,7 @@
 	b.engines.OnLoad = b.probes.heard
 	operators := &ops.Server{
 		Box: cfg, Gateway: b.Gateway, Records: records, Store: b.store, Metrics: b.Metrics, CheckPolicy: policy.Check,
+		Stop: func() { go func() { _ = b.Stop() }() },
 	}
 	callers, err := b.listen(cfg.Callers, cfg.CallerTLS, b.Gateway, &b.Callers)
 	if err != nil {
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,167 @@
+// Package cli is the operators' command-line tool.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/alecthomas/kong"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
+	"github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1/stoatrampv1connect"
+)
+
+// Exit codes, for scripts.
+const (
+	exitOK       = 0
+	exitFailed   = 1 // The box could not be reached, or failed.
+	exitUsage    = 2 // The command line is wrong.
+	exitConflict = 3 // Another configuration was accepted meanwhile.
+	exitProblems = 4 // A check found problems.
+	exitNotFound = 5 // No such request or version.
+)
+
+// exitError carries an exit code with what to print.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+// app is the whole command line.
+type app struct {
+	Box  string `help:"Base URL of a box's operators' address." env:"STOATRAMP_BOX" default:"http://127.0.0.1:8081"`
+	Key  string `help:"The operators' key." env:"STOATRAMP_KEY"`
+	JSON bool   `name:"json" help:"Print JSON."`
+
+	Status statusCmd `cmd:"" help:"Show what a box sees and does."`
+	Why    whyCmd    `cmd:"" help:"Say what became of a request and why."`
+	Config configCmd `cmd:"" help:"Read and change the shared configuration."`
+	Policy policyCmd `cmd:"" help:"Check, test and time policy programs. Needs no box."`
+	Drain  drainCmd  `cmd:"" help:"Have a box finish its requests and exit."`
+
+	out io.Writer
+	err io.Writer
+}
+
+// callTimeout bounds one call to a box.
+const callTimeout = 10 * time.Second
+
+// Main runs the tool and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	a := &app{out: out, err: errOut}
+	parser, err := kong.New(a, kong.Name("stoatramp"), kong.Writers(out, errOut),
+		kong.Description("The operators' tool of the stoatramp router."))
+	if err != nil {
+		fmt.Fprintln(errOut, "stoatramp:", err)
+		return exitUsage
+	}
+	k, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errOut, "stoatramp:", err)
+		return exitUsage
+	}
+	if err := k.Run(a); err != nil {
+		fmt.Fprintln(errOut, "stoatramp:", err)
+		return codeOf(err)
+	}
+	return exitOK
+}
+
+func codeOf(err error) int {
+	var e *exitError
+	if errors.As(err, &e) {
+		return e.code
+	}
+	if connect.CodeOf(err) == connect.CodeNotFound {
+		return exitNotFound
+	}
+	return exitFailed
+}
+
+func (a *app) client() stoatrampv1connect.OperatorClient {
+	auth := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+			r.Header().Set("Authorization", "Bearer "+a.Key)
+			return next(ctx, r)
+		}
+	})
+	return stoatrampv1connect.NewOperatorClient(&http.Client{Timeout: callTimeout}, a.Box, connect.WithInterceptors(auth))
+}
+
+// print writes a message as JSON if that was asked for, and says whether it did.
+func (a *app) print(m proto.Message) (bool, error) {
+	if !a.JSON {
+		return false, nil
+	}
+	b, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(m)
+	if err != nil {
+		return true, err
+	}
+	return true, a.printRaw(b)
+}
+
+func (a *app) printRaw(b []byte) error {
+	var v any
+	if err := json.Unmarshal(b, &v); err != nil {
+		return err
+	}
+	enc := json.NewEncoder(a.out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+type whyCmd struct {
+	ID string `arg:"" help:"The request id, from the X-Request-Id header."`
+}
+
+func (c *whyCmd) Run(a *app) error {
+	resp, err := a.client().Why(context.Background(), connect.NewRequest(&v1.WhyRequest{Id: c.ID}))
+	if err != nil {
+		return err
+	}
+	if a.JSON {
+		return a.printRaw([]byte(resp.Msg.RecordJson))
+	}
+	for _, s := range resp.Msg.Sentences {
+		fmt.Fprintln(a.out, s)
+	}
+	return nil
+}
+
+type statusCmd struct{}
+
+func (c *statusCmd) Run(a *app) error {
+	resp, err := a.client().Status(context.Background(), connect.NewRequest(&v1.StatusRequest{}))
+	if err != nil {
+		return err
+	}
+	if done, err := a.print(resp.Msg); done {
+		return err
+	}
+	return printStatus(a.out, resp.Msg)
+}
+
+type drainCmd struct{}
+
+func (c *drainCmd) Run(a *app) error {
+	resp, err := a.client().Drain(context.Background(), connect.NewRequest(&v1.DrainRequest{}))
+	if err != nil {
+		return err
+	}
+	if done, err := a.print(resp.Msg); done {
+		return err
+	}
+	_, err = fmt.Fprintf(a.out, "The box takes no new work and has %d requests to finish.\n", resp.Msg.Running)
+	return err
+}
--- /dev/null
+++ b/internal/cli/config.go
@@ -0,0 +1,231 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/user"
+	"strconv"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pmezard/go-difflib/difflib"
+
+	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
+)
+
+type configCmd struct {
+	Get     configGetCmd     `cmd:"" help:"Print the accepted configuration, with its version in the first line."`
+	Check   configCheckCmd   `cmd:"" help:"Check a file and change nothing."`
+	Diff    configDiffCmd    `cmd:"" help:"Show how a file differs from the accepted configuration."`
+	Apply   configApplyCmd   `cmd:"" help:"Make a file the accepted configuration."`
+	History configHistoryCmd `cmd:"" help:"List the accepted versions."`
+}
+
+// versionLine begins the first line of a fetched configuration. Apply takes the
+// base version from it, so that a file edited from an old version cannot
+// silently undo a newer one.
+const versionLine = "# version "
+
+func (a *app) fetch(version int64) (*v1.GetConfigResponse, error) {
+	resp, err := a.client().GetConfig(context.Background(), connect.NewRequest(&v1.GetConfigRequest{Version: version}))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+type configGetCmd struct {
+	Version int64 `help:"An earlier version; 0 is the accepted one."`
+}
+
+func (c *configGetCmd) Run(a *app) error {
+	got, err := a.fetch(c.Version)
+	if err != nil {
+		return err
+	}
+	if done, err := a.print(got); done {
+		return err
+	}
+	_, err = fmt.Fprintf(a.out, "%s%d\n%s", versionLine, got.Version, got.Text)
+	return err
+}
+
+// readConfig reads a file and its base version; 0 if it names none.
+func readConfig(file string) (string, int64, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return "", 0, err
+	}
+	text := string(b)
+	first, rest, _ := strings.Cut(text, "\n")
+	number, ok := strings.CutPrefix(first, versionLine)
+	if !ok {
+		return text, 0, nil
+	}
+	base, err := strconv.ParseInt(strings.TrimSpace(number), 10, 64)
+	if err != nil || base < 1 {
+		return "", 0, fmt.Errorf("%s:1: expected %q and a version number, found %q", file, versionLine, first)
+	}
+	return rest, base, nil
+}
+
+type configCheckCmd struct {
+	File string `arg:"" help:"The configuration."`
+}
+
+func (c *configCheckCmd) Run(a *app) error {
+	text, _, err := readConfig(c.File)
+	if err != nil {
+		return err
+	}
+	resp, err := a.client().CheckConfig(context.Background(), connect.NewRequest(&v1.CheckConfigRequest{Text: text}))
+	if err != nil {
+		return err
+	}
+	if done, err := a.print(resp.Msg); done && err != nil {
+		return err
+	}
+	if len(resp.Msg.Problems) > 0 {
+		return problems(resp.Msg.Problems)
+	}
+	if !a.JSON {
+		fmt.Fprintf(a.out, "%s: ok\n", c.File)
+	}
+	return nil
+}
+
+func problems(list []string) error {
+	return &exitError{exitProblems, errors.New("the configuration has problems:\n" + strings.Join(list, "\n"))}
+}
+
+type configDiffCmd struct {
+	File string `arg:"" help:"The configuration."`
+}
+
+func (c *configDiffCmd) Run(a *app) error {
+	text, _, err := readConfig(c.File)
+	if err != nil {
+		return err
+	}
+	current, err := a.fetch(0)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprint(a.out, diff(fmt.Sprintf("version %d", current.Version), current.Text, c.File, text))
+	return err
+}
+
+func diff(nameA, a, nameB, b string) string {
+	out, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A: difflib.SplitLines(a), FromFile: nameA,
+		B: difflib.SplitLines(b), ToFile: nameB,
+		Context: 2,
+	})
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	return out
+}
+
+type configApplyCmd struct {
+	File   string `arg:"" help:"The configuration."`
+	Base   int64  `help:"The version the file was made from; read from its first line if not given."`
+	Author string `help:"Who changes it; the user's name if not given."`
+}
+
+func (c *configApplyCmd) Run(a *app) error {
+	text, base, err := readConfig(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Base > 0 {
+		base = c.Base
+	}
+	if base == 0 && !a.nothingAccepted() {
+		return &exitError{exitUsage, fmt.Errorf("%s does not begin with %q and no --base is given: which version was it made from?", c.File, versionLine+"N")}
+	}
+	resp, err := a.client().ApplyConfig(context.Background(), connect.NewRequest(&v1.ApplyConfigRequest{Text: text, BaseVersion: base, Author: c.author()}))
+	if err != nil {
+		return err
+	}
+	if done, err := a.print(resp.Msg); done && err != nil {
+		return err
+	}
+	switch {
+	case len(resp.Msg.Problems) > 0:
+		return problems(resp.Msg.Problems)
+	case resp.Msg.Conflict:
+		return a.conflict(base, resp.Msg.Version)
+	}
+	return a.awaitForce(resp.Msg.Version)
+}
+
+// nothingAccepted says that the site has no configuration yet; the first one
+// needs no base version.
+func (a *app) nothingAccepted() bool {
+	_, err := a.fetch(0)
+	return connect.CodeOf(err) == connect.CodeNotFound
+}
+
+func (c *configApplyCmd) author() string {
+	if c.Author != "" {
+		return c.Author
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+// conflict shows what was accepted meanwhile.
+func (a *app) conflict(base, current int64) error {
+	text := ""
+	then, errThen := a.fetch(base)
+	now, errNow := a.fetch(0)
+	if errThen == nil && errNow == nil {
+		text = "; this was changed meanwhile:\n" + diff(fmt.Sprintf("version %d", base), then.Text, fmt.Sprintf("version %d", now.Version), now.Text)
+	}
+	return &exitError{exitConflict, fmt.Errorf("not accepted: the file was made from version %d, and version %d is accepted now%s", base, current, text)}
+}
+
+const (
+	forceTries = 50
+	forcePause = 200 * time.Millisecond
+)
+
+// awaitForce waits until the asked box has the version in force.
+func (a *app) awaitForce(version int64) error {
+	for range forceTries {
+		resp, err := a.client().Status(context.Background(), connect.NewRequest(&v1.StatusRequest{}))
+		if err != nil {
+			return err
+		}
+		if resp.Msg.ConfigVersion >= version {
+			if !a.JSON {
+				fmt.Fprintf(a.out, "Accepted as version %d and in force on box %s; the other boxes follow within seconds.\n", version, resp.Msg.Box)
+			}
+			return nil
+		}
+		time.Sleep(forcePause)
+	}
+	return fmt.Errorf("accepted as version %d, but the asked box does not have it in force yet", version)
+}
+
+type configHistoryCmd struct{}
+
+func (c *configHistoryCmd) Run(a *app) error {
+	resp, err := a.client().ConfigHistory(context.Background(), connect.NewRequest(&v1.ConfigHistoryRequest{}))
+	if err != nil {
+		return err
+	}
+	if done, err := a.print(resp.Msg); done {
+		return err
+	}
+	for _, v := range resp.Msg.Versions {
+		fmt.Fprintf(a.out, "%d  %s  %s\n", v.Version, time.UnixMilli(v.AcceptedUnixMs).UTC().Format(time.RFC3339), v.Author)
+	}
+	return nil
+}
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -88,7 +88,9 @@
 
 	// Scratch space of choose, kept to spare allocations.
 	prefills, decodes []*engine
-	pairs             []pair
+	readers           []reader
+	writers           []writer
+	best              []pair
 }
 
 // New returns an empty core that lets at most maxWait requests wait.
@@ -277,11 +279,14 @@
 
 func (c *Core) view(f *flight) View {
 	v := View{Waiting: len(f.pool.queue.items), PrefillQueue: c.shortestQueue(f)}
-	q, _ := c.choose(f.pool, f, c.now)
+	policy := f.Policy
+	f.Policy = nil // The prediction is the built-in one.
+	q, _, ok := c.choose(f.pool, f, c.now)
+	f.Policy = policy
 	for _, e := range c.decodes {
 		v.DecodeFreeKV = max(v.DecodeFreeKV, e.freeKV())
 	}
-	if q != nil {
+	if ok {
 		v.PredictedTime = q.First
 	}
 	return v
@@ -315,9 +320,9 @@
 // tryPlace starts the request if a pair is free for it. Decode memory is held
 // before the prefill starts, so a prefill never lacks a place to go.
 func (c *Core) tryPlace(f *flight) bool {
-	q, ch := c.choose(f.pool, f, c.now)
+	q, ch, ok := c.choose(f.pool, f, c.now)
 	f.lastCh = ch
-	if q == nil {
+	if !ok {
 		return false
 	}
 	if q.Queue > prefillWindow {
@@ -407,12 +412,10 @@
 	c.releaseDecode(f)
 	var passed PassedOver
 	var best *engine
-	for _, e := range c.decodeEngines(f.pool, f, c.now, &passed) {
-		if e == f.avoid {
-			continue
-		}
-		if best == nil || e.stepTime() < best.stepTime() {
-			best = e
+	c.findWriters(f.pool, f, c.now, &passed)
+	for _, w := range c.writers {
+		if w.e != f.avoid && (best == nil || w.e.stepTime() < best.stepTime()) {
+			best = w.e
 		}
 	}
 	if best == nil {
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -18,8 +18,9 @@
 	sampleSize = 8
 	// affineSize is how many engines a prompt's prefix points to.
 	affineSize = 2
-	// maxShown bounds the candidates kept for `stoatramp why`.
-	maxShown = 6
+	// maxKept bounds the pairs that a policy is asked about in one decision, and
+	// that `stoatramp why` shows.
+	maxKept = 6
 	// otherHallCost is added to pairs in two data halls: links between halls are shared.
 	otherHallCost = 0.001
 	// silentCost keeps engines with old reports as a last resort, not as a taboo:
@@ -156,115 +157,187 @@
 	return false
 }
 
-// pair is a candidate with the engines it names.
+// reader holds the figures of a prefill engine for one request, so that they are
+// worked out once and not once for each pair.
+type reader struct {
+	e      *engine
+	cached int
+	queue  time.Duration
+	read   time.Duration
+	ready  time.Time // When the prompt would be read.
+	extra  float64   // Cost that does not depend on the decode engine.
+}
+
+// writer holds the figures of a decode engine for one request.
+type writer struct {
+	e     *engine
+	step  time.Duration
+	extra float64
+}
+
+// pair is one reader with one writer, by their places in the scratch slices.
 type pair struct {
+	cost   float64
+	reader int
+	writer int
+	// transfer and first are kept for the record of the choice.
+	transfer time.Duration
+	first    time.Duration
+}
+
+// chosen is the pair a request is placed on.
+type chosen struct {
 	Candidate
 	prefill, decode *engine
 }
 
-// choose compares pairs and returns the cheapest, or nil where there is none.
-// The prefill engines and decode engines are filtered first, so the number of
-// pairs is bounded by the two samples and not by the pool.
-func (c *Core) choose(p *pool, f *flight, now time.Time) (*pair, *Choice) {
-	ch := &Choice{}
-	decodes := c.decodeEngines(p, f, now, &ch.Passed)
-	if len(decodes) == 0 {
-		return nil, ch
+// choose compares pairs and returns the cheapest; ok is false where there is
+// none. The engines of both roles are filtered first, so the number of pairs is
+// bounded by the two samples and not by the pool.
+func (c *Core) choose(p *pool, f *flight, now time.Time) (best chosen, ch *Choice, ok bool) {
+	ch = &Choice{}
+	c.findWriters(p, f, now, &ch.Passed)
+	if len(c.writers) == 0 {
+		return best, ch, false
+	}
+	c.findReaders(p, f, now, &ch.Passed)
+	if len(c.readers) == 0 {
+		return best, ch, false
 	}
-	prefills := c.prefillEngines(p, f, now, &ch.Passed)
-	c.pairs = c.pairs[:0]
-	for _, pe := range prefills {
-		for _, de := range decodes {
-			c.pairs = append(c.pairs, c.predict(p, f, pe, de, now))
+	c.best = c.best[:0]
+	for i := range c.readers {
+		for j := range c.writers {
+			c.keep(c.predict(p, f, i, j, now))
 		}
 	}
-	ch.Compared = len(c.pairs)
-	if len(c.pairs) == 0 {
-		return nil, ch
+	ch.Compared = len(c.readers) * len(c.writers)
+	ch.Candidates = make([]Candidate, len(c.best))
+	for i, q := range c.best {
+		ch.Candidates[i] = c.describe(q)
 	}
-	slices.SortFunc(c.pairs, func(a, b pair) int { return cmp.Compare(a.Cost, b.Cost) })
-	for i := range min(maxShown, len(c.pairs)) {
-		ch.Candidates = append(ch.Candidates, c.pairs[i].Candidate)
+	if f.Policy != nil {
+		c.weigh(f, ch.Candidates)
 	}
-	return &c.pairs[0], ch
+	first := ch.Candidates[0]
+	return chosen{first, c.engines[first.Prefill], c.engines[first.Decode]}, ch, true
 }
 
-func (c *Core) prefillEngines(p *pool, f *flight, now time.Time, passed *PassedOver) []*engine {
-	c.prefills = slices.DeleteFunc(c.lookAt(p, f), func(e *engine) bool {
-		return !c.usable(e, &f.Request, now, passed)
-	})
-	return c.prefills
+// keep inserts a pair into the short list of the cheapest.
+func (c *Core) keep(q pair) {
+	i := len(c.best)
+	for i > 0 && q.cost < c.best[i-1].cost {
+		i--
+	}
+	if i >= maxKept {
+		return
+	}
+	if len(c.best) == maxKept {
+		c.best = c.best[:maxKept-1]
+	}
+	c.best = slices.Insert(c.best, i, q)
 }
 
-// lookAt returns the prefill engines a decision about the request considers.
-func (c *Core) lookAt(p *pool, f *flight) []*engine {
-	c.prefills = c.prefills[:0]
-	if len(f.Blocks) > 0 && len(p.prefill) > maxSampled {
-		c.prefills = p.affine(c.prefills, f.Blocks[0])
+func (c *Core) describe(q pair) Candidate {
+	r, w := &c.readers[q.reader], &c.writers[q.writer]
+	return Candidate{
+		Prefill: r.e.Name, Decode: w.e.Name, SameHall: r.e.Hall == w.e.Hall, Cached: r.cached,
+		Queue: r.queue, Read: r.read, Transfer: q.transfer, First: q.first,
+		Step: w.step, FreeKV: w.e.freeKV(), Cost: q.cost,
+	}
+}
+
+// weigh lets the policy add to the cost of the best pairs. If the program fails
+// on any of them, the built-in costs of all stand.
+func (c *Core) weigh(f *flight, list []Candidate) {
+	var add [maxKept]float64
+	for i := range list {
+		n, err := f.Policy.Weigh(&f.Request, &list[i])
+		if err != nil {
+			c.emit(Ruled{f.ID, Verdict{Fault: err.Error()}})
+			return
+		}
+		add[i] = n
+	}
+	for i := range list {
+		list[i].Cost += add[i]
+	}
+	slices.SortStableFunc(list, func(a, b Candidate) int { return cmp.Compare(a.Cost, b.Cost) })
+}
+
+// findReaders fills c.readers with the prefill engines that may be used.
+func (c *Core) findReaders(p *pool, f *flight, now time.Time, passed *PassedOver) {
+	c.readers = c.readers[:0]
+	for _, e := range c.lookAt(p, f) {
+		if !c.usable(e, &f.Request, now, passed) {
+			continue
+		}
+		r := reader{e: e, cached: e.cachedTokens(f), queue: e.queueTime(now), extra: e.doubt(f)}
+		r.read = e.readTime(f.PromptTokens - r.cached)
+		r.ready = now.Add(r.queue + r.read)
+		r.extra += (r.queue + r.read).Seconds() + noise*c.rng.Float64()
+		c.readers = append(c.readers, r)
 	}
-	c.prefills = c.sample(c.prefills, p.prefill)
-	return c.prefills
 }
 
-func (c *Core) decodeEngines(p *pool, f *flight, now time.Time, passed *PassedOver) []*engine {
+// findWriters fills c.writers with the decode engines that have room.
+func (c *Core) findWriters(p *pool, f *flight, now time.Time, passed *PassedOver) {
+	c.writers = c.writers[:0]
 	c.decodes = c.sample(c.decodes[:0], p.decode)
-	c.decodes = slices.DeleteFunc(c.decodes, func(e *engine) bool {
+	for _, e := range c.decodes {
 		if !c.usable(e, &f.Request, now, passed) {
-			return true
+			continue
 		}
 		if e.freeKV() < f.need() {
 			passed.NoRoom++
-			return true
+			continue
 		}
-		// A stream that must run late anyway may join a slow batch, but an
-		// engine with nothing running is never too slow to try.
-		if !f.patient && e.stepTime() > f.BetweenTokens && e.running() > 0 {
+		w := writer{e: e, step: e.stepTime(), extra: e.doubt(f)}
+		// A stream that may run late can join a slow batch, and an engine with
+		// nothing running is never too slow to try.
+		if !f.patient && w.step > f.BetweenTokens && e.running() > 0 {
 			passed.TooSlow++
-			return true
+			continue
 		}
-		return false
-	})
-	return c.decodes
-}
-
-// predict works out the figures of one pair.
-func (c *Core) predict(p *pool, f *flight, pe, de *engine, now time.Time) pair {
-	q := pair{prefill: pe, decode: de, Candidate: Candidate{
-		Prefill:  pe.Name,
-		Decode:   de.Name,
-		SameHall: pe.Hall == de.Hall,
-		Cached:   pe.cachedTokens(f),
-		Queue:    pe.queueTime(now),
-		FreeKV:   de.freeKV(),
-		Step:     de.stepTime(),
-	}}
-	q.Read = pe.readTime(f.PromptTokens - q.Cached)
-	ready := now.Add(q.Queue + q.Read)
-	q.Transfer = transferEnd(p, f, pe, de, ready).Sub(ready)
-	q.First = q.Queue + q.Read + q.Transfer + q.Step
-	q.Cost = q.First.Seconds() + c.penalties(f, &q)
-	return q
+		load := w.step.Seconds() / f.BetweenTokens.Seconds()
+		w.extra += w.step.Seconds() + stepWeight*load*load + noise*c.rng.Float64()
+		c.writers = append(c.writers, w)
+	}
 }
 
-func (c *Core) penalties(f *flight, q *pair) float64 {
-	load := q.Step.Seconds() / f.BetweenTokens.Seconds()
-	cost := stepWeight*load*load + noise*c.rng.Float64()
-	if !q.SameHall {
-		cost += otherHallCost
-	}
-	if q.prefill == f.avoid || q.decode == f.avoid {
+// doubt is the cost of an engine that failed this request or does not report.
+func (e *engine) doubt(f *flight) float64 {
+	cost := 0.0
+	if e == f.avoid {
 		cost += avoidCost
 	}
-	if q.prefill.silent() {
+	if e.silent() {
 		cost += silentCost
 	}
-	if q.decode.silent() {
-		cost += silentCost
+	return cost
+}
+
+// predict works out the cost of one pair: the predicted time to the first token,
+// and what speaks against either engine.
+func (c *Core) predict(p *pool, f *flight, i, j int, now time.Time) pair {
+	r, w := &c.readers[i], &c.writers[j]
+	q := pair{reader: i, writer: j}
+	q.transfer = transferEnd(p, f, r.e, w.e, r.ready).Sub(r.ready)
+	q.first = r.queue + r.read + q.transfer + w.step
+	q.cost = r.extra + w.extra + q.transfer.Seconds()
+	if r.e.Hall != w.e.Hall {
+		q.cost += otherHallCost
 	}
-	if f.Policy != nil {
-		cost += f.Policy.Weigh(&f.Request, &q.Candidate)
+	return q
+}
+
+// lookAt returns the prefill engines a decision about the request considers.
+func (c *Core) lookAt(p *pool, f *flight) []*engine {
+	c.prefills = c.prefills[:0]
+	if len(f.Blocks) > 0 && len(p.prefill) > maxSampled {
+		c.prefills = p.affine(c.prefills, f.Blocks[0])
 	}
-	return cost
+	c.prefills = c.sample(c.prefills, p.prefill)
+	return c.prefills
 }
 
 // transferEnd predicts when a transfer that may start at ready would be over.
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -60,8 +60,9 @@
 type Policy interface {
 	// Admit is asked once for each arrival.
 	Admit(r *Request, v View) Verdict
-	// Weigh returns seconds to add to the cost of a pair.
-	Weigh(r *Request, c *Candidate) float64
+	// Weigh returns seconds to add to the cost of a pair. It is asked about the
+	// pairs that are best by the built-in cost, at most six of them.
+	Weigh(r *Request, c *Candidate) (float64, error)
 }
 
 // View is the state of a pool as a policy sees it.
@@ -283,7 +284,7 @@
 
 // Choice says how a pair was chosen.
 type Choice struct {
-	// Candidates are the pairs compared, best first, at most maxShown of them.
+	// Candidates are the pairs compared, best first, at most maxKept of them.
 	Candidates []Candidate
 	// Compared is how many pairs were looked at.
 	Compared int
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 	"time"
 
@@ -32,6 +33,8 @@
 	Metrics *telemetry.Metrics
 	// CheckPolicy checks a policy program with its cases.
 	CheckPolicy func(*config.Policy) error
+	// Stop starts a planned stop and does not wait for it.
+	Stop func()
 }
 
 var _ stoatrampv1connect.OperatorHandler = (*Server)(nil)
@@ -44,6 +47,9 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		s.Metrics.Write(w)
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	return s.guard(mux)
 }
 
@@ -150,6 +156,13 @@
 	return connect.NewResponse(&v1.ApplyConfigResponse{Version: version}), nil
 }
 
+// Drain starts a planned stop.
+func (s *Server) Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error) {
+	n := s.Gateway.Running()
+	s.Stop()
+	return connect.NewResponse(&v1.DrainResponse{Running: n}), nil
+}
+
 // ConfigHistory lists the versions.
 func (s *Server) ConfigHistory(ctx context.Context, _ *connect.Request[v1.ConfigHistoryRequest]) (*connect.Response[v1.ConfigHistoryResponse], error) {
 	list, err := s.Store.History(ctx)
--- /dev/null
+++ b/internal/policy/values.go
@@ -0,0 +1,156 @@
+package policy
+
+import (
+	"fmt"
+	"time"
+
+	"go.starlark.net/starlark"
+
+	"github.com/stoatramp/stoatramp/internal/decide"
+)
+
+// frozen gives a read-only value its dull methods.
+type frozen struct{}
+
+func (frozen) Freeze()               {}
+func (frozen) Truth() starlark.Bool  { return starlark.True }
+func (frozen) Hash() (uint32, error) { return 0, fmt.Errorf("unhashable") }
+
+func secs(d time.Duration) starlark.Value { return starlark.Float(d.Seconds()) }
+
+// requestValue is the request as a program sees it.
+type requestValue struct {
+	frozen
+	r *decide.Request
+}
+
+var requestFields = []string{"client", "first_token", "max_tokens", "prompt_tokens", "repeatable", "route"}
+
+func (v *requestValue) String() string      { return "request" }
+func (v *requestValue) Type() string        { return "request" }
+func (v *requestValue) AttrNames() []string { return requestFields }
+func (v *requestValue) Attr(name string) (starlark.Value, error) {
+	switch name {
+	case "client":
+		return starlark.String(v.r.Client), nil
+	case "first_token":
+		return secs(v.r.FirstToken), nil
+	case "max_tokens":
+		return starlark.MakeInt(v.r.MaxTokens), nil
+	case "prompt_tokens":
+		return starlark.MakeInt(v.r.PromptTokens), nil
+	case "repeatable":
+		return starlark.Bool(v.r.Repeatable), nil
+	case "route":
+		return starlark.String(v.r.Route), nil
+	}
+	return nil, nil
+}
+
+// poolValue is the pool as a program sees it.
+type poolValue struct {
+	frozen
+	v decide.View
+}
+
+var poolFields = []string{"decode_free", "predicted", "prefill_queue", "waiting"}
+
+func (v *poolValue) String() string      { return "pool" }
+func (v *poolValue) Type() string        { return "pool" }
+func (v *poolValue) AttrNames() []string { return poolFields }
+func (v *poolValue) Attr(name string) (starlark.Value, error) {
+	switch name {
+	case "decode_free":
+		return starlark.MakeInt(v.v.DecodeFreeKV), nil
+	case "predicted":
+		return secs(v.v.PredictedTime), nil
+	case "prefill_queue":
+		return secs(v.v.PrefillQueue), nil
+	case "waiting":
+		return starlark.MakeInt(v.v.Waiting), nil
+	}
+	return nil, nil
+}
+
+// pairValue is a candidate pair as a program sees it.
+type pairValue struct {
+	frozen
+	c *decide.Candidate
+}
+
+var pairFields = []string{"cached", "decode", "first", "free", "prefill", "queue", "read", "same_hall", "step", "transfer"}
+
+func (v *pairValue) String() string      { return "pair" }
+func (v *pairValue) Type() string        { return "pair" }
+func (v *pairValue) AttrNames() []string { return pairFields }
+func (v *pairValue) Attr(name string) (starlark.Value, error) {
+	switch name {
+	case "cached":
+		return starlark.MakeInt(v.c.Cached), nil
+	case "decode":
+		return starlark.String(v.c.Decode), nil
+	case "first":
+		return secs(v.c.First), nil
+	case "free":
+		return starlark.MakeInt(v.c.FreeKV), nil
+	case "prefill":
+		return starlark.String(v.c.Prefill), nil
+	case "queue":
+		return secs(v.c.Queue), nil
+	case "read":
+		return secs(v.c.Read), nil
+	case "same_hall":
+		return starlark.Bool(v.c.SameHall), nil
+	case "step":
+		return secs(v.c.Step), nil
+	case "transfer":
+		return secs(v.c.Transfer), nil
+	}
+	return nil, nil
+}
+
+// verdictKind is what admit decides.
+type verdictKind uint8
+
+const (
+	run verdictKind = iota
+	wait
+	refuse
+)
+
+var verdictNames = [...]string{"run", "wait", "refuse"}
+
+// verdictValue is what run(), wait() and refuse() return.
+type verdictValue struct {
+	frozen
+	kind verdictKind
+	text string
+}
+
+func (v *verdictValue) String() string {
+	if v.text == "" {
+		return verdictNames[v.kind] + "()"
+	}
+	return fmt.Sprintf("%s(%q)", verdictNames[v.kind], v.text)
+}
+func (v *verdictValue) Type() string { return "verdict" }
+
+// predeclared are the names every program has beside the language's own.
+var predeclared = starlark.StringDict{
+	"run":    verdictBuiltin(run),
+	"wait":   verdictBuiltin(wait),
+	"refuse": verdictBuiltin(refuse),
+}
+
+func verdictBuiltin(kind verdictKind) *starlark.Builtin {
+	name := verdictNames[kind]
+	bare := &verdictValue{kind: kind}
+	return starlark.NewBuiltin(name, func(_ *starlark.Thread, _ *starlark.Builtin, args starlark.Tuple, kwargs []starlark.Tuple) (starlark.Value, error) {
+		if len(args)+len(kwargs) == 0 {
+			return bare, nil
+		}
+		v := &verdictValue{kind: kind}
+		err := starlark.UnpackArgs(name, args, kwargs, "text?", &v.text)
+		return v, err
+	})
+}
--- a/internal/rpc/stoatrampv1/stoatrampv1connect/operator.connect.go
+++ b/internal/rpc/stoatrampv1/stoatrampv1connect/operator.connect.go
@@ -46,6 +46,8 @@
 	OperatorApplyConfigProcedure = "/stoatramp.v1.Operator/ApplyConfig"
 	// OperatorConfigHistoryProcedure is the fully-qualified name of the Operator's ConfigHistory RPC.
 	OperatorConfigHistoryProcedure = "/stoatramp.v1.Operator/ConfigHistory"
+	// OperatorDrainProcedure is the fully-qualified name of the Operator's Drain RPC.
+	OperatorDrainProcedure = "/stoatramp.v1.Operator/Drain"
 )
 
 // OperatorClient is a client for the stoatramp.v1.Operator service.
@@ -62,6 +64,8 @@
 	ApplyConfig(context.Context, *connect.Request[stoatrampv1.ApplyConfigRequest]) (*connect.Response[stoatrampv1.ApplyConfigResponse], error)
 	// ConfigHistory lists the versions before.
 	ConfigHistory(context.Context, *connect.Request[stoatrampv1.ConfigHistoryRequest]) (*connect.Response[stoatrampv1.ConfigHistoryResponse], error)
+	// Drain has the box take no new work, finish what runs and exit.
+	Drain(context.Context, *connect.Request[stoatrampv1.DrainRequest]) (*connect.Response[stoatrampv1.DrainResponse], error)
 }
 
 // NewOperatorClient constructs a client for the stoatramp.v1.Operator service. By default, it uses
@@ -111,6 +115,12 @@
 			connect.WithSchema(operatorMethods.ByName("ConfigHistory")),
 			connect.WithClientOptions(opts...),
 		),
+		drain: connect.NewClient[stoatrampv1.DrainRequest, stoatrampv1.DrainResponse](
+			httpClient,
+			baseURL+OperatorDrainProcedure,
+			connect.WithSchema(operatorMethods.ByName("Drain")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -122,6 +132,7 @@
 	checkConfig   *connect.Client[stoatrampv1.CheckConfigRequest, stoatrampv1.CheckConfigResponse]
 	applyConfig   *connect.Client[stoatrampv1.ApplyConfigRequest, stoatrampv1.ApplyConfigResponse]
 	configHistory *connect.Client[stoatrampv1.ConfigHistoryRequest, stoatrampv1.ConfigHistoryResponse]
+	drain         *connect.Client[stoatrampv1.DrainRequest, stoatrampv1.DrainResponse]
 }
 
 // Status calls stoatramp.v1.Operator.Status.
@@ -154,6 +165,11 @@
 	return c.configHistory.CallUnary(ctx, req)
 }
 
+// Drain calls stoatramp.v1.Operator.Drain.
+func (c *operatorClient) Drain(ctx context.Context, req *connect.Request[stoatrampv1.DrainRequest]) (*connect.Response[stoatrampv1.DrainResponse], error) {
+	return c.drain.CallUnary(ctx, req)
+}
+
 // OperatorHandler is an implementation of the stoatramp.v1.Operator service.
 type OperatorHandler interface {
 	// Status tells what the box sees and does.
@@ -168,6 +184,8 @@
 	ApplyConfig(context.Context, *connect.Request[stoatrampv1.ApplyConfigRequest]) (*connect.Response[stoatrampv1.ApplyConfigResponse], error)
 	// ConfigHistory lists the versions before.
 	ConfigHistory(context.Context, *connect.Request[stoatrampv1.ConfigHistoryRequest]) (*connect.Response[stoatrampv1.ConfigHistoryResponse], error)
+	// Drain has the box take no new work, finish what runs and exit.
+	Drain(context.Context, *connect.Request[stoatrampv1.DrainRequest]) (*connect.Response[stoatrampv1.DrainResponse], error)
 }
 
 // NewOperatorHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -213,6 +231,12 @@
 		connect.WithSchema(operatorMethods.ByName("ConfigHistory")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorDrainHandler := connect.NewUnaryHandler(
+		OperatorDrainProcedure,
+		svc.Drain,
+		connect.WithSchema(operatorMethods.ByName("Drain")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/stoatramp.v1.Operator/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorStatusProcedure:
@@ -227,6 +251,8 @@
 			operatorApplyConfigHandler.ServeHTTP(w, r)
 		case OperatorConfigHistoryProcedure:
 			operatorConfigHistoryHandler.ServeHTTP(w, r)
+		case OperatorDrainProcedure:
+			operatorDrainHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -259,3 +285,7 @@
 func (UnimplementedOperatorHandler) ConfigHistory(context.Context, *connect.Request[stoatrampv1.ConfigHistoryRequest]) (*connect.Response[stoatrampv1.ConfigHistoryResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Operator.ConfigHistory is not implemented"))
 }
+
+func (UnimplementedOperatorHandler) Drain(context.Context, *connect.Request[stoatrampv1.DrainRequest]) (*connect.Response[stoatrampv1.DrainResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Operator.Drain is not implemented"))
+}
