--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -15,10 +15,15 @@
 	// prompt. Beyond it a request waits on the box, where a better engine or a
 	// more urgent request can still come first.
 	prefillWindow = 40 * time.Millisecond
-	// stallFactor and stallMargin bound a stage: it is given up when it takes
-	// that many times its prediction and that much longer.
-	stallFactor = 3
-	stallMargin = 300 * time.Millisecond
+	// A stage counts as stalled when it takes stallFactor times its prediction
+	// and half the first-token target longer, within these margins. It then moves
+	// if there is somewhere better to go, and goes on otherwise: a slow call is
+	// not a lost one, and giving up many at once would only load the others.
+	stallFactor    = 3
+	shortestMargin = 300 * time.Millisecond
+	longestMargin  = 2 * time.Second
+	// hardStall, added to the target, ends a stage whatever else is true.
+	hardStall = 5 * time.Second
 	// expirySafety is how long before the expiry a result is no longer used.
 	expirySafety = 50 * time.Millisecond
 	// patientWait bounds the wait of a request that may run late.
@@ -68,7 +73,8 @@
 	decodeAttempt Attempt // 0 when no decode engine was sent anything.
 	held          int     // Tokens held in the decode ledger.
 
-	stageDeadline time.Time
+	stageStart    time.Time
+	stageDeadline time.Time // When the stage counts as stalled; zero if it cannot.
 }
 
 // need is the decode memory the request takes, in tokens.
@@ -331,10 +337,9 @@
 	}
 	f.tries++
 	f.attempt++
-	f.stage = prefilling
 	f.prefill, f.prefillAttempt, f.reading = q.prefill, f.attempt, true
 	f.readTokens = f.PromptTokens - q.Cached
-	f.stageDeadline = c.now.Add(stallFactor*(q.Queue+q.Read) + stallMargin)
+	c.setStage(f, prefilling, q.Queue+q.Read)
 	c.holdDecode(f, q.decode)
 	q.prefill.addPrefill(c.now, f.ID, f.readTokens)
 	q.prefill.cache.add(f.Blocks)
@@ -348,6 +353,17 @@
 // engineEpoch keeps engine priorities small; any fixed instant would do.
 var engineEpoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// setStage begins a stage that is predicted to take so long.
+func (c *Core) setStage(f *flight, s stage, predicted time.Duration) {
+	f.stage = s
+	f.stageStart = c.now
+	f.stageDeadline = c.now.Add(stallFactor*predicted + f.stallMargin())
+}
+
+func (f *flight) stallMargin() time.Duration {
+	return max(shortestMargin, min(longestMargin, f.FirstToken/2))
+}
+
 // enginePriority is the order in milliseconds: engines run the lowest
 // first, so the prompts of all boxes are read earliest deadline first.
 func (f *flight) enginePriority() int { return int(f.order.Sub(engineEpoch).Milliseconds()) }
@@ -399,10 +415,8 @@
 func (c *Core) startDecode(f *flight, moved outcome.Reason) {
 	f.attempt++
 	f.decodeAttempt = f.attempt
-	f.stage = transferring
 	end := transferEnd(f.pool, f, f.prefill, f.decode, c.now)
-	took := end.Sub(c.now) + f.decode.stepTime()
-	f.stageDeadline = c.now.Add(stallFactor*took + stallMargin)
+	c.setStage(f, transferring, end.Sub(c.now)+f.decode.stepTime())
 	c.emit(StartDecode{f.ID, f.attempt, f.prefill.Name, f.prefillAttempt, f.decode.Name, f.enginePriority(), moved})
 }
 
@@ -498,10 +512,7 @@
 	if f.stage != prefilling || ran {
 		c.emit(Waste{f.ID, f.readTokens, reason})
 	}
-	f.avoid = f.decode
-	if f.stage == prefilling {
-		f.avoid = f.prefill
-	}
+	f.avoid = f.failing()
 	c.abortCalls(f)
 	if f.ran && !f.Repeatable || f.tries >= maxTries {
 		c.end(f, reason, "")
@@ -519,6 +530,18 @@
 	c.wait(f)
 }
 
+// failing is the engine to blame for the present stage. A decode engine that was
+// given up already, in search of another, is the one avoided.
+func (f *flight) failing() *engine {
+	switch {
+	case f.stage == prefilling:
+		return f.prefill
+	case f.decode != nil:
+		return f.decode
+	}
+	return f.avoid
+}
+
 // abortCalls tells engines to free what they hold for the request, and empties its ledger.
 func (c *Core) abortCalls(f *flight) {
 	c.abortDecode(f)
@@ -615,7 +638,12 @@
 	}
 }
 
+// stalled moves a request whose stage takes too long, or lets it go on.
 func (c *Core) stalled(f *flight) {
+	if c.now.Before(f.stageStart.Add(hardStall+f.FirstToken)) && !c.canMove(f) {
+		f.stageDeadline = c.now.Add(f.stallMargin())
+		return
+	}
 	e, reason := f.decode, outcome.TransferStalled
 	if f.stage == prefilling {
 		e, reason = f.prefill, outcome.PrefillStalled
@@ -625,6 +653,24 @@
 	c.callFailed(f, reason, true, false)
 }
 
+// canMove says whether a stalled request has somewhere better to go.
+func (c *Core) canMove(f *flight) bool {
+	if !f.Repeatable || !c.budget.has() {
+		return false
+	}
+	var passed PassedOver
+	if f.stage == transferring {
+		c.findWriters(f.pool, f, c.now, &passed)
+		other := func(w writer) bool { return w.e != f.decode }
+		return c.now.Add(expirySafety).Before(f.expires) && slices.ContainsFunc(c.writers, other)
+	}
+	if f.tries >= maxTries || !f.patient && c.now.After(f.latestStart) {
+		return false
+	}
+	c.findReaders(f.pool, f, c.now, &passed)
+	return slices.ContainsFunc(c.readers, func(r reader) bool { return r.e != f.prefill && r.queue <= prefillWindow })
+}
+
 // drainQueue starts waiting requests, most urgent first, and refuses those that
 // can no longer meet their target. A few are tried past one that does not fit,
 // so that a large request does not hold up small ones.
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -53,8 +53,10 @@
 
 func (b *retryBudget) arrived() { b.tokens = min(retryTokens, b.tokens+retryShare) }
 
+func (b *retryBudget) has() bool { return b.tokens >= 1 }
+
 func (b *retryBudget) take() bool {
-	if b.tokens < 1 {
+	if !b.has() {
 		return false
 	}
 	b.tokens--
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -110,7 +111,17 @@
 	d.stepLocked(ev)
 }
 
+// stepLocked gives an event to the core and hands out its actions. A panic in
+// here means a broken invariant: net/http would swallow it and leave requests and
+// ledgers half changed, so it is raised again where nothing can recover it.
 func (d *dispatcher) stepLocked(ev decide.Event) {
+	defer func() {
+		if v := recover(); v != nil {
+			stack := debug.Stack()
+			go panic(fmt.Sprintf("broken invariant at %T: %v\n%s", ev, v, stack))
+			select {} // The lock stays held until the process has ended.
+		}
+	}()
 	for _, a := range d.core.Step(time.Now(), ev) {
 		switch a := a.(type) {
 		case decide.StartPrefill:
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -114,16 +114,18 @@
 
 // run gives the request to the core and does what the core says until the
 // request ends. Every return frees whatever is still held.
-func (x *exchange) run(route *config.Route, a *ask) outcome.Outcome {
+func (x *exchange) run(route *config.Route, a *ask) (o outcome.Outcome) {
 	ctx, cancel := context.WithCancel(x.r.Context())
 	f := &flight{x: x, a: a, route: route, ctx: ctx, events: make(chan flightEvent, eventBuffer), answer: newAnswer(x, a)}
 	f.id, f.call = x.g.disp.arrive(x.rec.ID, f.request())
-	o := f.loop()
-	x.g.disp.leave(f.id)
-	f.drainSteps()
-	cancel()
-	f.account(o)
-	return o
+	// Deferred, so that even a panic in the loop leaves no engine memory held.
+	defer func() {
+		x.g.disp.leave(f.id)
+		f.drainSteps()
+		cancel()
+		f.account(o)
+	}()
+	return f.loop()
 }
 
 func (f *flight) request() decide.Request {
