--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -59,9 +59,12 @@
 func New(cfg *config.Box, log *zap.Logger) (*Box, error) {
 	b := &Box{cfg: cfg, log: log, Metrics: telemetry.NewMetrics(), engines: engine.NewClient()}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
+	counted := telemetry.CountBytes(b.Metrics.ControlBytes, (&net.Dialer{}).DialContext)
+	b.engines.ProbeThrough(func(d engine.Dial) engine.Dial { return telemetry.CountBytes(b.Metrics.ControlBytes, d) })
+	// Claims are part of their requests; only the configuration is control traffic.
 	table := platform.NewClient(cfg.Platform, cfg.PlatformKey)
 	records := record.NewRing(ops.RecordsKept)
-	b.store = control.NewStore(table)
+	b.store = control.NewStore(platform.NewClientThrough(cfg.Platform, cfg.PlatformKey, counted))
 	b.Gateway = gateway.New(gateway.Options{
 		Box:     cfg,
 		Core:    decide.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), cfg.Queue),
@@ -71,7 +74,7 @@
 		Metrics: b.Metrics,
 		Log:     log,
 	})
-	b.probes = newProber(b.engines, b.Gateway, b.Metrics)
+	b.probes = newProber(b.engines, b.Gateway)
 	b.engines.OnLoad = b.probes.heard
 	operators := &ops.Server{
 		Box: cfg, Gateway: b.Gateway, Records: records, Store: b.store, Metrics: b.Metrics, CheckPolicy: policy.Check,
--- a/internal/box/probe.go
+++ b/internal/box/probe.go
@@ -9,7 +9,6 @@
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/engine"
 	"github.com/stoatramp/stoatramp/internal/gateway"
-	"github.com/stoatramp/stoatramp/internal/telemetry"
 )
 
 const (
@@ -18,8 +17,6 @@
 	probeEvery = 400 * time.Millisecond
 	// staleAfter is how old an engine's last report must be to be worth a probe.
 	staleAfter = time.Second
-	// probeBytes is about what a probe and its answer take on the wire.
-	probeBytes = 420
 )
 
 // prober learns the engines' load, mostly from the reports that come with
@@ -27,7 +24,6 @@
 type prober struct {
 	engines *engine.Client
 	gw      *gateway.Gateway
-	m       *telemetry.Metrics
 
 	mu     sync.Mutex
 	byAddr map[string]*probed
@@ -39,8 +35,8 @@
 	heard time.Time // When the last report or probe was.
 }
 
-func newProber(c *engine.Client, gw *gateway.Gateway, m *telemetry.Metrics) *prober {
-	return &prober{engines: c, gw: gw, m: m, byAddr: map[string]*probed{}}
+func newProber(c *engine.Client, gw *gateway.Gateway) *prober {
+	return &prober{engines: c, gw: gw, byAddr: map[string]*probed{}}
 }
 
 func (p *prober) setConfig(c *config.Shared) {
@@ -114,7 +110,6 @@
 }
 
 func (p *prober) probe(ctx context.Context, e *probed) {
-	p.m.ControlBytes.Add(probeBytes)
 	l, err := p.engines.Load(ctx, e.addr)
 	if err == nil {
 		p.heard(e.addr, l)
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/config"
@@ -32,8 +33,14 @@
 	Text   string    `json:"text"`
 	Author string    `json:"author"`
 	At     time.Time `json:"at"`
+	// Tokens are those of the newest versions up to this one, newest last, so that
+	// a writer whose answer was lost can tell whether it was ever accepted.
+	Tokens []string `json:"tokens"`
 }
 
+// maxTokens bounds Version.Tokens.
+const maxTokens = 32
+
 // ConflictError means that another version was accepted meanwhile.
 type ConflictError struct{ Current int64 }
 
@@ -74,13 +81,19 @@
 }
 
 // Apply accepts v in place of version base. A lost answer is resolved by reading
-// the row back and comparing the token of this very write.
+// the row back and looking for the token of this very write.
 func (s *Store) Apply(ctx context.Context, base int64, v Version) (int64, error) {
-	b, err := json.Marshal(v)
+	prior, err := s.base(ctx, base)
 	if err != nil {
 		return 0, err
 	}
 	token := rand.Text()
+	v.Tokens = append(slices.Clone(prior.Tokens), token)
+	v.Tokens = v.Tokens[max(0, len(v.Tokens)-maxTokens):]
+	b, err := json.Marshal(v)
+	if err != nil {
+		return 0, err
+	}
 	number, err := s.table.Put(ctx, currentKey, platform.Write{IfVersion: base, Token: token, Value: string(b)})
 	switch {
 	case err == nil:
@@ -95,6 +108,21 @@
 	return number, nil
 }
 
+// base reads the version a change is made from.
+func (s *Store) base(ctx context.Context, base int64) (*Version, error) {
+	v, err := s.Load(ctx, 0)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		v = &Version{}
+	case err != nil:
+		return nil, fmt.Errorf("nothing was written: %w", err)
+	}
+	if v.Number != base {
+		return nil, &ConflictError{Current: v.Number}
+	}
+	return v, nil
+}
+
 func (s *Store) conflict(ctx context.Context) error {
 	row, err := s.table.Get(ctx, currentKey, 0)
 	if err != nil {
@@ -104,17 +132,25 @@
 }
 
 // readBack tells what became of a write without an answer. The row still at base
-// does not prove that the write failed: it may be on its way. Only our token, or
-// a version beyond ours that we can look up, tells.
+// does not prove that the write failed: it may be on its way. A later version does
+// not prove it either: ours may have been accepted and then replaced. Only the
+// token at our place among the last ones tells.
+//
+// Example: our write was to become version 8. The row is at version 10 with the
+// tokens [.. c d e]: those of 8, 9 and 10. If c is ours we were accepted.
 func (s *Store) readBack(ctx context.Context, base int64, token string, cause error) (int64, error) {
-	row, err := s.table.Get(ctx, currentKey, 0)
-	if err == nil && row.Token == token {
-		return row.Version, nil
+	v, err := s.Load(ctx, 0)
+	if err != nil || v.Number == base {
+		return 0, &UnknownError{cause}
 	}
-	if err == nil && row.Version > base {
-		return 0, &ConflictError{Current: row.Version}
+	place := len(v.Tokens) - int(v.Number-base)
+	switch {
+	case place < 0 || v.Number < base:
+		return 0, &UnknownError{cause}
+	case v.Tokens[place] == token:
+		return base + 1, nil
 	}
-	return 0, &UnknownError{cause}
+	return 0, &ConflictError{Current: v.Number}
 }
 
 // keep files the text for the history. The version is in force whether or not
--- /dev/null
+++ b/internal/control/store_test.go
@@ -0,0 +1,199 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/stoatramp/stoatramp/internal/platform"
+	"github.com/stoatramp/stoatramp/internal/standin"
+)
+
+// scripted answers reads with the versions of a list, one after another.
+type scripted struct {
+	Table
+	versions []int64
+}
+
+func (s *scripted) Get(_ context.Context, _ string, known int64) (platform.Row, error) {
+	if len(s.versions) == 0 {
+		return platform.Row{}, errors.New("down")
+	}
+	v := s.versions[0]
+	s.versions = s.versions[1:]
+	if v == known {
+		return platform.Row{}, platform.ErrUnchanged
+	}
+	return platform.Row{Version: v, Value: `{"text":"x"}`}, nil
+}
+
+func expectFollows(t *testing.T, reads, want []int64) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		var got []int64
+		NewStore(&scripted{versions: reads}).Follow(ctx, func(v *Version) error {
+			got = append(got, v.Number)
+			return nil
+		}, func(error) {})
+		if !slices.Equal(got, want) {
+			t.Errorf("reads %v: expected %v in force, got %v", reads, want, got)
+		}
+	})
+}
+
+// A box never steps back, even when an old replica of the table answers.
+func TestFollow(t *testing.T) {
+	expectFollows(t, []int64{1, 1, 2}, []int64{1, 2})
+	expectFollows(t, []int64{5, 3, 5, 4, 6}, []int64{5, 6})
+	expectFollows(t, nil, nil)
+}
+
+// configOp is one operator's change made from a base, or a read.
+type configOp struct {
+	read bool
+	base int64
+	text string
+}
+
+type configResult struct {
+	version int64
+	text    string // What a read saw.
+	refused bool   // Conflict.
+	unknown bool
+}
+
+// configState is the accepted configuration.
+type configState struct {
+	version int64
+	text    string
+}
+
+// configModel is a register with compare-and-swap. A change whose fate is not
+// known may or may not have taken effect, so both are tried.
+var configModel = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{configState{}} },
+	Step: func(state, input, output any) []any {
+		s, op, r := state.(configState), input.(configOp), output.(configResult)
+		next := configState{s.version + 1, op.text}
+		switch {
+		case op.read && r.unknown:
+			return []any{s}
+		case op.read && r.version == s.version && r.text == s.text:
+			return []any{s}
+		case op.read:
+			return nil
+		case r.unknown && op.base == s.version:
+			return []any{s, next}
+		case r.unknown:
+			return []any{s}
+		case r.refused && op.base != s.version:
+			return []any{s}
+		case !r.refused && op.base == s.version && r.version == next.version:
+			return []any{next}
+		}
+		return nil
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v %+v", input, output) },
+}).ToModel()
+
+type applier func(*Store, configOp) (int64, error)
+
+// badHistories counts histories of racing operators that no register explains.
+func badHistories(seeds uint64, apply applier) (bad int) {
+	for seed := range seeds {
+		table := standin.NewMemTable(seed)
+		table.Lost, table.Down, table.Late = 0.2, 0.1, 0.3
+		var mu sync.Mutex
+		var ops []porcupine.Operation
+		var wg sync.WaitGroup
+		for operator := range 5 {
+			wg.Go(func() {
+				store := NewStore(table)
+				record := func(op configOp, run func() configResult) configResult {
+					start := time.Now().UnixNano()
+					r := run()
+					end := time.Now().UnixNano()
+					if r.unknown {
+						end = int64(1) << 62 // It may take effect at any later time.
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					ops = append(ops, porcupine.Operation{ClientId: operator, Input: op, Output: r, Call: start, Return: end})
+					return r
+				}
+				for n := range 4 {
+					seen := record(configOp{read: true}, func() configResult { return readResult(store) })
+					if seen.unknown {
+						continue
+					}
+					op := configOp{base: seen.version, text: fmt.Sprintf("%d-%d", operator, n)}
+					if r := record(op, func() configResult { return applyResult(store, op, apply) }); r.unknown {
+						return // A client with an open call makes no other.
+					}
+				}
+			})
+		}
+		wg.Wait()
+		if !porcupine.CheckOperations(configModel, ops) {
+			bad++
+		}
+	}
+	return bad
+}
+
+func readResult(s *Store) configResult {
+	v, err := s.Load(context.Background(), 0)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return configResult{}
+	case err != nil:
+		return configResult{unknown: true}
+	}
+	return configResult{version: v.Number, text: v.Text}
+}
+
+func applyResult(s *Store, op configOp, apply applier) configResult {
+	n, err := apply(s, op)
+	var conflict *ConflictError
+	switch {
+	case err == nil:
+		return configResult{version: n}
+	case errors.As(err, &conflict):
+		return configResult{refused: true}
+	}
+	return configResult{unknown: true}
+}
+
+func honest(s *Store, op configOp) (int64, error) {
+	return s.Apply(context.Background(), op.base, Version{Text: op.text})
+}
+
+func TestConfigHistories(t *testing.T) {
+	if bad := badHistories(300, honest); bad > 0 {
+		t.Errorf("%d of 300 histories cannot be explained", bad)
+	}
+}
+
+// The checker itself must catch a store that takes a lost answer for a conflict.
+func TestConfigHistoriesCatchABug(t *testing.T) {
+	careless := func(s *Store, op configOp) (int64, error) {
+		n, err := honest(s, op)
+		var unknown *UnknownError
+		if errors.As(err, &unknown) {
+			return 0, &ConflictError{}
+		}
+		return n, err
+	}
+	if bad := badHistories(300, careless); bad == 0 {
+		t.Error("the checker let a careless store pass")
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -50,6 +50,8 @@
 // Client calls engines. It is safe for concurrent use.
 type Client struct {
 	hc *http.Client
+	// probes is for asking for load, apart from the path of requests.
+	probes *http.Client
 	// OnLoad, where set before the first call, is given the load report that
 	// came with an answer, by the engine's address.
 	OnLoad func(address string, l Load)
@@ -58,17 +60,29 @@
 // NewClient returns a client with a connection pool of its own. It speaks only
 // HTTP/1.1 and uses no proxy from the environment.
 func NewClient() *Client {
-	d := &net.Dialer{Timeout: dialTimeout}
-	return &Client{hc: &http.Client{
+	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	return &Client{hc: httpClient(dial, idlePerHost), probes: httpClient(dial, 1)}
+}
+
+// Dial opens a connection, as net.Dialer does.
+type Dial = func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// ProbeThrough has probes use another way to dial, so that their bytes can be counted.
+func (c *Client) ProbeThrough(wrap func(Dial) Dial) {
+	c.probes = httpClient(wrap((&net.Dialer{Timeout: dialTimeout}).DialContext), 1)
+}
+
+func httpClient(dial Dial, idle int) *http.Client {
+	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         d.DialContext,
-			MaxIdleConnsPerHost: idlePerHost,
+			DialContext:         dial,
+			MaxIdleConnsPerHost: idle,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
 		},
 		// A redirect would take the request to an endpoint nobody chose.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
 }
 
 // Close drops idle connections.
@@ -229,7 +243,7 @@
 	if err != nil {
 		return l, err
 	}
-	resp, err := c.hc.Do(req)
+	resp, err := c.probes.Do(req)
 	if err != nil {
 		return l, err
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -73,7 +74,14 @@
 // write again only if it wrote nothing of it, because none carries an
 // Idempotency-Key; a lost answer is therefore always seen as an error here.
 func NewClient(base, key string) *Client {
-	return &Client{base: base, key: key, hc: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+	return NewClientThrough(base, key, (&net.Dialer{Timeout: callLimit}).DialContext)
+}
+
+// NewClientThrough is NewClient with another way to dial, so that bytes can be counted.
+func NewClientThrough(base, key string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
+	return &Client{base: base, key: key, hc: &http.Client{Transport: &http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute,
+	}}}
 }
 
 func (c *Client) do(ctx context.Context, method, path string, body []byte, header http.Header) (int, []byte, error) {
--- /dev/null
+++ b/internal/telemetry/count.go
@@ -0,0 +1,39 @@
+package telemetry
+
+import (
+	"context"
+	"net"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// CountBytes wraps a dialer so that all bytes of its connections, both ways, are
+// counted. Bytes below TCP are not.
+func CountBytes(c *metrics.Counter, dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, c: c}, nil
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	c *metrics.Counter
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.c.Add(n)
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.c.Add(n)
+	return n, err
+}
