Choose what to refuse, share links, and learn pace and cache sizes: measured in virtual time

Cause: the first decisions had never met load. 'make bench' now drives the very same core in virtual time against the stand-ins' cost model, with baselines and an upper bound.

Causes found, one after another, and changes: - Ordering by latest start lets one late prompt make all others late. Requests that are too many are now refused at once, the largest of the client with most waiting first (Moore and Hodgson's rule).

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The front door: every task of the project starts here.
-.PHONY: run test build check generate guards slopes fuzz clean
+.PHONY: run test build check generate guards bench slopes fuzz clean
 
 build: ## Build both programs into bin/.
 	go build -o bin/ ./cmd/stoatrampd ./cmd/stoatramp
@@ -23,6 +23,9 @@
 guards: ## Take each guard of a promise out and show that its test fails.
 	./scripts/guards.sh
 
+bench: ## Compare the decisions with baselines and a bound, in virtual time.
+	go run ./cmd/bench compare
+
 slopes: ## Reprint every figure of docs/CAPACITY.md.
 	./scripts/slopes.sh
 
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,9 +12,10 @@
 )
 
 type cli struct {
-	Site   bench.SiteCmd   `cmd:"" help:"Run stand-ins and write settings for a box before them."`
-	Load   bench.LoadCmd   `cmd:"" help:"Load a box and the stand-ins directly, in turns, and compare."`
-	Slopes bench.SlopesCmd `cmd:"" help:"Measure the slopes of decisions, limits, settings and records."`
+	Site    bench.SiteCmd    `cmd:"" help:"Run stand-ins and write settings for a box before them."`
+	Load    bench.LoadCmd    `cmd:"" help:"Load a box and the stand-ins directly, in turns, and compare."`
+	Compare bench.CompareCmd `cmd:"" help:"Compare the decisions with baselines and a bound, in virtual time."`
+	Slopes  bench.SlopesCmd  `cmd:"" help:"Measure the slopes of decisions, limits, settings and records."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/bench/faults.go
@@ -0,0 +1,68 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/decide"
+)
+
+// faultNames are the faults of a comparison with --fault all.
+var faultNames = []string{"none", "prefill-dies", "decode-dies", "link", "frozen", "third", "cancels", "two"}
+
+// faultLength is how long a passing fault lasts.
+const faultLength = 10 * time.Second
+
+// inject schedules a fault at a third of the run. Engines that die come back
+// empty after faultLength.
+func (r *run) inject(fault string, length time.Duration) {
+	at := r.start.Add(length / 3)
+	prefills, decodes := r.order[:r.m.prefills], r.order[r.m.prefills:]
+	kill := func(list []*simEngine) {
+		for _, e := range list {
+			r.at(at, e.die)
+			r.at(at.Add(faultLength), func() { e.dead, e.samples = false, nil })
+		}
+	}
+	switch fault {
+	case "prefill-dies":
+		kill(prefills[:max(1, len(prefills)/9)])
+	case "decode-dies":
+		kill(decodes[:max(1, len(decodes)/9)])
+	case "third":
+		kill(decodes[:len(decodes)/3])
+	case "link":
+		for _, e := range decodes[:max(1, len(decodes)/9)] {
+			r.at(at, func() { e.stalled = true })
+			r.at(at.Add(faultLength), func() { e.stalled = false })
+		}
+	case "frozen":
+		r.freeze(at)
+	case "two":
+		kill(decodes[:max(1, len(decodes)/9)])
+		r.freeze(at)
+	}
+}
+
+func (r *run) freeze(at time.Time) {
+	for _, e := range r.order {
+		r.at(at, func() { e.frozen = true })
+		r.at(at.Add(faultLength), func() { e.frozen = false })
+	}
+}
+
+// burstLength is how long a burst lasts.
+const burstLength = 5 * time.Second
+
+// withBurst adds as many arrivals again for a while.
+func (m *mix) withBurst(seed uint64, reqs []*request, rate float64, length time.Duration) []*request {
+	for _, q := range m.arrivals(seed+77, rate, burstLength, 0) {
+		q.at += length / 3
+		reqs = append(reqs, q)
+	}
+	slices.SortStableFunc(reqs, func(a, b *request) int { return int(a.at - b.at) })
+	for i, q := range reqs {
+		q.ID = decide.ID(i + 1)
+	}
+	return reqs
+}
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -14,7 +14,13 @@
 	// prefillWindow is how much work a prefill engine may have in front of a new
 	// prompt. Beyond it a request waits on the box, where a better engine or a
 	// more urgent request can still come first.
-	prefillWindow = 40 * time.Millisecond
+	prefillWindow = 80 * time.Millisecond
+	// linkWindow is the same for the transfer: how long it may have to wait for
+	// its links. Large transfers kept on the box leave room for small ones.
+	linkWindow = 100 * time.Millisecond
+	// rebindGain is how much sooner an answer must begin for its decode engine to
+	// be changed once the prompt is read.
+	rebindGain = 5 * time.Millisecond
 	// A stage counts as stalled when it takes stallFactor times its prediction
 	// and half the first-token target longer, within these margins. It then moves
 	// if there is somewhere better to go, and goes on otherwise: a slow call is
@@ -31,7 +37,7 @@
 	// maxTries bounds the prefills of one request, whatever the budget says.
 	maxTries = 3
 	// queueTries bounds how many waiting requests one event tries to place.
-	queueTries = 4
+	queueTries = 8
 )
 
 type stage uint8
@@ -51,6 +57,10 @@
 	arrived time.Time
 	// latestStart is when the prompt must start to be read to meet the target.
 	latestStart time.Time
+	// work is the least time the request takes from an engine of each role. Of a
+	// prefill engine: for reading the prompt or sending the KV cache, whichever is
+	// longer. Of a decode engine: its share of a full batch while it is written.
+	work [2]time.Duration
 	// order is latestStart moved by the route's priority; the queue and the
 	// engines run the earliest first.
 	order time.Time
@@ -62,6 +72,7 @@
 	tries  int
 	avoid  *engine // The engine the last try failed on.
 	lastCh *Choice // What the last attempt to place it saw.
+	late   bool    // That attempt saw no pair that could still meet the target.
 
 	prefill        *engine
 	prefillAttempt Attempt // 0 when no prefill engine holds anything for it.
@@ -69,6 +80,9 @@
 	readTokens     int     // Prompt tokens the prefill engine had to read.
 	expires        time.Time
 
+	// planned is the engines whose links the transfer takes or is expected on.
+	planned [2]*engine
+
 	decode        *engine
 	decodeAttempt Attempt // 0 when no decode engine was sent anything.
 	held          int     // Tokens held in the decode ledger.
@@ -80,6 +94,13 @@
 // need is the decode memory the request takes, in tokens.
 func (f *flight) need() int { return f.PromptTokens + f.MaxTokens }
 
+// fullStream is the answer length from which a stream counts as a whole one in
+// predictions of the step. A verdict of a few tokens is gone after a few steps.
+const fullStream = 64
+
+// weight is how much of a stream the request is, in predictions of the step.
+func (f *flight) weight() float64 { return min(1, float64(f.MaxTokens)/fullStream) }
+
 // Core is the state of the decisions of one box. It is not safe for concurrent use.
 type Core struct {
 	rng     *rand.Rand
@@ -207,13 +228,13 @@
 	if !c.fits(f) {
 		return
 	}
-	f.latestStart = f.arrived.Add(f.FirstToken - c.idleTime(f))
+	c.setWork(f)
 	f.order = f.latestStart.Add(time.Duration(f.Priority) * time.Second)
 	if f.Policy != nil && !c.admit(f) {
 		return
 	}
-	if !f.patient && c.hopeless(f) {
-		c.endRetry(f, outcome.TooLate, c.retryAfter(f))
+	if !f.patient && c.now.Add(c.shortestQueue(f)).After(f.latestStart) {
+		c.endLate(f, "every prefill engine has more to read already than the target allows")
 		return
 	}
 	c.wait(f)
@@ -236,23 +257,17 @@
 	return false
 }
 
-// idleTime is the least time to a first token, with nothing else running.
-func (c *Core) idleTime(f *flight) time.Duration {
-	best := time.Duration(1<<63 - 1)
+// setWork works out the least work of the request, and when its prompt must start
+// to be read at the latest, with nothing else running.
+func (c *Core) setWork(f *flight) {
+	read := time.Duration(1<<63 - 1)
 	for _, e := range c.lookAt(f.pool, f) {
-		best = min(best, e.readTime(f.PromptTokens-e.cachedTokens(f)))
-	}
-	return best + f.pool.idleTransfer(f.PromptTokens) + f.pool.bestStep
-}
-
-// hopeless says that the work already waiting uses up the slack: what waits on
-// this box before the request, and what the least busy engine has to read.
-func (c *Core) hopeless(f *flight) bool {
-	if f.pool.totalRate <= 0 {
-		return false
+		read = min(read, e.readTime(f.PromptTokens-e.cachedTokens(f)))
 	}
-	ahead := seconds(float64(f.pool.queue.tokensBefore(f)) / f.pool.totalRate)
-	return c.now.Add(ahead + c.shortestQueue(f)).After(f.latestStart)
+	transfer := f.pool.idleTransfer(f.PromptTokens)
+	f.work[Prefill] = max(read, transfer)
+	f.work[Decode] = time.Duration(f.MaxTokens) * f.BetweenTokens / time.Duration(f.pool.batch(f.BetweenTokens))
+	f.latestStart = f.arrived.Add(f.FirstToken - read - transfer - f.pool.bestStep)
 }
 
 func (c *Core) shortestQueue(f *flight) time.Duration {
@@ -266,8 +281,7 @@
 // retryAfter is how long the work ahead will take, at least a second, so that a
 // refused caller comes back when it has a chance.
 func (c *Core) retryAfter(f *flight) time.Duration {
-	ahead := seconds(float64(f.pool.queue.tokensBefore(f)) / max(1, f.pool.totalRate))
-	return max(time.Second, ahead+c.shortestQueue(f))
+	return max(time.Second, f.pool.ahead(f)+c.shortestQueue(f))
 }
 
 func (c *Core) admit(f *flight) bool {
@@ -309,6 +323,7 @@
 	f.stage = waiting
 	p.queue.add(f)
 	c.drainQueue(p)
+	c.relieve(p)
 	if f.stage != waiting || c.flights[f.ID] == nil {
 		return
 	}
@@ -331,10 +346,16 @@
 	if !ok {
 		return false
 	}
-	if q.Queue > prefillWindow {
+	if !f.patient && c.now.Add(q.First).After(f.arrived.Add(f.FirstToken)) {
+		f.late = true
+		return false
+	}
+	linkWait := q.Transfer - transferTime(f.pool, f, q.prefill, q.decode)
+	if q.Queue > prefillWindow || linkWait > linkWindow {
 		ch.Passed.Busy++
 		return false
 	}
+	f.pool.pace.started(f)
 	f.tries++
 	f.attempt++
 	f.prefill, f.prefillAttempt, f.reading = q.prefill, f.attempt, true
@@ -344,8 +365,7 @@
 	q.prefill.addPrefill(c.now, f.ID, f.readTokens)
 	q.prefill.cache.add(f.Blocks)
 	q.prefill.health.chosen(c.now)
-	end := transferEnd(f.pool, f, q.prefill, q.decode, c.now.Add(q.Queue+q.Read))
-	q.prefill.linkUntil, q.decode.linkUntil = end, end
+	f.plan(c.now.Add(q.Queue + q.Read))
 	c.emit(StartPrefill{f.ID, f.attempt, q.prefill.Name, q.decode.Name, f.enginePriority(), ch})
 	return true
 }
@@ -371,13 +391,14 @@
 func (c *Core) holdDecode(f *flight, e *engine) {
 	f.decode = e
 	f.held = f.need()
-	e.addDecode(c.now, f.ID, f.held)
+	e.addDecode(c.now, f.ID, f.held, f.weight())
 	e.health.chosen(c.now)
 }
 
 func (c *Core) releaseDecode(f *flight) {
+	f.unplan()
 	if f.decode != nil {
-		f.decode.dropDecode(f.ID, f.held)
+		f.decode.dropDecode(f.ID, f.held, f.weight())
 		f.decode, f.held = nil, 0
 	}
 }
@@ -396,6 +417,7 @@
 	}
 	f.ran = true
 	f.expires = ev.Expires
+	f.prefill.cache.learn(f.PromptTokens-f.readTokens, ev.Cached, len(f.Blocks))
 	f.readTokens = max(0, f.PromptTokens-ev.Cached)
 	c.releasePrefill(f)
 	f.prefill.health.succeeded()
@@ -408,6 +430,8 @@
 			return
 		}
 	}
+	f.unplan()
+	c.betterDecode(f)
 	c.startDecode(f, moved)
 	c.drainQueue(f.pool)
 }
@@ -415,11 +439,35 @@
 func (c *Core) startDecode(f *flight, moved outcome.Reason) {
 	f.attempt++
 	f.decodeAttempt = f.attempt
-	end := transferEnd(f.pool, f, f.prefill, f.decode, c.now)
-	c.setStage(f, transferring, end.Sub(c.now)+f.decode.stepTime())
+	f.unplan()
+	takes := predictTransfer(f.pool, f, f.prefill, f.decode, c.now)
+	f.plan(c.now)
+	c.setStage(f, transferring, takes+f.decode.stepTime())
 	c.emit(StartDecode{f.ID, f.attempt, f.prefill.Name, f.prefillAttempt, f.decode.Name, f.enginePriority(), moved})
 }
 
+// betterDecode changes the decode engine before the transfer starts, when
+// another one would have the answer begin clearly sooner: links and batches have
+// changed since the engine was chosen, before the prompt was read. A place is held
+// on one or the other at all times.
+func (c *Core) betterDecode(f *flight) {
+	var passed PassedOver
+	c.findWriters(f.pool, f, c.now, &passed)
+	begin := func(e *engine, step time.Duration) time.Duration {
+		return predictTransfer(f.pool, f, f.prefill, e, c.now) + step
+	}
+	best, least := f.decode, begin(f.decode, f.decode.stepTime())-rebindGain
+	for _, w := range c.writers {
+		if t := begin(w.e, w.step); w.e != f.decode && t < least {
+			best, least = w.e, t
+		}
+	}
+	if best != f.decode {
+		c.releaseDecode(f)
+		c.holdDecode(f, best)
+	}
+}
+
 // anotherDecode holds memory on a decode engine other than the present one.
 func (c *Core) anotherDecode(f *flight) bool {
 	f.avoid = f.decode
@@ -445,6 +493,7 @@
 		return
 	}
 	f.stage = streaming
+	f.unplan()
 	f.prefillAttempt = 0 // The decode engine has taken the KV cache.
 	f.stageDeadline = time.Time{}
 	f.decode.health.succeeded()
@@ -581,6 +630,11 @@
 	c.finish(f, outcome.Outcome{Kind: f.unanswered(), Reason: reason, RetryAfter: after})
 }
 
+// endLate refuses a request that cannot be on time, and says how that was told.
+func (c *Core) endLate(f *flight, detail string) {
+	c.finish(f, outcome.Outcome{Kind: f.unanswered(), Reason: outcome.TooLate, Detail: detail, RetryAfter: c.retryAfter(f)})
+}
+
 // unanswered is the kind of end that is true of a request without an answer.
 func (f *flight) unanswered() outcome.Kind {
 	if f.ran {
@@ -635,6 +689,7 @@
 	}
 	for _, name := range c.names {
 		c.drainQueue(c.pools[name])
+		c.relieve(c.pools[name])
 	}
 }
 
@@ -681,17 +736,39 @@
 	tried := 0
 	for i := 0; i < len(p.queue.items) && tried < queueTries; {
 		f := p.queue.items[i]
-		f.lastCh = nil
+		f.lastCh, f.late = nil, false
 		if c.expired(f) {
 			c.endRetry(f, outcome.WaitExpired, c.retryAfter(f))
 			continue
 		}
 		tried++
-		if !c.tryPlace(f) {
+		switch {
+		case c.tryPlace(f):
+			p.queue.items = append(p.queue.items[:i], p.queue.items[i+1:]...)
+		case f.late:
+			c.endLate(f, "the best pair of engines would be too slow")
+		default:
 			i++
-			continue
 		}
-		p.queue.items = append(p.queue.items[:i], p.queue.items[i+1:]...)
+	}
+	p.findScarce(tried)
+	p.pace.look(c.now, len(p.queue.items) > 0)
+}
+
+// findScarce notes which role the first waiting requests lack.
+func (p *pool) findScarce(tried int) {
+	n := 0
+	seen := min(tried, len(p.queue.items))
+	for _, f := range p.queue.items[:seen] {
+		if f.waitReason() == outcome.NoDecode {
+			n++
+		}
+	}
+	if seen > 0 {
+		p.scarce = Prefill
+		if 2*n > seen {
+			p.scarce = Decode
+		}
 	}
 }
 
--- a/internal/decide/ledger.go
+++ b/internal/decide/ledger.go
@@ -10,14 +10,13 @@
 
 	// heldKV and streams are what this core's own requests hold on a decode engine.
 	heldKV  int
-	streams int
+	streams float64
 	// jobs counts this core's own prefills in flight.
 	jobs int
 
 	// busyUntil is when a prefill engine is believed to finish all work known of.
 	busyUntil time.Time
-	// linkUntil is when the engine's link is believed to finish all transfers known of.
-	linkUntil time.Time
+	link      link
 
 	report     Report
 	reported   bool
@@ -34,7 +33,7 @@
 	at      time.Time
 	tokens  int
 	kv      int
-	streams int
+	streams float64
 }
 
 const (
@@ -81,16 +80,16 @@
 
 // stepTime predicts the time between tokens with one more stream.
 func (e *engine) stepTime() time.Duration {
-	return e.Step + time.Duration(e.running()+1)*e.StepPerStream
+	return e.Step + time.Duration((e.running()+1)*float64(e.StepPerStream))
 }
 
 // running counts streams the same way freeKV counts memory: the larger of this
 // core's own and the reported ones with those sent since.
-func (e *engine) running() int {
+func (e *engine) running() float64 {
 	if !e.reported {
 		return e.streams
 	}
-	seen := e.report.Streams
+	seen := float64(e.report.Streams)
 	for i := range e.sent {
 		seen += e.sent[i].streams
 	}
@@ -115,17 +114,20 @@
 }
 
 // addDecode holds memory for a request on the engine.
-func (e *engine) addDecode(now time.Time, id ID, kv int) {
+func (e *engine) addDecode(now time.Time, id ID, kv int, weight float64) {
 	e.heldKV += kv
-	e.streams++
-	e.note(sentWork{id: id, at: now, kv: kv, streams: 1})
+	e.streams += weight
+	e.note(sentWork{id: id, at: now, kv: kv, streams: weight})
 }
 
 // dropDecode gives the memory back. Work that no report has seen yet is taken
 // out of sent too; otherwise the estimate would stay low until the next report.
-func (e *engine) dropDecode(id ID, kv int) {
+func (e *engine) dropDecode(id ID, kv int, weight float64) {
 	e.heldKV -= kv
-	e.streams--
+	e.streams = max(0, e.streams-weight)
+	if e.heldKV == 0 {
+		e.streams = 0 // Sums of fractions do not come back to zero by themselves.
+	}
 	for i := range e.sent {
 		if e.sent[i].id == id && e.sent[i].kv > 0 {
 			e.sent = append(e.sent[:i], e.sent[i+1:]...)
@@ -187,10 +189,41 @@
 // keeps two generations: new blocks go to the young one, and when that is full
 // it becomes the old one, whose blocks are forgotten. This costs two map
 // look-ups and no list, and forgets about as an engine under pressure does.
-type blockCache struct{ young, old map[uint64]struct{} }
+//
+// How many blocks the engine really keeps is learned: when it had fewer cached
+// than believed the generations shrink, and while it has them they slowly grow.
+type blockCache struct {
+	young, old map[uint64]struct{}
+	limit      float64 // Blocks of one generation; 0 before the first is learned.
+}
 
-// cacheBlocks is the size of one generation; two cost about 100 KB an engine.
-const cacheBlocks = 2048
+const (
+	// mostBlocks bounds a generation; two cost about 150 KB an engine.
+	mostBlocks  = 2048
+	leastBlocks = 32
+	cacheShrink = 0.9
+	cacheGrow   = 1.01
+)
+
+func (c *blockCache) size() int {
+	if c.limit == 0 {
+		return mostBlocks
+	}
+	return int(c.limit)
+}
+
+// learn compares the prompt tokens believed cached with those that were.
+func (c *blockCache) learn(believed, cached, blocks int) {
+	if blocks == 0 {
+		return
+	}
+	switch {
+	case cached+BlockTokens <= believed:
+		c.limit = max(leastBlocks, float64(c.size())*cacheShrink)
+	case believed >= BlockTokens:
+		c.limit = min(mostBlocks, float64(c.size())*cacheGrow)
+	}
+}
 
 func (c *blockCache) has(b uint64) bool {
 	if _, ok := c.young[b]; ok {
@@ -202,7 +235,7 @@
 
 func (c *blockCache) add(blocks []uint64) {
 	for _, b := range blocks {
-		if len(c.young) >= cacheBlocks {
+		if len(c.young) >= c.size() {
 			c.old, c.young = c.young, nil
 		}
 		if c.young == nil {
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -28,6 +28,9 @@
 	silentCost = 0.250
 	// stepWeight turns closeness to the between-tokens target into seconds.
 	stepWeight = 0.030
+	// workWeight counts reading time once more, because it is also taken from the
+	// requests that come after: a cached prefix is worth some waiting.
+	workWeight = 2.0
 	// avoidCost keeps a retry off the engine the last try failed on, unless it is the only one.
 	avoidCost = 1
 	// noise is the width of the random part of a cost, in seconds.
@@ -41,8 +44,11 @@
 	decode  []*engine
 	ring    []ringPoint // Prefill engines by hash, for affinity.
 	queue   waitQueue
-	// totalRate is the prompt tokens a second of all prefill engines that take work.
-	totalRate float64
+	pace    pace
+	// scarce is the role that waiting requests lack.
+	scarce EngineRole
+	// bestPerStream is the least a stream adds to a step.
+	bestPerStream time.Duration
 	// bestLink and bestStep are the fastest link and step in the pool.
 	bestLink float64
 	bestStep time.Duration
@@ -55,6 +61,14 @@
 	mostKV   int // Memory of the largest decode engine, in tokens.
 }
 
+// batch is how many streams a decode engine can run within the target.
+func (p *pool) batch(target time.Duration) int {
+	if p.bestPerStream <= 0 {
+		return 1
+	}
+	return max(1, 1+int((target-p.bestStep)/p.bestPerStream))
+}
+
 // idleTransfer is the time a KV cache takes over the fastest link, unshared.
 func (p *pool) idleTransfer(tokens int) time.Duration {
 	if p.bestLink <= 0 {
@@ -90,24 +104,25 @@
 
 // measure works out the figures of the pool as a whole.
 func (p *pool) measure() {
-	p.totalRate, p.bestLink, p.bestStep = 0, 0, 0
+	p.bestLink, p.bestStep = 0, 0
 	p.regions = map[string]regionSize{}
 	for _, e := range p.prefill {
 		if e.Leaving {
 			continue
 		}
-		p.totalRate += e.PrefillRate
 		p.bestLink = max(p.bestLink, e.LinkRate)
 		g := p.regions[e.Region]
 		g.prefills++
 		p.regions[e.Region] = g
 	}
+	p.pace.limit(Prefill, len(p.prefill))
+	p.pace.limit(Decode, len(p.decode))
 	for _, e := range p.decode {
 		if e.Leaving {
 			continue
 		}
 		if step := e.Step + e.StepPerStream; p.bestStep == 0 || step < p.bestStep {
-			p.bestStep = step
+			p.bestStep, p.bestPerStream = step, e.StepPerStream
 		}
 		g := p.regions[e.Region]
 		g.mostKV = max(g.mostKV, e.KVTokens)
@@ -274,7 +289,7 @@
 		r := reader{e: e, cached: e.cachedTokens(f), queue: e.queueTime(now), extra: e.doubt(f)}
 		r.read = e.readTime(f.PromptTokens - r.cached)
 		r.ready = now.Add(r.queue + r.read)
-		r.extra += (r.queue + r.read).Seconds() + noise*c.rng.Float64()
+		r.extra += r.queue.Seconds() + (1+workWeight)*r.read.Seconds() + noise*c.rng.Float64()
 		c.readers = append(c.readers, r)
 	}
 }
@@ -294,7 +309,7 @@
 		w := writer{e: e, step: e.stepTime(), extra: e.doubt(f)}
 		// A stream that may run late can join a slow batch, and an engine with
 		// nothing running is never too slow to try.
-		if !f.patient && w.step > f.BetweenTokens && e.running() > 0 {
+		if !f.patient && w.step > f.BetweenTokens && e.running() >= 1 {
 			passed.TooSlow++
 			continue
 		}
@@ -321,7 +336,7 @@
 func (c *Core) predict(p *pool, f *flight, i, j int, now time.Time) pair {
 	r, w := &c.readers[i], &c.writers[j]
 	q := pair{reader: i, writer: j}
-	q.transfer = transferEnd(p, f, r.e, w.e, r.ready).Sub(r.ready)
+	q.transfer = predictTransfer(p, f, r.e, w.e, r.ready)
 	q.first = r.queue + r.read + q.transfer + w.step
 	q.cost = r.extra + w.extra + q.transfer.Seconds()
 	if r.e.Hall != w.e.Hall {
@@ -339,15 +354,3 @@
 	c.prefills = c.sample(c.prefills, p.prefill)
 	return c.prefills
 }
-
-// transferEnd predicts when a transfer that may start at ready would be over.
-func transferEnd(p *pool, f *flight, pe, de *engine, ready time.Time) time.Time {
-	start := ready
-	for _, e := range []*engine{pe, de} {
-		if start.Before(e.linkUntil) {
-			start = e.linkUntil
-		}
-	}
-	rate := min(pe.LinkRate, de.LinkRate)
-	return start.Add(seconds(float64(f.PromptTokens) * float64(p.KVBytesPerToken) / rate))
-}
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -30,16 +30,139 @@
 	}
 }
 
-// tokensBefore sums the prompt tokens of requests that would start before f.
-func (q *waitQueue) tokensBefore(f *flight) int {
-	n := 0
-	for _, g := range q.items {
+// pace measures how many engine seconds of work this box starts in a second while
+// requests wait, in each role. Alone before n engines that is about n; with other
+// boxes before the same engines it is this box's share, and it falls when engines go.
+type pace struct {
+	most  [2]float64 // The number of engines, by role.
+	now   [2]float64 // The present estimate; 0 before the first window.
+	since time.Time  // When the window began; zero while nothing waits.
+	work  [2]float64 // Started in the window, in seconds.
+}
+
+const (
+	// paceWindow is how long requests must have waited for a measurement.
+	paceWindow = 400 * time.Millisecond
+	// paceBlend is the weight of a new measurement, and paceTrust that of the
+	// number of engines whenever nothing waits.
+	paceBlend = 0.5
+	paceTrust = 0.01
+	// leastPace keeps an estimate from a standstill usable.
+	leastPace = 0.05
+)
+
+func (p *pace) limit(role EngineRole, engines int) { p.most[role] = float64(engines) }
+
+func (p *pace) started(f *flight) {
+	for role := range p.work {
+		p.work[role] += f.work[role].Seconds()
+	}
+}
+
+// look is called after each change of the queue.
+func (p *pace) look(now time.Time, waiting bool) {
+	switch d := now.Sub(p.since); {
+	case !waiting:
+		p.since, p.work = time.Time{}, [2]float64{}
+		for role := range p.now {
+			p.now[role] += paceTrust * (p.most[role] - p.now[role])
+		}
+	case p.since.IsZero():
+		p.since, p.work = now, [2]float64{}
+	case d >= paceWindow:
+		for role := range p.now {
+			had := p.get(EngineRole(role))
+			p.now[role] = had + paceBlend*(p.work[role]/d.Seconds()-had)
+		}
+		p.since, p.work = now, [2]float64{}
+	}
+}
+
+func (p *pace) get(role EngineRole) float64 {
+	if p.now[role] == 0 {
+		return max(leastPace, p.most[role])
+	}
+	return max(leastPace, min(p.most[role], p.now[role]))
+}
+
+// ahead is how long the requests that start before f will take.
+func (p *pool) ahead(f *flight) time.Duration {
+	work := 0.0
+	for _, g := range p.queue.items {
 		if byOrder(g, f) >= 0 {
 			break
 		}
-		n += g.PromptTokens
+		work += g.work[p.scarce].Seconds()
+	}
+	return seconds(work / p.pace.get(p.scarce))
+}
+
+// maxRelieved bounds the requests refused in one go.
+const maxRelieved = 16
+
+// relieve refuses waiting requests that are too many to be on time, as soon as
+// that can be told. Work is that on the scarce role. The queue is gone through in its order, adding up the work; at
+// the first request that would start too late something before it or itself must
+// go. That is the largest one of the client that has most work there: this keeps
+// the most requests on time (the rule of Moore and Hodgson), and one client's
+// bulk cannot push out another's few.
+//
+// Example: one engine, three waiting requests of 400, 10 and 10 ms, of which the
+// last two would be late behind the first. Refusing the first serves two of three;
+// refusing each as it becomes late would serve one.
+func (c *Core) relieve(p *pool) {
+	for range maxRelieved {
+		late := c.firstLate(p)
+		if late < 0 {
+			return
+		}
+		f := largestOfGreatest(p.queue.items[:late+1], p.scarce)
+		c.endLate(f, "more is waiting for "+p.scarce.String()+" engines than can be on time, and it was the largest of the client with most waiting")
+	}
+}
+
+// firstLate finds the first waiting request that would start too late; -1 if none.
+func (c *Core) firstLate(p *pool) int {
+	if len(p.queue.items) == 0 {
+		return -1
+	}
+	at := c.now
+	if p.scarce == Prefill {
+		at = at.Add(c.shortestQueue(p.queue.items[0]))
+	}
+	rate := p.pace.get(p.scarce)
+	for i, f := range p.queue.items {
+		if f.patient {
+			continue
+		}
+		if at.After(f.latestStart) {
+			return i
+		}
+		at = at.Add(seconds(f.work[p.scarce].Seconds() / rate))
+	}
+	return -1
+}
+
+// largestOfGreatest picks the largest request of the client with most work.
+func largestOfGreatest(items []*flight, role EngineRole) *flight {
+	total := map[string]time.Duration{}
+	greatest := ""
+	for _, f := range items {
+		if f.patient {
+			continue
+		}
+		total[f.Client] += f.work[role]
+		if t := total[f.Client]; greatest == "" || t > total[greatest] {
+			greatest = f.Client
+		}
+	}
+	var best *flight
+	for _, f := range items {
+		if !f.patient && f.Client == greatest && (best == nil || f.work[role] > best.work[role]) {
+			best = f
+		}
 	}
-	return n
+	return best
 }
 
 // retryBudget lets retries be a share of arrivals, so that a failing fleet is
--- a/internal/decide/snapshot.go
+++ b/internal/decide/snapshot.go
@@ -23,7 +23,7 @@
 	for _, e := range c.engines {
 		out = append(out, EngineState{
 			Engine: e.Engine, State: e.state(now), Queue: e.queueTime(now),
-			FreeKV: e.freeKV(), HeldKV: e.heldKV, Streams: e.running(), Jobs: e.jobs,
+			FreeKV: e.freeKV(), HeldKV: e.heldKV, Streams: int(e.running()), Jobs: e.jobs,
 		})
 	}
 	slices.SortFunc(out, func(a, b EngineState) int { return cmp.Compare(a.Name, b.Name) })
