Let many boxes learn what they cannot see: lateness, slower links, other boxes' prefixes

Each box believed engines and links to be as free as it saw them, moved transfers that were only congested, and sent the same prefix elsewhere than the others did.

Change: a box learns from its own requests how much later than predicted prompts of a class of targets are read, how much slower than alone transfers are, and how often a prefix was cached otherwise than believed; the last turns on a pull of prefixes to favourite engines that is the same on all boxes. A request's wait counts only the prompt being read and work at least as urgent, since engines honour priorities.

--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -30,6 +30,7 @@
 	Tokens    int           `default:"100" help:"Tokens of each answer."`
 	Rounds    int           `default:"3" help:"Rounds of each way, in turns."`
 	Ready     time.Duration `default:"10s" help:"How long to wait for the box."`
+	Idle      time.Duration `help:"Measure the box's control traffic this long while nothing else happens."`
 
 	hc  *http.Client
 	eng *engine.Client
@@ -59,6 +60,11 @@
 	if err := c.awaitBox(); err != nil {
 		return err
 	}
+	if c.Idle > 0 {
+		if err := c.idle(); err != nil {
+			return err
+		}
+	}
 	idle, err := c.process()
 	if err != nil {
 		return err
@@ -270,8 +276,26 @@
 	return errors.New("the box did not become ready")
 }
 
+// idle measures what a box spends on control alone.
+func (c *LoadCmd) idle() error {
+	time.Sleep(time.Second) // The start is over.
+	before, err := c.process()
+	if err != nil {
+		return err
+	}
+	time.Sleep(c.Idle)
+	after, err := c.process()
+	if err != nil {
+		return err
+	}
+	s := c.Idle.Seconds()
+	fmt.Printf("control of an idle box before %d engines: %.0f bytes a second on the wire, %.2f%% of a core, %.1f MB\n",
+		len(c.at.Prefills)+len(c.at.Decodes), (after.control-before.control)/s, 100*(after.cpu-before.cpu)/s, after.rss/1e6)
+	return nil
+}
+
 // process is what a box says of its own process.
-type process struct{ cpu, rss float64 }
+type process struct{ cpu, rss, control float64 }
 
 func (c *LoadCmd) process() (process, error) {
 	req, err := http.NewRequest(http.MethodGet, "http://"+c.Operators+"/metrics", nil)
@@ -288,7 +312,7 @@
 	if err != nil {
 		return process{}, err
 	}
-	return process{cpu: metric(string(b), "process_cpu_seconds_total"), rss: metric(string(b), "process_resident_memory_anon_bytes")}, nil
+	return process{cpu: metric(string(b), "process_cpu_seconds_total"), rss: metric(string(b), "process_resident_memory_anon_bytes"), control: metric(string(b), "stoatramp_control_bytes_total")}, nil
 }
 
 func metric(text, name string) float64 {
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -196,7 +196,10 @@
 	for {
 		select {
 		case <-t.C:
-			b.Gateway.Tick()
+			// With nothing running there is nothing to time out.
+			if b.Gateway.Running() > 0 {
+				b.Gateway.Tick()
+			}
 		case <-b.ctx.Done():
 			return
 		}
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -80,6 +80,7 @@
 	readTokens     int     // Prompt tokens the prefill engine had to read.
 	expires        time.Time
 
+	predictedRead time.Time // When the prompt was to be read, by the prediction.
 	// planned is the engines whose links the transfer takes or is expected on.
 	planned [2]*engine
 
@@ -229,6 +230,7 @@
 		return
 	}
 	c.setWork(f)
+	f.pool.urgency.arrived(f)
 	f.order = f.latestStart.Add(time.Duration(f.Priority) * time.Second)
 	if f.Policy != nil && !c.admit(f) {
 		return
@@ -273,7 +275,7 @@
 func (c *Core) shortestQueue(f *flight) time.Duration {
 	least := time.Duration(1<<63 - 1)
 	for _, e := range c.lookAt(f.pool, f) {
-		least = min(least, e.queueTime(c.now))
+		least = min(least, f.pool.urgency.wait(f, e.queueTime(c.now)))
 	}
 	return least
 }
@@ -346,7 +348,8 @@
 	if !ok {
 		return false
 	}
-	if !f.patient && c.now.Add(q.First).After(f.arrived.Add(f.FirstToken)) {
+	late := c.now.Add(q.First + f.pool.urgency.lateness(f))
+	if !f.patient && late.After(f.arrived.Add(f.FirstToken)) {
 		f.late = true
 		return false
 	}
@@ -365,7 +368,8 @@
 	q.prefill.addPrefill(c.now, f.ID, f.readTokens)
 	q.prefill.cache.add(f.Blocks)
 	q.prefill.health.chosen(c.now)
-	f.plan(c.now.Add(q.Queue + q.Read))
+	f.predictedRead = c.now.Add(q.Queue + q.Read)
+	f.plan(f.predictedRead)
 	c.emit(StartPrefill{f.ID, f.attempt, q.prefill.Name, q.decode.Name, f.enginePriority(), ch})
 	return true
 }
@@ -417,6 +421,10 @@
 	}
 	f.ran = true
 	f.expires = ev.Expires
+	f.pool.urgency.wasLate(f, c.now.Sub(f.predictedRead))
+	if len(f.Blocks) > 0 {
+		f.pool.surprise.cached(f.PromptTokens-f.readTokens, ev.Cached)
+	}
 	f.prefill.cache.learn(f.PromptTokens-f.readTokens, ev.Cached, len(f.Blocks))
 	f.readTokens = max(0, f.PromptTokens-ev.Cached)
 	c.releasePrefill(f)
@@ -494,6 +502,8 @@
 	}
 	f.stage = streaming
 	f.unplan()
+	alone := transferTime(f.pool, f, f.prefill, f.decode)
+	f.pool.surprise.sent(c.now.Sub(f.stageStart)-f.decode.stepTime(), alone)
 	f.prefillAttempt = 0 // The decode engine has taken the KV cache.
 	f.stageDeadline = time.Time{}
 	f.decode.health.succeeded()
@@ -670,7 +680,7 @@
 }
 
 // tickEvery is how often the driver is expected to send Tick.
-const tickEvery = 10 * time.Millisecond
+const tickEvery = 20 * time.Millisecond
 
 // TickEvery is how often the driver should send Tick.
 func TickEvery() time.Duration { return tickEvery }
--- a/internal/decide/link.go
+++ b/internal/decide/link.go
@@ -70,5 +70,40 @@
 // predictTransfer is the time of a transfer that starts at ready beside the others.
 func predictTransfer(p *pool, f *flight, pe, de *engine, ready time.Time) time.Duration {
 	takes := transferTime(p, f, pe, de)
-	return takes + max(pe.link.delay(ready, takes), de.link.delay(ready, takes))
+	known := takes + max(pe.link.delay(ready, takes), de.link.delay(ready, takes))
+	return max(known, time.Duration(p.surprise.slower*float64(takes)))
+}
+
+// surprise is how far predictions were off lately. What other boxes send to the
+// same engines is known only from lagging reports, and nothing reports their
+// transfers, so what a box cannot see it learns from what happened to it.
+type surprise struct {
+	slower float64 // How many times longer than alone transfers took.
+	cache  float64 // Share of prompts whose prefix was cached otherwise than believed.
+}
+
+// surpriseBlend is the weight of a new observation.
+const surpriseBlend = 0.1
+
+// cached compares the prompt tokens believed cached with those that were.
+func (s *surprise) cached(believed, was int) {
+	wrong := 0.0
+	if d := believed - was; d >= BlockTokens || d <= -BlockTokens {
+		wrong = 1
+	}
+	s.cache += surpriseBlend * (wrong - s.cache)
+}
+
+// pull is how strongly prefixes go to their favourite engines. While this box's
+// beliefs come true it knows better; where other boxes send the same prefixes
+// elsewhere, all do better by one rule that needs no knowledge.
+func (s *surprise) pull() float64 { return favouritePull * min(1, pullGain*s.cache) }
+
+// shortTransfer is too short to learn from: waits of other kinds would count more.
+const shortTransfer = 2 * time.Millisecond
+
+func (s *surprise) sent(took, alone time.Duration) {
+	if alone >= shortTransfer {
+		s.slower += surpriseBlend * (float64(took)/float64(alone) - s.slower)
+	}
 }
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -31,6 +31,11 @@
 	// workWeight counts reading time once more, because it is also taken from the
 	// requests that come after: a cached prefix is worth some waiting.
 	workWeight = 2.0
+	// favouritePull is how many times a prefix's reading time its favourite engine
+	// is preferred by where the prefix is not known to be cached, at the most, and
+	// pullGain how soon that is reached as beliefs prove wrong.
+	pullGain      = 4
+	favouritePull = 2.0
 	// avoidCost keeps a retry off the engine the last try failed on, unless it is the only one.
 	avoidCost = 1
 	// noise is the width of the random part of a cost, in seconds.
@@ -40,11 +45,13 @@
 // pool is the state of one pool: its engines and its waiting requests.
 type pool struct {
 	Pool
-	prefill []*engine
-	decode  []*engine
-	ring    []ringPoint // Prefill engines by hash, for affinity.
-	queue   waitQueue
-	pace    pace
+	prefill  []*engine
+	decode   []*engine
+	ring     []ringPoint // Prefill engines by hash, for affinity.
+	queue    waitQueue
+	pace     pace
+	surprise surprise
+	urgency  urgency
 	// scarce is the role that waiting requests lack.
 	scarce EngineRole
 	// bestPerStream is the least a stream adds to a step.
@@ -130,6 +137,16 @@
 	}
 }
 
+// favourite is the engine all boxes send a prefix to while none is known to have
+// it: it does not depend on what this box has seen. Nil without a prefix.
+func (p *pool) favourite(f *flight) *engine {
+	if len(f.Blocks) == 0 || len(p.ring) == 0 {
+		return nil
+	}
+	i := sort.Search(len(p.ring), func(i int) bool { return p.ring[i].hash >= f.Blocks[0] })
+	return p.ring[i%len(p.ring)].e
+}
+
 // affine appends the engines the prefix points to.
 func (p *pool) affine(out []*engine, prefix uint64) []*engine {
 	i := sort.Search(len(p.ring), func(i int) bool { return p.ring[i].hash >= prefix })
@@ -282,12 +299,16 @@
 // findReaders fills c.readers with the prefill engines that may be used.
 func (c *Core) findReaders(p *pool, f *flight, now time.Time, passed *PassedOver) {
 	c.readers = c.readers[:0]
+	favourite := p.favourite(f)
 	for _, e := range c.lookAt(p, f) {
 		if !c.usable(e, &f.Request, now, passed) {
 			continue
 		}
-		r := reader{e: e, cached: e.cachedTokens(f), queue: e.queueTime(now), extra: e.doubt(f)}
+		r := reader{e: e, cached: e.cachedTokens(f), queue: p.urgency.wait(f, e.queueTime(now)), extra: e.doubt(f)}
 		r.read = e.readTime(f.PromptTokens - r.cached)
+		if e == favourite {
+			r.extra -= p.surprise.pull() * e.readTime(len(f.Blocks)*BlockTokens-r.cached).Seconds()
+		}
 		r.ready = now.Add(r.queue + r.read)
 		r.extra += r.queue.Seconds() + (1+workWeight)*r.read.Seconds() + noise*c.rng.Float64()
 		c.readers = append(c.readers, r)
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -14,12 +14,21 @@
 trap cleanup EXIT
 
 ./bin/bench slopes
-for streams in 50 200 400; do
-  ./bin/bench site "$dir" --callers 127.0.0.1:18080 --operators 127.0.0.1:18081 >"$dir/site.out" & pids+=($!)
+# one SITE-FLAGS LOAD-FLAGS: a site, a box before it, and the load generator.
+one() {
+  : >"$dir/site.out"
+  # shellcheck disable=SC2086 # The flags are several words.
+  ./bin/bench site "$dir" --callers 127.0.0.1:18080 --operators 127.0.0.1:18081 $1 >"$dir/site.out" & pids+=($!)
   until grep -q ready "$dir/site.out"; do sleep 0.1; done
   ./bin/stoatrampd run "$dir/box.ini" 2>"$dir/box.log" & pids+=($!)
-  ./bin/bench load "$dir" --streams "$streams"
+  # shellcheck disable=SC2086
+  ./bin/bench load "$dir" $2
   for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done
   wait
   pids=()
-done
+}
+
+one "--prefills 4 --decodes 6" "--idle 10s --streams 50 --rounds 10"
+one "--prefills 24 --decodes 36" "--idle 10s --streams 200 --rounds 10"
+one "--prefills 4 --decodes 6" "--streams 200 --rounds 10"
+one "--prefills 4 --decodes 6" "--streams 400 --rounds 5"
