Mend a pace that started near zero and a cache size that could not grow again

While nothing waited, the pace was blended from zero instead of from the number of engines, so the first queue of a quiet box looked hopeless and requests that had time were refused. And a learned cache size of 32 blocks grew by less than one block a step and was cut back to 32 each time.

Change: both blend from the estimate in force.

--- /dev/null
+++ b/examples/policies/kalbarri_test.star
@@ -0,0 +1,6 @@
+expect("a question runs", admit(request(prompt_tokens = 100), pool(waiting = 50)), run())
+expect("a long log runs when it is quiet", admit(request(prompt_tokens = 9000, client = "lab"), pool(waiting = 3)), run())
+expect("a long log is refused when it is not", admit(request(prompt_tokens = 9000, client = "lab"), pool(waiting = 50)), refuse())
+expect("the window's client is not", admit(request(prompt_tokens = 9000, client = "certification"), pool(waiting = 50)), run())
+expect_less("a question avoids queues", weigh(request(prompt_tokens = 100), pair(queue = 0.0)), weigh(request(prompt_tokens = 100), pair(queue = 0.1)))
+expect("a log does not mind", weigh(request(prompt_tokens = 9000), pair(queue = 0.1)), 0.0)
--- a/internal/decide/ledger.go
+++ b/internal/decide/ledger.go
@@ -205,11 +205,15 @@
 	cacheGrow   = 1.01
 )
 
-func (c *blockCache) size() int {
+// size is limit as a whole number; learning goes on from limit itself, since a
+// small one grows by less than one block at a time.
+func (c *blockCache) size() int { return int(c.bound()) }
+
+func (c *blockCache) bound() float64 {
 	if c.limit == 0 {
 		return mostBlocks
 	}
-	return int(c.limit)
+	return c.limit
 }
 
 // learn compares the prompt tokens believed cached with those that were.
@@ -219,9 +223,9 @@
 	}
 	switch {
 	case cached+BlockTokens <= believed:
-		c.limit = max(leastBlocks, float64(c.size())*cacheShrink)
+		c.limit = max(leastBlocks, c.bound()*cacheShrink)
 	case believed >= BlockTokens:
-		c.limit = min(mostBlocks, float64(c.size())*cacheGrow)
+		c.limit = min(mostBlocks, c.bound()*cacheGrow)
 	}
 }
 
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -65,7 +65,8 @@
 	case !waiting:
 		p.since, p.work = time.Time{}, [2]float64{}
 		for role := range p.now {
-			p.now[role] += paceTrust * (p.most[role] - p.now[role])
+			had := p.get(EngineRole(role))
+			p.now[role] = had + paceTrust*(p.most[role]-had)
 		}
 	case p.since.IsZero():
 		p.since, p.work = now, [2]float64{}
