Run 8 boxes as processes under load and fail them

Cause: what several boxes do together was only tested inside one process.

Change: 'make fleet' runs stand-ins, 8 boxes and a load generator that checks every answer as processes on loopback, and goes through a rolling restart, two boxes killed at once, an outage of the platform with a box replaced in it, and a box paused and woken late.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The front door: every task of the project starts here.
-.PHONY: run test build check generate guards bench slopes fuzz clean
+.PHONY: run test build check generate guards bench fleet slopes fuzz clean
 
 build: ## Build both programs into bin/.
 	go build -o bin/ ./cmd/stoatrampd ./cmd/stoatramp
@@ -26,6 +26,9 @@
 bench: ## Compare the decisions with baselines and a bound, in virtual time.
 	go run ./cmd/bench compare
 
+fleet: ## Run 8 boxes under load and fail them.
+	./scripts/fleet.sh
+
 slopes: ## Reprint every figure of docs/CAPACITY.md.
 	./scripts/slopes.sh
 
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -15,6 +15,7 @@
 	Site    bench.SiteCmd    `cmd:"" help:"Run stand-ins and write settings for a box before them."`
 	Load    bench.LoadCmd    `cmd:"" help:"Load a box and the stand-ins directly, in turns, and compare."`
 	Compare bench.CompareCmd `cmd:"" help:"Compare the decisions with baselines and a bound, in virtual time."`
+	Drive   bench.DriveCmd   `cmd:"" help:"Load several boxes, check every answer, and say what became of the requests."`
 	Slopes  bench.SlopesCmd  `cmd:"" help:"Measure the slopes of decisions, limits, settings and records."`
 }
 
--- a/internal/bench/site.go
+++ b/internal/bench/site.go
@@ -5,12 +5,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/demo"
+	"github.com/stoatramp/stoatramp/internal/platform"
 )
 
 // SiteCmd runs the stand-ins in a process of their own.
@@ -21,6 +23,9 @@
 	Step      time.Duration `default:"10ms" help:"Time between tokens."`
 	Callers   string        `default:"127.0.0.1:0" help:"The box's address for callers."`
 	Operators string        `default:"127.0.0.1:0" help:"The box's address for operators."`
+	Boxes     int           `help:"Also write settings for this many boxes, box1.ini and so on."`
+	FirstPort int           `default:"18100" help:"The first of two ports for each of them."`
+	Admin     string        `default:"127.0.0.1:18099" help:"Where the stand-ins are told to fail and asked what they saw."`
 }
 
 // siteFile tells the load generator where the engines are.
@@ -60,6 +65,19 @@
 	if err := os.WriteFile(c.Dir+"/box.ini", []byte(site.Settings), 0o600); err != nil {
 		return err
 	}
+	admin := &siteAdmin{site: site}
+	srv := &http.Server{Addr: c.Admin, Handler: admin, ReadHeaderTimeout: time.Second}
+	defer srv.Close()
+	go func() { _ = srv.ListenAndServe() }()
+	for i := range c.Boxes {
+		name := fmt.Sprintf("box%d", i+1)
+		text := site.SettingsAt(name, fmt.Sprintf("127.0.0.1:%d", c.FirstPort+2*i), fmt.Sprintf("127.0.0.1:%d", c.FirstPort+2*i+1))
+		if err := os.WriteFile(c.Dir+"/"+name+".ini", []byte(text), 0o600); err != nil {
+			return err
+		}
+		admin.boxes = append(admin.boxes, platform.BoxInfo{Name: name, Address: fmt.Sprintf("127.0.0.1:%d", c.FirstPort+2*i+1)})
+	}
+	site.Platform.SetBoxes(admin.boxes)
 	fmt.Println("ready")
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -62,6 +62,7 @@
 	Shared   string
 	// SettingsOf makes the settings of a further box.
 	SettingsOf func(name string) string
+	SettingsAt func(name, callers, operators string) string
 	// Store reads and writes the configuration of the site.
 	Store   *control.Store
 	servers map[string]*standin.Server
@@ -103,6 +104,9 @@
 	s.Shared = shared.String()
 	s.Settings = settings("box1", plat.Addr, o)
 	s.SettingsOf = func(name string) string { return settings(name, plat.Addr, o) }
+	s.SettingsAt = func(name, callers, operators string) string {
+		return settings(name, plat.Addr, Options{Callers: callers, Operators: operators})
+	}
 	s.Store = control.NewStore(platform.NewClient("http://"+plat.Addr, ""))
 	_, err = s.Store.Apply(ctx, 0, control.Version{Text: s.Shared, Author: "demo", At: time.Now()})
 	return s, err
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -56,6 +57,8 @@
 	Prefills, Decodes, Aborts, Resumes int
 	// Runs counts the calls for each request id.
 	Runs map[string]int
+	// Prompts counts the prefills of each prompt that was asked to run once.
+	Prompts map[uint64]int
 	// Freed says why memory was given back, by cause.
 	Freed map[string]int
 }
@@ -83,7 +86,7 @@
 		freeKV:  m.KVTokens,
 		cache:   map[uint64]bool{},
 		aborted: map[string]bool{},
-		seen:    Seen{Runs: map[string]int{}, Freed: map[string]int{}},
+		seen:    Seen{Runs: map[string]int{}, Prompts: map[uint64]int{}, Freed: map[string]int{}},
 		wake:    make(chan struct{}, 1),
 		stop:    make(chan struct{}),
 		hc:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
@@ -116,7 +119,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.seen
-	s.Runs, s.Freed = map[string]int{}, map[string]int{}
+	s.Runs, s.Freed, s.Prompts = map[string]int{}, map[string]int{}, maps.Clone(e.seen.Prompts)
 	for k, v := range e.seen.Runs {
 		s.Runs[k] = v
 	}
@@ -183,6 +186,7 @@
 	e.seen.Runs[req.RequestID]++
 	if req.KV.Prefill {
 		e.seen.Prefills++
+		e.seen.Prompts[PromptHash(req.text())]++
 	} else {
 		e.seen.Decodes++
 	}
