Hear cache events, know fenced orders, let slow callers go; keep the caller's bytes

Cause: of the engines' interface, cache events and orders were missing; slow callers had bounds that no test had met; records as JSON named their figures unevenly.

Change: the stand-ins publish evictions late and with gaps, and carry out orders with or without a check of the fence; the adapter speaks both. A box asks a prefill engine for events in probes that the load does not need, so its control traffic stays paced; a lost event means that nothing is believed of that cache. The caller's fields are passed on byte for byte: encoding/json escaped and compacted them, so an engine's blocks would not have hashed to ours. Tests for slow bodies and slow readers, and that no prompt text and no key is written. Tests log what caller and engines saw.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -50,6 +50,7 @@
 	probes  *prober
 	peers   *peer.Peers
 	archive *archive.Archive
+	records *record.Ring
 	app     *kratos.App
 	cancel  context.CancelFunc
 	ctx     context.Context
@@ -68,6 +69,7 @@
 	// Claims are part of their requests; only the configuration is control traffic.
 	table := platform.NewClient(cfg.Platform, cfg.PlatformKey)
 	records := record.NewRing(ops.RecordsKept)
+	b.records = records
 	controlled := platform.NewClientThrough(cfg.Platform, cfg.PlatformKey, counted)
 	b.store = control.NewStore(controlled)
 	b.archive = archive.New(controlled, b.Metrics.RecordsLost)
--- a/internal/box/fault_test.go
+++ b/internal/box/fault_test.go
@@ -2,17 +2,20 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/control"
 	"github.com/stoatramp/stoatramp/internal/demo"
+	"github.com/stoatramp/stoatramp/internal/engine"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/standin"
 )
@@ -31,16 +34,27 @@
 
 // calls counts the prefills, decodes and aborts all engines saw.
 func (g *rig) calls() (s standin.Seen) {
+	s.Freed = map[string]int{}
 	for _, e := range append(g.site.Prefills, g.site.Decodes...) {
 		seen := e.Seen()
 		s.Prefills += seen.Prefills
 		s.Decodes += seen.Decodes
 		s.Aborts += seen.Aborts
 		s.Resumes += seen.Resumes
+		for why, n := range seen.Freed {
+			s.Freed[why] += n
+		}
 	}
 	return s
 }
 
+// tell logs what the caller and the engines saw; go test -v shows it.
+func (g *rig) tell(v reply) {
+	n := g.calls()
+	g.t.Logf("caller: status %d, %d words, end mark %v, broken %v, %s %s; engines: %d prefills, %d decodes, %d resumes, %d aborts; memory freed: %v",
+		v.status, strings.Count(v.text, " "), v.done, v.broken, v.reason, v.run, n.Prefills, n.Decodes, n.Resumes, n.Aborts, n.Freed)
+}
+
 // expectSurvives runs a request into a fault and expects the whole answer.
 func expectSurvives(t *testing.T, atDecode bool, f standin.Fault, retry outcome.Reason) {
 	t.Helper()
@@ -51,7 +65,9 @@
 	} else {
 		g.failPrefill(f)
 	}
-	g.expectWhole(g.stream("a short question", 30), "a short question", 30)
+	v := g.stream("a short question", 30)
+	g.expectWhole(v, "a short question", 30)
+	g.tell(v)
 	if retry != outcome.OK && g.box.Metrics.RetryCount(retry) == 0 {
 		t.Errorf("expected a retry counted as %s", retry)
 	}
@@ -71,7 +87,9 @@
 	} else {
 		g.failPrefill(f)
 	}
-	g.expectRefused(g.stream("certify unit 7", 30, once, "no"), status, reason, "may_have_run")
+	v := g.stream("certify unit 7", 30, once, "no")
+	g.expectRefused(v, status, reason, "may_have_run")
+	g.tell(v)
 	if n := g.calls(); n.Prefills != 1 || n.Decodes > 1 {
 		t.Errorf("expected one run, engines saw %+v", n)
 	}
@@ -163,6 +181,7 @@
 		}
 	}()
 	v := g.stream("tell me a story", 400)
+	g.tell(v)
 	if v.done || !v.broken || v.reason != outcome.EndpointDied.String() || v.run != "may_have_run" {
 		t.Errorf("expected a stream that is plainly not whole, got %+v", v)
 	}
@@ -175,6 +194,7 @@
 	g := newRig(t, o)
 	g.failDecode(standin.Fault{Do: standin.GoSilent, After: 5})
 	v := g.stream("tell me a story", 400)
+	g.tell(v)
 	if v.done || !v.broken || v.reason != outcome.DecodeSilent.String() {
 		t.Errorf("expected a stream cut off as silent, got %+v", v)
 	}
@@ -221,6 +241,7 @@
 	<-ended
 	g.eventually("the box is done with it", func() bool { return g.box.Gateway.Running() == 0 })
 	g.expectIdle()
+	g.tell(reply{})
 }
 
 func held(engines []*standin.Engine) bool {
@@ -433,3 +454,119 @@
 }
 
 func versionOf(text string) control.Version { return control.Version{Text: text, Author: "test"} }
+
+// Every engine says what it holds as the caller wrote it, so a prefix that an engine
+// evicted is believed gone once its event came, and after a gap nothing is believed.
+func TestCacheEvents(t *testing.T) {
+	t.Parallel()
+	o := smallSite()
+	o.Prefills = 1
+	g := newRig(t, o)
+	e := g.site.Prefills[0]
+	e.SetCache(8, 0)
+	prefix := strings.Repeat("the same agreement, word for word, ", 60)
+	g.expectWhole(g.stream(prefix, 1), prefix, 1)
+	g.expectWhole(g.stream(prefix, 1), prefix, 1)
+	if n := e.Seen().CachedTokens; n == 0 {
+		t.Error("expected the second prompt to be cached")
+	}
+	before := g.cached(prefix)
+	if before == 0 {
+		t.Fatal("expected the box to believe that the prefix is cached")
+	}
+	for i := range 8 {
+		other := fmt.Sprintf("%d %s", i, prefix)
+		g.expectWhole(g.stream(other, 1), other, 1)
+	}
+	g.eventually("the box knows what was evicted", func() bool { return g.cached(prefix) < before })
+}
+
+// cached is how many of a prompt's tokens the box believes the first prefill engine
+// to have cached, by the record of a request.
+func (g *rig) cached(prompt string) int {
+	g.t.Helper()
+	id := g.stream(prompt, 1).id
+	rec := g.box.records.Get(id)
+	for _, s := range rec.Steps {
+		if s.Choice != nil {
+			return s.Choice.Candidates[0].Cached
+		}
+	}
+	return 0
+}
+
+// An engine that checks the fence refuses an order of an older epoch; one that does
+// not carries it out, which is the risk that remains there.
+func TestOrderFence(t *testing.T) {
+	t.Parallel()
+	for _, fenced := range []bool{true, false} {
+		e := standin.NewEngine("e", demo.DefaultModel())
+		defer e.Close()
+		e.SetFenced(fenced)
+		srv, err := standin.Listen(e.Handler())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer srv.Close()
+		c := engine.NewClient()
+		defer c.Close()
+		ctx := context.Background()
+		if err := c.Order(ctx, srv.Addr, engine.Order{Epoch: 5, Kind: engine.OrderLoad, Model: "m"}); err != nil {
+			t.Fatal(err)
+		}
+		err = c.Order(ctx, srv.Addr, engine.Order{Epoch: 4, Kind: engine.OrderUnload, Model: "m"})
+		if fenced != errors.Is(err, engine.ErrOldEpoch) || (len(e.Orders()) == 1) != fenced {
+			t.Errorf("fenced %v: got %v and %d orders", fenced, err, len(e.Orders()))
+		}
+	}
+}
+
+// A caller that sends or reads too slowly is let go, and holds nothing.
+func TestSlowCallers(t *testing.T) {
+	t.Parallel()
+	o := smallSite()
+	o.Callers = "127.0.0.1:0\nbody_timeout = 200ms\nwrite_timeout = 300ms"
+	g := newRig(t, o)
+	conn := g.dial("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + demo.ClientKey + "\r\nContent-Length: 100\r\n\r\n{")
+	if b, _ := io.ReadAll(conn); !strings.Contains(string(b), `"slow_body"`) {
+		t.Errorf("expected a slow body to be refused, got %q", b)
+	}
+	// The service echoes more than all buffers on the way can take.
+	body := strings.Repeat("x", 32<<20)
+	g.dial(fmt.Sprintf("POST /bookings/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", demo.ClientKey, len(body), body))
+	g.eventually("the caller is let go", func() bool { return g.box.Metrics.RefusalCount(outcome.CallerSlow) == 1 })
+	g.expectIdle()
+}
+
+func (g *rig) dial(text string) net.Conn {
+	g.t.Helper()
+	conn, err := net.Dial("tcp", g.box.Callers)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(func() { conn.Close() })
+	if _, err := io.WriteString(conn, text); err != nil {
+		g.t.Fatal(err)
+	}
+	return conn
+}
+
+// No prompt text and no key is in a log or a record.
+func TestNothingSecretIsWritten(t *testing.T) {
+	p := startProcess(t, smallSite())
+	v := p.stream("a very secret payslip", 3)
+	p.expectWhole(v, "a very secret payslip", 3)
+	why := p.tool(0, `"outcome": "answered"`, "--json", "why", v.id)
+	p.signal(syscall.SIGTERM)
+	if err := p.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	for _, secret := range []string{"payslip", demo.ClientKey, demo.OperatorKey, demo.PeerKey} {
+		if strings.Contains(p.stderr.String(), secret) || strings.Contains(why, secret) {
+			t.Errorf("%q is written in a log or a record", secret)
+		}
+	}
+	if !strings.Contains(p.stderr.String(), v.id) {
+		t.Error("expected a log line for the request")
+	}
+}
--- a/internal/box/probe.go
+++ b/internal/box/probe.go
@@ -32,7 +32,11 @@
 type probed struct {
 	name  string
 	addr  string
+	role  config.Role
 	heard time.Time // When the last report or probe was.
+	// events is the next cache event to ask for, and when it was last asked for.
+	events  int64
+	eventAt time.Time
 }
 
 func newProber(c *engine.Client, gw *gateway.Gateway) *prober {
@@ -48,7 +52,7 @@
 		if e.Role == config.RoleService {
 			continue
 		}
-		n := &probed{name: e.Name, addr: e.Address}
+		n := &probed{name: e.Name, addr: e.Address, role: e.Role}
 		if o := old[e.Address]; o != nil && o.name == e.Name {
 			n = o
 		}
@@ -100,8 +104,11 @@
 	for {
 		select {
 		case <-t.C:
-			if e := p.stalest(time.Now()); e != nil {
+			now := time.Now()
+			if e := p.stalest(now); e != nil {
 				go p.probe(ctx, e)
+			} else if e := p.nextEvents(now); e != nil {
+				go p.readEvents(ctx, e)
 			}
 		case <-ctx.Done():
 			return
@@ -109,6 +116,43 @@
 	}
 }
 
+// eventsEvery is how often an engine is asked for cache events, while nothing else
+// needs a probe: then answers bring the load, and the paced probes are free for this.
+const eventsEvery = 2 * time.Second
+
+func (p *prober) nextEvents(now time.Time) *probed {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *probed
+	for _, e := range p.byAddr {
+		if e.role == config.RolePrefill && now.Sub(e.eventAt) >= eventsEvery && (best == nil || e.eventAt.Before(best.eventAt)) {
+			best = e
+		}
+	}
+	if best != nil {
+		best.eventAt = now
+	}
+	return best
+}
+
+// readEvents takes the engine's evictions. Late ones do no harm: a prefix believed
+// gone is only read again, and one believed there is corrected by the answer.
+func (p *prober) readEvents(ctx context.Context, e *probed) {
+	p.mu.Lock()
+	after := e.events
+	p.mu.Unlock()
+	ev, err := p.engines.CacheEvents(ctx, e.addr, after)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	e.events = ev.Next
+	p.mu.Unlock()
+	if len(ev.Removed) > 0 || ev.Gap {
+		p.gw.Evicted(decide.Evicted{Engine: e.name, Blocks: ev.Removed, All: ev.Gap})
+	}
+}
+
 func (p *prober) probe(ctx context.Context, e *probed) {
 	l, err := p.engines.Load(ctx, e.addr)
 	if err == nil {
--- a/internal/box/process_test.go
+++ b/internal/box/process_test.go
@@ -119,10 +119,12 @@
 	p := startProcess(t, smallSite())
 	got := p.startStream("a long story", 5000)
 	p.signal(syscall.SIGKILL)
-	if v := <-got; v.done || !v.broken {
+	v := <-got
+	if v.done || !v.broken {
 		t.Errorf("expected a broken stream, got done=%v broken=%v", v.done, v.broken)
 	}
 	p.expectIdle()
+	p.tell(v)
 }
 
 // SIGTERM finishes what runs and exits 0. Other signals change nothing: the Go
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -161,6 +161,9 @@
 	case Evicted:
 		if e := c.engines[ev.Engine]; e != nil {
 			e.cache.drop(ev.Blocks)
+			if ev.All {
+				e.cache.young, e.cache.old = nil, nil
+			}
 		}
 	case Tick:
 		c.tick()
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -189,6 +189,8 @@
 type Evicted struct {
 	Engine string
 	Blocks []uint64
+	// All is set when events were lost: nothing is known of the cache any more.
+	All bool
 }
 
 // Tick lets time-outs fire and waiting requests be tried again.
@@ -285,29 +287,35 @@
 // Choice says how a pair was chosen.
 type Choice struct {
 	// Candidates are the pairs compared, best first, at most maxKept of them.
-	Candidates []Candidate
+	Candidates []Candidate `json:"candidates"`
 	// Compared is how many pairs were looked at.
-	Compared int
+	Compared int `json:"compared"`
 	// Passed counts engines left out, by cause.
-	Passed PassedOver
+	Passed PassedOver `json:"passed_over"`
 }
 
 // PassedOver counts the engines of the pool that were not candidates.
 type PassedOver struct {
-	Region, Leaving, SetAside, Silent, NoRoom, TooSlow, Busy int
+	Region   int `json:"region"`
+	Leaving  int `json:"leaving"`
+	SetAside int `json:"set_aside"`
+	NoRoom   int `json:"no_room"`
+	TooSlow  int `json:"too_slow"`
+	Busy     int `json:"busy"`
 }
 
 // Candidate is one pair of engines and the figures it was judged by.
 type Candidate struct {
-	Prefill, Decode string
+	Prefill string `json:"prefill"`
+	Decode  string `json:"decode"`
 	// SameHall says that the transfer stays inside one data hall.
-	SameHall bool
-	Cached   int           // Prompt tokens believed to be cached.
-	Queue    time.Duration // Until the prefill engine is free.
-	Read     time.Duration // Reading the uncached prompt.
-	Transfer time.Duration // Moving the KV cache, link backlog included.
-	First    time.Duration // Predicted time to the first token, from now.
-	Step     time.Duration // Predicted time between tokens.
-	FreeKV   int           // Free decode memory before this request, in tokens.
-	Cost     float64       // What was minimised, in seconds.
+	SameHall bool          `json:"same_hall"`
+	Cached   int           `json:"cached"`            // Prompt tokens believed to be cached.
+	Queue    time.Duration `json:"queue_ns"`          // Until the prefill engine is free.
+	Read     time.Duration `json:"read_ns"`           // Reading the uncached prompt.
+	Transfer time.Duration `json:"transfer_ns"`       // Moving the KV cache, link backlog included.
+	First    time.Duration `json:"first_token_ns"`    // Predicted time to the first token, from now.
+	Step     time.Duration `json:"between_tokens_ns"` // Predicted time between tokens.
+	FreeKV   int           `json:"free_kv_tokens"`    // Free decode memory before this request, in tokens.
+	Cost     float64       `json:"cost_s"`            // What was minimised, in seconds.
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -23,7 +23,9 @@
 	// Ran is false only if no byte of the request left, or the engine said it did not run.
 	Ran    bool
 	KVGone bool
-	Err    error
+	// Code is the engine's own error code, if it answered with one.
+	Code string
+	Err  error
 }
 
 func (e *CallError) Error() string { return fmt.Sprintf("%s: %v", e.Reason, e.Err) }
@@ -142,6 +144,7 @@
 		Reason: outcome.EndpointRefused,
 		Ran:    body.Error.Code != CodeNotRun && body.Error.Code != CodeKVExpired,
 		KVGone: body.Error.Code == CodeKVExpired,
+		Code:   body.Error.Code,
 		Err:    fmt.Errorf("status %d, code %q", resp.StatusCode, body.Error.Code),
 	}
 	if e.KVGone {
@@ -237,20 +240,6 @@
 // Load asks an engine for its load.
 func (c *Client) Load(ctx context.Context, address string) (Load, error) {
 	var l Load
-	ctx, cancel := context.WithTimeout(ctx, shortCallLimit)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+LoadPath, nil)
-	if err != nil {
-		return l, err
-	}
-	resp, err := c.probes.Do(req)
-	if err != nil {
-		return l, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return l, fmt.Errorf("load: status %d", resp.StatusCode)
-	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&l)
+	err := c.probe(ctx, address, LoadPath, &l)
 	return l, err
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,6 +136,9 @@
 // Report hands an engine's load report to the decisions.
 func (g *Gateway) Report(r decide.Report) { g.disp.step(r) }
 
+// Evicted hands on that an engine dropped prefixes.
+func (g *Gateway) Evicted(ev decide.Evicted) { g.disp.step(ev) }
+
 // Silent says that an engine did not answer a probe.
 func (g *Gateway) Silent(engine string) { g.disp.step(decide.Silent{Engine: engine}) }
 
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -5,13 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/engine"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 )
@@ -100,10 +101,6 @@
 	for _, name := range engine.Overridden {
 		delete(all, name)
 	}
-	rest, err := json.Marshal(all)
-	if err != nil {
-		return nil, outcome.Refuse(outcome.BadRequest, err.Error())
-	}
 	a := &ask{
 		Chat:         chat,
 		Model:        f.Model,
@@ -113,7 +110,7 @@
 		Choices:      1,
 		PromptTokens: max(1, len(text)/bytesPerToken),
 		Blocks:       hashBlocks(text),
-		Rest:         rest,
+		Rest:         joinFields(all),
 	}
 	if f.N != nil {
 		a.Choices = *f.N
@@ -121,6 +118,23 @@
 	return a, outcome.Outcome{}
 }
 
+// joinFields writes a JSON object of fields as the caller wrote them, byte for byte:
+// encoding/json would escape and compact them, and the prefix would no longer hash
+// to what engines report.
+func joinFields(all map[string]json.RawMessage) []byte {
+	out := []byte{'{'}
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		if len(out) > 1 {
+			out = append(out, ',')
+		}
+		quoted, _ := json.Marshal(name) // A string always encodes.
+		out = append(out, quoted...)
+		out = append(out, ':')
+		out = append(out, all[name]...)
+	}
+	return append(out, '}')
+}
+
 // check returns the text of the prompt, or what is wrong.
 func (f *askFields) check(chat bool) ([]byte, string) {
 	text, field := f.Prompt, "prompt"
@@ -156,7 +170,7 @@
 
 // hashBlocks chains the hashes of the prompt's leading blocks.
 func hashBlocks(text []byte) []uint64 {
-	const size = decide.BlockTokens * bytesPerToken
+	const size = engine.CacheBlockBytes // Of decide.BlockTokens tokens.
 	n := min(len(text)/size, maxBlocks)
 	if n == 0 {
 		return nil
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -28,28 +28,37 @@
 	// Addr is the ip:port it is reached at, set once it listens.
 	Addr  string
 	Model cost.Model
+	// CacheBlocks bounds the prefix cache; 0 means maxCached.
+	CacheBlocks int
+	// EventLag is how many of the newest cache events are held back.
+	EventLag int
 	// ReportLag is how old load reports are.
 	ReportLag time.Duration
 
-	mu      sync.Mutex
-	faults  []armed
-	kept    map[string]*keptKV // Prefill results by handle.
-	streams map[string]*stream // Decode streams by request id, running or waiting.
-	waiting streamHeap
-	running []*stream
-	freeKV  int
-	queued  int // Uncached prompt tokens not yet read.
-	prefill prefillHeap
-	busy    bool
-	link    time.Time // When the link is free.
-	cache   map[uint64]bool
-	leaving bool
-	reports []timedLoad
-	seen    Seen
-	aborted map[string]bool // Calls aborted a short while ago.
-	wake    chan struct{}
-	stop    chan struct{}
-	hc      *http.Client
+	mu         sync.Mutex
+	faults     []armed
+	kept       map[string]*keptKV // Prefill results by handle.
+	streams    map[string]*stream // Decode streams by request id, running or waiting.
+	waiting    streamHeap
+	running    []*stream
+	freeKV     int
+	queued     int // Uncached prompt tokens not yet read.
+	prefill    prefillHeap
+	busy       bool
+	link       time.Time // When the link is free.
+	cache      map[uint64]bool
+	leaving    bool
+	reports    []timedLoad
+	seen       Seen
+	fenced     bool
+	epoch      int64
+	orders     []engine.Order
+	events     []uint64
+	eventsFrom int64           // The number of the first event kept.
+	aborted    map[string]bool // Calls aborted a short while ago.
+	wake       chan struct{}
+	stop       chan struct{}
+	hc         *http.Client
 }
 
 // Seen counts what reached the engine, for tests.
@@ -59,6 +68,8 @@
 	Runs map[string]int
 	// Prompts counts the prefills of each prompt that was asked to run once.
 	Prompts map[uint64]int
+	// CachedTokens sums the prompt tokens that were cached.
+	CachedTokens int
 	// Freed says why memory was given back, by cause.
 	Freed map[string]int
 }
@@ -145,6 +156,8 @@
 	mux.HandleFunc("POST "+engine.ResumePath, e.resume)
 	mux.HandleFunc("POST "+engine.TakePath, e.take)
 	mux.HandleFunc("GET "+engine.LoadPath, e.load)
+	mux.HandleFunc("GET "+engine.EventsPath, e.cacheEvents)
+	mux.HandleFunc("POST "+engine.OrderPath, e.order)
 	return mux
 }
 
@@ -334,6 +347,7 @@
 	e.mu.Lock()
 	job.cached = min(e.cachedTokens(text), tokens-1)
 	job.tokens = tokens - job.cached
+	e.seen.CachedTokens += job.cached
 	e.queued += job.tokens
 	e.prefill.seq++
 	job.seq = e.prefill.seq
@@ -416,34 +430,37 @@
 	}
 }
 
-// cacheBlock is the prompt text one cached block covers, in bytes, and
 // maxCached is how many blocks the prefix cache holds.
-const (
-	cacheBlock = 512
-	maxCached  = 4096
-)
+const maxCached = 4096
 
-// cachedTokens looks the prompt's prefix up in the cache and adds the rest.
+// cachedTokens looks the prompt's prefix up in the cache and adds the rest. The
+// blocks dropped for it are any but its own.
 func (e *Engine) cachedTokens(text []byte) int {
-	h := fnv.New64a()
 	hit, unbroken := 0, true
-	for i := 0; i+cacheBlock <= len(text); i += cacheBlock {
-		h.Write(text[i : i+cacheBlock])
-		sum := h.Sum64()
+	for _, sum := range blockHashes(text) {
 		unbroken = unbroken && e.cache[sum]
 		if unbroken {
 			hit++
 			continue
 		}
 		for old := range e.cache {
-			if len(e.cache) < maxCached {
+			if len(e.cache) < e.CacheLimit() {
 				break
 			}
 			delete(e.cache, old)
+			e.evicted(old)
 		}
 		e.cache[sum] = true
 	}
-	return hit * cacheBlock / 4
+	return hit * engine.CacheBlockBytes / 4
+}
+
+// CacheLimit is how many blocks the prefix cache holds.
+func (e *Engine) CacheLimit() int {
+	if e.CacheBlocks > 0 {
+		return e.CacheBlocks
+	}
+	return maxCached
 }
 
 // take gives a kept KV cache to a decode engine, once.
