Count only what is more urgent before a request; tell a queued prompt from a stuck one

Cause: with 8 boxes short questions waited on their box, or were refused, because long logs that other boxes had sent were queued in every prefill engine, although engines read the most urgent prompt first. And prompts that merely waited their turn behind other boxes' work counted as stalled, were moved, and some were lost.

Change: the window that keeps prompts on the box counts only work at least as urgent. A stalled prefill moves only if the engine's later report has less queued than the prompt. A class's learned lateness fades when it alone refuses a request, and may go down as fast as up. Prefixes are pulled harder to their favourite engines where beliefs prove wrong.

--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// prefillWindow is how much work a prefill engine may have in front of a new
-	// prompt. Beyond it a request waits on the box, where a better engine or a
+	// prefillWindow is how much work at least as urgent a prefill engine may have in
+	// front of a new prompt. Beyond it a request waits on the box, where a better engine or a
 	// more urgent request can still come first.
 	prefillWindow = 80 * time.Millisecond
 	// linkWindow is the same for the transfer: how long it may have to wait for
@@ -278,7 +278,8 @@
 func (c *Core) shortestQueue(f *flight) time.Duration {
 	least := time.Duration(1<<63 - 1)
 	for _, e := range c.lookAt(f.pool, f) {
-		least = min(least, f.pool.urgency.wait(f, e.queueTime(c.now)))
+		reading, ahead := f.pool.urgency.wait(f, e.queueTime(c.now))
+		least = min(least, reading+ahead)
 	}
 	return least
 }
@@ -351,13 +352,16 @@
 	if !ok {
 		return false
 	}
-	late := c.now.Add(q.First + f.pool.urgency.lateness(f))
-	if !f.patient && late.After(f.arrived.Add(f.FirstToken)) {
+	first, target := c.now.Add(q.First), f.arrived.Add(f.FirstToken)
+	if !f.patient && first.Add(f.pool.urgency.lateness(f)).After(target) {
+		if !first.After(target) {
+			f.pool.urgency.doubted(f)
+		}
 		f.late = true
 		return false
 	}
 	linkWait := q.Transfer - transferTime(f.pool, f, q.prefill, q.decode)
-	if q.Queue > prefillWindow || linkWait > linkWindow {
+	if q.ahead > prefillWindow || linkWait > linkWindow {
 		ch.Passed.Busy++
 		return false
 	}
@@ -732,11 +736,11 @@
 		other := func(w writer) bool { return w.e != f.decode }
 		return c.now.Add(expirySafety).Before(f.expires) && slices.ContainsFunc(c.writers, other)
 	}
-	if f.tries >= maxTries || !f.patient && c.now.After(f.latestStart) {
+	if f.tries >= maxTries || !f.patient && c.now.After(f.latestStart) || f.prefill.hasQueued(f) {
 		return false
 	}
 	c.findReaders(f.pool, f, c.now, &passed)
-	return slices.ContainsFunc(c.readers, func(r reader) bool { return r.e != f.prefill && r.queue <= prefillWindow })
+	return slices.ContainsFunc(c.readers, func(r reader) bool { return r.e != f.prefill && r.ahead <= prefillWindow })
 }
 
 // drainQueue starts waiting requests, most urgent first, and refuses those that
--- a/internal/decide/core_test.go
+++ b/internal/decide/core_test.go
@@ -205,3 +205,21 @@
 		clear(s.runs)
 	}
 }
+
+func expectWait(t *testing.T, u *urgency, target, queued, reading, ahead time.Duration) {
+	t.Helper()
+	r, a := u.wait(&flight{Request: Request{FirstToken: target}}, queued)
+	if r != reading || a != ahead {
+		t.Errorf("expected %s and %s, got %s and %s", reading, ahead, r, a)
+	}
+}
+
+// A request waits for the prompt being read and for work at least as urgent.
+func TestUrgency(t *testing.T) {
+	ms := time.Millisecond
+	u := &urgency{classes: []urgencyClass{{target: 400 * ms, work: 1, job: 10 * ms}, {target: 2 * time.Second, work: 9, job: 170 * ms}}}
+	expectWait(t, u, 400*ms, 500*ms, 170*ms, 33*ms)
+	expectWait(t, u, 400*ms, 100*ms, 100*ms, 0)
+	expectWait(t, u, 2*time.Second, 500*ms, 0, 500*ms)
+	expectWait(t, &urgency{}, 400*ms, 500*ms, 0, 500*ms)
+}
--- a/internal/decide/ledger.go
+++ b/internal/decide/ledger.go
@@ -48,6 +48,13 @@
 // that is sent nothing need not report.
 func (e *engine) silent() bool { return e.unanswered || e.frozen }
 
+// hasQueued says that the engine, asked since the request was sent to it, has at
+// least as much left to read: then the request is not stuck but waits its turn,
+// behind what other boxes sent.
+func (e *engine) hasQueued(f *flight) bool {
+	return e.reported && e.report.At.After(f.stageStart) && e.report.QueuedTokens >= f.readTokens
+}
+
 func (e *engine) leaving() bool { return e.Leaving || e.reported && e.report.Leaving }
 
 // queueTime is how long a prompt sent now would wait.
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -35,7 +35,7 @@
 	// is preferred by where the prefix is not known to be cached, at the most, and
 	// pullGain how soon that is reached as beliefs prove wrong.
 	pullGain      = 4
-	favouritePull = 2.0
+	favouritePull = 5.0
 	// avoidCost keeps a retry off the engine the last try failed on, unless it is the only one.
 	avoidCost = 1
 	// noise is the width of the random part of a cost, in seconds.
@@ -195,6 +195,7 @@
 	e      *engine
 	cached int
 	queue  time.Duration
+	ahead  time.Duration // The part of queue that is for work at least as urgent.
 	read   time.Duration
 	ready  time.Time // When the prompt would be read.
 	extra  float64   // Cost that does not depend on the decode engine.
@@ -221,6 +222,7 @@
 type chosen struct {
 	Candidate
 	prefill, decode *engine
+	ahead           time.Duration
 }
 
 // choose compares pairs and returns the cheapest; ok is false where there is
@@ -251,7 +253,13 @@
 		c.weigh(f, ch.Candidates)
 	}
 	first := ch.Candidates[0]
-	return chosen{first, c.engines[first.Prefill], c.engines[first.Decode]}, ch, true
+	best = chosen{Candidate: first, prefill: c.engines[first.Prefill], decode: c.engines[first.Decode]}
+	for i := range c.readers {
+		if c.readers[i].e == best.prefill {
+			best.ahead = c.readers[i].ahead
+		}
+	}
+	return best, ch, true
 }
 
 // keep inserts a pair into the short list of the cheapest.
@@ -304,7 +312,8 @@
 		if !c.usable(e, &f.Request, now, passed) {
 			continue
 		}
-		r := reader{e: e, cached: e.cachedTokens(f), queue: p.urgency.wait(f, e.queueTime(now)), extra: e.doubt(f)}
+		reading, ahead := p.urgency.wait(f, e.queueTime(now))
+		r := reader{e: e, cached: e.cachedTokens(f), queue: reading + ahead, ahead: ahead, extra: e.doubt(f)}
 		r.read = e.readTime(f.PromptTokens - r.cached)
 		if e == favourite {
 			r.extra -= p.surprise.pull() * e.readTime(len(f.Blocks)*BlockTokens-r.cached).Seconds()
--- a/internal/decide/urgency.go
+++ b/internal/decide/urgency.go
@@ -21,6 +21,8 @@
 	// maxClasses bounds the targets told apart; others count as the last one.
 	maxClasses = 16
 	jobBlend   = 0.05
+	// latenessFade is what stays of a lateness that caused a refusal.
+	latenessFade = 0.5
 )
 
 func (u *urgency) arrived(f *flight) {
@@ -45,7 +47,17 @@
 func (u *urgency) wasLate(f *flight, late time.Duration) {
 	for i := range u.classes {
 		if c := &u.classes[i]; c.target == f.FirstToken {
-			c.late += time.Duration(surpriseBlend * float64(max(0, late)-c.late))
+			c.late = max(0, c.late+time.Duration(surpriseBlend*float64(late-c.late)))
+		}
+	}
+}
+
+// doubted fades the lateness of a class whose requests are refused for it alone:
+// otherwise nothing would run any more that could prove it wrong.
+func (u *urgency) doubted(f *flight) {
+	for i := range u.classes {
+		if c := &u.classes[i]; c.target == f.FirstToken {
+			c.late = time.Duration(latenessFade * float64(c.late))
 		}
 	}
 }
@@ -59,12 +71,13 @@
 	return 0
 }
 
-// wait predicts how long a request waits before an engine with so much queued.
+// wait predicts how long a request waits before an engine with so much queued: for
+// the prompt being read, and for what is queued and at least as urgent.
 //
 // Example: 500 ms are queued, a tenth of all work is as urgent as the request, and
 // the others take 170 ms each. It waits for the one being read, and a tenth of the
-// rest: 170 + 33 ms.
-func (u *urgency) wait(f *flight, queued time.Duration) time.Duration {
+// rest: 170 and 33 ms.
+func (u *urgency) wait(f *flight, queued time.Duration) (reading, ahead time.Duration) {
 	all, urgent, longest := 0.0, 0.0, time.Duration(0)
 	for _, c := range u.classes {
 		all += c.work
@@ -75,8 +88,8 @@
 		}
 	}
 	if all == 0 || longest == 0 {
-		return queued
+		return 0, queued
 	}
-	reading := min(queued, longest)
-	return reading + time.Duration(urgent/all*float64(queued-reading))
+	reading = min(queued, longest)
+	return reading, time.Duration(urgent / all * float64(queued-reading))
 }
