Let late requests take what others leave; split the core by job

Change: requests that may be late go behind all that may not, on the box and in the engines.

Conclusion: a policy that is kind to one client must not starve the others.

--- /dev/null
+++ b/internal/decide/arrive.go
@@ -0,0 +1,190 @@
+package decide
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/outcome"
+)
+
+// This file takes requests in: from arrival to the queue, and out of it again.
+
+func (c *Core) arrive(r Request) {
+	c.budget.arrived()
+	f := &flight{Request: r, pool: c.pools[r.Pool], arrived: c.now, patient: r.ServeLate}
+	f.PromptTokens = max(1, f.PromptTokens)
+	c.flights[r.ID] = f
+	if f.pool == nil {
+		c.end(f, outcome.UnknownModel, "")
+		return
+	}
+	if !c.fits(f) {
+		return
+	}
+	c.setWork(f)
+	f.order = f.latestStart.Add(time.Duration(f.Priority) * time.Second)
+	if f.Policy != nil && !c.admit(f) {
+		return
+	}
+	if f.patient {
+		f.order = f.order.Add(patientDelay)
+	}
+	f.pool.urgency.arrived(f)
+	if !f.patient && c.now.Add(c.shortestQueue(f)).After(f.latestStart) {
+		c.endLate(f, "every prefill engine has more to read already than the target allows")
+		return
+	}
+	c.wait(f)
+}
+
+// fits refuses a request that no engine of the pool could ever hold, or that
+// has no engine in its region at all.
+func (c *Core) fits(f *flight) bool {
+	g := f.pool.regions[f.Region]
+	switch {
+	case g.prefills == 0:
+		c.end(f, outcome.NoPrefill, "")
+	case g.mostKV == 0:
+		c.end(f, outcome.NoDecode, "")
+	case f.need() > g.mostKV:
+		c.end(f, outcome.PromptTooLong, fmt.Sprintf("it needs %d tokens of memory and the largest engine has %d", f.need(), g.mostKV))
+	default:
+		return true
+	}
+	return false
+}
+
+// setWork works out the least work of the request, and when its prompt must start
+// to be read at the latest, with nothing else running.
+func (c *Core) setWork(f *flight) {
+	read := time.Duration(1<<63 - 1)
+	for _, e := range c.lookAt(f.pool, f) {
+		read = min(read, e.readTime(f.PromptTokens-e.cachedTokens(f)))
+	}
+	transfer := f.pool.idleTransfer(f.PromptTokens)
+	f.work[Prefill] = max(read, transfer)
+	f.work[Decode] = time.Duration(f.MaxTokens) * f.BetweenTokens / time.Duration(f.pool.batch(f.BetweenTokens))
+	f.latestStart = f.arrived.Add(f.FirstToken - read - transfer - f.pool.bestStep)
+}
+
+func (c *Core) shortestQueue(f *flight) time.Duration {
+	least := time.Duration(1<<63 - 1)
+	for _, e := range c.lookAt(f.pool, f) {
+		reading, ahead := f.pool.urgency.wait(f, e.queueTime(c.now))
+		least = min(least, reading+ahead)
+	}
+	return least
+}
+
+// retryAfter is how long the work ahead will take, at least a second, so that a
+// refused caller comes back when it has a chance.
+func (c *Core) retryAfter(f *flight) time.Duration {
+	return max(time.Second, f.pool.ahead(f)+c.shortestQueue(f))
+}
+
+func (c *Core) admit(f *flight) bool {
+	v := f.Policy.Admit(&f.Request, c.view(f))
+	if v.Text != "" || v.Fault != "" || v.Refuse || v.Wait {
+		c.emit(Ruled{f.ID, v})
+	}
+	if v.Refuse {
+		c.endRetry(f, outcome.PolicyRefused, time.Second)
+		return false
+	}
+	f.patient = f.patient || v.Wait
+	return true
+}
+
+func (c *Core) view(f *flight) View {
+	v := View{Waiting: len(f.pool.queue.items), PrefillQueue: c.shortestQueue(f)}
+	policy := f.Policy
+	f.Policy = nil // The prediction is the built-in one.
+	q, _, ok := c.choose(f.pool, f, c.now)
+	f.Policy = policy
+	for _, e := range c.decodes {
+		v.DecodeFreeKV = max(v.DecodeFreeKV, e.freeKV())
+	}
+	if ok {
+		v.PredictedTime = q.First
+	}
+	return v
+}
+
+// wait puts the request in the queue and at once tries to start what stands
+// first, so that a new request never passes a more urgent one.
+func (c *Core) wait(f *flight) {
+	p := f.pool
+	if len(p.queue.items) >= c.maxWait {
+		c.endRetry(f, outcome.QueueFull, c.retryAfter(f))
+		return
+	}
+	f.stage = waiting
+	p.queue.add(f)
+	c.drainQueue(p)
+	c.relieve(p)
+	if f.stage != waiting || c.flights[f.ID] == nil {
+		return
+	}
+	c.emit(Waiting{f.ID, f.waitReason(), View{Waiting: len(p.queue.items)}})
+}
+
+// waitReason says which role the request waits for.
+func (f *flight) waitReason() outcome.Reason {
+	if f.lastCh != nil && f.lastCh.Passed.NoRoom+f.lastCh.Passed.TooSlow > 0 && f.lastCh.Compared == 0 {
+		return outcome.NoDecode
+	}
+	return outcome.NoPrefill
+}
+
+// drainQueue starts waiting requests, most urgent first, and refuses those that
+// can no longer meet their target. A few are tried past one that does not fit,
+// so that a large request does not hold up small ones.
+func (c *Core) drainQueue(p *pool) {
+	if p == nil {
+		return
+	}
+	tried := 0
+	for i := 0; i < len(p.queue.items) && tried < queueTries; {
+		f := p.queue.items[i]
+		f.lastCh, f.late = nil, false
+		if c.expired(f) {
+			c.endRetry(f, outcome.WaitExpired, c.retryAfter(f))
+			continue
+		}
+		tried++
+		switch {
+		case c.tryPlace(f):
+			p.queue.items = append(p.queue.items[:i], p.queue.items[i+1:]...)
+		case f.late:
+			c.endLate(f, "the best pair of engines would be too slow")
+		default:
+			i++
+		}
+	}
+	p.findScarce(tried)
+	p.pace.look(c.now, len(p.queue.items) > 0)
+}
+
+// findScarce notes which role the first waiting requests lack.
+func (p *pool) findScarce(tried int) {
+	n := 0
+	seen := min(tried, len(p.queue.items))
+	for _, f := range p.queue.items[:seen] {
+		if f.waitReason() == outcome.NoDecode {
+			n++
+		}
+	}
+	if seen > 0 {
+		p.scarce = Prefill
+		if 2*n > seen {
+			p.scarce = Decode
+		}
+	}
+}
+
+func (c *Core) expired(f *flight) bool {
+	if f.patient {
+		return c.now.Sub(f.arrived) > patientWait
+	}
+	return c.now.After(f.latestStart)
+}
--- a/internal/decide/core_test.go
+++ b/internal/decide/core_test.go
@@ -223,3 +223,24 @@
 	expectWait(t, u, 2*time.Second, 500*ms, 0, 500*ms)
 	expectWait(t, &urgency{}, 400*ms, 500*ms, 0, 500*ms)
 }
+
+// A request that may be late takes what the others leave.
+func TestPatientGoesLast(t *testing.T) {
+	s := newScene(t, 1, 1)
+	s.arrive(1, "a", 3000) // Runs for 300 ms.
+	s.step(Arrive{Request: Request{
+		ID: 2, Pool: "p", Region: "r", Client: "late", PromptTokens: 2000, MaxTokens: 10,
+		FirstToken: 100 * time.Millisecond, BetweenTokens: 20 * time.Millisecond, ServeLate: true,
+	}})
+	s.pass(100 * time.Millisecond)
+	s.arrive(3, "a", 1000)
+	s.pass(200 * time.Millisecond)
+	s.step(PrefillDone{ID: 1, Attempt: 1, Expires: s.now.Add(time.Second)})
+	s.expectRuns(3)
+	if _, ok := s.runs[2]; ok {
+		t.Error("expected the request that may be late to wait behind the other")
+	}
+	s.pass(100 * time.Millisecond)
+	s.step(PrefillDone{ID: 3, Attempt: 1, Expires: s.now.Add(time.Second)})
+	s.expectRuns(2)
+}
--- /dev/null
+++ b/internal/decide/failure.go
@@ -0,0 +1,191 @@
+package decide
+
+import (
+	"slices"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/outcome"
+)
+
+// This file deals with attempts that fail or stall, with cancels, and with ends.
+
+func (c *Core) failedCall(ev Failed) {
+	f := c.flights[ev.ID]
+	if f == nil || ev.Attempt != f.attempt {
+		return
+	}
+	f.ran = f.ran || ev.Ran
+	e := f.decode
+	if f.stage == prefilling {
+		e = f.prefill
+	}
+	if e == nil {
+		return
+	}
+	e.health.failed(c.now)
+	c.callFailed(f, ev.Reason, ev.Ran, ev.KVGone)
+	c.drainQueue(f.pool)
+}
+
+// callFailed decides what becomes of a request whose current call is lost.
+func (c *Core) callFailed(f *flight, reason outcome.Reason, ran, kvGone bool) {
+	switch f.stage {
+	case prefilling:
+		c.giveUpTry(f, reason, ran)
+	case transferring:
+		c.decodeLost(f, reason, ran, kvGone)
+	case streaming:
+		c.abortCalls(f)
+		c.finish(f, outcome.Outcome{Kind: outcome.CutOff, Reason: reason})
+	}
+}
+
+// decodeLost moves the KV cache to a second decode engine while the prefill
+// engine still holds it, and otherwise gives up the try.
+func (c *Core) decodeLost(f *flight, reason outcome.Reason, ran, kvGone bool) {
+	c.abortDecode(f)
+	usable := !kvGone && c.now.Add(expirySafety).Before(f.expires)
+	if usable && (f.Repeatable || !ran) && c.budget.take() && c.anotherDecode(f) {
+		c.emit(Retry{f.ID, f.avoid.Name, reason})
+		c.startDecode(f, reason)
+		return
+	}
+	c.giveUpTry(f, reason, ran)
+}
+
+// giveUpTry frees everything the try holds, and starts another where the
+// request may be repeated, the budget allows it and the target can still be met.
+func (c *Core) giveUpTry(f *flight, reason outcome.Reason, ran bool) {
+	f.ran = f.ran || ran
+	if f.stage != prefilling || ran {
+		c.emit(Waste{f.ID, f.readTokens, reason})
+	}
+	f.avoid = f.failing()
+	c.abortCalls(f)
+	if f.ran && !f.Repeatable || f.tries >= maxTries {
+		c.end(f, reason, "")
+		return
+	}
+	if !f.patient && c.now.After(f.latestStart) {
+		c.end(f, reason, "")
+		return
+	}
+	if !c.budget.take() {
+		c.end(f, outcome.RetryBudget, reason.Sentence())
+		return
+	}
+	c.emit(Retry{f.ID, f.avoid.Name, reason})
+	c.wait(f)
+}
+
+// failing is the engine to blame for the present stage. A decode engine that was
+// given up already, in search of another, is the one avoided.
+func (f *flight) failing() *engine {
+	switch {
+	case f.stage == prefilling:
+		return f.prefill
+	case f.decode != nil:
+		return f.decode
+	}
+	return f.avoid
+}
+
+// abortCalls tells engines to free what they hold for the request, and empties its ledger.
+func (c *Core) abortCalls(f *flight) {
+	c.abortDecode(f)
+	c.releasePrefill(f)
+	if f.prefillAttempt != 0 {
+		c.emit(Abort{f.ID, f.prefillAttempt, f.prefill.Name})
+		f.prefillAttempt = 0
+	}
+	c.releaseDecode(f)
+}
+
+func (c *Core) abortDecode(f *flight) {
+	if f.decodeAttempt != 0 && f.decode != nil {
+		c.emit(Abort{f.ID, f.decodeAttempt, f.decode.Name})
+		f.decodeAttempt = 0
+	}
+}
+
+func (c *Core) cancel(id ID) {
+	f := c.flights[id]
+	if f == nil {
+		return
+	}
+	if f.stage == prefilling || f.stage == transferring {
+		c.emit(Waste{f.ID, f.readTokens, outcome.CallerGone})
+	}
+	c.abortCalls(f)
+	c.forget(f)
+	c.drainQueue(f.pool)
+}
+
+func (c *Core) end(f *flight, reason outcome.Reason, detail string) {
+	c.finish(f, outcome.Outcome{Kind: f.unanswered(), Reason: reason, Detail: detail})
+}
+
+func (c *Core) endRetry(f *flight, reason outcome.Reason, after time.Duration) {
+	c.finish(f, outcome.Outcome{Kind: f.unanswered(), Reason: reason, RetryAfter: after})
+}
+
+// endLate refuses a request that cannot be on time, and says how that was told.
+func (c *Core) endLate(f *flight, detail string) {
+	c.finish(f, outcome.Outcome{Kind: f.unanswered(), Reason: outcome.TooLate, Detail: detail, RetryAfter: c.retryAfter(f)})
+}
+
+// unanswered is the kind of end that is true of a request without an answer.
+func (f *flight) unanswered() outcome.Kind {
+	if f.ran {
+		return outcome.MayHaveRun
+	}
+	return outcome.NotRun
+}
+
+func (c *Core) finish(f *flight, o outcome.Outcome) {
+	c.emit(End{f.ID, o})
+	c.forget(f)
+}
+
+// forget removes the request; nothing of it stays in any ledger.
+func (c *Core) forget(f *flight) {
+	if f.pool != nil {
+		f.pool.queue.remove(f)
+	}
+	c.releasePrefill(f)
+	c.releaseDecode(f)
+	delete(c.flights, f.ID)
+}
+
+// stalled moves a request whose stage takes too long, or lets it go on.
+func (c *Core) stalled(f *flight) {
+	if c.now.Before(f.stageStart.Add(hardStall+f.FirstToken)) && !c.canMove(f) {
+		f.stageDeadline = c.now.Add(f.stallMargin())
+		return
+	}
+	e, reason := f.decode, outcome.TransferStalled
+	if f.stage == prefilling {
+		e, reason = f.prefill, outcome.PrefillStalled
+	}
+	e.health.failed(c.now)
+	f.ran = true
+	c.callFailed(f, reason, true, false)
+}
+
+// canMove says whether a stalled request has somewhere better to go.
+func (c *Core) canMove(f *flight) bool {
+	if !f.Repeatable || !c.budget.has() {
+		return false
+	}
+	var passed PassedOver
+	if f.stage == transferring {
+		c.findWriters(f.pool, f, c.now, &passed)
+		other := func(w writer) bool { return w.e != f.decode }
+		return c.now.Add(expirySafety).Before(f.expires) && slices.ContainsFunc(c.writers, other)
+	}
+	if f.tries >= maxTries || !f.patient && c.now.After(f.latestStart) || f.prefill.hasQueued(f) {
+		return false
+	}
+	c.findReaders(f.pool, f, c.now, &passed)
+	return slices.ContainsFunc(c.readers, func(r reader) bool { return r.e != f.prefill && r.ahead <= prefillWindow })
+}
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -133,10 +133,7 @@
 	}
 	rate := p.pace.get(p.scarce)
 	for i, f := range p.queue.items {
-		if f.patient {
-			continue
-		}
-		if at.After(f.latestStart) {
+		if !f.patient && at.After(f.latestStart) {
 			return i
 		}
 		at = at.Add(seconds(f.work[p.scarce].Seconds() / rate))
--- a/internal/decide/urgency.go
+++ b/internal/decide/urgency.go
@@ -25,13 +25,22 @@
 	latenessFade = 0.5
 )
 
+// class is the target that says how urgent a request is. One that may be late goes
+// after all others, whatever its target.
+func (f *flight) class() time.Duration {
+	if f.patient {
+		return patientWait
+	}
+	return f.FirstToken
+}
+
 func (u *urgency) arrived(f *flight) {
 	i := 0
-	for i < len(u.classes) && u.classes[i].target != f.FirstToken {
+	for i < len(u.classes) && u.classes[i].target != f.class() {
 		i++
 	}
 	if i == len(u.classes) && i < maxClasses {
-		u.classes = append(u.classes, urgencyClass{target: f.FirstToken, job: f.work[Prefill]})
+		u.classes = append(u.classes, urgencyClass{target: f.class(), job: f.work[Prefill]})
 	}
 	for j := range u.classes {
 		u.classes[j].work *= urgencyDecay
@@ -46,7 +55,7 @@
 // see it learns from what happened to its own requests.
 func (u *urgency) wasLate(f *flight, late time.Duration) {
 	for i := range u.classes {
-		if c := &u.classes[i]; c.target == f.FirstToken {
+		if c := &u.classes[i]; c.target == f.class() {
 			c.late = max(0, c.late+time.Duration(surpriseBlend*float64(late-c.late)))
 		}
 	}
@@ -56,7 +65,7 @@
 // otherwise nothing would run any more that could prove it wrong.
 func (u *urgency) doubted(f *flight) {
 	for i := range u.classes {
-		if c := &u.classes[i]; c.target == f.FirstToken {
+		if c := &u.classes[i]; c.target == f.class() {
 			c.late = time.Duration(latenessFade * float64(c.late))
 		}
 	}
@@ -64,7 +73,7 @@
 
 func (u *urgency) lateness(f *flight) time.Duration {
 	for _, c := range u.classes {
-		if c.target == f.FirstToken {
+		if c.target == f.class() {
 			return c.late
 		}
 	}
@@ -81,7 +90,7 @@
 	all, urgent, longest := 0.0, 0.0, time.Duration(0)
 	for _, c := range u.classes {
 		all += c.work
-		if c.target <= f.FirstToken {
+		if c.target <= f.class() {
 			urgent += c.work
 		} else {
 			longest = max(longest, c.job)
