Share each client's limits among the boxes

Cause: every box limited a client by itself, so 8 boxes let it have 8 times its rate.

Change: each box tells a client's home box, found by rendezvous hashing, what was asked of it, and hands out the share it is answered; without a home it keeps to one part of all boxes'.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -28,6 +28,7 @@
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/engine"
 	"github.com/stoatramp/stoatramp/internal/gateway"
+	"github.com/stoatramp/stoatramp/internal/limit"
 	"github.com/stoatramp/stoatramp/internal/ops"
 	"github.com/stoatramp/stoatramp/internal/peer"
 	"github.com/stoatramp/stoatramp/internal/platform"
@@ -49,6 +50,8 @@
 	store   *control.Store
 	probes  *prober
 	peers   *peer.Peers
+	grants  *peer.Grants
+	limits  *limit.Table
 	archive *archive.Archive
 	records *record.Ring
 	app     *kratos.App
@@ -74,7 +77,11 @@
 	b.store = control.NewStore(controlled)
 	b.archive = archive.New(controlled, b.Metrics.RecordsLost)
 	b.peers = peer.New(cfg.Name, cfg.PeerKey, controlled, &http.Client{Transport: &http.Transport{DialContext: counted, IdleConnTimeout: time.Minute}})
+	limits := limit.NewTable()
+	b.limits = limits
+	b.grants = peer.NewGrants(b.peers, limits)
 	b.Gateway = gateway.New(gateway.Options{
+		Limits:  limits,
 		Box:     cfg,
 		Core:    decide.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), cfg.Queue),
 		Engines: b.engines,
@@ -88,7 +95,7 @@
 	b.engines.OnLoad = b.probes.heard
 	operators := &ops.Server{
 		Box: cfg, Gateway: b.Gateway, Records: records, Store: b.store, Metrics: b.Metrics, CheckPolicy: policy.Check,
-		Peers: b.peers, Archive: b.archive, Incarnation: b.Gateway.Incarnation,
+		Peers: b.peers, Grants: b.grants, Archive: b.archive, Incarnation: b.Gateway.Incarnation,
 		Stop: func() { go func() { _ = b.Stop() }() },
 	}
 	callers, err := b.listen(cfg.Callers, cfg.CallerTLS, b.Gateway, &b.Callers)
@@ -160,6 +167,7 @@
 	go b.follow()
 	if b.cfg.PeerKey != "" {
 		go b.peers.Run(b.ctx)
+		go b.grants.Run(b.ctx)
 	}
 	go b.archive.Run(b.ctx)
 	go b.tick()
--- a/internal/box/fleet_test.go
+++ b/internal/box/fleet_test.go
@@ -8,12 +8,14 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/stoatramp/stoatramp/internal/cli"
 	"github.com/stoatramp/stoatramp/internal/config"
 	"github.com/stoatramp/stoatramp/internal/demo"
+	"github.com/stoatramp/stoatramp/internal/limit"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/platform"
 )
@@ -156,3 +158,42 @@
 		t.Errorf("expected 10 runs, engines saw %d", n)
 	}
 }
+
+// A client's limit is one for all boxes together: shares follow what is asked.
+func TestLimitAcrossBoxes(t *testing.T) {
+	t.Parallel()
+	o := smallSite()
+	o.Client = "requests = 40"
+	a := newRig(t, o)
+	boxes := []*rig{a, a.addBox("box2"), a.addBox("box3")}
+	list(boxes...)
+	for _, g := range boxes {
+		g.eventually("it is ready", g.box.Gateway.Ready)
+	}
+	ask := func(g *rig, n int) (granted int) {
+		for range n {
+			if _, ok := g.box.limits.Take(time.Now(), "demo", limit.Set{Requests: limit.Rule{Rate: 40}}); ok {
+				granted++
+			}
+		}
+		return granted
+	}
+	// Three quarters of the demand come to one box, a quarter to another.
+	for range 3 {
+		ask(boxes[0], 90)
+		ask(boxes[1], 30)
+		for _, g := range boxes {
+			g.box.grants.Exchange(context.Background(), time.Second)
+		}
+	}
+	if got := boxes[0].box.limits.Part("demo"); got < 0.7 || got > 0.8 {
+		t.Errorf("expected three quarters for the box that is asked most, got %.2f", got)
+	}
+	_ = boxes[1].box.Stop()
+	_ = boxes[2].box.Stop()
+	ask(boxes[0], 90)
+	boxes[0].box.grants.Exchange(context.Background(), time.Second)
+	if got := boxes[0].box.limits.Part("demo"); got > 0.8 {
+		t.Errorf("expected a careful part while others may only be cut off, got %.2f", got)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,7 @@
 	Core    *decide.Core
 	Engines *engine.Client
 	Claims  *claim.Claims
+	Limits  *limit.Table
 	Records *record.Ring
 	// Archive takes each finished record beside the ring.
 	Archive RecordSink
@@ -107,7 +108,7 @@
 		engines:     o.Engines,
 		disp:        newDispatcher(o.Core, o.Engines, o.Metrics),
 		plain:       newPlainPool(),
-		limits:      limit.NewTable(),
+		limits:      o.Limits,
 		claims:      o.Claims,
 		records:     o.Records,
 		archive:     o.Archive,
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -1,4 +1,5 @@
-// Package limit holds the clients' limits on one box. Requests are taken from a
+// Package limit holds the clients' limits, of which each box hands out a share.
+// Requests are taken from a
 // bucket before they run; tokens are taken after the answer, when their true
 // number is known, so a bucket of tokens may go below zero and the client then
 // waits until it has filled up again.
@@ -6,6 +7,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,6 +30,7 @@
 // share a lock. A bucket costs about 150 bytes and is made on first use.
 type Table struct {
 	shards [shards]shard
+	part   atomic.Pointer[float64] // The default part; nil means all.
 }
 
 const shards = 64
@@ -37,7 +40,11 @@
 	clients map[string]*buckets
 }
 
-type buckets struct{ requests, tokens bucket }
+type buckets struct {
+	requests, tokens bucket
+	asked            int     // Requests since the last Demands, refused ones included.
+	share            float64 // From the client's home; 0 for none.
+}
 
 type bucket struct {
 	level float64
@@ -69,7 +76,8 @@
 	sh := t.shard(client)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	b := sh.get(now, client, s)
+	b, s := sh.get(now, client, s, t.defaultPart())
+	b.asked++
 	if s.Tokens.Rate > 0 && b.tokens.level <= 0 {
 		return Refusal{Tokens: true, After: s.Tokens.until(b.tokens.level, 1)}, false
 	}
@@ -90,11 +98,24 @@
 	sh := t.shard(client)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	sh.get(now, client, s).tokens.level -= float64(tokens)
+	b, _ := sh.get(now, client, s, t.defaultPart())
+	b.tokens.level -= float64(tokens)
 }
 
-func (sh *shard) get(now time.Time, client string, s Set) *buckets {
+func (t *Table) defaultPart() float64 {
+	if p := t.part.Load(); p != nil {
+		return *p
+	}
+	return 1
+}
+
+// get finds a client's buckets, filled up to now, and this box's part of its limits.
+func (sh *shard) get(now time.Time, client string, s Set, part float64) (*buckets, Set) {
 	b := sh.clients[client]
+	if b != nil && b.share > 0 {
+		part = b.share
+	}
+	s = s.scaled(part)
 	if b == nil {
 		b = &buckets{
 			requests: bucket{s.Requests.burst(), now},
@@ -104,7 +125,7 @@
 	}
 	b.requests.fill(now, s.Requests)
 	b.tokens.fill(now, s.Tokens)
-	return b
+	return b, s
 }
 
 // burst defaults to one second's worth, and at least one unit.
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -40,6 +40,7 @@
 	Stop func()
 	// Peers and Archive find what this box does not know.
 	Peers       *peer.Peers
+	Grants      *peer.Grants
 	Archive     *archive.Archive
 	Incarnation int64
 }
--- a/internal/ops/peers.go
+++ b/internal/ops/peers.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/stoatramp/stoatramp/internal/limit"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 )
 
@@ -45,3 +46,16 @@
 	}
 	return connect.NewResponse(&v1.GetRecordResponse{RecordJson: string(b)}), nil
 }
+
+// Grant gives a box its shares of the limits of clients whose home is this box.
+func (p *peerServer) Grant(_ context.Context, r *connect.Request[v1.GrantRequest]) (*connect.Response[v1.GrantResponse], error) {
+	demands := make([]limit.Demand, len(r.Msg.Demands))
+	for i, d := range r.Msg.Demands {
+		demands[i] = limit.Demand{Client: d.Client, Requests: float64(d.Requests)}
+	}
+	out := &v1.GrantResponse{}
+	for _, s := range p.s.Grants.Hear(r.Msg.Box, demands) {
+		out.Parts = append(out.Parts, float32(s.Part))
+	}
+	return connect.NewResponse(out), nil
+}
--- a/internal/rpc/stoatrampv1/stoatrampv1connect/peer.connect.go
+++ b/internal/rpc/stoatrampv1/stoatrampv1connect/peer.connect.go
@@ -39,6 +39,8 @@
 	PeerPassConfigProcedure = "/stoatramp.v1.Peer/PassConfig"
 	// PeerGetRecordProcedure is the fully-qualified name of the Peer's GetRecord RPC.
 	PeerGetRecordProcedure = "/stoatramp.v1.Peer/GetRecord"
+	// PeerGrantProcedure is the fully-qualified name of the Peer's Grant RPC.
+	PeerGrantProcedure = "/stoatramp.v1.Peer/Grant"
 )
 
 // PeerClient is a client for the stoatramp.v1.Peer service.
@@ -49,6 +51,8 @@
 	PassConfig(context.Context, *connect.Request[stoatrampv1.PassConfigRequest]) (*connect.Response[stoatrampv1.PassConfigResponse], error)
 	// GetRecord returns the record of a request that a box served.
 	GetRecord(context.Context, *connect.Request[stoatrampv1.GetRecordRequest]) (*connect.Response[stoatrampv1.GetRecordResponse], error)
+	// Grant tells a client's home box what was asked elsewhere, for a share of its limits.
+	Grant(context.Context, *connect.Request[stoatrampv1.GrantRequest]) (*connect.Response[stoatrampv1.GrantResponse], error)
 }
 
 // NewPeerClient constructs a client for the stoatramp.v1.Peer service. By default, it uses the
@@ -80,6 +84,12 @@
 			connect.WithSchema(peerMethods.ByName("GetRecord")),
 			connect.WithClientOptions(opts...),
 		),
+		grant: connect.NewClient[stoatrampv1.GrantRequest, stoatrampv1.GrantResponse](
+			httpClient,
+			baseURL+PeerGrantProcedure,
+			connect.WithSchema(peerMethods.ByName("Grant")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -88,6 +98,7 @@
 	state      *connect.Client[stoatrampv1.StateRequest, stoatrampv1.StateResponse]
 	passConfig *connect.Client[stoatrampv1.PassConfigRequest, stoatrampv1.PassConfigResponse]
 	getRecord  *connect.Client[stoatrampv1.GetRecordRequest, stoatrampv1.GetRecordResponse]
+	grant      *connect.Client[stoatrampv1.GrantRequest, stoatrampv1.GrantResponse]
 }
 
 // State calls stoatramp.v1.Peer.State.
@@ -105,6 +116,11 @@
 	return c.getRecord.CallUnary(ctx, req)
 }
 
+// Grant calls stoatramp.v1.Peer.Grant.
+func (c *peerClient) Grant(ctx context.Context, req *connect.Request[stoatrampv1.GrantRequest]) (*connect.Response[stoatrampv1.GrantResponse], error) {
+	return c.grant.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the stoatramp.v1.Peer service.
 type PeerHandler interface {
 	// State tells how far a box is.
@@ -113,6 +129,8 @@
 	PassConfig(context.Context, *connect.Request[stoatrampv1.PassConfigRequest]) (*connect.Response[stoatrampv1.PassConfigResponse], error)
 	// GetRecord returns the record of a request that a box served.
 	GetRecord(context.Context, *connect.Request[stoatrampv1.GetRecordRequest]) (*connect.Response[stoatrampv1.GetRecordResponse], error)
+	// Grant tells a client's home box what was asked elsewhere, for a share of its limits.
+	Grant(context.Context, *connect.Request[stoatrampv1.GrantRequest]) (*connect.Response[stoatrampv1.GrantResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -140,6 +158,12 @@
 		connect.WithSchema(peerMethods.ByName("GetRecord")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerGrantHandler := connect.NewUnaryHandler(
+		PeerGrantProcedure,
+		svc.Grant,
+		connect.WithSchema(peerMethods.ByName("Grant")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/stoatramp.v1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerStateProcedure:
@@ -148,6 +172,8 @@
 			peerPassConfigHandler.ServeHTTP(w, r)
 		case PeerGetRecordProcedure:
 			peerGetRecordHandler.ServeHTTP(w, r)
+		case PeerGrantProcedure:
+			peerGrantHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -168,3 +194,7 @@
 func (UnimplementedPeerHandler) GetRecord(context.Context, *connect.Request[stoatrampv1.GetRecordRequest]) (*connect.Response[stoatrampv1.GetRecordResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Peer.GetRecord is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Grant(context.Context, *connect.Request[stoatrampv1.GrantRequest]) (*connect.Response[stoatrampv1.GrantResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Peer.Grant is not implemented"))
+}
