Test the archive of records through outages and lost answers

Cause: the archive had only been used end to end.

Change: tests with a store that is down and one that loses answers.

Conclusion: no change to the archive was needed.

--- /dev/null
+++ b/internal/archive/archive_test.go
@@ -0,0 +1,110 @@
+package archive
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/stoatramp/stoatramp/internal/platform"
+	"github.com/stoatramp/stoatramp/internal/record"
+)
+
+// store is an object store that can be down, or lose the answer to a write.
+type store struct {
+	mu      sync.Mutex
+	objects map[string][]byte
+	down    bool
+	lose    int
+}
+
+var errDown = errors.New("down")
+
+func (s *store) PutObject(_ context.Context, key string, b []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return errDown
+	}
+	s.objects[key] = b
+	if s.lose > 0 {
+		s.lose--
+		return errDown
+	}
+	return nil
+}
+
+func (s *store) GetObject(_ context.Context, key string) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, errDown
+	}
+	if b, ok := s.objects[key]; ok {
+		return b, nil
+	}
+	return nil, platform.ErrNotFound
+}
+
+func newArchive() (*Archive, *store, *metrics.Counter) {
+	s := &store{objects: map[string][]byte{}}
+	lost := metrics.NewSet().NewCounter("lost")
+	return New(s, lost), s, lost
+}
+
+func id(n int) string { return fmt.Sprintf("box-1-abc-%x-%d", n/100, n) }
+
+func expectFound(t *testing.T, a *Archive, n int, want error) {
+	t.Helper()
+	r, err := a.Find(context.Background(), id(n))
+	if !errors.Is(err, want) || want == nil && (r == nil || r.ID != id(n)) {
+		t.Errorf("record %d: expected %v, got %v, %v", n, want, r, err)
+	}
+}
+
+// Records are found by their ids alone, by any box, however they were spread over
+// parts and minutes, and also after the writer started anew.
+func TestFind(t *testing.T) {
+	a, s, _ := newArchive()
+	for n := range 250 {
+		a.Add(&record.Record{ID: id(n)})
+		if n%40 == 0 {
+			a.Flush(context.Background())
+		}
+	}
+	a.Flush(context.Background())
+	again := New(s, nil)
+	again.Add(&record.Record{ID: id(1000)})
+	again.Add(&record.Record{ID: id(50)}) // A long request of an early minute.
+	again.Flush(context.Background())
+	for _, n := range []int{0, 39, 40, 99, 100, 249, 1000} {
+		expectFound(t, again, n, nil)
+	}
+	expectFound(t, again, 250, ErrNotFound)
+}
+
+// An outage keeps records within bounds and counts what is lost; a lost answer
+// loses nothing.
+func TestOutage(t *testing.T) {
+	a, s, lost := newArchive()
+	s.down = true
+	for n := range maxWaiting + 10 {
+		a.Add(&record.Record{ID: id(n)})
+	}
+	a.Flush(context.Background())
+	expectFound(t, a, 100, errDown)
+	s.down, s.lose = false, 3
+	for range 3 {
+		a.Flush(context.Background())
+	}
+	if lost.Get() != 10 {
+		t.Errorf("expected 10 records lost, got %d", lost.Get())
+	}
+	expectFound(t, a, 9, ErrNotFound)
+	for _, n := range []int{10, 500, maxWaiting + 9} {
+		expectFound(t, a, n, nil)
+	}
+}
