--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -32,3 +32,8 @@
 one "--prefills 24 --decodes 36" "--idle 10s --streams 200 --rounds 10"
 one "--prefills 4 --decodes 6" "--streams 200 --rounds 10"
 one "--prefills 4 --decodes 6" "--streams 400 --rounds 5"
+
+# The decisions at the letter's size, and 8 boxes against one, in virtual time.
+./bin/bench compare --mix letter --loads 0.8 --length 10s --only stoatramp
+./bin/bench compare --loads 0.8 --only stoatramp
+./bin/bench compare --loads 0.8 --only stoatramp --boxes 8
