Read the change once more: one piece of code where there were two

The engine of a request's stage was worked out in three places, the probes and the cache events each had the same loop for the engine asked longest ago, the stand-ins' whole answer was put together in the load tool and again in the tests, the body of a completion twice in the load tool, and startDecode took a transfer off its links that both its callers had taken off.

Change: flight.working, prober.oldest, standin.Answer and completionBody serve all of them; the dead call is gone. Behaviour and assertions are as before.

--- a/internal/bench/drive.go
+++ b/internal/bench/drive.go
@@ -175,8 +175,7 @@
 	if len(ready) == 0 {
 		return errNotRun
 	}
-	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, demo.Model, prompt, c.Tokens)
-	req, err := http.NewRequest(http.MethodPost, "http://"+ready[rand.IntN(len(ready))]+engine.CompletionPath, strings.NewReader(body))
+	req, err := http.NewRequest(http.MethodPost, "http://"+ready[rand.IntN(len(ready))]+engine.CompletionPath, strings.NewReader(completionBody(prompt, c.Tokens)))
 	if err != nil {
 		return err
 	}
@@ -223,8 +222,7 @@
 			text.WriteString(chunkText(data))
 			continue
 		}
-		want := (&LoadCmd{Tokens: c.Tokens}).expected(prompt)
-		if text.String() != want {
+		if text.String() != standin.Answer(prompt, c.Tokens) {
 			return errForged
 		}
 		return nil
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -155,24 +155,16 @@
 	return <-peak
 }
 
-func (c *LoadCmd) body(prompt string) string {
-	return fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, demo.Model, prompt, c.Tokens)
-}
-
-func (c *LoadCmd) expected(prompt string) string {
-	raw, _ := json.Marshal(prompt)
-	var b strings.Builder
-	for i := range c.Tokens {
-		b.WriteString(standin.Word(standin.PromptHash(raw), i))
-	}
-	return b.String()
+// completionBody asks for a streamed completion.
+func completionBody(prompt string, tokens int) string {
+	return fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":true}`, demo.Model, prompt, tokens)
 }
 
 var errWrong = errors.New("not the whole answer to its own request")
 
 // routed asks the box.
 func (c *LoadCmd) routed(ctx context.Context, prompt string) (time.Duration, int, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Callers+engine.CompletionPath, strings.NewReader(c.body(prompt)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Callers+engine.CompletionPath, strings.NewReader(completionBody(prompt, c.Tokens)))
 	if err != nil {
 		return 0, 0, err
 	}
@@ -193,7 +185,7 @@
 			continue
 		}
 		if data == "[DONE]" {
-			if text.String() != c.expected(prompt) {
+			if text.String() != standin.Answer(prompt, c.Tokens) {
 				return first, n, errWrong
 			}
 			return first, n, nil
@@ -221,7 +213,7 @@
 	start := time.Now()
 	call := engine.Call{
 		Address: c.at.Prefills[i%len(c.at.Prefills)], Path: engine.CompletionPath, RequestID: fmt.Sprintf("direct-%d-1", i),
-		MaxTokens: c.Tokens, Rest: []byte(c.body(prompt)),
+		MaxTokens: c.Tokens,
 	}
 	rest, err := directRest(prompt)
 	if err != nil {
@@ -252,7 +244,7 @@
 		text.WriteString(chunkText(ch.Data))
 		return nil
 	})
-	if err == nil && text.String() != c.expected(prompt) {
+	if err == nil && text.String() != standin.Answer(prompt, c.Tokens) {
 		err = errWrong
 	}
 	return first, n, err
--- a/internal/box/path_test.go
+++ b/internal/box/path_test.go
@@ -147,14 +147,7 @@
 }
 
 // want is the whole answer the stand-ins give to a prompt.
-func want(prompt string, max int) string {
-	raw, _ := json.Marshal(prompt)
-	var b strings.Builder
-	for i := range max {
-		b.WriteString(standin.Word(standin.PromptHash(raw), i))
-	}
-	return b.String()
-}
+func want(prompt string, max int) string { return standin.Answer(prompt, max) }
 
 func (g *rig) expectWhole(v reply, prompt string, max int) {
 	g.t.Helper()
--- a/internal/box/probe.go
+++ b/internal/box/probe.go
@@ -84,16 +84,23 @@
 
 // stalest returns the engine not heard of for longest, if that is long enough.
 func (p *prober) stalest(now time.Time) *probed {
+	return p.oldest(now, staleAfter, func(e *probed) *time.Time { return &e.heard })
+}
+
+// oldest returns the engine with the earliest time, if that is at least age ago, and
+// sets its time to now. An engine for which when returns nil is left out.
+func (p *prober) oldest(now time.Time, age time.Duration, when func(*probed) *time.Time) *probed {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *probed
 	for _, e := range p.byAddr {
-		if now.Sub(e.heard) >= staleAfter && (best == nil || e.heard.Before(best.heard)) {
+		at := when(e)
+		if at != nil && now.Sub(*at) >= age && (best == nil || at.Before(*when(best))) {
 			best = e
 		}
 	}
 	if best != nil {
-		best.heard = now
+		*when(best) = now
 	}
 	return best
 }
@@ -120,19 +127,14 @@
 // needs a probe: then answers bring the load, and the paced probes are free for this.
 const eventsEvery = 2 * time.Second
 
+// nextEvents returns the prefill engine not asked for events for longest.
 func (p *prober) nextEvents(now time.Time) *probed {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var best *probed
-	for _, e := range p.byAddr {
-		if e.role == config.RolePrefill && now.Sub(e.eventAt) >= eventsEvery && (best == nil || e.eventAt.Before(best.eventAt)) {
-			best = e
+	return p.oldest(now, eventsEvery, func(e *probed) *time.Time {
+		if e.role != config.RolePrefill {
+			return nil
 		}
-	}
-	if best != nil {
-		best.eventAt = now
-	}
-	return best
+		return &e.eventAt
+	})
 }
 
 // readEvents takes the engine's evictions. Late ones do no harm: a prefix believed
--- a/internal/decide/attempt.go
+++ b/internal/decide/attempt.go
@@ -115,10 +115,11 @@
 	c.drainQueue(f.pool)
 }
 
+// startDecode is called with the transfer taken off its links, so that its own plan
+// does not count against it.
 func (c *Core) startDecode(f *flight, moved outcome.Reason) {
 	f.attempt++
 	f.decodeAttempt = f.attempt
-	f.unplan()
 	takes := predictTransfer(f.pool, f, f.prefill, f.decode, c.now)
 	f.plan(c.now)
 	c.setStage(f, transferring, takes+f.decode.stepTime())
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -15,10 +15,7 @@
 		return
 	}
 	f.ran = f.ran || ev.Ran
-	e := f.decode
-	if f.stage == prefilling {
-		e = f.prefill
-	}
+	e := f.working()
 	if e == nil {
 		return
 	}
@@ -78,14 +75,19 @@
 	c.wait(f)
 }
 
+// working is the engine that the present stage waits for; nil while nothing is sent.
+func (f *flight) working() *engine {
+	if f.stage == prefilling {
+		return f.prefill
+	}
+	return f.decode
+}
+
 // failing is the engine to blame for the present stage. A decode engine that was
 // given up already, in search of another, is the one avoided.
 func (f *flight) failing() *engine {
-	switch {
-	case f.stage == prefilling:
-		return f.prefill
-	case f.decode != nil:
-		return f.decode
+	if e := f.working(); e != nil {
+		return e
 	}
 	return f.avoid
 }
@@ -163,11 +165,11 @@
 		f.stageDeadline = c.now.Add(f.stallMargin())
 		return
 	}
-	e, reason := f.decode, outcome.TransferStalled
+	reason := outcome.TransferStalled
 	if f.stage == prefilling {
-		e, reason = f.prefill, outcome.PrefillStalled
+		reason = outcome.PrefillStalled
 	}
-	e.health.failed(c.now)
+	f.working().health.failed(c.now)
 	f.ran = true
 	c.callFailed(f, reason, true, false)
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -12,6 +12,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -189,6 +190,17 @@
 // Word is the token at position i of the answer to a prompt.
 func Word(prompt uint64, i int) string { return fmt.Sprintf("%08x.%d ", uint32(prompt), i) }
 
+// Answer is the first n tokens of the answer to a prompt that was sent as a JSON string.
+func Answer(prompt string, n int) string {
+	raw, _ := json.Marshal(prompt) // A string always encodes.
+	hash := PromptHash(raw)
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(Word(hash, i))
+	}
+	return b.String()
+}
+
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	var req completionRequest
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
