Know a configuration's engines before saying that the box is ready

Cause: SetConfig stored the view first and gave the fleet to the core after it. The view makes the box ready, so a request in between found its route and no pool: 404 unknown_model, not_run. Ruled out: the stand-ins (the engines saw no call), the fault script (not reached). Change: the view is stored last. TestReadyKnowsEngines spins on Ready 300 times. Before: the test fails at once (0.03 s); after: passes under the race detector. Conclusion: the order was the fault; nothing else wrote the view.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,10 +120,12 @@
 }
 
 // SetConfig puts a configuration in force for every request that starts from now on.
+// The view comes last: it makes the box ready, and a request that finds its route
+// there must find the route's engines in the core as well.
 func (g *Gateway) SetConfig(c *config.Shared, p PolicySource) {
-	g.view.Store(&view{cfg: c, policies: p})
 	g.disp.setFleet(c)
 	g.plain.setConfig(c)
+	g.view.Store(&view{cfg: c, policies: p})
 }
 
 // Config is the configuration in force; nil before the first.
