Give the driver of the decision core a package of its own

Cause: a second front, for requests that the platform describes in headers, needs the same driver; in package gateway it knew the OpenAI-style engines. Change: package dispatch takes a fleet, addresses and a way to abort; record.StepOf says an action as a step, once for both fronts. No behaviour changes. Conclusion: ready for the second front.

--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -9,6 +9,7 @@
 
 	"github.com/stoatramp/stoatramp/internal/config"
 	"github.com/stoatramp/stoatramp/internal/decide"
+	"github.com/stoatramp/stoatramp/internal/dispatch"
 	"github.com/stoatramp/stoatramp/internal/engine"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/record"
@@ -85,7 +86,7 @@
 	a      *ask
 	route  *config.Route
 	id     decide.ID
-	call   *call
+	call   *dispatch.Call
 	ctx    context.Context // Ends with the caller or the request.
 	events chan flightEvent
 	answer answer
@@ -116,10 +117,10 @@
 func (x *exchange) run(route *config.Route, a *ask) (o outcome.Outcome) {
 	ctx, cancel := context.WithCancel(x.r.Context())
 	f := &flight{x: x, a: a, route: route, ctx: ctx, events: make(chan flightEvent, eventBuffer), answer: newAnswer(x, a)}
-	f.id, f.call = x.g.disp.arrive(x.rec.ID, f.request())
+	f.id, f.call = x.g.disp.Arrive(x.rec.ID, f.request())
 	// Deferred, so that even a panic in the loop leaves no engine memory held.
 	defer func() {
-		x.g.disp.leave(f.id)
+		x.g.disp.Leave(f.id)
 		f.drainSteps()
 		cancel()
 		f.account(o)
@@ -151,8 +152,8 @@
 		select {
 		case <-f.ctx.Done():
 			return outcome.Outcome{Kind: outcome.Cancelled, Reason: outcome.CallerGone}
-		case <-f.call.wake:
-			for _, a := range f.call.take() {
+		case <-f.call.Wake:
+			for _, a := range f.call.Take() {
 				if o, end := f.act(a); end {
 					return o
 				}
@@ -167,7 +168,7 @@
 
 // drainSteps records the actions that came with the end of the request.
 func (f *flight) drainSteps() {
-	for _, a := range f.call.take() {
+	for _, a := range f.call.Take() {
 		f.note(a)
 	}
 }
@@ -178,10 +179,10 @@
 	switch a := a.(type) {
 	case decide.StartPrefill:
 		f.prefill = a.Attempt
-		go f.callPrefill(f.call.bind(f.ctx, a.Attempt), a)
+		go f.callPrefill(f.call.Bind(f.ctx, a.Attempt), a)
 	case decide.StartDecode:
 		f.decode, f.engine = a.Attempt, a.Decode
-		go f.callDecode(f.call.bind(f.ctx, a.Attempt), a, f.kv)
+		go f.callDecode(f.call.Bind(f.ctx, a.Attempt), a, f.kv)
 	case decide.End:
 		return a.Outcome, true
 	}
@@ -191,28 +192,17 @@
 // note writes an action into the record.
 func (f *flight) note(a decide.Action) {
 	switch a := a.(type) {
-	case decide.StartPrefill:
-		f.x.step(record.Step{Kind: record.StepPrefill, Attempt: int(a.Attempt), Prefill: a.Prefill, Decode: a.Decode, Choice: a.Choice})
 	case decide.StartDecode:
 		if a.Moved != outcome.OK {
 			f.x.g.m.Moves.Inc()
 		}
-		f.x.step(record.Step{Kind: record.StepDecode, Attempt: int(a.Attempt), Prefill: a.Prefill, Decode: a.Decode, Reason: a.Moved})
-	case decide.Retry:
-		f.x.step(record.Step{Kind: record.StepRetry, Decode: a.Engine, Reason: a.Reason})
-	case decide.Waiting:
-		f.x.step(record.Step{Kind: record.StepWait, Reason: a.Reason, Tokens: a.View.Waiting})
-	case decide.Waste:
-		f.x.step(record.Step{Kind: record.StepWaste, Reason: a.Reason, Tokens: a.Tokens})
-	case decide.Abort:
-		f.x.step(record.Step{Kind: record.StepAbort, Attempt: int(a.Attempt), Decode: a.Engine})
 	case decide.Ruled:
 		if a.Verdict.Fault != "" {
 			f.x.g.m.PolicyFaults.Inc()
-			f.x.step(record.Step{Kind: record.StepPolicy, Text: "the program failed (" + a.Verdict.Fault + "), so the built-in rules decided"})
-			return
 		}
-		f.x.step(record.Step{Kind: record.StepPolicy, Text: a.Verdict.Text})
+	}
+	if s, ok := record.StepOf(a); ok {
+		f.x.step(s)
 	}
 }
 
@@ -244,7 +234,7 @@
 	if !errors.As(ev.err, &ce) {
 		ce = &engine.CallError{Reason: outcome.Internal, Ran: true, Err: ev.err}
 	}
-	f.x.g.disp.step(decide.Failed{ID: f.id, Attempt: ev.attempt, Reason: ce.Reason, Ran: ce.Ran, KVGone: ce.KVGone})
+	f.x.g.disp.Step(decide.Failed{ID: f.id, Attempt: ev.attempt, Reason: ce.Reason, Ran: ce.Ran, KVGone: ce.KVGone})
 }
 
 func (f *flight) prefilled(ev flightEvent) {
@@ -256,7 +246,7 @@
 	f.kv = ev.prefill.KV
 	f.x.g.m.PrefillTokens.Add(u.PromptTokens - cached)
 	f.x.step(record.Step{Kind: record.StepRead, Prefill: f.lastPrefill(), Tokens: cached})
-	f.x.g.disp.step(decide.PrefillDone{
+	f.x.g.disp.Step(decide.PrefillDone{
 		ID: f.id, Attempt: ev.attempt, Cached: cached,
 		Expires: time.Now().Add(time.Duration(ev.prefill.KV.ExpiresMS) * time.Millisecond),
 	})
@@ -290,7 +280,7 @@
 		f.x.rec.FirstToken = now.Sub(f.x.arrived)
 		f.x.g.m.FirstToken.Update(f.x.rec.FirstToken.Seconds())
 		f.x.step(record.Step{Kind: record.StepFirst, Decode: f.engine})
-		f.x.g.disp.step(decide.FirstToken{ID: f.id, Attempt: ev.attempt})
+		f.x.g.disp.Step(decide.FirstToken{ID: f.id, Attempt: ev.attempt})
 	} else if ev.chunk.HasChoices {
 		gap := now.Sub(f.last)
 		f.x.g.m.BetweenTokens.Update(gap.Seconds())
@@ -317,7 +307,7 @@
 	if f.usage != nil {
 		f.x.rec.Output = f.usage.CompletionTokens
 	}
-	f.x.g.disp.step(decide.Done{ID: f.id, Attempt: ev.attempt, Output: f.x.rec.Output})
+	f.x.g.disp.Step(decide.Done{ID: f.id, Attempt: ev.attempt, Output: f.x.rec.Output})
 	if err := f.answer.end(f.usage); err != nil {
 		return callerLeft(err), true
 	}
@@ -362,9 +352,9 @@
 
 func (f *flight) engineCall(name string, a decide.Attempt, priority int) engine.Call {
 	return engine.Call{
-		Address:   f.x.g.disp.address(name),
+		Address:   f.x.g.disp.Address(name),
 		Path:      f.x.r.URL.Path,
-		RequestID: callID(f.x.rec.ID, a),
+		RequestID: dispatch.CallID(f.x.rec.ID, a),
 		MaxTokens: f.a.MaxTokens,
 		Priority:  priority,
 		Rest:      f.a.Rest,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/stoatramp/stoatramp/internal/claim"
 	"github.com/stoatramp/stoatramp/internal/config"
 	"github.com/stoatramp/stoatramp/internal/decide"
+	"github.com/stoatramp/stoatramp/internal/dispatch"
 	"github.com/stoatramp/stoatramp/internal/engine"
 	"github.com/stoatramp/stoatramp/internal/limit"
 	"github.com/stoatramp/stoatramp/internal/outcome"
@@ -66,7 +67,7 @@
 	box     *config.Box
 	view    atomic.Pointer[view]
 	engines *engine.Client
-	disp    *dispatcher
+	disp    *dispatch.Dispatcher
 	plain   *plainPool
 	limits  *limit.Table
 	claims  *claim.Claims
@@ -106,7 +107,7 @@
 	return &Gateway{
 		box:         o.Box,
 		engines:     o.Engines,
-		disp:        newDispatcher(o.Core, o.Engines, o.Metrics),
+		disp:        dispatch.New(o.Core, o.Engines.Abort, o.Metrics),
 		plain:       newPlainPool(),
 		limits:      o.Limits,
 		claims:      o.Claims,
@@ -123,7 +124,7 @@
 // The view comes last: it makes the box ready, and a request that finds its route
 // there must find the route's engines in the core as well.
 func (g *Gateway) SetConfig(c *config.Shared, p PolicySource) {
-	g.disp.setFleet(c)
+	g.disp.SetFleet(fleetOf(c), addressesOf(c))
 	g.plain.setConfig(c)
 	g.view.Store(&view{cfg: c, policies: p})
 }
@@ -137,16 +138,16 @@
 }
 
 // Report hands an engine's load report to the decisions.
-func (g *Gateway) Report(r decide.Report) { g.disp.step(r) }
+func (g *Gateway) Report(r decide.Report) { g.disp.Step(r) }
 
 // Evicted hands on that an engine dropped prefixes.
-func (g *Gateway) Evicted(ev decide.Evicted) { g.disp.step(ev) }
+func (g *Gateway) Evicted(ev decide.Evicted) { g.disp.Step(ev) }
 
 // Silent says that an engine did not answer a probe.
-func (g *Gateway) Silent(engine string) { g.disp.step(decide.Silent{Engine: engine}) }
+func (g *Gateway) Silent(engine string) { g.disp.Step(decide.Silent{Engine: engine}) }
 
 // Tick lets the decisions' time-outs fire.
-func (g *Gateway) Tick() { g.disp.step(decide.Tick{}) }
+func (g *Gateway) Tick() { g.disp.Step(decide.Tick{}) }
 
 // Running is the number of requests in progress.
 func (g *Gateway) Running() int64 { return g.running.Load() }
@@ -159,7 +160,7 @@
 	done := make(chan struct{})
 	go func() {
 		g.active.Wait()
-		g.disp.aborts.Wait()
+		g.disp.WaitAborts()
 		close(done)
 	}()
 	select {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -1,28 +1,43 @@
 package gateway
 
 import (
-	"time"
-
+	"github.com/stoatramp/stoatramp/internal/config"
 	"github.com/stoatramp/stoatramp/internal/decide"
 )
 
 // Engines lists the engines as the decisions see them, the requests that wait,
 // and in plain terms which role is short.
-func (g *Gateway) Engines() ([]decide.EngineState, int, []string) {
-	g.disp.mu.Lock()
-	defer g.disp.mu.Unlock()
-	now := time.Now()
-	engines, waiting := g.disp.core.Snapshot(now)
-	return engines, waiting, g.disp.core.Imbalance(now)
-}
+func (g *Gateway) Engines() ([]decide.EngineState, int, []string) { return g.disp.Engines() }
 
 // RunningIDs lists the requests that engines work on, for a forced stop.
-func (g *Gateway) RunningIDs() []string {
-	g.disp.mu.Lock()
-	defer g.disp.mu.Unlock()
-	var out []string
-	for _, c := range g.disp.calls {
-		out = append(out, c.name)
+func (g *Gateway) RunningIDs() []string { return g.disp.Running() }
+
+// addressesOf returns where the endpoints of a configuration are.
+func addressesOf(c *config.Shared) map[string]string {
+	out := make(map[string]string, len(c.Endpoints))
+	for _, e := range c.Endpoints {
+		out[e.Name] = e.Address
 	}
 	return out
 }
+
+func fleetOf(c *config.Shared) decide.Fleet {
+	var f decide.Fleet
+	for _, p := range c.Pools {
+		f.Pools = append(f.Pools, decide.Pool{Name: p.Name, KVBytesPerToken: p.KVBytesPerToken, PrefillExpiry: p.PrefillExpiry})
+	}
+	for _, e := range c.Endpoints {
+		if e.Role == config.RoleService {
+			continue
+		}
+		role := decide.Prefill
+		if e.Role == config.RoleDecode {
+			role = decide.Decode
+		}
+		f.Engines = append(f.Engines, decide.Engine{
+			Name: e.Name, Pool: e.Pool, Region: e.Region, Hall: e.Hall, Role: role, Leaving: e.Leaving,
+			PrefillRate: e.PrefillRate, KVTokens: e.KVTokens, Step: e.Step, StepPerStream: e.StepPerStream, LinkRate: e.LinkRate,
+		})
+	}
+	return f
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -42,6 +42,31 @@
 	Choice  *decide.Choice `json:"choice,omitempty"`
 }
 
+// StepOf says an action of the decisions as a step; ok is false for an action that
+// the record does not show.
+func StepOf(a decide.Action) (s Step, ok bool) {
+	switch a := a.(type) {
+	case decide.StartPrefill:
+		return Step{Kind: StepPrefill, Attempt: int(a.Attempt), Prefill: a.Prefill, Decode: a.Decode, Choice: a.Choice}, true
+	case decide.StartDecode:
+		return Step{Kind: StepDecode, Attempt: int(a.Attempt), Prefill: a.Prefill, Decode: a.Decode, Reason: a.Moved}, true
+	case decide.Retry:
+		return Step{Kind: StepRetry, Decode: a.Engine, Reason: a.Reason}, true
+	case decide.Waiting:
+		return Step{Kind: StepWait, Reason: a.Reason, Tokens: a.View.Waiting}, true
+	case decide.Waste:
+		return Step{Kind: StepWaste, Reason: a.Reason, Tokens: a.Tokens}, true
+	case decide.Abort:
+		return Step{Kind: StepAbort, Attempt: int(a.Attempt), Decode: a.Engine}, true
+	case decide.Ruled:
+		if a.Verdict.Fault != "" {
+			return Step{Kind: StepPolicy, Text: "the program failed (" + a.Verdict.Fault + "), so the built-in rules decided"}, true
+		}
+		return Step{Kind: StepPolicy, Text: a.Verdict.Text}, true
+	}
+	return Step{}, false
+}
+
 // Record is the whole account of one request.
 type Record struct {
 	ID     string    `json:"id"`
