Change engines' roles as the traffic asks for, under a lease

Cause: 3 of 9 engines read prompts and were idle two thirds of the time, while memory at the 6 that write was what bound. Change: the core says which split carries most and which engine to change; one box at a time follows it, under a lease row in the store whose version is the fence. The first advice comes from what the operator expects, before traffic starts.

--- a/cmd/stoatrampd/main.go
+++ b/cmd/stoatrampd/main.go
@@ -60,6 +60,7 @@
 		Wire:      platform.Wire{},
 		Operator:  store.Operator(),
 		Endpoints: store.Workers(),
+		Leases:    store.Leases(),
 		Config:    platform.Config,
 		Endpoint:  platform.Endpoint,
 		ReadyPath: platform.ReadyPath,
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -18,9 +18,11 @@
 	"github.com/stoatramp/stoatramp/internal/config"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/follow"
+	"github.com/stoatramp/stoatramp/internal/lease"
 	"github.com/stoatramp/stoatramp/internal/ops"
 	"github.com/stoatramp/stoatramp/internal/record"
 	"github.com/stoatramp/stoatramp/internal/relay"
+	"github.com/stoatramp/stoatramp/internal/roles"
 	"github.com/stoatramp/stoatramp/internal/telemetry"
 )
 
@@ -33,6 +35,8 @@
 	Endpoints follow.Source
 	Config    func(rows map[string][]byte) (*relay.Config, error)
 	Endpoint  func(key string, text []byte) (relay.Endpoint, error)
+	// Leases is the table that leases are kept in.
+	Leases lease.Rows
 	// ReadyPath is where the platform asks whether the box takes connections.
 	ReadyPath string
 }
@@ -66,6 +70,7 @@
 	records := record.NewRing(ops.RecordsKept)
 	b.Relay = relay.New(relay.Options{
 		Box: cfg.Name, Hall: cfg.Hall, Region: cfg.Region, Wire: site.Wire,
+		Expect:  relay.Expect{Prompt: cfg.ExpectPrompt, Output: cfg.ExpectOutput, Gap: cfg.ExpectGap},
 		Core:    decide.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), cfg.Queue),
 		Records: records, Metrics: b.Metrics, Log: log,
 	})
@@ -94,9 +99,33 @@
 	go follow.New(b.site.Endpoints, endpointsPace, b.list).Run(b.ctx)
 	go tick(b.ctx, b.Relay.Running, b.Relay.Tick)
 	go b.Relay.AskLoads(b.ctx)
+	go b.roleManager().Run(b.ctx)
 	return b.app.Run()
 }
 
+const (
+	// rolesLease is for how long nobody else gives orders after one box may have: longer
+	// than an order can be under way and an engine takes to change.
+	rolesLease = 15 * time.Second
+	// rolesUse is how long after taking the lease its order is sent.
+	rolesUse = 1500 * time.Millisecond
+	// rolesEvery and rolesSteady say how long an advice stands before it is followed.
+	rolesEvery  = 300 * time.Millisecond
+	rolesSteady = 3
+)
+
+// roleManager changes engines' roles as the traffic asks for.
+func (b *RelayBox) roleManager() *roles.Manager {
+	return &roles.Manager{
+		Fleet:  b.Relay,
+		Leases: &lease.Keeper{Rows: b.site.Leases, Key: "roles", Holder: b.cfg.Name, Length: rolesLease, Use: rolesUse},
+		Every:  rolesEvery, Steady: rolesSteady, Spacing: rolesLease + time.Second,
+		Ordered: func(a decide.Advice, l lease.Lease, err error) {
+			b.log.Info("role ordered", zap.String("engine", a.Engine), zap.Stringer("role", a.Role), zap.Int64("fence", l.Fence), zap.Error(err))
+		},
+	}
+}
+
 // Stop drains the box and ends it.
 func (b *RelayBox) Stop() error { return b.app.Stop() }
 
--- a/internal/config/relay.go
+++ b/internal/config/relay.go
@@ -26,6 +26,12 @@
 	// Store is the address of the platform's table service.
 	Store string
 
+	// ExpectPrompt, ExpectOutput and ExpectGap are what is expected of streams until some
+	// were seen: tokens, tokens, and the target between events. 0 if nothing.
+	ExpectPrompt int
+	ExpectOutput int
+	ExpectGap    time.Duration
+
 	// Queue bounds the requests that wait for engines on this box.
 	Queue int
 	// Linger is how long a stopping box still takes new requests, until callers have
@@ -98,7 +104,11 @@
 		if _, err := netip.ParseAddrPort(r.Store); r.Store != "" && err != nil {
 			s.problem("address", "expected ip:port, found %q", r.Store)
 		}
+	case "engines":
+		r.ExpectPrompt = s.integer("expect_prompt_tokens", 0, 0, 1<<20)
+		r.ExpectOutput = s.integer("expect_output_tokens", 0, 0, 1<<20)
+		r.ExpectGap = s.duration("expect_gap", 300*time.Millisecond, time.Millisecond, time.Minute)
 	default:
-		s.problem("", "is not a known section; expected box, callers, readiness, operators or store")
+		s.problem("", "is not a known section; expected box, callers, readiness, operators, store or engines")
 	}
 }
--- a/internal/decide/arrive.go
+++ b/internal/decide/arrive.go
@@ -23,6 +23,7 @@
 		return
 	}
 	c.setWork(f)
+	f.pool.demand.arrived(f)
 	f.order = f.latestStart.Add(time.Duration(f.Priority) * time.Second)
 	if f.Policy != nil && !c.admit(f) {
 		return
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -99,6 +99,14 @@
 // need is the decode memory the request takes, in tokens.
 func (f *flight) need() int { return f.PromptTokens + f.MaxTokens }
 
+// expected is the length of the answer that is expected, in tokens.
+func (f *flight) expected() int {
+	if f.ExpectTokens > 0 {
+		return f.ExpectTokens
+	}
+	return f.MaxTokens
+}
+
 // fullStream is the answer length from which a stream counts as a whole one in
 // predictions of the step. A verdict of a few tokens is gone after a few steps.
 const fullStream = 64
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -52,6 +52,7 @@
 	pace     pace
 	surprise surprise
 	urgency  urgency
+	demand   demand
 	// scarce is the role that waiting requests lack.
 	scarce EngineRole
 	// bestPerStream is the least a stream adds to a step.
@@ -101,7 +102,7 @@
 		n = max(1, held)
 		step = p.bestStep + time.Duration(n-1)*p.bestPerStream
 	}
-	return time.Duration(f.MaxTokens) * step / time.Duration(n)
+	return time.Duration(f.expected()) * step / time.Duration(n)
 }
 
 // idleTransfer is the time a KV cache takes over the fastest link, unshared.
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -39,6 +39,8 @@
 	PromptTokens int
 	// MaxTokens bounds the answer; prompt and answer together are held in decode memory.
 	MaxTokens int
+	// ExpectTokens is how long the answer is expected to be; 0 stands for MaxTokens.
+	ExpectTokens int
 	// Blocks are chained hashes of the prompt's leading blocks: Blocks[i] stands
 	// for blocks 0 to i, so two prompts share it only if they share the whole prefix.
 	Blocks []uint64
@@ -135,6 +137,11 @@
 	Name            string
 	KVBytesPerToken int
 	PrefillExpiry   time.Duration
+	// ExpectPrompt, ExpectOutput and ExpectGap are what the operator expects of the
+	// requests until some were seen: tokens and the target between tokens. 0 if nothing.
+	ExpectPrompt int
+	ExpectOutput int
+	ExpectGap    time.Duration
 }
 
 // Event is one thing that happened. The concrete types follow.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -217,6 +217,13 @@
 	return engines, waiting, d.core.Imbalance(now)
 }
 
+// Advise says which engine should change its role, if any should.
+func (d *Dispatcher) Advise() (decide.Advice, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Advise()
+}
+
 // Running lists the ids of the requests in the core's care.
 func (d *Dispatcher) Running() []string {
 	d.mu.Lock()
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -45,7 +45,7 @@
 	if r.fleet.cfg == nil {
 		return
 	}
-	out, addresses := r.fleet.engines(r.o.Region)
+	out, addresses := r.fleet.engines(r.o.Region, r.o.Expect)
 	r.disp.SetFleet(out, addresses)
 	r.plain.set(r.fleet.endpoints)
 	keep := map[string]bool{}
@@ -58,12 +58,13 @@
 }
 
 // engines describes the engines and where they are.
-func (f *fleet) engines(region string) (decide.Fleet, map[string]string) {
+func (f *fleet) engines(region string, expect Expect) (decide.Fleet, map[string]string) {
 	var out decide.Fleet
 	addresses := map[string]string{}
 	for _, name := range slices.Sorted(maps.Keys(f.cfg.Services)) {
 		if s := f.cfg.Services[name]; s.Engines != nil {
-			out.Pools = append(out.Pools, decide.Pool{Name: name, KVBytesPerToken: s.Engines.TokenBytes, PrefillExpiry: s.Engines.HandleFor})
+			out.Pools = append(out.Pools, decide.Pool{Name: name, KVBytesPerToken: s.Engines.TokenBytes, PrefillExpiry: s.Engines.HandleFor,
+				ExpectPrompt: expect.Prompt, ExpectOutput: expect.Output, ExpectGap: expect.Gap / time.Duration(s.Engines.Stride)})
 		}
 	}
 	for _, e := range f.endpoints {
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -56,6 +56,6 @@
 		return
 	}
 	r.disp.Step(decide.Report{
-		Engine: e.ID, At: now.Add(-l.Age), FreeKV: l.KVTotal - l.KVUsed, Streams: l.Running, Leaving: l.Leaving,
+		Engine: e.ID, At: now.Add(-l.Age), FreeKV: l.KVTotal - l.KVUsed, Streams: l.Running, Leaving: l.Leaving || l.Busy,
 	})
 }
--- /dev/null
+++ b/internal/relay/orders.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/decide"
+	"github.com/stoatramp/stoatramp/internal/lease"
+)
+
+// Advise says which engine should change its role, if any should.
+func (r *Relay) Advise() (decide.Advice, bool) { return r.disp.Advise() }
+
+var (
+	errBusy  = errors.New("the engine carries out another order")
+	errLapse = errors.New("the lease ended before the order was sent")
+)
+
+// SetRole orders an engine to change its role. The order names the engine's start and
+// how many orders it has taken, so that it does nothing when it is carried out late.
+func (r *Relay) SetRole(ctx context.Context, a decide.Advice, l lease.Lease) error {
+	address := r.disp.Address(a.Engine)
+	resp, body, err := r.side.Call(ctx, loadLimit, sideRequest(address, r.wire.AskLoad()), sideAnswer)
+	if err != nil {
+		return fmt.Errorf("ask the engine: %w", err)
+	}
+	load, err := r.wire.Load(body)
+	switch {
+	case err != nil || resp.StatusCode != http.StatusOK:
+		return fmt.Errorf("ask the engine: %s, %w", resp.Status, err)
+	case load.Busy || load.Leaving || load.Role == a.Role:
+		return errBusy
+	}
+	c, h := r.wire.SetRole(a.Engine, a.Role, r.o.Box, l.Fence, load.Orders)
+	q := sideRequest(address, c)
+	for k, v := range h {
+		q.Header[k] = v
+	}
+	if !l.Valid(time.Now()) {
+		return errLapse
+	}
+	resp, _, err = r.side.Call(ctx, loadLimit, q, sideAnswer)
+	if err != nil {
+		return fmt.Errorf("order: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusAccepted {
+		return fmt.Errorf("the engine answered %s to the order", resp.Status)
+	}
+	return nil
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,12 +28,20 @@
 	Region string
 	Wire   Wire
 	Core   *decide.Core
+	Expect Expect
 	// Records keeps the newest records for `stoatramp why`.
 	Records *record.Ring
 	Metrics *telemetry.Metrics
 	Log     *zap.Logger
 }
 
+// Expect is what the operator expects of streams until some were seen; zero if nothing.
+type Expect struct {
+	Prompt int // Tokens.
+	Output int // Tokens.
+	Gap    time.Duration
+}
+
 // Relay serves callers. All fields are set by New.
 type Relay struct {
 	o    Options
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -140,6 +140,7 @@
 		Route:         x.route.Name,
 		PromptTokens:  x.ask.PromptTokens,
 		MaxTokens:     x.ask.reserve(),
+		ExpectTokens:  x.ask.GuessedOutput,
 		Blocks:        x.ask.Shared,
 		FirstToken:    x.route.Objective,
 		BetweenTokens: x.route.Gap / time.Duration(x.service.Engines.Stride),
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -165,6 +165,10 @@
 	KVUsed  int
 	KVTotal int
 	Leaving bool
+	// Busy says that the engine carries out an order.
+	Busy bool
+	// Orders counts the orders the engine took since its start.
+	Orders int64
 	// Age is how old the figures may be.
 	Age time.Duration
 }
@@ -194,4 +198,6 @@
 	// AskLoad asks an engine for its load; Load reads the answer.
 	AskLoad() Call
 	Load(body []byte) (Load, error)
+	// SetRole orders an engine that has taken so many orders to change its role.
+	SetRole(instance string, role decide.EngineRole, holder string, fence, orders int64) (Call, http.Header)
 }
--- /dev/null
+++ b/internal/roles/roles.go
@@ -0,0 +1,94 @@
+// Package roles changes engines between prefill and decode as the traffic asks for. One
+// box at a time does so, under a lease, and slowly: an engine that changes its role does
+// nothing for some seconds.
+package roles
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/decide"
+	"github.com/stoatramp/stoatramp/internal/lease"
+)
+
+// Fleet is what the manager sees of the engines and does with them.
+type Fleet interface {
+	// Advise says which engine should change.
+	Advise() (decide.Advice, bool)
+	// SetRole orders the change. Any error leaves open whether it is carried out.
+	SetRole(ctx context.Context, a decide.Advice, l lease.Lease) error
+}
+
+// Leases are the right to give orders.
+type Leases interface {
+	Acquire(ctx context.Context) (lease.Lease, error)
+}
+
+// Manager follows the advice.
+type Manager struct {
+	Fleet  Fleet
+	Leases Leases
+	// Every paces the looks at the advice, and Steady is how many looks in a row must
+	// give the same before it is followed.
+	Every  time.Duration
+	Steady int
+	// Spacing is how long after an order, or the sight of another box's lease, this box
+	// does not try again.
+	Spacing time.Duration
+	// Ordered is called after each order; it may be nil.
+	Ordered func(a decide.Advice, l lease.Lease, err error)
+}
+
+// limit bounds one look, its lease and its order.
+const limit = 2 * time.Second
+
+// Run follows the advice until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	var last decide.Advice
+	same := 0
+	for {
+		// Boxes that see the same do not ask for the lease at the same moment.
+		wait := m.Every/2 + time.Duration(rand.Int64N(int64(m.Every)))
+		a, ok := m.Fleet.Advise()
+		switch {
+		case !ok:
+			same = 0
+		case a.Role == last.Role && a.Pool == last.Pool:
+			same++
+		default:
+			same = 1
+		}
+		last = a
+		if ok && same >= m.Steady {
+			if m.follow(ctx, a) {
+				wait, same = m.Spacing, 0
+			}
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// follow gives the order if this box gets the lease. It returns whether an order was
+// given or another box is about to.
+func (m *Manager) follow(ctx context.Context, a decide.Advice) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	l, err := m.Leases.Acquire(ctx)
+	if err != nil {
+		return errors.Is(err, lease.ErrHeld)
+	}
+	if !l.Valid(time.Now()) {
+		return true
+	}
+	err = m.Fleet.SetRole(ctx, a, l)
+	if m.Ordered != nil {
+		m.Ordered(a, l, err)
+	}
+	return true
+}
