--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -105,8 +105,8 @@
 
 const (
 	// rolesLease is for how long nobody else gives orders after one box may have: longer
-	// than an order can be under way and an engine takes to change.
-	rolesLease = 15 * time.Second
+	// than an engine takes to change, and much longer than rolesUse.
+	rolesLease = 8 * time.Second
 	// rolesUse is how long after taking the lease its order is sent.
 	rolesUse = 1500 * time.Millisecond
 	// rolesEvery and rolesSteady say how long an advice stands before it is followed.
@@ -120,8 +120,8 @@
 		Fleet:  b.Relay,
 		Leases: &lease.Keeper{Rows: b.site.Leases, Key: "roles", Holder: b.cfg.Name, Length: rolesLease, Use: rolesUse},
 		Every:  rolesEvery, Steady: rolesSteady, Spacing: rolesLease + time.Second,
-		Ordered: func(a decide.Advice, l lease.Lease, err error) {
-			b.log.Info("role ordered", zap.String("engine", a.Engine), zap.Stringer("role", a.Role), zap.Int64("fence", l.Fence), zap.Error(err))
+		Ordered: func(engine string, role decide.EngineRole, l lease.Lease, err error) {
+			b.log.Info("role ordered", zap.String("engine", engine), zap.Stringer("role", role), zap.Int64("fence", l.Fence), zap.Error(err))
 		},
 	}
 }
--- a/internal/decide/advise.go
+++ b/internal/decide/advise.go
@@ -6,18 +6,18 @@
 	"time"
 )
 
-// Advice says that one engine of a pool should change its role.
+// Advice says that engines of a pool should change their role.
 type Advice struct {
-	Pool   string
-	Region string
-	Engine string
-	Role   EngineRole // The one it should have.
+	Pool    string
+	Region  string
+	Engines []string
+	Role    EngineRole // The one they should have.
 }
 
 const (
 	// adviceGain is how much more a pool must be able to carry for a change of role:
 	// an engine that changes does nothing for some seconds.
-	adviceGain = 1.15
+	adviceGain = 1.1
 	// demandBlend is the weight of one arrival in the mean demand.
 	demandBlend = 0.01
 	// demandSeen is how many arrivals tell the demand where the operator expects none.
@@ -48,8 +48,8 @@
 			continue
 		}
 		f := &flight{Request: Request{
-			Region: name, PromptTokens: p.ExpectPrompt, MaxTokens: p.ExpectOutput,
-			BetweenTokens: p.ExpectGap,
+			Region: name, PromptTokens: p.ExpectPrompt, BetweenTokens: p.ExpectGap,
+			MaxTokens: p.ExpectReserve, ExpectTokens: p.ExpectOutput,
 		}}
 		read := g.prefill[0].readTime(p.ExpectPrompt)
 		f.work = [2]time.Duration{read, p.decodeWork(f)}
@@ -96,7 +96,7 @@
 	g := p.in(region)
 	prefills, decodes := staying(g.prefill), staying(g.decode)
 	if len(prefills) == 0 && len(decodes) > 1 {
-		return Advice{Pool: p.Name, Region: region, Engine: mostAlike(decodes).Name, Role: Prefill}, true
+		return Advice{Pool: p.Name, Region: region, Engines: mostAlike(decodes, 1), Role: Prefill}, true
 	}
 	if len(prefills) == 0 || len(decodes) == 0 {
 		return Advice{}, false
@@ -119,7 +119,7 @@
 	if best > now {
 		from, role = decodes, Prefill
 	}
-	return Advice{Pool: p.Name, Region: region, Engine: mostAlike(from).Name, Role: role}, true
+	return Advice{Pool: p.Name, Region: region, Engines: mostAlike(from, max(now-best, best-now)), Role: role}, true
 }
 
 // staying lists the engines that are not leaving, by name.
@@ -127,17 +127,25 @@
 	return slices.DeleteFunc(slices.Clone(list), func(e *engine) bool { return e.leaving() })
 }
 
-// mostAlike picks an engine of the hall that has most engines of the role, so that
-// every hall keeps some.
-func mostAlike(list []*engine) *engine {
+// mostAlike picks n engines, each of the hall that has most engines of the role left, so
+// that every hall keeps some.
+func mostAlike(list []*engine, n int) []string {
+	list = slices.Clone(list)
 	halls := map[string]int{}
 	for _, e := range list {
 		halls[e.Hall]++
 	}
-	return slices.MaxFunc(list, func(a, b *engine) int {
-		if n := cmp.Compare(halls[a.Hall], halls[b.Hall]); n != 0 {
-			return n
-		}
-		return cmp.Compare(a.Name, b.Name)
-	})
+	var out []string
+	for range n {
+		e := slices.MaxFunc(list, func(a, b *engine) int {
+			if n := cmp.Compare(halls[a.Hall], halls[b.Hall]); n != 0 {
+				return n
+			}
+			return cmp.Compare(a.Name, b.Name)
+		})
+		halls[e.Hall]--
+		list = slices.DeleteFunc(list, func(o *engine) bool { return o == e })
+		out = append(out, e.Name)
+	}
+	return out
 }
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -91,14 +91,16 @@
 }
 
 // decodeWork is a request's share of a decode engine that is full of requests like it:
-// full because of the target between tokens, or because its memory holds no more.
+// full because of the target between tokens, or because its memory holds no more. Memory
+// counts at half the answer: streams are at all points of their answers at once.
 //
-// Example: a target that allows 100 streams, memory for 10 such requests, and steps of
-// 1 ms with 10 streams. 400 tokens take 400 ms, and a tenth of the engine: 40 ms.
+// Example: a target that allows 100 streams, memory for 10 such requests half written,
+// and steps of 1 ms with 10 streams. 400 tokens take 400 ms, and a tenth of the engine:
+// 40 ms.
 func (p *pool) decodeWork(f *flight) time.Duration {
 	n := p.batch(f.BetweenTokens)
 	step := f.BetweenTokens
-	if held := p.in(f.Region).mostKV / max(1, f.need()); held < n {
+	if held := p.in(f.Region).mostKV / max(1, f.PromptTokens+f.MaxTokens/2); held < n {
 		n = max(1, held)
 		step = p.bestStep + time.Duration(n-1)*p.bestPerStream
 	}
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -140,11 +140,13 @@
 	// SelfRead is the part of the prefill rate at which a decode engine reads a prompt
 	// by itself, between the tokens of its streams; 0 if it cannot.
 	SelfRead float64
-	// ExpectPrompt, ExpectOutput and ExpectGap are what the operator expects of the
-	// requests until some were seen: tokens and the target between tokens. 0 if nothing.
-	ExpectPrompt int
-	ExpectOutput int
-	ExpectGap    time.Duration
+	// ExpectPrompt, ExpectOutput, ExpectReserve and ExpectGap are what the operator expects
+	// of the requests until some were seen: the tokens of prompt and answer, those set
+	// aside for an answer, and the target between tokens. 0 if nothing.
+	ExpectPrompt  int
+	ExpectOutput  int
+	ExpectReserve int
+	ExpectGap     time.Duration
 }
 
 // Event is one thing that happened. The concrete types follow.
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -66,7 +66,7 @@
 		if s := f.cfg.Services[name]; s.Engines != nil {
 			out.Pools = append(out.Pools, decide.Pool{Name: name, KVBytesPerToken: s.Engines.TokenBytes, PrefillExpiry: s.Engines.HandleFor,
 				SelfRead:     assumedSelfRead,
-				ExpectPrompt: expect.Prompt, ExpectOutput: expect.Output, ExpectGap: expect.Gap / time.Duration(s.Engines.Stride)})
+				ExpectPrompt: expect.Prompt, ExpectOutput: expect.Output, ExpectReserve: int(reservePart * float64(expect.Output)), ExpectGap: expect.Gap / time.Duration(s.Engines.Stride)})
 		}
 	}
 	for _, e := range f.endpoints {
--- a/internal/relay/orders.go
+++ b/internal/relay/orders.go
@@ -21,8 +21,8 @@
 
 // SetRole orders an engine to change its role. The order names the engine's start and
 // how many orders it has taken, so that it does nothing when it is carried out late.
-func (r *Relay) SetRole(ctx context.Context, a decide.Advice, l lease.Lease) error {
-	address := r.disp.Address(a.Engine)
+func (r *Relay) SetRole(ctx context.Context, engine string, role decide.EngineRole, l lease.Lease) error {
+	address := r.disp.Address(engine)
 	resp, body, err := r.side.Call(ctx, loadLimit, sideRequest(address, r.wire.AskLoad()), sideAnswer)
 	if err != nil {
 		return fmt.Errorf("ask the engine: %w", err)
@@ -31,10 +31,10 @@
 	switch {
 	case err != nil || resp.StatusCode != http.StatusOK:
 		return fmt.Errorf("ask the engine: %s, %w", resp.Status, err)
-	case load.Busy || load.Leaving || load.Role == a.Role:
+	case load.Busy || load.Leaving || load.Role == role:
 		return errBusy
 	}
-	c, h := r.wire.SetRole(a.Engine, a.Role, r.o.Box, l.Fence, load.Orders)
+	c, h := r.wire.SetRole(engine, role, r.o.Box, l.Fence, load.Orders)
 	q := sideRequest(address, c)
 	for k, v := range h {
 		q.Header[k] = v
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -17,8 +17,8 @@
 type Fleet interface {
 	// Advise says which engine should change.
 	Advise() (decide.Advice, bool)
-	// SetRole orders the change. Any error leaves open whether it is carried out.
-	SetRole(ctx context.Context, a decide.Advice, l lease.Lease) error
+	// SetRole orders one change. Any error leaves open whether it is carried out.
+	SetRole(ctx context.Context, engine string, role decide.EngineRole, l lease.Lease) error
 }
 
 // Leases are the right to give orders.
@@ -38,7 +38,7 @@
 	// does not try again.
 	Spacing time.Duration
 	// Ordered is called after each order; it may be nil.
-	Ordered func(a decide.Advice, l lease.Lease, err error)
+	Ordered func(engine string, role decide.EngineRole, l lease.Lease, err error)
 }
 
 // limit bounds one look, its lease and its order.
@@ -83,12 +83,14 @@
 	if err != nil {
 		return errors.Is(err, lease.ErrHeld)
 	}
-	if !l.Valid(time.Now()) {
-		return true
-	}
-	err = m.Fleet.SetRole(ctx, a, l)
-	if m.Ordered != nil {
-		m.Ordered(a, l, err)
+	for _, engine := range a.Engines {
+		if !l.Valid(time.Now()) {
+			break
+		}
+		err = m.Fleet.SetRole(ctx, engine, a.Role, l)
+		if m.Ordered != nil {
+			m.Ordered(engine, a.Role, l, err)
+		}
 	}
 	return true
 }
