--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -346,6 +346,9 @@
 
 // cutOff ends an answer that cannot be completed, so that it does not look whole.
 func (x *exchange) cutOff(o outcome.Outcome) {
+	if x.begun {
+		_ = http.NewResponseController(x.w).Flush() // What came is the caller's.
+	}
 	x.finish(o)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -35,8 +35,11 @@
 	read   decide.Attempt // The current prefill.
 	write  decide.Attempt // The current decode call.
 	writer string         // The current decode engine.
+	// hold and source are what engines keep for the flight: memory set aside, and the
+	// last prefill's result. Both are freed with the flight, unless an engine that has
+	// begun the answer has taken them.
 	hold   held
-	source Source // What the last prefill left and no engine has taken yet.
+	source Source
 
 	first  time.Time // When the first event was written; zero before.
 	last   time.Time
@@ -218,23 +221,22 @@
 			go f.callWhole(f.call.Bind(f.ctx, a.Attempt), a)
 			break
 		}
-		go f.callWrite(f.call.Bind(f.ctx, a.Attempt), a, f.take(a.Decode))
+		f.leaveHold(a.Decode)
+		run := Run{Instance: a.Decode, Source: f.source, Hold: f.hold.id, LastEvent: f.lastID}
+		go f.callWrite(f.call.Bind(f.ctx, a.Attempt), a, run)
 	case decide.End:
 		return a.Outcome, true
 	}
 	return outcome.Outcome{}, false
 }
 
-// take hands the prefill's result and the memory set aside to a decode call. They
-// are the engine's from here on: it frees them with the run, or they lapse.
-func (f *flight) take(engine string) Run {
-	run := Run{Instance: engine, Source: f.source, LastEvent: f.lastID}
-	if f.hold.engine == engine {
-		run.Hold = f.hold.id
+// leaveHold frees memory that was set aside at another engine than the one that will
+// write the answer.
+func (f *flight) leaveHold(engine string) {
+	if f.hold.id != "" && f.hold.engine != engine {
+		f.x.r.drop(f.x.r.disp.Address(f.hold.engine), f.x.r.wire.DropHold(f.hold.id))
 		f.hold = held{}
 	}
-	f.source = Source{}
-	return run
 }
 
 // event takes what a call reported. What does not belong to the current attempt is
@@ -292,6 +294,7 @@
 		f.x.rec.FirstToken = f.first.Sub(f.x.arrived)
 		f.x.r.m.FirstToken.Update(f.x.rec.FirstToken.Seconds())
 	}
+	f.hold, f.source = held{}, Source{} // The engine has taken them.
 	f.x.r.disp.Step(decide.FirstToken{ID: f.id, Attempt: ev.attempt})
 	f.x.step(record.Step{Kind: record.StepFirst, Decode: f.writer})
 	if !f.x.begun {
@@ -402,7 +405,7 @@
 // make the answer.
 func (f *flight) callWhole(ctx context.Context, a decide.StartDecode) {
 	hold, ok := f.setAside(ctx, a.Attempt, a.Decode)
-	if !ok {
+	if !ok || !f.send(flightEvent{attempt: a.Attempt, held: &hold}) {
 		return
 	}
 	f.callWrite(ctx, a, Run{Instance: a.Decode, Hold: hold.id, LastEvent: f.lastID})
