--- a/internal/decide/advise.go
+++ b/internal/decide/advise.go
@@ -44,14 +44,14 @@
 		return
 	}
 	for name, g := range p.regions {
-		if len(g.prefill) == 0 || len(g.decode) == 0 {
+		if len(g.decode) == 0 {
 			continue
 		}
 		f := &flight{Request: Request{
 			Region: name, PromptTokens: p.ExpectPrompt, BetweenTokens: p.ExpectGap,
 			MaxTokens: p.ExpectReserve, ExpectTokens: p.ExpectOutput,
 		}}
-		read := g.prefill[0].readTime(p.ExpectPrompt)
+		read := g.decode[0].readTime(p.ExpectPrompt) // All engines of a pool are alike.
 		f.work = [2]time.Duration{read, p.decodeWork(f)}
 		p.demand.arrived(f)
 		p.demand.seen = demandSeen
--- /dev/null
+++ b/internal/decide/advise_test.go
@@ -0,0 +1,91 @@
+package decide
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/outcome"
+)
+
+// poolOf returns a core with so many engines of each role, in three halls.
+func poolOf(prefills, decodes int, selfRead float64, expectOutput int) *Core {
+	c := New(rand.New(rand.NewPCG(1, 1)), 100)
+	f := Fleet{Pools: []Pool{{
+		Name: "p", KVBytesPerToken: 1, PrefillExpiry: time.Second, SelfRead: selfRead,
+		ExpectPrompt: 5000, ExpectOutput: expectOutput, ExpectReserve: expectOutput * 3 / 2, ExpectGap: 5 * time.Millisecond,
+	}}}
+	for i := range prefills + decodes {
+		role := Prefill
+		if i >= prefills {
+			role = Decode
+		}
+		f.Engines = append(f.Engines, Engine{
+			Name: fmt.Sprintf("e%02d", i), Pool: "p", Region: "r", Hall: fmt.Sprint(i % 3), Role: role, PrefillRate: 50_000,
+			KVTokens: 90_000, Step: 600 * time.Microsecond, StepPerStream: 20 * time.Microsecond, LinkRate: 1e9,
+		})
+	}
+	c.Step(time.Unix(1_800_000_000, 0), f)
+	return c
+}
+
+func expectAdvice(t *testing.T, prefills, decodes, output, changes int, role EngineRole) {
+	t.Helper()
+	a, ok := poolOf(prefills, decodes, 0, output).Advise()
+	if ok != (changes > 0) || len(a.Engines) != changes || ok && a.Role != role {
+		t.Errorf("%d and %d engines, %d tokens: expected %d changes to %s, got %+v", prefills, decodes, output, changes, role, a)
+	}
+}
+
+func TestAdvise(t *testing.T) {
+	expectAdvice(t, 3, 6, 4400, 1, Decode)
+	expectAdvice(t, 4, 5, 4400, 2, Decode)
+	expectAdvice(t, 2, 7, 4400, 0, Decode)
+	expectAdvice(t, 1, 8, 4400, 1, Prefill)
+	expectAdvice(t, 0, 9, 4400, 1, Prefill)
+	expectAdvice(t, 3, 6, 100, 5, Prefill) // Long prompts, terse answers.
+	expectAdvice(t, 1, 0, 4400, 0, Decode)
+}
+
+// Without prefill engines a decode engine that can reads the prompt, and one that cannot
+// leaves a truthful refusal.
+func TestNoPrefillEngines(t *testing.T) {
+	for _, self := range []float64{0, 0.5} {
+		c := poolOf(0, 3, self, 0)
+		out := c.Step(c.now, Arrive{Request{ID: 1, Pool: "p", Region: "r", PromptTokens: 100, MaxTokens: 10, FirstToken: time.Second, BetweenTokens: 5 * time.Millisecond}})
+		switch a := out[len(out)-1].(type) {
+		case StartDecode:
+			if self == 0 || a.Prefill != "" || a.Choice == nil {
+				t.Errorf("self-read %g: unexpected %+v", self, a)
+			}
+		case End:
+			if self != 0 || a.Outcome.Reason != outcome.NoPrefill || a.Outcome.Kind != outcome.NotRun {
+				t.Errorf("self-read %g: unexpected %+v", self, a)
+			}
+		default:
+			t.Errorf("self-read %g: unexpected %+v", self, a)
+		}
+	}
+}
+
+// An engine that refused to set memory aside is left alone for a moment, and no retry is
+// taken from the budget.
+func TestNoRoomTriesAnother(t *testing.T) {
+	c := poolOf(1, 2, 0, 0)
+	tokens := c.budget.tokens
+	out := c.Step(c.now, Arrive{Request{ID: 1, Pool: "p", Region: "r", PromptTokens: 100, MaxTokens: 10, FirstToken: time.Second, BetweenTokens: 5 * time.Millisecond}})
+	first := out[len(out)-1].(StartPrefill)
+	out = c.Step(c.now.Add(time.Millisecond), NoRoom{ID: 1, Attempt: first.Attempt})
+	second, ok := out[len(out)-1].(StartPrefill)
+	if !ok || second.Decode == first.Decode || c.budget.tokens != tokens {
+		t.Errorf("expected the other decode engine and an untouched budget, got %+v, %g", out, c.budget.tokens)
+	}
+	out = c.Step(c.now.Add(time.Millisecond), NoRoom{ID: 1, Attempt: second.Attempt})
+	if _, ok := out[len(out)-1].(Waiting); !ok {
+		t.Errorf("expected the request to wait while both are full, got %+v", out)
+	}
+	if out = c.Step(c.now.Add(noRoomPause+time.Millisecond), Tick{}); len(out) == 0 {
+		t.Error("expected another try after the pause")
+	}
+}
--- /dev/null
+++ b/internal/relay/parts_test.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the property tests: the same verdict on every run.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := false
+	flag.Visit(func(f *flag.Flag) { set = set || f.Name == "rapid.seed" })
+	if !set {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// The budget never lets more extra calls through in any window than its share.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b budget
+		now := time.Unix(1_800_000_000, 0)
+		var arrivals, extras []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "n") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "arrives") {
+				b.arrived(now)
+				arrivals = append(arrivals, now)
+			} else if b.take(now) {
+				extras = append(extras, now)
+			}
+			window := now.Add(-budgetSlots * budgetPart)
+			// A window's extra calls were allowed by the arrivals of it and the one before.
+			before := window.Add(-budgetSlots * budgetPart)
+			if n, of := since(extras, window), since(arrivals, before); float64(n) > 1+extraFree+extraShare*float64(of) {
+				t.Fatalf("%d extra calls for %d requests in one window", n, of)
+			}
+		}
+	})
+}
+
+// since counts the times after a moment, up to a slot that is half in the window.
+func since(list []time.Time, from time.Time) (n int) {
+	for _, at := range list {
+		if at.After(from.Add(budgetPart)) {
+			n++
+		}
+	}
+	return n
+}
+
+// However a stream is cut up, the events come out whole, in order and once.
+func TestSplitter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		end := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "end")
+		events := rapid.IntRange(0, 6).Draw(t, "events")
+		var all []byte
+		for n := range events {
+			all = append(all, "id: "+string(rune('a'+n))+end+"data: x"+end+end...)
+		}
+		torn := "id: z" + end + "da"
+		all = append(all, torn...)
+		var s splitter
+		var got []byte
+		last := ""
+		for rest := all; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "cut")
+			p := s.add(rest[:n])
+			rest = rest[n:]
+			got = append(got, p.bytes...)
+			if p.lastID != "" {
+				last = p.lastID
+			}
+		}
+		if want := all[:len(all)-len(torn)]; !bytes.Equal(got, want) {
+			t.Fatalf("expected %q, got %q", want, got)
+		}
+		if string(s.rest) != torn || events > 0 && last != string(rune('a'+events-1)) {
+			t.Fatalf("expected the torn event to be kept and the last id told, got %q and %q", s.rest, last)
+		}
+	})
+}
+
+// The share of a split route that each service gets is its weight.
+func TestPick(t *testing.T) {
+	r := Route{Targets: []Target{{"a", 90}, {"b", 10}}}
+	n := map[string]int{}
+	for i := range 10_000 {
+		n[r.pick(time.Duration(i).String())]++
+	}
+	if n["b"] < 850 || n["b"] > 1150 || n["a"]+n["b"] != 10_000 {
+		t.Errorf("expected 9000 and 1000, got %v", n)
+	}
+}
+
+func TestCameBack(t *testing.T) {
+	r := &Route{}
+	for _, c := range []struct {
+		patience time.Duration
+		want     bool
+	}{{14 * time.Second, false}, {13990 * time.Millisecond, false}, {10 * time.Second, true}, {15 * time.Second, false}, {14 * time.Second, true}, {0, false}} {
+		if got := r.cameBack(c.patience); got != c.want {
+			t.Errorf("patience %s: expected %t, got %t", c.patience, c.want, got)
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -304,7 +304,8 @@
 	switch {
 	case o.Kind != outcome.NotRun && s != http.StatusGatewayTimeout:
 		return http.StatusBadGateway
-	case o.Kind == outcome.NotRun && s >= http.StatusInternalServerError:
+	case o.Kind == outcome.NotRun && (s >= http.StatusInternalServerError || o.Reason == outcome.PromptTooLong):
+		// An engine too small for a prompt refuses it as a full one does.
 		return http.StatusServiceUnavailable
 	}
 	return s
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -142,7 +142,7 @@
 		Region:        x.r.o.Region,
 		Route:         x.route.Name,
 		PromptTokens:  x.ask.PromptTokens,
-		MaxTokens:     x.ask.reserve(),
+		MaxTokens:     x.reserve(),
 		ExpectTokens:  x.ask.GuessedOutput,
 		Blocks:        x.ask.Shared,
 		FirstToken:    x.route.Objective,
@@ -416,7 +416,7 @@
 func (f *flight) setAside(ctx context.Context, a decide.Attempt, engine string) (h held, ok bool) {
 	x := f.x
 	address := x.r.disp.Address(engine)
-	c := x.r.wire.TakeHold(x.ask.PromptTokens+x.ask.reserve(), x.service.Engines.HoldFor)
+	c := x.r.wire.TakeHold(x.ask.PromptTokens+x.reserve(), x.service.Engines.HoldFor)
 	resp, body, err := x.r.side.Call(ctx, sideLimit, sideRequest(address, c), sideAnswer)
 	if ctx.Err() != nil {
 		return h, false
@@ -468,12 +468,14 @@
 // 6, 4 and 58, 29, 12, 8 streams that ran out of memory and were read anew.
 const reservePart = 1.5
 
-// reserve is the memory to set aside for the answer, in tokens.
-func (a *Ask) reserve() int {
-	if a.GuessedOutput == 0 {
-		return a.MaxOutput
+// reserve is the memory to set aside for the answer, in tokens: never more than makes a
+// request fit into an empty engine.
+func (x *exchange) reserve() int {
+	n := x.ask.MaxOutput
+	if x.ask.GuessedOutput > 0 {
+		n = int(reservePart * float64(min(x.ask.GuessedOutput, n)))
 	}
-	return int(reservePart * float64(min(a.GuessedOutput, a.MaxOutput)))
+	return max(0, min(n, x.service.Engines.KVTokens-x.ask.PromptTokens))
 }
 
 // enginePriority maps the decisions' order to the engines' few ranks.
