Let operators of a box on the platform ask why; keep retries within the users' budget

Cause: a box on the platform served its metrics and nothing else, so no decision could be asked about; and every box could save 10 retries, 80 for 8 boxes, where the users allow 54 beside a fifth of the traffic, and 4 more for plain calls, 340 on 85 boxes of 210. Change: status, why and drain on the operators' address; why takes several boxes; 3 and 2 retries saved by each box.

--- a/cmd/stoatrampd/main.go
+++ b/cmd/stoatrampd/main.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
 
 	"github.com/stoatramp/stoatramp/internal/box"
 	"github.com/stoatramp/stoatramp/internal/config"
@@ -15,9 +16,9 @@
 	"github.com/stoatramp/stoatramp/platform"
 )
 
-type cli struct {
+type commands struct {
 	Run   runCmd   `cmd:"" help:"Run a box with the settings of a file."`
-	Check checkCmd `cmd:"" help:"Check a settings file and change nothing."`
+	Check checkCmd `cmd:"" help:"Check a settings file, of either kind of box, and change nothing."`
 	Relay relayCmd `cmd:"" help:"Run a box on the platform, with the settings of a file."`
 	Demo  demoCmd  `cmd:"" help:"Run a box before stand-ins in the same process, on loopback."`
 }
@@ -55,8 +56,17 @@
 	}
 	log := telemetry.NewLogger(os.Stderr)
 	box.UseLog(log)
+	b, err := newRelay(cfg, log)
+	if err != nil {
+		return err
+	}
+	return b.Run()
+}
+
+// newRelay puts a box on the platform.
+func newRelay(cfg *config.Relay, log *zap.Logger) (*box.RelayBox, error) {
 	store := platform.NewStore(cfg.Store)
-	b, err := box.NewRelay(cfg, box.Site{
+	return box.NewRelay(cfg, box.Site{
 		Wire:      platform.Wire{},
 		Operator:  store.Operator(),
 		Endpoints: store.Workers(),
@@ -65,18 +75,19 @@
 		Endpoint:  platform.Endpoint,
 		ReadyPath: platform.ReadyPath,
 	}, log)
-	if err != nil {
-		return err
-	}
-	return b.Run()
 }
 
 type checkCmd struct {
-	File string `arg:"" help:"The box's INI settings."`
+	File  string `arg:"" help:"The box's INI settings."`
+	Relay bool   `help:"The settings are those of a box on the platform."`
 }
 
 func (c *checkCmd) Run() error {
-	if _, err := config.LoadBox(c.File); err != nil {
+	load := func() error { _, err := config.LoadBox(c.File); return err }
+	if c.Relay {
+		load = func() error { _, err := config.LoadRelay(c.File); return err }
+	}
+	if err := load(); err != nil {
 		return err
 	}
 	fmt.Printf("%s: ok\n", c.File)
@@ -123,7 +134,7 @@
 `
 
 func main() {
-	k := kong.Parse(&cli{}, kong.Name("stoatrampd"), kong.Description("One box of the stoatramp router."))
+	k := kong.Parse(&commands{}, kong.Name("stoatrampd"), kong.Description("One box of the stoatramp router."))
 	if err := k.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "stoatrampd:", err)
 		os.Exit(1)
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -63,15 +62,21 @@
 	endpointsPace = follow.Options{Wait: 1500 * time.Millisecond, Pause: 400 * time.Millisecond, Retry: 200 * time.Millisecond, Limit: 600 * time.Millisecond}
 )
 
+// savedRetries is how many retries a relay box saves up. 8 boxes have 24 at most, beside a
+// tenth of the arrivals; the users allow 54 and a fifth.
+const savedRetries = 3
+
 // NewRelay prepares a relay box and opens its listeners.
 func NewRelay(cfg *config.Relay, site Site, log *zap.Logger) (*RelayBox, error) {
 	b := &RelayBox{cfg: cfg, site: site, log: log, Metrics: telemetry.NewMetrics()}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	records := record.NewRing(ops.RecordsKept)
+	core := decide.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), cfg.Queue)
+	core.LimitRetries(savedRetries)
 	b.Relay = relay.New(relay.Options{
 		Box: cfg.Name, Hall: cfg.Hall, Region: cfg.Region, Wire: site.Wire,
 		Expect:  relay.Expect{Prompt: cfg.ExpectPrompt, Output: cfg.ExpectOutput, Gap: cfg.ExpectGap},
-		Core:    decide.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), cfg.Queue),
+		Core:    core,
 		Records: records, Metrics: b.Metrics, Log: log,
 	})
 	servers, err := b.listeners(records)
@@ -191,6 +196,10 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	operators := &ops.RelayServer{
+		Box: b.cfg, Relay: b.Relay, Records: records, Metrics: b.Metrics,
+		Stop: func() { go func() { _ = b.Stop() }() },
+	}
 	plans := []struct {
 		name, address string
 		handler       http.Handler
@@ -198,7 +207,7 @@
 	}{
 		{"callers", b.cfg.Callers, b.Relay, &b.Callers},
 		{"readiness", b.cfg.Readiness, ready, &b.Readiness},
-		{"operators", b.cfg.Operators, ops.RelayHandler(b.cfg, b.Relay, records, b.Metrics), &b.Operators},
+		{"operators", b.cfg.Operators, operators.Handler(), &b.Operators},
 	}
 	var out []kratosServer
 	for _, p := range plans {
@@ -207,7 +216,7 @@
 		}
 		srv, err := listenOn(p.address, p.handler, p.got, b.log)
 		if err != nil {
-			return nil, errors.Join(fmt.Errorf("%s address: %w", p.name, err))
+			return nil, fmt.Errorf("%s address: %w", p.name, err)
 		}
 		srv.ReadHeaderTimeout = b.cfg.HeaderTimeout
 		srv.IdleTimeout = b.cfg.IdleTimeout
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,9 +40,9 @@
 
 // app is the whole command line.
 type app struct {
-	Box  string `help:"Base URL of a box's operators' address." env:"STOATRAMP_BOX" default:"http://127.0.0.1:8081"`
-	Key  string `help:"The operators' key." env:"STOATRAMP_KEY"`
-	JSON bool   `name:"json" help:"Print JSON."`
+	Box  []string `help:"Base URL of a box's operators' address. 'why' asks several, separated by commas, one after another." env:"STOATRAMP_BOX" default:"http://127.0.0.1:8081"`
+	Key  string   `help:"The operators' key." env:"STOATRAMP_KEY"`
+	JSON bool     `name:"json" help:"Print JSON."`
 
 	Status statusCmd `cmd:"" help:"Show what a box sees and does."`
 	Why    whyCmd    `cmd:"" help:"Say what became of a request and why."`
@@ -89,14 +89,17 @@
 	return exitFailed
 }
 
-func (a *app) client() stoatrampv1connect.OperatorClient {
+// client calls the first box named.
+func (a *app) client() stoatrampv1connect.OperatorClient { return a.clientOf(a.Box[0]) }
+
+func (a *app) clientOf(box string) stoatrampv1connect.OperatorClient {
 	auth := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
 			r.Header().Set("Authorization", "Bearer "+a.Key)
 			return next(ctx, r)
 		}
 	})
-	return stoatrampv1connect.NewOperatorClient(&http.Client{Timeout: callTimeout}, a.Box, connect.WithInterceptors(auth))
+	return stoatrampv1connect.NewOperatorClient(&http.Client{Timeout: callTimeout}, box, connect.WithInterceptors(auth))
 }
 
 // print writes a message as JSON if that was asked for, and says whether it did.
@@ -126,7 +129,7 @@
 }
 
 func (c *whyCmd) Run(a *app) error {
-	resp, err := a.client().Why(context.Background(), connect.NewRequest(&v1.WhyRequest{Id: c.ID}))
+	resp, err := c.ask(a)
 	if err != nil {
 		return err
 	}
@@ -139,6 +142,22 @@
 	return nil
 }
 
+// ask goes through the boxes until one has the record. A box that does not answer is
+// told of only if no other has it.
+func (c *whyCmd) ask(a *app) (*connect.Response[v1.WhyResponse], error) {
+	var failed error
+	for _, box := range a.Box {
+		resp, err := a.clientOf(box).Why(context.Background(), connect.NewRequest(&v1.WhyRequest{Id: c.ID}))
+		if err == nil {
+			return resp, nil
+		}
+		if failed == nil || connect.CodeOf(failed) == connect.CodeNotFound {
+			failed = err
+		}
+	}
+	return nil, failed
+}
+
 type statusCmd struct{}
 
 func (c *statusCmd) Run(a *app) error {
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -144,10 +144,14 @@
 		engines: map[string]*engine{},
 		pools:   map[string]*pool{},
 		flights: map[ID]*flight{},
-		budget:  retryBudget{tokens: retryTokens},
+		budget:  retryBudget{retryTokens, retryTokens},
 	}
 }
 
+// LimitRetries bounds the retries that may be saved up. Boxes do not know how many they
+// are, and what all of them have saved may be spent at once.
+func (c *Core) LimitRetries(most float64) { c.budget = retryBudget{most, most} }
+
 // Step takes one event and returns what to do. The result is valid until the next call.
 func (c *Core) Step(now time.Time, ev Event) []Action {
 	c.now = now
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -165,14 +165,17 @@
 
 // retryBudget lets retries be a share of arrivals, so that a failing fleet is
 // not loaded further by its own retries.
-type retryBudget struct{ tokens float64 }
+type retryBudget struct {
+	tokens float64
+	most   float64
+}
 
 const (
 	retryShare  = 0.1
 	retryTokens = 10
 )
 
-func (b *retryBudget) arrived() { b.tokens = min(retryTokens, b.tokens+retryShare) }
+func (b *retryBudget) arrived() { b.tokens = min(b.most, b.tokens+retryShare) }
 
 func (b *retryBudget) has() bool { return b.tokens >= 1 }
 
@@ -186,5 +189,5 @@
 
 // refill adds a trickle so that a box with hardly any traffic may still retry.
 func (b *retryBudget) refill(d time.Duration) {
-	b.tokens = min(retryTokens, b.tokens+d.Seconds()*retryShare)
+	b.tokens = min(b.most, b.tokens+d.Seconds()*retryShare)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,6 +137,14 @@
 	return nil
 }
 
+// Version is the configuration in force; 0 before the first.
+func (g *Gateway) Version() int64 {
+	if c := g.Config(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // Report hands an engine's load report to the decisions.
 func (g *Gateway) Report(r decide.Report) { g.disp.Step(r) }
 
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -56,12 +56,15 @@
 	return all
 }
 
-func (s *Server) operators() http.Handler {
+func (s *Server) operators() http.Handler { return operatorMux(s, s.Metrics) }
+
+// operatorMux serves the connect service, the metrics and profiles.
+func operatorMux(h stoatrampv1connect.OperatorHandler, m *telemetry.Metrics) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(stoatrampv1connect.NewOperatorHandler(s))
+	mux.Handle(stoatrampv1connect.NewOperatorHandler(h))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		s.Metrics.Write(w)
+		m.Write(w)
 	})
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
@@ -85,24 +88,7 @@
 
 // Status tells what the box sees and does.
 func (s *Server) Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error) {
-	engines, waiting, notes := s.Gateway.Engines()
-	out := &v1.StatusResponse{
-		Box: s.Box.Name, Region: s.Box.Region, Hall: s.Box.Hall,
-		Ready:   s.Gateway.Ready(),
-		Running: s.Gateway.Running(),
-		Waiting: int64(waiting),
-		Notes:   notes,
-	}
-	if c := s.Gateway.Config(); c != nil {
-		out.ConfigVersion = c.Version
-	}
-	for _, e := range engines {
-		out.Engines = append(out.Engines, &v1.EngineStatus{
-			Name: e.Name, Pool: e.Pool, Role: e.Role.String(), Hall: e.Hall, State: e.State,
-			QueueMs: e.Queue.Milliseconds(), FreeKvTokens: int64(e.FreeKV), Streams: int64(e.Streams), HeldKvTokens: int64(e.HeldKV),
-		})
-	}
-	return connect.NewResponse(out), nil
+	return connect.NewResponse(status(s.Box.Name, s.Box.Region, s.Box.Hall, s.Gateway)), nil
 }
 
 // Why explains a request.
@@ -114,11 +100,7 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, fmt.Errorf("the record of request %q is not on this box or a live peer, and the object store does not answer: %w", r.Msg.Id, err))
 	}
-	b, err := json.Marshal(rec)
-	if err != nil {
-		return nil, connect.NewError(connect.CodeInternal, err)
-	}
-	return connect.NewResponse(&v1.WhyResponse{Sentences: record.Explain(rec), RecordJson: string(b)}), nil
+	return why(rec)
 }
 
 // findRecord looks on this box, then on the box that served the request, then in
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -26,7 +26,7 @@
 	// extraShare and extraFree are this box's part: a share of its own requests, and a
 	// few besides, so that a box with little traffic may retry at all.
 	extraShare = 0.15
-	extraFree  = 4
+	extraFree  = 2
 )
 
 func (b *budget) slot(now time.Time) *budgetSlot {
