Leave the engines' ranks alone

Cause: prompts were sent with a rank made from the decisions' order in milliseconds, which is always above 9 and so came out as the least urgent for all. Change: no rank is sent; all streams of a site have one class of urgency. Conclusion: ranks are worth sending once a site has routes of different urgency.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -384,7 +384,7 @@
 		return
 	}
 	address := x.r.disp.Address(a.Prefill)
-	resp, err := x.r.pool.Do(ctx, x.request(address, Run{Instance: a.Prefill, ReadOnly: true, Priority: enginePriority(a.Priority)}))
+	resp, err := x.r.pool.Do(ctx, x.request(address, Run{Instance: a.Prefill, ReadOnly: true}))
 	if err != nil {
 		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err)}})
 		return
@@ -456,9 +456,6 @@
 	return outcome.EndpointDied
 }
 
-// maxPriority is the least urgent rank an engine knows.
-const maxPriority = 9
-
 // maxWait is how long a stream waits that may be late: callers give a stream up that
 // does not begin.
 const maxWait = 2500 * time.Millisecond
@@ -486,9 +483,6 @@
 	return max(0, min(n, x.service.Engines.KVTokens-x.ask.PromptTokens))
 }
 
-// enginePriority maps the decisions' order to the engines' few ranks.
-func enginePriority(n int) int { return min(max(n, 0), maxPriority) }
-
 // callWrite has the answer made and reports its parts.
 func (f *flight) callWrite(ctx context.Context, a decide.StartDecode, run Run) {
 	x := f.x
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -131,7 +131,6 @@
 	// Hold names the memory set aside for it; empty if none was.
 	Hold      string
 	LastEvent string
-	Priority  int // 0 to 9, 0 first.
 }
 
 // Source names a prefill's result.
