Keep the decision records of boxes on the platform in its object store

Cause: a box on the platform kept its records in memory only; every box there is replaced at any time, and nothing could be asked about a request once its box was gone. Our ids name box and minute; the platform's callers name requests themselves. Change: one object a minute and box, named by time; a search goes back through them, any box removes what is older than half an hour. Tested through an outage, a lost answer and a box that is gone (synctest). Conclusion: why answers after the box; what a killed box had not written is lost.

--- a/cmd/stoatrampd/main.go
+++ b/cmd/stoatrampd/main.go
@@ -71,6 +71,7 @@
 		Operator:  store.Operator(),
 		Endpoints: store.Workers(),
 		Leases:    store.Leases(),
+		Objects:   store.Objects(),
 		Config:    platform.Config,
 		Endpoint:  platform.Endpoint,
 		ReadyPath: platform.ReadyPath,
--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -66,11 +66,16 @@
 func (a *Archive) Add(r *record.Record) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.waiting) == maxWaiting {
-		a.waiting = append(a.waiting[:0], a.waiting[1:]...)
-		a.lost.Inc()
+	a.waiting = keep(a.waiting, r, a.lost)
+}
+
+// keep adds a record to those that wait for the store, within bounds.
+func keep(waiting []*record.Record, r *record.Record, lost *metrics.Counter) []*record.Record {
+	if len(waiting) == maxWaiting {
+		waiting = append(waiting[:0], waiting[1:]...)
+		lost.Inc()
 	}
-	a.waiting = append(a.waiting, r)
+	return append(waiting, r)
 }
 
 // Run writes records until ctx ends.
--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -4,8 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -108,3 +112,68 @@
 		expectFound(t, a, n, nil)
 	}
 }
+
+// listed is the same store, as one that is listed.
+type listed struct{ *store }
+
+func (l listed) Put(ctx context.Context, name string, b []byte) error {
+	return l.PutObject(ctx, name, b)
+}
+
+func (l listed) Get(ctx context.Context, name string) ([]byte, error) {
+	b, err := l.GetObject(ctx, name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, ErrNotFound
+	}
+	return b, err
+}
+
+func (l listed) List(_ context.Context, prefix string) ([]string, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return nil, errDown
+	}
+	return slices.Sorted(maps.Keys(l.objects)), nil
+}
+
+func (l listed) Delete(_ context.Context, name string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.objects, name)
+	return nil
+}
+
+// Any box finds a record by the caller's id, through an outage and a lost answer, and
+// objects of boxes that are gone are removed in time.
+func TestByTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := listed{&store{objects: map[string][]byte{}, down: true}}
+		lost := metrics.NewSet().NewCounter("lost")
+		a, b := NewByTime(s, "a", lost), NewByTime(s, "b", lost)
+		ctx, cancel := context.WithCancel(context.Background())
+		go a.Run(ctx)
+		a.Add(&record.Record{ID: "one"})
+		time.Sleep(byTimeEvery + time.Second)
+		s.mu.Lock()
+		s.down, s.lose = false, 1
+		s.mu.Unlock()
+		time.Sleep(2 * byTimeEvery)
+		a.Add(&record.Record{ID: "two"})
+		time.Sleep(byTimeEvery)
+		cancel()
+		for _, id := range []string{"one", "two"} {
+			if r, err := b.Find(context.Background(), id); err != nil || r.ID != id {
+				t.Errorf("%s: expected the other box to find it, got %v, %v", id, r, err)
+			}
+		}
+		if _, err := b.Find(context.Background(), "three"); !errors.Is(err, ErrNotFound) {
+			t.Errorf("expected no record, got %v", err)
+		}
+		time.Sleep(keptFor)
+		b.removeOld(context.Background(), time.Now())
+		if n := len(s.objects); n != 0 || lost.Get() != 0 {
+			t.Errorf("expected all objects removed and no record lost, got %d and %d", n, lost.Get())
+		}
+	})
+}
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -14,6 +14,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"go.uber.org/zap"
 
+	"github.com/stoatramp/stoatramp/internal/archive"
 	"github.com/stoatramp/stoatramp/internal/config"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/follow"
@@ -34,6 +35,8 @@
 	Endpoints follow.Source
 	Config    func(rows map[string][]byte) (*relay.Config, error)
 	Endpoint  func(key string, text []byte) (relay.Endpoint, error)
+	// Objects keeps the decision records.
+	Objects archive.Listed
 	// Leases is the table that leases are kept in.
 	Leases lease.Rows
 	// ReadyPath is where the platform asks whether the box takes connections.
@@ -47,6 +50,7 @@
 	log     *zap.Logger
 	Metrics *telemetry.Metrics
 	Relay   *relay.Relay
+	archive *archive.ByTime
 	app     *kratos.App
 	cancel  context.CancelFunc
 	ctx     context.Context
@@ -71,13 +75,14 @@
 	b := &RelayBox{cfg: cfg, site: site, log: log, Metrics: telemetry.NewMetrics()}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	records := record.NewRing(ops.RecordsKept)
+	b.archive = archive.NewByTime(site.Objects, cfg.Name, b.Metrics.RecordsLost)
 	core := decide.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), cfg.Queue)
 	core.LimitRetries(savedRetries)
 	b.Relay = relay.New(relay.Options{
 		Box: cfg.Name, Hall: cfg.Hall, Region: cfg.Region, Wire: site.Wire,
 		Expect:  relay.Expect{Prompt: cfg.ExpectPrompt, Output: cfg.ExpectOutput, Gap: cfg.ExpectGap},
 		Core:    core,
-		Records: records, Metrics: b.Metrics, Log: log,
+		Records: records, Archive: b.archive, Metrics: b.Metrics, Log: log,
 	})
 	servers, err := b.listeners(records)
 	if err != nil {
@@ -105,6 +110,7 @@
 	go tick(b.ctx, b.Relay.Running, b.Relay.Tick)
 	go b.Relay.AskLoads(b.ctx)
 	go b.roleManager().Run(b.ctx)
+	go b.archive.Run(b.ctx)
 	return b.app.Run()
 }
 
@@ -179,6 +185,7 @@
 	b.log.Info("stopping", zap.Int64("running", b.Relay.Running()))
 	ctx, cancel := context.WithTimeout(context.Background(), b.cfg.StopTimeout)
 	defer cancel()
+	defer b.flushRecords()
 	b.Relay.Close(time.Now().Add(b.cfg.StopTimeout))
 	time.Sleep(b.cfg.Linger)
 	if err := b.Relay.Drain(ctx); err != nil {
@@ -188,6 +195,15 @@
 	return nil
 }
 
+// lastWrite bounds writing the last records: the platform is about to end the process.
+const lastWrite = 400 * time.Millisecond
+
+func (b *RelayBox) flushRecords() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastWrite)
+	defer cancel()
+	b.archive.Flush(ctx)
+}
+
 // listeners opens the box's addresses.
 func (b *RelayBox) listeners(records *record.Ring) ([]kratosServer, error) {
 	ready := http.NewServeMux()
@@ -197,7 +213,7 @@
 		}
 	})
 	operators := &ops.RelayServer{
-		Box: b.cfg, Relay: b.Relay, Records: records, Metrics: b.Metrics,
+		Box: b.cfg, Relay: b.Relay, Records: records, Archive: b.archive, Metrics: b.Metrics,
 		Stop: func() { go func() { _ = b.Stop() }() },
 	}
 	plans := []struct {
--- a/internal/ops/relay.go
+++ b/internal/ops/relay.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/stoatramp/stoatramp/internal/archive"
 	"github.com/stoatramp/stoatramp/internal/config"
 	"github.com/stoatramp/stoatramp/internal/record"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
@@ -22,6 +23,7 @@
 	Box     *config.Relay
 	Relay   Serving
 	Records *record.Ring
+	Archive *archive.ByTime
 	Metrics *telemetry.Metrics
 	// Stop starts a planned stop and does not wait for it.
 	Stop func()
@@ -38,11 +40,17 @@
 	return connect.NewResponse(status(s.Box.Name, s.Box.Region, s.Box.Hall, s.Relay)), nil
 }
 
-// Why explains a request that this box served lately.
-func (s *RelayServer) Why(_ context.Context, r *connect.Request[v1.WhyRequest]) (*connect.Response[v1.WhyResponse], error) {
-	rec := s.Records.Get(r.Msg.Id)
-	if rec == nil {
-		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("this box has no record of request %q among its newest %d; another box may have served it", r.Msg.Id, RecordsKept))
+// Why explains a request that this box served lately, or any box wrote the record of.
+func (s *RelayServer) Why(ctx context.Context, r *connect.Request[v1.WhyRequest]) (*connect.Response[v1.WhyResponse], error) {
+	if rec := s.Records.Get(r.Msg.Id); rec != nil {
+		return why(rec)
+	}
+	rec, err := s.Archive.Find(ctx, r.Msg.Id)
+	if errors.Is(err, archive.ErrNotFound) {
+		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("no record of request %q on this box, nor in the object store, where records come within a minute: %w", r.Msg.Id, err))
+	}
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, fmt.Errorf("the record of request %q is not on this box, and the object store does not answer: %w", r.Msg.Id, err))
 	}
 	return why(rec)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,12 +29,16 @@
 	Wire   Wire
 	Core   *decide.Core
 	Expect Expect
-	// Records keeps the newest records for `stoatramp why`.
+	// Records keeps the newest records for `stoatramp why`; Archive takes each beside it.
 	Records *record.Ring
+	Archive RecordSink
 	Metrics *telemetry.Metrics
 	Log     *zap.Logger
 }
 
+// RecordSink takes finished records and must not block.
+type RecordSink interface{ Add(r *record.Record) }
+
 // Expect is what the operator expects of streams until some were seen; zero if nothing.
 type Expect struct {
 	Prompt int // Tokens.
@@ -343,6 +347,7 @@
 	x.rec.Kind, x.rec.Reason, x.rec.Detail = o.Kind, o.Reason, o.Detail
 	x.rec.Took = time.Since(x.arrived)
 	x.r.o.Records.Add(x.rec)
+	x.r.o.Archive.Add(x.rec)
 	x.r.m.Ended(o)
 	if o.Kind == outcome.Answered {
 		return
