Keep a box's work on the list of endpoints and on probes from growing with the fleet

Change: only rows whose text changed are read and only news handed on; two questions for load are at least 150 ms apart, whatever the number of engines.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -1,6 +1,7 @@
 package box
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -51,9 +52,11 @@
 	Metrics *telemetry.Metrics
 	Relay   *relay.Relay
 	archive *archive.ByTime
-	app     *kratos.App
-	cancel  context.CancelFunc
-	ctx     context.Context
+	// listed are the endpoints by key; only list uses it, from one goroutine.
+	listed map[string]listedEndpoint
+	app    *kratos.App
+	cancel context.CancelFunc
+	ctx    context.Context
 
 	// Callers, Readiness and Operators are the addresses the box listens on.
 	Callers, Readiness, Operators string
@@ -166,15 +169,38 @@
 	b.log.Info("configuration in force", zap.Int64("version", c.Version), zap.Int("routes", len(c.Routes)))
 }
 
+// listedEndpoint is a row of the list as it was last read.
+type listedEndpoint struct {
+	text     []byte
+	endpoint relay.Endpoint
+}
+
+// list takes the list of endpoints. Most rows are as before, and most that changed say
+// nothing new of their endpoint: only new text is read, and only news are handed on.
 func (b *RelayBox) list(rows map[string][]byte) {
-	out := make([]relay.Endpoint, 0, len(rows))
+	next := make(map[string]listedEndpoint, len(rows))
+	news := len(rows) != len(b.listed)
 	for key, text := range rows {
+		old, known := b.listed[key]
+		if known && bytes.Equal(old.text, text) {
+			next[key] = old
+			continue
+		}
 		e, err := b.site.Endpoint(key, text)
 		if err != nil {
 			b.log.Error("endpoint not taken", zap.Error(err))
 			continue
 		}
-		out = append(out, e)
+		news = news || !known || e != old.endpoint
+		next[key] = listedEndpoint{text, e}
+	}
+	b.listed = next
+	if !news {
+		return
+	}
+	out := make([]relay.Endpoint, 0, len(next))
+	for _, l := range next {
+		out = append(out, l.endpoint)
 	}
 	b.Relay.SetEndpoints(out)
 }
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -9,8 +9,11 @@
 
 const (
 	// loadEvery is how often each engine is asked for its load, and loadLimit how long
-	// it may take to answer.
+	// it may take to answer. Two questions are at least loadPause apart, so that what a
+	// box spends on them does not grow with the fleet: decisions look at a sample, and
+	// engines that refuse to set memory aside correct what is old.
 	loadEvery = 2 * time.Second
+	loadPause = 150 * time.Millisecond
 	loadLimit = 700 * time.Millisecond
 )
 
@@ -20,7 +23,7 @@
 		list := r.fleet.allEngines()
 		pause := loadEvery
 		if len(list) > 0 {
-			pause /= time.Duration(len(list))
+			pause = max(loadPause, pause/time.Duration(len(list)))
 			go r.askLoad(ctx, list[n%len(list)])
 		}
 		select {
