Drop what is read from the platform and not used

Cause: slots, a route's rank and the close of a worker's connection were read into fields that nothing looks at. Change: the fields are gone; no behaviour changes. Before and after: all tests of the path pass. Conclusion: they come back with what needs them.

--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -58,8 +58,7 @@
 	Objective time.Duration
 	Gap       time.Duration
 	// Tries bounds the endpoints that one request may run on; at least 1.
-	Tries    int
-	Priority int // 0 is the most urgent.
+	Tries int
 	// patience is the longest that a caller of the route was seen to wait, in
 	// nanoseconds. One that will wait clearly less is back after a refusal.
 	patience atomic.Int64
@@ -80,7 +79,6 @@
 
 // Engines describes the engines of a service, as configured.
 type Engines struct {
-	Slots      int
 	KVTokens   int
 	TokenBytes int
 	LinkRate   float64 // Bytes a second.
@@ -145,8 +143,6 @@
 	Signed bool
 	// NotRun says that the endpoint did not run the request and never will.
 	NotRun bool
-	// Leaving says that the endpoint is going.
-	Leaving bool
 }
 
 // Call is a call to an endpoint that is no request of a caller.
