Free what a call had reported and the flight had not taken when it ended

Cause: a hold or a handle that lay in a flight's buffer when its caller left was dropped with the buffer; the engine kept the memory until its expiry (1 s, 0.5 s). Change: a flight's calls are waited for after the cancel, and what is left in the buffer is freed; a drain waits for that as for other frees. Before: TestEndFreesReports 0 of 2 freed without the change. Conclusion: no memory of a flight is left to expiry alone while its box lives.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/decide"
@@ -28,6 +29,7 @@
 	call   *dispatch.Call
 	ctx    context.Context // Ends with the caller, the deadline or the request.
 	events chan flightEvent
+	calls  sync.WaitGroup // Those to engines, which report to events.
 
 	read   decide.Attempt // The current prefill.
 	write  decide.Attempt // The current decode call.
@@ -130,12 +132,24 @@
 	defer func() {
 		x.r.disp.Leave(f.id)
 		f.drainSteps()
-		cancel()
-		f.free()
+		f.end(cancel)
 	}()
 	return f.loop()
 }
 
+// end ends the flight's calls and frees what it holds. A call may have reported memory that
+// the loop has not taken any more: that is freed once no call can report another.
+func (f *flight) end(cancel context.CancelFunc) {
+	cancel()
+	f.free()
+	f.x.r.frees.Go(func() {
+		f.calls.Wait()
+		for len(f.events) > 0 {
+			f.late(<-f.events)
+		}
+	})
+}
+
 func (f *flight) request() decide.Request {
 	x := f.x
 	return decide.Request{
@@ -211,7 +225,8 @@
 	case decide.StartPrefill:
 		f.free() // What an earlier try left.
 		f.read = a.Attempt
-		go f.callRead(f.call.Bind(f.ctx, a.Attempt), a)
+		ctx := f.call.Bind(f.ctx, a.Attempt)
+		f.calls.Go(func() { f.callRead(ctx, a) })
 	case decide.StartDecode:
 		if a.Moved != outcome.OK {
 			f.x.r.m.Moves.Inc()
@@ -219,12 +234,14 @@
 		f.write, f.writer = a.Attempt, a.Decode
 		if a.Prefill == "" {
 			f.free() // What an earlier try left.
-			go f.callWhole(f.call.Bind(f.ctx, a.Attempt), a, f.lastID)
+			ctx, last := f.call.Bind(f.ctx, a.Attempt), f.lastID
+			f.calls.Go(func() { f.callWhole(ctx, a, last) })
 			break
 		}
 		f.leaveHold(a.Decode)
 		run := Run{Instance: a.Decode, Source: f.source, Hold: f.hold.id, LastEvent: f.lastID}
-		go f.callWrite(f.call.Bind(f.ctx, a.Attempt), a, run)
+		ctx := f.call.Bind(f.ctx, a.Attempt)
+		f.calls.Go(func() { f.callWrite(ctx, a, run) })
 	case decide.End:
 		return a.Outcome, true
 	}
