--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -29,9 +29,12 @@
 }
 
 func opening(r *Record) string {
-	who := "A caller without a known key"
-	if r.Client != "" {
+	who := "A caller"
+	switch {
+	case r.Client != "":
 		who = "Client " + r.Client
+	case r.Reason == outcome.UnknownKey:
+		who = "A caller without a known key"
 	}
 	s := fmt.Sprintf("%s called %s on box %s at %s", who, r.Path, r.Box, r.At.UTC().Format(time.RFC3339Nano))
 	if r.Route == "" {
