Choose plain endpoints that break part of their calls off less often

Ruled out: setting aside sooner (one failure is no sign); the count of refusals. Change: the share of calls that came to nothing counts in the cost and fades in seconds, so that the endpoint is tried again.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -32,6 +33,15 @@
 	until    time.Time
 	// slow is a moving mean of how long its answers took, in seconds.
 	slow float64
+	// failing is a moving share of its calls that came to nothing, as of ended.
+	failing float64
+	ended   time.Time
+}
+
+// failShare is the share of calls that come to nothing. It fades while there are none, so
+// that the endpoint is tried again.
+func (e *plainEndpoint) failShare(now time.Time) float64 {
+	return e.failing * math.Exp2(-float64(now.Sub(e.ended))/float64(failHalf))
 }
 
 const (
@@ -42,6 +52,13 @@
 	// endpoint that has not answered yet.
 	slowBlend = 0.2
 	slowStart = 0.050
+	// failBlend is the weight of a call in the share that failed, and failCost what that
+	// share adds to an endpoint's cost: a call that may run once and fails is lost, where
+	// one that waits is only late. With both, an endpoint that breaks off a third of its
+	// calls is left to others until they take three times as long.
+	failBlend = 0.1
+	failHalf  = 3 * time.Second
+	failCost  = 6
 	// farCost is what an endpoint in another hall must be better by.
 	farCost = 1.15
 )
@@ -101,7 +118,7 @@
 			continue
 		}
 		compared++
-		cost := e.slow * float64(1+e.busy) * (1 + 0.1*rand.Float64())
+		cost := e.slow * float64(1+e.busy) * (1 + failCost*e.failShare(now)) * (1 + 0.1*rand.Float64())
 		if e.Hall != t.hall {
 			cost *= farCost
 		}
@@ -129,6 +146,7 @@
 	defer t.mu.Unlock()
 	e := c.in
 	e.busy--
+	e.failing, e.ended = e.failShare(now)*(1-failBlend), now
 	if ok {
 		if e.failures >= failuresAside {
 			t.believed(decide.Believed{Engine: e.ID, State: decide.Usable})
@@ -138,6 +156,7 @@
 		e.slow += slowBlend * (took.Seconds() - e.slow)
 		return
 	}
+	e.failing += failBlend
 	e.failures++
 	if e.failures >= failuresAside {
 		e.until = now.Add(asideFor)
--- /dev/null
+++ b/internal/relay/endpoints_test.go
@@ -0,0 +1,32 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// An endpoint that breaks off part of its calls, with good answers between them, is seldom
+// chosen: two failures in a row, which set one aside, may never come.
+func TestFailingEndpoint(t *testing.T) {
+	table := newPlainTable("h")
+	table.set([]Endpoint{{ID: "sound", Service: "s", Hall: "h"}, {ID: "failing", Service: "s", Hall: "h"}})
+	rng := rand.New(rand.NewPCG(1, 1))
+	now := time.Now()
+	calls := map[string]int{}
+	for n := range 400 {
+		now = now.Add(100 * time.Millisecond)
+		c := table.choose("s", now, nil)
+		ok := c.ID == "sound" || rng.Float64() > 0.4
+		table.done(c, now, 50*time.Millisecond, ok)
+		if n >= 100 { // What it is like is known by then.
+			calls[c.ID]++
+		}
+	}
+	if calls["failing"] > 30 {
+		t.Errorf("expected few of 300 calls at an endpoint that fails 40 in 100, got %d", calls["failing"])
+	}
+	if calls["failing"] == 0 {
+		t.Error("expected it to be tried now and then: it may be well again")
+	}
+}
