Foresee how full a decode engine will be, by the runs it reports, before placing a stream

Engines admitted by what was free at that moment, and boxes knew them by reports seconds old. Ruled out, each tried: fresher reports alone, more of the guess set aside (keeps out the longest answers), giving memory back sooner; docs/design/relay.md has the tables. What binds now: calls to the store, probes, refusals in bursts.

--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -32,7 +32,7 @@
 	shortPause   = 200 * time.Millisecond
 	changePause  = 50 * time.Millisecond
 	// rulesWait is longer: policies are changed by hand.
-	rulesWait = 5 * time.Second
+	rulesWait = 8 * time.Second
 )
 
 // paces returns those of the configuration, the list and the policies.
--- a/internal/decide/arrive.go
+++ b/internal/decide/arrive.go
@@ -24,6 +24,7 @@
 	}
 	c.setWork(f)
 	f.pool.demand.arrived(f)
+	f.pool.sawLength(f)
 	f.order = f.latestStart.Add(time.Duration(f.Priority) * time.Second)
 	if f.Policy != nil && !c.admit(f) {
 		return
--- /dev/null
+++ b/internal/decide/memory_test.go
@@ -0,0 +1,69 @@
+package decide
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// expectOverflow has an engine of 63,000 tokens report runs of so many tokens each, half of
+// them prompt, and expects whether a prompt of 4,000 with an answer of 4,400 would overflow it.
+func expectOverflow(t *testing.T, runs, tokens, made int, age time.Duration, want bool) {
+	t.Helper()
+	now := time.Now()
+	e := &engine{Engine: Engine{KVTokens: 63000}, reported: true}
+	e.report.At = now.Add(-age)
+	for range runs {
+		e.report.Runs = append(e.report.Runs, Run{Tokens: tokens, Made: made})
+	}
+	e.report.FreeKV = e.KVTokens - runs*tokens
+	p := &pool{meanOutput: 4400}
+	f := &flight{Request: Request{PromptTokens: 4000, MaxTokens: 4000, ExpectTokens: 4400}}
+	if got := e.overflows(p, f, now); got != want {
+		t.Errorf("%d runs of %d tokens, %d made, %s old: expected %t, got %t", runs, tokens, made, age, want, got)
+	}
+}
+
+func TestOverflowEmpty(t *testing.T)   { expectOverflow(t, 1, 5000, 0, 0, false) }
+func TestOverflowBegun(t *testing.T)   { expectOverflow(t, 10, 5000, 0, 0, true) }
+func TestOverflowEnding(t *testing.T)  { expectOverflow(t, 5, 9000, 8000, 0, false) }
+func TestOverflowFull(t *testing.T)    { expectOverflow(t, 7, 8900, 4000, 0, true) }
+func TestOverflowOld(t *testing.T)     { expectOverflow(t, 10, 5000, 0, 10*time.Second, false) }
+func TestOverflowUnknown(t *testing.T) { expectOverflow(t, 0, 0, 0, 0, false) }
+
+// What is set aside for others counts, although it runs nothing yet.
+func TestOverflowSetAside(t *testing.T) {
+	now := time.Now()
+	e := &engine{Engine: Engine{KVTokens: 63000}, reported: true}
+	e.report = Report{At: now, Runs: []Run{{Tokens: 5000}}, FreeKV: 4000}
+	f := &flight{Request: Request{PromptTokens: 4000, MaxTokens: 0, ExpectTokens: 4400}}
+	if !e.overflows(&pool{meanOutput: 4400}, f, now) {
+		t.Error("expected 54,000 tokens set aside to count")
+	}
+}
+
+// A request goes to the engine that will have room, though the other one has as much now
+// and is otherwise alike.
+func TestForeseesMemory(t *testing.T) {
+	ending, begun := make([]Run, 8), make([]Run, 16)
+	for i := range ending {
+		ending[i] = Run{Tokens: 10000, Made: 9000}
+	}
+	for i := range begun {
+		begun[i] = Run{Tokens: 5000}
+	}
+	for seed := range uint64(20) {
+		s := newScene(t, 1, 2)
+		s.c.rng = rand.New(rand.NewPCG(seed, 1))
+		s.step(Report{Engine: "b", At: s.now, FreeKV: 20000, Streams: 10, Runs: begun})
+		s.step(Report{Engine: "c", At: s.now, FreeKV: 20000, Streams: 10, Runs: ending})
+		s.step(Arrive{Request: Request{
+			ID: 1, Pool: "p", Region: "r", PromptTokens: 4000, MaxTokens: 4400, ExpectTokens: 4400,
+			FirstToken: time.Second, BetweenTokens: 20 * time.Millisecond, Repeatable: true,
+		}})
+		s.expectRuns(1)
+		if got := s.runs[1].Decode; got != "c" {
+			t.Errorf("seed %d: expected the engine whose streams end soon, got %s", seed, got)
+		}
+	}
+}
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -53,6 +53,8 @@
 	surprise surprise
 	urgency  urgency
 	demand   demand
+	// meanOutput is the mean of how long answers are expected to be, in tokens.
+	meanOutput float64
 	// scarce is the role that waiting requests lack.
 	scarce EngineRole
 	// bestPerStream is the least a stream adds to a step.
@@ -378,11 +380,14 @@
 		if !c.usable(e, now, passed) {
 			continue
 		}
-		if e.freeKV() < f.need() || f.need() >= e.noRoomFor && now.Before(e.noRoomUntil) {
+		if e.freeKV() < f.need() || f.need() >= e.noRoomFor && now.Before(e.noRoomUntil) || !f.patient && e.overflows(p, f, now) {
 			passed.NoRoom++
 			continue
 		}
 		w := writer{e: e, step: e.stepTime(), extra: e.doubt(f)}
+		if p.Foresee && e.unforeseen(now) {
+			w.extra += unforeseenCost
+		}
 		// A stream that may run late can join a slow batch, and an engine with
 		// nothing running is never too slow to try.
 		if !f.patient && w.step > f.BetweenTokens && e.running() >= 1 {
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -144,6 +144,9 @@
 	// SelfRead is the part of the prefill rate at which a decode engine reads a prompt
 	// by itself, between the tokens of its streams; 0 if it cannot.
 	SelfRead float64
+	// Foresee says that engines are asked for their streams before requests are placed, so
+	// that one without a fresh report is a last resort.
+	Foresee bool
 	// ExpectPrompt, ExpectOutput, ExpectReserve and ExpectGap are what the operator expects
 	// of the requests until some were seen: the tokens of prompt and answer, those set
 	// aside for an answer, and the target between tokens. 0 if nothing.
@@ -216,6 +219,8 @@
 	// FreeKV is unheld decode memory in tokens.
 	FreeKV  int
 	Streams int
+	// Runs are its streams one by one; nil if it does not say.
+	Runs    []Run
 	Leaving bool
 }
 
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -118,6 +118,10 @@
 // docs/design/relay.md has the figures that chose it together with holdFor.
 const reservePart = 0.9
 
+// headroom is set aside beside that, in tokens: streams that run already go on growing
+// while the new one is read. A part of the guess would keep out the longest answers.
+const headroom = 1500
+
 // holdFor is how long memory is set aside. An engine counts it beside what the run uses
 // until then, so it must reach from before the prompt is read to the first event and not
 // much further: with 2 s, 40 of 90 thousand tokens of each engine were set aside for
@@ -129,7 +133,7 @@
 func (x *exchange) reserve() int {
 	n := x.ask.MaxOutput
 	if x.ask.GuessedOutput > 0 {
-		n = int(reservePart * float64(min(x.ask.GuessedOutput, n)))
+		n = headroom + int(reservePart*float64(min(x.ask.GuessedOutput, n)))
 	}
 	return max(0, min(n, x.service.Engines.KVTokens-x.ask.PromptTokens))
 }
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/decide"
@@ -10,10 +11,11 @@
 const (
 	// loadEvery is how often each engine is asked for its load, and loadLimit how long
 	// it may take to answer. Two questions are at least loadPause apart, so that what a
-	// box spends on them does not grow with the fleet: decisions look at a sample, and
-	// engines that refuse to set memory aside correct what is old.
-	loadEvery = 2 * time.Second
-	loadPause = 150 * time.Millisecond
+	// box spends on them does not grow with the fleet: streams are placed by what some
+	// engines say at that moment (askFresh), and engines that refuse to set memory aside
+	// correct what is old.
+	loadEvery = 3 * time.Second
+	loadPause = 400 * time.Millisecond
 	loadLimit = 700 * time.Millisecond
 )
 
@@ -60,5 +62,64 @@
 	}
 	r.disp.Step(decide.Report{
 		Engine: e.ID, At: now.Add(-l.Age), FreeKV: l.KVTotal - l.KVUsed, Streams: l.Running, Leaving: l.Leaving || l.Busy,
+		Runs: l.runs(r.fleet.stride(e.Service)),
 	})
 }
+
+// runs says the streams in tokens.
+func (l *Load) runs(stride int) []decide.Run {
+	out := make([]decide.Run, len(l.Runs))
+	for i, r := range l.Runs {
+		out[i] = decide.Run{Tokens: r.Tokens, Made: r.Events * stride}
+	}
+	return out
+}
+
+// stride is how many tokens one event of a service may hold.
+func (f *fleet) stride(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cfg == nil || f.cfg.Services[service] == nil || f.cfg.Services[service].Engines == nil {
+		return 1
+	}
+	return f.cfg.Services[service].Engines.Stride
+}
+
+const (
+	// One decode engine in freshPart, and freshLeast at least, is asked for its load before
+	// a stream is placed; freshLimit is how long that may take.
+	freshPart  = 6
+	freshLeast = 2
+	freshLimit = 40 * time.Millisecond
+)
+
+// askFresh asks some decode engines of a service for their load, so that a stream is placed
+// by what they say now.
+func (r *Relay) askFresh(ctx context.Context, service string) {
+	var list []Endpoint
+	for _, e := range r.fleet.allEngines() {
+		if e.Service == service && e.Role == decide.Decode && !e.Leaving {
+			list = append(list, e)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	list = list[:min(max(freshLeast, len(list)/freshPart), len(list))]
+	done := make(chan struct{}, len(list))
+	for _, e := range list {
+		go func() {
+			r.askLoad(context.WithoutCancel(ctx), e)
+			done <- struct{}{}
+		}()
+	}
+	limit := time.NewTimer(freshLimit)
+	defer limit.Stop()
+	for range list {
+		select {
+		case <-done:
+		case <-limit.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -99,6 +99,7 @@
 		x.refuse(outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.Draining, RetryAfter: drainRetry})
 		return
 	}
+	x.r.askFresh(ctx, x.service.Name)
 	o := x.runStream(ctx)
 	switch {
 	case o.Kind == outcome.Answered:
@@ -253,12 +254,20 @@
 	return outcome.Outcome{}, false
 }
 
+// dropHold gives back memory that was set aside: once the answer has begun the engine
+// counts what the run takes, and would count the rest beside it until its lease ends.
+func (f *flight) dropHold() {
+	if f.hold.id != "" {
+		f.x.r.drop(f.x.r.disp.Address(f.hold.engine), f.x.r.wire.DropHold(f.hold.id))
+		f.hold = held{}
+	}
+}
+
 // leaveHold frees memory that was set aside at another engine than the one that will
 // write the answer.
 func (f *flight) leaveHold(engine string) {
-	if f.hold.id != "" && f.hold.engine != engine {
-		f.x.r.drop(f.x.r.disp.Address(f.hold.engine), f.x.r.wire.DropHold(f.hold.id))
-		f.hold = held{}
+	if f.hold.engine != engine {
+		f.dropHold()
 	}
 }
 
@@ -318,7 +327,8 @@
 		f.x.rec.FirstToken = f.first.Sub(f.x.arrived)
 		f.x.r.m.FirstToken.Update(f.x.rec.FirstToken.Seconds())
 	}
-	f.hold, f.source = held{}, Source{} // The engine has taken them.
+	f.source = Source{} // The engine has taken it.
+	f.dropHold()
 	f.x.r.disp.Step(decide.FirstToken{ID: f.id, Attempt: ev.attempt})
 	f.x.acc.Step(record.Step{Kind: record.StepFirst, Decode: f.writer})
 	if !f.x.begun {
@@ -366,10 +376,7 @@
 // free gives back what the flight still holds. It outlives the request and is waited
 // for by a drain; beyond that the engines' own expiry frees the memory.
 func (f *flight) free() {
-	if f.hold.id != "" {
-		f.x.r.drop(f.x.r.disp.Address(f.hold.engine), f.x.r.wire.DropHold(f.hold.id))
-		f.hold = held{}
-	}
+	f.dropHold()
 	if f.source.Handle != "" {
 		f.x.r.drop(f.source.Address, f.x.r.wire.DropHandle(f.source.Handle))
 		f.source = Source{}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -170,10 +170,18 @@
 	Busy bool
 	// Orders counts the orders the engine took since its start.
 	Orders int64
+	// Runs are its streams, with events in place of tokens made.
+	Runs []RunLoad
 	// Age is how old the figures may be.
 	Age time.Duration
 }
 
+// RunLoad is one stream that an engine runs.
+type RunLoad struct {
+	Tokens int // Of memory.
+	Events int // Made so far.
+}
+
 // Wire is how callers and endpoints spell what the relay hears and says.
 type Wire interface {
 	// Ask reads what the caller says of its request.
