End calls that waited since before the store was lost once it is known to be back

Cause: TestRelayPolicies: after a silent outage a box had a new policy in force only when its long poll, begun before the outage, ran out: 8.6 s since that wait was lengthened, more than the 5 s that apply waits. Ruled out: the write (the version was in the store). Change: a link has eras; when one call finds the store back, those begun before it was lost end, and each table's first call of an era is answered at once.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -76,6 +76,8 @@
 	// so long; they may be nil.
 	Lost func(error)
 	Back func(away time.Duration)
+	// era is the one in which the table was last heard of.
+	era context.Context
 	// lostAt is when the store stopped answering; zero while it answers.
 	lostAt time.Time
 }
@@ -91,9 +93,16 @@
 // Run follows until ctx ends.
 func (t *Table) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		probe := t.o.Link.enter(ctx)
+		probe, era := t.o.Link.enter(ctx)
 		start := time.Now()
-		changed, err := t.step(ctx, probe)
+		// The first call of an era is answered at once too: what was missed is read now.
+		changed, err := t.stepIn(ctx, era, probe || era != t.era)
+		if err == nil {
+			t.era = era
+		}
+		if err != nil && era.Err() != nil && ctx.Err() == nil {
+			continue // The store is back, and this call had waited since before it was lost.
+		}
 		t.o.Link.ended(time.Now(), err == nil || errors.Is(err, ErrForgotten) || errors.Is(err, errOld), probe)
 		if ctx.Err() != nil {
 			return // The end is no loss.
@@ -139,6 +148,14 @@
 	}
 }
 
+// stepIn makes one call, which ends with its era.
+func (t *Table) stepIn(ctx, era context.Context, probe bool) (changed bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(era, cancel)()
+	return t.step(ctx, probe)
+}
+
 // step makes one call and applies what it brought. A probe is answered at once.
 func (t *Table) step(ctx context.Context, probe bool) (changed bool, err error) {
 	wait := t.o.Wait
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -179,23 +179,28 @@
 	return nil, 1, o.call(ctx, wait)
 }
 
-// expectOutage has three tables share a link through an outage of 20 s. It expects at most
-// so many calls meanwhile, and each table to be heard of again within a time.
-func expectOutage(t *testing.T, silent bool, calls int, within time.Duration) {
+// expectOutage has three tables share a link through an outage; the calls of two wait for
+// 2 s and those of the third for 8. It expects at most so many calls meanwhile, and each
+// table to be heard of again within a time.
+func expectOutage(t *testing.T, silent bool, lasts time.Duration, calls int, within time.Duration) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
-		o := &outage{from: start.Add(10 * time.Second), to: start.Add(30 * time.Second), silent: silent}
-		ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
+		o := &outage{from: start.Add(10 * time.Second), to: start.Add(10*time.Second + lasts), silent: silent}
+		ctx, cancel := context.WithTimeout(context.Background(), lasts+20*time.Second)
 		defer cancel()
 		link := &Link{}
 		var fresh [3]Freshness
 		for i := range fresh {
-			table := New(o, Options{Wait: 2 * time.Second, Limit: 600 * time.Millisecond, Link: link}, func(map[string][]byte) {})
+			wait := 2 * time.Second
+			if i == 2 {
+				wait = 8 * time.Second
+			}
+			table := New(o, Options{Wait: wait, Limit: 600 * time.Millisecond, Link: link}, func(map[string][]byte) {})
 			table.Fresh = &fresh[i]
 			go table.Run(ctx)
 		}
-		time.Sleep(30*time.Second + within)
+		time.Sleep(10*time.Second + lasts + within)
 		for i := range fresh {
 			if fresh[i].Age() > within {
 				t.Errorf("table %d: expected to hear of the store within %s of its return, last heard of it %s ago", i, within, fresh[i].Age())
@@ -209,5 +214,16 @@
 	})
 }
 
-func TestOutageBusy(t *testing.T)   { expectOutage(t, false, 40, 2700*time.Millisecond) }
-func TestOutageSilent(t *testing.T) { expectOutage(t, true, 20, 4300*time.Millisecond) }
+func TestOutageBusy(t *testing.T) {
+	expectOutage(t, false, 20*time.Second, 40, 2700*time.Millisecond)
+}
+
+func TestOutageSilent(t *testing.T) {
+	expectOutage(t, true, 20*time.Second, 20, 2700*time.Millisecond)
+}
+
+// A call that began before the store fell silent does not hold its table up when another
+// one finds the store back.
+func TestOutageHalfway(t *testing.T) {
+	expectOutage(t, true, 3*time.Second, 6, 2700*time.Millisecond)
+}
--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -29,17 +29,21 @@
 	asking bool
 	pause  time.Duration
 	next   time.Time
+	// era ends when the store answers again after it did not. Calls begun in an earlier one
+	// may wait for an answer that never comes, on a connection that is dead.
+	era     context.Context
+	nextEra context.CancelFunc
 	// changed is closed and replaced when one of the above does; nil while nobody waits.
 	changed chan struct{}
 }
 
 // enter waits until a call may be made. It returns whether the call is to see if the store
-// is back, which should be answered at once.
-func (l *Link) enter(ctx context.Context) (probe bool) {
+// is back, which should be answered at once, and the era that it belongs to.
+func (l *Link) enter(ctx context.Context) (probe bool, era context.Context) {
 	for {
 		wait, changed, probe, ok := l.try(time.Now())
 		if ok {
-			return probe
+			return probe, l.now()
 		}
 		t := time.NewTimer(wait)
 		select {
@@ -47,12 +51,21 @@
 		case <-changed:
 		case <-ctx.Done():
 			t.Stop()
-			return false
+			return false, l.now()
 		}
 		t.Stop()
 	}
 }
 
+func (l *Link) now() context.Context {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.era == nil {
+		l.era, l.nextEra = context.WithCancel(context.Background())
+	}
+	return l.era
+}
+
 func (l *Link) try(now time.Time) (wait time.Duration, changed <-chan struct{}, probe, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -81,6 +94,10 @@
 	}
 	switch {
 	case answered:
+		if l.down && l.nextEra != nil {
+			l.nextEra()
+			l.era, l.nextEra = nil, nil
+		}
 		l.down, l.pause = false, 0
 	case !l.down || probe:
 		l.down = true
