Free memory that is set aside for a caller that leaves at that moment

Cause: the call that sets memory aside ended with the caller's request; if the engine had done it, the answer that names it was lost, and the memory stayed until its lease ended, a second later. Ruled out: stops (they wait for what is being freed); prompts (the read ends with the connection). Change: the call goes on for its own time and frees what it brought.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -72,14 +72,18 @@
 	x := f.x
 	address := x.r.disp.Address(engine)
 	c := x.r.wire.TakeHold(x.ask.PromptTokens+x.reserve(), min(x.service.Engines.HoldFor, holdFor))
-	resp, body, err := x.r.side.Call(ctx, sideLimit, sideRequest(address, c), sideAnswer)
-	if ctx.Err() != nil {
-		return h, false
-	}
+	// The call outlives a caller that leaves: only its answer names what is to be freed.
+	resp, body, err := x.r.side.Call(context.WithoutCancel(ctx), sideLimit, sideRequest(address, c), sideAnswer)
 	id := ""
 	if err == nil && resp.StatusCode == http.StatusOK {
 		id, err = x.r.wire.Held(body)
 	}
+	if ctx.Err() != nil {
+		if id != "" {
+			x.r.drop(address, x.r.wire.DropHold(id))
+		}
+		return h, false
+	}
 	if err != nil || id == "" {
 		f.send(flightEvent{attempt: a, noRoom: true})
 		return h, false
--- a/internal/relay/end_test.go
+++ b/internal/relay/end_test.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stoatramp/stoatramp/internal/account"
 	"github.com/stoatramp/stoatramp/internal/decide"
@@ -19,6 +21,12 @@
 	return Call{Method: http.MethodDelete, Target: "/hold/" + hold}
 }
 
+func (dropWire) TakeHold(int, time.Duration) Call {
+	return Call{Method: http.MethodPost, Target: "/take"}
+}
+
+func (dropWire) Held(body []byte) (string, error) { return string(body), nil }
+
 func (dropWire) DropHandle(handle string) Call {
 	return Call{Method: http.MethodDelete, Target: "/handle/" + handle}
 }
@@ -40,3 +48,39 @@
 		t.Errorf("expected the hold and the handle to be freed, got %d calls", n)
 	}
 }
+
+// A caller that leaves while memory is being set aside for it leaves none behind: whether
+// the engine did it is known only by its answer.
+func TestLeaveWhileSettingAside(t *testing.T) {
+	taken, dropped := make(chan struct{}), make(chan string, 1)
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/take" {
+			dropped <- r.URL.Path
+			return
+		}
+		close(taken)
+		time.Sleep(50 * time.Millisecond)
+		_, _ = w.Write([]byte("h"))
+	}))
+	defer engine.Close()
+	r := New(Options{Wire: dropWire{}, Core: decide.New(rand.New(rand.NewPCG(1, 1)), 1), Book: &account.Book{Metrics: telemetry.NewMetrics(), Log: account.Quiet()}})
+	r.disp.SetFleet(decide.Fleet{}, map[string]string{"w": engine.Listener.Addr().String()})
+	x := &exchange{r: r, service: &Service{Engines: &Engines{HoldFor: time.Second, KVTokens: 1000}}}
+	f := &flight{x: x, events: make(chan flightEvent, eventBuffer)}
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		<-taken
+		leave()
+	}()
+	if _, ok := f.setAside(ctx, 1, "w"); ok {
+		t.Error("expected nothing to be set aside for a caller that has left")
+	}
+	select {
+	case path := <-dropped:
+		if path != "/hold/h" {
+			t.Errorf("expected the hold to be dropped, got %s", path)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("expected the hold to be dropped, and it was not")
+	}
+}
