Let no more engines run a stream than its route allows

The route's bound held for plain calls only; streams were bounded by three prompts read. Change: the core notes the decode engines that may have run a request; once as many as the route allows did, only these may go on.

--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -72,7 +72,9 @@
 	yields  bool
 	attempt Attempt
 	// ran is set once any part of the request may have run. It never goes back.
-	ran    bool
+	ran bool
+	// ranOn are the decode engines that may have run any of it.
+	ranOn  []*engine
 	tries  int
 	avoid  *engine // The engine the last try failed on.
 	lastCh *Choice // What the last attempt to place it saw.
--- a/internal/decide/core_test.go
+++ b/internal/decide/core_test.go
@@ -270,3 +270,28 @@
 		s.pass(10 * time.Millisecond)
 	}
 }
+
+// A request that has run on as many engines as may run it goes on at one of these only.
+func TestMaxEngines(t *testing.T) {
+	for seed := range uint64(10) {
+		s := newScene(t, 1, 4)
+		s.c.rng = rand.New(rand.NewPCG(seed, 1))
+		s.step(Arrive{Request: Request{
+			ID: 1, Pool: "p", Region: "r", PromptTokens: 100, MaxTokens: 10, FirstToken: 10 * time.Second, BetweenTokens: time.Second,
+			Repeatable: true, Resumable: true, MaxEngines: 2, ReadNotRun: true,
+		}})
+		ran := map[string]bool{}
+		for attempt := Attempt(1); attempt < 12 && s.ends[1] == (outcome.Outcome{}); attempt++ {
+			s.pass(20 * time.Millisecond)
+			if d, ok := s.goes[1]; ok && d.Attempt == attempt {
+				ran[d.Decode] = true
+				s.step(Failed{ID: 1, Attempt: attempt, Reason: outcome.EndpointDied, Ran: true, KVGone: attempt%3 == 0})
+				continue
+			}
+			s.step(PrefillDone{ID: 1, Attempt: attempt, Expires: s.now.Add(time.Second)})
+		}
+		if len(ran) != 2 {
+			t.Errorf("seed %d: expected two engines to run it, got %v", seed, ran)
+		}
+	}
+}
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -15,6 +15,9 @@
 		return
 	}
 	f.ran = f.ran || ev.Ran
+	if ev.Ran && f.stage != prefilling {
+		f.noteRun()
+	}
 	e := f.working()
 	if e == nil {
 		return
@@ -78,6 +81,29 @@
 	c.giveUpTry(f, reason, ran)
 }
 
+// noteRun notes that the present decode engine may have run the request.
+func (f *flight) noteRun() {
+	if f.decode != nil && !slices.Contains(f.ranOn, f.decode) {
+		f.ranOn = append(f.ranOn, f.decode)
+	}
+}
+
+// mayRunOn says whether a decode engine may run the request: once as many as may have run
+// it did, only these may go on.
+func (f *flight) mayRunOn(e *engine) bool {
+	return f.MaxEngines <= 0 || len(f.ranOn) < f.MaxEngines || slices.Contains(f.ranOn, e)
+}
+
+// mayGoElsewhere says whether an engine besides those before and the present one may still
+// run the request.
+func (f *flight) mayGoElsewhere() bool {
+	n := len(f.ranOn)
+	if f.stage != prefilling && f.decode != nil && !slices.Contains(f.ranOn, f.decode) {
+		n++
+	}
+	return f.MaxEngines <= 0 || n < f.MaxEngines
+}
+
 // giveUpTry frees everything the try holds, and starts another where the
 // request may be repeated, the budget allows it and the target can still be met.
 func (c *Core) giveUpTry(f *flight, reason outcome.Reason, ran bool) {
@@ -205,13 +231,16 @@
 	}
 	c.blame(f.working())
 	ran := f.stage != prefilling || !f.ReadNotRun
+	if f.stage != prefilling {
+		f.noteRun()
+	}
 	f.ran = f.ran || ran
 	c.callFailed(f, reason, ran, false)
 }
 
 // canMove says whether a stalled request has somewhere better to go.
 func (c *Core) canMove(f *flight) bool {
-	if !f.Repeatable || !c.budget.has() {
+	if !f.Repeatable || !f.mayGoElsewhere() || !c.budget.has() {
 		return false
 	}
 	var passed PassedOver
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -377,7 +377,7 @@
 	c.writers = c.writers[:0]
 	c.decodes = c.sample(c.decodes[:0], p.in(f.Region).decode)
 	for _, e := range c.decodes {
-		if !c.usable(e, now, passed) {
+		if !c.usable(e, now, passed) || !f.mayRunOn(e) {
 			continue
 		}
 		if e.freeKV() < f.need() || f.need() >= e.noRoomFor && now.Before(e.noRoomUntil) || !f.patient && e.overflows(p, f, now) {
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -52,6 +52,9 @@
 	// Resumable says that a stream whose decode engine is lost may go on at another
 	// one from where the caller has it. Such a request is Repeatable too.
 	Resumable bool
+	// MaxEngines bounds the decode engines that may run any of it; 0 leaves that to
+	// Repeatable.
+	MaxEngines int
 	// ReadNotRun says that an engine that has only read the prompt has not run the
 	// request: nothing of it counts but the tokens made.
 	ReadNotRun bool
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -167,6 +167,7 @@
 		BetweenTokens: x.route.Gap / time.Duration(x.service.Engines.Stride),
 		Repeatable:    x.route.repeats(),
 		Resumable:     x.route.Resumable,
+		MaxEngines:    x.route.Tries,
 		ReadNotRun:    true,
 		CameBack:      x.route.cameBack(x.ask.Patience),
 		DecideWithin:  x.route.Objective * 9 / 40,
