Wait a moment for the answer of an engine that has just read a prompt

Cause: the call to read a prompt ended with its caller. Ruled out: holds (their call outlives the caller already); handles reported and not taken (freed at the end of the flight). Change: the call lives 50 ms longer than whoever needs it, and what it then names is freed. One that is still reading by then is cut off as before. Test: TestLeaveAsPromptIsRead, which fails without (10 s, no handle dropped).

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -35,6 +35,8 @@
 		return
 	}
 	address := x.r.disp.Address(a.Prefill)
+	ctx, cancel := linger(ctx, readLinger)
+	defer cancel()
 	resp, err := x.r.pool.Do(ctx, x.request(address, Run{Instance: a.Prefill, ReadOnly: true}))
 	if err != nil {
 		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err)}})
@@ -56,6 +58,29 @@
 	}
 }
 
+// readLinger is for how long the answer to a prompt that nobody needs any more is still
+// waited for: an engine that has just read it keeps it, under a name that only its answer
+// tells. One that is still reading then is cut off by the end of its connection.
+const readLinger = 50 * time.Millisecond
+
+// linger returns a context that ends so long after ctx.
+func linger(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	out, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		t := time.NewTimer(d)
+		defer t.Stop()
+		select {
+		case <-t.C:
+			cancel()
+		case <-out.Done():
+		}
+	})
+	return out, func() {
+		stop()
+		cancel()
+	}
+}
+
 // callWhole sets memory aside at a decode engine and then has it read the prompt and
 // make the answer.
 func (f *flight) callWhole(ctx context.Context, a decide.StartDecode, lastEvent string) {
--- a/internal/relay/end_test.go
+++ b/internal/relay/end_test.go
@@ -84,3 +84,50 @@
 		t.Error("expected the hold to be dropped, and it was not")
 	}
 }
+
+func (dropWire) Stamp(http.Header, Run) {}
+
+func (dropWire) Mine(http.Header, string) bool { return true }
+
+func (dropWire) Read(body []byte) (string, error) { return string(body), nil }
+
+// A caller that leaves just as its prompt was read leaves nothing behind: the engine's
+// answer, which names what is to be freed, is on its way by then.
+func TestLeaveAsPromptIsRead(t *testing.T) {
+	reading, dropped := make(chan struct{}), make(chan string, 2)
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/take":
+			_, _ = w.Write([]byte("h"))
+		case "/prompt":
+			close(reading)
+			time.Sleep(10 * time.Millisecond) // The engine is done, and its answer under way.
+			_, _ = w.Write([]byte("k"))
+		default:
+			dropped <- r.URL.Path
+		}
+	}))
+	defer engine.Close()
+	r := New(Options{Wire: dropWire{}, Core: decide.New(rand.New(rand.NewPCG(1, 1)), 1), Book: &account.Book{Metrics: telemetry.NewMetrics(), Log: account.Quiet()}})
+	r.disp.SetFleet(decide.Fleet{}, map[string]string{"w": engine.Listener.Addr().String()})
+	ctx, leave := context.WithCancel(context.Background())
+	x := &exchange{
+		r: r, req: httptest.NewRequest(http.MethodPost, "/prompt", nil), route: &Route{},
+		service: &Service{Engines: &Engines{HoldFor: time.Second, KVTokens: 1000}},
+	}
+	f := &flight{x: x, ctx: ctx, events: make(chan flightEvent, eventBuffer)}
+	go func() {
+		<-reading
+		leave()
+	}()
+	f.calls.Go(func() { f.callRead(ctx, decide.StartPrefill{Attempt: 1, Prefill: "w", Decode: "w"}) })
+	f.calls.Wait()
+	f.end(leave)
+	for range 2 {
+		select {
+		case <-dropped:
+		case <-time.After(10 * time.Second):
+			t.Fatal("expected the hold and the handle to be dropped")
+		}
+	}
+}
