Treat engines that turn prompts away as a last resort; take their roles from themselves

Ruled out: full engines (memory is set aside first), the budget itself (its sum over all boxes is the platform's). Change: one refusal of a prompt makes the engine a last resort for 2 to 8 s; it is asked for its load at once; a role that it reports counts until the list changes; an engine that did its order is used as soon as its role is known, and not when its load is next asked for. Tests: TestRefusedIsLastResort, TestRoleChangeEndsOrder, TestReportedRole; the first two fail on the code before.

--- a/internal/decide/advise_test.go
+++ b/internal/decide/advise_test.go
@@ -89,3 +89,59 @@
 		t.Error("expected another try after the pause")
 	}
 }
+
+// expectReader has one prompt placed and expects it to be read by that engine.
+func expectReader(t *testing.T, c *Core, id ID, want string) Attempt {
+	t.Helper()
+	out := c.Step(c.now, Arrive{Request{ID: id, Pool: "p", Region: "r", PromptTokens: 100, MaxTokens: 10, FirstToken: time.Second, BetweenTokens: 5 * time.Millisecond, Repeatable: true, ReadNotRun: true}})
+	a, ok := out[len(out)-1].(StartPrefill)
+	if !ok || a.Prefill != want && want != "" {
+		t.Fatalf("expected request %d to be read by %q, got %+v", id, want, out)
+	}
+	return a.Attempt
+}
+
+// An engine that turned a prompt away is a last resort for some seconds: whatever made it do
+// so lasts, and each refusal takes one of the few retries.
+func TestRefusedIsLastResort(t *testing.T) {
+	c := poolOf(2, 2, 0, 0)
+	out := c.Step(c.now, Arrive{Request{ID: 1, Pool: "p", Region: "r", PromptTokens: 100, MaxTokens: 10, FirstToken: time.Second, BetweenTokens: 5 * time.Millisecond, Repeatable: true, ReadNotRun: true}})
+	first := out[len(out)-1].(StartPrefill)
+	out = c.Step(c.now, Failed{ID: 1, Attempt: first.Attempt, Reason: outcome.EndpointRefused})
+	second := out[len(out)-1].(StartPrefill)
+	if second.Prefill == first.Prefill {
+		t.Fatalf("expected the other engine to read the prompt, got %+v", second)
+	}
+	for id := ID(2); id < 8; id++ {
+		expectReader(t, c, id, second.Prefill)
+	}
+	c.Step(c.now.Add(firstDoubt), Tick{})
+	c.Step(c.now, Cancel{ID: 1})
+	for id := ID(2); id < 8; id++ {
+		c.Step(c.now, Cancel{ID: id})
+	}
+	c.engines[second.Prefill].health.refused(c.now)
+	expectReader(t, c, 8, first.Prefill)
+	c.engines[first.Prefill].health.refused(c.now)
+	expectReader(t, c, 9, "")
+}
+
+// An engine that carried out an order takes work as soon as its new role is known, and not
+// only when it is asked for its load again.
+func TestRoleChangeEndsOrder(t *testing.T) {
+	c := poolOf(1, 2, 0, 0)
+	e := c.engines["e01"]
+	c.Step(c.now, Report{Engine: "e01", At: c.now, Leaving: true})
+	if !e.leaving() {
+		t.Fatal("expected the engine to be away while it carries out an order")
+	}
+	f := Fleet{}
+	for _, name := range []string{"e00", "e01", "e02"} {
+		f.Engines = append(f.Engines, c.engines[name].Engine)
+	}
+	f.Engines[1].Role = Prefill
+	c.Step(c.now, f)
+	if e.leaving() {
+		t.Error("expected the engine to take prompts in its new role")
+	}
+}
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -227,6 +227,10 @@
 			e = &engine{}
 			c.engines[cfg.Name] = e
 		}
+		if e.Role != cfg.Role {
+			// It has done the order that its report was about, and takes work again.
+			e.report.Leaving = false
+		}
 		e.Engine = cfg
 		named[cfg.Name] = true
 		if cfg.Role == Prefill {
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -23,6 +23,9 @@
 		return
 	}
 	c.blame(e)
+	if f.stage == prefilling && ev.Reason == outcome.EndpointRefused {
+		e.health.refused(c.now)
+	}
 	c.callFailed(f, ev.Reason, ev.Ran, ev.KVGone)
 	c.drainQueue(f.pool)
 }
--- a/internal/decide/ledger.go
+++ b/internal/decide/ledger.go
@@ -322,12 +322,24 @@
 	failures int
 	until    time.Time
 	pause    time.Duration
+	// refusals counts the prompts that the engine turned away in a row; until doubtedUntil
+	// it is a last resort.
+	refusals     int
+	doubtedUntil time.Time
 }
 
 const (
 	failuresToSetAside = 3
 	firstPause         = time.Second
 	longestPause       = 30 * time.Second
+	// An engine that turns a prompt away changes its role, is at fault or is full, and goes
+	// on doing so for seconds. It is a last resort for firstDoubt, and for twice as long
+	// after each further refusal, up to longestDoubt.
+	firstDoubt   = 2 * time.Second
+	longestDoubt = 8 * time.Second
+	// refusedCost is what speaks against it meanwhile, in seconds: more than a queue that a
+	// prompt can wait behind and still be on time.
+	refusedCost = 0.8
 )
 
 func (h *health) setAside(now time.Time) bool {
@@ -341,6 +353,12 @@
 	}
 }
 
+// refused is called when the engine turned a prompt away.
+func (h *health) refused(now time.Time) {
+	h.doubtedUntil = now.Add(min(longestDoubt, firstDoubt<<min(h.refusals, 4)))
+	h.refusals++
+}
+
 func (h *health) succeeded() { *h = health{} }
 
 func (h *health) failed(now time.Time) {
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -361,7 +361,7 @@
 			continue
 		}
 		reading, ahead := p.urgency.wait(f, e.queueTime(now))
-		r := reader{e: e, cached: e.cachedTokens(f), queue: reading + ahead, ahead: ahead, extra: e.doubt(f)}
+		r := reader{e: e, cached: e.cachedTokens(f), queue: reading + ahead, ahead: ahead, extra: e.doubt(f, now)}
 		r.read = e.readTime(f.PromptTokens - r.cached)
 		if e == favourite {
 			r.extra -= p.surprise.pull() * e.readTime(len(f.Blocks)*BlockTokens-r.cached).Seconds()
@@ -384,7 +384,7 @@
 			passed.NoRoom++
 			continue
 		}
-		w := writer{e: e, step: e.stepTime(), extra: e.doubt(f)}
+		w := writer{e: e, step: e.stepTime(), extra: e.doubt(f, now)}
 		if p.Foresee && e.unforeseen(now) {
 			w.extra += unforeseenCost
 		}
@@ -400,8 +400,9 @@
 	}
 }
 
-// doubt is the cost of an engine that failed this request or does not report.
-func (e *engine) doubt(f *flight) float64 {
+// doubt is the cost of an engine that failed this request, turned others away lately or
+// does not report.
+func (e *engine) doubt(f *flight, now time.Time) float64 {
 	cost := 0.0
 	if e == f.avoid {
 		cost += avoidCost
@@ -409,6 +410,9 @@
 	if e.silent() {
 		cost += silentCost
 	}
+	if now.Before(e.health.doubtedUntil) {
+		cost += refusedCost
+	}
 	return cost
 }
 
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -24,6 +24,20 @@
 	cfg       *Config
 	endpoints []Endpoint
 	expect    Expect
+	// roles is what is known of engines' roles beside the list, by their IDs.
+	roles map[string]knownRole
+	// askedWhy is when an engine was last asked why it turned a request away.
+	askedWhy map[string]time.Time
+}
+
+// knownRole is what an engine itself said of its role.
+type knownRole struct {
+	// listed is the role that the list shows, since a time.
+	listed decide.EngineRole
+	since  time.Time
+	// own is the role that the engine reported later; only with said.
+	own  decide.EngineRole
+	said bool
 }
 
 // SetExpect changes what is expected of streams until some were seen.
@@ -48,11 +62,54 @@
 	r.fleet.mu.Lock()
 	old := r.fleet.endpoints
 	r.fleet.endpoints = list
+	r.fleet.listedRoles(time.Now())
 	r.fleet.mu.Unlock()
 	r.logList(old, list)
 	r.applyFleet()
 }
 
+// listedRoles takes the roles of a new list. One that the list has changed counts, whatever
+// the engine said before. The lock is held.
+func (f *fleet) listedRoles(now time.Time) {
+	next := make(map[string]knownRole, len(f.endpoints))
+	for _, e := range f.endpoints {
+		k, known := f.roles[e.ID]
+		if !known || k.listed != e.Role {
+			k = knownRole{listed: e.Role, since: now}
+		}
+		next[e.ID] = k
+	}
+	f.roles = next
+	maps.DeleteFunc(f.askedWhy, func(id string, _ time.Time) bool { _, stays := next[id]; return !stays })
+}
+
+// reportedRole takes the role that an engine reported, as of a time, and returns whether
+// that changes what is known. A box that the store does not reach has an old list, and would
+// send an engine for many seconds what it turns away.
+//
+// Example: the list said at 10.0 s that an engine writes, and the engine was ordered at 12.0
+// to read. A report of 13.1 that says so counts until the list shows a change; one of 9.5
+// that still says that it reads is older than the list and does not.
+func (f *fleet) reportedRole(id string, role decide.EngineRole, at time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k, known := f.roles[id]
+	if !known || at.Before(k.since) {
+		return false
+	}
+	before := k.role()
+	k.own, k.said = role, true
+	f.roles[id] = k
+	return before != role
+}
+
+func (k knownRole) role() decide.EngineRole {
+	if k.said {
+		return k.own
+	}
+	return k.listed
+}
+
 // applyFleet hands what is known to the decisions.
 func (r *Relay) applyFleet() {
 	r.fleet.mu.Lock()
@@ -91,7 +148,7 @@
 		}
 		addresses[e.ID] = e.Address
 		out.Engines = append(out.Engines, decide.Engine{
-			Name: e.ID, Pool: e.Service, Region: region, Hall: e.Hall, Role: e.Role, Leaving: e.Leaving,
+			Name: e.ID, Pool: e.Service, Region: region, Hall: e.Hall, Role: f.roles[e.ID].role(), Leaving: e.Leaving,
 			PrefillRate: assumedReadRate, KVTokens: s.Engines.KVTokens,
 			Step: assumedStep, StepPerStream: assumedStepPerStream, LinkRate: s.Engines.LinkRate,
 		})
--- /dev/null
+++ b/internal/relay/fleet_test.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/decide"
+)
+
+// roleScene is a fleet of one engine whose list and reports disagree.
+type roleScene struct {
+	t     *testing.T
+	f     fleet
+	start time.Time
+}
+
+func (s *roleScene) list(at time.Duration, role decide.EngineRole) {
+	s.f.endpoints = []Endpoint{{ID: "e", Role: role}}
+	s.f.listedRoles(s.start.Add(at))
+}
+
+func (s *roleScene) report(at time.Duration, role decide.EngineRole) {
+	s.f.reportedRole("e", role, s.start.Add(at))
+}
+
+func (s *roleScene) expect(what string, role decide.EngineRole) {
+	s.t.Helper()
+	if got := s.f.roles["e"].role(); got != role {
+		s.t.Errorf("%s: expected the role %s, got %s", what, role, got)
+	}
+}
+
+// A box that the store does not reach learns of a role from the engine itself; an old report
+// takes nothing back that the list has shown since.
+func TestReportedRole(t *testing.T) {
+	s := roleScene{t: t, start: time.Unix(1_800_000_000, 0)}
+	s.list(10*time.Second, decide.Decode)
+	s.expect("listed", decide.Decode)
+	s.report(9*time.Second, decide.Prefill)
+	s.expect("an older report", decide.Decode)
+	s.report(13*time.Second, decide.Prefill)
+	s.expect("a newer report", decide.Prefill)
+	s.list(14*time.Second, decide.Decode)
+	s.expect("the list as it was", decide.Prefill)
+	s.list(15*time.Second, decide.Prefill)
+	s.expect("the list caught up", decide.Prefill)
+	s.list(16*time.Second, decide.Decode)
+	s.expect("the list changed", decide.Decode)
+	s.report(15500*time.Millisecond, decide.Prefill)
+	s.expect("a report from before the change", decide.Decode)
+}
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/stoatramp/stoatramp/internal/decide"
 )
 
@@ -42,6 +45,7 @@
 	var out []Endpoint
 	for _, e := range f.endpoints {
 		if f.cfg != nil && f.cfg.Services[e.Service] != nil && f.cfg.Services[e.Service].Engines != nil {
+			e.Role = f.roles[e.ID].role()
 			out = append(out, e)
 		}
 	}
@@ -60,12 +64,39 @@
 		r.disp.Step(decide.Silent{Engine: e.ID})
 		return
 	}
+	at := now.Add(-l.Age)
+	if !l.Busy && r.fleet.reportedRole(e.ID, l.Role, at) {
+		r.o.Book.Log.Belief("endpoint says it is now "+l.Role.String(), zap.String("endpoint", e.ID), zap.Duration("report_age", l.Age), zap.Duration("list_age", r.listAge()))
+		r.applyFleet()
+	}
 	r.disp.Step(decide.Report{
-		Engine: e.ID, At: now.Add(-l.Age), FreeKV: l.KVTotal - l.KVUsed, Streams: l.Running, Leaving: l.Leaving || l.Busy,
+		Engine: e.ID, At: at, FreeKV: l.KVTotal - l.KVUsed, Streams: l.Running, Leaving: l.Leaving || l.Busy,
 		Runs: l.runs(r.fleet.stride(e.Service)),
 	})
 }
 
+// askWhy asks an engine that has just turned a request away for its load: it may have
+// another role by now, carry out an order or leave.
+func (r *Relay) askWhy(id string) {
+	r.fleet.mu.Lock()
+	i := slices.IndexFunc(r.fleet.endpoints, func(e Endpoint) bool { return e.ID == id })
+	if i < 0 || time.Since(r.fleet.askedWhy[id]) < askWhyPause {
+		r.fleet.mu.Unlock()
+		return
+	}
+	if r.fleet.askedWhy == nil {
+		r.fleet.askedWhy = map[string]time.Time{}
+	}
+	r.fleet.askedWhy[id] = time.Now()
+	e := r.fleet.endpoints[i]
+	r.fleet.mu.Unlock()
+	go r.askLoad(context.Background(), e)
+}
+
+// askWhyPause is the least time between two such questions to one engine: its figures are
+// as of some hundred ms before.
+const askWhyPause = time.Second
+
 // runs says the streams in tokens.
 func (l *Load) runs(stride int) []decide.Run {
 	out := make([]decide.Run, len(l.Runs))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -32,6 +32,7 @@
 	calls  sync.WaitGroup // Those to engines, which report to events.
 
 	read   decide.Attempt // The current prefill.
+	reader string         // The current prefill engine.
 	write  decide.Attempt // The current decode call.
 	writer string         // The current decode engine.
 	// planned is the decode engine that is asked to set memory aside.
@@ -231,7 +232,7 @@
 	switch a := a.(type) {
 	case decide.StartPrefill:
 		f.free() // What an earlier try left.
-		f.read, f.planned = a.Attempt, a.Decode
+		f.read, f.reader, f.planned = a.Attempt, a.Prefill, a.Decode
 		ctx := f.call.Bind(f.ctx, a.Attempt)
 		f.calls.Go(func() { f.callRead(ctx, a) })
 	case decide.StartDecode:
@@ -317,6 +318,13 @@
 }
 
 func (f *flight) failed(a decide.Attempt, e callError) {
+	if e.reason == outcome.EndpointRefused {
+		engine := f.writer
+		if a == f.read {
+			engine = f.reader
+		}
+		f.x.r.askWhy(engine)
+	}
 	f.x.r.disp.Step(decide.Failed{ID: f.id, Attempt: a, Reason: e.reason, Ran: e.ran})
 }
 
