Keep endpoints whose entries lapsed with the store until they should be back

Cause: entries lapse while the platform's store is away, and those of servers that live are back two seconds after its return. Change: an endpoint that is missing within 2.1 s of the store's return is kept, unless it said that it leaves; then the list is taken again as it is. Test: TestLapsedEntries (virtual time), which fails without (guard taken out: 0 of 2 kept).

--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -208,6 +208,35 @@
 	endpoint relay.Endpoint
 }
 
+// lapseGrace is for how long after the store's return an endpoint that is missing from the
+// list is kept: its entry may have lapsed while the store was away, and one that lives writes
+// it again within two seconds.
+const lapseGrace = 2100 * time.Millisecond
+
+// keepLapsed keeps endpoints that are missing since the store is back, and looks again when
+// they should have been back too.
+func (b *RelayBox) keepLapsed(next map[string]listedEndpoint) {
+	left := lapseGrace - b.listBack()
+	if left <= 0 {
+		return
+	}
+	kept := 0
+	for key, old := range b.listed {
+		if _, there := next[key]; !there && !old.endpoint.Leaving {
+			next[key] = old
+			kept++
+		}
+	}
+	if kept > 0 && !b.lapsing {
+		b.lapsing = true
+		b.book.Log.Belief("endpoints kept that lapsed with the store", zap.Int("endpoints", kept), zap.Duration("for", left))
+		time.AfterFunc(left+time.Millisecond, func() { b.tables[tableEndpoints].Again(func() { b.lapsing = false }) })
+	}
+}
+
+// listBack is how long ago the store was heard of again after it did not answer.
+func (b *RelayBox) listBack() time.Duration { return b.tables[tableEndpoints].BackSince() }
+
 // list takes the list of endpoints. Most rows are as before, and most that changed say
 // nothing new of their endpoint: only new text is read, and only news are handed on.
 func (b *RelayBox) list(rows map[string][]byte) {
@@ -227,6 +256,8 @@
 		news = news || !known || e != old.endpoint
 		next[key] = listedEndpoint{text, e}
 	}
+	b.keepLapsed(next)
+	news = news || len(next) != len(b.listed)
 	b.listed = next
 	if !news {
 		return
--- a/internal/box/relay_test.go
+++ b/internal/box/relay_test.go
@@ -1,14 +1,20 @@
 package box
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/stoatramp/stoatramp/internal/account"
 	"github.com/stoatramp/stoatramp/internal/decide"
+	"github.com/stoatramp/stoatramp/internal/follow"
 	"github.com/stoatramp/stoatramp/internal/relay"
 	"github.com/stoatramp/stoatramp/internal/telemetry"
 )
@@ -23,6 +29,7 @@
 		return relay.Endpoint{ID: key, Leaving: string(text) == "leaving"}, nil
 	}}}
 	b.Relay = relay.New(relay.Options{Core: decide.New(rand.New(rand.NewPCG(1, 1)), 1), Book: book})
+	b.tables = map[string]*follow.Table{tableEndpoints: follow.New(nil, follow.Options{}, b.list)}
 	rows := map[string][]byte{}
 	for n := range 100 {
 		rows[fmt.Sprint(n)] = []byte("ready")
@@ -48,3 +55,81 @@
 		t.Error("expected the endpoint to be gone")
 	}
 }
+
+// away is a store that answers only while it is up.
+type away struct {
+	mu   sync.Mutex
+	up   bool
+	rows []follow.Row
+	ver  int64
+}
+
+func (a *away) All(context.Context) ([]follow.Row, int64, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.up {
+		return nil, 0, errors.New("away")
+	}
+	return a.rows, a.ver, nil
+}
+
+func (a *away) Changed(ctx context.Context, since int64, wait time.Duration) ([]follow.Row, int64, error) {
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.up {
+		return nil, 0, errors.New("away")
+	}
+	return nil, 0, follow.ErrForgotten
+}
+
+// An endpoint whose entry lapsed while the store was away is kept until it should be back;
+// one that is missing then is gone, and one that goes while the store answers goes at once.
+func TestLapsedEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		book := &account.Book{Metrics: telemetry.NewMetrics(), Log: account.Quiet()}
+		b := &RelayBox{log: zap.NewNop(), book: book, site: Site{Endpoint: func(key string, _ []byte) (relay.Endpoint, error) {
+			return relay.Endpoint{ID: key}, nil
+		}}}
+		b.Relay = relay.New(relay.Options{Core: decide.New(rand.New(rand.NewPCG(1, 1)), 1), Book: book})
+		store := &away{up: true, ver: 1, rows: []follow.Row{{Key: "a"}, {Key: "b"}, {Key: "c"}}}
+		table := follow.New(store, follow.Options{Wait: 100 * time.Millisecond, Limit: 100 * time.Millisecond}, b.list)
+		b.tables = map[string]*follow.Table{tableEndpoints: table}
+		ctx, cancel := context.WithCancel(context.Background())
+		go table.Run(ctx)
+		expect := func(what string, after time.Duration, n int) {
+			t.Helper()
+			time.Sleep(after)
+			table.Again(func() {})
+			table.Again(func() {
+				if len(b.listed) != n {
+					t.Errorf("%s: expected %d endpoints, got %d", what, n, len(b.listed))
+				}
+			})
+		}
+		set := func(up bool, keys ...string) {
+			store.mu.Lock()
+			defer store.mu.Unlock()
+			store.up, store.rows = up, nil
+			store.ver++
+			for _, k := range keys {
+				store.rows = append(store.rows, follow.Row{Key: k})
+			}
+		}
+		expect("at first", time.Second, 3)
+		set(true, "a", "b")
+		expect("gone while the store answers", time.Second, 2)
+		set(false)
+		expect("while the store is away", 5*time.Second, 2)
+		set(true)
+		expect("all lapsed", 1500*time.Millisecond, 2)
+		set(true, "a")
+		expect("one is back", 3*time.Second, 1)
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -62,6 +62,23 @@
 // Away says that the store did not answer this box last, nor does another one tell of it.
 func (t *Table) Away() bool { return t.lost.Load() }
 
+// isBack notes that the store is heard of, from itself or by way of another box.
+func (t *Table) isBack() {
+	if t.lost.Swap(false) {
+		now := time.Now()
+		t.back.Store(&now)
+	}
+}
+
+// BackSince is how long ago the store was heard of again after it did not answer; very long
+// if it always has.
+func (t *Table) BackSince() time.Duration {
+	if at := t.back.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return 1<<63 - 1
+}
+
 // Version is the store's version of the copy; 0 before the table was read.
 func (t *Table) Version() int64 {
 	t.mu.Lock()
@@ -111,6 +128,9 @@
 		return true
 	}
 	fits := true
+	if !p.Lost {
+		t.isBack() // Before the rows are applied, which may lack some that lapsed meanwhile.
+	}
 	if p.Since == 0 {
 		t.replace(p.Rows, p.Version)
 	} else {
@@ -123,7 +143,6 @@
 	if p.Lost || p.Age > t.o.Stale || !fits {
 		return fits
 	}
-	t.lost.Store(false)
 	t.Fresh.heardAgo(p.Age)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -143,6 +162,17 @@
 	return t.o.Wait, t.o.Pause
 }
 
+// Again has Apply called with the table as it is, after first; what it did before may have
+// depended on the time.
+func (t *Table) Again(first func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	first()
+	if t.rows != nil {
+		t.Apply(t.rows)
+	}
+}
+
 // Alone ends the relief: the box that told of the table does so no more.
 func (t *Table) Alone() {
 	t.mu.Lock()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -105,6 +105,8 @@
 	// to other goroutines.
 	lostAt time.Time
 	lost   atomic.Bool
+	// back is when the store was last heard of again after it did not answer.
+	back atomic.Pointer[time.Time]
 	// followed says that other boxes are told of the table by this one.
 	followed atomic.Bool
 }
@@ -168,7 +170,7 @@
 			t.Back(time.Since(t.lostAt))
 		}
 		t.lostAt = time.Time{}
-		t.lost.Store(false)
+		t.isBack()
 		return
 	}
 	if t.lostAt.IsZero() {
@@ -207,6 +209,7 @@
 	if err != nil {
 		return false, err
 	}
+	t.isBack()
 	return t.merge(rows, since, ver), nil
 }
 
@@ -254,6 +257,7 @@
 	if err != nil {
 		return err
 	}
+	t.isBack()
 	if !t.replace(rows, ver) {
 		return errOld
 	}
