Ask for more room while memory is foreseen; list boxes sooner, and none follows itself

Apart from that: a box listed itself up to 3 s after its start if it had not read the list by its first look, and one that started again took its own old row for a box to follow. Change: 2.0 deviations must fit instead of 1.4; the list is awaited in short steps; a box's own rows are passed over.

--- a/internal/decide/memory.go
+++ b/internal/decide/memory.go
@@ -21,7 +21,7 @@
 	lengthSpread = 0.7
 	guessSpread  = 0.5
 	// overflowSigma is how many standard deviations above the expected use must fit.
-	overflowSigma = 1.4
+	overflowSigma = 2.0
 	// foreseeFor is how old a report may be to foresee anything by it.
 	foreseeFor = 3 * time.Second
 )
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -221,9 +221,11 @@
 func (n *Node) register(ctx context.Context) {
 	sleep(ctx, time.Duration(mrand.Int64N(int64(registerSpread))))
 	for ctx.Err() == nil && n.stopped.Err() == nil {
-		if n.members.known() {
-			n.registerOnce(ctx)
+		if !n.members.known() {
+			sleep(ctx, registerSpread/3)
+			continue
 		}
+		n.registerOnce(ctx)
 		sleep(ctx, registerPause/2+time.Duration(mrand.Int64N(int64(registerPause))))
 	}
 }
@@ -269,13 +271,13 @@
 		return Member{}, false
 	}
 	self := n.o.Self
-	list := n.members.usable(self.Region, time.Now())
+	// The row of an earlier start of this box may still stand.
+	list := slices.DeleteFunc(n.members.usable(self.Region, time.Now()), func(m Member) bool { return m.Name == self.Name })
 	for _, m := range list {
 		if m.Hall == self.Hall && older(m, self) < 0 {
 			return m, true
 		}
 	}
-	list = slices.DeleteFunc(list, func(m Member) bool { return m.Name == self.Name })
 	if len(list) > 0 && (older(list[0], self) < 0 || n.lost()) {
 		return list[0], true
 	}
--- a/internal/overlay/overlay_test.go
+++ b/internal/overlay/overlay_test.go
@@ -285,6 +285,18 @@
 	eventually(t, "the last one has the change", allHave(all[4:], "again"))
 }
 
+// A box that starts again is the youngest, whatever the list still says of it, and nobody
+// follows in a circle.
+func TestStartsAgain(t *testing.T) {
+	s := newStore()
+	all := s.fleet(t)
+	all[0].kill()
+	all[0] = s.start(t, "a", "h1", 9)
+	eventually(t, "the next oldest is first", func() bool { return all[1].follows("") && all[0].follows("b") })
+	s.set("config", follow.Row{Key: "k", Value: []byte("after")})
+	eventually(t, "all have the change", allHave(all, "after"))
+}
+
 // A box that stops as planned leaves the list, and nobody follows it any more.
 func TestLeaves(t *testing.T) {
 	s := newStore()
