Have a box that is the oldest follow nobody, whatever row it began by

Ruled out: clocks (both rows in order), a row that was not written (all followed by it). Change: a box looks again after 2 s also when it has nobody to follow (6 s where it follows because the store did not answer it). Test: TestOldRow, which fails without.

--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -39,8 +39,10 @@
 	// spacing is the least time between two messages to one follower, or to the box followed:
 	// what comes meanwhile goes together.
 	spacing = 60 * time.Millisecond
-	// reconsider is how long a box is followed while a better one could be.
-	reconsider = 2 * time.Second
+	// reconsider is how long a box is followed while a better one could be, or nobody need be,
+	// and reconsiderLost the same where it is followed because the store did not answer.
+	reconsider     = 2 * time.Second
+	reconsiderLost = 6 * time.Second
 	// lookAgain paces looks at the list of members while there is nobody to follow.
 	lookAgain = 500 * time.Millisecond
 	// callLimit bounds a call to another box, and dialLimit the connection to it.
@@ -298,11 +300,15 @@
 func (n *Node) followOne(ctx context.Context, m Member) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	began := time.Now()
+	began, least := time.Now(), reconsider
+	if older(m, n.o.Self) > 0 {
+		least = reconsiderLost
+	}
 	l := newLink(n, m)
 	err := l.follow(ctx, func() bool {
+		// Its row may have shown an earlier start, and nobody is older than this box.
 		best, ok := n.next()
-		return ok && best != m && time.Since(began) > reconsider
+		return (!ok || best != m) && time.Since(began) > least
 	})
 	n.setUp(nil)
 	if ctx.Err() != nil {
--- a/internal/overlay/overlay_test.go
+++ b/internal/overlay/overlay_test.go
@@ -29,6 +29,7 @@
 	vers    map[string]int64                 // Of the rows, by table and key.
 	changed chan struct{}
 	calls   map[string]int // By box.
+	held    string         // The row that is not put; empty if all are.
 }
 
 func newStore() *store {
@@ -106,13 +107,19 @@
 }
 
 func (s *store) Put(_ context.Context, key string, value []byte) error {
-	if s.isDown() {
+	if s.isDown() || s.isHeld(key) {
 		return errDown
 	}
 	s.set("members", follow.Row{Key: key, Value: value})
 	return nil
 }
 
+func (s *store) isHeld(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held == key
+}
+
 func (s *store) isDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -297,6 +304,29 @@
 	eventually(t, "all have the change", allHave(all, "after"))
 }
 
+// A box that follows another by the row of its earlier start leaves it when the list shows
+// that it is the older one itself. Otherwise it would follow a box that takes turns to follow
+// it: all are told the same, and one tries in vain each second.
+func TestOldRow(t *testing.T) {
+	s := newStore()
+	s.held = "y"
+	y := s.start(t, "y", "h1", 20)
+	old := y.o.Self
+	old.Incarnation = 5
+	s.set("members", follow.Row{Key: "y", Value: old.row()})
+	x := s.start(t, "x", "h1", 10)
+	eventually(t, "x follows y by its old row", func() bool { return x.follows("y") })
+	s.mu.Lock()
+	s.held = ""
+	s.mu.Unlock()
+	so := func() bool { return x.follows("") && y.follows("x") }
+	eventually(t, "x follows nobody, and y follows x, for some time", func() bool {
+		first := so()
+		time.Sleep(300 * time.Millisecond)
+		return first && so()
+	})
+}
+
 // A box that stops as planned leaves the list, and nobody follows it any more.
 func TestLeaves(t *testing.T) {
 	s := newStore()
