--- a/cmd/stoatrampd/main.go
+++ b/cmd/stoatrampd/main.go
@@ -79,6 +79,7 @@
 		Operator:  store.Operator(),
 		Endpoints: store.Workers(),
 		Leases:    store.Leases(),
+		Learned:   store.Learned(),
 		Members:   store.Members(),
 		Register:  store.Register(),
 		Objects:   store.Objects(),
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -22,6 +22,7 @@
 	"github.com/stoatramp/stoatramp/internal/control"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/follow"
+	"github.com/stoatramp/stoatramp/internal/learned"
 	"github.com/stoatramp/stoatramp/internal/lease"
 	"github.com/stoatramp/stoatramp/internal/ops"
 	"github.com/stoatramp/stoatramp/internal/overlay"
@@ -53,6 +54,8 @@
 	Objects archive.Listed
 	// Leases is the table that leases are kept in.
 	Leases lease.Rows
+	// Learned is the table in which boxes keep what they learned of engines.
+	Learned lease.Rows
 	// ReadyPath is where the platform asks whether the box takes connections.
 	ReadyPath string
 }
@@ -112,7 +115,7 @@
 	core.LimitRetries(savedRetries)
 	b.makeTables()
 	b.Relay = relay.New(relay.Options{
-		Box: cfg.Name, Hall: cfg.Hall, Region: cfg.Region, Wire: site.Wire, Expect: expected(cfg),
+		Box: cfg.Name, Hall: cfg.Hall, Region: cfg.Region, Wire: site.Wire,
 		Core: core, Book: b.book, Others: b.node, List: &b.listHeard,
 	})
 	b.registerAges()
@@ -131,10 +134,6 @@
 	return b, nil
 }
 
-func expected(cfg *config.Relay) relay.Expect {
-	return relay.Expect{Prompt: cfg.ExpectPrompt, Output: cfg.ExpectOutput, Gap: cfg.ExpectGap}
-}
-
 // registerAges adds the ages of what the box believes to its figures, in seconds.
 func (b *RelayBox) registerAges() {
 	for of, f := range map[string]*follow.Freshness{"configuration": &b.configHeard, "endpoints": &b.listHeard, "policies": &b.rulesHeard} {
@@ -161,6 +160,7 @@
 	go b.Relay.ShareWaiting(b.ctx)
 	go b.Relay.AskLoads(b.ctx)
 	go b.roleManager().Run(b.ctx)
+	go b.learnedKeeper().Run(b.ctx)
 	go b.archive.Run(b.ctx)
 	if cfg.Peers != "" {
 		go b.node.Run(b.ctx)
@@ -201,6 +201,14 @@
 	}
 }
 
+// learnedKeeper keeps what boxes learn of engines in the store.
+func (b *RelayBox) learnedKeeper() *learned.Keeper {
+	return &learned.Keeper{
+		Rows: b.site.Learned, Pools: b.Relay, Boxes: b.node.Members,
+		Failed: func(what string, err error) { b.book.Log.Belief(what, zap.Error(err)) },
+	}
+}
+
 const (
 	// sharedRetries is the part of the retries that the platform allows all boxes which they
 	// spend as a common stock; the rest is for what each may spend by itself, and for those
--- a/internal/box/reload.go
+++ b/internal/box/reload.go
@@ -38,7 +38,6 @@
 	changed := adopt(&next, read)
 	b.settings.Store(&next)
 	b.Relay.SetQueue(next.Queue)
-	b.Relay.SetExpect(expected(&next))
 	b.book.Log.SetRate(next.LoggedRate)
 	b.log.Info("reload", zap.Strings("changed", changed), zap.Strings("needs_restart", fixed(old, read)))
 }
@@ -55,10 +54,10 @@
 	take("stop_timeout", next.StopTimeout != read.StopTimeout)
 	take("logged_rate", next.LoggedRate != read.LoggedRate)
 	take("key_sha256", next.OperatorKeySHA256 != read.OperatorKeySHA256)
-	take("engines", expected(next) != expected(read))
+	take("retry_slack", next.RetrySlack != read.RetrySlack)
 	next.Queue, next.Linger, next.StopTimeout = read.Queue, read.Linger, read.StopTimeout
 	next.LoggedRate, next.OperatorKeySHA256 = read.LoggedRate, read.OperatorKeySHA256
-	next.ExpectPrompt, next.ExpectOutput, next.ExpectGap = read.ExpectPrompt, read.ExpectOutput, read.ExpectGap
+	next.RetrySlack = read.RetrySlack
 	return changed
 }
 
--- a/internal/config/relay.go
+++ b/internal/config/relay.go
@@ -44,11 +44,6 @@
 	LeavingWithin time.Duration
 	ConfigWithin  time.Duration
 
-	// ExpectPrompt, ExpectOutput and ExpectGap are what is expected of streams until some
-	// were seen: tokens, tokens, and the target between events. 0 if nothing.
-	ExpectPrompt int
-	ExpectOutput int
-	ExpectGap    time.Duration
 	// RetrySlack is how many calls beyond the first of each request and a share of them the
 	// platform allows a service in ten seconds, over all boxes; 0 if that is not known.
 	RetrySlack int
@@ -138,10 +133,7 @@
 			s.problem("address", "expected ip:port, found %q", r.Store)
 		}
 	case "engines":
-		r.ExpectPrompt = s.integer("expect_prompt_tokens", 0, 0, 1<<20)
-		r.ExpectOutput = s.integer("expect_output_tokens", 0, 0, 1<<20)
 		r.RetrySlack = s.integer("retry_slack", 0, 0, 1<<20)
-		r.ExpectGap = s.duration("expect_gap", 300*time.Millisecond, time.Millisecond, time.Minute)
 	default:
 		s.problem("", "is not a known section; expected box, callers, readiness, operators, peers, store or engines")
 	}
--- a/internal/decide/advise.go
+++ b/internal/decide/advise.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -15,50 +16,60 @@
 }
 
 const (
-	// adviceGain is how much more a pool must be able to carry for a change of role:
-	// an engine that changes does nothing for some seconds.
-	adviceGain = 1.1
-	// demandBlend is the weight of one arrival in the mean demand.
-	demandBlend = 0.01
-	// demandSeen is how many arrivals tell the demand where the operator expects none.
-	demandSeen = 50
+	// adviceGain is how much more a pool must be able to carry for a change of role while it
+	// has requests: an engine that changes does nothing for some seconds. idleGain is the same
+	// while it has none, when a change costs nothing.
+	adviceGain = 1.25
+	idleGain   = 1.1
+	// idleAfter is how long ago the last request was seen where there are none.
+	idleAfter = 2 * time.Second
+	// steadyFor is for how long no engine must have come or gone: when a fleet starts, or its
+	// list is read again, engines are listed one by one, and half a list advises wrongly.
+	steadyFor = 1500 * time.Millisecond
+	// usualRatio is how many times as long a request takes a decode engine as a prefill engine,
+	// for all that is known before the first: 2.8 to 3.4 on the deployments that were measured
+	// (docs/design/measures.md). It counts as much as usualSeen requests do.
+	usualRatio = 3.0
+	usualSeen  = 100
 )
 
-// demand is the mean work of a request on an engine of each role, in seconds.
-type demand struct {
-	work [2]float64
-	seen int
-}
-
-func (d *demand) arrived(f *flight) {
-	d.seen++
-	blend := max(demandBlend, 1/float64(d.seen))
-	for role := range d.work {
-		d.work[role] += blend * (f.work[role].Seconds() - d.work[role])
+// workRatio is how many times as long a mean request takes a decode engine as a prefill
+// engine. The longer requests have been seen, the less the usual one counts.
+//
+// Example: the first 100 requests take a decode engine as long as a prefill engine, where
+// three times as long is usual. The ratio is the mean of both, by their logarithms: 1.7.
+func (p *pool) workRatio(region string) float64 {
+	n := p.evidence()
+	if n == 0 {
+		return usualRatio
 	}
+	g := p.in(region)
+	f := &flight{Request: Request{
+		Region: region, PromptTokens: int(p.meanPrompt), MaxTokens: int(p.meanOutput), BetweenTokens: p.gap,
+	}}
+	read := max(g.decode[0].readTime(int(p.meanRead)), p.idleTransfer(int(p.meanPrompt))) // All engines of a pool are alike.
+	seen := float64(n) / float64(n+usualSeen)
+	ratio := max(minRatio, p.decodeWork(f).Seconds()/max(minWork, read.Seconds()))
+	return math.Exp(seen*math.Log(ratio) + (1-seen)*math.Log(usualRatio))
 }
 
-// expect begins the demand with what the operator expects.
-func (p *pool) expect() {
-	if p.demand.seen > 0 || p.ExpectPrompt <= 0 {
-		return
-	}
-	for name, g := range p.regions {
-		if len(g.decode) == 0 {
-			continue
-		}
-		f := &flight{Request: Request{
-			Region: name, PromptTokens: p.ExpectPrompt, BetweenTokens: p.ExpectGap,
-			MaxTokens: p.ExpectReserve, ExpectTokens: p.ExpectOutput,
-		}}
-		read := g.decode[0].readTime(p.ExpectPrompt) // All engines of a pool are alike.
-		f.work = [2]time.Duration{read, p.decodeWork(f)}
-		p.demand.arrived(f)
-		p.demand.seen = demandSeen
-		return
+// evidence is how many requests tell what a request asks of engines.
+func (p *pool) evidence() int {
+	switch {
+	case !p.known() || p.gap == 0: // Without a request of its own a box knows no target.
+		return 0
+	case !p.Learns:
+		return p.seen
 	}
+	return min(p.seen, p.speed.readsSeen, p.speed.stepsSeen)
 }
 
+// minRatio and minWork, in seconds, keep the arithmetic sound.
+const (
+	minRatio = 1e-3
+	minWork  = 1e-6
+)
+
 // Advise says which engine should change its role, if any should. A pool carries as
 // many requests as its scarcer role does, so the best split is the one whose busier
 // role is least busy.
@@ -70,12 +81,11 @@
 func (c *Core) Advise() (Advice, bool) {
 	for _, name := range c.names {
 		p := c.pools[name]
-		p.expect()
-		if p.demand.seen < demandSeen {
+		if c.now.Sub(p.changedAt) < steadyFor {
 			continue
 		}
 		for _, region := range p.regionNames() {
-			if a, ok := p.advise(region); ok {
+			if a, ok := p.advise(region, c.now); ok {
 				return a, true
 			}
 		}
@@ -92,7 +102,7 @@
 	return out
 }
 
-func (p *pool) advise(region string) (Advice, bool) {
+func (p *pool) advise(region string, now time.Time) (Advice, bool) {
 	g := p.in(region)
 	prefills, decodes := staying(g.prefill), staying(g.decode)
 	if len(prefills) == 0 && len(decodes) > 1 {
@@ -101,25 +111,30 @@
 	if len(prefills) == 0 || len(decodes) == 0 {
 		return Advice{}, false
 	}
+	ratio := p.workRatio(region)
 	busy := func(readers int) float64 {
 		writers := len(prefills) + len(decodes) - readers
-		return max(p.demand.work[Prefill]/float64(readers), p.demand.work[Decode]/float64(writers))
+		return max(1/float64(readers), ratio/float64(writers))
+	}
+	gain := adviceGain
+	if now.Sub(p.seenAt) > idleAfter {
+		gain = idleGain
 	}
-	now := len(prefills)
-	best := now
+	current := len(prefills)
+	best := current
 	for n := 1; n < len(prefills)+len(decodes); n++ {
 		if busy(n) < busy(best) {
 			best = n
 		}
 	}
-	if best == now || busy(now) < adviceGain*busy(best) {
+	if best == current || busy(current) < gain*busy(best) {
 		return Advice{}, false
 	}
 	from, role := prefills, Decode
-	if best > now {
+	if best > current {
 		from, role = decodes, Prefill
 	}
-	return Advice{Pool: p.Name, Region: region, Engines: mostAlike(from, max(now-best, best-now)), Role: role}, true
+	return Advice{Pool: p.Name, Region: region, Engines: mostAlike(from, max(current-best, best-current)), Role: role}, true
 }
 
 // staying lists the engines that are not leaving, by name.
--- a/internal/decide/advise_test.go
+++ b/internal/decide/advise_test.go
@@ -10,12 +10,9 @@
 )
 
 // poolOf returns a core with so many engines of each role, in three halls.
-func poolOf(prefills, decodes int, selfRead float64, expectOutput int) *Core {
+func poolOf(prefills, decodes int, selfRead float64) *Core {
 	c := New(rand.New(rand.NewPCG(1, 1)), 100)
-	f := Fleet{Pools: []Pool{{
-		Name: "p", KVBytesPerToken: 1, PrefillExpiry: time.Second, SelfRead: selfRead,
-		ExpectPrompt: 5000, ExpectOutput: expectOutput, ExpectReserve: expectOutput * 3 / 2, ExpectGap: 5 * time.Millisecond,
-	}}}
+	f := Fleet{Pools: []Pool{{Name: "p", KVBytesPerToken: 1, PrefillExpiry: time.Second, SelfRead: selfRead}}}
 	for i := range prefills + decodes {
 		role := Prefill
 		if i >= prefills {
@@ -26,33 +23,99 @@
 			KVTokens: 90_000, Step: 600 * time.Microsecond, StepPerStream: 20 * time.Microsecond, LinkRate: 1e9,
 		})
 	}
-	c.Step(time.Unix(1_800_000_000, 0), f)
+	now := time.Unix(1_800_000_000, 0)
+	c.Step(now, f)
+	c.now = now.Add(steadyFor) // An advice waits until no engine comes any more.
 	return c
 }
 
-func expectAdvice(t *testing.T, prefills, decodes, output, changes int, role EngineRole) {
+// seen has the pool have seen many requests of 5,000 tokens with answers of so many.
+func (c *Core) seen(output int) *Core {
+	for range 100 * usualSeen {
+		c.pools["p"].saw(c.now, 5000, 5000, output, 5*time.Millisecond)
+	}
+	return c
+}
+
+// expectAdvice has a pool see requests with answers of so many tokens until a time ago, and
+// expects so many engines to be told to change.
+func expectAdvice(t *testing.T, prefills, decodes, output int, ago time.Duration, changes int, role EngineRole) {
 	t.Helper()
-	a, ok := poolOf(prefills, decodes, 0, output).Advise()
+	c := poolOf(prefills, decodes, 0).seen(output)
+	c.now = c.now.Add(ago)
+	a, ok := c.Advise()
 	if ok != (changes > 0) || len(a.Engines) != changes || ok && a.Role != role {
 		t.Errorf("%d and %d engines, %d tokens: expected %d changes to %s, got %+v", prefills, decodes, output, changes, role, a)
 	}
 }
 
 func TestAdvise(t *testing.T) {
-	expectAdvice(t, 3, 6, 4400, 1, Decode)
-	expectAdvice(t, 4, 5, 4400, 2, Decode)
-	expectAdvice(t, 2, 7, 4400, 0, Decode)
-	expectAdvice(t, 1, 8, 4400, 1, Prefill)
-	expectAdvice(t, 0, 9, 4400, 1, Prefill)
-	expectAdvice(t, 3, 6, 100, 5, Prefill) // Long prompts, terse answers.
-	expectAdvice(t, 1, 0, 4400, 0, Decode)
+	expectAdvice(t, 3, 6, 4400, 0, 0, Decode)
+	expectAdvice(t, 3, 6, 12000, 0, 2, Decode)
+	expectAdvice(t, 4, 5, 8000, 0, 2, Decode)
+	expectAdvice(t, 2, 7, 4400, 0, 0, Decode)
+	expectAdvice(t, 1, 8, 4400, 0, 1, Prefill)
+	expectAdvice(t, 0, 9, 4400, 0, 1, Prefill)
+	expectAdvice(t, 3, 6, 100, 0, 5, Prefill) // Long prompts, terse answers.
+	expectAdvice(t, 1, 0, 4400, 0, 0, Decode)
+}
+
+// A change that gains little is made only while there are no requests that it could hurt.
+func TestAdviseSmallGain(t *testing.T) {
+	expectAdvice(t, 4, 5, 4400, 0, 0, Decode)
+	expectAdvice(t, 4, 5, 4400, idleAfter+time.Millisecond, 2, Decode)
+	expectAdvice(t, 3, 6, 5500, 0, 0, Decode)
+	expectAdvice(t, 3, 6, 5500, idleAfter+time.Millisecond, 1, Decode)
+}
+
+// Before the first requests the usual ratio of the roles stands for what they ask of each.
+func TestAdviseUnseen(t *testing.T) {
+	for _, tc := range []struct{ prefills, decodes, changes int }{{4, 5, 2}, {3, 6, 0}, {2, 7, 0}, {30, 60, 7}} {
+		a, _ := poolOf(tc.prefills, tc.decodes, 0).Advise()
+		if len(a.Engines) != tc.changes {
+			t.Errorf("%d and %d engines: expected %d changes, got %+v", tc.prefills, tc.decodes, tc.changes, a)
+		}
+	}
+}
+
+// While engines are still being listed nothing is ordered: what is there is a part.
+func TestAdviseGrowingList(t *testing.T) {
+	c := poolOf(4, 5, 0)
+	c.now = c.now.Add(-time.Millisecond)
+	if a, ok := c.Advise(); ok {
+		t.Errorf("expected no advice so soon after the last engine was listed, got %+v", a)
+	}
+}
+
+// A box that has only heard of other boxes' requests knows no target between tokens.
+func TestAdviseOthersOnly(t *testing.T) {
+	c := poolOf(2, 7, 0)
+	for range 100 * usualSeen {
+		c.pools["p"].sawElsewhere(Sent{At: c.now, Prompt: 5000, KV: 9400})
+	}
+	if a, ok := c.Advise(); ok {
+		t.Errorf("expected no advice, got %+v", a)
+	}
+}
+
+// What engines' first answers seem to tell of their pace does not turn the roles over.
+func TestAdviseLittleEvidence(t *testing.T) {
+	c := poolOf(2, 7, 0).seen(4400)
+	p := c.pools["p"]
+	p.Learns = true
+	for range speedLeast {
+		c.learn(p, Timing{ReadTokens: 5000, Read: 2 * time.Second, Begin: time.Millisecond, Step: time.Millisecond, Streams: 5})
+	}
+	if a, ok := c.Advise(); ok {
+		t.Errorf("expected no advice by %d timings, got %+v", speedLeast, a)
+	}
 }
 
 // Without prefill engines a decode engine that can reads the prompt, and one that cannot
 // leaves a truthful refusal.
 func TestNoPrefillEngines(t *testing.T) {
 	for _, self := range []float64{0, 0.5} {
-		c := poolOf(0, 3, self, 0)
+		c := poolOf(0, 3, self)
 		out := c.Step(c.now, Arrive{Request{ID: 1, Pool: "p", Region: "r", PromptTokens: 100, MaxTokens: 10, FirstToken: time.Second, BetweenTokens: 5 * time.Millisecond}})
 		switch a := out[len(out)-1].(type) {
 		case StartDecode:
@@ -72,7 +135,7 @@
 // An engine that refused to set memory aside is left alone for a moment, and no retry is
 // taken from the budget.
 func TestNoRoomTriesAnother(t *testing.T) {
-	c := poolOf(1, 2, 0, 0)
+	c := poolOf(1, 2, 0)
 	tokens := c.budget.tokens
 	out := c.Step(c.now, Arrive{Request{ID: 1, Pool: "p", Region: "r", PromptTokens: 100, MaxTokens: 10, FirstToken: time.Second, BetweenTokens: 5 * time.Millisecond}})
 	first := out[len(out)-1].(StartPrefill)
@@ -104,7 +167,7 @@
 // An engine that turned a prompt away is a last resort for some seconds: whatever made it do
 // so lasts, and each refusal takes one of the few retries.
 func TestRefusedIsLastResort(t *testing.T) {
-	c := poolOf(2, 2, 0, 0)
+	c := poolOf(2, 2, 0)
 	out := c.Step(c.now, Arrive{Request{ID: 1, Pool: "p", Region: "r", PromptTokens: 100, MaxTokens: 10, FirstToken: time.Second, BetweenTokens: 5 * time.Millisecond, Repeatable: true, ReadNotRun: true}})
 	first := out[len(out)-1].(StartPrefill)
 	out = c.Step(c.now, Failed{ID: 1, Attempt: first.Attempt, Reason: outcome.EndpointRefused})
@@ -129,7 +192,7 @@
 // An engine that carried out an order takes work as soon as its new role is known, and not
 // only when it is asked for its load again.
 func TestRoleChangeEndsOrder(t *testing.T) {
-	c := poolOf(1, 2, 0, 0)
+	c := poolOf(1, 2, 0)
 	e := c.engines["e01"]
 	c.Step(c.now, Report{Engine: "e01", At: c.now, Leaving: true})
 	if !e.leaving() {
--- a/internal/decide/arrive.go
+++ b/internal/decide/arrive.go
@@ -23,8 +23,7 @@
 		return
 	}
 	c.setWork(f)
-	f.pool.demand.arrived(f)
-	f.pool.sawLength(f)
+	f.pool.saw(c.now, f.PromptTokens, f.readTokens, f.expected(), f.BetweenTokens)
 	f.order = f.latestStart.Add(time.Duration(f.Priority) * time.Second)
 	if f.Policy != nil && !c.admit(f) {
 		return
@@ -68,7 +67,9 @@
 // to be read at the latest, with nothing else running.
 func (c *Core) setWork(f *flight) {
 	read := time.Duration(1<<63 - 1)
+	f.readTokens = f.PromptTokens
 	for _, e := range c.lookAt(f.pool, f) {
+		f.readTokens = min(f.readTokens, f.PromptTokens-e.cachedTokens(f))
 		read = min(read, e.readTime(f.PromptTokens-e.cachedTokens(f)))
 	}
 	if f.pool.SelfRead > 0 && len(c.prefills) == 0 {
@@ -79,7 +80,7 @@
 	transfer := f.pool.idleTransfer(f.PromptTokens)
 	f.work[Prefill] = max(read, transfer)
 	f.work[Decode] = f.pool.decodeWork(f)
-	f.latestStart = f.arrived.Add(f.FirstToken - read - transfer - f.pool.bestStep)
+	f.latestStart = f.arrived.Add(f.FirstToken - read - f.pool.speed.ReadDelay - transfer - f.pool.beginTime(f.pool.bestStep))
 }
 
 func (c *Core) shortestQueue(f *flight) time.Duration {
--- a/internal/decide/attempt.go
+++ b/internal/decide/attempt.go
@@ -38,13 +38,15 @@
 	}
 	f.prefill, f.prefillAttempt, f.reading = q.prefill, f.attempt, true
 	f.readTokens = f.PromptTokens - q.Cached
-	c.setStage(f, prefilling, q.Queue+q.Read)
+	delay := f.pool.speed.ReadDelay
+	c.setStage(f, prefilling, q.Queue+q.Read+delay)
 	c.holdDecode(f, q.decode)
-	f.explained = c.now.Add(q.prefill.ownQueue(c.now) + q.Read)
+	f.explained = c.now.Add(q.prefill.ownQueue(c.now) + q.Read + delay)
+	f.readAhead = int(q.prefill.ownQueue(c.now).Seconds() * q.prefill.PrefillRate)
 	q.prefill.addPrefill(c.now, f.ID, f.readTokens)
 	q.prefill.cache.add(f.Blocks)
 	q.prefill.health.chosen(c.now)
-	f.predictedRead = c.now.Add(q.Queue + q.Read)
+	f.predictedRead = c.now.Add(q.Queue + q.Read + delay)
 	f.plan(f.predictedRead)
 	c.emit(StartPrefill{f.ID, f.attempt, q.prefill.Name, q.decode.Name, f.enginePriority(), ch})
 	return true
@@ -92,7 +94,7 @@
 func (c *Core) holdDecode(f *flight, e *engine) {
 	f.decode = e
 	f.held = f.need()
-	e.addDecode(c.now, f.ID, f.held, f.PromptTokens, f.needNow()-f.PromptTokens, f.weight())
+	e.addDecode(c.now, f.ID, booking{f.held, f.PromptTokens, f.needNow() - f.PromptTokens, f.expected()}, f.weight())
 	e.health.chosen(c.now)
 }
 
@@ -135,6 +137,9 @@
 	}
 	f.prefill.cache.learn(f.PromptTokens-f.readTokens, ev.Cached, len(f.Blocks))
 	f.readTokens = max(0, f.PromptTokens-ev.Cached)
+	if float64(f.readAhead) <= idleAhead*float64(f.readTokens) {
+		f.timing.ReadTokens, f.timing.Read = f.readTokens+f.readAhead, c.now.Sub(f.stageStart)
+	}
 	c.releasePrefill(f)
 	c.succeeded(f.prefill)
 	moved := outcome.OK
@@ -159,7 +164,7 @@
 	f.decodeAttempt = f.attempt
 	takes := predictTransfer(f.pool, f, f.prefill, f.decode, c.now)
 	f.plan(c.now)
-	c.setStage(f, transferring, takes+f.decode.stepTime())
+	c.setStage(f, transferring, takes+f.pool.beginTime(f.decode.stepTime()))
 	c.emit(StartDecode{
 		ID: f.ID, Attempt: f.attempt, Prefill: f.prefill.Name, PrefillAttempt: f.prefillAttempt,
 		Decode: f.decode.Name, Priority: f.enginePriority(), Moved: moved,
@@ -217,8 +222,11 @@
 	c.endSelfRead(f)
 	if f.prefill != nil {
 		alone := transferTime(f.pool, f, f.prefill, f.decode)
-		f.pool.surprise.sent(c.now.Sub(f.stageStart)-f.decode.stepTime(), alone)
+		took := c.now.Sub(f.stageStart)
+		f.pool.surprise.sent(took-f.pool.beginTime(f.decode.stepTime()), alone)
+		f.timing.Begin = max(0, took-alone)
 	}
+	f.firstTokens = ev.Tokens
 	f.prefillAttempt = 0 // The decode engine has taken the KV cache.
 	f.stageDeadline = time.Time{}
 	c.succeeded(f.decode)
@@ -230,6 +238,9 @@
 		return
 	}
 	c.succeeded(f.decode)
+	f.timing.Step, f.timing.Streams = f.stepOf(c.now, ev.Output), f.decode.running()
+	c.learn(f.pool, f.timing)
+	c.emit(Took{f.ID, f.timing})
 	f.decodeAttempt, f.prefillAttempt = 0, 0
 	c.forget(f)
 	c.drainQueue(f.pool)
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -97,7 +97,15 @@
 	decodeAttempt Attempt // 0 when no decode engine was sent anything.
 	held          int     // Tokens held in the decode ledger.
 
+	// readAhead is how many tokens were known to be in front of the prompt, and timing what the
+	// request took of engines so far.
+	readAhead int
+	timing    Timing
+
 	began time.Time // When the answer began.
+	// firstTokens came at once then, and wasMoved says that the stream went on elsewhere.
+	firstTokens int
+	wasMoved    bool
 	// target is the engine that the stream is being moved to, with targetHeld tokens held in
 	// its ledger, under moveAttempt; nil if it is not. It is not moved before stayUntil.
 	target      *engine
@@ -143,10 +151,12 @@
 	pools   map[string]*pool
 	names   []string // Pool names in order, so that runs repeat exactly.
 	flights map[ID]*flight
-	budget  retryBudget
-	others  others
-	now     time.Time
-	out     []Action
+	// remembered is what was learned of pools before this core began.
+	remembered map[string]Learned
+	budget     retryBudget
+	others     others
+	now        time.Time
+	out        []Action
 
 	// Scratch space of choose, kept to spare allocations.
 	prefills, decodes []*engine
@@ -158,12 +168,13 @@
 // New returns an empty core that lets at most maxWait requests wait.
 func New(rng *rand.Rand, maxWait int) *Core {
 	return &Core{
-		rng:     rng,
-		maxWait: maxWait,
-		engines: map[string]*engine{},
-		pools:   map[string]*pool{},
-		flights: map[ID]*flight{},
-		budget:  retryBudget{tokens: retryTokens, most: retryTokens},
+		rng:        rng,
+		maxWait:    maxWait,
+		engines:    map[string]*engine{},
+		pools:      map[string]*pool{},
+		flights:    map[ID]*flight{},
+		remembered: map[string]Learned{},
+		budget:     retryBudget{tokens: retryTokens, most: retryTokens},
 	}
 }
 
@@ -222,6 +233,7 @@
 			e.heardSent(ev)
 			if ev.KV > 0 {
 				c.others.started(ev.At)
+				c.pools[e.Pool].sawElsewhere(ev)
 			}
 		}
 	case Migrated:
@@ -234,13 +246,18 @@
 		}
 	case Ended:
 		if e := c.engines[ev.Engine]; e != nil {
-			e.heardEnded(ev)
-			if p := c.pools[e.Pool]; p != nil {
-				c.drainQueue(p)
-			}
+			p := c.pools[e.Pool]
+			e.heardEnded(p, ev)
+			c.drainQueue(p)
 		}
 	case OthersWait:
 		c.others.waiting = ev.N
+	case Remember:
+		c.remember(ev.Learned)
+	case OtherTook:
+		if p := c.pools[ev.Pool]; p != nil {
+			c.learn(p, ev.Timing)
+		}
 	case Spent:
 		c.budget.spent(c.now, ev.N)
 	case Silent:
@@ -271,12 +288,15 @@
 	for _, p := range ev.Pools {
 		if c.pools[p.Name] == nil {
 			c.pools[p.Name] = &pool{}
+			c.pools[p.Name].remember(c.remembered[p.Name])
 			c.names = append(c.names, p.Name)
 			slices.Sort(c.names)
 		}
 		c.pools[p.Name].Pool = p
 	}
+	before := map[*pool]int{}
 	for _, p := range c.pools {
+		before[p] = len(p.prefill) + len(p.decode)
 		p.prefill, p.decode = nil, nil
 	}
 	named := map[string]bool{}
@@ -309,7 +329,11 @@
 		}
 	}
 	for _, name := range c.names {
-		c.pools[name].rebuild()
+		p := c.pools[name]
+		if len(p.prefill)+len(p.decode) != before[p] {
+			p.changedAt = c.now
+		}
+		p.rebuild()
 		c.drainQueue(c.pools[name])
 	}
 }
@@ -338,10 +362,9 @@
 	if e.unanswered {
 		c.emit(Believed{Engine: e.Name, State: Usable})
 	}
-	e.addReport(c.now, r)
-	if p := c.pools[e.Pool]; p != nil {
-		c.drainQueue(p)
-	}
+	p := c.pools[e.Pool]
+	e.addReport(c.now, p, r)
+	c.drainQueue(p)
 }
 
 // tickEvery is how often the driver is expected to send Tick.
--- a/internal/decide/ledger.go
+++ b/internal/decide/ledger.go
@@ -42,11 +42,17 @@
 type sentWork struct {
 	id      ID
 	at      time.Time
-	tokens  int
-	kv      int
-	prompt  int // The part of kv that is taken from the start,
-	ahead   int // and what must be free beside it then.
+	tokens  int // To be read by a prefill engine.
 	streams float64
+	booking
+}
+
+// booking is memory of a decode engine that is booked for a stream, in tokens.
+type booking struct {
+	kv     int // All that it may take.
+	prompt int // The part of kv that is taken from the start,
+	ahead  int // and what must be free beside it then.
+	answer int // How long the answer is expected to be.
 }
 
 const (
@@ -163,10 +169,10 @@
 }
 
 // addDecode holds memory for a request on the engine.
-func (e *engine) addDecode(now time.Time, id ID, kv, prompt, ahead int, weight float64) {
-	e.heldKV += kv
+func (e *engine) addDecode(now time.Time, id ID, b booking, weight float64) {
+	e.heldKV += b.kv
 	e.streams += weight
-	e.note(sentWork{id: id, at: now, kv: kv, prompt: prompt, ahead: ahead, streams: weight})
+	e.note(sentWork{id: id, at: now, booking: b, streams: weight})
 }
 
 // heardSent books what another box sent, as if this one had, until a report includes it.
@@ -174,7 +180,7 @@
 	if e.reported && !s.At.After(e.report.At) {
 		return
 	}
-	w := sentWork{at: s.At, tokens: s.Tokens, kv: s.KV, prompt: s.Prompt, ahead: s.Ahead}
+	w := sentWork{at: s.At, tokens: s.Tokens, booking: booking{s.KV, s.Prompt, s.Ahead, s.KV - s.Prompt}}
 	if s.KV > 0 {
 		w.streams = 1
 	}
@@ -211,19 +217,19 @@
 
 // heardEnded takes a stream out of the report that still shows it: the one that would have
 // grown to that size by now.
-func (e *engine) heardEnded(ev Ended) {
+func (e *engine) heardEnded(p *pool, ev Ended) {
 	if !e.reported || e.report.Runs == nil || !ev.At.After(e.report.At) {
 		return
 	}
 	if len(e.ended) < maxSent {
 		e.ended = append(e.ended, ev)
 	}
-	e.takeOut(ev)
+	e.takeOut(p, ev)
 }
 
-func (e *engine) takeOut(ev Ended) {
+func (e *engine) takeOut(p *pool, ev Ended) {
 	grown := int(ev.At.Sub(e.report.At) / max(time.Microsecond, e.stepTime()))
-	best, least := -1, endedSlack
+	best, least := -1, int(endedSlack*p.meanOutput)
 	for i, r := range e.report.Runs {
 		if d := abs(r.Tokens + grown - ev.Tokens); d < least {
 			best, least = i, d
@@ -239,8 +245,8 @@
 }
 
 // endedSlack is how far off the size of a stream that ended may be from that of the stream
-// in a report that is taken for it, in tokens.
-const endedSlack = 1500
+// in a report that is taken for it, as a part of a mean answer.
+const endedSlack = 0.35
 
 func abs(n int) int { return max(n, -n) }
 
@@ -267,7 +273,7 @@
 
 // addReport takes an engine's own figures and lays the work sent since on top.
 // An older report than the last is ignored, since reports may cross.
-func (e *engine) addReport(now time.Time, r Report) {
+func (e *engine) addReport(now time.Time, p *pool, r Report) {
 	if e.reported && r.At.Before(e.report.At) {
 		return
 	}
@@ -283,7 +289,7 @@
 	e.sent = append(e.sent[:0], e.sent[n:]...)
 	e.ended = slices.DeleteFunc(e.ended, func(ev Ended) bool { return !ev.At.After(r.At) })
 	for _, ev := range e.ended {
-		e.takeOut(ev)
+		e.takeOut(p, ev)
 	}
 	e.busyUntil = r.At.Add(e.readTime(r.QueuedTokens))
 	for _, w := range e.sent {
--- a/internal/decide/memory.go
+++ b/internal/decide/memory.go
@@ -61,11 +61,9 @@
 const (
 	// outlookFor is for how long an outlook stands.
 	outlookFor = 25 * time.Millisecond
-	// beginTime is what passes from when a stream is placed until it writes. Until then all
-	// that was set aside for it is taken.
-	beginTime = 200 * time.Millisecond
-	// usualReserve is the part of what is set aside for an answer that it is expected to take.
-	usualReserve = 0.8
+	// usualStart is what passes from when a stream is placed until it writes where that was
+	// not learned. Until then all that was set aside for it is taken.
+	usualStart = 200 * time.Millisecond
 )
 
 // foresee works out the outlook of an engine that has a fresh report. The report is as of
@@ -79,6 +77,7 @@
 		return o
 	}
 	o := outlook{at: now}
+	start := p.startTime()
 	step := max(1e-6, (e.Step + time.Duration(e.report.Streams)*e.StepPerStream).Seconds())
 	since := e.reportAge(now).Seconds() / step
 	median := p.meanOutput * math.Exp(-lengthSpread*lengthSpread/2)
@@ -104,11 +103,11 @@
 			o.add(i, float64(r.Tokens)+since+t, alive(r)*lasts(float64(r.Made)+since, t, median))
 		}
 		for _, w := range e.sent {
-			if age := now.Sub(w.at); w.kv > 0 && i == 0 && age < beginTime {
+			if age := now.Sub(w.at); w.kv > 0 && i == 0 && age < start {
 				o.mean[0] += float64(w.prompt + w.ahead)
 			} else if w.kv > 0 {
-				made := t + max(0, (age-beginTime).Seconds()/step)
-				o.add(i, float64(w.prompt)+made, above(made, max(1, usualReserve*float64(w.kv-w.prompt)), guessSpread))
+				made := t + max(0, (age-start).Seconds()/step)
+				o.add(i, float64(w.prompt)+made, above(made, max(1, float64(w.answer)), guessSpread))
 			}
 		}
 	}
@@ -119,6 +118,14 @@
 	return &e.outlook
 }
 
+// startTime is what passes from when a stream is placed until it writes.
+func (p *pool) startTime() time.Duration {
+	if p.speed.Begin == 0 || p.speed.PrefillRate == 0 {
+		return usualStart
+	}
+	return p.speed.ReadDelay + seconds(p.meanRead/p.speed.PrefillRate) + p.speed.Begin
+}
+
 // lasts is the probability that a stream that has made so many tokens makes that many more.
 func lasts(made, more, median float64) float64 {
 	return above(made+more, median, lengthSpread) / max(1e-9, above(made, median, lengthSpread))
@@ -149,7 +156,7 @@
 	if f.patient {
 		return true
 	}
-	guess := max(1, float64(f.expectedTokens()))
+	guess := max(1, float64(f.expected()))
 	for i, part := range horizons {
 		t := part * p.meanOutput
 		chance := above(t, guess, guessSpread)
@@ -162,24 +169,31 @@
 	return true
 }
 
-// expectedTokens is how long the answer is expected to be.
-func (f *flight) expectedTokens() int {
-	if f.ExpectTokens > 0 {
-		return f.ExpectTokens
-	}
-	return f.MaxTokens
+// lengths are those of requests on the mean, in tokens. They are 0 before the first.
+type lengths struct {
+	meanPrompt float64
+	meanOutput float64 // As it is expected to be.
+	// meanRead is the part of a prompt that is not cached.
+	meanRead float64
+	// gap is the target between tokens of the last request.
+	gap    time.Duration
+	seen   int
+	seenAt time.Time
 }
 
-// outputBlend is the weight of one arrival in the mean lengths.
-const outputBlend = 0.02
-
-// sawLength learns how long prompts are, and answers are expected to be.
-func (p *pool) sawLength(f *flight) {
-	n := float64(f.expectedTokens())
-	if p.meanOutput == 0 {
-		p.meanOutput = max(n, float64(p.ExpectOutput))
-		p.meanPrompt = float64(max(f.PromptTokens, p.ExpectPrompt))
-	}
-	p.meanOutput += outputBlend * (n - p.meanOutput)
-	p.meanPrompt += outputBlend * (float64(f.PromptTokens) - p.meanPrompt)
+// lengthBlend is the weight of one request, at the least.
+const lengthBlend = 0.02
+
+// saw takes the lengths of one request.
+func (l *lengths) saw(now time.Time, prompt, read, output int, gap time.Duration) {
+	l.seen++
+	l.seenAt = now
+	blend := max(lengthBlend, 1/float64(l.seen))
+	l.meanPrompt += blend * (float64(prompt) - l.meanPrompt)
+	l.meanRead += blend * (float64(read) - l.meanRead)
+	l.meanOutput += blend * (float64(output) - l.meanOutput)
+	l.gap = gap
 }
+
+// sawElsewhere takes the lengths of a request that another box sent to an engine.
+func (l *lengths) sawElsewhere(ev Sent) { l.saw(ev.At, ev.Prompt, ev.Prompt, ev.KV-ev.Prompt, l.gap) }
--- a/internal/decide/memory_test.go
+++ b/internal/decide/memory_test.go
@@ -17,7 +17,7 @@
 		e.report.Runs = append(e.report.Runs, Run{Tokens: tokens, Made: made})
 	}
 	e.report.FreeKV = e.KVTokens - runs*tokens
-	p := &pool{meanOutput: 4400}
+	p := &pool{lengths: lengths{meanOutput: 4400}}
 	f := &flight{Request: Request{PromptTokens: 4000, MaxTokens: 4000, ExpectTokens: 4400}}
 	if got := !e.hasRoom(p, f, now); got != want {
 		t.Errorf("%d runs of %d tokens, %d made, %s old: expected %t, got %t", runs, tokens, made, age, want, got)
@@ -35,7 +35,7 @@
 // has just begun has grown.
 func TestOverflowSince(t *testing.T) {
 	now := time.Now()
-	p := &pool{Pool: Pool{}, meanOutput: 4400}
+	p := &pool{lengths: lengths{meanOutput: 4400}}
 	f := &flight{Request: Request{PromptTokens: 4000, MaxTokens: 4000, ExpectTokens: 4400}}
 	room := func(age time.Duration, runs ...Run) bool {
 		e := &engine{Engine: Engine{KVTokens: 63000, Step: time.Millisecond}, reported: true}
@@ -70,7 +70,7 @@
 	e := &engine{Engine: Engine{KVTokens: 63000, Slots: 3, Step: time.Millisecond}, reported: true}
 	e.report = Report{At: now, Runs: []Run{{1000, 10}, {1000, 10}, {1000, 10}}, FreeKV: 60000}
 	f := &flight{Request: Request{PromptTokens: 1000, MaxTokens: 1000, ExpectTokens: 1000}}
-	if e.hasRoom(&pool{meanOutput: 4400}, f, now) {
+	if e.hasRoom(&pool{lengths: lengths{meanOutput: 4400}}, f, now) {
 		t.Error("expected no room for a fourth stream in three places")
 	}
 }
@@ -81,7 +81,7 @@
 	e := &engine{Engine: Engine{KVTokens: 63000}, reported: true}
 	e.report = Report{At: now, Runs: []Run{{Tokens: 5000}}, FreeKV: 4000}
 	f := &flight{Request: Request{PromptTokens: 4000, MaxTokens: 0, ExpectTokens: 4400}}
-	if e.hasRoom(&pool{meanOutput: 4400}, f, now) {
+	if e.hasRoom(&pool{lengths: lengths{meanOutput: 4400}}, f, now) {
 		t.Error("expected 54,000 tokens set aside to count")
 	}
 }
--- a/internal/decide/migrate.go
+++ b/internal/decide/migrate.go
@@ -49,8 +49,9 @@
 	migrateSigma   = 0.5
 	// migratePause keeps a stream where it is after it was moved, or could not be.
 	migratePause = 1500 * time.Millisecond
-	// leastLeft is how many tokens a stream must be expected to make yet to be worth moving.
-	leastLeft = 500
+	// leastLeft is what a stream must be expected to make yet to be worth moving, as a part of
+	// a mean answer.
+	leastLeft = 0.12
 	// otherHall is what a decode engine in another hall must have free beyond one in the same,
 	// as a part of its memory: moves between halls take twice as long.
 	otherHall = 0.1
@@ -81,7 +82,7 @@
 // shouldMove says whether a stream is better off elsewhere: its engine leaves, or will run
 // out of memory and displace this stream, the newest.
 func (c *Core) shouldMove(p *pool, f *flight) bool {
-	if f.left(c.now) < leastLeft {
+	if float64(f.left(c.now)) < leastLeft*p.meanOutput {
 		return false
 	}
 	return f.decode.Leaving || f.decode.crowded(p, c.now) && f.decode.newest(f)
@@ -119,7 +120,7 @@
 
 // left is how many tokens it is expected to make yet.
 func (f *flight) left(now time.Time) int {
-	made, n := f.made(now), f.expectedTokens()
+	made, n := f.made(now), f.expected()
 	if made < n {
 		return n - made
 	}
@@ -155,7 +156,7 @@
 	}
 	f.target, f.targetHeld = to, rest.need()
 	f.moveAttempt = f.newAttempt()
-	to.addDecode(c.now, f.ID, f.targetHeld, rest.PromptTokens, 0, f.weight())
+	to.addDecode(c.now, f.ID, booking{f.targetHeld, rest.PromptTokens, 0, rest.expected()}, f.weight())
 	c.emit(Migrate{f.ID, f.moveAttempt, f.decode.Name, to.Name, f.decode.Leaving})
 }
 
@@ -182,6 +183,7 @@
 		return
 	}
 	f.decode.dropDecode(f.ID, f.held, f.weight())
+	f.wasMoved = true
 	f.decode, f.held = f.target, f.targetHeld
 	f.target, f.targetHeld = nil, 0
 	c.succeeded(f.decode)
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -52,11 +52,12 @@
 	pace     pace
 	surprise surprise
 	urgency  urgency
-	demand   demand
-	// meanOutput is the mean of how long answers are expected to be, and meanPrompt that of
-	// prompts, in tokens.
-	meanOutput float64
-	meanPrompt float64
+	speed    speed
+	// said is what was last said of it to the driver.
+	said Learned
+	// changedAt is when engines were last added or taken away.
+	changedAt time.Time
+	lengths
 	// scarce is the role that waiting requests lack.
 	scarce EngineRole
 	// bestPerStream is the least a stream adds to a step.
@@ -77,7 +78,10 @@
 	prefill  []*engine
 	decode   []*engine
 	prefills int // Those not leaving by the configuration.
-	mostKV   int // Memory of the largest decode engine that stays, in tokens.
+	// mostKV and mostSlots are the memory in tokens, and the places, of the largest decode
+	// engine that stays; no places mean no bound.
+	mostKV    int
+	mostSlots int
 }
 
 // in returns the part of the pool in a region, which may be empty.
@@ -99,8 +103,8 @@
 }
 
 // decodeWork is a request's share of a decode engine that is full of requests like it:
-// full because of the target between tokens, or because its memory holds no more. Memory
-// counts at half the answer: streams are at all points of their answers at once.
+// full because of the target between tokens, or because its memory or places hold no more.
+// Memory counts at half the answer: streams are at all points of their answers at once.
 //
 // Example: a target that allows 100 streams, memory for 10 such requests half written,
 // and steps of 1 ms with 10 streams. 400 tokens take 400 ms, and a tenth of the engine:
@@ -108,7 +112,12 @@
 func (p *pool) decodeWork(f *flight) time.Duration {
 	n := p.batch(f.BetweenTokens)
 	step := f.BetweenTokens
-	if held := p.in(f.Region).mostKV / max(1, f.PromptTokens+f.MaxTokens/2); held < n {
+	g := p.in(f.Region)
+	held := g.mostKV / max(1, f.PromptTokens+f.MaxTokens/2)
+	if g.mostSlots > 0 {
+		held = min(held, g.mostSlots)
+	}
+	if held < n {
 		n = max(1, held)
 		step = p.bestStep + time.Duration(n-1)*p.bestPerStream
 	}
@@ -136,6 +145,7 @@
 	slices.SortFunc(p.prefill, byName)
 	slices.SortFunc(p.decode, byName)
 	p.ring = p.ring[:0]
+	p.apply()
 	p.measure()
 	for _, e := range p.prefill {
 		h := fnv.New64a()
@@ -173,6 +183,7 @@
 			p.bestStep, p.bestPerStream = step, e.StepPerStream
 		}
 		g.mostKV = max(g.mostKV, e.KVTokens)
+		g.mostSlots = max(g.mostSlots, e.Slots)
 	}
 }
 
@@ -372,7 +383,7 @@
 		if e == favourite {
 			r.extra -= p.surprise.pull() * e.readTime(len(f.Blocks)*BlockTokens-r.cached).Seconds()
 		}
-		r.ready = now.Add(r.queue + r.read)
+		r.ready = now.Add(r.queue + r.read + p.speed.ReadDelay)
 		r.extra += r.queue.Seconds() + (1+workWeight)*r.read.Seconds() + noise*c.rng.Float64()
 		c.readers = append(c.readers, r)
 	}
@@ -428,7 +439,7 @@
 	r, w := &c.readers[i], &c.writers[j]
 	q := pair{reader: i, writer: j}
 	q.transfer = predictTransfer(p, f, r.e, w.e, r.ready)
-	q.first = r.queue + r.read + q.transfer + w.step
+	q.first = r.queue + r.read + p.speed.ReadDelay + q.transfer + p.beginTime(w.step)
 	q.cost = r.extra + w.extra + q.transfer.Seconds()
 	if r.e.Hall != w.e.Hall {
 		q.cost += otherHallCost
@@ -446,7 +457,7 @@
 	w := &c.writers[j]
 	q := pair{reader: selfReader, writer: j, queue: w.e.queueTime(now)}
 	read := w.e.readTime(int(float64(f.PromptTokens) / p.SelfRead))
-	q.first = q.queue + read + w.step
+	q.first = q.queue + read + p.speed.ReadDelay + p.beginTime(w.step)
 	q.cost = w.extra + q.queue.Seconds() + (1+workWeight)*read.Seconds() + selfReadCost
 	return q
 }
--- /dev/null
+++ b/internal/decide/speed_test.go
@@ -0,0 +1,91 @@
+package decide
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// engineOf makes timings of an engine of that speed. One read in two stood behind prompts
+// that nobody heard of, and one stream in ten was displaced.
+func timingsOf(s Speed, n int) []Timing {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var out []Timing
+	for range n {
+		tokens := 1000 + rng.IntN(6000)
+		streams := 1 + rng.IntN(16)
+		t := Timing{
+			ReadTokens: tokens, Read: s.ReadDelay + seconds(float64(tokens)/s.PrefillRate), Begin: s.Begin,
+			Step: s.Step + time.Duration(streams)*s.StepPerStream, Streams: float64(streams),
+		}
+		if rng.IntN(2) == 0 {
+			t.Read += time.Duration(rng.IntN(500)) * time.Millisecond
+		}
+		if rng.IntN(10) == 0 {
+			t.Step *= 3
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+func within(got, want, part float64) bool { return got >= want*(1-part) && got <= want*(1+part) }
+
+func expectSpeed(t *testing.T, got, want Speed) {
+	t.Helper()
+	const full = 10 // Streams at which the steps are compared.
+	at := func(s Speed) float64 { return (s.Step + full*s.StepPerStream).Seconds() }
+	read := func(s Speed) float64 { return s.ReadDelay.Seconds() + 3000/s.PrefillRate }
+	if !within(got.PrefillRate, want.PrefillRate, 0.15) || !within(read(got), read(want), 0.15) || !within(at(got), at(want), 0.1) || got.Begin != want.Begin {
+		t.Errorf("expected about %+v, learned %+v", want, got)
+	}
+}
+
+func learned(p *pool, list []Timing) Speed {
+	c := New(rand.New(rand.NewPCG(1, 1)), 1)
+	for _, t := range list {
+		c.learn(p, t)
+	}
+	return p.speed.Speed
+}
+
+var (
+	fastEngine = Speed{PrefillRate: 55_000, ReadDelay: 12 * time.Millisecond, Begin: 7 * time.Millisecond, Step: 580 * time.Microsecond, StepPerStream: 19 * time.Microsecond}
+	slowEngine = Speed{PrefillRate: 33_000, ReadDelay: 55 * time.Millisecond, Begin: 19 * time.Millisecond, Step: 5 * time.Millisecond, StepPerStream: 30 * time.Microsecond}
+)
+
+func TestLearnsSpeed(t *testing.T) {
+	for _, s := range []Speed{fastEngine, slowEngine} {
+		expectSpeed(t, learned(&pool{Pool: Pool{Learns: true}}, timingsOf(s, 100)), s)
+	}
+}
+
+// Engines that are exchanged for others show in the newest timings.
+func TestLearnsChange(t *testing.T) {
+	p := &pool{Pool: Pool{Learns: true}}
+	learned(p, timingsOf(fastEngine, 3*speedKept))
+	expectSpeed(t, learned(p, timingsOf(slowEngine, speedKept)), slowEngine)
+}
+
+// What earlier boxes knew stands until this one has seen enough, and does not outweigh it.
+func TestLearnsAfterOthers(t *testing.T) {
+	p := &pool{Pool: Pool{Learns: true}}
+	p.speed.remember(slowEngine)
+	if p.speed.Speed != slowEngine || !p.known() {
+		t.Errorf("expected what was known before, got %+v", p.speed.Speed)
+	}
+	learned(p, timingsOf(fastEngine, speedLeast-1))
+	if p.speed.PrefillRate != slowEngine.PrefillRate {
+		t.Errorf("expected a few timings not to count, got %+v", p.speed.Speed)
+	}
+	expectSpeed(t, learned(p, timingsOf(fastEngine, speedKept)), Speed{
+		PrefillRate: 53_700, ReadDelay: 14500 * time.Microsecond, Begin: p.speed.Begin, Step: 840 * time.Microsecond, StepPerStream: 20 * time.Microsecond})
+}
+
+// A pool whose engines are configured goes by its configuration.
+func TestConfiguredSpeedStands(t *testing.T) {
+	p := &pool{}
+	if got := learned(p, timingsOf(slowEngine, 100)); got != (Speed{}) {
+		t.Errorf("expected nothing to be learned, got %+v", got)
+	}
+}
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -155,13 +155,9 @@
 	Foresee bool
 	// Migrates says that engines can give a stream that they write to another one.
 	Migrates bool
-	// ExpectPrompt, ExpectOutput, ExpectReserve and ExpectGap are what the operator expects
-	// of the requests until some were seen: the tokens of prompt and answer, those set
-	// aside for an answer, and the target between tokens. 0 if nothing.
-	ExpectPrompt  int
-	ExpectOutput  int
-	ExpectReserve int
-	ExpectGap     time.Duration
+	// Learns says that the engines' rates and steps are only guessed at, and learned from what
+	// requests take. Otherwise those configured stand.
+	Learns bool
 }
 
 // Event is one thing that happened. The concrete types follow.
@@ -191,6 +187,8 @@
 type FirstToken struct {
 	ID      ID
 	Attempt Attempt
+	// Tokens came at once with it, itself included, at the most; 0 if that is not known.
+	Tokens int
 }
 
 // Done says that the whole answer arrived.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -23,6 +23,8 @@
 	// OnBelief is called when the core changes its mind about an engine. It must not block;
 	// nil if nobody listens.
 	OnBelief func(decide.Believed)
+	// OnLearnt is the same for what it learned of a pool.
+	OnLearnt func(decide.Learned)
 	m        *telemetry.Metrics
 	aborts   sync.WaitGroup
 
@@ -152,8 +154,14 @@
 			d.calls[a.ID].push(a)
 		case decide.End:
 			d.calls[a.ID].push(a)
+		case decide.Took:
+			d.calls[a.ID].push(a)
 		case decide.Abort:
 			d.abort(a)
+		case decide.Learnt:
+			if d.OnLearnt != nil {
+				d.OnLearnt(a.Learned)
+			}
 		case decide.Believed:
 			if d.OnBelief != nil {
 				d.OnBelief(a)
@@ -262,6 +270,13 @@
 	return d.core.Advise()
 }
 
+// Learned is what is known of the engines and requests of each pool.
+func (d *Dispatcher) Learned() []decide.Learned {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Learned()
+}
+
 // Running lists the ids of the requests in the core's care.
 func (d *Dispatcher) Running() []string {
 	d.mu.Lock()
--- a/internal/overlay/fact.go
+++ b/internal/overlay/fact.go
@@ -20,6 +20,7 @@
 	// Retries is how many retries a box spent.
 	Retries int
 	Ended   *Ended
+	Took    *Took
 	// Waiting is set where the streams that wait on a box are told of.
 	Waiting *Waiting
 }
@@ -30,6 +31,19 @@
 	Tokens int // Of memory that it had in the end.
 }
 
+// Took says how long a stream took at the engines of a pool. What was not seen is 0.
+type Took struct {
+	Pool string
+	// ReadTokens were read in Read, those of other prompts in front included.
+	ReadTokens int
+	Read       time.Duration
+	// Begin passed from when the writing engine was asked until the first event, and Step is
+	// the mean time of a token, among so many Streams at the engine.
+	Begin   time.Duration
+	Step    time.Duration
+	Streams int
+}
+
 // Waiting says how many streams wait for engines on a box.
 type Waiting struct{ Streams int }
 
@@ -83,6 +97,8 @@
 		}}
 	case f.Ended != nil:
 		out.Kind = &v1.Fact_Ended{Ended: &v1.StreamEnded{Engine: f.Ended.Engine, Tokens: int32(f.Ended.Tokens)}}
+	case f.Took != nil:
+		out.Kind = &v1.Fact_Took{Took: f.Took.encode()}
 	case f.Waiting != nil:
 		out.Kind = &v1.Fact_Waiting{Waiting: &v1.StreamsWaiting{N: int32(f.Waiting.Streams)}}
 	default:
@@ -91,6 +107,13 @@
 	return out
 }
 
+func (t *Took) encode() *v1.StreamTook {
+	return &v1.StreamTook{
+		Pool: t.Pool, ReadTokens: int32(t.ReadTokens), ReadUs: t.Read.Microseconds(),
+		BeginUs: t.Begin.Microseconds(), StepUs: t.Step.Microseconds(), Streams: int32(t.Streams),
+	}
+}
+
 func (l *Load) encode() *v1.EngineLoad {
 	out := &v1.EngineLoad{
 		Engine: l.Engine, Silent: l.Silent, Writes: l.Writes, Leaving: l.Leaving, Busy: l.Busy, Queued: int32(l.Queued),
@@ -109,6 +132,8 @@
 	mostRuns   = 1024
 	// mostWaiting bounds the streams that wait on a box.
 	mostWaiting = 1 << 20
+	// mostTook bounds what a stream took, in microseconds.
+	mostTook = int64(time.Minute / time.Microsecond)
 )
 
 // decode reads a fact that came at a time; ok is false for one that says nothing known, or
@@ -130,6 +155,8 @@
 		f.Placed = &Placed{Reader: p.GetReader(), ReadTokens: int(p.GetReadTokens()), Writer: p.GetWriter(), KVTokens: int(p.GetKvTokens()), Prompt: int(p.GetPromptTokens()), Ahead: int(p.GetAheadTokens())}
 	case *v1.Fact_Ended:
 		f.Ended, ok = &Ended{k.Ended.GetEngine(), int(k.Ended.GetTokens())}, k.Ended.GetEngine() != "" && tokens(k.Ended.GetTokens())
+	case *v1.Fact_Took:
+		f.Took, ok = decodeTook(k.Took)
 	case *v1.Fact_Waiting:
 		f.Waiting, ok = &Waiting{int(k.Waiting.GetN())}, k.Waiting.GetN() >= 0 && k.Waiting.GetN() < mostWaiting
 	case *v1.Fact_Retries:
@@ -140,6 +167,22 @@
 
 func tokens(n int32) bool { return n >= 0 && n < mostTokens }
 
+func decodeTook(m *v1.StreamTook) (*Took, bool) {
+	for _, us := range []int64{m.GetReadUs(), m.GetBeginUs(), m.GetStepUs()} {
+		if us < 0 || us > mostTook {
+			return nil, false
+		}
+	}
+	if m.GetPool() == "" || !tokens(m.ReadTokens) || m.Streams < 0 || m.Streams > mostRuns {
+		return nil, false
+	}
+	micros := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+	return &Took{
+		Pool: m.Pool, ReadTokens: int(m.ReadTokens), Read: micros(m.ReadUs),
+		Begin: micros(m.BeginUs), Step: micros(m.StepUs), Streams: int(m.Streams),
+	}, true
+}
+
 func decodeLoad(m *v1.EngineLoad) (*Load, bool) {
 	if m.GetEngine() == "" || !tokens(m.KvUsed) || !tokens(m.KvTotal) || len(m.Runs) > 2*mostRuns || len(m.Runs)%2 != 0 {
 		return nil, false
--- a/internal/relay/beliefs.go
+++ b/internal/relay/beliefs.go
@@ -22,6 +22,14 @@
 	r.o.Book.Log.Belief("endpoint "+b.State.String(), fields...)
 }
 
+// learnt logs what is now known of a pool's engines and requests.
+func (r *Relay) learnt(l decide.Learned) {
+	r.o.Book.Log.Belief("engines' pace", zap.String("service", l.Pool),
+		zap.Float64("read_tokens_per_s", l.PrefillRate), zap.Duration("read_delay", l.ReadDelay), zap.Duration("begin", l.Begin),
+		zap.Duration("step", l.Step), zap.Duration("step_per_stream", l.StepPerStream),
+		zap.Float64("prompt_tokens", l.Prompt), zap.Float64("answer_tokens", l.Output))
+}
+
 // logList logs how a new list of endpoints differs from the one before.
 func (r *Relay) logList(old, list []Endpoint) {
 	before := make(map[string]Endpoint, len(old))
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -170,6 +170,14 @@
 	return x.reserve()
 }
 
+// expected is how long the answer is expected to be, in tokens.
+func (x *exchange) expected() int {
+	if x.ask.GuessedOutput > 0 {
+		return x.ask.GuessedOutput
+	}
+	return x.ask.MaxOutput
+}
+
 // reserve is the memory to set aside for the answer, in tokens: never more than makes a
 // request fit into an empty engine.
 func (x *exchange) reserve() int {
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -23,7 +23,6 @@
 	mu        sync.Mutex
 	cfg       *Config
 	endpoints []Endpoint
-	expect    Expect
 	// roles is what is known of engines' roles beside the list, by their IDs.
 	roles map[string]knownRole
 	// askedWhy is when an engine was last asked why it turned a request away.
@@ -42,14 +41,6 @@
 	said bool
 }
 
-// SetExpect changes what is expected of streams until some were seen.
-func (r *Relay) SetExpect(e Expect) {
-	r.fleet.mu.Lock()
-	r.fleet.expect = e
-	r.fleet.mu.Unlock()
-	r.applyFleet()
-}
-
 // SetQueue changes how many streams may wait on this box.
 func (r *Relay) SetQueue(n int) { r.disp.SetQueue(n) }
 
@@ -136,13 +127,11 @@
 // engines describes the engines and where they are.
 func (f *fleet) engines(region string) (decide.Fleet, map[string]string) {
 	var out decide.Fleet
-	expect := f.expect
 	addresses := map[string]string{}
 	for _, name := range slices.Sorted(maps.Keys(f.cfg.Services)) {
 		if s := f.cfg.Services[name]; s.Engines != nil {
 			out.Pools = append(out.Pools, decide.Pool{Name: name, KVBytesPerToken: s.Engines.TokenBytes, PrefillExpiry: s.Engines.HandleFor,
-				SelfRead: assumedSelfRead, Foresee: true, Migrates: s.Engines.Moves,
-				ExpectPrompt: expect.Prompt, ExpectOutput: expect.Output, ExpectReserve: int(reservePart * float64(expect.Output)), ExpectGap: expect.Gap / time.Duration(s.Engines.Stride)})
+				SelfRead: assumedSelfRead, Foresee: true, Migrates: s.Engines.Moves, Learns: true})
 		}
 	}
 	for _, e := range f.endpoints {
--- a/internal/relay/learn.go
+++ b/internal/relay/learn.go
@@ -29,7 +29,7 @@
 // tellPlaced tells that engines have a stream of this box. It is told once memory is set
 // aside: until then the engines are only asked.
 func (f *flight) tellPlaced(a decide.Attempt) {
-	p := &overlay.Placed{Writer: f.hold.engine, KVTokens: f.x.ask.PromptTokens + f.x.reserve(), Prompt: f.x.ask.PromptTokens, Ahead: f.x.ahead()}
+	p := &overlay.Placed{Writer: f.hold.engine, KVTokens: f.x.ask.PromptTokens + f.x.expected(), Prompt: f.x.ask.PromptTokens, Ahead: f.x.ahead()}
 	if a == f.read {
 		p.Reader, p.ReadTokens = f.reader, f.x.ask.PromptTokens
 	}
@@ -61,6 +61,8 @@
 		r.disp.Step(decide.Sent{Engine: p.Writer, At: f.At, KV: p.KVTokens, Prompt: p.Prompt, Ahead: p.Ahead})
 	case f.Ended != nil:
 		r.disp.Step(decide.Ended{Engine: f.Ended.Engine, At: f.At, Tokens: f.Ended.Tokens})
+	case f.Took != nil:
+		r.hearTook(f.Took)
 	case f.Waiting != nil:
 		r.waiting.hear(f.Box, f.Waiting.Streams, f.At)
 	case f.Retries > 0:
@@ -100,6 +102,37 @@
 	r.tell(overlay.Fact{At: at, Load: out})
 }
 
+// tookPause is how far apart boxes tell what a stream took, all of them together: ten a
+// second tell within some seconds how fast engines are, and cost little in any fleet.
+const tookPause = 100 * time.Millisecond
+
+// tellTook passes on what a stream took of the engines of a pool, if it is this box's turn.
+func (r *Relay) tellTook(pool string, t decide.Timing) {
+	if !r.connected() {
+		return
+	}
+	now, pause := time.Now(), time.Duration(r.o.Others.Members())*tookPause
+	last := r.toldTook.Load()
+	if now.UnixNano()-last < int64(pause) || !r.toldTook.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	r.tell(overlay.Fact{At: now, Took: &overlay.Took{
+		Pool: pool, ReadTokens: t.ReadTokens, Read: t.Read, Begin: t.Begin, Step: t.Step, Streams: int(t.Streams),
+	}})
+}
+
+// Learned is what this box knows of the engines and requests of each pool.
+func (r *Relay) Learned() []decide.Learned { return r.disp.Learned() }
+
+// Remember takes what boxes knew before this one began.
+func (r *Relay) Remember(l decide.Learned) { r.disp.Step(decide.Remember{Learned: l}) }
+
+func (r *Relay) hearTook(t *overlay.Took) {
+	r.disp.Step(decide.OtherTook{Pool: t.Pool, Timing: decide.Timing{
+		ReadTokens: t.ReadTokens, Read: t.Read, Begin: t.Begin, Step: t.Step, Streams: float64(t.Streams),
+	}})
+}
+
 const (
 	// waitingEvery is how often the other boxes are told how many streams wait here, if that
 	// changed; if none do, only once. waitingFor is how long such word counts.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,7 +30,6 @@
 	Region string
 	Wire   Wire
 	Core   *decide.Core
-	Expect Expect
 	// Book takes the accounts of all requests.
 	Book *account.Book
 	// Others are the other boxes; nil if there are none.
@@ -39,13 +38,6 @@
 	List *follow.Freshness
 }
 
-// Expect is what the operator expects of streams until some were seen; zero if nothing.
-type Expect struct {
-	Prompt int // Tokens.
-	Output int // Tokens.
-	Gap    time.Duration
-}
-
 // Others are the other boxes, which are told what this one learned.
 type Others interface {
 	Tell(f overlay.Fact)
@@ -75,7 +67,9 @@
 	// stopBy is when a planned stop will have ended the box, in Unix nanoseconds; 0 before
 	// one begins. From then on answers ask callers to close their connections.
 	stopBy atomic.Int64
-	frees  sync.WaitGroup
+	// toldTook is when the other boxes were last told what a stream took, in Unix nanoseconds.
+	toldTook atomic.Int64
+	frees    sync.WaitGroup
 }
 
 // New returns a relay that refuses everything until it has a configuration.
@@ -89,9 +83,9 @@
 		plain: newPlainTable(o.Hall),
 		m:     o.Book.Metrics,
 	}
-	r.fleet.expect = o.Expect
 	r.pool.OnSurplus = r.m.Crossed.Inc
 	r.disp.OnBelief = r.believed
+	r.disp.OnLearnt = r.learnt
 	r.plain.believed = r.believed
 	return r
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -230,6 +230,9 @@
 func (f *flight) drainSteps() {
 	for _, a := range f.call.Take() {
 		f.note(a)
+		if took, ok := a.(decide.Took); ok {
+			f.x.r.tellTook(f.x.service.Name, took.Timing)
+		}
 	}
 }
 
@@ -329,7 +332,7 @@
 	case ev.final != nil:
 		return f.passFailure(ev.final), true
 	case ev.ended:
-		f.x.r.disp.Step(decide.Done{ID: f.id, Attempt: ev.attempt})
+		f.x.r.disp.Step(decide.Done{ID: f.id, Attempt: ev.attempt, Output: f.made * f.x.service.Engines.Stride})
 		return outcome.Outcome{Kind: outcome.Answered}, true
 	}
 	return outcome.Outcome{}, false
@@ -376,7 +379,7 @@
 		f.wentOn()
 		return f.pass(&ev.head.part)
 	}
-	f.x.r.disp.Step(decide.FirstToken{ID: f.id, Attempt: ev.attempt})
+	f.x.r.disp.Step(decide.FirstToken{ID: f.id, Attempt: ev.attempt, Tokens: ev.head.part.events * f.x.service.Engines.Stride})
 	f.x.acc.Step(record.Step{Kind: record.StepFirst, Decode: f.writer})
 	if !f.x.begun {
 		f.x.takeHead(ev.head.header)
