Change few engines at once under load, and begin with what others learned

Where the timings of a few seconds showed no slowing by streams, an engine was taken to write one stream at a time (TestBatch, failed first); boxes that had just started went by the usual ratio, and took the fleet for idle as they had seen nothing. Ruled out: the figures of pace, which the boxes' logs show to be right within a tenth by then. Change: memory and places bound a batch that streams do not slow; what is kept in the store counts as evidence, with the target between tokens; a box must have looked for 2 s to call a pool idle; under load at most a quarter of a role's engines change at once.

--- a/internal/decide/advise.go
+++ b/internal/decide/advise.go
@@ -21,8 +21,12 @@
 	// while it has none, when a change costs nothing.
 	adviceGain = 1.25
 	idleGain   = 1.1
-	// idleAfter is how long ago the last request was seen where there are none.
+	// idleAfter is how long ago the last request was seen where there are none, and for how
+	// long a box must have looked to say so.
 	idleAfter = 2 * time.Second
+	// busyPart is the part of a role's engines, one in so many, that change at once while there
+	// are requests: what they did must be done by the others meanwhile.
+	busyPart = 4
 	// steadyFor is for how long no engine must have come or gone: when a fleet starts, or its
 	// list is read again, engines are listed one by one, and half a list advises wrongly.
 	steadyFor = 1500 * time.Millisecond
@@ -116,8 +120,9 @@
 		writers := len(prefills) + len(decodes) - readers
 		return max(1/float64(readers), ratio/float64(writers))
 	}
+	idle := now.Sub(p.seenAt) > idleAfter && now.Sub(p.since) > idleAfter
 	gain := adviceGain
-	if now.Sub(p.seenAt) > idleAfter {
+	if idle {
 		gain = idleGain
 	}
 	current := len(prefills)
@@ -134,7 +139,11 @@
 	if best > current {
 		from, role = decodes, Prefill
 	}
-	return Advice{Pool: p.Name, Region: region, Engines: mostAlike(from, max(current-best, best-current)), Role: role}, true
+	n := max(current-best, best-current)
+	if !idle {
+		n = min(n, max(1, len(from)/busyPart))
+	}
+	return Advice{Pool: p.Name, Region: region, Engines: mostAlike(from, n), Role: role}, true
 }
 
 // staying lists the engines that are not leaving, by name.
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -287,7 +287,7 @@
 func (c *Core) fleet(ev Fleet) {
 	for _, p := range ev.Pools {
 		if c.pools[p.Name] == nil {
-			c.pools[p.Name] = &pool{}
+			c.pools[p.Name] = &pool{since: c.now}
 			c.pools[p.Name].remember(c.remembered[p.Name])
 			c.names = append(c.names, p.Name)
 			slices.Sort(c.names)
--- a/internal/decide/learned.go
+++ b/internal/decide/learned.go
@@ -1,14 +1,20 @@
 package decide
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Learned is what a core knows of a pool, for another core to begin with.
 type Learned struct {
 	Pool string
 	Speed
 	// Prompt, Read and Output are the mean lengths of prompts, of their parts that are not
-	// cached, and of answers, in tokens.
+	// cached, and of answers, in tokens, and Gap is the target between tokens.
 	Prompt, Read, Output float64
+	Gap                  time.Duration
+	// Requests is how many tell so.
+	Requests int
 }
 
 // Remember brings what was known of a pool before this core began.
@@ -38,9 +44,13 @@
 }
 
 func (p *pool) learned() Learned {
-	return Learned{p.Name, p.speed.Speed, p.meanPrompt, p.meanRead, p.meanOutput}
+	return Learned{p.Name, p.speed.Speed, p.meanPrompt, p.meanRead, p.meanOutput, p.gap, p.evidence()}
 }
 
+// mostRemembered bounds the requests that what was known before counts as: so many that the
+// usual ratio of the roles hardly counts beside it, and traffic that changed soon does.
+const mostRemembered = 4 * usualSeen
+
 // Learned lists what is known of the pools that learn and have had requests.
 func (c *Core) Learned() []Learned {
 	var out []Learned
@@ -63,8 +73,10 @@
 }
 
 func (p *pool) remember(l Learned) {
-	p.speed.remember(l.Speed)
+	n := min(l.Requests, mostRemembered)
+	p.speed.remember(l.Speed, n)
 	if p.seen == 0 {
+		p.seen, p.gap = n, l.Gap
 		p.meanPrompt, p.meanRead, p.meanOutput = l.Prompt, l.Read, l.Output
 	}
 }
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -55,8 +55,8 @@
 	speed    speed
 	// said is what was last said of it to the driver.
 	said Learned
-	// changedAt is when engines were last added or taken away.
-	changedAt time.Time
+	// since is when the pool was first heard of, and changedAt when engines were last added or taken away.
+	since, changedAt time.Time
 	lengths
 	// scarce is the role that waiting requests lack.
 	scarce EngineRole
@@ -97,11 +97,14 @@
 // batch is how many streams a decode engine can run within the target.
 func (p *pool) batch(target time.Duration) int {
 	if p.bestPerStream <= 0 {
-		return 1
+		return mostBatch // Streams do not slow each other: memory and places bound them.
 	}
-	return max(1, 1+int((target-p.bestStep)/p.bestPerStream))
+	return min(mostBatch, max(1, 1+int((target-p.bestStep)/p.bestPerStream)))
 }
 
+// mostBatch bounds the streams of an engine where nothing else does.
+const mostBatch = 4096
+
 // decodeWork is a request's share of a decode engine that is full of requests like it:
 // full because of the target between tokens, or because its memory or places hold no more.
 // Memory counts at half the answer: streams are at all points of their answers at once.
--- a/internal/decide/speed.go
+++ b/internal/decide/speed.go
@@ -115,9 +115,10 @@
 	return append(list, t)
 }
 
-// remember takes what was known of the engines before this box saw any.
-func (s *speed) remember(before Speed) {
+// remember takes what was known of the engines before this box saw any, by n requests.
+func (s *speed) remember(before Speed, n int) {
 	s.before = before
+	s.readsSeen, s.stepsSeen = s.readsSeen+n, s.stepsSeen+n
 	if len(s.reads) < speedLeast {
 		s.PrefillRate, s.ReadDelay = before.PrefillRate, before.ReadDelay
 	}
--- a/internal/learned/learned.go
+++ b/internal/learned/learned.go
@@ -67,6 +67,8 @@
 	Prompt        float64 `json:"prompt_tokens"`
 	Read          float64 `json:"read_tokens"`
 	Output        float64 `json:"output_tokens"`
+	Gap           int64   `json:"gap_us"` // The target between tokens.
+	Requests      int     `json:"requests"`
 }
 
 // Run keeps the row until ctx ends.
@@ -170,6 +172,7 @@
 		out.Pools = append(out.Pools, poolRow{
 			Pool: l.Pool, ReadPerSecond: l.PrefillRate, ReadDelay: l.ReadDelay.Microseconds(), Begin: l.Begin.Microseconds(),
 			Step: l.Step.Microseconds(), StepPerStream: l.StepPerStream.Microseconds(), Prompt: l.Prompt, Read: l.Read, Output: l.Output,
+			Gap: l.Gap.Microseconds(), Requests: l.Requests,
 		})
 	}
 	text, err := json.Marshal(out)
@@ -191,7 +194,7 @@
 			continue
 		}
 		out = append(out, decide.Learned{
-			Pool: p.Pool, Prompt: p.Prompt, Read: p.Read, Output: p.Output,
+			Pool: p.Pool, Prompt: p.Prompt, Read: p.Read, Output: p.Output, Gap: micros(p.Gap), Requests: p.Requests,
 			Speed: decide.Speed{
 				PrefillRate: p.ReadPerSecond, ReadDelay: micros(p.ReadDelay), Begin: micros(p.Begin),
 				Step: micros(p.Step), StepPerStream: micros(p.StepPerStream),
@@ -209,7 +212,7 @@
 )
 
 func (p *poolRow) sound() bool {
-	times := [...]int64{p.ReadDelay, p.Begin, p.Step, p.StepPerStream}
+	times := [...]int64{p.ReadDelay, p.Begin, p.Step, p.StepPerStream, p.Gap}
 	for _, us := range times {
 		if us < 0 || us > mostTime {
 			return false
@@ -220,7 +223,7 @@
 			return false
 		}
 	}
-	return p.Pool != "" && p.Step > 0
+	return p.Pool != "" && p.Step > 0 && p.Requests >= 0
 }
 
 // sleep returns false if ctx ended before.
