--- a/internal/decide/memory.go
+++ b/internal/decide/memory.go
@@ -22,6 +22,9 @@
 	guessSpread  = 0.5
 	// overflowSigma is how many standard deviations above the expected use must fit.
 	overflowSigma = 2.0
+	// unknownPart is the part of an engine's memory that is left for streams that are not known
+	// of: some of other boxes are heard of late or never.
+	unknownPart = 0.06
 	// foreseeFor is how old a report may be to foresee anything by it.
 	foreseeFor = 3 * time.Second
 )
@@ -52,10 +55,10 @@
 // speak of has passed: a request that waits is tried many times a second.
 type outlook struct {
 	at time.Time
-	// mean and variance are of the tokens in use at each horizon, and running of the streams
-	// now.
-	mean, variance [len(horizons)]float64
-	running        float64
+	// mean and variance are of the tokens in use at each horizon, most is what they are if no
+	// stream ends until then, and running is of the streams now.
+	mean, variance, most [len(horizons)]float64
+	running              float64
 }
 
 const (
@@ -99,12 +102,14 @@
 	for i, part := range horizons {
 		t := part * p.meanOutput
 		o.mean[i] = max(0, unseen) + waits
+		o.most[i] = o.mean[i]
 		for _, r := range e.report.Runs {
 			o.add(i, float64(r.Tokens)+since+t, alive(r)*lasts(float64(r.Made)+since, t, median))
 		}
 		for _, w := range e.sent {
 			if age := now.Sub(w.at); w.kv > 0 && i == 0 && age < start {
 				o.mean[0] += float64(w.prompt + w.ahead)
+				o.most[0] += float64(w.prompt + w.ahead)
 			} else if w.kv > 0 {
 				made := t + max(0, (age-start).Seconds()/step)
 				o.add(i, float64(w.prompt)+made, above(made, max(1, float64(w.answer)), guessSpread))
@@ -132,6 +137,7 @@
 }
 
 func (o *outlook) add(i int, tokens, chance float64) {
+	o.most[i] += tokens
 	o.mean[i] += tokens * chance
 	o.variance[i] += tokens * tokens * chance * (1 - chance)
 }
@@ -162,7 +168,9 @@
 		chance := above(t, guess, guessSpread)
 		tokens := float64(f.PromptTokens) + t
 		mean, variance := o.mean[i]+tokens*chance, o.variance[i]+tokens*tokens*chance*(1-chance)
-		if mean+overflowSigma*math.Sqrt(variance) > float64(e.KVTokens) {
+		// Streams that end make room; that none does is the worst there can be of those known.
+		worst := o.most[i] + tokens + unknownPart*float64(e.KVTokens)
+		if min(worst, mean+overflowSigma*math.Sqrt(variance)) > float64(e.KVTokens) {
 			return false
 		}
 	}
--- a/internal/decide/memory_test.go
+++ b/internal/decide/memory_test.go
@@ -111,3 +111,21 @@
 		}
 	}
 }
+
+// Streams take no more than if none of them ends: short answers beside long prompts fill an
+// engine nearly to the end.
+//
+// Without that bound the uncertainty about six streams, each of which may end or not, passed
+// for 2,000 tokens that they could not grow to.
+func TestOverflowBounded(t *testing.T) {
+	now := time.Now()
+	e := &engine{Engine: Engine{KVTokens: 28400, Step: 5 * time.Millisecond}, reported: true}
+	e.report = Report{At: now.Add(-500 * time.Millisecond), FreeKV: 28400 - 6*3650}
+	for i := range 6 {
+		e.report.Runs = append(e.report.Runs, Run{Tokens: 3500 + 60*i, Made: 20 + 60*i})
+	}
+	f := &flight{Request: Request{PromptTokens: 3000, MaxTokens: 640, Ahead: 75, ExpectTokens: 550}}
+	if !e.hasRoom(&pool{lengths: lengths{meanOutput: 640}}, f, now) {
+		t.Error("expected room for a seventh stream")
+	}
+}
