Have a stopping box go by what it learned of the time a stream takes

Ruled out: refusing all streams while stopping (callers lose what can be served). Change: the mean step of the pool's decode engines now, times the guess, times 1.5 for guesses that are too short (TestStreamTime).

--- a/internal/decide/speed.go
+++ b/internal/decide/speed.go
@@ -250,6 +250,20 @@
 	return step
 }
 
+// StreamTime is how long a pool's engines are expected to write so many tokens, with the
+// streams that they have now; 0 for a pool without any.
+func (c *Core) StreamTime(name string, tokens int) time.Duration {
+	p := c.pools[name]
+	if p == nil || len(p.decode) == 0 {
+		return 0
+	}
+	var sum time.Duration
+	for _, e := range p.decode {
+		sum += e.stepTime()
+	}
+	return time.Duration(tokens) * sum / time.Duration(len(p.decode))
+}
+
 // stepOf is a stream's mean time of a token.
 func (f *flight) stepOf(now time.Time, output int) time.Duration {
 	if f.firstTokens <= 0 || output <= 2*f.firstTokens || f.decode == nil || f.wasMoved {
--- a/internal/decide/speed_test.go
+++ b/internal/decide/speed_test.go
@@ -82,6 +82,22 @@
 		PrefillRate: 53_700, ReadDelay: 14500 * time.Microsecond, Begin: p.speed.Begin, Step: 840 * time.Microsecond, StepPerStream: 20 * time.Microsecond})
 }
 
+// How long an answer takes follows from what was learned: of slow engines eight times as long
+// as of fast ones, so a box that stops must not take the same streams before both.
+func TestStreamTime(t *testing.T) {
+	for _, s := range []Speed{fastEngine, slowEngine} {
+		c := poolOf(1, 2, 0)
+		c.pools["p"].Learns = true
+		c.Step(c.now, Remember{Learned{Pool: "p", Speed: s}})
+		if got, want := c.StreamTime("p", 640), 640*(s.Step+s.StepPerStream); got != want {
+			t.Errorf("expected %v, got %v", want, got)
+		}
+	}
+	if got := poolOf(0, 0, 0).StreamTime("p", 640); got != 0 {
+		t.Errorf("expected 0 without engines, got %v", got)
+	}
+}
+
 // A pool whose engines are configured goes by its configuration.
 func TestConfiguredSpeedStands(t *testing.T) {
 	p := &pool{}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -270,6 +270,13 @@
 	return d.core.Advise()
 }
 
+// StreamTime is how long a pool's engines are expected to write so many tokens.
+func (d *Dispatcher) StreamTime(pool string, tokens int) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.StreamTime(pool, tokens)
+}
+
 // Learned is what is known of the engines and requests of each pool.
 func (d *Dispatcher) Learned() []decide.Learned {
 	d.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -162,14 +162,17 @@
 func (r *Relay) Close(by time.Time) { r.stopBy.Store(by.UnixNano()) }
 
 // outlives says that a stream that began now would be cut off by a planned stop.
-func (r *Relay) outlives(now time.Time, tokens int) bool {
+func (r *Relay) outlives(now time.Time, service string, tokens int) bool {
 	by := r.stopBy.Load()
-	return by != 0 && now.Add(time.Duration(tokens)*slowToken).UnixNano() > by
+	if by == 0 {
+		return false
+	}
+	takes := longerThanGuessed * r.disp.StreamTime(service, tokens).Seconds()
+	return now.Add(time.Duration(takes*float64(time.Second))).UnixNano() > by
 }
 
-// slowToken is a token's time at a full engine, with half as much again for a guess that
-// was too short.
-const slowToken = 1500 * time.Microsecond
+// longerThanGuessed allows for guesses of an answer's length that were too short.
+const longerThanGuessed = 1.5
 
 // Drain refuses new requests and waits until the last one is done.
 func (r *Relay) Drain(ctx context.Context) error { return r.gate.Drain(ctx, r.frees.Wait) }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -105,7 +105,7 @@
 // serveStream gives the request to the core and does what the core says until the
 // request ends.
 func (x *exchange) serveStream(ctx context.Context) {
-	if x.r.outlives(time.Now(), x.ask.GuessedOutput) {
+	if x.r.outlives(time.Now(), x.service.Name, x.ask.GuessedOutput) {
 		x.refuse(outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.Draining, RetryAfter: drainRetry})
 		return
 	}
