--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -78,7 +78,7 @@
 	Metrics *telemetry.Metrics
 	Relay   *relay.Relay
 	archive *archive.ByTime
-	// node is this box's part in what boxes tell each other; nil if it is to be alone.
+	// node is this box's part in what boxes tell each other; never nil, and idle without [peers].
 	node *overlay.Node
 	// tables are the tables of the store that the box follows, by the names boxes share.
 	tables map[string]*follow.Table
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -37,8 +37,8 @@
 )
 
 // Pace of a box that others follow. What it tells them must be fresh: a follower reads the
-// store itself when the last word of it is older than staleAfter less than the time in which
-// it must know, and a followed box asks well before that.
+// store itself when the last word of it is older than the time in which it must know less
+// ownRead, and a followed box asks well before that.
 const (
 	// ownRead is what reading the store itself takes a follower at the most, beside what is
 	// under way to engines.
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -185,7 +185,7 @@
 // Connected says whether what other boxes do is heard of, and how many retries all boxes
 // together may then spend in retryWindow before each keeps to its own.
 func (c *Core) Connected(yes bool, retries int) {
-	c.others.heard, c.budget.shared = yes, 0
+	c.budget.shared = 0
 	if yes {
 		c.budget.shared = retries
 	}
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -60,7 +60,8 @@
 	speed    speed
 	// said is what was last said of it to the driver.
 	said Learned
-	// since is when the pool was first heard of, and changedAt when engines were last added or taken away.
+	// since is when the pool was first heard of, and changedAt when engines were last added or
+	// taken away.
 	since, changedAt time.Time
 	lengths
 	// scarce is the role that waiting requests lack.
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -233,7 +233,6 @@
 
 // others is what is heard of the other boxes' requests.
 type others struct {
-	heard   bool
 	waiting int
 	// starts are when requests started, of this box too, none older than startsWindow.
 	starts []time.Time
