Book a prompt on an engine in one place

Cause: what is sent by this box, heard of from others and laid on top of a report was put behind an engine's queue by the same lines three times; two cores' knowledge was compared through a list of indices. Ruled out: one call for all of note's fields (memory and prompts differ). Change: queueRead, and a plain loop. Behaviour is as it was: all tests pass unchanged.

--- a/internal/decide/learned.go
+++ b/internal/decide/learned.go
@@ -1,9 +1,6 @@
 package decide
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Learned is what a core knows of a pool, for another core to begin with.
 type Learned struct {
@@ -83,11 +80,13 @@
 
 // Differs says that two cores' knowledge of a pool differs by more than a part, in any figure.
 func (l Learned) Differs(o Learned, part float64) bool {
-	mine, other := l.figures(), o.figures()
-	return slices.ContainsFunc([]int{0, 1, 2, 3, 4}, func(i int) bool {
-		a, b := mine[i], other[i]
-		return max(a, b)-min(a, b) > part*max(a, b)
-	})
+	other := o.figures()
+	for i, a := range l.figures() {
+		if b := other[i]; max(a, b)-min(a, b) > part*max(a, b) {
+			return true
+		}
+	}
+	return false
 }
 
 // figures are those that decisions rest on.
--- a/internal/decide/ledger.go
+++ b/internal/decide/ledger.go
@@ -160,14 +160,18 @@
 // addPrefill books a prompt on the engine.
 func (e *engine) addPrefill(now time.Time, id ID, tokens int) {
 	e.jobs++
-	start := e.busyUntil
-	if start.Before(now) {
-		start = now
-	}
-	e.busyUntil = start.Add(e.readTime(tokens))
+	e.queueRead(now, tokens)
 	e.note(sentWork{id: id, at: now, tokens: tokens})
 }
 
+// queueRead puts a prompt that was sent at a time behind all that the engine has to read.
+func (e *engine) queueRead(at time.Time, tokens int) {
+	if e.busyUntil.Before(at) {
+		e.busyUntil = at
+	}
+	e.busyUntil = e.busyUntil.Add(e.readTime(tokens))
+}
+
 // addDecode holds memory for a request on the engine.
 func (e *engine) addDecode(now time.Time, id ID, b booking, weight float64) {
 	e.heldKV += b.kv
@@ -185,11 +189,7 @@
 		w.streams = 1
 	}
 	if s.Tokens > 0 {
-		start := e.busyUntil
-		if start.Before(s.At) {
-			start = s.At
-		}
-		e.busyUntil = start.Add(e.readTime(s.Tokens))
+		e.queueRead(s.At, s.Tokens)
 	}
 	e.note(w)
 }
@@ -293,13 +293,9 @@
 	}
 	e.busyUntil = r.At.Add(e.readTime(r.QueuedTokens))
 	for _, w := range e.sent {
-		if w.tokens == 0 {
-			continue
-		}
-		if e.busyUntil.Before(w.at) {
-			e.busyUntil = w.at
+		if w.tokens > 0 {
+			e.queueRead(w.at, w.tokens)
 		}
-		e.busyUntil = e.busyUntil.Add(e.readTime(w.tokens))
 	}
 }
 
