Take the platform's figures as fractions, with exponents or left out

Durations refused what is written with an exponent or is longer than a minute, and one without a figure. Ruled out: the template (it fills what the platform has). Change: slack is a fraction; durations take '1.2e+05ms' and up to an hour; a setting without a figure has its default.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -220,7 +220,7 @@
 // share has the box act with the others while it hears of them, and by itself otherwise.
 func (b *RelayBox) share() {
 	for b.ctx.Err() == nil {
-		b.Relay.Share(int(sharedRetries * float64(b.settings.Load().RetrySlack)))
+		b.Relay.Share(int(sharedRetries * b.settings.Load().RetrySlack))
 		select {
 		case <-time.After(shareEvery):
 		case <-b.ctx.Done():
--- a/internal/config/ini.go
+++ b/internal/config/ini.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -182,6 +183,14 @@
 	return n
 }
 
+// amount reads a number that a platform may fill in: an empty one says that it has none.
+func (s *section) amount(key string, def, min, max float64) float64 {
+	if v, ok := s.raw(key); !ok || v == "" {
+		return def
+	}
+	return s.number(key, def, min, max)
+}
+
 func (s *section) integer(key string, def, min, max int) int {
 	v, ok := s.raw(key)
 	if !ok {
@@ -200,7 +209,10 @@
 	if !ok {
 		return def
 	}
-	n, err := time.ParseDuration(v)
+	if v == unitAlone {
+		return def
+	}
+	n, err := parseDuration(v)
 	if err != nil || n < min || n > max {
 		s.problem(key, "expected a duration from %s to %s such as 250ms, found %q", min, max, v)
 		return def
@@ -208,6 +220,24 @@
 	return n
 }
 
+// unitAlone is what a template makes of a duration that the platform has no figure for.
+const unitAlone = "ms"
+
+// parseDuration also reads figures as a platform may write them.
+//
+// Example: "1.5e+04ms" is 15 seconds.
+func parseDuration(v string) (time.Duration, error) {
+	n, err := time.ParseDuration(v)
+	if err == nil {
+		return n, nil
+	}
+	ms, numErr := strconv.ParseFloat(strings.TrimSuffix(v, unitAlone), 64)
+	if numErr != nil || !strings.HasSuffix(v, unitAlone) || !(math.Abs(ms) < float64(24*time.Hour/time.Millisecond)) {
+		return 0, err
+	}
+	return time.Duration(ms * float64(time.Millisecond)), nil
+}
+
 func (s *section) boolean(key string, def bool) bool {
 	v, ok := s.raw(key)
 	if !ok {
--- a/internal/config/relay.go
+++ b/internal/config/relay.go
@@ -45,8 +45,9 @@
 	ConfigWithin  time.Duration
 
 	// RetrySlack is how many calls beyond the first of each request and a share of them the
-	// platform allows a service in ten seconds, over all boxes; 0 if that is not known.
-	RetrySlack int
+	// platform allows a service in ten seconds, over all boxes; 0 if that is not known. It may
+	// be a fraction.
+	RetrySlack float64
 
 	// Queue bounds the requests that wait for engines on this box.
 	Queue int
@@ -125,15 +126,15 @@
 		}
 		r.Seeds = seeds(s, r.Peers)
 	case "store":
-		r.RereadWithin = s.duration("reread_within", 3*time.Second, time.Second, time.Minute)
-		r.LeavingWithin = s.duration("leaving_within", 2*time.Second, time.Second, time.Minute)
-		r.ConfigWithin = s.duration("config_within", 2*time.Second, time.Second, time.Minute)
+		r.RereadWithin = s.duration("reread_within", 3*time.Second, time.Second, time.Hour)
+		r.LeavingWithin = s.duration("leaving_within", 2*time.Second, time.Second, time.Hour)
+		r.ConfigWithin = s.duration("config_within", 2*time.Second, time.Second, time.Hour)
 		r.Store = s.need("address", "ip:port")
 		if _, err := netip.ParseAddrPort(r.Store); r.Store != "" && err != nil {
 			s.problem("address", "expected ip:port, found %q", r.Store)
 		}
 	case "engines":
-		r.RetrySlack = s.integer("retry_slack", 0, 0, 1<<20)
+		r.RetrySlack = s.amount("retry_slack", 0, 0, 1<<20)
 	default:
 		s.problem("", "is not a known section; expected box, callers, readiness, operators, peers, store or engines")
 	}
