Put boxes between the oldest of a large hall and the others

Ruled out: turning boxes away (mostFollowers): those left over then follow by chance. Change: in halls of more than 16 the next oldest, as many as the square root of the hall, stand between; younger boxes choose one of them by rendezvous hashing.

--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -5,8 +5,8 @@
 //	                                       ├► oldest box of another hall ─► the others of that
 //	                                       └► …
 //
-// Each box lists itself in a table of the store. It follows the oldest box of its hall that
-// it can; the oldest of a hall follows the oldest of all; and a box that has nobody to follow
+// Each box lists itself in a table of the store. It follows an older box of its hall (see
+// parent); the oldest of a hall follows the oldest of all; and a box that has nobody to follow
 // reads the store itself. So one box reads for all, and who that is needs no agreement: two
 // that believe it of themselves cost some calls. What comes down are the platform's tables
 // (package follow sees to it that they never step back and are fresh enough) and facts; facts
@@ -265,7 +265,7 @@
 	}
 }
 
-// next is the member to follow now: the oldest of the hall, or, if that is this box, the
+// next is the member to follow now: one of the hall, or, if this box is the oldest there, the
 // oldest of all. A box that the store does not answer follows any other; a circle that closes
 // so is seen by the path of what comes round.
 func (n *Node) next() (Member, bool) {
@@ -275,10 +275,9 @@
 	self := n.o.Self
 	// The row of an earlier start of this box may still stand.
 	list := slices.DeleteFunc(n.members.usable(self.Region, time.Now()), func(m Member) bool { return m.Name == self.Name })
-	for _, m := range list {
-		if m.Hall == self.Hall && older(m, self) < 0 {
-			return m, true
-		}
+	hall := slices.DeleteFunc(slices.Clone(list), func(m Member) bool { return m.Hall != self.Hall })
+	if m, ok := parent(hall, self); ok {
+		return m, true
 	}
 	if len(list) > 0 && (older(list[0], self) < 0 || n.lost()) {
 		return list[0], true
--- /dev/null
+++ b/internal/overlay/tree_test.go
@@ -0,0 +1,88 @@
+package overlay
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// hallOf makes the members of a hall, the oldest first.
+func hallOf(n int) (out []Member) {
+	for i := range n {
+		out = append(out, Member{Name: fmt.Sprintf("box-%d", i), Hall: "h", Incarnation: int64(i + 1)})
+	}
+	return out
+}
+
+// parents is whom each of a hall follows, by name.
+func parents(hall []Member) map[string]string {
+	out := map[string]string{}
+	for i, self := range hall {
+		if m, ok := parent(slices.Delete(slices.Clone(hall), i, i+1), self); ok {
+			out[self.Name] = m.Name
+		}
+	}
+	return out
+}
+
+// expectTree checks how many follow one box at the most, and how far the last one is from the
+// oldest.
+func expectTree(t *testing.T, size, mostFollow, mostDeep int) {
+	t.Helper()
+	hall := hallOf(size)
+	up, behind := parents(hall), map[string]int{}
+	for _, self := range hall {
+		behind[up[self.Name]]++
+		deep := 0
+		for name := self.Name; name != "box-0"; name = up[name] {
+			if deep++; deep > mostDeep {
+				t.Fatalf("%d boxes: %s is further than %d from the oldest", size, self.Name, mostDeep)
+			}
+		}
+	}
+	delete(behind, "")
+	for name, n := range behind {
+		if n > mostFollow {
+			t.Errorf("%d boxes: %d follow %s, expected %d at the most", size, n, name, mostFollow)
+		}
+	}
+}
+
+func TestTreeSmall(t *testing.T) {
+	expectTree(t, 1, 0, 0)
+	expectTree(t, 3, 2, 1)
+	expectTree(t, 16, 15, 1)
+}
+func TestTreeMiddle(t *testing.T)  { expectTree(t, 17, 8, 2); expectTree(t, 29, 8, 2) }
+func TestTreeLarge(t *testing.T)   { expectTree(t, 59, 14, 2); expectTree(t, 80, 16, 2) }
+func TestTreeLargest(t *testing.T) { expectTree(t, 400, 36, 2) }
+
+// When a box that stands between goes, only those that followed it follow another, and the
+// one that takes its place.
+func TestTreeMovesFew(t *testing.T) {
+	hall := hallOf(59)
+	before := parents(hall)
+	after := parents(slices.Delete(slices.Clone(hall), 4, 5))
+	moved := 0
+	for name, up := range after {
+		if before[name] != up && before[name] != "box-4" {
+			moved++
+		}
+	}
+	if moved > 15 {
+		t.Errorf("expected few of 58 to move, beside those that followed the one that went; %d did", moved)
+	}
+}
+
+// Boxes whose lists differ never follow in a circle: each follows an older one.
+func TestTreeOlderOnly(t *testing.T) {
+	hall := hallOf(59)
+	for i, self := range hall {
+		for drop := range hall {
+			list := slices.DeleteFunc(slices.Clone(hall), func(m Member) bool { return m.Name == self.Name || m.Name == hall[drop].Name })
+			if m, ok := parent(list, self); ok && older(m, self) >= 0 {
+				t.Fatalf("box %d follows %s, which is younger", i, m.Name)
+			}
+		}
+	}
+}
