Ask an engine's home before a stream is placed there

Cause: in a burst boxes give the same room away: what one placed the others hear of 0.15 to 1 s later. Change: one box is the home of each decode engine, by rendezvous hashing over the boxes of its hall. The others ask it for room and it books what it grants at once. No answer in 40 ms: the box decides alone, as before, and passes the home over for 2 s.

--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -109,6 +109,7 @@
 		// Policies name operators and their hashed keys, and the members the boxes' key.
 		Open:     []string{tableConfig, tableEndpoints},
 		Seeds:    cfg.Seeds,
+		Room:     func(r overlay.Room) bool { return b.Relay.HasRoom(r) },
 		Heard:    func(f overlay.Fact) { b.Relay.Hear(f) },
 		Believed: b.book.Log.Belief,
 		Metrics:  b.Metrics.Set,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -270,6 +270,13 @@
 	return d.core.Advise()
 }
 
+// Grant says whether an engine has room for a request of another box, and books it if so.
+func (d *Dispatcher) Grant(engine string, r decide.Request) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Grant(time.Now(), engine, r)
+}
+
 // StreamTime is how long a pool's engines are expected to write so many tokens.
 func (d *Dispatcher) StreamTime(pool string, tokens int) time.Duration {
 	d.mu.Lock()
--- a/internal/overlay/members.go
+++ b/internal/overlay/members.go
@@ -106,6 +106,18 @@
 	return out
 }
 
+// list lists all members of a region, in no order.
+func (s *members) list(region string) (out []Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.all {
+		if m.Region == region {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // failed notes that a member could not be followed.
 func (s *members) failed(m Member, now time.Time) {
 	s.mu.Lock()
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -94,6 +94,8 @@
 	Open   []string
 	// Seeds are addresses of boxes, ip:port, that may be stale.
 	Seeds []string
+	// Room answers for this box where it is the home of an engine, and must not block.
+	Room func(Room) bool
 	// Heard takes what another box learned, and must not block.
 	Heard func(Fact)
 	// Believed is told what changes in the box's view of the others, and must not block.
@@ -113,6 +115,7 @@
 	stopped context.Context
 	stop    context.CancelFunc
 	open    bucket
+	homes   homes
 
 	mu        sync.Mutex
 	followers map[*follower]struct{}
@@ -131,6 +134,7 @@
 
 type counters struct {
 	told, heard, dropped, refused, switches *metrics.Counter
+	granted, denied, alone                  *metrics.Counter
 }
 
 // New returns a node that knows nobody.
@@ -148,6 +152,9 @@
 		dropped:  o.Metrics.NewCounter("stoatramp_overlay_facts_dropped_total"),
 		refused:  o.Metrics.NewCounter("stoatramp_overlay_refused_total"),
 		switches: o.Metrics.NewCounter("stoatramp_overlay_switches_total"),
+		granted:  o.Metrics.NewCounter(`stoatramp_overlay_rooms_total{answer="granted"}`),
+		denied:   o.Metrics.NewCounter(`stoatramp_overlay_rooms_total{answer="denied"}`),
+		alone:    o.Metrics.NewCounter(`stoatramp_overlay_rooms_total{answer="none"}`),
 	}
 	o.Metrics.NewGauge("stoatramp_overlay_members", func() float64 { return float64(n.members.size()) })
 	o.Metrics.NewGauge("stoatramp_overlay_followers", func() float64 { return float64(n.Followers()) })
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -95,6 +95,11 @@
 // to go. Where it has none the core is told, and ok is false.
 func (f *flight) setAside(ctx context.Context, a decide.Attempt, engine string) (h held, ok bool) {
 	x := f.x
+	granted, home := x.r.askRoom(ctx, engine, x)
+	if !granted {
+		f.send(flightEvent{attempt: a, noRoom: true})
+		return h, false
+	}
 	address := x.r.disp.Address(engine)
 	c := x.r.wire.TakeHold(x.ask.PromptTokens+min(x.ahead(), x.reserve()), min(x.service.Engines.HoldFor, holdFor))
 	// The call outlives a caller that leaves: only its answer names what is to be freed.
@@ -113,7 +118,7 @@
 		f.send(flightEvent{attempt: a, noRoom: true})
 		return h, false
 	}
-	return held{engine: engine, id: id}, true
+	return held{engine: engine, id: id, home: home}, true
 }
 
 func sideRequest(address string, c Call) *h1.Request {
--- a/internal/relay/learn.go
+++ b/internal/relay/learn.go
@@ -29,7 +29,7 @@
 // tellPlaced tells that engines have a stream of this box. It is told once memory is set
 // aside: until then the engines are only asked.
 func (f *flight) tellPlaced(a decide.Attempt) {
-	p := &overlay.Placed{Writer: f.hold.engine, KVTokens: f.x.ask.PromptTokens + f.x.expected(), Prompt: f.x.ask.PromptTokens, Ahead: f.x.ahead()}
+	p := &overlay.Placed{Writer: f.hold.engine, KVTokens: f.x.ask.PromptTokens + f.x.expected(), Prompt: f.x.ask.PromptTokens, Ahead: f.x.ahead(), Home: f.hold.home}
 	if a == f.read {
 		p.Reader, p.ReadTokens = f.reader, f.x.ask.PromptTokens
 	}
@@ -58,7 +58,9 @@
 		if p.Reader != "" {
 			r.disp.Step(decide.Sent{Engine: p.Reader, At: f.At, Tokens: p.ReadTokens})
 		}
-		r.disp.Step(decide.Sent{Engine: p.Writer, At: f.At, KV: p.KVTokens, Prompt: p.Prompt, Ahead: p.Ahead})
+		if p.Home != r.o.Box { // Otherwise this box has booked it already.
+			r.disp.Step(decide.Sent{Engine: p.Writer, At: f.At, KV: p.KVTokens, Prompt: p.Prompt, Ahead: p.Ahead})
+		}
 	case f.Ended != nil:
 		r.disp.Step(decide.Ended{Engine: f.Ended.Engine, At: f.At, Tokens: f.Ended.Tokens})
 	case f.Took != nil:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,6 +44,9 @@
 	// Connected says whether what others learn is heard, and Members how many boxes there are.
 	Connected() bool
 	Members() int
+	// AskRoom asks the home of an engine in a hall whether it has room for a stream. By is the
+	// box that said so, and empty where none was asked or answered.
+	AskRoom(ctx context.Context, hall string, r overlay.Room) (granted bool, by string)
 }
 
 // Relay serves callers. All fields are set by New.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -58,6 +58,8 @@
 type held struct {
 	engine string
 	id     string
+	// home is the box that granted the room; empty if none did.
+	home string
 }
 
 // flightEvent is what the calls to engines report. Exactly one of the fields after
--- a/internal/rpc/stoatrampv1/stoatrampv1connect/overlay.connect.go
+++ b/internal/rpc/stoatrampv1/stoatrampv1connect/overlay.connect.go
@@ -39,6 +39,8 @@
 	OverlayTellProcedure = "/stoatramp.v1.Overlay/Tell"
 	// OverlayTablesProcedure is the fully-qualified name of the Overlay's Tables RPC.
 	OverlayTablesProcedure = "/stoatramp.v1.Overlay/Tables"
+	// OverlayRoomProcedure is the fully-qualified name of the Overlay's Room RPC.
+	OverlayRoomProcedure = "/stoatramp.v1.Overlay/Room"
 )
 
 // OverlayClient is a client for the stoatramp.v1.Overlay service.
@@ -50,6 +52,8 @@
 	// Tables returns the tables once, to a box that starts while the store is away. It needs
 	// no key.
 	Tables(context.Context, *connect.Request[stoatrampv1.TablesRequest]) (*connect.Response[stoatrampv1.Update], error)
+	// Room asks the home of an engine whether a stream fits there, and books it if so.
+	Room(context.Context, *connect.Request[stoatrampv1.RoomRequest]) (*connect.Response[stoatrampv1.RoomResponse], error)
 }
 
 // NewOverlayClient constructs a client for the stoatramp.v1.Overlay service. By default, it uses
@@ -81,6 +85,12 @@
 			connect.WithSchema(overlayMethods.ByName("Tables")),
 			connect.WithClientOptions(opts...),
 		),
+		room: connect.NewClient[stoatrampv1.RoomRequest, stoatrampv1.RoomResponse](
+			httpClient,
+			baseURL+OverlayRoomProcedure,
+			connect.WithSchema(overlayMethods.ByName("Room")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -89,6 +99,7 @@
 	follow *connect.Client[stoatrampv1.FollowRequest, stoatrampv1.Update]
 	tell   *connect.Client[stoatrampv1.TellRequest, stoatrampv1.TellResponse]
 	tables *connect.Client[stoatrampv1.TablesRequest, stoatrampv1.Update]
+	room   *connect.Client[stoatrampv1.RoomRequest, stoatrampv1.RoomResponse]
 }
 
 // Follow calls stoatramp.v1.Overlay.Follow.
@@ -106,6 +117,11 @@
 	return c.tables.CallUnary(ctx, req)
 }
 
+// Room calls stoatramp.v1.Overlay.Room.
+func (c *overlayClient) Room(ctx context.Context, req *connect.Request[stoatrampv1.RoomRequest]) (*connect.Response[stoatrampv1.RoomResponse], error) {
+	return c.room.CallUnary(ctx, req)
+}
+
 // OverlayHandler is an implementation of the stoatramp.v1.Overlay service.
 type OverlayHandler interface {
 	// Follow sends the tables as they change and what is learned, until either side ends it.
@@ -115,6 +131,8 @@
 	// Tables returns the tables once, to a box that starts while the store is away. It needs
 	// no key.
 	Tables(context.Context, *connect.Request[stoatrampv1.TablesRequest]) (*connect.Response[stoatrampv1.Update], error)
+	// Room asks the home of an engine whether a stream fits there, and books it if so.
+	Room(context.Context, *connect.Request[stoatrampv1.RoomRequest]) (*connect.Response[stoatrampv1.RoomResponse], error)
 }
 
 // NewOverlayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -142,6 +160,12 @@
 		connect.WithSchema(overlayMethods.ByName("Tables")),
 		connect.WithHandlerOptions(opts...),
 	)
+	overlayRoomHandler := connect.NewUnaryHandler(
+		OverlayRoomProcedure,
+		svc.Room,
+		connect.WithSchema(overlayMethods.ByName("Room")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/stoatramp.v1.Overlay/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OverlayFollowProcedure:
@@ -150,6 +174,8 @@
 			overlayTellHandler.ServeHTTP(w, r)
 		case OverlayTablesProcedure:
 			overlayTablesHandler.ServeHTTP(w, r)
+		case OverlayRoomProcedure:
+			overlayRoomHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -170,3 +196,7 @@
 func (UnimplementedOverlayHandler) Tables(context.Context, *connect.Request[stoatrampv1.TablesRequest]) (*connect.Response[stoatrampv1.Update], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Overlay.Tables is not implemented"))
 }
+
+func (UnimplementedOverlayHandler) Room(context.Context, *connect.Request[stoatrampv1.RoomRequest]) (*connect.Response[stoatrampv1.RoomResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Overlay.Room is not implemented"))
+}
