Ask the store less when boxes start and while it is away

Ruled out: traffic (two calls a second once all follow). Change: a box that starts reads each table once and asks for changes only if nobody tells it within 2.2 s; the oldest box alone makes the key; a box that follows another waits up to six seconds before it orders engines; one that is told that the store is down looks each 1.8 s from the first, and does not look at all once it is told that it is back. One call of each box remains for policies in a store that is new.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -186,7 +186,7 @@
 	return &roles.Manager{
 		Fleet:  b.Relay,
 		Leases: &lease.Keeper{Rows: b.site.Leases, Key: "roles", Holder: b.settings.Load().Name, Length: rolesLease, Use: rolesUse},
-		Every:  rolesEvery, Steady: rolesSteady, Spacing: rolesLease + time.Second,
+		Every:  rolesEvery, Steady: rolesSteady, Patience: b.rolesPatience, Spacing: rolesLease + time.Second,
 		Ordered: func(engine string, role decide.EngineRole, l lease.Lease, err error) {
 			b.book.Log.Belief("role ordered", zap.String("endpoint", engine), zap.Stringer("role", role),
 				zap.Int64("fence", l.Fence), zap.Duration("lease_left", time.Until(l.Until)), zap.Error(err))
@@ -201,6 +201,20 @@
 	}
 }
 
+// mostPatience bounds the looks for which a box lets others give orders first: six seconds,
+// less than a burst lasts.
+const mostPatience = 20
+
+// rolesPatience is for how many looks this box lets others give orders first. Each that asks
+// for the lease costs a call to the store, so the more boxes there are the longer most wait;
+// the box that follows nobody does not.
+func (b *RelayBox) rolesPatience() int {
+	if !b.node.Follows() {
+		return 0
+	}
+	return 1 + rand.IntN(min(mostPatience, max(1, b.node.Members())))
+}
+
 // learnedKeeper keeps what boxes learn of engines in the store.
 func (b *RelayBox) learnedKeeper() *learned.Keeper {
 	return &learned.Keeper{
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -48,6 +48,12 @@
 	// they leave some for the way.
 	followedPart = 0.6
 	pausePart    = 0.3
+	// settle is how long a box that has just started waits for another one to tell it what
+	// changes, before it asks the store: it finds that one in the list of members. Where all
+	// start at once the list is made in membersSettle, and its key in a membersPause more. A
+	// box counts as in touch 3 s after its start, and must know by then what has changed.
+	settle        = 2200 * time.Millisecond
+	membersSettle = 450 * time.Millisecond
 	// handStale is the age for what is changed by hand.
 	handStale = 12 * time.Second
 	// membersPause has boxes that start together read their list in batches.
@@ -64,7 +70,7 @@
 	stale := cfg.ConfigWithin - ownRead
 	operator = follow.Options{
 		Wait: wait, Pause: changePause, Limit: callLimit, Link: link,
-		FollowedWait: part(stale, followedPart), FollowedPause: changePause, Stale: stale,
+		FollowedWait: part(stale, followedPart), FollowedPause: changePause, Stale: stale, Settle: settle,
 	}
 	stale = cfg.LeavingWithin - ownRead
 	list = follow.Options{
@@ -73,10 +79,10 @@
 	}
 	hand = follow.Options{
 		Wait: rulesWait, Pause: changePause, Limit: callLimit, Link: link,
-		FollowedWait: rulesWait, FollowedPause: changePause, Stale: handStale,
+		FollowedWait: rulesWait, FollowedPause: changePause, Stale: handStale, Settle: settle,
 	}
 	members = hand
-	members.Pause, members.FollowedPause = membersPause, membersPause
+	members.Pause, members.FollowedPause, members.Settle = membersPause, membersPause, membersSettle
 	return operator, list, hand, members
 }
 
--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -184,6 +184,13 @@
 	}
 }
 
+// relieved says that another box reads the table now.
+func (t *Table) relieved() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Until(t.relief.until) > 0
+}
+
 // rest waits while another box reads the table, and returns whether it did.
 func (t *Table) rest(ctx context.Context) (rested bool) {
 	for {
--- a/internal/follow/feed_test.go
+++ b/internal/follow/feed_test.go
@@ -175,3 +175,97 @@
 	}
 	return c.truth.Changed(ctx, since, wait)
 }
+
+// expectSettled has a box start, and another one tell it of the table from a moment on, every
+// 200 ms; it expects so many calls to the store in the first five seconds.
+func expectSettled(t *testing.T, toldFrom time.Duration, want int32) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := &counted{truth: newTruth()}
+		o := Options{Wait: 3200 * time.Millisecond, Limit: time.Second, Stale: 2 * time.Second, Settle: 2 * time.Second}
+		table := New(s, o, func(map[string][]byte) {})
+		go table.Run(ctx)
+		time.Sleep(toldFrom)
+		for range (5*time.Second - toldFrom) / (200 * time.Millisecond) {
+			table.Hear(Part{Version: table.Version(), Since: table.Version()}, 600*time.Millisecond)
+			time.Sleep(200 * time.Millisecond)
+		}
+		if got := s.calls.Load(); got != want {
+			t.Errorf("told from %s: expected %d calls, got %d", toldFrom, want, got)
+		}
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// A box that starts reads the table once, and asks for changes only if nobody tells it of them.
+func TestSettlesTold(t *testing.T)  { expectSettled(t, 1500*time.Millisecond, 1) }
+func TestSettlesAlone(t *testing.T) { expectSettled(t, 5*time.Second, 2) }
+
+// expectOutageCalls has a box that starts well see the store go down for ten seconds, and
+// expects at most so many calls meanwhile and in the two seconds after. Where it is told, the
+// other box says first that the store does not answer it either, and at its return that it does.
+func expectOutageCalls(t *testing.T, told bool, most int32) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		o := &outage{from: start.Add(5 * time.Second), to: start.Add(15 * time.Second)}
+		ctx, cancel := context.WithCancel(context.Background())
+		link := &Link{}
+		var tables []*Table
+		for range 3 {
+			table := New(countedOutage{o, &atomic.Int32{}}, Options{Wait: time.Second, Limit: 600 * time.Millisecond, Stale: 2 * time.Second, Link: link}, func(map[string][]byte) {})
+			tables = append(tables, table)
+			go table.Run(ctx)
+		}
+		time.Sleep(4900 * time.Millisecond)
+		before := callsOf(tables)
+		for time.Since(start) < 17*time.Second {
+			for _, table := range tables {
+				if told && time.Since(start) > 5*time.Second {
+					table.Hear(Part{Version: 1, Since: 1, Lost: time.Since(start) < 15*time.Second}, 600*time.Millisecond)
+				}
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		if got := callsOf(tables) - before; got > most {
+			t.Errorf("told %t: expected %d calls at the most, got %d", told, most, got)
+		}
+		for i, table := range tables {
+			if table.Away() {
+				t.Errorf("table %d: expected the store to be known to be back", i)
+			}
+		}
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// A box that is told how it stands with the store asks it a third as often while it is down,
+// and not at all when it is back.
+func TestOutageTold(t *testing.T)  { expectOutageCalls(t, true, 12) }
+func TestOutageAlone(t *testing.T) { expectOutageCalls(t, false, 45) }
+
+// countedOutage counts the calls that it is asked, whatever becomes of them.
+type countedOutage struct {
+	*outage
+	calls *atomic.Int32
+}
+
+func (c countedOutage) All(ctx context.Context) ([]Row, int64, error) {
+	c.calls.Add(1)
+	return c.outage.All(ctx)
+}
+
+func (c countedOutage) Changed(ctx context.Context, since int64, wait time.Duration) ([]Row, int64, error) {
+	c.calls.Add(1)
+	return c.outage.Changed(ctx, since, wait)
+}
+
+func callsOf(tables []*Table) (n int32) {
+	for _, t := range tables {
+		n += t.src.(countedOutage).calls.Load()
+	}
+	return n
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -48,6 +48,11 @@
 	FollowedPause time.Duration
 	// Stale is the age of what another box tells at which this one reads for itself.
 	Stale time.Duration
+	// Begin is how long another box is waited for before the table is first read, and Settle
+	// how long after that the changes are first asked for: most boxes are told by another one
+	// by then.
+	Begin  time.Duration
+	Settle time.Duration
 }
 
 // Freshness tells how long ago the store was heard of. The zero value has not heard of it.
@@ -123,9 +128,14 @@
 
 // Run follows until ctx ends.
 func (t *Table) Run(ctx context.Context) {
+	t.begin(ctx)
 	for ctx.Err() == nil {
 		relieved := t.rest(ctx)
 		probe, era := t.o.Link.enter(ctx)
+		if t.relieved() {
+			t.o.Link.leave(probe)
+			continue // Another box has told of the table while this one waited for the store.
+		}
 		start := time.Now()
 		// The first call of an era is answered at once too: what was missed is read now. So
 		// is the first one after another box fell silent.
@@ -152,13 +162,36 @@
 			_, pause = t.pace()
 			pause -= time.Since(start)
 		}
-		if pause <= 0 {
-			continue
-		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
+		t.pauseFor(ctx, pause)
+	}
+}
+
+// begin waits for another box to tell of the table, and otherwise reads it for the first time.
+func (t *Table) begin(ctx context.Context) {
+	t.pauseFor(ctx, t.o.Begin)
+	if t.o.Settle == 0 || t.relieved() {
+		return
+	}
+	probe, era := t.o.Link.enter(ctx)
+	_, err := t.stepIn(ctx, era, probe)
+	t.o.Link.ended(time.Now(), err == nil, probe)
+	if ctx.Err() != nil {
+		return
+	}
+	t.note(err)
+	if err == nil {
+		t.era = era
+		t.pauseFor(ctx, t.o.Settle)
+	}
+}
+
+func (t *Table) pauseFor(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -58,6 +58,15 @@
 	return linkMost
 }
 
+// least is the shortest pause now: a box that is told that the store does not answer another
+// one need not look sooner either.
+func (l *Link) least(now time.Time) time.Duration {
+	if now.Sub(l.told) < sharedFor {
+		return linkShared
+	}
+	return linkFirst
+}
+
 // enter waits until a call may be made. It returns whether the call is to see if the store
 // is back, which should be answered at once, and the era that it belongs to.
 func (l *Link) enter(ctx context.Context) (probe bool, era context.Context) {
@@ -106,6 +115,20 @@
 	return l.next.Sub(now), l.changed, false, false
 }
 
+// leave is for a call that was let through and is not made.
+func (l *Link) leave(probe bool) {
+	if !probe {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asking = false
+	if l.changed != nil {
+		close(l.changed)
+		l.changed = nil
+	}
+}
+
 // ended takes the end of a call.
 func (l *Link) ended(now time.Time, answered, probe bool) {
 	l.mu.Lock()
@@ -122,7 +145,7 @@
 		l.down, l.pause = false, 0
 	case !l.down || probe:
 		l.down = true
-		l.pause = min(l.most(now), max(linkFirst, 2*l.pause))
+		l.pause = min(l.most(now), max(l.least(now), 2*l.pause))
 		l.next = now.Add(time.Duration(float64(l.pause) * (0.7 + 0.6*rand.Float64())))
 	}
 	if l.changed != nil {
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -60,6 +60,8 @@
 	lostFor        = 400 * time.Millisecond
 	bothLostFor    = 2500 * time.Millisecond
 	registerSpread = 300 * time.Millisecond
+	// keyWait is how long the oldest box has to make the key.
+	keyWait = 2 * registerPause
 	// protocol is raised when boxes of the version before would misread a message.
 	protocol = 1
 )
@@ -116,6 +118,10 @@
 	stop    context.CancelFunc
 	open    bucket
 	homes   homes
+	// keyless is since when the list has no key. Only register uses it.
+	keyless time.Time
+	// putAt is when this box last listed itself. Only register uses it.
+	putAt time.Time
 
 	mu        sync.Mutex
 	followers map[*follower]struct{}
@@ -187,6 +193,13 @@
 	return n.up != nil || len(n.followers) > 0
 }
 
+// Follows says whether this box follows another one.
+func (n *Node) Follows() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.up != nil
+}
+
 // Members is how many boxes are listed, this one included.
 func (n *Node) Members() int { return n.members.size() }
 
@@ -235,19 +248,39 @@
 			continue
 		}
 		n.registerOnce(ctx)
-		sleep(ctx, registerPause/2+time.Duration(mrand.Int64N(int64(registerPause))))
+		pause := registerPause
+		if n.members.secret() == "" {
+			pause = registerSpread // No box can follow another before there is a key.
+		}
+		sleep(ctx, pause/2+time.Duration(mrand.Int64N(int64(pause))))
 	}
 }
 
 func (n *Node) registerOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	if n.members.secret() == "" {
+	m, listed := n.members.get(n.o.Self.Name)
+	if listed = listed && m == n.o.Self; !listed && time.Since(n.putAt) > registerPause {
+		n.putAt = time.Now() // The list shows it some time later.
+		_ = n.o.Register.Put(ctx, n.o.Self.Name, n.o.Self.row())
+	}
+	if n.members.secret() == "" && n.makesKey(listed, time.Now()) {
 		_ = n.o.Register.Create(ctx, keyRow, []byte(rand.Text())) // The table tells whose it was.
 	}
-	if m, ok := n.members.get(n.o.Self.Name); !ok || m != n.o.Self {
-		_ = n.o.Register.Put(ctx, n.o.Self.Name, n.o.Self.row())
+}
+
+// makesKey says whether this box makes the key: the oldest that is listed does at once, and
+// any other one where it has not for keyWait. A call of each box would cost a large fleet as
+// much as all that it asks the store for in a minute.
+func (n *Node) makesKey(listed bool, now time.Time) bool {
+	if n.keyless.IsZero() {
+		n.keyless = now
+	}
+	if now.Sub(n.keyless) > keyWait {
+		return true
 	}
+	list := n.members.list(n.o.Self.Region)
+	return listed && !slices.ContainsFunc(list, func(m Member) bool { return older(m, n.o.Self) < 0 })
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/overlay/tree_test.go
+++ b/internal/overlay/tree_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 )
 
 // hallOf makes the members of a hall, the oldest first.
@@ -57,6 +58,28 @@
 func TestTreeLarge(t *testing.T)   { expectTree(t, 59, 14, 2); expectTree(t, 80, 16, 2) }
 func TestTreeLargest(t *testing.T) { expectTree(t, 400, 36, 2) }
 
+// The oldest box that is listed makes the key, and any box does where that one has not in time.
+func TestKeyByOldest(t *testing.T) {
+	now := time.Now()
+	hall := hallOf(3)
+	for i, self := range hall {
+		n := &Node{o: Options{Self: self}}
+		n.members.all = map[string]Member{}
+		if n.makesKey(false, now) {
+			t.Errorf("box %d: expected a box that is not listed to make no key yet", i)
+		}
+		for _, m := range hall {
+			n.members.all[m.Name] = m
+		}
+		if got := n.makesKey(true, now.Add(time.Second)); got != (i == 0) {
+			t.Errorf("box %d: expected the oldest to make the key, got %t", i, got)
+		}
+		if !n.makesKey(true, now.Add(keyWait+time.Millisecond)) {
+			t.Errorf("box %d: expected any box to make the key in the end", i)
+		}
+	}
+}
+
 // When a box that stands between goes, only those that followed it follow another, and the
 // one that takes its place.
 func TestTreeMovesFew(t *testing.T) {
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -37,6 +37,9 @@
 	// Spacing is how long after an order, or the sight of another box's lease, this box
 	// does not try again.
 	Spacing time.Duration
+	// Patience is how many looks more an advice stands before this box follows it; nil for
+	// none. Of many boxes one is to be first, and the others see that engines have changed.
+	Patience func() int
 	// Leased is called after each try to take the lease that did not find it held; it may
 	// be nil.
 	Leased func(l lease.Lease, err error)
@@ -50,7 +53,7 @@
 // Run follows the advice until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
 	var last decide.Advice
-	same := 0
+	same, patience := 0, 0
 	for {
 		// Boxes that see the same do not ask for the lease at the same moment.
 		wait := m.Every/2 + time.Duration(rand.Int64N(int64(m.Every)))
@@ -61,10 +64,10 @@
 		case a.Role == last.Role && a.Pool == last.Pool:
 			same++
 		default:
-			same = 1
+			same, patience = 1, m.patience()
 		}
 		last = a
-		if ok && same >= m.Steady {
+		if ok && same >= m.Steady+patience {
 			if m.follow(ctx, a) {
 				wait, same = m.Spacing, 0
 			}
@@ -77,6 +80,13 @@
 	}
 }
 
+func (m *Manager) patience() int {
+	if m.Patience == nil {
+		return 0
+	}
+	return m.Patience()
+}
+
 // follow gives the order if this box gets the lease. It returns whether an order was
 // given or another box is about to.
 func (m *Manager) follow(ctx context.Context, a decide.Advice) bool {
--- a/internal/roles/roles_test.go
+++ b/internal/roles/roles_test.go
@@ -54,6 +54,22 @@
 	})
 }
 
+// A box that lets others be first gives no order where the advice passes meanwhile.
+func TestLetsOthersBeFirst(t *testing.T) {
+	for patience, want := range map[int]int{0: 2, 20: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{start: time.Now(), till: 3 * time.Second}
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			m := &Manager{Fleet: f, Leases: leases{}, Every: 300 * time.Millisecond, Steady: 3, Spacing: 9 * time.Second, Patience: func() int { return patience }}
+			m.Run(ctx)
+			if len(f.orders) != want {
+				t.Errorf("patience of %d: expected %d orders, got %v", patience, want, f.orders)
+			}
+		})
+	}
+}
+
 func TestFollowsSteadyAdvice(t *testing.T) {
 	expectOrders(t, fleet{till: 5 * time.Second}, leases{}, 2)
 }
