--- a/internal/decide/arrive.go
+++ b/internal/decide/arrive.go
@@ -209,11 +209,11 @@
 	return patientWait
 }
 
-// decideWaiting refuses requests whose refusal is about to become dear and that are not
-// expected to start in time.
+// decideWaiting refuses requests that are not expected to start in time: the sooner a caller
+// is told, the sooner it can do something else.
 func (c *Core) decideWaiting(p *pool) {
 	for _, f := range slices.Clone(p.queue.items) {
-		if f.DecideWithin <= 0 || f.patient || c.now.Sub(f.arrived) < f.DecideWithin {
+		if !f.RefuseEarly || f.patient {
 			continue
 		}
 		if c.now.Add(p.ahead(f)).After(f.latestStart) {
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -241,9 +241,9 @@
 const (
 	startsWindow = time.Second
 	mostStarts   = 8192
-	// leastChance is the chance to start in time below which a request that waits is refused
-	// when its refusal is about to become dear: one that is refused then and served later
-	// earns more than half, and one that waits in vain nothing.
+	// leastChance is the chance to start in time below which a request that waits is refused.
+	// Streams served in time on 30 days of three small sites at 0.5, 0.8 and 0.9: 15,510,
+	// 15,339 and 15,080 of 18,971; those refused are told so half as late at 0.8.
 	leastChance = 0.5
 )
 
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -67,9 +67,9 @@
 	// CameBack says that the caller was refused before and came back as it was told. To
 	// refuse it again would cost both, so it goes before others.
 	CameBack bool
-	// DecideWithin is how long a refusal costs the caller little. A request that still
-	// waits then is refused if it is not expected to be on time. 0 leaves that open.
-	DecideWithin time.Duration
+	// RefuseEarly has a request that waits refused as soon as it is not expected to start in
+	// time; otherwise it waits until its latest start.
+	RefuseEarly bool
 	// MaxWait bounds the wait of a request that may be late; 0 stands for half a minute.
 	MaxWait time.Duration
 	// Priority moves the request before (lower) or after others, in seconds of deadline.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -187,7 +187,7 @@
 		MaxEngines:    x.route.Tries,
 		ReadNotRun:    true,
 		CameBack:      x.route.cameBack(x.ask.Patience),
-		DecideWithin:  x.route.Objective * 9 / 40,
+		RefuseEarly:   true,
 		MaxWait:       maxWait,
 		Kind:          x.route.Kind.String(),
 		Rank:          x.route.Priority,
