Tell a home's refusal from an engine's in the explanation of a request

Cause: 'why' and the log said that an engine refused memory where its home had not granted room. Change: the step names the home.

--- a/internal/decide/promise_test.go
+++ b/internal/decide/promise_test.go
@@ -193,7 +193,7 @@
 		FirstToken: time.Second, BetweenTokens: 20 * time.Millisecond,
 		Repeatable: rapid.Bool().Draw(w.t, "repeatable"), ServeLate: rapid.Bool().Draw(w.t, "late"),
 		ReadNotRun: rapid.Bool().Draw(w.t, "read"), CameBack: rapid.Bool().Draw(w.t, "back"),
-		RefuseEarly:  rapid.Bool().Draw(w.t, "early"),
+		RefuseEarly: rapid.Bool().Draw(w.t, "early"),
 	}}
 	r.req.Resumable = r.req.Repeatable && rapid.Bool().Draw(w.t, "resumable")
 	w.reqs[w.next] = r
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -48,10 +48,8 @@
 	FollowedPause time.Duration
 	// Stale is the age of what another box tells at which this one reads for itself.
 	Stale time.Duration
-	// Begin is how long another box is waited for before the table is first read, and Settle
-	// how long after that the changes are first asked for: most boxes are told by another one
-	// by then.
-	Begin  time.Duration
+	// Settle is how long after the first reading the changes are first asked for: most boxes
+	// are told by another one by then.
 	Settle time.Duration
 }
 
@@ -166,9 +164,8 @@
 	}
 }
 
-// begin waits for another box to tell of the table, and otherwise reads it for the first time.
+// begin reads the table for the first time, and then waits for another box to tell of it.
 func (t *Table) begin(ctx context.Context) {
-	t.pauseFor(ctx, t.o.Begin)
 	if t.o.Settle == 0 || t.relieved() {
 		return
 	}
--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -94,6 +94,9 @@
 	case StepStayed:
 		return fmt.Sprintf("It was not moved, and went on where it was: %s.", s.Text)
 	case StepNoRoom:
+		if s.Text != "" {
+			return fmt.Sprintf("Box %s, the home of %s, said that it has no room; nothing was sent yet, and the request was placed again.", s.Text, s.Decode)
+		}
 		return fmt.Sprintf("%s refused to set memory aside; nothing was sent yet, and it was placed again.", s.Decode)
 	}
 	return string(s.Kind)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -30,7 +30,7 @@
 	StepMigrate  StepKind = "migrate"  // A stream is to be moved to Decode, because of Text.
 	StepMigrated StepKind = "migrated" // It goes on at Decode.
 	StepStayed   StepKind = "stayed"   // It could not be moved.
-	StepNoRoom   StepKind = "no_room"  // A decode engine refused to set memory aside.
+	StepNoRoom   StepKind = "no_room"  // A decode engine refused to set memory aside, or its home, named in Text, to grant it.
 )
 
 // Step is one thing that happened to a request.
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -97,7 +97,7 @@
 	x := f.x
 	granted, home := x.r.askRoom(ctx, engine, x)
 	if !granted {
-		f.send(flightEvent{attempt: a, noRoom: true})
+		f.send(flightEvent{attempt: a, noRoom: &noRoom{home}})
 		return h, false
 	}
 	address := x.r.disp.Address(engine)
@@ -115,7 +115,7 @@
 		return h, false
 	}
 	if err != nil || id == "" {
-		f.send(flightEvent{attempt: a, noRoom: true})
+		f.send(flightEvent{attempt: a, noRoom: &noRoom{}})
 		return h, false
 	}
 	return held{engine: engine, id: id, home: home}, true
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -67,7 +67,7 @@
 type flightEvent struct {
 	attempt decide.Attempt
 	held    *held     // Memory was set aside.
-	noRoom  bool      // It was refused.
+	noRoom  *noRoom   // It was refused.
 	read    *Source   // The prompt was read.
 	head    *headPart // The answer began.
 	part    *part     // The answer went on.
@@ -78,6 +78,9 @@
 	overdue bool   // A call that was stopped for a move should have ended.
 }
 
+// noRoom says who refused memory: the engine itself, or its home, which is named.
+type noRoom struct{ home string }
+
 // headPart is an answer's head together with what came first of its body.
 type headPart struct {
 	header http.Header
@@ -319,8 +322,8 @@
 	case ev.held != nil:
 		f.hold = *ev.held
 		f.tellPlaced(ev.attempt)
-	case ev.noRoom:
-		f.x.acc.Step(record.Step{Kind: record.StepNoRoom, Attempt: int(ev.attempt), Decode: f.planned})
+	case ev.noRoom != nil:
+		f.x.acc.Step(record.Step{Kind: record.StepNoRoom, Attempt: int(ev.attempt), Decode: f.planned, Text: ev.noRoom.home})
 		f.x.r.disp.Step(decide.NoRoom{ID: f.id, Attempt: ev.attempt})
 	case ev.read != nil:
 		f.source = *ev.read
