--- a/internal/overlay/tree_test.go
+++ b/internal/overlay/tree_test.go
@@ -1,10 +1,19 @@
 package overlay
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
+
+	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/stoatramp/stoatramp/internal/follow"
+	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 )
 
 // hallOf makes the members of a hall, the oldest first.
@@ -80,6 +89,38 @@
 	}
 }
 
+// encodings notes how the answers to a box are encoded.
+type encodings struct{ seen map[string]bool }
+
+func (e *encodings) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil {
+		e.seen[resp.Header.Get("Connect-Content-Encoding")+resp.Header.Get("Content-Encoding")] = true
+	}
+	return resp, err
+}
+
+// What boxes tell each other is not compressed, however large it is.
+func TestNotCompressed(t *testing.T) {
+	s := newStore()
+	s.set("config", follow.Row{Key: "k", Value: bytes.Repeat([]byte("x"), 100_000)})
+	a := s.start(t, "a", "h1", 1)
+	eventually(t, "there is a key and a configuration", func() bool { return a.members.secret() != "" && a.value() != "" })
+	e := &encodings{seen: map[string]bool{}}
+	b := New(Options{Metrics: metrics.NewSet()})
+	b.hc.Transport = e
+	req := connect.NewRequest(&v1.FollowRequest{Box: "b", Protocol: protocol})
+	authorize(req.Header(), a.members.secret())
+	stream, err := b.client(a.srv.Listener.Addr().String()).Follow(context.Background(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	if !stream.Receive() || !e.seen[""] || len(e.seen) != 1 {
+		t.Errorf("expected a message without an encoding, got %v, %v", e.seen, stream.Err())
+	}
+}
+
 // When a box that stands between goes, only those that followed it follow another, and the
 // one that takes its place.
 func TestTreeMovesFew(t *testing.T) {
