--- a/internal/overlay/link.go
+++ b/internal/overlay/link.go
@@ -34,9 +34,9 @@
 	return &link{n: n, m: m, client: n.client(m.Address), key: n.members.secret(), queue: newQueue()}
 }
 
-// client speaks to another box. Messages are not compressed: the library keeps a compressor of
-// about a megabyte for each that is under way, with which boxes that are followed by many and
-// short of processor time grew from 20 MB to 118 MB. Without it the busiest of 85 boxes spends
+// client speaks to another box. Messages are not compressed: the library makes compressors of
+// about a megabyte faster than a box that is short of processor time collects them, and boxes
+// that are followed by many grew from 20 MB to 118 MB. Without it the busiest of 85 boxes spends
 // 0.020 of a core in place of 0.037, and as many bytes go between halls.
 func (n *Node) client(address string) stoatrampv1connect.OverlayClient {
 	return stoatrampv1connect.NewOverlayClient(n.hc, "http://"+address,
