Find an engine's home by the rendezvous hashing of the tree

Cause: homeOf had a hashing loop of its own beside rendezvous, with two flags for the hall. Ruled out: another hash: the key and the member are joined as before, so homes stay where they are. Change: homeOf filters the members and calls rendezvous, which takes a key in place of a member. Conclusion: one hashing loop less, the same homes.

--- a/internal/overlay/home.go
+++ b/internal/overlay/home.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cespare/xxhash/v2"
 
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 )
@@ -70,17 +70,13 @@
 
 // homeOf finds the home of an engine: of its hall if any box there is usable.
 func (n *Node) homeOf(hall, engine string, now time.Time) (home Member, ok bool) {
-	most, inHall := uint64(0), false
-	for _, m := range n.members.list(n.o.Self.Region) {
-		own := m.Hall == hall
-		if inHall && !own || !n.homes.usable(m.Name, now) {
-			continue
-		}
-		if score := xxhash.Sum64String(engine + " " + m.Name); !ok || own && !inHall || score > most {
-			home, most, inHall, ok = m, score, own, true
-		}
+	list := n.members.list(n.o.Self.Region)
+	list = slices.DeleteFunc(list, func(m Member) bool { return !n.homes.usable(m.Name, now) })
+	own := slices.DeleteFunc(slices.Clone(list), func(m Member) bool { return m.Hall != hall })
+	if len(own) > 0 {
+		list = own
 	}
-	return home, ok
+	return rendezvous(list, engine), len(list) > 0
 }
 
 // AskRoom asks the home of an engine in a hall whether it has room for a stream. By is the box
--- a/internal/overlay/tree.go
+++ b/internal/overlay/tree.go
@@ -39,14 +39,15 @@
 	case size <= mostDirect || elders <= between:
 		return hall[0], true
 	}
-	return rendezvous(hall[1:between+1], self), true
+	return rendezvous(hall[1:between+1], self.Name), true
 }
 
-// rendezvous spreads boxes evenly over some, and moves few when one of those comes or goes.
-func rendezvous(list []Member, self Member) (best Member) {
+// rendezvous picks a member for a key: it spreads keys evenly, and moves few when a member comes
+// or goes.
+func rendezvous(list []Member, key string) (best Member) {
 	most := uint64(0)
 	for _, m := range list {
-		if n := xxhash.Sum64String(self.Name + " " + m.Name); n >= most {
+		if n := xxhash.Sum64String(key + " " + m.Name); n >= most {
 			best, most = m, n
 		}
 	}
