Settle within the loop that follows a table

Cause: begin made the first call of a table by a copy of the loop's steps: enter, step, ended, note. Ruled out: a longer Pause: it would hold for every change.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -126,7 +126,7 @@
 
 // Run follows until ctx ends.
 func (t *Table) Run(ctx context.Context) {
-	t.begin(ctx)
+	settles := t.o.Settle > 0 && !t.relieved()
 	for ctx.Err() == nil {
 		relieved := t.rest(ctx)
 		probe, era := t.o.Link.enter(ctx)
@@ -160,35 +160,17 @@
 			_, pause = t.pace()
 			pause -= time.Since(start)
 		}
-		t.pauseFor(ctx, pause)
-	}
-}
-
-// begin reads the table for the first time, and then waits for another box to tell of it.
-func (t *Table) begin(ctx context.Context) {
-	if t.o.Settle == 0 || t.relieved() {
-		return
-	}
-	probe, era := t.o.Link.enter(ctx)
-	_, err := t.stepIn(ctx, era, probe)
-	t.o.Link.ended(time.Now(), err == nil, probe)
-	if ctx.Err() != nil {
-		return
-	}
-	t.note(err)
-	if err == nil {
-		t.era = era
-		t.pauseFor(ctx, t.o.Settle)
-	}
-}
-
-func (t *Table) pauseFor(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+		if settles && err == nil {
+			pause = t.o.Settle
+		}
+		settles = false
+		if pause <= 0 {
+			continue
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
 	}
 }
 
