Drop a field of the question for room that nobody set

Cause: Room.Late and its message field were never set: a stream on the platform is not served late. Conclusion: less to read, the same bytes on the wire.

--- a/internal/overlay/home.go
+++ b/internal/overlay/home.go
@@ -28,8 +28,6 @@
 	Most     int
 	// Ahead must be free beside the prompt for the answer to begin.
 	Ahead int
-	// Late says that the stream may run late.
-	Late bool
 }
 
 const (
@@ -91,7 +89,7 @@
 	defer cancel()
 	req := connect.NewRequest(&v1.RoomRequest{
 		Engine: r.Engine, PromptTokens: int32(r.Prompt), ExpectedTokens: int32(r.Expected), MostTokens: int32(r.Most),
-		AheadTokens: int32(r.Ahead), Late: r.Late,
+		AheadTokens: int32(r.Ahead),
 	})
 	authorize(req.Header(), n.members.secret())
 	resp, err := n.client(home.Address).Room(ctx, req)
@@ -130,7 +128,7 @@
 	ok = m.Engine != "" && tokens(m.PromptTokens) && tokens(m.ExpectedTokens) && tokens(m.MostTokens) && tokens(m.AheadTokens)
 	r = Room{
 		Engine: m.Engine, Prompt: int(m.PromptTokens), Expected: int(m.ExpectedTokens), Most: int(m.MostTokens),
-		Ahead: int(m.AheadTokens), Late: m.Late,
+		Ahead: int(m.AheadTokens),
 	}
 	return r, ok
 }
--- a/internal/relay/room.go
+++ b/internal/relay/room.go
@@ -25,6 +25,6 @@
 func (r *Relay) HasRoom(room overlay.Room) bool {
 	r.askIfOld(room.Engine)
 	return r.disp.Grant(room.Engine, decide.Request{
-		PromptTokens: max(1, room.Prompt), MaxTokens: room.Most, ExpectTokens: room.Expected, Ahead: room.Ahead, ServeLate: room.Late,
+		PromptTokens: max(1, room.Prompt), MaxTokens: room.Most, ExpectTokens: room.Expected, Ahead: room.Ahead,
 	})
 }
