Log and count what tells a silent box and uncounted repeats from others

Ruled out: an alarm on the age alone: it does not tell a box that fails to ask from an outage. Change: a line 'table overdue' with the age and the state of the way to the store, gauges for both, the members' age too, and a counter of calls beyond the first of their request. Conclusion: the hypotheses about silent boxes and about the budget can be told apart.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -82,6 +82,8 @@
 	node *overlay.Node
 	// tables are the tables of the store that the box follows, by the names boxes share.
 	tables map[string]*follow.Table
+	// storeLink is the way to the store that all tables share.
+	storeLink follow.Link
 	// listed are the endpoints by key; only list uses it, and its calls do not overlap.
 	listed map[string]listedEndpoint
 	// lapsing says that endpoints are kept whose entries may have lapsed.
@@ -134,11 +136,22 @@
 	return b, nil
 }
 
-// registerAges adds the ages of what the box believes to its figures, in seconds.
+func oneIf(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+// registerAges adds the ages of what the box believes, in seconds, and how it stands with the
+// store to its figures.
 func (b *RelayBox) registerAges() {
-	for of, f := range map[string]*follow.Freshness{"configuration": &b.configHeard, "endpoints": &b.listHeard, "policies": &b.rulesHeard} {
-		b.Metrics.Set.NewGauge(fmt.Sprintf("stoatramp_age_seconds{of=%q}", of), func() float64 { return f.Age().Seconds() })
+	for of, t := range b.tables {
+		b.Metrics.Set.NewGauge(fmt.Sprintf("stoatramp_age_seconds{of=%q}", of), func() float64 { return t.Fresh.Age().Seconds() })
+		b.Metrics.Set.NewGauge(fmt.Sprintf("stoatramp_overdue{of=%q}", of), func() float64 { return oneIf(t.Overdue()) })
 	}
+	b.Metrics.Set.NewGauge("stoatramp_store_down", func() float64 { return oneIf(b.storeLink.State(time.Now()).Down) })
+	b.Metrics.Set.NewGauge("stoatramp_store_looking_seconds", func() float64 { return b.storeLink.State(time.Now()).Looking.Seconds() })
 	b.Metrics.Set.NewGauge("stoatramp_configuration_version", func() float64 { return float64(b.Relay.Version()) })
 	b.Metrics.Set.NewGauge("stoatramp_policies_version", func() float64 { return float64(b.Relay.PolicyVersion()) })
 	b.Metrics.Set.NewGauge("stoatramp_running", func() float64 { return float64(b.Relay.Running()) })
@@ -155,6 +168,7 @@
 	defer signal.Stop(hup)
 	go b.heed(hup)
 	b.follow()
+	go b.watchAges()
 	go tick(b.ctx, b.Relay.Running, b.Relay.Tick)
 	go b.share()
 	go b.Relay.ShareWaiting(b.ctx)
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -64,8 +64,7 @@
 func part(d time.Duration, p float64) time.Duration { return time.Duration(p * float64(d)) }
 
 // paces returns those of the configuration, the list, the policies and the members.
-func paces(cfg *config.Relay) (operator, list, hand, members follow.Options) {
-	link := &follow.Link{}
+func paces(cfg *config.Relay, link *follow.Link) (operator, list, hand, members follow.Options) {
 	wait := max(shortWait, cfg.RereadWithin-rereadSlack)
 	stale := cfg.ConfigWithin - ownRead
 	operator = follow.Options{
@@ -97,7 +96,7 @@
 // makeTables makes the tables that the box follows, and its part in the overlay.
 func (b *RelayBox) makeTables() {
 	cfg := b.settings.Load()
-	operator, list, hand, members := paces(cfg)
+	operator, list, hand, members := paces(cfg, &b.storeLink)
 	b.tables = map[string]*follow.Table{
 		tableConfig:    b.table(tableConfig, b.site.Operator, operator, &b.configHeard, b.configure),
 		tableEndpoints: b.table(tableEndpoints, b.site.Endpoints, list, &b.listHeard, b.list),
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -78,6 +78,20 @@
 	}
 }
 
+// overdueSlack is what a table may be late beyond its own pace, for a slow answer and a pause of
+// the link.
+const overdueSlack = time.Second + linkShared
+
+// OverdueAfter is the age beyond which a table is not as fresh as its pace has it: either the
+// store is away, or this box fails to ask it.
+func (t *Table) OverdueAfter() time.Duration {
+	return max(t.o.Wait, t.o.Stale) + t.o.Pause + t.o.Limit + overdueSlack
+}
+
+// Overdue says that the table was read, and that nothing has been heard of the store for it in
+// OverdueAfter, neither from the store nor from another box.
+func (t *Table) Overdue() bool { return t.Fresh.Age() > t.OverdueAfter() }
+
 // Table is the copy.
 type Table struct {
 	src Source
--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -31,8 +31,10 @@
 	down bool
 	// asking says that a call is under way to see whether the store is back.
 	asking bool
-	pause  time.Duration
-	next   time.Time
+	// askedAt is when that call was let through.
+	askedAt time.Time
+	pause   time.Duration
+	next    time.Time
 	// told is when another box last told that the store does not answer it.
 	told time.Time
 	// era ends when the store answers again after it did not. Calls begun in an earlier one
@@ -50,6 +52,26 @@
 	l.told = now
 }
 
+// LinkState is how a box stands with the store.
+type LinkState struct {
+	// Down says that the last call that ended got no answer.
+	Down bool
+	// Looking is for how long the call that looks whether the store is back has been under way;
+	// 0 while there is none.
+	Looking time.Duration
+}
+
+// State tells how the box stands with the store now.
+func (l *Link) State(now time.Time) LinkState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := LinkState{Down: l.down}
+	if l.asking {
+		s.Looking = max(time.Nanosecond, now.Sub(l.askedAt))
+	}
+	return s
+}
+
 // most is the longest pause now.
 func (l *Link) most(now time.Time) time.Duration {
 	if now.Sub(l.told) < sharedFor {
@@ -103,7 +125,7 @@
 		return 0, nil, false, true
 	}
 	if !l.asking && !now.Before(l.next) {
-		l.asking = true
+		l.asking, l.askedAt = true, now
 		return 0, nil, true, true
 	}
 	if l.changed == nil {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -49,6 +49,9 @@
 		if a.sent {
 			arrived++
 		}
+		if a.sent && arrived > 1 {
+			x.r.m.CallsAgain.Inc()
+		}
 		if a.ran {
 			ran = true
 			runs++
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -43,6 +43,8 @@
 	// begun the answer has taken them.
 	hold   held
 	source Source
+	// reads and writes count the calls that were sent, to have the prompt read and the answer made.
+	reads, writes int
 	// moving is the move of the stream to another engine that is under way; nil if none is.
 	moving *migration
 	// stopWrite ends the current decode call.
@@ -273,6 +275,7 @@
 			break
 		}
 		f.leaveHold(a.Decode)
+		f.countCall(a.Attempt)
 		run := Run{Instance: a.Decode, Source: f.source, Hold: f.hold.id, LastEvent: f.lastID}
 		ctx := f.bindWrite(a.Attempt)
 		f.calls.Go(func() { f.callWrite(ctx, a, run) })
@@ -282,6 +285,18 @@
 	return outcome.Outcome{}, false
 }
 
+// countCall counts a call that is sent to an engine. One that goes on with a moved stream is the
+// same run and no call of its own.
+func (f *flight) countCall(a decide.Attempt) {
+	n := &f.writes
+	if a == f.read {
+		n = &f.reads
+	}
+	if *n++; *n > 1 {
+		f.x.r.m.CallsAgain.Inc()
+	}
+}
+
 // bindWrite makes the context of a decode call.
 func (f *flight) bindWrite(a decide.Attempt) context.Context {
 	ctx, cancel := context.WithCancel(f.call.Bind(f.ctx, a))
@@ -322,6 +337,7 @@
 	case ev.held != nil:
 		f.hold = *ev.held
 		f.tellPlaced(ev.attempt)
+		f.countCall(ev.attempt) // What was asked until now reached no queue of an engine.
 	case ev.noRoom != nil:
 		f.x.acc.Step(record.Step{Kind: record.StepNoRoom, Attempt: int(ev.attempt), Decode: f.planned, Text: ev.noRoom.home})
 		f.x.r.disp.Step(decide.NoRoom{ID: f.id, Attempt: ev.attempt})
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -22,10 +22,13 @@
 	retries  map[outcome.Reason]*metrics.Counter
 	wasted   map[outcome.Reason]*metrics.Counter
 
-	Moves         *metrics.Counter
-	Migrated      *metrics.Counter
-	MigratedNot   *metrics.Counter
-	Resumes       *metrics.Counter
+	Moves       *metrics.Counter
+	Migrated    *metrics.Counter
+	MigratedNot *metrics.Counter
+	Resumes     *metrics.Counter
+	// CallsAgain counts the calls sent beyond the first of their request. The first that only
+	// has a prompt read is none of them.
+	CallsAgain    *metrics.Counter
 	Aborts        *metrics.Counter
 	AbortsLost    *metrics.Counter
 	Crossed       *metrics.Counter
@@ -57,6 +60,7 @@
 		Migrated:      s.NewCounter(`stoatramp_migrations_total{outcome="moved"}`),
 		MigratedNot:   s.NewCounter(`stoatramp_migrations_total{outcome="stayed"}`),
 		Resumes:       s.NewCounter("stoatramp_resumes_total"),
+		CallsAgain:    s.NewCounter("stoatramp_calls_again_total"),
 		Aborts:        s.NewCounter("stoatramp_aborts_total"),
 		AbortsLost:    s.NewCounter("stoatramp_aborts_lost_total"),
 		Crossed:       s.NewCounter(`stoatramp_dropped_chunks_total{cause="crossed"}`),
