Give the right to look at the store back in one place, and bound it in time

Cause: a table that looked whether the store is back left Run by an early continue when another table's call was answered first, and kept the link's only permit; at the next outage all tables waited an hour for the end of a look that nobody made. Class: a permit held across an early way out. Ruled out: endpoints kept as lapsed: the configuration was old too. Change: one call by a pass is one function, which gives the pass back by a deferred call; a look is over after its limit whatever became of it, and nobody waits for it longer. The test's own store got a lock: its calls overlap. Conclusion: mended; whether old tables told on are a fault of their own is next.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -138,46 +138,20 @@
 	return t
 }
 
+// lookSlack is what a look at the store may take beyond the limit of its call.
+const lookSlack = 200 * time.Millisecond
+
 // Run follows until ctx ends.
 func (t *Table) Run(ctx context.Context) {
 	settles := t.o.Settle > 0 && !t.relieved()
 	for ctx.Err() == nil {
 		relieved := t.rest(ctx)
-		probe, era := t.o.Link.enter(ctx)
-		if t.relieved() {
-			t.o.Link.leave(probe)
-			continue // Another box has told of the table while this one waited for the store.
-		}
-		start := time.Now()
-		// The first call of an era is answered at once too: what was missed is read now. So
-		// is the first one after another box fell silent.
-		changed, err := t.stepIn(ctx, era, probe || relieved || era != t.era)
-		if err == nil {
-			t.era = era
-		}
-		if err != nil && era.Err() != nil && ctx.Err() == nil {
-			continue // The store is back, and this call had waited since before it was lost.
-		}
-		t.o.Link.ended(time.Now(), err == nil || errors.Is(err, ErrForgotten) || errors.Is(err, errOld), probe)
-		if ctx.Err() != nil {
-			return // The end is no loss.
-		}
-		t.note(err)
-		pause := time.Duration(0)
-		switch {
-		case errors.Is(err, ErrForgotten):
-			t.forgotten()
-		case errors.Is(err, errOld):
-			pause = linkFirst // The store answers, but does not know yet what it said.
-		case err != nil: // The link paces what comes after a failure.
-		case changed:
-			_, pause = t.pace()
-			pause -= time.Since(start)
-		}
-		if settles && err == nil {
+		p := t.o.Link.enter(ctx, t.o.Limit+lookSlack)
+		pause, made := t.visit(ctx, p, relieved)
+		if settles && made == nil {
 			pause = t.o.Settle
 		}
-		settles = false
+		settles = settles && errors.Is(made, errNotMade)
 		if pause <= 0 {
 			continue
 		}
@@ -188,6 +162,44 @@
 	}
 }
 
+// errNotMade means that a call was not made, or says nothing of the store.
+var errNotMade = errors.New("no call was made")
+
+// visit makes one call by a pass, which it gives back however it returns, and says for how long to
+// pause after it.
+func (t *Table) visit(ctx context.Context, p *pass, relieved bool) (pause time.Duration, err error) {
+	defer p.giveBack()
+	if ctx.Err() != nil || t.relieved() {
+		return 0, errNotMade // Another box has told of the table while this one waited for the store.
+	}
+	start := time.Now()
+	// The first call of an era is answered at once too: what was missed is read now. So
+	// is the first one after another box fell silent.
+	changed, err := t.stepIn(ctx, p.era, p.look || relieved || p.era != t.era)
+	if err == nil {
+		t.era = p.era
+	}
+	if err != nil && p.era.Err() != nil && ctx.Err() == nil {
+		return 0, errNotMade // The store is back, and this call had waited since before it was lost.
+	}
+	p.ended(time.Now(), err == nil || errors.Is(err, ErrForgotten) || errors.Is(err, errOld))
+	if ctx.Err() != nil {
+		return 0, err // The end is no loss.
+	}
+	t.note(err)
+	switch {
+	case errors.Is(err, ErrForgotten):
+		t.forgotten()
+	case errors.Is(err, errOld):
+		pause = linkFirst // The store answers, but does not know yet what it said.
+	case err != nil: // The link paces what comes after a failure.
+	case changed:
+		_, pause = t.pace()
+		pause -= time.Since(start)
+	}
+	return pause, err
+}
+
 // note keeps account of whether the store answers.
 func (t *Table) note(err error) {
 	if err == nil || errors.Is(err, ErrForgotten) {
--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -29,12 +29,10 @@
 	mu sync.Mutex
 	// down says that the last call that ended got no answer.
 	down bool
-	// asking says that a call is under way to see whether the store is back.
-	asking bool
-	// askedAt is when that call was let through.
-	askedAt time.Time
-	pause   time.Duration
-	next    time.Time
+	// look is the pass of the call that looks whether the store is back; nil while there is none.
+	look  *pass
+	pause time.Duration
+	next  time.Time
 	// told is when another box last told that the store does not answer it.
 	told time.Time
 	// era ends when the store answers again after it did not. Calls begun in an earlier one
@@ -45,6 +43,19 @@
 	changed chan struct{}
 }
 
+// pass lets one call through to the store. Whoever got it gives it back by a deferred call: one
+// that was kept on a way out had no table of its box ask the store again.
+type pass struct {
+	link *Link
+	// look says that the call is to see whether the store is back, and should be answered at once.
+	look bool
+	// from and until are when the call was let through, and when a look is over, whatever became of
+	// it: then another one may be made. A process that stood still for long finds it over too.
+	from, until time.Time
+	// era is the one that the call belongs to.
+	era context.Context
+}
+
 // shared notes that another box looks whether the store is back too.
 func (l *Link) shared(now time.Time) {
 	l.mu.Lock()
@@ -66,8 +77,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := LinkState{Down: l.down}
-	if l.asking {
-		s.Looking = max(time.Nanosecond, now.Sub(l.askedAt))
+	if l.look != nil {
+		s.Looking = max(time.Nanosecond, now.Sub(l.look.from))
 	}
 	return s
 }
@@ -89,13 +100,13 @@
 	return linkFirst
 }
 
-// enter waits until a call may be made. It returns whether the call is to see if the store
-// is back, which should be answered at once, and the era that it belongs to.
-func (l *Link) enter(ctx context.Context) (probe bool, era context.Context) {
+// enter waits until a call may be made, or ctx ends. A call that looks whether the store is back
+// takes lookLimit at the most.
+func (l *Link) enter(ctx context.Context, lookLimit time.Duration) *pass {
 	for {
-		wait, changed, probe, ok := l.try(time.Now())
-		if ok {
-			return probe, l.now()
+		p, wait, changed := l.try(time.Now(), lookLimit)
+		if p != nil {
+			return p
 		}
 		t := time.NewTimer(wait)
 		select {
@@ -103,61 +114,65 @@
 		case <-changed:
 		case <-ctx.Done():
 			t.Stop()
-			return false, l.now()
+			return &pass{link: l, era: ctx}
 		}
 		t.Stop()
 	}
 }
 
-func (l *Link) now() context.Context {
+// try returns a pass, or until when to wait at the most for the next try.
+func (l *Link) try(now time.Time, lookLimit time.Duration) (p *pass, wait time.Duration, changed <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	looking := l.look != nil && now.Before(l.look.until)
+	switch {
+	case !l.down:
+		return &pass{link: l, from: now, era: l.eraNow()}, 0, nil
+	case !looking && !now.Before(l.next):
+		l.look = &pass{link: l, look: true, from: now, until: now.Add(lookLimit), era: l.eraNow()}
+		return l.look, 0, nil
+	}
+	if l.changed == nil {
+		l.changed = make(chan struct{})
+	}
+	if looking {
+		return nil, l.look.until.Sub(now), l.changed
+	}
+	return nil, l.next.Sub(now), l.changed
+}
+
+// eraNow is the present era. The lock is held.
+func (l *Link) eraNow() context.Context {
 	if l.era == nil {
 		l.era, l.nextEra = context.WithCancel(context.Background())
 	}
 	return l.era
 }
 
-func (l *Link) try(now time.Time) (wait time.Duration, changed <-chan struct{}, probe, ok bool) {
+// giveBack ends a pass, whether or not its call was made and whatever came of it.
+func (p *pass) giveBack() {
+	l := p.link
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.down {
-		return 0, nil, false, true
-	}
-	if !l.asking && !now.Before(l.next) {
-		l.asking, l.askedAt = true, now
-		return 0, nil, true, true
+	if l.look == p {
+		l.look = nil
+		l.wake()
 	}
-	if l.changed == nil {
-		l.changed = make(chan struct{})
-	}
-	if l.asking {
-		return time.Hour, l.changed, false, false // Until its answer.
-	}
-	return l.next.Sub(now), l.changed, false, false
 }
 
-// leave is for a call that was let through and is not made.
-func (l *Link) leave(probe bool) {
-	if !probe {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.asking = false
+// wake has all that wait try again. The lock is held.
+func (l *Link) wake() {
 	if l.changed != nil {
 		close(l.changed)
 		l.changed = nil
 	}
 }
 
-// ended takes the end of a call.
-func (l *Link) ended(now time.Time, answered, probe bool) {
+// ended takes what came of a pass's call.
+func (p *pass) ended(now time.Time, answered bool) {
+	l := p.link
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if probe {
-		l.asking = false
-	}
 	switch {
 	case answered:
 		if l.down && l.nextEra != nil {
@@ -165,13 +180,10 @@
 			l.era, l.nextEra = nil, nil
 		}
 		l.down, l.pause = false, 0
-	case !l.down || probe:
+	case !l.down || p.look:
 		l.down = true
 		l.pause = min(l.most(now), max(l.least(now), 2*l.pause))
 		l.next = now.Add(time.Duration(float64(l.pause) * (0.7 + 0.6*rand.Float64())))
 	}
-	if l.changed != nil {
-		close(l.changed)
-		l.changed = nil
-	}
+	l.wake()
 }
--- a/internal/follow/look_test.go
+++ b/internal/follow/look_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,30 +77,45 @@
 // flaky is a store that at random moments ends calls, leaves them without an answer, answers
 // slowly, or forgets its history.
 type flaky struct {
+	mu  sync.Mutex
 	rng *rand.Rand
 	// asked is when it was asked last.
 	asked time.Time
 }
 
-func (s *flaky) All(ctx context.Context) ([]Row, int64, error) {
-	_, _, err := s.Changed(ctx, 0, 0)
-	return nil, 1, err
-}
-
-func (s *flaky) Changed(ctx context.Context, _ int64, wait time.Duration) ([]Row, int64, error) {
+// ask notes a call, and draws how long it takes and what comes of it.
+func (s *flaky) ask(wait time.Duration) (takes time.Duration, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.asked = time.Now()
-	takes := time.Duration(s.rng.Float64() * float64(wait+400*time.Millisecond))
-	var err error
+	takes = time.Duration(s.rng.Float64() * float64(wait+400*time.Millisecond))
 	switch s.rng.IntN(5) {
 	case 0:
-		takes, err = takes/20, errDown
+		return takes / 20, errDown
 	case 1:
-		takes = time.Hour
+		return time.Hour, nil
 	case 2:
-		err = errDown
+		return takes, errDown
 	case 3:
-		err = ErrForgotten
+		return takes, ErrForgotten
 	}
+	return takes, nil
+}
+
+// silent is for how long it was not asked.
+func (s *flaky) silent() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.asked)
+}
+
+func (s *flaky) All(ctx context.Context) ([]Row, int64, error) {
+	_, _, err := s.Changed(ctx, 0, 0)
+	return nil, 1, err
+}
+
+func (s *flaky) Changed(ctx context.Context, _ int64, wait time.Duration) ([]Row, int64, error) {
+	takes, err := s.ask(wait)
 	select {
 	case <-time.After(takes):
 		return nil, 1, err
@@ -116,7 +132,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			s := &flaky{rng: rand.New(rand.NewPCG(seed, 5)), asked: time.Now()}
-			link := &Link{}
+			told, link := rand.New(rand.NewPCG(seed, 6)), &Link{}
 			var tables []*Table
 			for _, wait := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second} {
 				table := New(s, Options{Wait: wait, Limit: 600 * time.Millisecond, Stale: time.Second, Link: link}, func(map[string][]byte) {})
@@ -125,10 +141,10 @@
 			}
 			for range 600 { // A minute.
 				time.Sleep(100 * time.Millisecond)
-				if s.rng.IntN(20) == 0 {
-					tables[0].Hear(Part{Version: 1, Since: 1, Lost: s.rng.IntN(2) == 0}, 300*time.Millisecond)
+				if told.IntN(20) == 0 {
+					tables[0].Hear(Part{Version: 1, Since: 1, Lost: told.IntN(2) == 0}, 300*time.Millisecond)
 				}
-				if silent := time.Since(s.asked); silent > within {
+				if silent := s.silent(); silent > within {
 					t.Errorf("seed %d: expected the store to be asked within %s, not for %s; the link says %+v", seed, within, silent, link.State(time.Now()))
 					break
 				}
