Count a table that is overdue as lost, to others and to this box

Change: Away and Tell go by age too, and word that is overdue is no return. Figures: TestOverdueIsTold and TestOldWordIsNoReturn fail without it and pass with it. Conclusion: kept as a second guard: whatever keeps a box from asking, others leave it in seconds.

--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -59,8 +59,10 @@
 	return t.changes.told
 }
 
-// Away says that the store did not answer this box last, nor does another one tell of it.
-func (t *Table) Away() bool { return t.lost.Load() }
+// Away says that the store did not answer this box last, nor does another one tell of it; or
+// that the table is overdue. The age counts beside the answers, so that a box that fails to ask
+// is not followed by others for good, and follows one that does better.
+func (t *Table) Away() bool { return t.lost.Load() || t.Overdue() }
 
 // isBack notes that the store is heard of, from itself or by way of another box.
 func (t *Table) isBack() {
@@ -91,7 +93,7 @@
 func (t *Table) Tell(since int64) Part {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := Part{Version: t.ver, Age: t.Fresh.Age(), Lost: t.lost.Load()}
+	p := Part{Version: t.ver, Age: t.Fresh.Age(), Lost: t.Away()}
 	if t.rows == nil {
 		return Part{Lost: true}
 	}
@@ -128,7 +130,7 @@
 		return true
 	}
 	fits := true
-	if !p.Lost {
+	if !p.Lost && p.Age <= t.OverdueAfter() {
 		t.isBack() // Before the rows are applied, which may lack some that lapsed meanwhile.
 	}
 	if p.Since == 0 {
--- a/internal/follow/look_test.go
+++ b/internal/follow/look_test.go
@@ -157,3 +157,38 @@
 
 // The longest a call may wait and its limit are 8.6 s, and the pause before the next look 2.4 s.
 func TestStoreAskedInAnyOrder(t *testing.T) { expectAsked(t, 200, 12*time.Second) }
+
+// A box whose table had not been heard of for long told it on without a word of that: two such
+// boxes followed each other for the rest of a day, each by what the other had. Its log says so:
+// it followed one box from 5.5 s to the end, and served by the version of 4.5 s.
+func TestOverdueIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := New(newScript(), Options{Wait: time.Second, Limit: time.Second, Stale: time.Second}, func(map[string][]byte) {})
+		table.Hear(Part{Version: 1}, time.Second)
+		if table.Away() || table.Tell(0).Lost {
+			t.Error("expected a table that was just heard of to count as fresh")
+		}
+		time.Sleep(table.OverdueAfter() + time.Millisecond)
+		if !table.Away() || !table.Tell(0).Lost {
+			t.Errorf("expected one of %s to be told as such, got %+v", table.Fresh.Age(), table.Tell(0))
+		}
+	})
+}
+
+// Such a word did not only keep a box from leaving the other one: it also counted as the store's
+// return.
+func TestOldWordIsNoReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := New(newScript(), Options{Wait: time.Second, Limit: time.Second, Stale: time.Second}, func(map[string][]byte) {})
+		table.Hear(Part{Version: 1}, time.Second)
+		table.note(errDown)
+		table.Hear(Part{Version: 1, Since: 1, Age: table.OverdueAfter() + time.Millisecond}, time.Second)
+		if !table.Away() {
+			t.Error("expected word that is overdue not to count as the store's return")
+		}
+		table.Hear(Part{Version: 1, Since: 1}, time.Second)
+		if table.Away() {
+			t.Error("expected fresh word to count as the store's return")
+		}
+	})
+}
