Name what a visit returned, and put the look's slack beside the link's other times

Cause: a reading of the diff: 'made' was an error, and one constant of the link stood in another file. Ruled out: nothing to measure. Change: names and places only.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -138,20 +138,17 @@
 	return t
 }
 
-// lookSlack is what a look at the store may take beyond the limit of its call.
-const lookSlack = 200 * time.Millisecond
-
 // Run follows until ctx ends.
 func (t *Table) Run(ctx context.Context) {
 	settles := t.o.Settle > 0 && !t.relieved()
 	for ctx.Err() == nil {
 		relieved := t.rest(ctx)
 		p := t.o.Link.enter(ctx, t.o.Limit+lookSlack)
-		pause, made := t.visit(ctx, p, relieved)
-		if settles && made == nil {
+		pause, err := t.visit(ctx, p, relieved)
+		if settles && err == nil {
 			pause = t.o.Settle
 		}
-		settles = settles && errors.Is(made, errNotMade)
+		settles = settles && errors.Is(err, errNotMade)
 		if pause <= 0 {
 			continue
 		}
--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -17,6 +17,9 @@
 	// ago, that the store does not answer that one either: one of them is enough to look often.
 	linkShared = 1800 * time.Millisecond
 	sharedFor  = time.Second
+	// lookSlack is what a look at the store may take beyond the limit of its call: applying what it
+	// brought, on a box that is short of processor time.
+	lookSlack = 200 * time.Millisecond
 )
 
 // Link is a box's way to the store, shared by all tables that it follows. While the store
