Trace two tests of follow that fail now and then, and make their verdict certain

In 14 of 1,000 the calls from before the outage end in another order (13 or 14). Change: the test tells of the return at its moment, and counts apart: at most 8 calls while the store is down (7 pauses of 0.7 x 1.8 s fit) and none after, where it allowed 12 in all; alone 22 and 12, where it allowed 45. The tests' stores make no timer that is due at once.

--- a/internal/follow/feed_test.go
+++ b/internal/follow/feed_test.go
@@ -168,10 +168,8 @@
 
 func (c *counted) Changed(ctx context.Context, since int64, wait time.Duration) ([]Row, int64, error) {
 	c.calls.Add(1)
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+	if err := passes(ctx, wait); err != nil {
+		return nil, 0, err
 	}
 	return c.truth.Changed(ctx, since, wait)
 }
@@ -203,13 +201,18 @@
 func TestSettlesTold(t *testing.T)  { expectSettled(t, 1500*time.Millisecond, 1) }
 func TestSettlesAlone(t *testing.T) { expectSettled(t, 5*time.Second, 2) }
 
-// expectOutageCalls has a box that starts well see the store go down for ten seconds, and
-// expects at most so many calls meanwhile and in the two seconds after. Where it is told, the
-// other box says first that the store does not answer it either, and at its return that it does.
-func expectOutageCalls(t *testing.T, told bool, most int32) {
+// expectOutageCalls has a box that starts well see the store go down for ten seconds, and expects
+// at most so many calls while it is down, once the calls from before have ended, and in the two
+// seconds after its return. Where it is told, the other box says first that the store does not
+// answer it either, and at the moment of its return that it does.
+//
+// A box that looks between the return and the next word of it finds the store back by itself, and
+// reads all tables: told 100 ms after the return that happened in 66 of 1,000 plays.
+func expectOutageCalls(t *testing.T, told bool, mostDown, mostBack int32) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
+		at := func(d time.Duration) { time.Sleep(time.Until(start.Add(d))) }
 		o := &outage{from: start.Add(5 * time.Second), to: start.Add(15 * time.Second)}
 		ctx, cancel := context.WithCancel(context.Background())
 		link := &Link{}
@@ -219,18 +222,29 @@
 			tables = append(tables, table)
 			go table.Run(ctx)
 		}
-		time.Sleep(4900 * time.Millisecond)
-		before := callsOf(tables)
-		for time.Since(start) < 17*time.Second {
-			for _, table := range tables {
-				if told && time.Since(start) > 5*time.Second {
-					table.Hear(Part{Version: 1, Since: 1, Lost: time.Since(start) < 15*time.Second}, 600*time.Millisecond)
+		tell := func(from, to time.Duration, lost bool) {
+			for d := from; d < to; d += 200 * time.Millisecond {
+				at(d)
+				for _, table := range tables {
+					if told {
+						table.Hear(Part{Version: 1, Since: 1, Lost: lost}, 600*time.Millisecond)
+					}
 				}
 			}
-			time.Sleep(200 * time.Millisecond)
 		}
-		if got := callsOf(tables) - before; got > most {
-			t.Errorf("told %t: expected %d calls at the most, got %d", told, most, got)
+		tell(5*time.Second, 6100*time.Millisecond, true)
+		at(6100 * time.Millisecond) // The calls that were under way have ended.
+		before := callsOf(tables)
+		tell(6200*time.Millisecond, 15*time.Second, true)
+		at(15*time.Second - time.Nanosecond)
+		if got := callsOf(tables) - before; got > mostDown {
+			t.Errorf("told %t: expected %d calls at the most while the store is down, got %d", told, mostDown, got)
+		}
+		before = callsOf(tables)
+		tell(15*time.Second, 17*time.Second, false)
+		at(17 * time.Second)
+		if got := callsOf(tables) - before; got > mostBack {
+			t.Errorf("told %t: expected %d calls at the most after its return, got %d", told, mostBack, got)
 		}
 		for i, table := range tables {
 			if table.Away() {
@@ -243,9 +257,9 @@
 }
 
 // A box that is told how it stands with the store asks it a third as often while it is down,
-// and not at all when it is back.
-func TestOutageTold(t *testing.T)  { expectOutageCalls(t, true, 12) }
-func TestOutageAlone(t *testing.T) { expectOutageCalls(t, false, 45) }
+// and not at all when it is back. The shortest pauses are 0.7 of 1.8 s, and of 0.6 s.
+func TestOutageTold(t *testing.T)  { expectOutageCalls(t, true, 8, 0) }
+func TestOutageAlone(t *testing.T) { expectOutageCalls(t, false, 22, 12) }
 
 // countedOutage counts the calls that it is asked, whatever becomes of them.
 type countedOutage struct {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -163,8 +163,18 @@
 		<-ctx.Done() // What is under way when the store falls silent is lost.
 		return ctx.Err()
 	}
+	return passes(ctx, wait)
+}
+
+// passes waits for a time, or until ctx ends. It makes no timer that is due at once: with the race
+// detector Go 1.26.8 ended these tests in one of some hundred plays by a segmentation violation in
+// the runtime's maybeRunChan, in a select on such a timer.
+func passes(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	select {
-	case <-time.After(wait):
+	case <-time.After(d):
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- a/internal/follow/look_test.go
+++ b/internal/follow/look_test.go
@@ -116,12 +116,10 @@
 
 func (s *flaky) Changed(ctx context.Context, _ int64, wait time.Duration) ([]Row, int64, error) {
 	takes, err := s.ask(wait)
-	select {
-	case <-time.After(takes):
-		return nil, 1, err
-	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+	if gone := passes(ctx, takes); gone != nil {
+		return nil, 0, gone
 	}
+	return nil, 1, err
 }
 
 // expectAsked has four tables share the way to a store, with others that tell one of them of it
