Keep limits that hold for all boxes together by parts that boxes lend to a home

Cause: on the platform no client account has a limit; in one window 2.8 M tokens were run of 1.5 M allowed. A bound on a sum must hold while boxes do not hear of each other, and plain parts are too small: 483 tokens a second and box for the smallest account, a stream takes 3,300.

--- /dev/null
+++ b/internal/quota/purse.go
@@ -0,0 +1,118 @@
+package quota
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+)
+
+// Homes asks the home of an account for units. Lent is false where no home answered, and the
+// answer is then of this box alone.
+type Homes interface {
+	Allow(ctx context.Context, account string, units, ahead float64) (a Answer, lent bool)
+}
+
+// Verdict says whether a request is within its account's limit.
+type Verdict struct {
+	OK bool
+	// Unsure says that a refusal is not the limit's: no home could be asked that most boxes have
+	// lent to.
+	Unsure bool
+	// Wait is when to come back; negative where the request can never be within the limit.
+	Wait time.Duration
+	// Here says that the box had the units at hand, and Part what share of the boxes had lent to
+	// the home that was asked otherwise.
+	Here bool
+	Part float64
+}
+
+const (
+	// surePart is the share of the boxes that must have lent to a home for its refusal to be the
+	// limit's.
+	surePart = 0.75
+	// usageHalf is the time in which what a box counts of an account's use fades by half.
+	usageHalf = time.Second
+	// mostKept bounds the accounts that a box keeps units of.
+	mostKept = 16384
+)
+
+// Purse is what a box was granted and has not used. It is safe for concurrent use.
+type Purse struct {
+	homes Homes
+
+	mu   sync.Mutex
+	kept map[string]*kept
+}
+
+type kept struct {
+	units float64
+	until time.Time
+	// use is how many units a second are used, fading, as of at.
+	use float64
+	at  time.Time
+}
+
+// NewPurse returns an empty purse.
+func NewPurse(h Homes) *Purse { return &Purse{homes: h, kept: map[string]*kept{}} }
+
+// Take takes units of an account, of what the box has or else from the account's home.
+func (p *Purse) Take(ctx context.Context, account string, units float64) Verdict {
+	had, ahead := p.takeKept(time.Now(), account, units)
+	if had >= units {
+		return Verdict{OK: true, Here: true}
+	}
+	a, lent := p.homes.Allow(ctx, account, units-had, ahead)
+	if a.Granted >= units-had {
+		p.keep(time.Now(), account, a.Granted-(units-had))
+		return Verdict{OK: true, Part: a.Part}
+	}
+	p.GiveBack(account, had)
+	return Verdict{Unsure: a.Wait >= 0 && (!lent || a.Part < surePart), Wait: a.Wait, Part: a.Part}
+}
+
+// takeKept takes what the box has of so many units, and returns what should be asked for ahead
+// where that is not all: as much as was used in the last second.
+func (p *Purse) takeKept(now time.Time, account string, units float64) (had, ahead float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := p.kept[account]
+	if k == nil {
+		if len(p.kept) >= mostKept {
+			clear(p.kept) // What was granted is lost, and asked for again.
+		}
+		k = &kept{at: now}
+		p.kept[account] = k
+	}
+	k.use = k.use*math.Exp2(-now.Sub(k.at).Seconds()/usageHalf.Seconds()) + units*math.Ln2/usageHalf.Seconds()
+	k.at = now
+	if now.Before(k.until) {
+		had = min(units, k.units)
+		k.units -= had
+	}
+	return had, k.use * grantLife.Seconds()
+}
+
+// keep sets what the box has of an account to what it was just granted ahead.
+func (p *Purse) keep(now time.Time, account string, units float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if k := p.kept[account]; k != nil && units > 0 {
+		k.units, k.until = units, now.Add(grantLife)
+	}
+}
+
+// GiveBack takes back units of a request that did not run. What the box has is not kept longer for
+// it.
+func (p *Purse) GiveBack(account string, units float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := p.kept[account]
+	if k == nil || units <= 0 {
+		return
+	}
+	if now := time.Now(); !now.Before(k.until) {
+		k.units, k.until = 0, now.Add(grantLife)
+	}
+	k.units += units
+}
