Find the homes of client accounts, lend to them and ask them

Cause: package quota decides and speaks to nobody. Ruled out: a home for each account (each box would lend to up to as many homes as there are accounts); the engines' homes as they are (an engine belongs to a hall, an account to none). Change: four groups of accounts, each with the same order of boxes everywhere by rendezvous; two calls, Lend and Allow; a box that refuses connections has nothing lent any more.

--- a/internal/overlay/members.go
+++ b/internal/overlay/members.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -39,6 +40,9 @@
 
 // members is what a box knows of the others.
 type members struct {
+	// changes counts how often the list was set.
+	changes atomic.Int64
+
 	mu  sync.Mutex
 	key string
 	all map[string]Member
@@ -56,6 +60,7 @@
 func (s *members) set(rows map[string][]byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.changes.Add(1)
 	s.all = make(map[string]Member, len(rows))
 	for name, text := range rows {
 		if name == keyRow {
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -28,6 +28,7 @@
 	"go.uber.org/zap"
 
 	"github.com/stoatramp/stoatramp/internal/follow"
+	"github.com/stoatramp/stoatramp/internal/quota"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 )
 
@@ -98,6 +99,8 @@
 	Seeds []string
 	// Room answers for this box where it is the home of an engine, and must not block.
 	Room func(Room) bool
+	// Limits is what this box gives out as the home of client accounts.
+	Limits *quota.Pool
 	// Heard takes what another box learned, and must not block.
 	Heard func(Fact)
 	// Believed is told what changes in the box's view of the others, and must not block.
@@ -118,6 +121,8 @@
 	stop    context.CancelFunc
 	open    bucket
 	homes   homes
+	order   homeOrder
+	lender  quota.Lender
 	// keyless is since when the list has no key. Only register uses it.
 	keyless time.Time
 	// putAt is when this box last listed itself. Only register uses it.
@@ -141,6 +146,7 @@
 type counters struct {
 	told, heard, dropped, refused, switches *metrics.Counter
 	granted, denied, alone                  *metrics.Counter
+	lent, lendLost, asked, unasked          *metrics.Counter
 }
 
 // New returns a node that knows nobody.
@@ -161,6 +167,10 @@
 		granted:  o.Metrics.NewCounter(`stoatramp_overlay_rooms_total{answer="granted"}`),
 		denied:   o.Metrics.NewCounter(`stoatramp_overlay_rooms_total{answer="denied"}`),
 		alone:    o.Metrics.NewCounter(`stoatramp_overlay_rooms_total{answer="none"}`),
+		lent:     o.Metrics.NewCounter(`stoatramp_overlay_lends_total{answer="yes"}`),
+		lendLost: o.Metrics.NewCounter(`stoatramp_overlay_lends_total{answer="none"}`),
+		asked:    o.Metrics.NewCounter(`stoatramp_overlay_limits_total{answer="yes"}`),
+		unasked:  o.Metrics.NewCounter(`stoatramp_overlay_limits_total{answer="none"}`),
 	}
 	o.Metrics.NewGauge("stoatramp_overlay_members", func() float64 { return float64(n.members.size()) })
 	o.Metrics.NewGauge("stoatramp_overlay_followers", func() float64 { return float64(n.Followers()) })
--- a/internal/overlay/overlay_test.go
+++ b/internal/overlay/overlay_test.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/stoatramp/stoatramp/internal/follow"
+	"github.com/stoatramp/stoatramp/internal/quota"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 )
 
@@ -163,6 +164,7 @@
 		Self:     Member{Name: name, Region: "r", Hall: hall, Incarnation: incarnation},
 		Register: s, Tables: map[string]Table{"config": b.config, "members": members}, Open: []string{"config"}, Seeds: seeds,
 		Heard:    b.hear,
+		Limits:   quota.NewPool(),
 		Believed: func(string, ...zap.Field) {},
 		Metrics:  metrics.NewSet(),
 	})
@@ -173,6 +175,7 @@
 	go b.config.Run(ctx)
 	go members.Run(ctx)
 	go b.Run(ctx)
+	go b.RunLimits(ctx, false)
 	t.Cleanup(b.kill)
 	return b
 }
--- a/internal/rpc/stoatrampv1/stoatrampv1connect/overlay.connect.go
+++ b/internal/rpc/stoatrampv1/stoatrampv1connect/overlay.connect.go
@@ -41,6 +41,10 @@
 	OverlayTablesProcedure = "/stoatramp.v1.Overlay/Tables"
 	// OverlayRoomProcedure is the fully-qualified name of the Overlay's Room RPC.
 	OverlayRoomProcedure = "/stoatramp.v1.Overlay/Room"
+	// OverlayLendProcedure is the fully-qualified name of the Overlay's Lend RPC.
+	OverlayLendProcedure = "/stoatramp.v1.Overlay/Lend"
+	// OverlayAllowProcedure is the fully-qualified name of the Overlay's Allow RPC.
+	OverlayAllowProcedure = "/stoatramp.v1.Overlay/Allow"
 )
 
 // OverlayClient is a client for the stoatramp.v1.Overlay service.
@@ -54,6 +58,11 @@
 	Tables(context.Context, *connect.Request[stoatrampv1.TablesRequest]) (*connect.Response[stoatrampv1.Update], error)
 	// Room asks the home of an engine whether a stream fits there, and books it if so.
 	Room(context.Context, *connect.Request[stoatrampv1.RoomRequest]) (*connect.Response[stoatrampv1.RoomResponse], error)
+	// Lend gives the box's parts of client accounts' limits to the home of these accounts for a
+	// short time, or takes them back.
+	Lend(context.Context, *connect.Request[stoatrampv1.LendRequest]) (*connect.Response[stoatrampv1.LendResponse], error)
+	// Allow asks the home of a client account for a part of the account's limit.
+	Allow(context.Context, *connect.Request[stoatrampv1.AllowRequest]) (*connect.Response[stoatrampv1.AllowResponse], error)
 }
 
 // NewOverlayClient constructs a client for the stoatramp.v1.Overlay service. By default, it uses
@@ -91,6 +100,18 @@
 			connect.WithSchema(overlayMethods.ByName("Room")),
 			connect.WithClientOptions(opts...),
 		),
+		lend: connect.NewClient[stoatrampv1.LendRequest, stoatrampv1.LendResponse](
+			httpClient,
+			baseURL+OverlayLendProcedure,
+			connect.WithSchema(overlayMethods.ByName("Lend")),
+			connect.WithClientOptions(opts...),
+		),
+		allow: connect.NewClient[stoatrampv1.AllowRequest, stoatrampv1.AllowResponse](
+			httpClient,
+			baseURL+OverlayAllowProcedure,
+			connect.WithSchema(overlayMethods.ByName("Allow")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -100,6 +121,8 @@
 	tell   *connect.Client[stoatrampv1.TellRequest, stoatrampv1.TellResponse]
 	tables *connect.Client[stoatrampv1.TablesRequest, stoatrampv1.Update]
 	room   *connect.Client[stoatrampv1.RoomRequest, stoatrampv1.RoomResponse]
+	lend   *connect.Client[stoatrampv1.LendRequest, stoatrampv1.LendResponse]
+	allow  *connect.Client[stoatrampv1.AllowRequest, stoatrampv1.AllowResponse]
 }
 
 // Follow calls stoatramp.v1.Overlay.Follow.
@@ -122,6 +145,16 @@
 	return c.room.CallUnary(ctx, req)
 }
 
+// Lend calls stoatramp.v1.Overlay.Lend.
+func (c *overlayClient) Lend(ctx context.Context, req *connect.Request[stoatrampv1.LendRequest]) (*connect.Response[stoatrampv1.LendResponse], error) {
+	return c.lend.CallUnary(ctx, req)
+}
+
+// Allow calls stoatramp.v1.Overlay.Allow.
+func (c *overlayClient) Allow(ctx context.Context, req *connect.Request[stoatrampv1.AllowRequest]) (*connect.Response[stoatrampv1.AllowResponse], error) {
+	return c.allow.CallUnary(ctx, req)
+}
+
 // OverlayHandler is an implementation of the stoatramp.v1.Overlay service.
 type OverlayHandler interface {
 	// Follow sends the tables as they change and what is learned, until either side ends it.
@@ -133,6 +166,11 @@
 	Tables(context.Context, *connect.Request[stoatrampv1.TablesRequest]) (*connect.Response[stoatrampv1.Update], error)
 	// Room asks the home of an engine whether a stream fits there, and books it if so.
 	Room(context.Context, *connect.Request[stoatrampv1.RoomRequest]) (*connect.Response[stoatrampv1.RoomResponse], error)
+	// Lend gives the box's parts of client accounts' limits to the home of these accounts for a
+	// short time, or takes them back.
+	Lend(context.Context, *connect.Request[stoatrampv1.LendRequest]) (*connect.Response[stoatrampv1.LendResponse], error)
+	// Allow asks the home of a client account for a part of the account's limit.
+	Allow(context.Context, *connect.Request[stoatrampv1.AllowRequest]) (*connect.Response[stoatrampv1.AllowResponse], error)
 }
 
 // NewOverlayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -166,6 +204,18 @@
 		connect.WithSchema(overlayMethods.ByName("Room")),
 		connect.WithHandlerOptions(opts...),
 	)
+	overlayLendHandler := connect.NewUnaryHandler(
+		OverlayLendProcedure,
+		svc.Lend,
+		connect.WithSchema(overlayMethods.ByName("Lend")),
+		connect.WithHandlerOptions(opts...),
+	)
+	overlayAllowHandler := connect.NewUnaryHandler(
+		OverlayAllowProcedure,
+		svc.Allow,
+		connect.WithSchema(overlayMethods.ByName("Allow")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/stoatramp.v1.Overlay/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OverlayFollowProcedure:
@@ -176,6 +226,10 @@
 			overlayTablesHandler.ServeHTTP(w, r)
 		case OverlayRoomProcedure:
 			overlayRoomHandler.ServeHTTP(w, r)
+		case OverlayLendProcedure:
+			overlayLendHandler.ServeHTTP(w, r)
+		case OverlayAllowProcedure:
+			overlayAllowHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -200,3 +254,11 @@
 func (UnimplementedOverlayHandler) Room(context.Context, *connect.Request[stoatrampv1.RoomRequest]) (*connect.Response[stoatrampv1.RoomResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Overlay.Room is not implemented"))
 }
+
+func (UnimplementedOverlayHandler) Lend(context.Context, *connect.Request[stoatrampv1.LendRequest]) (*connect.Response[stoatrampv1.LendResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Overlay.Lend is not implemented"))
+}
+
+func (UnimplementedOverlayHandler) Allow(context.Context, *connect.Request[stoatrampv1.AllowRequest]) (*connect.Response[stoatrampv1.AllowResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Overlay.Allow is not implemented"))
+}
