Identify client accounts by their keys, and keep them to their limits

Cause: no key was read: every request of the shifted site was run without its account and with the key passed on, keys that were taken away still worked, and nothing was refused for a limit. Ruled out: looking keys up as they are (they would lie in the tables that boxes pass on, two of which need no key of ours): the adapter hashes them as it reads the operator's document. Change: a key is looked up by its hash in the configuration in force; 401 without one, 503 before the first configuration; the account goes to endpoints in place of the key, its priority before the route's; 429 at once beyond a limit with the time when there is room; what ran nowhere is given back; 503 where no home can be asked; strict_revocation.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -27,6 +27,7 @@
 	"github.com/stoatramp/stoatramp/internal/ops"
 	"github.com/stoatramp/stoatramp/internal/overlay"
 	"github.com/stoatramp/stoatramp/internal/platform"
+	"github.com/stoatramp/stoatramp/internal/quota"
 	"github.com/stoatramp/stoatramp/internal/record"
 	"github.com/stoatramp/stoatramp/internal/relay"
 	"github.com/stoatramp/stoatramp/internal/retry"
@@ -81,6 +82,9 @@
 	archive *archive.ByTime
 	// node is this box's part in what boxes tell each other; never nil, and idle without [peers].
 	node *overlay.Node
+	// pool is what this box gives out as the home of client accounts, and purse what it was given.
+	pool  *quota.Pool
+	purse *quota.Purse
 	// tables are the tables of the store that the box follows, by the names boxes share.
 	tables map[string]*follow.Table
 	// storeLink is the way to the store that all tables share.
@@ -113,10 +117,14 @@
 		Log: account.NewLog(log, cfg.LoggedRate, busy, b.Metrics.LogLeftOut),
 	}
 	core := decide.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), cfg.Queue)
+	b.pool = quota.NewPool()
+	b.setBounds(cfg)
 	b.makeTables()
+	b.purse = quota.NewPurse(b.node)
 	b.Relay = relay.New(relay.Options{
 		Box: cfg.Name, Hall: cfg.Hall, Region: cfg.Region, Wire: site.Wire,
 		Core: core, Book: b.book, Others: b.node, List: &b.listHeard,
+		Limits: b.purse, Keys: relay.KeyRules{Strict: cfg.KeysStrict, Within: cfg.RevokedWithin, Age: b.configHeard.Age},
 	})
 	b.registerAges()
 	servers, err := b.listeners()
@@ -174,6 +182,7 @@
 	go b.roleManager().Run(b.ctx)
 	go b.learnedKeeper().Run(b.ctx)
 	go b.archive.Run(b.ctx)
+	go b.node.RunLimits(b.ctx, cfg.Peers == "")
 	if cfg.Peers != "" {
 		go b.node.Run(b.ctx)
 	}
@@ -254,6 +263,11 @@
 	}
 }
 
+// setBounds says by how much accounts may be over their limits.
+func (b *RelayBox) setBounds(cfg *config.Relay) {
+	b.pool.SetBounds(time.Now(), quota.Bounds{Window: cfg.LimitWindow, Overage: cfg.LimitOverage, Slack: cfg.LimitSlack})
+}
+
 // Stop drains the box and ends it.
 func (b *RelayBox) Stop() error { return b.app.Stop() }
 
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -115,6 +115,7 @@
 		Open:     []string{tableConfig, tableEndpoints},
 		Seeds:    cfg.Seeds,
 		Room:     func(r overlay.Room) bool { return b.Relay.HasRoom(r) },
+		Limits:   b.pool,
 		Heard:    func(f overlay.Fact) { b.Relay.Hear(f) },
 		Believed: b.book.Log.Belief,
 		Metrics:  b.Metrics.Set,
@@ -154,6 +155,7 @@
 		return
 	}
 	old := b.Relay.Version()
+	b.pool.SetLimits(time.Now(), c.AccountLimits())
 	b.Relay.SetConfig(c)
 	b.book.Log.Belief("configuration in force", zap.Int64("version", c.Version), zap.Int64("before", old), zap.Int("routes", len(c.Routes)))
 }
--- a/internal/box/reload.go
+++ b/internal/box/reload.go
@@ -38,6 +38,7 @@
 	changed := adopt(&next, read)
 	b.settings.Store(&next)
 	b.Relay.SetQueue(next.Queue)
+	b.setBounds(&next)
 	b.book.Log.SetRate(next.LoggedRate)
 	b.log.Info("reload", zap.Strings("changed", changed), zap.Strings("needs_restart", fixed(old, read)))
 }
@@ -57,6 +58,10 @@
 	take("retry_slack", next.RetrySlack != read.RetrySlack)
 	take("retry_share", next.RetryShare != read.RetryShare)
 	take("retry_window_s", next.RetryWindow != read.RetryWindow)
+	take("limit_window_s", next.LimitWindow != read.LimitWindow)
+	take("limit_overage", next.LimitOverage != read.LimitOverage)
+	take("limit_slack", next.LimitSlack != read.LimitSlack)
+	next.LimitWindow, next.LimitOverage, next.LimitSlack = read.LimitWindow, read.LimitOverage, read.LimitSlack
 	next.Queue, next.Linger, next.StopTimeout = read.Queue, read.Linger, read.StopTimeout
 	next.LoggedRate, next.OperatorKeySHA256 = read.LoggedRate, read.OperatorKeySHA256
 	next.RetrySlack, next.RetryShare, next.RetryWindow = read.RetrySlack, read.RetryShare, read.RetryWindow
--- a/internal/config/ini.go
+++ b/internal/config/ini.go
@@ -251,6 +251,14 @@
 	return n
 }
 
+// flag reads true or false; one that is empty counts as not given.
+func (s *section) flag(key string, def bool) bool {
+	if v, ok := s.raw(key); !ok || v == "" {
+		return def
+	}
+	return s.boolean(key, def)
+}
+
 // done reports every key that nothing read.
 func (s *section) done() {
 	for _, k := range s.s.Keys() {
--- a/internal/config/relay.go
+++ b/internal/config/relay.go
@@ -12,6 +12,10 @@
 	// does not give: a tenth in ten seconds loads a failing service little.
 	defaultRetryShare  = 0.1
 	defaultRetryWindow = 10
+	// defaultLimitWindow, in seconds, and defaultRevoked, in milliseconds, stand in for what a
+	// platform without client accounts does not give.
+	defaultLimitWindow = 10
+	defaultRevoked     = 5000
 )
 
 // Relay holds the settings of a box that passes requests on byte for byte, as the
@@ -63,6 +67,16 @@
 	RetryShare  float64
 	RetryWindow time.Duration
 
+	// LimitOverage is a share of what a client account's limit gives in LimitWindow, and LimitSlack
+	// units beside it, by which what all boxes let through may be over it.
+	LimitWindow  time.Duration
+	LimitOverage float64
+	LimitSlack   float64
+	// RevokedWithin is the time in which a key that was taken away must be refused. KeysStrict has a
+	// box that has not heard of the configuration for so long refuse all requests with keys.
+	RevokedWithin time.Duration
+	KeysStrict    bool
+
 	// Queue bounds the requests that wait for engines on this box.
 	Queue int
 	// Linger is how long a stopping box still takes new requests, until callers have
@@ -152,8 +166,14 @@
 		r.RetrySlack = s.amount("retry_slack", 0, 0, 1<<20)
 		r.RetryShare = s.amount("retry_share", defaultRetryShare, 0, 1<<20)
 		r.RetryWindow = time.Duration(s.amount("retry_window_s", defaultRetryWindow, 0, 1<<20) * float64(time.Second))
+	case "accounts":
+		r.LimitWindow = time.Duration(s.amount("limit_window_s", defaultLimitWindow, 0, 1<<20) * float64(time.Second))
+		r.LimitOverage = s.amount("limit_overage", 0, 0, 1<<20)
+		r.LimitSlack = s.amount("limit_slack", 0, 0, 1<<40)
+		r.RevokedWithin = time.Duration(s.amount("revoked_within_ms", defaultRevoked, 0, 1<<40) * float64(time.Millisecond))
+		r.KeysStrict = s.flag("strict_revocation", false)
 	default:
-		s.problem("", "is not a known section; expected box, callers, readiness, operators, peers, store or engines")
+		s.problem("", "is not a known section; expected box, callers, readiness, operators, peers, store, engines or accounts")
 	}
 }
 
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -41,6 +41,8 @@
 	TooLarge
 	SlowBody
 	UnknownKey
+	RevokedKey
+	KeysOld
 	UnknownModel
 	UnknownPath
 	WrongMethod
@@ -49,6 +51,7 @@
 	NoConfig
 	RequestRate
 	TokenRate
+	LimitUnknown
 	PolicyRefused
 	NoPrefill
 	NoDecode
@@ -88,6 +91,8 @@
 	TooLarge:        {"too_large", 413, "the request body is larger than this box accepts"},
 	SlowBody:        {"slow_body", 408, "the request body did not arrive in time"},
 	UnknownKey:      {"unknown_key", 401, "the API key is missing or belongs to no client"},
+	RevokedKey:      {"revoked_key", 401, "the API key was taken away from its client"},
+	KeysOld:         {"keys_old", 503, "this box has not heard of the configuration for too long to rely on its keys"},
 	UnknownModel:    {"unknown_model", 404, "no pool serves the model"},
 	UnknownPath:     {"unknown_path", 404, "no route serves this path"},
 	WrongMethod:     {"wrong_method", 405, "the path does not take this method"},
@@ -96,6 +101,7 @@
 	NoConfig:        {"no_config", 503, "this box has not yet read an accepted configuration"},
 	RequestRate:     {"request_rate", 429, "the client is over its limit of requests a second"},
 	TokenRate:       {"token_rate", 429, "the client is over its limit of tokens a second"},
+	LimitUnknown:    {"limit_unknown", 503, "this box cannot tell now whether the client is within its limit"},
 	PolicyRefused:   {"policy_refused", 429, "the route's policy refused the request"},
 	NoPrefill:       {"no_prefill", 503, "no prefill engine in the region can take the prompt"},
 	NoDecode:        {"no_decode", 503, "no decode engine in the region has room for the answer"},
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -80,7 +80,7 @@
 		return outcome.Outcome{}, true
 	}
 	v := x.r.disp.Admit(p, &decide.Request{
-		Pool: x.service.Name, Region: x.r.o.Region, Route: x.route.Name, Kind: x.route.Kind.String(), Rank: x.route.Priority,
+		Pool: x.service.Name, Region: x.r.o.Region, Route: x.route.Name, Kind: x.route.Kind.String(), Rank: x.rank(),
 		FirstToken: x.route.Objective, Repeatable: x.route.repeats(), CameBack: x.route.cameBack(x.ask.Patience),
 	}, decide.View{Waiting: x.r.plain.running(x.service.Name)})
 	if s, ok := record.StepOf(decide.Ruled{Verdict: v}); ok && v != (decide.Verdict{}) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,6 +36,9 @@
 	Others Others
 	// List tells how long ago the list of endpoints was heard of; nil if that is not known.
 	List *follow.Freshness
+	// Limits keep client accounts to their limits; nil if they are not kept to any.
+	Limits Allowance
+	Keys   KeyRules
 }
 
 // Others are the other boxes, which are told what this one learned.
@@ -63,8 +66,10 @@
 	cfg   atomic.Pointer[Config]
 	// policies are the operators' programs; nil before any were read.
 	policies atomic.Pointer[policies]
-	fleet    fleet
-	waiting  waiting
+	// revoked are the keys that were taken away; never nil.
+	revoked atomic.Pointer[revoked]
+	fleet   fleet
+	waiting waiting
 
 	gate gate.Gate
 	// stopBy is when a planned stop will have ended the box, in Unix nanoseconds; 0 before
@@ -86,6 +91,7 @@
 		plain: newPlainTable(o.Hall),
 		m:     o.Book.Metrics,
 	}
+	r.revoked.Store(&revoked{})
 	r.pool.OnSurplus = r.m.Crossed.Inc
 	r.disp.OnBelief = r.believed
 	r.disp.OnLearnt = r.learnt
@@ -97,6 +103,8 @@
 func (r *Relay) SetConfig(c *Config) {
 	r.fleet.setConfig(c)
 	r.applyFleet()
+	gone := r.revoked.Load().after(r.cfg.Load(), c)
+	r.revoked.Store(&gone)
 	r.cfg.Store(c)
 	r.m.KeepRoutes(c.has)
 }
@@ -130,7 +138,7 @@
 	if all == nil {
 		return nil
 	}
-	p, rule := all.For(x.route.Kind.String(), x.service.Name, x.route.Priority)
+	p, rule := all.For(x.route.Kind.String(), x.service.Name, x.rank())
 	if p != nil {
 		x.rec.Rule, x.rec.PolicyVersion = rule, all.version
 	}
@@ -204,6 +212,11 @@
 	cfg     *Config
 	route   *Route
 	service *Service
+	// account is the client account; nil if the request has none. It took units of its limit.
+	account *Account
+	units   float64
+	// offered is set once the request was made for an endpoint.
+	offered bool
 	ask     Ask
 	body    []byte
 	// acc is the account of the request, and rec the record in it.
@@ -242,6 +255,10 @@
 	}
 	x.rec.Route, x.rec.FirstTarget, x.rec.GapTarget = x.route.Name, x.route.Objective, x.route.Gap
 	x.rec.Repeatable = x.route.repeats()
+	if o, ok := x.identify(); !ok {
+		x.refuse(o)
+		return
+	}
 	x.service = x.cfg.Services[x.route.pick(x.ask.ID)]
 	if x.service == nil {
 		x.refuse(outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.ConnectFailed, Detail: "the route's service is not configured", RetryAfter: comeBack})
@@ -254,6 +271,11 @@
 	}
 	ctx, cancel := context.WithDeadline(x.req.Context(), x.deadline)
 	defer cancel()
+	if o, ok := x.withinLimit(ctx); !ok {
+		x.refuse(o)
+		return
+	}
+	defer x.settle()
 	if x.service.Engines != nil {
 		x.serveStream(ctx)
 		return
@@ -299,6 +321,8 @@
 	h.Del("Content-Length") // Set anew with the body.
 	h.Del("Expect")
 	run.Left = x.left()
+	run.Account = x.account
+	x.offered = true
 	if run.LastEvent == "" {
 		run.LastEvent = x.ask.LastEvent
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -195,7 +195,7 @@
 		RefuseEarly:   true,
 		MaxWait:       maxWait,
 		Kind:          x.route.Kind.String(),
-		Rank:          x.route.Priority,
+		Rank:          x.rank(),
 		Policy:        x.policy(),
 	}
 }
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -38,6 +38,9 @@
 	Routes   []*Route
 	Services map[string]*Service
 	Limits   Limits
+	// Accounts finds the client account that holds a key, by the key's hash. It is nil where the
+	// platform has no accounts: requests need no key then.
+	Accounts map[KeyHash]*Account
 }
 
 // Limits bound what callers may send.
@@ -51,6 +54,8 @@
 	Host   string
 	Prefix string // Begins and ends with a slash.
 	Kind   Kind
+	// Public routes need no key.
+	Public bool
 	// Priority is the route's rank among others, 0 the highest.
 	Priority int
 	// Resumable streams may go on at another endpoint. Such a stream may run again.
@@ -124,10 +129,15 @@
 	Shared []uint64
 	// LastEvent is the event after which a stream is to go on; empty at the start.
 	LastEvent string
+	// Key is the hash of the key that came with it, if KeyState is OneKey.
+	Key      KeyHash
+	KeyState KeyState
 }
 
 // Run is what the relay adds to a request for one endpoint.
 type Run struct {
+	// Account is the client account of the request; nil if it has none.
+	Account *Account
 	// Instance is the only endpoint that may run it.
 	Instance string
 	// Left is how long the caller still waits.
