Let operators see who was refused for a key or limit, and who decided

Cause: a caller says 429 though it is under its limit, and nothing told which box decided and how much of the fleet had lent to it. Change: the home's name and the share of boxes in the record and the log line; a histogram of what asking takes; status names up to ten accounts whose home the box is with under a quarter of what they may have at once left.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -304,8 +304,9 @@
 	operators := &ops.RelayServer{
 		Name: cfg.Name, Region: cfg.Region, Hall: cfg.Hall, OpenMetrics: cfg.OpenMetrics,
 		Relay: b.Relay, Records: b.book.Records, Archive: b.archive, Metrics: b.Metrics,
-		Operator: b.isOperator,
-		Stop:     func() { go func() { _ = b.Stop() }() },
+		Operator:  b.isOperator,
+		Stop:      func() { go func() { _ = b.Stop() }() },
+		NearLimit: func() map[string]float64 { return b.pool.Levels(time.Now(), nearLimit) },
 	}
 	operators.Versions = ops.Versions{Store: b.store, Check: checkRules, Force: operators.ForceHere}
 	plans := []struct {
@@ -334,4 +335,7 @@
 	return out, nil
 }
 
+// nearLimit is the share of what a client account may have at once below which it is named.
+const nearLimit = 0.25
+
 var _ kratosServer = (*khttp.Server)(nil)
--- a/internal/ops/relay.go
+++ b/internal/ops/relay.go
@@ -1,10 +1,13 @@
 package ops
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 
 	"connectrpc.com/connect"
 
@@ -30,6 +33,9 @@
 	OpenMetrics bool
 	// Stop starts a planned stop and does not wait for it.
 	Stop func()
+	// NearLimit tells which client accounts whose home the box is have little left of what they may
+	// have at once, with the share that is left; nil if that is not known.
+	NearLimit func() map[string]float64
 }
 
 // Rules is a box that follows the shared configuration.
@@ -60,9 +66,26 @@
 	if v := s.Relay.PolicyVersion(); v > 0 {
 		out.Notes = append(out.Notes, fmt.Sprintf("policies and operators of version %d are in force", v))
 	}
+	if s.NearLimit != nil {
+		out.Notes = append(out.Notes, nearLimit(s.NearLimit())...)
+	}
 	return connect.NewResponse(out), nil
 }
 
+// mostNear bounds the accounts that a status names.
+const mostNear = 10
+
+// nearLimit says which client accounts have least left of what they may have at once.
+func nearLimit(left map[string]float64) (out []string) {
+	names := slices.SortedFunc(maps.Keys(left), func(a, b string) int {
+		return cmp.Or(cmp.Compare(left[a], left[b]), cmp.Compare(a, b))
+	})
+	for _, name := range names[:min(len(names), mostNear)] {
+		out = append(out, fmt.Sprintf("client account %s, whose home this box is, has %.0f%% of what it may have at once left", name, 100*left[name]))
+	}
+	return out
+}
+
 // ForceHere waits until an accepted version is in force on this box. Other boxes follow
 // the platform's store by themselves; this one does not know them, and so it names none.
 func (s *RelayServer) ForceHere(ctx context.Context, version int64) *v1.ApplyConfigResponse {
--- a/internal/overlay/accounts.go
+++ b/internal/overlay/accounts.go
@@ -206,7 +206,7 @@
 	}
 	n.count.asked.Inc()
 	return quota.Answer{
-		Granted: resp.Msg.Granted, Wait: time.Duration(resp.Msg.WaitUs) * time.Microsecond, Part: resp.Msg.Part,
+		Granted: resp.Msg.Granted, Wait: time.Duration(resp.Msg.WaitUs) * time.Microsecond, Part: resp.Msg.Part, By: m.Name,
 	}, true
 }
 
--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -25,6 +25,8 @@
 	// the home that was asked otherwise.
 	Here bool
 	Part float64
+	// By is the home that was asked; empty for the box itself.
+	By string
 }
 
 const (
@@ -65,10 +67,10 @@
 	a, lent := p.homes.Allow(ctx, account, units-had, ahead)
 	if a.Granted >= units-had {
 		p.keep(time.Now(), account, a.Granted-(units-had))
-		return Verdict{OK: true, Part: a.Part}
+		return Verdict{OK: true, Part: a.Part, By: a.By}
 	}
 	p.GiveBack(account, had)
-	return Verdict{Unsure: a.Wait >= 0 && (!lent || a.Part < surePart), Wait: a.Wait, Part: a.Part}
+	return Verdict{Unsure: a.Wait >= 0 && (!lent || a.Part < surePart), Wait: a.Wait, Part: a.Part, By: a.By}
 }
 
 // takeKept takes what the box has of so many units, and returns what should be asked for ahead
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -46,8 +46,10 @@
 	Granted float64
 	// Wait is when the account will have room, if nothing was granted; negative if never.
 	Wait time.Duration
-	// Part is the share of all boxes that has lent to the home.
+	// Part is the share of all boxes that has lent to the home, and By the home's name; empty where
+	// the box that asked answered itself.
 	Part float64
+	By   string
 }
 
 // Groups is how many groups the accounts are in; each has one home. More spread the work over more
--- a/internal/relay/accounts.go
+++ b/internal/relay/accounts.go
@@ -160,17 +160,19 @@
 		return outcome.Outcome{}, true
 	}
 	units := a.units(&x.ask)
+	began := time.Now()
 	v := x.r.o.Limits.Take(ctx, a.Name, units)
+	x.r.m.LimitAsked.UpdateDuration(began)
 	switch {
 	case v.OK:
 		x.units = units
 		return outcome.Outcome{}, true
 	case v.Unsure:
 		return outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.LimitUnknown, RetryAfter: spread(comeBack),
-			Detail: fmt.Sprintf("account %s, %.0f asked for, parts of %.2f of the boxes at its home", a.Name, units, v.Part)}, false
+			Detail: fmt.Sprintf("account %s, %.0f asked for, %s", a.Name, units, answeredBy(v))}, false
 	}
 	o := outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.RequestRate,
-		Detail: fmt.Sprintf("account %s, limit %.0f a second and %.0f at once, %.0f asked for, configuration version %d", a.Name, a.Limit.Rate, a.Limit.Burst, units, x.cfg.Version)}
+		Detail: fmt.Sprintf("account %s, limit %.0f a second and %.0f at once, %.0f asked for, configuration version %d, %s", a.Name, a.Limit.Rate, a.Limit.Burst, units, x.cfg.Version, answeredBy(v))}
 	if a.ByTokens {
 		o.Reason = outcome.TokenRate
 	}
@@ -180,6 +182,15 @@
 	return o, false
 }
 
+// answeredBy says who decided, and how many boxes had lent it their parts.
+func answeredBy(v quota.Verdict) string {
+	by := "this box"
+	if v.By != "" {
+		by = "box " + v.By
+	}
+	return fmt.Sprintf("decided by %s with the parts of %.0f%% of the boxes", by, 100*v.Part)
+}
+
 // settle gives back what a request took of its account's limit if no endpoint was sent it.
 func (x *exchange) settle() {
 	if x.units > 0 && !x.offered {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -43,6 +43,8 @@
 	RecordsLost   *metrics.Counter
 	FirstToken    *metrics.Histogram
 	BetweenTokens *metrics.Histogram
+	// LimitAsked is what finding out whether requests are within their clients' limits took.
+	LimitAsked *metrics.Histogram
 
 	routes routes
 }
@@ -76,6 +78,7 @@
 		RecordsLost:   s.NewCounter("stoatramp_records_lost_total"),
 		FirstToken:    s.NewHistogram("stoatramp_first_token_seconds"),
 		BetweenTokens: s.NewHistogram("stoatramp_between_tokens_seconds"),
+		LimitAsked:    s.NewHistogram("stoatramp_limit_seconds"),
 	}
 	outcome.Kinds(func(k outcome.Kind) {
 		m.outcomes[k] = s.NewCounter(fmt.Sprintf("stoatramp_requests_total{outcome=%q}", k))
