Look for homes of accounts only where accounts have limits

Cause: without limits a box looked for homes ten times a second for nothing, and ordered all boxes for it at each change of the list. Conclusion: sites without accounts make no call and keep no order.

--- a/internal/overlay/accounts.go
+++ b/internal/overlay/accounts.go
@@ -83,27 +83,37 @@
 // other boxes.
 func (n *Node) RunLimits(ctx context.Context, alone bool) {
 	for ctx.Err() == nil {
-		n.place(time.Now(), alone)
-		pause := quota.Renew
-		if n.o.Limits.Limited() && n.lendParts(ctx, alone) {
-			n.lendParts(ctx, alone) // What came back goes to its home at once.
-		}
-		if !n.settled(alone) {
-			pause = settleAgain
+		limited := n.o.Limits.Limited()
+		if limited {
+			n.place(time.Now(), alone)
+			if n.lendParts(ctx, alone) {
+				n.lendParts(ctx, alone) // What came back goes to its home at once.
+			}
 		}
-		sleep(ctx, pause)
+		sleep(ctx, n.nextLook(time.Now(), limited, alone))
+	}
+}
+
+// nextLook is when to look again at who has the parts. In its first seconds a box waits for its
+// configuration and the list of members.
+func (n *Node) nextLook(now time.Time, limited, alone bool) time.Duration {
+	switch {
+	case now.Sub(n.began) < mayHear && !(limited && (alone || n.members.known())):
+		return settleAgain
+	case limited && !n.settled(now, alone):
+		return settleAgain
 	}
+	return quota.Renew
 }
 
 // settled says whether all parts are where they should be.
-func (n *Node) settled(alone bool) bool {
-	want := n.wanted(time.Now(), alone)
-	for g, home := range want {
-		if home != n.lender.To(time.Now(), g) {
+func (n *Node) settled(now time.Time, alone bool) bool {
+	for g, home := range n.wanted(now, alone) {
+		if home != n.lender.To(now, g) {
 			return false
 		}
 	}
-	return n.o.Limits.Limited() && (alone || n.members.known())
+	return true
 }
 
 // hears says whether others may answer this box.
