--- a/internal/overlay/accounts.go
+++ b/internal/overlay/accounts.go
@@ -208,9 +208,9 @@
 	return quota.Lost
 }
 
-// Allow asks the home of an account for units of its limit. Lent is false where none answered and
-// the answer is of this box alone.
-func (n *Node) Allow(ctx context.Context, account string, units, ahead float64) (a quota.Answer, lent bool) {
+// Allow asks the home of an account for units of its limit. Where none answers, this box does by the
+// parts that it has. Known is false where neither knows a limit of the account.
+func (n *Node) Allow(ctx context.Context, account string, units, ahead float64) (a quota.Answer, known bool) {
 	if n.hears() {
 		for _, m := range n.asked(time.Now(), quota.GroupOf(account)) {
 			if m.Name == n.o.Self.Name {
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -93,7 +93,7 @@
 	}
 	p.settle(now, group)
 	p.groups[group].place = at
-	p.cap(group)
+	p.trim(group)
 }
 
 // Lend takes the parts of a box in groups for a time, or gives them back.
@@ -115,7 +115,7 @@
 		} else {
 			g.lenders[box] = now.Add(min(lent, LongestLent))
 		}
-		p.cap(i)
+		p.trim(i)
 	}
 }
 
@@ -173,7 +173,7 @@
 	for _, e := range ended {
 		p.settle(e.at, i)
 		delete(g.lenders, e.box)
-		p.cap(i)
+		p.trim(i)
 	}
 }
 
@@ -218,7 +218,7 @@
 	b.level = min(b.level, most)
 }
 
-// settle brings the buckets of a group up to a time, before what fills them changes, and cap keeps
+// settle brings the buckets of a group up to a time, before what fills them changes, and trim keeps
 // them within their capacities after it. The lock is held.
 func (p *Pool) settle(now time.Time, i int) {
 	for _, b := range p.groups[i].members {
@@ -226,7 +226,7 @@
 	}
 }
 
-func (p *Pool) cap(i int) {
+func (p *Pool) trim(i int) {
 	for _, b := range p.groups[i].members {
 		b.level = min(b.level, p.capacity(b))
 	}
--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -7,10 +7,10 @@
 	"time"
 )
 
-// Homes asks the home of an account for units. Lent is false where no home answered, and the
-// answer is then of this box alone.
+// Homes asks the home of an account for units, or this box itself where no home answers. Known is
+// false where neither knows a limit of the account.
 type Homes interface {
-	Allow(ctx context.Context, account string, units, ahead float64) (a Answer, lent bool)
+	Allow(ctx context.Context, account string, units, ahead float64) (a Answer, known bool)
 }
 
 // Verdict says whether a request is within its account's limit.
@@ -68,13 +68,13 @@
 	if had >= units {
 		return Verdict{OK: true, Here: true}
 	}
-	a, lent := p.homes.Allow(ctx, account, units-had, ahead)
+	a, known := p.homes.Allow(ctx, account, units-had, ahead)
 	if a.Granted >= units-had {
 		p.keep(time.Now(), account, a.Granted-(units-had))
 		return Verdict{OK: true, Part: a.Part, By: a.By}
 	}
 	p.GiveBack(account, had)
-	return Verdict{Unsure: a.Wait >= 0 && (!lent || a.Part < surePart), Wait: a.Wait, Part: a.Part, By: a.By}
+	return Verdict{Unsure: a.Wait >= 0 && (!known || a.Part < surePart), Wait: a.Wait, Part: a.Part, By: a.By}
 }
 
 // takeKept takes what the box has of so many units, and returns what should be asked for ahead
