--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -22,6 +22,8 @@
 	// order is the boxes' order as homes of the account.
 	order []int
 	began time.Time
+	// turn has each box think of another order of homes; 0 while all think of the same.
+	turn int
 	// asked is what came, and whether it was let through.
 	asked []use
 }
@@ -97,6 +99,15 @@
 
 func (b *simBox) usable(i int) bool { return i == b.i || !time.Now().Before(b.silent[i]) }
 
+// order is that of homes as the box thinks of it.
+func (b *simBox) order() []int {
+	if b.f.turn == 0 {
+		return b.f.order
+	}
+	n := (b.i + b.f.turn) % len(b.f.order)
+	return slices.Concat(b.f.order[n:], b.f.order[:n])
+}
+
 // tick lends the box's part, as its overlay does.
 func (b *simBox) tick() {
 	if b.frozen {
@@ -108,7 +119,7 @@
 	for range 2 {
 		var want [Groups]string
 		want[group] = fmt.Sprint(b.i)
-		for _, i := range b.f.order {
+		for _, i := range b.order() {
 			if b.alone() {
 				break
 			}
@@ -139,7 +150,7 @@
 // Allow asks homes, as the box's overlay does.
 func (b *simBox) Allow(_ context.Context, account string, units, ahead float64) (Answer, bool) {
 	asked := 0
-	for _, i := range b.f.order {
+	for _, i := range b.order() {
 		if i == b.i || b.alone() || asked == 2 {
 			break
 		}
@@ -223,6 +234,7 @@
 	simSettled   = 10 * time.Second
 	simFaultFrom = 20500 * time.Millisecond
 	simFaultEnd  = 26 * time.Second
+	simTurn      = 400 * time.Millisecond
 )
 
 // play has callers come to a fifth of the boxes, at least two, while fault harms the fleet.
@@ -324,6 +336,12 @@
 			}
 		}
 	}},
+	{"boxes that disagree who the home is, and change their minds", func(f *fleetSim, at time.Duration) {
+		f.turn = 0
+		if at >= simFaultFrom && at < simFaultEnd {
+			f.turn = 1 + int((at-simFaultFrom)/simTurn)
+		}
+	}},
 	{"another order of homes", func(f *fleetSim, at time.Duration) {
 		if at >= simFaultFrom && at < simFaultFrom+simStep {
 			slices.Reverse(f.order)
