Weigh members for a key in one place, and take out what the change left over

Conclusion: left for another time: homeOf and wanted both look for the first usable member, in halls and in a region.

--- a/internal/overlay/accounts.go
+++ b/internal/overlay/accounts.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/stoatramp/stoatramp/internal/quota"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
@@ -70,7 +69,7 @@
 	}
 	all := make([]scored, len(list))
 	for i, m := range list {
-		all[i] = scored{m, xxhash.Sum64String(key + " " + m.Name)}
+		all[i] = scored{m, claim(m, key)}
 	}
 	slices.SortFunc(all, func(a, b scored) int { return cmp.Or(cmp.Compare(b.n, a.n), cmp.Compare(a.m.Name, b.m.Name)) })
 	out := make([]Member, len(all))
@@ -98,10 +97,8 @@
 // nextLook is when to look again at who has the parts. In its first seconds a box waits for its
 // configuration and the list of members.
 func (n *Node) nextLook(now time.Time, limited, alone bool) time.Duration {
-	switch {
-	case now.Sub(n.began) < mayHear && !(limited && (alone || n.members.known())):
-		return settleAgain
-	case limited && !n.settled(now, alone):
+	starting := now.Sub(n.began) < mayHear && !(limited && (alone || n.members.known()))
+	if starting || limited && !n.settled(now, alone) {
 		return settleAgain
 	}
 	renew, _ := quota.Renewal(n.members.size())
@@ -228,13 +225,12 @@
 // asked are the boxes to ask of a group, up to mostAsked: the one that has this box's part, since the
 // others' are there too while a new home is lent to, and then in the order of homes.
 func (n *Node) asked(now time.Time, group int) (out []Member) {
-	order := n.accountHomes(group)
 	if to := n.lender.To(now, group); to != "" {
 		if m, ok := n.members.get(to); ok && n.homes.usable(to, now) {
 			out = append(out, m)
 		}
 	}
-	for _, m := range order {
+	for _, m := range n.accountHomes(group) {
 		if len(out) >= mostAsked {
 			break
 		}
--- a/internal/overlay/tree.go
+++ b/internal/overlay/tree.go
@@ -42,12 +42,15 @@
 	return rendezvous(hall[1:between+1], self.Name), true
 }
 
+// claim is how much a key is a member's, for rendezvous hashing.
+func claim(m Member, key string) uint64 { return xxhash.Sum64String(key + " " + m.Name) }
+
 // rendezvous picks a member for a key: it spreads keys evenly, and moves few when a member comes
 // or goes.
 func rendezvous(list []Member, key string) (best Member) {
 	most := uint64(0)
 	for _, m := range list {
-		if n := xxhash.Sum64String(key + " " + m.Name); n >= most {
+		if n := claim(m, key); n >= most {
 			best, most = m, n
 		}
 	}
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -147,13 +147,11 @@
 // are lent elsewhere now serve the account there.
 func (p *Pool) wait(b *bucket, units float64) time.Duration {
 	whole := Place{Boxes: p.groups[b.group].place.Boxes, Rank: 0}
-	if most, _ := p.flow(b, 1, whole); units > most {
+	most, rate := p.flow(b, 1, whole)
+	if units > most || rate <= 0 {
 		return -1
 	}
-	if _, rate := p.flow(b, 1, whole); rate > 0 {
-		return time.Duration((units - b.level) / rate * float64(time.Second))
-	}
-	return -1
+	return time.Duration((units - b.level) / rate * float64(time.Second))
 }
 
 // expire ends the parts whose time is over, each at its time. The lock is held.
--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -21,12 +21,10 @@
 	Unsure bool
 	// Wait is when to come back; negative where the request can never be within the limit.
 	Wait time.Duration
-	// Here says that the box had the units at hand, and Part what share of the boxes had lent to
-	// the home that was asked otherwise.
-	Here bool
+	// Part is what share of the boxes had lent to the home that was asked, and By that home; empty
+	// where the box answered itself or had the units at hand.
 	Part float64
-	// By is the home that was asked; empty for the box itself.
-	By string
+	By   string
 }
 
 const (
@@ -66,7 +64,7 @@
 func (p *Purse) Take(ctx context.Context, account string, units float64) Verdict {
 	had, ahead := p.takeKept(time.Now(), account, units)
 	if had >= units {
-		return Verdict{OK: true, Here: true}
+		return Verdict{OK: true}
 	}
 	a, known := p.homes.Allow(ctx, account, units-had, ahead)
 	if a.Granted >= units-had {
