Log that an endpoint ended under a request, and what request that was

Cause: a stream that was broken off is 'truncated' whether its engine lives or not, and nothing says that two requests were the same. Ruled out: the list alone as proof: an entry lapses 3 s later (50.5 for 47.57), too late to be of use; no answer to a question as proof: a cut or a frozen endpoint gives none either. Change: package quarantine has the fingerprint of a request; an endpoint whose call broke off is looked at until one look tells (port refuses, gone from the list and silent, answers as before). No decision changes. Conclusion: what the hypotheses need can be seen; the fault is brought about in a test next.

--- /dev/null
+++ b/internal/quarantine/fingerprint_test.go
@@ -0,0 +1,38 @@
+package quarantine
+
+import (
+	"bytes"
+	"testing"
+)
+
+// Each part tells requests apart, and no byte of one part passes for one of the next.
+func TestFingerprint(t *testing.T) {
+	first := Identity{Caller: "lab", Method: "POST", Host: "h.example", Target: "/a/b?c=d", Model: "m", Body: []byte("did unit 7 pass?")}
+	if again := first; again.Fingerprint() != first.Fingerprint() {
+		t.Error("expected the same request to have the same fingerprint")
+	}
+	for name, change := range map[string]func(*Identity){
+		"caller":      func(i *Identity) { i.Caller = "other" },
+		"no caller":   func(i *Identity) { i.Caller = "" },
+		"method":      func(i *Identity) { i.Method = "PUT" },
+		"host":        func(i *Identity) { i.Host = "g.example" },
+		"path":        func(i *Identity) { i.Target = "/a/x?c=d" },
+		"query":       func(i *Identity) { i.Target = "/a/b?c=e" },
+		"model":       func(i *Identity) { i.Model = "n" },
+		"one byte":    func(i *Identity) { i.Body = []byte("did unit 8 pass?") },
+		"moved bytes": func(i *Identity) { i.Model, i.Body = "mdid", []byte(" unit 7 pass?") },
+	} {
+		other := first
+		change(&other)
+		if other.Fingerprint() == first.Fingerprint() {
+			t.Errorf("%s: expected another fingerprint", name)
+		}
+	}
+}
+
+func BenchmarkFingerprint(b *testing.B) {
+	i := Identity{Caller: "10.0.0.1", Method: "POST", Host: "h.example", Target: "/verdicts/unit-7", Model: "m", Body: bytes.Repeat([]byte("x"), 5000)}
+	for b.Loop() {
+		i.Fingerprint()
+	}
+}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -37,15 +37,16 @@
 	address := x.r.disp.Address(a.Prefill)
 	ctx, cancel := linger(ctx, readLinger)
 	defer cancel()
+	sent := time.Now()
 	resp, err := x.r.pool.Do(ctx, x.request(address, Run{Instance: a.Prefill, ReadOnly: true}))
 	if err != nil {
-		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err)}})
+		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), sent: brokenOff(err, sent)}})
 		return
 	}
 	body, err := h1.Drain(resp, sideAnswer)
 	switch {
 	case err != nil:
-		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: outcome.Truncated}})
+		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: outcome.Truncated, sent: sent}})
 	case resp.StatusCode != http.StatusOK:
 		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: outcome.EndpointRefused}})
 	default:
@@ -141,6 +142,14 @@
 	return outcome.EndpointDied
 }
 
+// brokenOff is when a call that got no answer was sent, if its engine broke it off.
+func brokenOff(err error, sent time.Time) time.Time {
+	if reasonOf(err) != outcome.EndpointDied {
+		return time.Time{}
+	}
+	return sent
+}
+
 // maxWait is how long a stream waits that may be late: callers give a stream up that
 // does not begin.
 const maxWait = 2500 * time.Millisecond
@@ -196,14 +205,15 @@
 // callWrite has the answer made and reports its parts.
 func (f *flight) callWrite(ctx context.Context, a decide.StartDecode, run Run) {
 	x := f.x
+	sent := time.Now()
 	resp, err := x.r.pool.Do(ctx, x.request(x.r.disp.Address(a.Decode), run))
 	if ctx.Err() != nil {
 		return
 	}
 	if err != nil {
 		var e *h1.Error
-		sent := !errors.As(err, &e) || e.Sent
-		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), ran: sent}})
+		ran := !errors.As(err, &e) || e.Sent
+		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), ran: ran, sent: brokenOff(err, sent)}})
 		return
 	}
 	defer resp.Body.Close()
@@ -214,16 +224,20 @@
 	case !reply.Signed:
 		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: outcome.Crossed, ran: true}})
 	case resp.StatusCode != http.StatusOK:
-		f.failure(a.Attempt, resp)
+		f.failure(a.Attempt, resp, sent)
 	default:
-		f.pump(a.Attempt, resp)
+		f.pump(a.Attempt, resp, sent)
 	}
 }
 
-// failure reports an engine's own failure.
-func (f *flight) failure(a decide.Attempt, resp *http.Response) {
+// failure reports an engine's own failure, to a request that was sent at a time.
+func (f *flight) failure(a decide.Attempt, resp *http.Response, sent time.Time) {
 	body, err := h1.Drain(resp, heldAnswer)
-	if err != nil || f.x.route.Resumable {
+	switch {
+	case err != nil:
+		f.send(flightEvent{attempt: a, err: &callError{reason: outcome.EndpointDied, ran: true, sent: sent}})
+		return
+	case f.x.route.Resumable:
 		f.send(flightEvent{attempt: a, err: &callError{reason: outcome.EndpointDied, ran: true}})
 		return
 	}
@@ -232,7 +246,7 @@
 
 // pump reads a stream to its end and reports whole events only: an engine may stop in
 // the middle of one, and the stream then goes on elsewhere after the last whole one.
-func (f *flight) pump(a decide.Attempt, resp *http.Response) {
+func (f *flight) pump(a decide.Attempt, resp *http.Response, sent time.Time) {
 	var s splitter
 	buf := make([]byte, 4<<10)
 	begun := false
@@ -258,7 +272,7 @@
 			f.send(flightEvent{attempt: a, ended: true})
 			return
 		case err != nil:
-			f.send(flightEvent{attempt: a, err: &callError{reason: outcome.Truncated, ran: true}})
+			f.send(flightEvent{attempt: a, err: &callError{reason: outcome.Truncated, ran: true, sent: sent}})
 			return
 		}
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -56,6 +56,7 @@
 			ran = true
 			runs++
 		}
+		x.brokeOff(e.ID, a.brokeOff)
 		// An endpoint's own failure says more than ours: it is passed on where no call may follow.
 		last := !x.route.repeats() || runs >= x.route.Tries || !budget.Has(time.Now(), 1)
 		if a.resp != nil && (a.good || last) {
@@ -108,6 +109,8 @@
 	ran    bool // The request may have run.
 	good   bool // The answer is a success.
 	reason outcome.Reason
+	// brokeOff is when the request was sent, if the endpoint broke the call off; zero otherwise.
+	brokeOff time.Time
 }
 
 func (a *plainAnswer) drop() {
@@ -134,6 +137,9 @@
 		if errors.Is(err, h1.ErrSurplus) {
 			a.reason = outcome.Crossed
 		}
+		if ctx.Err() == nil {
+			a.brokeOff = brokenOff(err, start)
+		}
 		return a
 	}
 	a.sent = true
@@ -148,6 +154,9 @@
 	if err != nil || !reply.Signed || resp.Header.Get("Content-Encoding") != "" {
 		_ = resp.Body.Close()
 		a.reason = outcome.Truncated
+		if err != nil && ctx.Err() == nil {
+			a.brokeOff = start
+		}
 		return a
 	}
 	a.resp, a.held, a.whole = resp, held, len(held) < heldAnswer
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/overlay"
+	"github.com/stoatramp/stoatramp/internal/quarantine"
 	"github.com/stoatramp/stoatramp/internal/record"
 	"github.com/stoatramp/stoatramp/internal/telemetry"
 )
@@ -70,6 +71,7 @@
 	revoked atomic.Pointer[revoked]
 	fleet   fleet
 	waiting waiting
+	endings endings
 
 	gate gate.Gate
 	// stopBy is when a planned stop will have ended the box, in Unix nanoseconds; 0 before
@@ -225,6 +227,8 @@
 	arrived time.Time
 	// deadline is when the caller or the route will not wait any longer.
 	deadline time.Time
+	// print is the fingerprint; nil until it was asked for.
+	print *quarantine.Fingerprint
 	// begun is set once any byte of an answer was written; from then on a failure
 	// can no longer be a refusal.
 	begun bool
--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -23,9 +23,7 @@
 
 // RouteFor finds the route of a host whose prefix begins the path and is longest.
 func (c *Config) RouteFor(host, path string) *Route {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
+	host = hostOnly(host)
 	for _, r := range c.Routes {
 		if strings.EqualFold(r.Host, host) && strings.HasPrefix(path, r.Prefix) {
 			return r
@@ -34,6 +32,14 @@
 	return nil
 }
 
+// hostOnly is a host without its port, if it has one.
+func hostOnly(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		return h
+	}
+	return host
+}
+
 // repeats says whether a request of the route may run more than once.
 func (r *Route) repeats() bool { return r.Kind == Repeatable || r.Kind == Stream && r.Resumable }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -107,6 +107,9 @@
 type callError struct {
 	reason outcome.Reason
 	ran    bool
+	// sent is when the request was sent to the engine, where the engine broke the call off; zero
+	// for any other failure.
+	sent time.Time
 }
 
 // serveStream gives the request to the core and does what the core says until the
@@ -372,11 +375,12 @@
 }
 
 func (f *flight) failed(a decide.Attempt, e callError) {
+	engine := f.writer
+	if a == f.read {
+		engine = f.reader
+	}
+	f.x.brokeOff(engine, e.sent)
 	if e.reason == outcome.EndpointRefused {
-		engine := f.writer
-		if a == f.read {
-			engine = f.reader
-		}
 		f.x.r.askWhy(engine)
 		if a == f.read {
 			f.x.r.tell(overlay.Fact{Refused: &overlay.Refused{Engine: engine}})
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -28,7 +28,9 @@
 	Resumes     *metrics.Counter
 	// CallsAgain counts the calls sent beyond the first of their request. The first that only
 	// has a prompt read is none of them.
-	CallsAgain    *metrics.Counter
+	CallsAgain *metrics.Counter
+	// EndedUnder counts the requests under which an endpoint ended, one for each call.
+	EndedUnder    *metrics.Counter
 	Aborts        *metrics.Counter
 	AbortsLost    *metrics.Counter
 	Crossed       *metrics.Counter
@@ -63,6 +65,7 @@
 		MigratedNot:   s.NewCounter(`stoatramp_migrations_total{outcome="stayed"}`),
 		Resumes:       s.NewCounter("stoatramp_resumes_total"),
 		CallsAgain:    s.NewCounter("stoatramp_calls_again_total"),
+		EndedUnder:    s.NewCounter("stoatramp_ended_under_total"),
 		Aborts:        s.NewCounter("stoatramp_aborts_total"),
 		AbortsLost:    s.NewCounter("stoatramp_aborts_lost_total"),
 		Crossed:       s.NewCounter(`stoatramp_dropped_chunks_total{cause="crossed"}`),
