--- a/cmd/stoatrampd/quarantine_test.go
+++ b/cmd/stoatrampd/quarantine_test.go
@@ -238,7 +238,10 @@
 	r.Host = "h.example"
 	r.Header.Set("X-Request-Id", fmt.Sprintf("id-%d", s.n))
 	r.Header.Set("X-Token-Usage", "100,50")
-	resp, err := http.DefaultClient.Do(r)
+	// Each request comes from another address: a balancer or a new connection changes it.
+	from := &net.TCPAddr{IP: net.IPv4(127, 0, 1, byte(s.n))}
+	tr := &http.Transport{DialContext: (&net.Dialer{LocalAddr: from}).DialContext, DisableKeepAlives: true}
+	resp, err := (&http.Client{Transport: tr}).Do(r)
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -256,7 +259,9 @@
 //
 // Evidence: ten and eleven tries of two requests in the logs of a recorded day, each with one prompt
 // read and one run, each run ending another engine 63 to 270 ms later; no try was refused. The lines
-// "endpoint ended under a request" have one fingerprint for all tries of a request.
+// "endpoint ended under a request" have one fingerprint for all tries of a request. The tries came to
+// boxes of all halls, though an address has its connections in one: a request without an account has no
+// caller that a box could tell.
 func TestRequestThatEndsEndpoints(t *testing.T) {
 	for _, c := range []struct {
 		name, path, peers string
