Know a request by its account and content, not by the address it comes from

Cause: the address was taken for the caller; one request's tries come from many. Ruled out: the address beside the account as a second identity: it tells nothing that an endpoint sees. Change: a request without an account is known by method, host, path, query, model and body. The address only counts to the bound of what is kept of one caller.

--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -16,15 +16,17 @@
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
 // Identity is what makes two requests the same. A body that differs in one byte, or the same one
-// from another caller, is another request.
+// from another client account, is another request.
 type Identity struct {
-	// Caller is the client account or, for a request that has none, the host that it comes from.
-	Caller string
-	Method string
-	Host   string // Without a port.
-	Target string // Path and query as they were sent.
-	Model  string
-	Body   []byte
+	// Account is the client account; empty for a request that has none. The address that a request
+	// comes from is no part of it: the same one comes again from another address, by another balancer
+	// or in another hall.
+	Account string
+	Method  string
+	Host    string // Without a port.
+	Target  string // Path and query as they were sent.
+	Model   string
+	Body    []byte
 }
 
 // Fingerprint hashes the identity. Its cost is that of SHA-256 over the body: about 5 µs for 5 KB
@@ -35,7 +37,7 @@
 		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(b))))
 		_, _ = h.Write(b)
 	}
-	for _, s := range []string{i.Caller, i.Method, i.Host, i.Target, i.Model} {
+	for _, s := range []string{i.Account, i.Method, i.Host, i.Target, i.Model} {
 		part([]byte(s))
 	}
 	part(i.Body)
--- a/internal/quarantine/fingerprint_test.go
+++ b/internal/quarantine/fingerprint_test.go
@@ -7,13 +7,13 @@
 
 // Each part tells requests apart, and no byte of one part passes for one of the next.
 func TestFingerprint(t *testing.T) {
-	first := Identity{Caller: "lab", Method: "POST", Host: "h.example", Target: "/a/b?c=d", Model: "m", Body: []byte("did unit 7 pass?")}
+	first := Identity{Account: "lab", Method: "POST", Host: "h.example", Target: "/a/b?c=d", Model: "m", Body: []byte("did unit 7 pass?")}
 	if again := first; again.Fingerprint() != first.Fingerprint() {
 		t.Error("expected the same request to have the same fingerprint")
 	}
 	for name, change := range map[string]func(*Identity){
-		"caller":      func(i *Identity) { i.Caller = "other" },
-		"no caller":   func(i *Identity) { i.Caller = "" },
+		"account":     func(i *Identity) { i.Account = "other" },
+		"no account":  func(i *Identity) { i.Account = "" },
 		"method":      func(i *Identity) { i.Method = "PUT" },
 		"host":        func(i *Identity) { i.Host = "g.example" },
 		"path":        func(i *Identity) { i.Target = "/a/x?c=d" },
@@ -31,7 +31,7 @@
 }
 
 func BenchmarkFingerprint(b *testing.B) {
-	i := Identity{Caller: "10.0.0.1", Method: "POST", Host: "h.example", Target: "/verdicts/unit-7", Model: "m", Body: bytes.Repeat([]byte("x"), 5000)}
+	i := Identity{Account: "lab", Method: "POST", Host: "h.example", Target: "/verdicts/unit-7", Model: "m", Body: bytes.Repeat([]byte("x"), 5000)}
 	for b.Loop() {
 		i.Fingerprint()
 	}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -31,7 +31,7 @@
 type End struct {
 	Request  Fingerprint
 	Endpoint string // Names one start of it.
-	Caller   string // See CallerTag.
+	Caller   string // Whose bound it counts to; see CallerTag.
 	Ran      time.Duration
 }
 
--- a/internal/relay/ended.go
+++ b/internal/relay/ended.go
@@ -183,7 +183,8 @@
 	}
 }
 
-// caller names who calls: the client account or, where there is none, the host of the connection.
+// caller names who calls, for the bound of what is kept of one caller: the client account or, where
+// there is none, the host of the connection.
 func (x *exchange) caller() string {
 	if x.account != nil {
 		return x.account.Name
@@ -199,9 +200,12 @@
 func (x *exchange) fingerprint() quarantine.Fingerprint {
 	if x.print == nil {
 		id := quarantine.Identity{
-			Caller: x.caller(), Method: x.req.Method, Host: strings.ToLower(hostOnly(x.req.Host)),
+			Method: x.req.Method, Host: strings.ToLower(hostOnly(x.req.Host)),
 			Target: x.req.RequestURI, Model: x.ask.Model, Body: x.body,
 		}
+		if x.account != nil {
+			id.Account = x.account.Name
+		}
 		f := id.Fingerprint()
 		x.print = &f
 	}
