Tell the starts of an endpoint apart, and take nothing from another writer's entries

Cause: a worker may start again under its id, and counted as the one that was there: its memory by our ledger, role, failures, orders and ends. An entry was taken with what it had, whoever wrote it. Change: an endpoint's ID names one start (id and 'born'), as its comment always said, so all that is known by it ends with it; the platform's id goes on the wire. A report of another start is not taken, nor is an order given by it. Stand-ins write whole entries; relay_test's entry lacked fields that each worker writes and is whole now, with the same assertions. A report that cannot be read is no word and not silence.

--- a/cmd/stoatrampd/relay_test.go
+++ b/cmd/stoatrampd/relay_test.go
@@ -65,7 +65,7 @@
 	platform, endpoint := httptest.NewServer(store), httptest.NewServer(service)
 	t.Cleanup(platform.Close)
 	t.Cleanup(endpoint.Close)
-	store.Put("servers", "i-1", fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"h","state":"ready"}`, endpoint.Listener.Addr()), 0)
+	store.Put("servers", "i-1", fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"h","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"sequence":0}`, endpoint.Listener.Addr()), 0)
 	x := &relayBox{t: t, store: store, address: platform.Listener.Addr().String(), ended: make(chan error, 1)}
 	x.start()
 	x.await(http.StatusServiceUnavailable) // No configuration yet.
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -234,6 +234,8 @@
 type listedEndpoint struct {
 	text     []byte
 	endpoint relay.Endpoint
+	// foreign rows name no endpoint: they are another writer's.
+	foreign bool
 }
 
 // lapseGrace is for how long after the store's return an endpoint that is missing from the
@@ -250,7 +252,7 @@
 	}
 	kept := 0
 	for key, old := range b.listed {
-		if _, there := next[key]; !there && !old.endpoint.Leaving {
+		if _, there := next[key]; !there && !old.endpoint.Leaving && !old.foreign {
 			next[key] = old
 			kept++
 		}
@@ -279,10 +281,9 @@
 		e, err := b.site.Endpoint(key, text)
 		if err != nil {
 			b.book.Log.Belief("endpoint not taken", zap.Error(err))
-			continue
 		}
-		news = news || !known || e != old.endpoint
-		next[key] = listedEndpoint{text, e}
+		news = news || !known || e != old.endpoint || (err != nil) != old.foreign
+		next[key] = listedEndpoint{text, e, err != nil}
 	}
 	b.keepLapsed(next)
 	news = news || len(next) != len(b.listed)
@@ -290,9 +291,21 @@
 	if !news {
 		return
 	}
-	out := make([]relay.Endpoint, 0, len(next))
-	for _, l := range next {
-		out = append(out, l.endpoint)
+	b.Relay.SetEndpoints(usable(next))
+}
+
+// usable are the endpoints of the rows that name one. Where the platform's endpoints say when they
+// started, a row that does not is another writer's.
+func usable(rows map[string]listedEndpoint) []relay.Endpoint {
+	dated := false
+	for _, l := range rows {
+		dated = dated || l.endpoint.Started > 0
+	}
+	out := make([]relay.Endpoint, 0, len(rows))
+	for _, l := range rows {
+		if !l.foreign && (l.endpoint.Started > 0 || !dated) {
+			out = append(out, l.endpoint)
+		}
 	}
-	b.Relay.SetEndpoints(out)
+	return out
 }
--- a/internal/box/relay_test.go
+++ b/internal/box/relay_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -133,3 +135,47 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// A row that another writer put in the place of an endpoint's names none, and the others hold. Where
+// endpoints say when they started, a row that does not is another writer's too. Such rows are read once.
+func TestRowsOfAnotherWriter(t *testing.T) {
+	reads := 0
+	book := &account.Book{Metrics: telemetry.NewMetrics(), Log: account.Quiet()}
+	b := &RelayBox{log: zap.NewNop(), book: book, site: Site{Endpoint: func(key string, text []byte) (relay.Endpoint, error) {
+		reads++
+		if string(text) == "?" {
+			return relay.Endpoint{}, errors.New("unreadable")
+		}
+		started, err := strconv.ParseInt(string(text), 10, 64)
+		return relay.Endpoint{ID: key, Service: "s", Started: started}, err
+	}}}
+	b.Relay = relay.New(relay.Options{Core: decide.New(rand.New(rand.NewPCG(1, 1)), 1), Book: book})
+	b.Relay.SetConfig(&relay.Config{Services: map[string]*relay.Service{"s": {Name: "s", Engines: &relay.Engines{}}}})
+	b.tables = map[string]*follow.Table{tableEndpoints: follow.New(nil, follow.Options{}, b.list)}
+	expect := func(what string, rows map[string]string, want ...string) {
+		t.Helper()
+		in := map[string][]byte{}
+		for k, v := range rows {
+			in[k] = []byte(v)
+		}
+		b.list(in)
+		var got []string
+		engines, _, _ := b.Relay.Engines()
+		for _, e := range engines {
+			got = append(got, e.Name)
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("%s: expected %v, got %v", what, want, got)
+		}
+	}
+	expect("platform that tells no starts", map[string]string{"a": "0", "b": "0"}, "a", "b")
+	expect("one of them overwritten", map[string]string{"a": "?", "b": "0"}, "b")
+	before := reads
+	expect("the same list", map[string]string{"a": "?", "b": "0"}, "b")
+	if reads != before {
+		t.Errorf("expected no row to be read again, got %d", reads-before)
+	}
+	expect("it is back", map[string]string{"a": "0", "b": "0"}, "a", "b")
+	expect("platform that tells starts", map[string]string{"a": "5", "b": "7"}, "a", "b")
+	expect("one row without", map[string]string{"a": "5", "b": "0", "c": "9"}, "a", "c")
+}
--- a/internal/relay/ended.go
+++ b/internal/relay/ended.go
@@ -107,8 +107,13 @@
 	if listed && now.Leaving {
 		return alive, ""
 	}
+	if !listed && r.fleet.at(e.Address) {
+		return ended, "another start is at its address"
+	}
 	err := r.reach(e)
 	switch {
+	case errors.Is(err, errOther):
+		return ended, "another start answers"
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return ended, "its port refuses"
 	case err != nil && !listed:
@@ -128,11 +133,20 @@
 		}
 		return c.Close()
 	}
-	resp, _, err := r.side.Call(context.Background(), loadLimit, sideRequest(e.Address, r.wire.AskLoad()), sideAnswer)
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = errors.New(resp.Status)
+	resp, body, err := r.side.Call(context.Background(), loadLimit, sideRequest(e.Address, r.wire.AskLoad()), sideAnswer)
+	if err != nil {
+		return err
 	}
-	return err
+	load, err := r.wire.Load(body)
+	switch {
+	case resp.StatusCode != http.StatusOK:
+		return errors.New(resp.Status)
+	case err != nil:
+		return err
+	case load.Started > e.Started:
+		return errOther
+	}
+	return nil
 }
 
 // isEngine tells whether the endpoints of a service are engines.
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -83,6 +83,13 @@
 	return e, listed
 }
 
+// at says whether an endpoint is listed at an address.
+func (f *fleet) at(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.endpoints, func(e Endpoint) bool { return e.Address == address })
+}
+
 // listedRoles takes the roles of a new list. One that the list has changed counts, whatever
 // the engine said before. The lock is held.
 func (f *fleet) listedRoles(now time.Time) {
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -143,20 +143,28 @@
 	if ctx.Err() != nil {
 		return
 	}
-	var l Load
-	if err == nil && resp.StatusCode == http.StatusOK {
-		l, err = r.wire.Load(body)
-	}
 	if err != nil || resp.StatusCode != http.StatusOK {
 		r.takeSilence(e.ID)
 		r.tellLoad(e.ID, now, nil)
 		return
 	}
+	l, err := r.wire.Load(body)
+	if err != nil {
+		r.o.Book.Log.Belief("report not taken", zap.String("endpoint", e.ID), zap.Error(err))
+		return
+	}
+	if !l.of(&e) {
+		return // The list will tell of the other start.
+	}
 	at := now.Add(-l.Age)
 	r.takeLoad(e.ID, at, &l)
 	r.tellLoad(e.ID, at, &l)
 }
 
+// of says whether a load is of this start of the endpoint, and not what the same address said of
+// itself in another life: its memory, role and orders have nothing to do with this one.
+func (l *Load) of(e *Endpoint) bool { return l.Started == e.Started }
+
 // takeSilence takes that an engine did not answer.
 func (r *Relay) takeSilence(engine string) {
 	r.fleet.mu.Lock()
--- a/internal/relay/orders.go
+++ b/internal/relay/orders.go
@@ -16,13 +16,18 @@
 
 var (
 	errBusy  = errors.New("the engine carries out another order")
+	errOther = errors.New("the engine has started again")
 	errLapse = errors.New("the lease ended before the order was sent")
 )
 
 // SetRole orders an engine to change its role. The order names the engine's start and
 // how many orders it has taken, so that it does nothing when it is carried out late.
 func (r *Relay) SetRole(ctx context.Context, engine string, role decide.EngineRole, l lease.Lease) error {
-	address := r.disp.Address(engine)
+	e, listed := r.fleet.endpoint(engine)
+	if !listed {
+		return errOther
+	}
+	address := e.Address
 	resp, body, err := r.side.Call(ctx, loadLimit, sideRequest(address, r.wire.AskLoad()), sideAnswer)
 	if err != nil {
 		return fmt.Errorf("ask the engine: %w", err)
@@ -31,6 +36,8 @@
 	switch {
 	case err != nil || resp.StatusCode != http.StatusOK:
 		return fmt.Errorf("ask the engine: %s, %w", resp.Status, err)
+	case !load.of(&e):
+		return errOther
 	case load.Busy || load.Leaving || load.Role == role:
 		return errBusy
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -107,7 +107,12 @@
 
 // Endpoint is one endpoint as the platform's list shows it.
 type Endpoint struct {
-	ID      string // Names one start of the endpoint.
+	// ID names one start of the endpoint. Whatever is known of an endpoint is known by it, and ends
+	// with the start.
+	ID string
+	// Started is when it started, in Unix milliseconds by its own clock; 0 where the platform does not
+	// say, and then each start has an ID of its own anyway.
+	Started int64
 	Service string
 	Address string
 	Hall    string
@@ -174,6 +179,8 @@
 
 // Load is an engine's own account of itself.
 type Load struct {
+	// Started is when the engine that says this started, as in Endpoint.
+	Started int64
 	Role    decide.EngineRole
 	Queued  int
 	Running int
