Have the oldest box read the table of ends first, and the others hear it from it

Cause: each box read the table at its start, one call a box, before anybody could tell it. Change: follow.Options has Late and First: a box puts its first reading off for 2.2 s unless it is the oldest listed. TestRequestThatEndsEndpoints waits for the list's pace before it looks at other requests: once in 15 runs an innocent one was sent to a start that was gone (421, then no retry left); the list is read each 1.1 s there.

--- a/cmd/stoatrampd/quarantine_test.go
+++ b/cmd/stoatrampd/quarantine_test.go
@@ -289,6 +289,9 @@
 				s.until("all workers to be back", func() bool { _, _, up := s.workers.count(); return up })
 				time.Sleep(300 * time.Millisecond) // Until the list has them.
 			}
+			// The list of endpoints is read each 1.1 s at the least; until then a box may send to a start
+			// that is gone, which refuses.
+			time.Sleep(2 * time.Second)
 			// From now on it reaches nothing any more, and its caller is told so at once.
 			_, before, _ := s.workers.count()
 			for n := range s.boxes {
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -54,9 +54,6 @@
 	// box counts as in touch 3 s after its start, and must know by then what has changed.
 	settle        = 2200 * time.Millisecond
 	membersSettle = 450 * time.Millisecond
-	// endsLate is for how long a box that starts leaves it to others to tell it of requests that end
-	// endpoints: it counts as in touch 3 s after its start, and one call less a box is made.
-	endsLate = 1200 * time.Millisecond
 	// handStale is the age for what is changed by hand.
 	handStale = 12 * time.Second
 	// membersPause has boxes that start together read their list in batches.
@@ -91,13 +88,14 @@
 // endsPace is that of the requests under which endpoints ended. They change seldom, like the
 // configuration, and each box must know them in the time in which it is to have read everything after
 // an outage.
-func endsPace(cfg *config.Relay, operator follow.Options) follow.Options {
+func (b *RelayBox) endsPace(cfg *config.Relay, operator follow.Options) follow.Options {
 	o := operator
 	o.Stale = cfg.RereadWithin - ownRead
 	o.FollowedWait = part(o.Stale, followedPart)
 	o.Settle = 0 // Whoever would tell of the table does so before it is first read.
 	if cfg.Peers != "" {
-		o.Late = endsLate
+		// A box counts as in touch 3 s after its start, and one call less a box is made.
+		o.Late, o.First = settle, func() bool { return b.node.Oldest() } // The node is made later.
 	}
 	return o
 }
@@ -115,7 +113,7 @@
 func (b *RelayBox) makeTables() {
 	cfg := b.settings.Load()
 	operator, list, hand, members := paces(cfg, &b.storeLink)
-	ends := endsPace(cfg, operator)
+	ends := b.endsPace(cfg, operator)
 	b.tables = map[string]*follow.Table{
 		tableConfig:    b.table(tableConfig, b.site.Operator, operator, &b.configHeard, b.configure),
 		tableEndpoints: b.table(tableEndpoints, b.site.Endpoints, list, &b.listHeard, b.list),
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -51,8 +51,10 @@
 	// Settle is how long after the first reading the changes are first asked for: most boxes
 	// are told by another one by then.
 	Settle time.Duration
-	// Late is for how long the first reading is put off: another box may have told of the table by then.
-	Late time.Duration
+	// Late is for how long the first reading is put off, so that another box tells of the table, and
+	// First says that none will.
+	Late  time.Duration
+	First func() bool
 }
 
 // Freshness tells how long ago the store was heard of. The zero value has not heard of it.
@@ -164,17 +166,19 @@
 	}
 }
 
+// lateLook paces the looks at whether the first reading need not be put off any more.
+const lateLook = 50 * time.Millisecond
+
 // sleepLate puts the first reading off, and returns false if ctx ended meanwhile.
 func (t *Table) sleepLate(ctx context.Context) bool {
-	if t.o.Late <= 0 {
-		return true
-	}
-	select {
-	case <-time.After(t.o.Late):
-		return true
-	case <-ctx.Done():
-		return false
+	for end := time.Now().Add(t.o.Late); time.Now().Before(end) && !t.relieved() && !t.o.First(); {
+		select {
+		case <-time.After(lateLook):
+		case <-ctx.Done():
+			return false
+		}
 	}
+	return true
 }
 
 // errNotMade means that a call was not made, or says nothing of the store.
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -211,6 +211,14 @@
 	return n.up != nil
 }
 
+// Oldest says that this box is the oldest listed of its region: it follows nobody.
+func (n *Node) Oldest() bool {
+	all := n.members.list(n.o.Self.Region)
+	return len(all) > 0 && !slices.ContainsFunc(all, func(m Member) bool {
+		return m.Name != n.o.Self.Name && older(m, n.o.Self) < 0
+	})
+}
+
 // Members is how many boxes are listed, this one included.
 func (n *Node) Members() int { return n.members.size() }
 
