--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -131,7 +131,7 @@
 		Register: b.site.Register,
 		Tables:   shared,
 		// Policies name operators and their hashed keys, and the members the boxes' key.
-		Open:     []string{tableConfig, tableEndpoints},
+		Open:     []string{tableConfig, tableEndpoints, tableEnds},
 		Seeds:    cfg.Seeds,
 		Room:     func(r overlay.Room) bool { return b.Relay.HasRoom(r) },
 		Limits:   b.pool,
--- a/internal/relay/ended.go
+++ b/internal/relay/ended.go
@@ -34,6 +34,9 @@
 // after calls of the same end have broken off too; the last one after its entry has lapsed from the list.
 var looks = []time.Duration{30 * time.Millisecond, 300 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second}
 
+// mostOpen bounds the broken calls that are kept of one endpoint: more than run on it at once.
+const mostOpen = 256
+
 // endings watches endpoints whose calls were broken off. The zero value watches none.
 type endings struct {
 	mu sync.Mutex
@@ -49,7 +52,9 @@
 		w.open = map[string][]brokenCall{}
 	}
 	_, watched := w.open[endpoint]
-	w.open[endpoint] = append(w.open[endpoint], c)
+	if len(w.open[endpoint]) < mostOpen {
+		w.open[endpoint] = append(w.open[endpoint], c)
+	}
 	return !watched
 }
 
