Count the end of a start that is not listed yet, or that left the list meanwhile

Cause: TestRequestThatEndsEndpoints with engines that come back under their ids failed in three of some thirty runs (4 ends of 3). A list is read each 1.1 s; a request is sent by it to an engine that has started again under its id. The end was taken for that of the start before, which is known, or, where the list told of the new start while the request ran, for that of an endpoint on no list, and not counted. Ruled out: lost words between the boxes: the fifth case alone, and 14 runs with logs, passed. Change: a request sent after the known end of a start has met another start, named so; endpoints that left the list are remembered for 30 s. Conclusion: the test that showed it stays as it is, and says what the boxes believed when it fails.

--- a/cmd/stoatrampd/quarantine_test.go
+++ b/cmd/stoatrampd/quarantine_test.go
@@ -149,6 +149,20 @@
 	boxes   []*box.RelayBox
 	workers mortals
 	n       int // Requests so far.
+	logs    []*lines
+}
+
+// tell logs what the boxes believed of ends.
+func (s *quarantineSite) tell() {
+	for n, l := range s.logs {
+		l.mu.Lock()
+		for line := range strings.Lines(l.text.String()) {
+			if strings.Contains(line, "ended under") || strings.Contains(line, "request held") || strings.Contains(line, "end not known") || strings.Contains(line, "not written") || strings.Contains(line, "endpoint seen") {
+				s.t.Logf("box %d: %s", n, strings.TrimSpace(line))
+			}
+		}
+		l.mu.Unlock()
+	}
 }
 
 const quarantineConfig = `{"version":1,"routes":[
@@ -204,7 +218,9 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	b, err := newRelay(cfg, telemetry.NewLogger(io.Discard))
+	log := &lines{}
+	s.logs = append(s.logs, log)
+	b, err := newRelay(cfg, telemetry.NewLogger(log))
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -284,6 +300,7 @@
 				ends, _, _ := s.workers.count()
 				t.Logf("try %d: %d %.200s; %d ends", try, status, text, ends)
 				if ends > c.may {
+					s.tell()
 					t.Fatalf("expected the endpoints to end %d times at most, got %d after %d tries", c.may, ends, try+1)
 				}
 				s.until("all workers to be back", func() bool { _, _, up := s.workers.count(); return up })
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -33,6 +33,8 @@
 	Endpoint string // Names one start of it.
 	Caller   string // Whose bound it counts to; see CallerTag.
 	Ran      time.Duration
+	// Sent is when the request was sent there, by this box's clock; zero for an end that another box saw.
+	Sent time.Time
 	// Doubt says that the endpoint may have ended before the request reached it: the call went over a
 	// connection that was kept and broke off at once, as it does where several endpoints end together
 	// and a request goes on from one to the next.
@@ -158,13 +160,33 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := clock.Now()
-	if bits(&e) < leastBits || l.served.lately(e.Request, now) || l.ends[e.key()] != nil {
+	if bits(&e) < leastBits || l.served.lately(e.Request, now) || !l.isNew(&e) {
 		return
 	}
 	l.add(&known{End: e, since: now})
 	l.wake()
 }
 
+// isNew says whether an end is another one than those known, and names it so. A start ends once; but
+// a worker may be back under its id before the list tells, and then what runs there is taken for the
+// start before. A request that was sent after that one had ended has met another.
+//
+// Example: the start i-5@a ended under a request, which comes again a second later, to a box whose list
+// still shows i-5@a. The engine runs it and ends: that is the end of i-5@a+2. The lock is held.
+func (l *List) isNew(e *End) bool {
+	start := e.Endpoint
+	for n := 2; ; n++ {
+		k := l.ends[e.key()]
+		switch {
+		case k == nil:
+			return true
+		case e.Doubt || !k.since.Before(e.Sent):
+			return false
+		}
+		e.Endpoint = fmt.Sprintf("%s+%d", start, n)
+	}
+}
+
 // Served takes that a request was answered whole: it ends nothing, whatever was seen before.
 func (l *List) Served(f Fingerprint) {
 	l.mu.Lock()
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -44,6 +44,31 @@
 	}
 }
 
+// What users would see: one end more than there should be. A worker was back under its id before the
+// list told; it ran the request again and ended, and the box took that for the end of the start that
+// its list still had, which it knew of. Evidence: TestRequestThatEndsEndpoints with engines that come back
+// under their ids, 4 ends of 3 in one of three runs.
+func TestEndOfStartNotListedYet(t *testing.T) {
+	l := NewList()
+	e := End{Request: of("deadly"), Endpoint: "i-5@a", Caller: "c", Ran: 50 * time.Millisecond}
+	e.Sent = clock.Now().Add(-e.Ran)
+	l.Ended(e)
+	l.Ended(e) // The same end.
+	if n, _ := l.Sizes(); n != 1 {
+		t.Errorf("expected one end, got %d", n)
+	}
+	e.Sent = clock.Now().Add(time.Millisecond)
+	l.Ended(e)
+	if n, _ := l.Sizes(); n != 2 {
+		t.Errorf("expected an end of another start, got %d ends: %s", n, l.Check(of("deadly")))
+	}
+	e.Doubt = true
+	l.Ended(e)
+	e.Sent, e.Doubt = clock.Now().Add(time.Second), false
+	l.Ended(e)
+	expectHeld(t, l, "deadly", true)
+}
+
 // What users would see: a request refused for good that had done nothing. Its prompt was at an engine
 // that ended with a rack; it went on to another one of that rack over a kept connection, which broke in
 // 0.7 ms, and four seconds later it was near a third crash. Evidence: a day of crashes, on which one
--- a/internal/relay/ended.go
+++ b/internal/relay/ended.go
@@ -49,7 +49,8 @@
 	caller  string
 	print   quarantine.Fingerprint
 	ran     time.Duration // From when it was sent until the call broke off.
-	doubt   bool          // The endpoint may have ended before it was sent.
+	sent    time.Time
+	doubt   bool // The endpoint may have ended before it was sent.
 }
 
 // looks are when an endpoint is looked at, counted from the first broken call. The first one comes
@@ -91,11 +92,11 @@
 
 // brokeOff notes how the request's call to an endpoint ended, if the endpoint broke it off.
 func (x *exchange) brokeOff(endpoint string, b brokenOff) {
-	e, listed := x.r.fleet.endpoint(endpoint)
-	if !listed || e.Leaving || b.sent.IsZero() {
+	e, known := x.r.fleet.called(endpoint)
+	if !known || e.Leaving || b.sent.IsZero() {
 		return // An endpoint that leaves ends as planned.
 	}
-	c := brokenCall{request: x.ask.ID, caller: x.caller(), print: x.fingerprint(), ran: clock.Since(b.sent)}
+	c := brokenCall{request: x.ask.ID, caller: x.caller(), print: x.fingerprint(), ran: clock.Since(b.sent), sent: b.sent}
 	c.doubt = b.kept && c.ran < atOnce
 	if x.r.endings.add(endpoint, c) {
 		go x.r.watchEnd(e)
@@ -188,7 +189,7 @@
 func (r *Relay) endedUnder(e Endpoint, by string, calls []brokenCall) {
 	r.m.EndedUnder.Add(len(calls))
 	for _, c := range calls {
-		r.o.Ends.Ended(quarantine.End{Request: c.print, Endpoint: e.ID, Caller: quarantine.CallerTag(c.caller), Ran: c.ran, Doubt: c.doubt})
+		r.o.Ends.Ended(quarantine.End{Request: c.print, Endpoint: e.ID, Caller: quarantine.CallerTag(c.caller), Ran: c.ran, Sent: c.sent, Doubt: c.doubt})
 		r.o.Book.Log.Belief("endpoint ended under a request", zap.String("endpoint", e.ID), zap.String("service", e.Service),
 			zap.String("id", c.request), zap.Stringer("fingerprint", c.print), zap.String("caller", quarantine.CallerTag(c.caller)),
 			zap.Duration("ran", c.ran), zap.Bool("doubt", c.doubt), zap.String("known_by", by))
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -26,6 +26,8 @@
 	endpoints []Endpoint
 	// index is where an endpoint stands in endpoints, by its ID.
 	index map[string]int
+	// gone are endpoints that were on the list lately, by their IDs.
+	gone map[string]goneEndpoint
 	// roles is what is known of engines' roles beside the list, by their IDs.
 	roles map[string]knownRole
 	// askedWhy is when an engine was last asked why it turned a request away.
@@ -66,11 +68,42 @@
 
 // list replaces the endpoints. The lock is held.
 func (f *fleet) list(list []Endpoint) {
+	before := f.endpoints
 	f.endpoints = list
 	f.index = make(map[string]int, len(list))
 	for i, e := range list {
 		f.index[e.ID] = i
 	}
+	now := clock.Now()
+	maps.DeleteFunc(f.gone, func(_ string, g goneEndpoint) bool { return now.Sub(g.at) > goneFor })
+	for _, e := range before {
+		if _, stays := f.index[e.ID]; !stays {
+			if f.gone == nil {
+				f.gone = map[string]goneEndpoint{}
+			}
+			f.gone[e.ID] = goneEndpoint{e, now}
+		}
+	}
+}
+
+// goneEndpoint is an endpoint that was taken off the list at a time.
+type goneEndpoint struct {
+	Endpoint
+	at time.Time
+}
+
+// goneFor is for how long an endpoint is remembered that was taken off the list: longer than a request runs.
+const goneFor = 30 * time.Second
+
+// called finds an endpoint that a request was sent to, also one that has left the list since.
+func (f *fleet) called(id string) (e Endpoint, known bool) {
+	if e, listed := f.endpoint(id); listed {
+		return e, true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g, known := f.gone[id]
+	return g.Endpoint, known
 }
 
 // endpoint finds an endpoint by its ID.
