Have the test of homes not depend on answers within 40 ms

A call to the home took longer than 40 ms, and a home that does not answer in time is passed over for 2 s, as it is to be: 'got false of d' is the next box's answer. Ruled out: two homes for one engine by the members' list: the same engine's home was agreed on by the box before. Change: the test has boxes ask again what they passed over, and expects that none is that answered.

--- a/internal/overlay/home_test.go
+++ b/internal/overlay/home_test.go
@@ -17,6 +17,16 @@
 	return m.Name
 }
 
+// askAgain has the box ask homes again that did not answer it in time, and returns how many it passed
+// over. The time is 40 ms, which a machine that is too busy exceeds.
+func (b *box) askAgain() int {
+	b.homes.mu.Lock()
+	defer b.homes.mu.Unlock()
+	n := len(b.homes.silent)
+	b.homes.silent = nil
+	return n
+}
+
 // All boxes take the same one for an engine's home, one of its hall; and when it is gone they
 // agree on another as soon as they have asked it in vain.
 func TestHome(t *testing.T) {
@@ -32,11 +42,15 @@
 		home := all[0].homeAt("h2", engine)
 		homes[home] = true
 		for i, b := range all {
+			b.askAgain()
 			if got := b.homeAt("h2", engine); got != home {
 				t.Fatalf("box %d takes %s for the home of %s, the first one %s", i, got, engine, home)
 			}
 			for _, prompt := range []int{50, 500} {
 				granted, by := b.AskRoom(ctx, "h2", Room{Engine: engine, Prompt: prompt})
+				if n := b.askAgain(); n > 0 && by != "" {
+					t.Errorf("box %d: expected no home that answered to be passed over, got %d", i, n)
+				}
 				if want := prompt == 50 || by == ""; granted != want || by != home && by != "" {
 					t.Errorf("box %d, prompt of %d: expected %t of %s, got %t of %q", i, prompt, want, home, granted, by)
 				}
