--- a/internal/overlay/tree_test.go
+++ b/internal/overlay/tree_test.go
@@ -175,3 +175,28 @@
 		}
 	}
 }
+
+// A box knows that it is the oldest of its region once the list has anybody, and that an older one
+// is listed.
+func TestOldest(t *testing.T) {
+	n := &Node{o: Options{Self: Member{Name: "b", Region: "r", Incarnation: 5}}}
+	expect := func(what string, want bool, list ...Member) {
+		t.Helper()
+		rows := map[string][]byte{}
+		for _, m := range list {
+			rows[m.Name] = m.row()
+		}
+		n.members.set(rows)
+		if n.Oldest() != want {
+			t.Errorf("%s: expected %t", what, want)
+		}
+	}
+	at := func(name, region string, incarnation int64) Member {
+		return Member{Name: name, Region: region, Address: "10.0.0.1:80", Incarnation: incarnation}
+	}
+	expect("nobody is listed", false)
+	expect("only younger ones are", true, at("c", "r", 7))
+	expect("an older one is", false, at("c", "r", 7), at("a", "r", 3))
+	expect("an older one of another region is", true, at("c", "r", 7), at("a", "s", 3))
+	expect("its own earlier start is", true, at("b", "r", 1), at("c", "r", 7))
+}
