--- a/internal/follow/late_test.go
+++ b/internal/follow/late_test.go
@@ -8,15 +8,15 @@
 	"time"
 )
 
-// counted counts the readings of a table that has one row.
-type counted struct{ all atomic.Int64 }
+// oneRow counts the readings of a table that has one row.
+type oneRow struct{ all atomic.Int64 }
 
-func (c *counted) All(context.Context) ([]Row, int64, error) {
+func (c *oneRow) All(context.Context) ([]Row, int64, error) {
 	c.all.Add(1)
 	return []Row{{Key: "a"}}, 5, nil
 }
 
-func (c *counted) Changed(ctx context.Context, since int64, wait time.Duration) ([]Row, int64, error) {
+func (c *oneRow) Changed(ctx context.Context, since int64, wait time.Duration) ([]Row, int64, error) {
 	select {
 	case <-time.After(wait):
 		return nil, since, nil
@@ -30,7 +30,7 @@
 func expectLate(t *testing.T, first bool, told bool, afterOne, afterThree int64) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		src := &counted{}
+		src := &oneRow{}
 		table := New(src, Options{
 			Wait: time.Second, Limit: time.Second, Stale: 10 * time.Second,
 			Late: 2 * time.Second, First: func() bool { return first },
