Send nothing into a data hall that the operator has evacuated

Ruled out: a table of its own (the row comes with the configuration, as fast, also from another box while the store is away); taking its endpoints for leaving ones (their streams would be moved away, though they do not end). Change: endpoints of an evacuated hall are closed: no call, prompt, memory set aside, move or question goes there; streams that run there go on to their end. Figures: the tests of evacuated halls fail where the row changes nothing (rows read, endpoints left open); with the change they pass.

--- a/cmd/stoatrampd/main.go
+++ b/cmd/stoatrampd/main.go
@@ -107,6 +107,7 @@
 		EndsChanges: store.EndsChanges(),
 
 		Config:    platform.Config,
+		Evacuated: platform.Evacuated,
 		Endpoint:  platform.Endpoint,
 		ReadyPath: platform.ReadyPath,
 	}, log, out.Busy)
--- a/cmd/stoatrampd/relay_test.go
+++ b/cmd/stoatrampd/relay_test.go
@@ -221,6 +221,30 @@
 	x.stops(slow)
 }
 
+// A box learns of an evacuated hall as it does of the configuration, of which no version changes, and
+// holds to it while the store is down.
+func TestRelayEvacuation(t *testing.T) {
+	x := startRelay(t, echo)
+	expect := func(what string, status int) {
+		t.Helper()
+		x.until(what, func() bool { got, _ := x.get("/a/x"); return got == status })
+	}
+	x.store.Put("op", "evacuate/h", []byte("{}"), 0)
+	expect("the only hall to be evacuated", http.StatusServiceUnavailable)
+	if !x.log.has("hall evacuated", `"hall":"h"`) {
+		t.Error("expected the log to say that the hall is evacuated")
+	}
+	x.store.SetFault(standin.StoreFault{Down: "busy"})
+	if got, body := x.get("/a/x"); got != http.StatusServiceUnavailable || !strings.Contains(body, "not_run") {
+		t.Errorf("expected the hall to stay evacuated while the store is down, got %d %s", got, body)
+	}
+	x.store.Drop("op", "evacuate/h")
+	x.store.SetFault(standin.StoreFault{})
+	expect("the hall to be taken back", http.StatusOK)
+	_ = x.b.Stop()
+	<-x.ended
+}
+
 // stops sends a signal while a request runs.
 func (x *relayBox) stops(slow chan struct{}) {
 	got := make(chan int, 1)
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -41,10 +41,12 @@
 type Site struct {
 	Wire relay.Wire
 	// Operator and Endpoints are the tables of the operator's documents and of the
-	// endpoints; Config and Endpoint read their rows.
+	// endpoints; Config and Endpoint read their rows, and Evacuated the data halls that the
+	// operator's documents say are to get nothing more.
 	Operator  follow.Source
 	Endpoints follow.Source
 	Config    func(rows map[string][]byte) (*relay.Config, error)
+	Evacuated func(rows map[string][]byte) []string
 	Endpoint  func(key string, text []byte) (relay.Endpoint, error)
 	// Shared is the table of the shared configuration: policies and operators. Changes of
 	// it are in SharedChanges, and Versioned reads its rows.
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -165,6 +165,7 @@
 func (b *RelayBox) takeMembers(rows map[string][]byte) { b.node.SetMembers(rows) }
 
 func (b *RelayBox) configure(rows map[string][]byte) {
+	b.Relay.SetEvacuated(b.site.Evacuated(rows))
 	c, err := b.site.Config(rows)
 	if err != nil {
 		b.book.Log.Belief("configuration not taken", zap.Error(err))
--- a/internal/decide/ledger.go
+++ b/internal/decide/ledger.go
@@ -82,7 +82,8 @@
 	return now.Sub(e.report.At)
 }
 
-func (e *engine) leaving() bool { return e.Leaving || e.reported && e.report.Leaving }
+// leaving says that the engine gets nothing new.
+func (e *engine) leaving() bool { return e.Leaving || e.Closed || e.reported && e.report.Leaving }
 
 // queueTime is how long a prompt sent now would wait, for this box's own work and for
 // what it has seen of others'.
--- a/internal/decide/migrate.go
+++ b/internal/decide/migrate.go
@@ -80,8 +80,12 @@
 }
 
 // shouldMove says whether a stream is better off elsewhere: its engine leaves, or will run
-// out of memory and displace this stream, the newest.
+// out of memory and displace this stream, the newest. One that stays in an evacuated hall does
+// not move: it might have to be sent back there.
 func (c *Core) shouldMove(p *pool, f *flight) bool {
+	if f.decode.Closed && !f.decode.Leaving {
+		return false
+	}
 	if float64(f.left(c.now)) < leastLeft*p.meanOutput {
 		return false
 	}
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -174,7 +174,7 @@
 	for _, e := range p.prefill {
 		g := p.in(e.Region)
 		g.prefill = append(g.prefill, e)
-		if e.Leaving {
+		if e.Leaving || e.Closed {
 			continue
 		}
 		p.bestLink = max(p.bestLink, e.LinkRate)
@@ -185,7 +185,7 @@
 	for _, e := range p.decode {
 		g := p.in(e.Region)
 		g.decode = append(g.decode, e)
-		if e.Leaving {
+		if e.Leaving || e.Closed {
 			continue
 		}
 		if step := e.Step + e.StepPerStream; p.bestStep == 0 || step < p.bestStep {
--- a/internal/decide/snapshot.go
+++ b/internal/decide/snapshot.go
@@ -9,7 +9,7 @@
 // EngineState is what the core believes of one engine, for operators.
 type EngineState struct {
 	Engine
-	State   string // ready, leaving, set_aside or silent
+	State   string // ready, leaving, closed, set_aside or silent
 	Queue   time.Duration
 	FreeKV  int
 	HeldKV  int // Held by this box's own requests.
@@ -36,6 +36,8 @@
 
 func (e *engine) state(now time.Time) string {
 	switch {
+	case e.Closed && !e.Leaving:
+		return "closed"
 	case e.leaving():
 		return "leaving"
 	case e.health.setAside(now):
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -135,6 +135,9 @@
 	Hall    string
 	Role    EngineRole
 	Leaving bool
+	// Closed engines get nothing new and finish what they have: their data hall is evacuated. Unlike
+	// one that is Leaving they will not end, so their streams are not moved.
+	Closed bool
 
 	PrefillRate   float64 // Prompt tokens a second.
 	KVTokens      int     // Decode memory in tokens.
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -30,7 +30,7 @@
 
 // plainEndpoint is one endpoint and what this box's own calls showed of it.
 type plainEndpoint struct {
-	Endpoint
+	knownEndpoint
 	busy     int // Calls in progress.
 	failures int // In a row.
 	until    time.Time
@@ -91,7 +91,7 @@
 }
 
 // set replaces the list and keeps what is known of endpoints that stay.
-func (t *plainTable) set(list []Endpoint) {
+func (t *plainTable) set(list []knownEndpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := map[string]*plainEndpoint{}
@@ -106,7 +106,7 @@
 		if n == nil {
 			n = &plainEndpoint{slow: slowStart}
 		}
-		n.Endpoint = e
+		n.knownEndpoint = e
 		t.service(e.Service).byID[e.ID] = n
 	}
 }
@@ -128,7 +128,7 @@
 	var best *plainEndpoint
 	least, compared := 0.0, 0
 	for _, e := range t.service(service).byID {
-		if e.Leaving || tried[e.ID] {
+		if !e.open() || tried[e.ID] {
 			continue
 		}
 		compared++
--- a/internal/relay/endpoints_test.go
+++ b/internal/relay/endpoints_test.go
@@ -10,7 +10,7 @@
 // chosen: two failures in a row, which set one aside, may never come.
 func TestFailingEndpoint(t *testing.T) {
 	table := newPlainTable("h")
-	table.set([]Endpoint{{ID: "sound", Service: "s", Hall: "h"}, {ID: "failing", Service: "s", Hall: "h"}})
+	table.set([]knownEndpoint{{Endpoint: Endpoint{ID: "sound", Service: "s", Hall: "h"}}, {Endpoint: Endpoint{ID: "failing", Service: "s", Hall: "h"}}})
 	rng := rand.New(rand.NewPCG(1, 1))
 	now := time.Now()
 	calls := map[string]int{}
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -32,6 +32,8 @@
 	roles map[string]knownRole
 	// askedWhy is when an engine was last asked why it turned a request away.
 	askedWhy map[string]time.Time
+	// evacuated are the data halls whose endpoints get nothing new.
+	evacuated map[string]bool
 	// heard is when an engine was last asked for its load, or others were heard to have.
 	heard map[string]time.Time
 }
@@ -177,7 +179,7 @@
 	}
 	out, addresses := r.fleet.engines(r.o.Region)
 	r.disp.SetFleet(out, addresses)
-	r.plain.set(r.fleet.endpoints)
+	r.plain.set(r.fleet.known())
 	keep := map[string]bool{}
 	for _, e := range r.fleet.endpoints {
 		keep[e.Address] = true
@@ -197,14 +199,14 @@
 				SelfRead: assumedSelfRead, Foresee: true, Migrates: s.Engines.Moves, Learns: true})
 		}
 	}
-	for _, e := range f.endpoints {
+	for _, e := range f.known() {
 		s := f.cfg.Services[e.Service]
 		if s == nil || s.Engines == nil {
 			continue
 		}
 		addresses[e.ID] = e.Address
 		out.Engines = append(out.Engines, decide.Engine{
-			Name: e.ID, Pool: e.Service, Region: region, Hall: e.Hall, Role: f.roles[e.ID].role(), Leaving: e.Leaving,
+			Name: e.ID, Pool: e.Service, Region: region, Hall: e.Hall, Role: f.roles[e.ID].role(), Leaving: e.Leaving, Closed: e.Closed,
 			PrefillRate: assumedReadRate, KVTokens: s.Engines.KVTokens, Slots: s.Engines.Slots,
 			Step: assumedStep, StepPerStream: assumedStepPerStream, LinkRate: s.Engines.LinkRate,
 		})
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -123,13 +123,13 @@
 	f.heard[id] = now
 }
 
-// allEngines lists the engines of all services.
+// allEngines lists the engines of all services that are not in an evacuated hall.
 func (f *fleet) allEngines() []Endpoint {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make([]Endpoint, 0, len(f.endpoints))
 	for _, e := range f.endpoints {
-		if f.cfg != nil && f.cfg.Services[e.Service] != nil && f.cfg.Services[e.Service].Engines != nil {
+		if !f.evacuated[e.Hall] && f.cfg != nil && f.cfg.Services[e.Service] != nil && f.cfg.Services[e.Service].Engines != nil {
 			e.Role = f.roles[e.ID].role()
 			out = append(out, e)
 		}
