Serve requests in their own region, or in those that route and account name

Ruled out: one home for an engine in all regions (60 ms there and back, more than a question to a home may take, and bytes between regions are dear). Change: an endpoint has the region of its hall; a box sends only to its own region, and to another one where a route or account names it and its own is not named or has no endpoint; both bind, and nothing else serves: no_region, at once. Questions about loads are spread over the boxes that hear the answers, and the list of engines is made when it changes, not ten times a second.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -133,7 +133,7 @@
 	b.makeTables()
 	b.purse = quota.NewPurse(b.node)
 	b.Relay = relay.New(relay.Options{
-		Box: cfg.Name, Hall: cfg.Hall, Region: cfg.Region, Wire: site.Wire,
+		Box: cfg.Name, Hall: cfg.Hall, Region: cfg.Region, Halls: cfg.Halls, Wire: site.Wire,
 		Core: core, Book: b.book, Others: b.node, List: &b.listHeard,
 		Limits: b.purse, Ends: b.ends, Keys: relay.KeyRules{Strict: cfg.KeysStrict, Within: cfg.RevokedWithin, Age: b.configHeard.Age},
 	})
--- a/internal/box/reload.go
+++ b/internal/box/reload.go
@@ -1,6 +1,7 @@
 package box
 
 import (
+	"maps"
 	"os"
 	"slices"
 
@@ -76,7 +77,7 @@
 	}{
 		{"name", old.Name == read.Name},
 		{"region", old.Region == read.Region},
-		{"hall", old.Hall == read.Hall},
+		{"hall", old.Hall == read.Hall && maps.Equal(old.Halls, read.Halls)},
 		{"memory_mb", old.MemoryMB == read.MemoryMB},
 		{"callers", old.Callers == read.Callers && old.HeaderTimeout == read.HeaderTimeout && old.IdleTimeout == read.IdleTimeout},
 		{"readiness", old.Readiness == read.Readiness},
--- a/internal/config/relay.go
+++ b/internal/config/relay.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 )
 
@@ -25,6 +26,9 @@
 	Name   string
 	Region string
 	Hall   string
+	// Halls are the regions of all data halls, by the halls' names. A hall that is not named
+	// counts as one of the box's own region.
+	Halls map[string]string
 
 	// MemoryMB is the memory that the platform gives the process, in megabytes: a process that
 	// takes more is ended. 0 if there is no such bound.
@@ -127,6 +131,7 @@
 		r.Name = s.need("name", "the box's name")
 		r.Region = s.need("region", "the region's name")
 		r.Hall = s.need("hall", "the data hall's name")
+		r.Halls = halls(s)
 		r.LoggedRate = s.number("logged_rate", 40, 0, 1e6)
 		r.MemoryMB = s.amount("memory_mb", 0, 0, 1<<30)
 		r.Queue = s.integer("queue", 256, 1, 1<<20)
@@ -177,6 +182,20 @@
 	}
 }
 
+// halls reads the regions of data halls: "hall:region" each.
+func halls(s *section) map[string]string {
+	out := map[string]string{}
+	for _, text := range s.list("halls") {
+		hall, region, ok := strings.Cut(text, ":")
+		if !ok || hall == "" || region == "" {
+			s.problem("halls", "expected hall:region, found %q", text)
+			continue
+		}
+		out[hall] = region
+	}
+	return out
+}
+
 // seeds reads addresses of other boxes. They all serve others on one port, whatever the port
 // is that the settings name them by, unless this box takes any port that is free.
 func seeds(s *section, own string) (out []string) {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -53,6 +53,7 @@
 	TokenRate
 	LimitUnknown
 	PolicyRefused
+	NoRegion
 	NoPrefill
 	NoDecode
 	PromptTooLong
@@ -104,6 +105,7 @@
 	TokenRate:       {"token_rate", 429, "the client is over its limit of tokens a second"},
 	LimitUnknown:    {"limit_unknown", 503, "this box cannot tell now whether the client is within its limit"},
 	PolicyRefused:   {"policy_refused", 429, "the route's policy refused the request"},
+	NoRegion:        {"no_region", 503, "no endpoint of a region in which the request may be served takes requests"},
 	NoPrefill:       {"no_prefill", 503, "no prefill engine in the region can take the prompt"},
 	NoDecode:        {"no_decode", 503, "no decode engine in the region has room for the answer"},
 	PromptTooLong:   {"prompt_too_long", 400, "prompt and answer are longer than any decode engine can hold"},
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -223,6 +223,10 @@
 // Members is how many boxes are listed, this one included.
 func (n *Node) Members() int { return n.members.size() }
 
+// Neighbours is how many boxes of this one's region are listed, this one included. They tell each
+// other what they learn.
+func (n *Node) Neighbours() int { return len(n.members.list(n.o.Self.Region)) }
+
 // Run takes part until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	for _, t := range n.o.Tables {
--- a/internal/relay/accounts.go
+++ b/internal/relay/accounts.go
@@ -38,6 +38,9 @@
 	// Priority goes before that of a request's route, if Ranked.
 	Priority int
 	Ranked   bool
+	// Regions are those in which its requests may be served, beside what their route says; empty
+	// where the account says nothing of it.
+	Regions []string
 	// Limit holds for all boxes together. It counts tokens if ByTokens, PlainTokens for a request
 	// that does not say how many it takes, and otherwise requests.
 	Limit       quota.Limit
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -120,15 +120,15 @@
 	in *plainEndpoint
 }
 
-// choose takes the endpoint that is expected to answer first among those that stay and
+// choose takes the endpoint that is expected to answer first among those of a region that stay and
 // were not tried yet; nil if there is none. Endpoints set aside are a last resort.
-func (t *plainTable) choose(service string, now time.Time, tried map[string]bool) *taken {
+func (t *plainTable) choose(service, region string, now time.Time, tried map[string]bool) *taken {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var best *plainEndpoint
 	least, compared := 0.0, 0
 	for _, e := range t.service(service).byID {
-		if !e.open() || tried[e.ID] {
+		if !e.open() || e.Region != region || tried[e.ID] {
 			continue
 		}
 		compared++
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -21,6 +21,11 @@
 // fleet is what the box knows of the endpoints: the configuration's view of their
 // services together with the platform's list.
 type fleet struct {
+	// box, region and halls are the settings': this box, its region, and the regions of halls.
+	box    string
+	region string
+	halls  map[string]string
+
 	mu        sync.Mutex
 	cfg       *Config
 	endpoints []Endpoint
@@ -32,6 +37,11 @@
 	roles map[string]knownRole
 	// askedWhy is when an engine was last asked why it turned a request away.
 	askedWhy map[string]time.Time
+	// engineList are the engines that this box may send something to, as of applyFleet. Nothing
+	// changes it once it is made.
+	engineList []Endpoint
+	// serving are the regions in which a service has an endpoint that takes requests.
+	serving map[string]map[string]bool
 	// evacuated are the data halls whose endpoints get nothing new.
 	evacuated map[string]bool
 	// heard is when an engine was last asked for its load, or others were heard to have.
@@ -177,9 +187,11 @@
 	if r.fleet.cfg == nil {
 		return
 	}
-	out, addresses := r.fleet.engines(r.o.Region)
+	known := r.fleet.reached(r.fleet.known())
+	r.fleet.serving = serving(known)
+	out, addresses := r.fleet.engines(known)
 	r.disp.SetFleet(out, addresses)
-	r.plain.set(r.fleet.known())
+	r.plain.set(known)
 	keep := map[string]bool{}
 	for _, e := range r.fleet.endpoints {
 		keep[e.Address] = true
@@ -189,8 +201,9 @@
 	r.side.Prune(now, keep)
 }
 
-// engines describes the engines and where they are.
-func (f *fleet) engines(region string) (decide.Fleet, map[string]string) {
+// engines describes the engines and where they are, and keeps the list of those that may be asked.
+func (f *fleet) engines(known []knownEndpoint) (decide.Fleet, map[string]string) {
+	f.engineList = nil
 	var out decide.Fleet
 	addresses := map[string]string{}
 	for _, name := range slices.Sorted(maps.Keys(f.cfg.Services)) {
@@ -199,14 +212,18 @@
 				SelfRead: assumedSelfRead, Foresee: true, Migrates: s.Engines.Moves, Learns: true})
 		}
 	}
-	for _, e := range f.known() {
+	for _, e := range known {
 		s := f.cfg.Services[e.Service]
 		if s == nil || s.Engines == nil {
 			continue
 		}
 		addresses[e.ID] = e.Address
+		e.Role = f.roles[e.ID].role()
+		if !e.Closed {
+			f.engineList = append(f.engineList, e.Endpoint)
+		}
 		out.Engines = append(out.Engines, decide.Engine{
-			Name: e.ID, Pool: e.Service, Region: region, Hall: e.Hall, Role: f.roles[e.ID].role(), Leaving: e.Leaving, Closed: e.Closed,
+			Name: e.ID, Pool: e.Service, Region: e.Region, Hall: e.Hall, Role: e.Role, Leaving: e.Leaving, Closed: e.Closed,
 			PrefillRate: assumedReadRate, KVTokens: s.Engines.KVTokens, Slots: s.Engines.Slots,
 			Step: assumedStep, StepPerStream: assumedStepPerStream, LinkRate: s.Engines.LinkRate,
 		})
--- a/internal/relay/learn.go
+++ b/internal/relay/learn.go
@@ -113,7 +113,7 @@
 	if !r.connected() {
 		return
 	}
-	now, pause := clock.Now(), time.Duration(r.o.Others.Members())*tookPause
+	now, pause := clock.Now(), time.Duration(r.o.Others.Neighbours())*tookPause
 	last := r.toldTook.Load()
 	if now.UnixNano()-last < int64(pause) || !r.toldTook.CompareAndSwap(last, now.UnixNano()) {
 		return
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -80,7 +80,7 @@
 
 // due lists the engines that this box is to ask now.
 func (r *Relay) due(now time.Time) (out []Endpoint) {
-	spread := time.Duration(max(1, r.o.Others.Members())) * tellTime
+	spread := time.Duration(max(1, r.o.Others.Neighbours())) * tellTime
 	engines := r.fleet.allEngines()
 	least := time.Duration(len(engines)) * time.Second / askRate
 	for _, e := range engines {
@@ -123,18 +123,11 @@
 	f.heard[id] = now
 }
 
-// allEngines lists the engines of all services that are not in an evacuated hall.
+// allEngines lists the engines that this box may send something to.
 func (f *fleet) allEngines() []Endpoint {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make([]Endpoint, 0, len(f.endpoints))
-	for _, e := range f.endpoints {
-		if !f.evacuated[e.Hall] && f.cfg != nil && f.cfg.Services[e.Service] != nil && f.cfg.Services[e.Service].Engines != nil {
-			e.Role = f.roles[e.ID].role()
-			out = append(out, e)
-		}
-	}
-	return out
+	return f.engineList
 }
 
 // askLoad asks an engine, and tells the other boxes what it says.
@@ -250,12 +243,12 @@
 	freshLimit = 40 * time.Millisecond
 )
 
-// askFresh asks some decode engines of a service for their load, so that a stream is placed
-// by what they say now.
-func (r *Relay) askFresh(ctx context.Context, service string) {
+// askFresh asks some decode engines of a service in a region for their load, so that a stream is
+// placed by what they say now.
+func (r *Relay) askFresh(ctx context.Context, service, region string) {
 	var list []Endpoint
 	for _, e := range r.fleet.allEngines() {
-		if e.Service == service && e.Role == decide.Decode && !e.Leaving {
+		if e.Service == service && r.fleet.regionOf(e.Hall) == region && e.Role == decide.Decode && !e.Leaving {
 			list = append(list, e)
 		}
 	}
--- a/internal/relay/loads_test.go
+++ b/internal/relay/loads_test.go
@@ -19,7 +19,7 @@
 
 func (neighbour) Tell(overlay.Fact) {}
 func (neighbour) Connected() bool   { return true }
-func (neighbour) Members() int      { return 1 }
+func (neighbour) Neighbours() int   { return 1 }
 func (neighbour) AskRoom(context.Context, string, overlay.Room) (bool, string) {
 	return true, ""
 }
@@ -29,14 +29,13 @@
 func expectAsked(t *testing.T, engines int, least, most float64) {
 	t.Helper()
 	r := New(Options{Box: "a", Region: "r", Wire: dropWire{}, Others: neighbour{}, Core: decide.New(rand.New(rand.NewPCG(1, 1)), 1), Book: &account.Book{Metrics: telemetry.NewMetrics(), Log: account.Quiet()}})
-	r.fleet.cfg = &Config{Services: map[string]*Service{"s": {Engines: &Engines{}}}}
+	r.SetConfig(&Config{Services: map[string]*Service{"s": {Engines: &Engines{}}}})
 	var list []Endpoint
 	for i := range engines {
 		list = append(list, Endpoint{ID: fmt.Sprint("e-", i), Service: "s", Role: decide.Decode})
 	}
 	start := time.Now()
-	r.fleet.list(list)
-	r.fleet.listedRoles(start)
+	r.SetEndpoints(list)
 	asked := 0
 	const seconds = 10
 	for at := time.Second; at < (seconds+1)*time.Second; at += askTick {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -36,7 +36,7 @@
 			o = held
 			break
 		}
-		e := x.r.plain.choose(x.service.Name, clock.Now(), tried)
+		e := x.r.plain.choose(x.service.Name, x.region, clock.Now(), tried)
 		if e == nil {
 			break
 		}
@@ -86,7 +86,7 @@
 		return outcome.Outcome{}, true
 	}
 	v := x.r.disp.Admit(p, &decide.Request{
-		Pool: x.service.Name, Region: x.r.o.Region, Route: x.route.Name, Kind: x.route.Kind.String(), Rank: x.rank(),
+		Pool: x.service.Name, Region: x.region, Route: x.route.Name, Kind: x.route.Kind.String(), Rank: x.rank(),
 		FirstToken: x.route.Objective, Repeatable: x.route.repeats(), CameBack: x.route.cameBack(x.ask.Patience),
 	}, decide.View{Waiting: x.r.plain.running(x.service.Name)})
 	if s, ok := record.StepOf(decide.Ruled{Verdict: v}); ok && v != (decide.Verdict{}) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,8 +30,10 @@
 	Box    string
 	Hall   string
 	Region string
-	Wire   Wire
-	Core   *decide.Core
+	// Halls are the regions of data halls; a hall that is not named is of the box's own.
+	Halls map[string]string
+	Wire  Wire
+	Core  *decide.Core
 	// Book takes the accounts of all requests.
 	Book *account.Book
 	// Others are the other boxes; nil if there are none.
@@ -48,9 +50,10 @@
 // Others are the other boxes, which are told what this one learned.
 type Others interface {
 	Tell(f overlay.Fact)
-	// Connected says whether what others learn is heard, and Members how many boxes there are.
+	// Connected says whether what others learn is heard, and Neighbours how many boxes tell each
+	// other, this one included.
 	Connected() bool
-	Members() int
+	Neighbours() int
 	// AskRoom asks the home of an engine in a hall whether it has room for a stream. By is the
 	// box that said so, and empty where none was asked or answered.
 	AskRoom(ctx context.Context, hall string, r overlay.Room) (granted bool, by string)
@@ -99,6 +102,7 @@
 		plain: newPlainTable(o.Hall),
 		m:     o.Book.Metrics,
 	}
+	r.fleet.box, r.fleet.region, r.fleet.halls = o.Box, o.Region, o.Halls
 	r.revoked.Store(&revoked{})
 	r.pool.OnSurplus = r.m.Crossed.Inc
 	r.disp.OnBelief = r.believed
@@ -220,6 +224,8 @@
 	cfg     *Config
 	route   *Route
 	service *Service
+	// region is where the request is served.
+	region string
 	// account is the client account; nil if the request has none. It took units of its limit.
 	account *Account
 	units   float64
@@ -274,6 +280,10 @@
 		x.refuse(outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.ConnectFailed, Detail: "the route's service is not configured", RetryAfter: comeBack})
 		return
 	}
+	if o, ok := x.findRegion(); !ok {
+		x.refuse(o)
+		return
+	}
 	x.setDeadline()
 	if o, ok := x.hold(); !ok {
 		x.refuse(o)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -120,7 +120,7 @@
 		return
 	}
 	if !x.r.connected() {
-		x.r.askFresh(ctx, x.service.Name)
+		x.r.askFresh(ctx, x.service.Name, x.region)
 	}
 	o := x.runStream(ctx)
 	switch {
@@ -180,7 +180,7 @@
 	x := f.x
 	return decide.Request{
 		Pool:          x.service.Name,
-		Region:        x.r.o.Region,
+		Region:        x.region,
 		Hall:          x.r.o.Hall,
 		Route:         x.route.Name,
 		PromptTokens:  x.ask.PromptTokens,
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -54,6 +54,9 @@
 	Host   string
 	Prefix string // Begins and ends with a slash.
 	Kind   Kind
+	// Regions are those in which its requests may be served; empty for the region of the box that
+	// takes them.
+	Regions []string
 	// Public routes need no key.
 	Public bool
 	// Priority is the route's rank among others, 0 the highest.
