Send cold endpoints no more than they bear, over all boxes

Cause: how much longer an endpoint is cold was read and used by nobody, though it bears a bounded rate until then and looks empty to every box. Ruled out: a part for each box (58 a second and 5 more are under a tenth of a request for each of 986); a home that gives each request its leave (a call for each, nothing while it is away); lent parts (the same, with fewer calls). Change: package coldstart draws a few boxes by rendezvous over the list of boxes; each of these sends at a pace, so that half of the bound is given out, and the others send to other endpoints. It holds for plain calls, prompts, streams and moves. Coldness is told by the entry and by an evacuation's end.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -19,6 +19,7 @@
 	"github.com/stoatramp/stoatramp/internal/account"
 	"github.com/stoatramp/stoatramp/internal/archive"
 	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/coldstart"
 	"github.com/stoatramp/stoatramp/internal/config"
 	"github.com/stoatramp/stoatramp/internal/control"
 	"github.com/stoatramp/stoatramp/internal/decide"
@@ -135,6 +136,7 @@
 	b.Relay = relay.New(relay.Options{
 		Box: cfg.Name, Hall: cfg.Hall, Region: cfg.Region, Halls: cfg.Halls, Wire: site.Wire,
 		Core: core, Book: b.book, Others: b.node, List: &b.listHeard,
+		Cold:   coldstart.Limits{Over: cfg.ColdOver, Slack: cfg.ColdSlack},
 		Limits: b.purse, Ends: b.ends, Keys: relay.KeyRules{Strict: cfg.KeysStrict, Within: cfg.RevokedWithin, Age: b.configHeard.Age},
 	})
 	b.registerAges()
--- a/internal/box/reload.go
+++ b/internal/box/reload.go
@@ -82,6 +82,7 @@
 		{"callers", old.Callers == read.Callers && old.HeaderTimeout == read.HeaderTimeout && old.IdleTimeout == read.IdleTimeout},
 		{"readiness", old.Readiness == read.Readiness},
 		{"operators", old.Operators == read.Operators && old.OpenMetrics == read.OpenMetrics},
+		{"cold_over", old.ColdOver == read.ColdOver && old.ColdSlack == read.ColdSlack},
 		{"peers", old.Peers == read.Peers && old.PeersAddress == read.PeersAddress && slices.Equal(old.Seeds, read.Seeds)},
 		{"store", old.Store == read.Store && old.RereadWithin == read.RereadWithin && old.LeavingWithin == read.LeavingWithin && old.ConfigWithin == read.ConfigWithin},
 	}
--- a/internal/config/relay.go
+++ b/internal/config/relay.go
@@ -71,6 +71,11 @@
 	RetryShare  float64
 	RetryWindow time.Duration
 
+	// ColdOver multiplies the rate that an endpoint bears while it is cold, and ColdSlack comes
+	// beside it: no second may bring it more requests of all boxes.
+	ColdOver  float64
+	ColdSlack float64
+
 	// LimitOverage is a share of what a client account's limit gives in LimitWindow, and LimitSlack
 	// units beside it, by which what all boxes let through may be over it.
 	LimitWindow  time.Duration
@@ -171,6 +176,8 @@
 		r.RetrySlack = s.amount("retry_slack", 0, 0, 1<<20)
 		r.RetryShare = s.amount("retry_share", defaultRetryShare, 0, 1<<20)
 		r.RetryWindow = time.Duration(s.amount("retry_window_s", defaultRetryWindow, 0, 1<<20) * float64(time.Second))
+		r.ColdOver = s.amount("cold_over", 1, 0, 1<<20)
+		r.ColdSlack = s.amount("cold_slack", 0, 0, 1<<20)
 	case "accounts":
 		r.LimitWindow = time.Duration(s.amount("limit_window_s", defaultLimitWindow, 0, 1<<20) * float64(time.Second))
 		r.LimitOverage = s.amount("limit_overage", 0, 0, 1<<20)
--- a/internal/decide/ledger.go
+++ b/internal/decide/ledger.go
@@ -36,6 +36,9 @@
 	// noRoomUntil it is not asked for that much again.
 	noRoomFor   int
 	noRoomUntil time.Time
+
+	// usedAt is when it was last chosen for a request.
+	usedAt time.Time
 }
 
 // sentWork is work this core gave an engine that its last report cannot include.
@@ -85,6 +88,11 @@
 // leaving says that the engine gets nothing new.
 func (e *engine) leaving() bool { return e.Leaving || e.Closed || e.reported && e.report.Leaving }
 
+// cold says that the engine has just started and gets nothing more of this box at the moment.
+func (e *engine) cold(now time.Time) bool {
+	return now.Before(e.ColdUntil) && (e.ColdPace == 0 || now.Before(e.usedAt.Add(e.ColdPace)))
+}
+
 // queueTime is how long a prompt sent now would wait, for this box's own work and for
 // what it has seen of others'.
 func (e *engine) queueTime(now time.Time) time.Duration {
--- a/internal/decide/migrate.go
+++ b/internal/decide/migrate.go
@@ -160,6 +160,7 @@
 	}
 	f.target, f.targetHeld = to, rest.need()
 	f.moveAttempt = f.newAttempt()
+	to.usedAt = c.now
 	to.addDecode(c.now, f.ID, booking{f.targetHeld, rest.PromptTokens, 0, rest.expected()}, f.weight())
 	c.emit(Migrate{f.ID, f.moveAttempt, f.decode.Name, to.Name, f.decode.Leaving})
 }
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -241,6 +241,8 @@
 		passed.Leaving++
 	case e.health.setAside(now):
 		passed.SetAside++
+	case e.cold(now):
+		passed.Cold++
 	default:
 		return true
 	}
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -138,6 +138,10 @@
 	// Closed engines get nothing new and finish what they have: their data hall is evacuated. Unlike
 	// one that is Leaving they will not end, so their streams are not moved.
 	Closed bool
+	// ColdUntil is until when the engine bears little: it gets a request of this box each ColdPace
+	// at most, and none if that is 0.
+	ColdUntil time.Time
+	ColdPace  time.Duration
 
 	PrefillRate   float64 // Prompt tokens a second.
 	KVTokens      int     // Decode memory in tokens.
@@ -420,6 +424,7 @@
 	NoRoom   int `json:"no_room"`
 	TooSlow  int `json:"too_slow"`
 	Busy     int `json:"busy"`
+	Cold     int `json:"cold"`
 }
 
 // Candidate is one pair of engines and the figures it was judged by.
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -227,6 +227,15 @@
 // other what they learn.
 func (n *Node) Neighbours() int { return len(n.members.list(n.o.Self.Region)) }
 
+// Boxes lists the names of the boxes of a region, with a number that changes with the list.
+func (n *Node) Boxes(region string) (names []string, version int64) {
+	version = n.members.changes.Load()
+	for _, m := range n.members.list(region) {
+		names = append(names, m.Name)
+	}
+	return names, version
+}
+
 // Run takes part until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	for _, t := range n.o.Tables {
--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -154,6 +154,7 @@
 	add(p.NoRoom, "without room")
 	add(p.TooSlow, "too slow between tokens")
 	add(p.Busy, "busy reading")
+	add(p.Cold, "just started")
 	return strings.Join(parts, ", ")
 }
 
--- /dev/null
+++ b/internal/relay/cold.go
@@ -0,0 +1,111 @@
+package relay
+
+import (
+	"maps"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/coldstart"
+)
+
+// This file is what a box knows of cold endpoints: those that have just started and bear only a few
+// requests a second yet. An endpoint says in its entry how much longer it is cold; one whose hall was
+// evacuated counts as cold once that is taken back, for as long as after a start.
+
+// coldEndpoint is an endpoint that is cold, or was.
+type coldEndpoint struct {
+	until time.Time
+	// pace is this box's, by the list of boxes of that version.
+	pace    coldstart.Pace
+	version int64
+	paced   bool
+}
+
+// noteCold takes what a new list says of cold endpoints. The lock is held.
+func (f *fleet) noteCold(now time.Time) {
+	for _, e := range f.endpoints {
+		f.coldFor(e.ID, now, e.ColdFor)
+	}
+	maps.DeleteFunc(f.cold, func(id string, c *coldEndpoint) bool {
+		_, listed := f.index[id]
+		return !listed || now.After(c.until)
+	})
+}
+
+// takenBack takes that a hall is not evacuated any more: its endpoints may be cold. The lock is held.
+func (f *fleet) takenBack(now time.Time, hall string) {
+	for _, e := range f.endpoints {
+		if e.Hall == hall {
+			f.coldFor(e.ID, now, f.service(e.Service).ColdFor)
+		}
+	}
+}
+
+// coldFor notes that an endpoint may be cold for so long. The lock is held.
+func (f *fleet) coldFor(id string, now time.Time, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	if f.cold == nil {
+		f.cold = map[string]*coldEndpoint{}
+	}
+	if f.cold[id] == nil {
+		f.cold[id] = &coldEndpoint{}
+	}
+	if until := now.Add(d); until.After(f.cold[id].until) {
+		f.cold[id].until = until
+	}
+}
+
+// service finds a service of the configuration; an empty one if there is none. The lock is held.
+func (f *fleet) service(name string) *Service {
+	if f.cfg != nil && f.cfg.Services[name] != nil {
+		return f.cfg.Services[name]
+	}
+	return &Service{}
+}
+
+// setCold fills in until when endpoints are cold, and this box's pace. The lock is held.
+func (r *Relay) setCold(now time.Time, known []knownEndpoint) {
+	for i := range known {
+		e := &known[i]
+		c := r.fleet.cold[e.ID]
+		rate := r.fleet.service(e.Service).ColdRate
+		if c == nil || rate <= 0 || !now.Before(c.until) {
+			continue
+		}
+		boxes, version := r.boxes(e.Region)
+		if !c.paced || c.version != version {
+			c.pace, c.version, c.paced = coldstart.PaceOf(r.o.Box, boxes, e.ID, rate, r.o.Cold), version, true
+		}
+		e.ColdUntil, e.ColdPace = c.until, time.Duration(c.pace)
+	}
+}
+
+// boxes lists the boxes that may send to endpoints of a region. One that was never told of others is
+// alone.
+func (r *Relay) boxes(region string) (names []string, version int64) {
+	if r.o.Others == nil {
+		return []string{r.o.Box}, 0
+	}
+	return r.o.Others.Boxes(region)
+}
+
+// renewCold works the paces out again where an endpoint is cold: the list of boxes may have changed.
+func (r *Relay) renewCold() {
+	now := clock.Now()
+	r.fleet.mu.Lock()
+	any := false
+	for _, c := range r.fleet.cold {
+		any = any || now.Before(c.until)
+	}
+	r.fleet.mu.Unlock()
+	if any {
+		r.applyFleet()
+	}
+}
+
+// cold says that the endpoint has just started and gets nothing more of this box at the moment.
+func (e *plainEndpoint) cold(now time.Time) bool {
+	return now.Before(e.ColdUntil) && (e.ColdPace == 0 || now.Before(e.usedAt.Add(e.ColdPace)))
+}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -31,8 +31,9 @@
 // plainEndpoint is one endpoint and what this box's own calls showed of it.
 type plainEndpoint struct {
 	knownEndpoint
-	busy     int // Calls in progress.
-	failures int // In a row.
+	busy     int       // Calls in progress.
+	usedAt   time.Time // When it was last chosen.
+	failures int       // In a row.
 	until    time.Time
 	// slow is a moving mean of how long its answers took, in seconds.
 	slow float64
@@ -128,7 +129,7 @@
 	var best *plainEndpoint
 	least, compared := 0.0, 0
 	for _, e := range t.service(service).byID {
-		if !e.open() || e.Region != region || tried[e.ID] {
+		if !e.open() || e.Region != region || tried[e.ID] || e.cold(now) {
 			continue
 		}
 		compared++
@@ -151,6 +152,7 @@
 		Mean: time.Duration(best.slow * float64(time.Second)),
 	}}
 	best.busy++
+	best.usedAt = now
 	return out
 }
 
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -42,6 +42,8 @@
 	engineList []Endpoint
 	// serving are the regions in which a service has an endpoint that takes requests.
 	serving map[string]map[string]bool
+	// cold are the endpoints that have just started, by their IDs.
+	cold map[string]*coldEndpoint
 	// evacuated are the data halls whose endpoints get nothing new.
 	evacuated map[string]bool
 	// heard is when an engine was last asked for its load, or others were heard to have.
@@ -96,6 +98,7 @@
 			f.gone[e.ID] = goneEndpoint{e, now}
 		}
 	}
+	f.noteCold(now)
 }
 
 // goneEndpoint is an endpoint that was taken off the list at a time.
@@ -188,6 +191,7 @@
 		return
 	}
 	known := r.fleet.reached(r.fleet.known())
+	r.setCold(clock.Now(), known)
 	r.fleet.serving = serving(known)
 	out, addresses := r.fleet.engines(known)
 	r.disp.SetFleet(out, addresses)
@@ -223,7 +227,7 @@
 			f.engineList = append(f.engineList, e.Endpoint)
 		}
 		out.Engines = append(out.Engines, decide.Engine{
-			Name: e.ID, Pool: e.Service, Region: e.Region, Hall: e.Hall, Role: e.Role, Leaving: e.Leaving, Closed: e.Closed,
+			Name: e.ID, Pool: e.Service, Region: e.Region, Hall: e.Hall, Role: e.Role, Leaving: e.Leaving, Closed: e.Closed, ColdUntil: e.ColdUntil, ColdPace: e.ColdPace,
 			PrefillRate: assumedReadRate, KVTokens: s.Engines.KVTokens, Slots: s.Engines.Slots,
 			Step: assumedStep, StepPerStream: assumedStepPerStream, LinkRate: s.Engines.LinkRate,
 		})
--- a/internal/relay/halls.go
+++ b/internal/relay/halls.go
@@ -4,10 +4,12 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 )
 
@@ -22,6 +24,9 @@
 	Region string
 	// Closed says that its hall is evacuated.
 	Closed bool
+	// ColdUntil and ColdPace are as in decide.Engine.
+	ColdUntil time.Time
+	ColdPace  time.Duration
 }
 
 // open says that the endpoint may get new requests.
@@ -46,6 +51,11 @@
 	r.fleet.mu.Lock()
 	before := r.fleet.evacuated
 	r.fleet.evacuated = next
+	for hall := range before {
+		if !next[hall] {
+			r.fleet.takenBack(clock.Now(), hall)
+		}
+	}
 	r.fleet.mu.Unlock()
 	if maps.Equal(before, next) {
 		return
--- a/internal/relay/learn.go
+++ b/internal/relay/learn.go
@@ -210,5 +210,6 @@
 func (r *Relay) Share(l retry.Limits, boxes int, started time.Time) {
 	r.disp.Connected(r.connected())
 	r.disp.BoundRetries(l, boxes, started)
+	r.renewCold()
 	r.plain.boundRetries(func(b *retry.Budget) { b.Bound(l, boxes, started) })
 }
--- a/internal/relay/loads_test.go
+++ b/internal/relay/loads_test.go
@@ -20,6 +20,9 @@
 func (neighbour) Tell(overlay.Fact) {}
 func (neighbour) Connected() bool   { return true }
 func (neighbour) Neighbours() int   { return 1 }
+func (neighbour) Boxes(string) ([]string, int64) {
+	return []string{"a"}, 1
+}
 func (neighbour) AskRoom(context.Context, string, overlay.Room) (bool, string) {
 	return true, ""
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/stoatramp/stoatramp/internal/account"
 	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/coldstart"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/dispatch"
 	"github.com/stoatramp/stoatramp/internal/follow"
@@ -45,6 +46,8 @@
 	// Ends are the requests under which endpoints ended; nil for those that this box sees alone.
 	Ends *quarantine.List
 	Keys KeyRules
+	// Cold bounds what all boxes send to an endpoint that has just started.
+	Cold coldstart.Limits
 }
 
 // Others are the other boxes, which are told what this one learned.
@@ -54,6 +57,8 @@
 	// other, this one included.
 	Connected() bool
 	Neighbours() int
+	// Boxes lists all boxes of a region, with a number that changes with the list.
+	Boxes(region string) (names []string, version int64)
 	// AskRoom asks the home of an engine in a hall whether it has room for a stream. By is the
 	// box that said so, and empty where none was asked or answered.
 	AskRoom(ctx context.Context, hall string, r overlay.Room) (granted bool, by string)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -89,6 +89,10 @@
 	Name string
 	// Engines is nil for a plain service.
 	Engines *Engines
+	// ColdFor is how long an endpoint is cold after its start, and ColdRate how many requests a
+	// second it bears meanwhile; 0 if the service knows no such time.
+	ColdFor  time.Duration
+	ColdRate float64
 }
 
 // Engines describes the engines of a service, as configured.
@@ -121,6 +125,8 @@
 	Hall    string
 	Role    decide.EngineRole // Of an engine.
 	Leaving bool
+	// ColdFor is how much longer it was to be cold when it said so; 0 if it was not.
+	ColdFor time.Duration
 }
 
 // Ask is what a caller says of its request.
