Bound what a box holds for callers and endpoints that are slow

Cause: answers were written without a bound in time, bodies read without a bound over all requests, and each stream read up to 32 parts ahead of its caller: some thousand slow callers take the memory of the smallest box (112 MB), and the process is ended with all that it serves. Ruled out: dropping the longest answer under way (it is nearer its end than a new one); reading on without a bound (28 KB a stream, 140 MB for 5,000). Change: each request, body and what is read ahead is counted; beyond three tenths of the process's memory new requests are refused at once (box_full, not run, with a time to come back) and endpoints are read as fast as callers take their answers. A caller that takes nothing for 4 s, or 1 s while the box is short, is cut off as caller_slow, and its endpoint is not blamed.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -136,6 +136,7 @@
 	b.Relay = relay.New(relay.Options{
 		Box: cfg.Name, Hall: cfg.Hall, Region: cfg.Region, Halls: cfg.Halls, Wire: site.Wire,
 		Core: core, Book: b.book, Others: b.node, List: &b.listHeard,
+		Memory: int64(callersPart * cfg.MemoryMB * (1 << 20)),
 		Cold:   coldstart.Limits{Over: cfg.ColdOver, Slack: cfg.ColdSlack},
 		Limits: b.purse, Ends: b.ends, Keys: relay.KeyRules{Strict: cfg.KeysStrict, Within: cfg.RevokedWithin, Age: b.configHeard.Age},
 	})
@@ -155,6 +156,10 @@
 	return b, nil
 }
 
+// callersPart is the part of a process's memory that is held for requests at the most. The rest is for
+// the lists and ledgers, which take some 30 MB at 400 boxes, and for what the runtime has not collected.
+const callersPart = 0.3
+
 func oneIf(yes bool) float64 {
 	if yes {
 		return 1
@@ -175,6 +180,7 @@
 	b.Metrics.Set.NewGauge("stoatramp_policies_version", func() float64 { return float64(b.Relay.PolicyVersion()) })
 	b.Metrics.Set.NewGauge("stoatramp_ends_known", func() float64 { n, _ := b.ends.Sizes(); return float64(n) })
 	b.Metrics.Set.NewGauge("stoatramp_requests_held", func() float64 { _, n := b.ends.Sizes(); return float64(n) })
+	b.Metrics.Set.NewGauge("stoatramp_held_bytes", func() float64 { return float64(b.Relay.Held()) })
 	b.Metrics.Set.NewGauge("stoatramp_running", func() float64 { return float64(b.Relay.Running()) })
 }
 
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -53,6 +53,7 @@
 	TokenRate
 	LimitUnknown
 	PolicyRefused
+	BoxFull
 	NoRegion
 	NoPrefill
 	NoDecode
@@ -105,6 +106,7 @@
 	TokenRate:       {"token_rate", 429, "the client is over its limit of tokens a second"},
 	LimitUnknown:    {"limit_unknown", 503, "this box cannot tell now whether the client is within its limit"},
 	PolicyRefused:   {"policy_refused", 429, "the route's policy refused the request"},
+	BoxFull:         {"box_full", 503, "this box holds as much for requests as its memory allows"},
 	NoRegion:        {"no_region", 503, "no endpoint of a region in which the request may be served takes requests"},
 	NoPrefill:       {"no_prefill", 503, "no prefill engine in the region can take the prompt"},
 	NoDecode:        {"no_decode", 503, "no decode engine in the region has room for the answer"},
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -250,6 +250,9 @@
 			p.bytes = append(p.bytes, s.rest...)
 		}
 		if len(p.bytes) > 0 {
+			if p.counted = int64(len(p.bytes)); !f.x.r.memory.ahead(f.ctx, p.counted) {
+				return
+			}
 			ev := flightEvent{attempt: a, part: &p}
 			if !begun {
 				ev = flightEvent{attempt: a, head: &headPart{header: resp.Header, part: p}}
--- /dev/null
+++ b/internal/relay/memory.go
@@ -0,0 +1,141 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/outcome"
+)
+
+// This file bounds what a box holds for callers and endpoints that are slow. A process that takes more
+// memory than the platform gives it is ended with all that it serves; one that is near that refuses new
+// requests instead, and goes on reading answers only as fast as callers take them.
+
+// memory counts what is held for requests, in bytes.
+type memory struct {
+	limit int64 // 0 for no bound.
+	used  atomic.Int64
+}
+
+// take counts n bytes more if they are within the limit.
+func (m *memory) take(n int64) bool {
+	if used := m.used.Add(n); m.limit > 0 && used > m.limit {
+		m.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (m *memory) give(n int64) { m.used.Add(-n) }
+
+// pressed says that most of the limit is used.
+func (m *memory) pressed() bool { return m.limit > 0 && m.used.Load() > m.limit/4*3 }
+
+const (
+	// requestBytes is what a request is estimated to take beside its body and its answer: four buffers
+	// of 4 KiB for two connections, as much for the stacks of its goroutines, heads and its record.
+	requestBytes = 32 << 10
+	// bodyPart is how much of a body of unknown length is counted at a time.
+	bodyPart = 64 << 10
+	// readerLimit is how long a caller may take nothing of what is written to it. Endpoints end an
+	// answer that nobody reads after some seconds, and would seem to have failed. pressedLimit is the
+	// same while the box is short of memory.
+	readerLimit  = 4 * time.Second
+	pressedLimit = time.Second
+	// aheadPause paces the looks at whether more of an answer may be read ahead of its caller.
+	aheadPause = 20 * time.Millisecond
+)
+
+// Held is how much is held for requests, in bytes.
+func (r *Relay) Held() int64 { return r.memory.used.Load() }
+
+// boxFull refuses a request because of this box's memory; another box may have room.
+func boxFull() outcome.Outcome {
+	return outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.BoxFull, RetryAfter: spread(comeBack)}
+}
+
+// takeMemory counts what the request holds until it ends.
+func (x *exchange) takeMemory(n int64) bool {
+	if !x.r.memory.take(n) {
+		return false
+	}
+	x.bytes += n
+	return true
+}
+
+// giveMemory ends what takeMemory counted.
+func (x *exchange) giveMemory() {
+	x.r.memory.give(x.bytes)
+	x.bytes = 0
+}
+
+var errBoxFull = errors.New("the box has no memory for more of the body")
+
+// countedBody counts a body of unknown length while it is read.
+type countedBody struct {
+	io.Reader
+	x    *exchange
+	left int64 // Counted and not read yet.
+}
+
+func (b *countedBody) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		if !b.x.takeMemory(bodyPart) {
+			return 0, errBoxFull
+		}
+		b.left = bodyPart
+	}
+	n, err := b.Reader.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
+}
+
+// allowWrite gives the caller its time to take what is written next. It is called before each write,
+// and the deadline is moved only when half of it is over.
+func (x *exchange) allowWrite() {
+	limit := readerLimit
+	if x.r.memory.pressed() {
+		limit = pressedLimit
+	}
+	now := time.Now()
+	if x.writeBy.Sub(now) > limit/2 {
+		return
+	}
+	x.writeBy = now.Add(limit)
+	// A connection without deadlines, as in tests, has none to miss.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(x.writeBy)
+}
+
+// unread says how a request ended whose answer could not be written.
+func unread(err error) outcome.Outcome {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return outcome.Outcome{Kind: outcome.Cancelled, Reason: outcome.CallerSlow}
+	}
+	return outcome.Outcome{Kind: outcome.Cancelled, Reason: outcome.CallerGone}
+}
+
+// callerWriter writes to the caller, who has its time for each piece.
+type callerWriter struct{ x *exchange }
+
+func (w callerWriter) Write(b []byte) (int, error) {
+	w.x.allowWrite()
+	return w.x.w.Write(b)
+}
+
+// ahead counts bytes of an answer that were read before the caller took them, and waits while the box
+// holds too much: the endpoint is then read only as fast as callers are. It returns false once ctx ends.
+func (m *memory) ahead(ctx context.Context, n int64) bool {
+	for !m.take(n) {
+		select {
+		case <-time.After(aheadPause):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -220,6 +221,7 @@
 		x.r.wire.Vouch(x.w.Header())
 	}
 	x.begun = true
+	x.allowWrite()
 	x.w.WriteHeader(status)
 }
 
@@ -231,11 +233,16 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(a.held)))
 	}
 	x.writeStatus(a.resp.StatusCode)
-	if _, err := x.w.Write(a.held); err != nil && x.req.Method != http.MethodHead {
-		x.cutOff(outcome.Outcome{Kind: outcome.Cancelled, Reason: outcome.CallerGone})
+	to := callerWriter{x}
+	if _, err := to.Write(a.held); err != nil && x.req.Method != http.MethodHead {
+		x.cutOff(unread(err))
 	}
 	if !a.whole {
-		if _, err := io.Copy(x.w, a.resp.Body); err != nil {
+		_, err := io.Copy(to, a.resp.Body)
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			x.cutOff(unread(err))
+		case err != nil:
 			x.cutOff(outcome.Outcome{Kind: outcome.CutOff, Reason: outcome.Truncated})
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,8 @@
 	// Ends are the requests under which endpoints ended; nil for those that this box sees alone.
 	Ends *quarantine.List
 	Keys KeyRules
+	// Memory bounds what is held for requests, in bytes; 0 for no bound.
+	Memory int64
 	// Cold bounds what all boxes send to an endpoint that has just started.
 	Cold coldstart.Limits
 }
@@ -84,6 +86,8 @@
 	waiting waiting
 	endings endings
 
+	memory memory
+
 	gate gate.Gate
 	// stopBy is when a planned stop will have ended the box, in Unix nanoseconds; 0 before
 	// one begins. From then on answers ask callers to close their connections.
@@ -108,6 +112,7 @@
 		m:     o.Book.Metrics,
 	}
 	r.fleet.box, r.fleet.region, r.fleet.halls = o.Box, o.Region, o.Halls
+	r.memory.limit = o.Memory
 	r.revoked.Store(&revoked{})
 	r.pool.OnSurplus = r.m.Crossed.Inc
 	r.disp.OnBelief = r.believed
@@ -239,6 +244,10 @@
 	offered, ran bool
 	ask          Ask
 	body         []byte
+	// bytes are what it counts of the box's memory, and writeBy is when the caller must have taken
+	// what is being written.
+	bytes   int64
+	writeBy time.Time
 	// acc is the account of the request, and rec the record in it.
 	acc     *account.Account
 	rec     *record.Record
@@ -264,6 +273,11 @@
 
 // serve runs the stages that all requests share, then those of its kind.
 func (x *exchange) serve() {
+	if !x.takeMemory(requestBytes) {
+		x.refuse(boxFull())
+		return
+	}
+	defer x.giveMemory()
 	if x.cfg == nil {
 		x.refuse(outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.NoConfig, RetryAfter: drainRetry})
 		return
@@ -326,11 +340,13 @@
 		return outcome.Outcome{}, true
 	}
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(clock.Until(x.deadline)))
-	b, err := io.ReadAll(http.MaxBytesReader(x.w, x.req.Body, x.cfg.Limits.MaxBody))
+	b, err := x.readBody()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return outcome.Refuse(outcome.TooLarge, ""), false
+	case errors.Is(err, errBoxFull):
+		return boxFull(), false
 	case err != nil:
 		return outcome.Refuse(outcome.BadRequest, "the body ended early"), false
 	}
@@ -340,6 +356,21 @@
 	return outcome.Outcome{}, true
 }
 
+// readBody reads the body into memory that is counted before it is taken.
+func (x *exchange) readBody() ([]byte, error) {
+	n, most := x.req.ContentLength, x.cfg.Limits.MaxBody
+	src := http.MaxBytesReader(x.w, x.req.Body, most)
+	if n < 0 || n > most {
+		return io.ReadAll(&countedBody{Reader: src, x: x})
+	}
+	if !x.takeMemory(n) {
+		return nil, errBoxFull
+	}
+	b := make([]byte, n)
+	_, err := io.ReadFull(src, b)
+	return b, err
+}
+
 // left is how long the caller still waits.
 func (x *exchange) left() time.Duration { return max(time.Millisecond, clock.Until(x.deadline)) }
 
@@ -396,6 +427,7 @@
 		if o.RetryAfter > 0 && o.Kind == outcome.NotRun {
 			h.Set("Retry-After", strconv.FormatFloat(o.RetryAfter.Seconds(), 'f', 2, 64))
 		}
+		x.allowWrite()
 		x.w.WriteHeader(statusOf(o))
 		_ = json.NewEncoder(x.w).Encode(refusal{o.Reason, o.Kind, o.Message()})
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -96,6 +96,8 @@
 	// lastID is the id of the last event in it, empty if none had one, and events how many had.
 	lastID string
 	events int
+	// counted is how much of the box's memory it takes until it was written, in bytes.
+	counted int64
 }
 
 // finalPart is an engine's own failure, which the caller gets as it is.
@@ -370,6 +372,12 @@
 
 // late frees what a call of an earlier attempt brought.
 func (f *flight) late(ev flightEvent) {
+	switch {
+	case ev.head != nil:
+		f.x.r.memory.give(ev.head.part.counted)
+	case ev.part != nil:
+		f.x.r.memory.give(ev.part.counted)
+	}
 	if ev.held != nil {
 		f.x.r.drop(f.x.r.disp.Address(ev.held.engine), f.x.r.wire.DropHold(ev.held.id))
 	}
@@ -434,13 +442,13 @@
 		f.lastID = p.lastID
 	}
 	f.made += p.events
-	if _, err := f.x.w.Write(p.bytes); err != nil {
-		return outcome.Outcome{Kind: outcome.Cancelled, Reason: outcome.CallerGone}, true
+	_, err := callerWriter{f.x}.Write(p.bytes)
+	f.x.r.memory.give(p.counted)
+	if err == nil && len(f.events) == 0 {
+		err = http.NewResponseController(f.x.w).Flush()
 	}
-	if len(f.events) == 0 {
-		if err := http.NewResponseController(f.x.w).Flush(); err != nil {
-			return outcome.Outcome{Kind: outcome.Cancelled, Reason: outcome.CallerGone}, true
-		}
+	if err != nil {
+		return unread(err), true
 	}
 	return outcome.Outcome{}, false
 }
