Have a box deal with a bounded part of the endpoints, and ask only those in use

Cause: each box kept, worked out and asked all endpoints: 10 million pairs at 986 boxes before 10,000; each change of the list sorted 138,000 points of the prefix ring on every box; and each engine was asked for its load on a schedule though a box of that fleet has a stream each half minute. Ruled out: sums by hall with a home asked for each placement (serves nobody while the home is away); a larger bound on memory. Change: of each service and role a box deals with 32 endpoints of its hall and 16 others, by rendezvous, twice as many each time it finds no room, and with those whose home it is once it is asked; one that is drawn no more stays for a minute. Engines of a service without a stream for 3 s are asked nothing; the next stream asks two. The split of roles counts the engines left out too.

--- a/internal/decide/advise.go
+++ b/internal/decide/advise.go
@@ -116,8 +116,9 @@
 		return Advice{}, false
 	}
 	ratio := p.workRatio(region)
+	readersNow, writersNow := len(prefills)+p.Beyond[Prefill], len(decodes)+p.Beyond[Decode]
 	busy := func(readers int) float64 {
-		writers := len(prefills) + len(decodes) - readers
+		writers := readersNow + writersNow - readers
 		return max(1/float64(readers), ratio/float64(writers))
 	}
 	idle := now.Sub(p.seenAt) > idleAfter && now.Sub(p.since) > idleAfter
@@ -125,9 +126,9 @@
 	if idle {
 		gain = idleGain
 	}
-	current := len(prefills)
+	current := readersNow
 	best := current
-	for n := 1; n < len(prefills)+len(decodes); n++ {
+	for n := 1; n < readersNow+writersNow; n++ {
 		if busy(n) < busy(best) {
 			best = n
 		}
@@ -139,10 +140,13 @@
 	if best > current {
 		from, role = decodes, Prefill
 	}
-	n := max(current-best, best-current)
+	n := min(max(current-best, best-current), len(from)-1)
 	if !idle {
 		n = min(n, max(1, len(from)/busyPart))
 	}
+	if n < 1 {
+		return Advice{}, false
+	}
 	return Advice{Pool: p.Name, Region: region, Engines: mostAlike(from, n), Role: role}, true
 }
 
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -164,6 +164,9 @@
 	Foresee bool
 	// Migrates says that engines can give a stream that they write to another one.
 	Migrates bool
+	// Beyond counts, by role, the engines of the driver's region that it leaves out: others have the
+	// requests that they serve. They count where the split of the roles is judged.
+	Beyond [2]int
 	// Learns says that the engines' rates and steps are only guessed at, and learned from what
 	// requests take. Otherwise those configured stand.
 	Learns bool
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -21,8 +21,9 @@
 // fleet is what the box knows of the endpoints: the configuration's view of their
 // services together with the platform's list.
 type fleet struct {
-	// box, region and halls are the settings': this box, its region, and the regions of halls.
+	// box, hall, region and halls are the settings': this box, where it is, and the regions of halls.
 	box    string
+	hall   string
 	region string
 	halls  map[string]string
 
@@ -37,9 +38,19 @@
 	roles map[string]knownRole
 	// askedWhy is when an engine was last asked why it turned a request away.
 	askedWhy map[string]time.Time
+	// drawn are the endpoints that this box drew last, by ID, and keptAt is when it last dealt with
+	// one that it drew before or was asked for. beyond counts the endpoints that
+	// take requests and that it does not deal with, and circles are the services of which it keeps
+	// more than usual.
+	drawn   map[string]bool
+	keptAt  map[string]time.Time
+	beyond  map[group]int
+	circles map[string]circle
 	// engineList are the engines that this box may send something to, as of applyFleet. Nothing
 	// changes it once it is made.
 	engineList []Endpoint
+	// engineCounts are how many of them each service has.
+	engineCounts map[string]int
 	// serving are the regions in which a service has an endpoint that takes requests.
 	serving map[string]map[string]bool
 	// cold are the endpoints that have just started, by their IDs.
@@ -190,30 +201,32 @@
 	if r.fleet.cfg == nil {
 		return
 	}
-	known := r.fleet.reached(r.fleet.known())
-	r.setCold(clock.Now(), known)
+	now := clock.Now()
+	r.fleet.narrow(now)
+	known := r.fleet.subset(now, r.fleet.reached(r.fleet.known()))
+	r.setCold(now, known)
 	r.fleet.serving = serving(known)
 	out, addresses := r.fleet.engines(known)
 	r.disp.SetFleet(out, addresses)
 	r.plain.set(known)
 	keep := map[string]bool{}
-	for _, e := range r.fleet.endpoints {
+	for _, e := range known {
 		keep[e.Address] = true
 	}
-	now := clock.Now()
 	r.pool.Prune(now, keep)
 	r.side.Prune(now, keep)
 }
 
 // engines describes the engines and where they are, and keeps the list of those that may be asked.
 func (f *fleet) engines(known []knownEndpoint) (decide.Fleet, map[string]string) {
-	f.engineList = nil
+	f.engineList, f.engineCounts = nil, map[string]int{}
 	var out decide.Fleet
 	addresses := map[string]string{}
 	for _, name := range slices.Sorted(maps.Keys(f.cfg.Services)) {
 		if s := f.cfg.Services[name]; s.Engines != nil {
 			out.Pools = append(out.Pools, decide.Pool{Name: name, KVBytesPerToken: s.Engines.TokenBytes, PrefillExpiry: s.Engines.HandleFor,
-				SelfRead: assumedSelfRead, Foresee: true, Migrates: s.Engines.Moves, Learns: true})
+				SelfRead: assumedSelfRead, Foresee: true, Migrates: s.Engines.Moves, Learns: true,
+				Beyond: [2]int{f.beyond[group{name, f.region, decide.Prefill}], f.beyond[group{name, f.region, decide.Decode}]}})
 		}
 	}
 	for _, e := range known {
@@ -225,6 +238,7 @@
 		e.Role = f.roles[e.ID].role()
 		if !e.Closed {
 			f.engineList = append(f.engineList, e.Endpoint)
+			f.engineCounts[e.Service]++
 		}
 		out.Engines = append(out.Engines, decide.Engine{
 			Name: e.ID, Pool: e.Service, Region: e.Region, Hall: e.Hall, Role: e.Role, Leaving: e.Leaving, Closed: e.Closed, ColdUntil: e.ColdUntil, ColdPace: e.ColdPace,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -84,6 +84,7 @@
 	revoked atomic.Pointer[revoked]
 	fleet   fleet
 	waiting waiting
+	recent  recentStreams
 	endings endings
 
 	memory memory
@@ -111,7 +112,7 @@
 		plain: newPlainTable(o.Hall),
 		m:     o.Book.Metrics,
 	}
-	r.fleet.box, r.fleet.region, r.fleet.halls = o.Box, o.Region, o.Halls
+	r.fleet.box, r.fleet.hall, r.fleet.region, r.fleet.halls = o.Box, o.Hall, o.Region, o.Halls
 	r.memory.limit = o.Memory
 	r.revoked.Store(&revoked{})
 	r.pool.OnSurplus = r.m.Crossed.Inc
@@ -421,6 +422,9 @@
 
 // refuse answers with an error and ends the request.
 func (x *exchange) refuse(o outcome.Outcome) {
+	if o.Kind == outcome.NotRun && x.service != nil && lacksRoom(o.Reason) {
+		x.r.widen(clock.Now(), x.service.Name)
+	}
 	if !x.begun {
 		h := x.w.Header()
 		h.Set("Content-Type", "application/json")
--- a/internal/relay/room.go
+++ b/internal/relay/room.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/overlay"
 )
@@ -23,6 +24,7 @@
 
 // HasRoom answers another box for an engine whose home this one is.
 func (r *Relay) HasRoom(room overlay.Room) bool {
+	r.adopt(clock.Now(), room.Engine)
 	r.askIfOld(room.Engine)
 	return r.disp.Grant(room.Engine, decide.Request{
 		PromptTokens: max(1, room.Prompt), MaxTokens: room.Most, ExpectTokens: room.Expected, Ahead: room.Ahead,
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -121,9 +121,7 @@
 		x.refuse(outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.Draining, RetryAfter: drainRetry})
 		return
 	}
-	if !x.r.connected() {
-		x.r.askFresh(ctx, x.service.Name, x.region)
-	}
+	x.refresh(ctx)
 	o := x.runStream(ctx)
 	switch {
 	case o.Kind == outcome.Answered:
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -30,8 +30,10 @@
 	// has a prompt read is none of them.
 	CallsAgain *metrics.Counter
 	// EndedUnder counts the requests under which an endpoint ended, one for each call.
-	EndedUnder    *metrics.Counter
-	Aborts        *metrics.Counter
+	EndedUnder *metrics.Counter
+	Aborts     *metrics.Counter
+	// Widened counts the times that a box took more endpoints of a service into account.
+	Widened       *metrics.Counter
 	AbortsLost    *metrics.Counter
 	Crossed       *metrics.Counter
 	Repeated      *metrics.Counter
@@ -67,6 +69,7 @@
 		CallsAgain:    s.NewCounter("stoatramp_calls_again_total"),
 		EndedUnder:    s.NewCounter("stoatramp_ended_under_total"),
 		Aborts:        s.NewCounter("stoatramp_aborts_total"),
+		Widened:       s.NewCounter("stoatramp_circles_widened_total"),
 		AbortsLost:    s.NewCounter("stoatramp_aborts_lost_total"),
 		Crossed:       s.NewCounter(`stoatramp_dropped_chunks_total{cause="crossed"}`),
 		Repeated:      s.NewCounter(`stoatramp_dropped_chunks_total{cause="repeated"}`),
