--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -4,6 +4,8 @@
 	"maps"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/coldstart"
 )
@@ -19,6 +21,7 @@
 	pace    coldstart.Pace
 	version int64
 	paced   bool
+	logged  bool
 }
 
 // noteCold takes what a new list says of cold endpoints. The lock is held.
@@ -67,6 +70,7 @@
 
 // setCold fills in until when endpoints are cold, and this box's pace. The lock is held.
 func (r *Relay) setCold(now time.Time, known []knownEndpoint) {
+	lines := 0
 	for i := range known {
 		e := &known[i]
 		c := r.fleet.cold[e.ID]
@@ -79,6 +83,11 @@
 			c.pace, c.version, c.paced = coldstart.PaceOf(r.o.Box, boxes, e.ID, rate, r.o.Cold), version, true
 		}
 		e.ColdUntil, e.ColdPace = c.until, time.Duration(c.pace)
+		if !c.logged && lines < maxChanges {
+			lines++
+			r.o.Book.Log.Belief("endpoint cold", zap.String("endpoint", e.ID), zap.Duration("for", c.until.Sub(now)), zap.Duration("pace", e.ColdPace))
+		}
+		c.logged = true
 	}
 }
 
