Answer a caller only from a decode call that the core has not given up

The first token of a call lay in the box's queue when the core gave the call up as stalled and called another engine; the loop passed the old call's tokens on and the new answer after them (gateway), or the old head and then the new one (relay). Where the second engine found the result taken, the caller's stream was cut off for want of retries.

Ruled out: an engine's answer crossed with another's (offsets and ids are checked), a resumed stream (it keeps its attempt).

Change: the first token asks the core whether the call is still the one that answers (Dispatcher.Begin); what comes of a call that was given up is dropped. In the relay a stalled call also counts as one that may have run, so that a refusal after it never says "not run".

--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -196,6 +196,12 @@
 	}
 }
 
+// Writes says whether a decode call of a request is the one that its caller is answered from.
+func (c *Core) Writes(id ID, a Attempt) bool {
+	f := c.flights[id]
+	return f != nil && f.stage == streaming && f.decodeAttempt == a
+}
+
 // Waiting is how many requests wait.
 func (c *Core) Waiting() (n int) {
 	for _, p := range c.pools {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -132,6 +132,16 @@
 	d.stepLocked(ev)
 }
 
+// Begin tells the core that a decode call began to answer, and returns whether the caller is to be
+// answered from it. The core may have given the call up as stalled a moment before: whatever else
+// came of such a call must not reach the caller, who gets the answer of the next one.
+func (d *Dispatcher) Begin(ev decide.FirstToken) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stepLocked(ev)
+	return d.core.Writes(ev.ID, ev.Attempt)
+}
+
 // stepLocked gives an event to the core and hands out its actions. A panic in
 // here means a broken invariant: net/http would swallow it and leave requests and
 // ledgers half changed, so it is raised again where nothing can recover it.
--- /dev/null
+++ b/internal/gateway/begin_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/account"
+	"github.com/stoatramp/stoatramp/internal/config"
+	"github.com/stoatramp/stoatramp/internal/decide"
+	"github.com/stoatramp/stoatramp/internal/engine"
+	"github.com/stoatramp/stoatramp/internal/outcome"
+	"github.com/stoatramp/stoatramp/internal/telemetry"
+)
+
+// chunks is an answer that keeps what the caller would have been sent.
+type chunks []string
+
+func (c *chunks) chunk(ch *engine.Chunk, _ bool) error {
+	*c = append(*c, ch.Data)
+	return nil
+}
+
+func (c *chunks) end(*engine.Usage) error { return nil }
+
+// takeDecode does what the core decided and returns the decode call that it started, or 0.
+func takeDecode(f *flight) decide.Attempt {
+	for _, a := range f.call.Take() {
+		if d, ok := a.(decide.StartDecode); ok {
+			f.decode = d.Attempt
+		}
+	}
+	return f.decode
+}
+
+// A caller was sent the start of its answer twice. On a busy machine the first token lay in the
+// box's queue when the core gave the decode call up as stalled and called another engine: the
+// loop still passed the old call's tokens on, and the new call's answer after them. The callers'
+// texts showed it ("w0 w1 w0 w1 w2 …"), and a run in which the loop waited for 3 s before the
+// first token showed the same.
+func TestStalledCallWritesNothing(t *testing.T) {
+	cfg := &config.Shared{Pools: []*config.Pool{{Name: "p", Model: "m", KVBytesPerToken: 1, PrefillExpiry: time.Minute}}}
+	for name, role := range map[string]config.Role{"reader": config.RolePrefill, "writer-1": config.RoleDecode, "writer-2": config.RoleDecode} {
+		cfg.Endpoints = append(cfg.Endpoints, &config.Endpoint{
+			Name: name, Pool: "p", Region: "r", Role: role, PrefillRate: 1000, LinkRate: 1e9, KVTokens: 10000, Step: time.Millisecond,
+		})
+	}
+	g := New(Options{
+		Box:     &config.Box{Name: "b", Region: "r"},
+		Core:    decide.New(rand.New(rand.NewPCG(1, 1)), 1),
+		Engines: engine.NewClient(),
+		Book:    &account.Book{Metrics: telemetry.NewMetrics(), Log: account.Quiet()},
+	})
+	g.SetConfig(cfg, nil)
+	x := g.newExchange(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/v1/completions", nil))
+	sent := &chunks{}
+	f := &flight{x: x, a: &ask{Choices: 1}, ctx: context.Background(), events: make(chan flightEvent, eventBuffer), answer: sent}
+	f.id, f.call = g.disp.Arrive(x.rec.ID, decide.Request{
+		Pool: "p", Region: "r", PromptTokens: 10, MaxTokens: 10, FirstToken: time.Minute, BetweenTokens: time.Second, Repeatable: true,
+	})
+	defer g.disp.Leave(f.id)
+	g.disp.Step(decide.PrefillDone{ID: f.id, Attempt: 1, Expires: time.Now().Add(time.Minute)})
+	stalled := takeDecode(f)
+	g.disp.Step(decide.Failed{ID: f.id, Attempt: stalled, Reason: outcome.TransferStalled, Ran: true})
+
+	late := flightEvent{attempt: stalled, chunk: &engine.Chunk{Data: "late", HasChoices: true}}
+	f.event(late)
+	f.event(late)
+	if len(*sent) > 0 {
+		t.Errorf("expected nothing from the call that was given up, got %v", *sent)
+	}
+	again := takeDecode(f)
+	if again == stalled {
+		t.Fatal("expected another decode call")
+	}
+	f.event(flightEvent{attempt: again, chunk: &engine.Chunk{Data: "w0", HasChoices: true}})
+	f.event(late)
+	if len(*sent) != 1 || (*sent)[0] != "w0" {
+		t.Errorf("expected the second call's answer alone, got %v", *sent)
+	}
+}
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -262,8 +262,11 @@
 	return ""
 }
 
-// chunk passes one chunk to the caller.
+// chunk passes one chunk to the caller, unless it is of a call that was given up before its first.
 func (f *flight) chunk(ev flightEvent) (outcome.Outcome, bool) {
+	if f.first.IsZero() && !f.x.g.disp.Begin(decide.FirstToken{ID: f.id, Attempt: ev.attempt}) {
+		return outcome.Outcome{}, false
+	}
 	// The caller's token goes first, the accounts after it. With more chunks
 	// waiting the flush is left to the last of them.
 	if err := f.answer.chunk(ev.chunk, len(f.events) == 0); err != nil {
@@ -281,7 +284,6 @@
 		f.x.rec.FirstToken = now.Sub(f.x.arrived)
 		f.x.g.m.FirstToken.Update(f.x.rec.FirstToken.Seconds())
 		f.x.acc.Step(record.Step{Kind: record.StepFirst, Decode: f.engine})
-		f.x.g.disp.Step(decide.FirstToken{ID: f.id, Attempt: ev.attempt})
 	} else if ev.chunk.HasChoices {
 		gap := now.Sub(f.last)
 		f.x.g.m.BetweenTokens.Update(gap.Seconds())
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -37,6 +37,8 @@
 	reader string         // The current prefill engine.
 	write  decide.Attempt // The current decode call.
 	writer string         // The current decode engine.
+	// givenUp is the decode call that the core gave up as the answer began; 0 if there is none.
+	givenUp decide.Attempt
 	// planned is the decode engine that is asked to set memory aside.
 	planned string
 	// hold and source are what engines keep for the flight: memory set aside, and the
@@ -265,6 +267,9 @@
 		}
 	}
 	switch a := a.(type) {
+	case decide.Retry:
+		// A call that was given up without an answer may have run: held must not say "not run" of it.
+		f.x.ran = f.x.ran || a.Reason == outcome.TransferStalled
 	case decide.Migrate:
 		f.migrate(a)
 	case decide.StartPrefill:
@@ -333,7 +338,8 @@
 // event takes what a call reported. What does not belong to the current attempt is
 // late: it is dropped, and freed where it holds memory.
 func (f *flight) event(ev flightEvent) (outcome.Outcome, bool) {
-	if ev.attempt != f.read && ev.attempt != f.write && !f.moving.is(ev.attempt) {
+	current := ev.attempt == f.read || ev.attempt == f.write || f.moving.is(ev.attempt)
+	if !current || ev.attempt == f.givenUp {
 		f.late(ev)
 		return outcome.Outcome{}, false
 	}
@@ -406,8 +412,16 @@
 }
 
 // begin passes the head of the answer on, unless an earlier engine's head was: a stream
-// that goes on at another engine keeps the first one's.
+// that goes on at another engine keeps the first one's. Of a call that the core has given up
+// nothing is passed on.
 func (f *flight) begin(ev flightEvent) (outcome.Outcome, bool) {
+	if !f.moving.is(ev.attempt) && !f.x.r.disp.Begin(decide.FirstToken{
+		ID: f.id, Attempt: ev.attempt, Tokens: ev.head.part.events * f.x.service.Engines.Stride,
+	}) {
+		f.givenUp = ev.attempt
+		f.late(ev)
+		return outcome.Outcome{}, false
+	}
 	if f.first.IsZero() {
 		f.first = clock.Now()
 		f.x.rec.FirstToken = f.first.Sub(f.x.arrived)
@@ -419,7 +433,6 @@
 		f.wentOn()
 		return f.pass(&ev.head.part)
 	}
-	f.x.r.disp.Step(decide.FirstToken{ID: f.id, Attempt: ev.attempt, Tokens: ev.head.part.events * f.x.service.Engines.Stride})
 	f.x.acc.Step(record.Step{Kind: record.StepFirst, Decode: f.writer})
 	if !f.x.begun {
 		f.x.takeHead(ev.head.header)
