Give calls the time again for which the box itself stood still

Cause: a stage is given up after three times its prediction and at most 2 s more, counted on the box's clock. A box that was frozen, or had no processor, found all its calls stalled when it woke, while their answers lay unread. Each cost a retry and a second reading. Beside it: a stalled reading was given up where one retry was left although a second try needs two, so the request ended for want of retries while its engine still worked.

Change: a gap between ticks of more than five tick times moves the deadlines of the stages under way by the gap, or by their age where that is less. The retries that a move needs are asked for before it, not one. Five bounds a box that runs as it should: ticks are 20 ms apart.

Ruled out: a longer margin for all (a dead engine would be noticed later on every box).

--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -158,9 +158,11 @@
 	// remembered is what was learned of pools before this core began.
 	remembered map[string]Learned
 	budget     retry.Budget
-	others     others
-	now        time.Time
-	out        []Action
+	// ticked is when the latest tick was; zero before the first.
+	ticked time.Time
+	others others
+	now    time.Time
+	out    []Action
 
 	// Scratch space of choose, kept to spare allocations.
 	prefills, decodes []*engine
@@ -380,6 +382,7 @@
 func TickEvery() time.Duration { return tickEvery }
 
 func (c *Core) tick() {
+	c.allowForPause()
 	var late []*flight
 	for _, f := range c.flights {
 		if f.stage == prefilling {
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -257,7 +257,11 @@
 
 // canMove says whether a stalled request has somewhere better to go.
 func (c *Core) canMove(f *flight) bool {
-	if !f.Repeatable || !f.mayGoElsewhere() || !c.budget.Has(c.now, 1) {
+	calls := 1 // A prompt's result is called for at another engine.
+	if f.stage == prefilling {
+		calls = f.callsAgain()
+	}
+	if !f.Repeatable || !f.mayGoElsewhere() || !c.budget.Has(c.now, calls) {
 		return false
 	}
 	var passed PassedOver
@@ -272,3 +276,24 @@
 	c.findReaders(f.pool, f, c.now, &passed)
 	return slices.ContainsFunc(c.readers, func(r reader) bool { return r.e != f.prefill && r.ahead <= prefillWindow })
 }
+
+// longestTick is how far apart ticks may be on a box that runs as it should, five times what is
+// asked for. A larger gap means that the box itself stood still.
+const longestTick = 5 * tickEvery
+
+// allowForPause gives the stages under way the time again for which this box stood still: frozen, or
+// without a processor. What engines answered meanwhile lies unread, so their silence says nothing
+// of them. Each call that is given up then costs a retry and a prompt that is read for nothing.
+func (c *Core) allowForPause() {
+	gap := c.now.Sub(c.ticked)
+	first := c.ticked.IsZero()
+	c.ticked = c.now
+	if first || gap <= longestTick {
+		return
+	}
+	for _, f := range c.flights {
+		if !f.stageDeadline.IsZero() {
+			f.stageDeadline = f.stageDeadline.Add(min(gap, c.now.Sub(f.stageStart)))
+		}
+	}
+}
