Give an endpoint's cold start one type, and what holds a request back its own file

The two fields and the rule of a cold start stood in decide and in relay; both use coldstart.Start now. Finding out whether an endpoint ended and keeping requests from endpoints were one file. CallerTag and TryTag were one function under two names. Behaviour as before; tests of the four packages pass.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -43,6 +43,18 @@
 // Pace is the least time between two requests of one box to an endpoint; 0 if it may send none.
 type Pace time.Duration
 
+// Start is what one box knows of an endpoint's start: until when the endpoint is cold, and how often
+// this box may send to it until then. The zero value is an endpoint that is not cold.
+type Start struct {
+	Until time.Time
+	Pace  Pace
+}
+
+// Holds says that an endpoint this box sent to last at a time gets nothing more of it now.
+func (s Start) Holds(now, sent time.Time) bool {
+	return now.Before(s.Until) && (s.Pace == 0 || now.Before(sent.Add(time.Duration(s.Pace))))
+}
+
 // PaceOf is the pace of a box, among all boxes that may send to a cold endpoint which bears a rate of
 // requests a second.
 //
--- a/internal/decide/ledger.go
+++ b/internal/decide/ledger.go
@@ -89,9 +89,7 @@
 func (e *engine) leaving() bool { return e.Leaving || e.Closed || e.reported && e.report.Leaving }
 
 // cold says that the engine has just started and gets nothing more of this box at the moment.
-func (e *engine) cold(now time.Time) bool {
-	return now.Before(e.ColdUntil) && (e.ColdPace == 0 || now.Before(e.usedAt.Add(e.ColdPace)))
-}
+func (e *engine) cold(now time.Time) bool { return e.Cold.Holds(now, e.usedAt) }
 
 // queueTime is how long a prompt sent now would wait, for this box's own work and for
 // what it has seen of others'.
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -14,6 +14,7 @@
 import (
 	"time"
 
+	"github.com/stoatramp/stoatramp/internal/coldstart"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 )
 
@@ -138,10 +139,8 @@
 	// Closed engines get nothing new and finish what they have: their data hall is evacuated. Unlike
 	// one that is Leaving they will not end, so their streams are not moved.
 	Closed bool
-	// ColdUntil is until when the engine bears little: it gets a request of this box each ColdPace
-	// at most, and none if that is 0.
-	ColdUntil time.Time
-	ColdPace  time.Duration
+	// Cold is the engine's start, from which on it bears little for a while.
+	Cold coldstart.Start
 
 	PrefillRate   float64 // Prompt tokens a second.
 	KVTokens      int     // Decode memory in tokens.
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -45,11 +45,8 @@
 	return f
 }
 
-// TryTag tells the tries of a request apart by their ids.
-func TryTag(id string) string { return CallerTag(id) }
-
-// CallerTag tells callers apart in logs and rows without naming them.
-func CallerTag(caller string) string {
-	h := sha256.Sum256([]byte(caller))
+// Tag tells callers, and the ids of a request's tries, apart in logs and rows without naming them.
+func Tag(text string) string {
+	h := sha256.Sum256([]byte(text))
 	return hex.EncodeToString(h[:4])
 }
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -32,7 +32,7 @@
 type End struct {
 	Request  Fingerprint
 	Endpoint string // Names one start of it.
-	Caller   string // Whose bound it counts to; see CallerTag.
+	Caller   string // Whose bound it counts to; see Tag.
 	Ran      time.Duration
 	// Sent is when the request was sent there, by this box's clock; zero for an end that another box saw.
 	Sent time.Time
@@ -40,7 +40,7 @@
 	// once and without an answer, as it does where several endpoints end together and a request goes on
 	// from one to the next.
 	Doubt bool
-	// Try tells the request's tries apart; see TryTag.
+	// Try tells the request's tries apart; see Tag.
 	Try string
 }
 
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -75,11 +75,11 @@
 func TestEndsWithinOneTry(t *testing.T) {
 	l := NewList()
 	for n, ran := range []time.Duration{192 * time.Millisecond, 100 * time.Millisecond, 433 * time.Millisecond} {
-		l.Ended(End{Request: of("long"), Endpoint: fmt.Sprint("e", n), Caller: "c", Ran: ran, Try: TryTag("id-1")})
+		l.Ended(End{Request: of("long"), Endpoint: fmt.Sprint("e", n), Caller: "c", Ran: ran, Try: Tag("id-1")})
 	}
 	expectHeld(t, l, "long", false)
 	for n := range 4 { // Two tries of two engines each.
-		l.Ended(End{Request: of("deadly"), Endpoint: fmt.Sprint("e", n), Caller: "c", Ran: 50 * time.Millisecond, Try: TryTag(fmt.Sprint("id", n/2))})
+		l.Ended(End{Request: of("deadly"), Endpoint: fmt.Sprint("e", n), Caller: "c", Ran: 50 * time.Millisecond, Try: Tag(fmt.Sprint("id", n/2))})
 		if n < 3 {
 			expectHeld(t, l, "deadly", false)
 		}
--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -82,10 +82,10 @@
 		if !c.paced || c.version != version {
 			c.pace, c.version, c.paced = coldstart.PaceOf(r.o.Box, boxes, e.ID, rate, r.o.Cold), version, true
 		}
-		e.ColdUntil, e.ColdPace = c.until, time.Duration(c.pace)
+		e.Cold = coldstart.Start{Until: c.until, Pace: c.pace}
 		if !c.logged && lines < maxChanges {
 			lines++
-			r.o.Book.Log.Belief("endpoint cold", zap.String("endpoint", e.ID), zap.Duration("for", c.until.Sub(now)), zap.Duration("pace", e.ColdPace))
+			r.o.Book.Log.Belief("endpoint cold", zap.String("endpoint", e.ID), zap.Duration("for", c.until.Sub(now)), zap.Duration("pace", time.Duration(c.pace)))
 		}
 		c.logged = true
 	}
@@ -116,5 +116,5 @@
 
 // cold says that the endpoint has just started and gets nothing more of this box at the moment.
 func (e *plainEndpoint) cold(now time.Time) bool {
-	return now.Before(e.ColdUntil) && (e.ColdPace == 0 || now.Before(e.usedAt.Add(e.ColdPace)))
+	return e.Cold.Holds(now, e.usedAt)
 }
--- a/internal/relay/ended.go
+++ b/internal/relay/ended.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -187,44 +186,13 @@
 func (r *Relay) endedUnder(e Endpoint, by string, calls []brokenCall) {
 	r.m.EndedUnder.Add(len(calls))
 	for _, c := range calls {
-		r.o.Ends.Ended(quarantine.End{Request: c.print, Endpoint: e.ID, Caller: quarantine.CallerTag(c.caller), Ran: c.ran, Sent: c.sent, Doubt: c.doubt, Try: quarantine.TryTag(c.request)})
+		r.o.Ends.Ended(quarantine.End{Request: c.print, Endpoint: e.ID, Caller: quarantine.Tag(c.caller), Ran: c.ran, Sent: c.sent, Doubt: c.doubt, Try: quarantine.Tag(c.request)})
 		r.o.Book.Log.Belief("endpoint ended under a request", zap.String("endpoint", e.ID), zap.String("service", e.Service),
-			zap.String("id", c.request), zap.Stringer("fingerprint", c.print), zap.String("caller", quarantine.CallerTag(c.caller)),
+			zap.String("id", c.request), zap.Stringer("fingerprint", c.print), zap.String("caller", quarantine.Tag(c.caller)),
 			zap.Duration("ran", c.ran), zap.Bool("doubt", c.doubt), zap.String("known_by", by))
 	}
 }
 
-// held says whether the request must not be sent to an endpoint, because of what became of others
-// that ran it. Whatever sends one to an endpoint asks it first.
-func (x *exchange) held() (o outcome.Outcome, held bool) {
-	if x.r.o.Ends.Empty() {
-		return o, false
-	}
-	v := x.r.o.Ends.Check(x.fingerprint())
-	if !v.Held {
-		return o, false
-	}
-	o = outcome.Refuse(outcome.EndsEndpoints, "fingerprint "+x.fingerprint().String()+", "+v.String())
-	if x.ran {
-		o.Kind = outcome.MayHaveRun
-	}
-	if x.begun {
-		o.Kind = outcome.CutOff
-	}
-	return o, true
-}
-
-// rememberedBody is the longest body, in bytes, for which an answered request is remembered though
-// nothing is known of any: its fingerprint costs 1 ns a byte.
-const rememberedBody = 64 << 10
-
-// answered notes that the request was answered whole by an endpoint, which did not end under it.
-func (x *exchange) answered() {
-	if len(x.body) <= rememberedBody || !x.r.o.Ends.Empty() {
-		x.r.o.Ends.Served(x.fingerprint())
-	}
-}
-
 // caller names who calls, for the bound of what is kept of one caller: the client account or, where
 // there is none, the host of the connection.
 func (x *exchange) caller() string {
@@ -237,19 +205,3 @@
 	}
 	return host
 }
-
-// fingerprint is worked out when it is first asked for: most requests never need it.
-func (x *exchange) fingerprint() quarantine.Fingerprint {
-	if x.print == nil {
-		id := quarantine.Identity{
-			Method: x.req.Method, Host: strings.ToLower(hostOnly(x.req.Host)),
-			Target: x.req.RequestURI, Model: x.ask.Model, Body: x.body,
-		}
-		if x.account != nil {
-			id.Account = x.account.Name
-		}
-		f := id.Fingerprint()
-		x.print = &f
-	}
-	return *x.print
-}
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -244,7 +244,7 @@
 			f.engineCounts[e.Service]++
 		}
 		out.Engines = append(out.Engines, decide.Engine{
-			Name: e.ID, Pool: e.Service, Region: e.Region, Hall: e.Hall, Role: e.Role, Leaving: e.Leaving, Closed: e.Closed, ColdUntil: e.ColdUntil, ColdPace: e.ColdPace,
+			Name: e.ID, Pool: e.Service, Region: e.Region, Hall: e.Hall, Role: e.Role, Leaving: e.Leaving, Closed: e.Closed, Cold: e.Cold,
 			PrefillRate: assumedReadRate, KVTokens: s.Engines.KVTokens, Slots: s.Engines.Slots,
 			Step: assumedStep, StepPerStream: assumedStepPerStream, LinkRate: s.Engines.LinkRate,
 		})
--- a/internal/relay/halls.go
+++ b/internal/relay/halls.go
@@ -4,12 +4,12 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/coldstart"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 )
 
@@ -24,9 +24,7 @@
 	Region string
 	// Closed says that its hall is evacuated.
 	Closed bool
-	// ColdUntil and ColdPace are as in decide.Engine.
-	ColdUntil time.Time
-	ColdPace  time.Duration
+	Cold   coldstart.Start
 }
 
 // open says that the endpoint may get new requests.
--- /dev/null
+++ b/internal/relay/held.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"strings"
+
+	"github.com/stoatramp/stoatramp/internal/outcome"
+	"github.com/stoatramp/stoatramp/internal/quarantine"
+)
+
+// This file keeps requests from endpoints that end under them: what became of equal ones decides.
+
+// held says whether the request must not be sent to an endpoint, because of what became of others
+// that ran it. Whatever sends one to an endpoint asks it first.
+func (x *exchange) held() (o outcome.Outcome, held bool) {
+	if x.r.o.Ends.Empty() {
+		return o, false
+	}
+	v := x.r.o.Ends.Check(x.fingerprint())
+	if !v.Held {
+		return o, false
+	}
+	o = outcome.Refuse(outcome.EndsEndpoints, "fingerprint "+x.fingerprint().String()+", "+v.String())
+	if x.ran {
+		o.Kind = outcome.MayHaveRun
+	}
+	if x.begun {
+		o.Kind = outcome.CutOff
+	}
+	return o, true
+}
+
+// rememberedBody is the longest body, in bytes, for which an answered request is remembered though
+// nothing is known of any: its fingerprint costs 1 ns a byte.
+const rememberedBody = 64 << 10
+
+// answered notes that the request was answered whole by an endpoint, which did not end under it.
+func (x *exchange) answered() {
+	if len(x.body) <= rememberedBody || !x.r.o.Ends.Empty() {
+		x.r.o.Ends.Served(x.fingerprint())
+	}
+}
+
+// fingerprint is worked out when it is first asked for: most requests never need it.
+func (x *exchange) fingerprint() quarantine.Fingerprint {
+	if x.print == nil {
+		id := quarantine.Identity{
+			Method: x.req.Method, Host: strings.ToLower(hostOnly(x.req.Host)),
+			Target: x.req.RequestURI, Model: x.ask.Model, Body: x.body,
+		}
+		if x.account != nil {
+			id.Account = x.account.Name
+		}
+		f := id.Fingerprint()
+		x.print = &f
+	}
+	return *x.print
+}
