Tell followers what changed also after many changes and after a reading anew

Cause: what changed is remembered for 2,048 rows and was dropped as a whole beyond that, and at each reading of the whole table. Every follower was then told all rows: 2.3 MB of 10,000 endpoints, to each of 986 boxes, each time that 2,048 more of them had changed or the store had forgotten its history. It holds only while tables are shorter.

Ruled out: a larger bound alone (it comes back at twice the size).

Change: the older half is dropped; the bound grows with the table; a table that is read anew is compared with what was known.

Before: the new test got 6,000 rows for one change after 2,048 others. After: one row each time, also after a reading anew.

--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
@@ -32,18 +34,28 @@
 	told chan struct{}
 }
 
-// mostChanges bounds what is remembered. A box that is further behind gets the table whole.
+// mostChanges bounds what is remembered, and rows of half of a longer table. A box that is further behind
+// gets the table whole.
 const mostChanges = 2048
 
 func (c *changes) restart(ver int64) { c.at, c.from = map[string]int64{}, ver }
 
-func (c *changes) note(key string, ver int64) {
-	if len(c.at) >= mostChanges {
-		c.restart(ver)
+// note remembers that a row of so many changed.
+func (c *changes) note(key string, ver int64, rows int) {
+	if _, known := c.at[key]; !known && len(c.at) >= max(mostChanges, rows/2) {
+		c.forget()
 	}
 	c.at[key] = ver
 }
 
+// forget drops the older half. With all dropped at once, every follower is behind what is left and gets the
+// table whole: 2.3 MB of 10,000 endpoints each time that 2,048 more of them had changed, to 986 boxes.
+func (c *changes) forget() {
+	vers := slices.Sorted(maps.Values(c.at))
+	c.from = vers[len(vers)/2]
+	maps.DeleteFunc(c.at, func(_ string, ver int64) bool { return ver <= c.from })
+}
+
 func (c *changes) tell() {
 	if c.told != nil {
 		close(c.told)
--- a/internal/follow/feed_test.go
+++ b/internal/follow/feed_test.go
@@ -283,3 +283,41 @@
 	}
 	return n
 }
+
+// A follower that is one change behind is told one row, however many changed before and also where the
+// table was read anew. After each 2,048 changed rows every follower was told the whole table: 2.3 MB of
+// 10,000 endpoints to each of 986 boxes.
+func TestTellsChangesOnly(t *testing.T) {
+	table := New(nil, Options{}, func(map[string][]byte) {})
+	const rows, changes = 6000, 5000
+	var all []Row
+	for i := range rows {
+		all = append(all, Row{Key: fmt.Sprint(i), Value: []byte("a")})
+	}
+	table.replace(all, 1)
+	expectOne := func(since int64) {
+		t.Helper()
+		if p := table.Tell(since); p.Since != since || len(p.Rows) != 1 {
+			t.Fatalf("expected one row that changed since %d, got %d since %d", since, len(p.Rows), p.Since)
+		}
+	}
+	ver := int64(1)
+	for i := range changes {
+		table.merge([]Row{{Key: fmt.Sprint(i), Value: []byte("b")}}, ver, ver+1)
+		expectOne(ver)
+		ver++
+	}
+	for i := range changes {
+		all[i].Value = []byte("b")
+	}
+	all[17].Value = []byte("c")
+	table.replace(all, ver+1)
+	expectOne(ver)
+	table.replace(all[:rows-1], ver+2)
+	if p := table.Tell(ver + 1); len(p.Rows) != 1 || !p.Rows[0].Gone {
+		t.Errorf("expected the row that is gone, got %v", p.Rows)
+	}
+	if p := table.Tell(1); p.Since != 0 || len(p.Rows) != rows-1 {
+		t.Errorf("expected a follower that is far behind to get the table whole, got %d rows since %d", len(p.Rows), p.Since)
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -3,6 +3,7 @@
 package follow
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"sync"
@@ -321,7 +322,7 @@
 	}
 	t.ver = ver
 	for _, r := range rows {
-		t.changes.note(r.Key, ver)
+		t.changes.note(r.Key, ver, len(t.rows))
 		if r.Gone {
 			delete(t.rows, r.Key)
 			continue
@@ -359,11 +360,30 @@
 	for _, r := range rows {
 		all[r.Key] = r.Value
 	}
+	t.noteReplaced(all, ver)
 	t.rows, t.ver, t.reread = all, ver, false
-	t.changes.restart(ver)
 	t.Apply(all)
 	t.changes.tell()
 	return true
 }
 
+// noteReplaced remembers which rows differ in a table that was read anew, so that followers need not be told
+// all of it. The lock is held.
+func (t *Table) noteReplaced(all map[string][]byte, ver int64) {
+	if t.rows == nil {
+		t.changes.restart(ver)
+		return
+	}
+	for key, value := range all {
+		if old, there := t.rows[key]; !there || !bytes.Equal(old, value) {
+			t.changes.note(key, ver, len(all))
+		}
+	}
+	for key := range t.rows {
+		if _, there := all[key]; !there {
+			t.changes.note(key, ver, len(all))
+		}
+	}
+}
+
 var errOld = errors.New("the store answered with an older state than before")
