Gather the pieces of a long change that is passed down

Cause: a followed box sends what changed each 60 ms.

Ruled out: a longer pause for all messages (facts would be late).

Change: the pause after a message grows with its bytes, to 400 ms at most, shorter than the silence after which a box is taken for dead.

Figures: a message of 20 KB was followed by the next after 60 ms, now 200.

--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -41,6 +41,11 @@
 	// spacing is the least time between two messages to one follower, or to the box followed:
 	// what comes meanwhile goes together.
 	spacing = 60 * time.Millisecond
+	// followerRate is how many bytes a second one follower is sent while messages are long, and
+	// longestSpacing the longest pause that comes of it, shorter than silence. The smallest boxes have
+	// links of 20 Mbit/s, 2.5 MB/s, and fourteen followers in a hall of 200.
+	followerRate   = 100e3
+	longestSpacing = 400 * time.Millisecond
 	// reconsider is how long a box is followed while a better one could be, or nobody need be,
 	// and reconsiderLost the same where it is followed because the store did not answer.
 	reconsider     = 2 * time.Second
--- a/internal/overlay/serve.go
+++ b/internal/overlay/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
@@ -136,10 +137,11 @@
 		if rc != nil {
 			_ = rc.SetWriteDeadline(time.Now().Add(writeLimit))
 		}
-		if err := stream.Send(n.update(f)); err != nil {
+		msg := n.update(f)
+		if err := stream.Send(msg); err != nil {
 			return err
 		}
-		sleep(ctx, spacing)
+		sleep(ctx, spacingAfter(proto.Size(msg)))
 		select {
 		case <-f.queue.wake:
 		case <-beat.C:
@@ -151,6 +153,17 @@
 	}
 }
 
+// spacingAfter is the least time between a message of so many bytes and the next one to the same follower.
+// The first of a long change goes at once; what comes in pieces is gathered. Where 10,000 endpoints started
+// within 3 s a box sent each of 14 followers some 50 rows each 60 ms, which each of them applied to the whole
+// list: it had no time for heartbeats, and was taken for dead.
+//
+// Example: after a message of 20 KB, 90 rows of the list, the next one comes 200 ms later.
+func spacingAfter(bytes int) time.Duration {
+	byRate := time.Duration(float64(bytes) / followerRate * float64(time.Second))
+	return max(spacing, min(byRate, longestSpacing))
+}
+
 // update is the next message to a follower.
 func (n *Node) update(f *follower) *v1.Update {
 	n.mu.Lock()
