Ask new engines of a large fleet in turn

Cause: an engine that a box has never heard of was asked for its load within the time in which boxes hear each other's answers, 1.6 s at 986 boxes, whatever the bound on questions: 8,650 engines that start together were each asked at once, over a new connection, by every box that had not heard of another's question.

Ruled out: no first question at all (roles then change amid traffic, as was measured at 7 boxes).

Change: the first question comes at a moment drawn from the time in which all engines are asked, where that is longer.

Before: TestAsksNewInTurn counted 96 questions of one box in ten seconds. After: 8 at most; nine engines are all asked within half a second.

--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -108,8 +108,10 @@
 		spread := time.Duration(max(1, part*float64(neighbours)) * float64(tellTime))
 		drawn := float64(xxhash.Sum64String(r.o.Box+" "+e.ID)>>11) / (1 << 53)
 		after = max(after, least)
-		r.fleet.firstSeen(e.ID, now.Add(-after))
-		ask, left := r.fleet.asked(e.ID, now, after+time.Duration(drawn*float64(spread)))
+		wait := after + time.Duration(drawn*float64(spread))
+		first := time.Duration(drawn * float64(max(spread, least)))
+		r.fleet.firstSeen(e.ID, now.Add(first-wait))
+		ask, left := r.fleet.asked(e.ID, now, wait)
 		if ask {
 			out = append(out, e)
 		}
@@ -141,7 +143,8 @@
 }
 
 // firstSeen notes when an engine that was never heard of counts as heard of, so that of many boxes one asks
-// it first: 986 that each asked all of 96 engines at the first stream would make 94,656 questions.
+// it first, and not all engines of a large fleet at once: 986 boxes that each asked all of 96 engines at the
+// first stream would make 94,656 questions.
 func (f *fleet) firstSeen(id string, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
