Send packed rows to boxes that say they read them

The protocol's number stays: a box of the version before follows a new one, and is sent rows as they are, so an upgrade box by box has no two groups that do not hear of each other. TestTablesUnpacked asks in both ways.

--- a/internal/overlay/link.go
+++ b/internal/overlay/link.go
@@ -43,7 +43,7 @@
 
 // tables asks a box for its tables, once.
 func (n *Node) tables(ctx context.Context, address string) (*v1.Update, error) {
-	resp, err := n.client(address).Tables(ctx, connect.NewRequest(&v1.TablesRequest{Protocol: protocol}))
+	resp, err := n.client(address).Tables(ctx, connect.NewRequest(&v1.TablesRequest{Packed: true}))
 	if err != nil {
 		return nil, err
 	}
@@ -60,7 +60,7 @@
 	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	req := connect.NewRequest(&v1.FollowRequest{
-		Box: l.n.o.Self.Name, Incarnation: l.n.o.Self.Incarnation, Protocol: protocol,
+		Box: l.n.o.Self.Name, Incarnation: l.n.o.Self.Incarnation, Protocol: protocol, Packed: true,
 	})
 	for name, t := range l.n.o.Tables {
 		req.Msg.Known = append(req.Msg.Known, &v1.Table{Name: name, Version: t.Version()})
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -71,9 +71,7 @@
 	// keyWait is how long the oldest box has to make the key.
 	keyWait = 2 * registerPause
 	// protocol is raised when boxes of the version before would misread a message.
-	protocol = 2
-	// protocolPacked is the first whose boxes read packed rows.
-	protocolPacked = 2
+	protocol = 1
 )
 
 // Table is a table that boxes pass on; package follow has it.
--- a/internal/overlay/pack_test.go
+++ b/internal/overlay/pack_test.go
@@ -66,13 +66,13 @@
 	}
 	eventually(t, "the configuration is whole", func() bool { return len(a.config.Tell(0).Rows) == 500 })
 	client := a.client(a.srv.Listener.Addr().String())
-	for protocol, packed := range map[int32]bool{0: false, protocolPacked: true} {
-		resp, err := client.Tables(context.Background(), connect.NewRequest(&v1.TablesRequest{Protocol: protocol}))
+	for _, packed := range []bool{false, true} {
+		resp, err := client.Tables(context.Background(), connect.NewRequest(&v1.TablesRequest{Packed: packed}))
 		if err != nil {
 			t.Fatal(err)
 		}
 		if got := len(resp.Msg.Tables[0].Packed) > 0; got != packed || !packed && len(resp.Msg.Tables[0].Rows) != 500 {
-			t.Errorf("version %d: expected packed %t, got %t and %d rows", protocol, packed, got, len(resp.Msg.Tables[0].Rows))
+			t.Errorf("expected packed %t, got %t and %d rows", packed, got, len(resp.Msg.Tables[0].Rows))
 		}
 	}
 }
--- a/internal/overlay/serve.go
+++ b/internal/overlay/serve.go
@@ -23,6 +23,8 @@
 	queue queue
 	// versions are those of the tables that it has.
 	versions map[string]int64
+	// packed says that it reads packed rows.
+	packed bool
 	// interest is of which engines it is sent facts, and placed counts the streams of each service
 	// whose facts it was not sent since the last message. The node's lock guards both.
 	interest interest
@@ -84,7 +86,7 @@
 		s.n.count.refused.Inc()
 		return connect.NewError(connect.CodeFailedPrecondition, errors.New("the box speaks another version of the overlay's messages"))
 	}
-	f := &follower{name: r.Msg.Box, queue: newQueue(), versions: map[string]int64{}}
+	f := &follower{name: r.Msg.Box, queue: newQueue(), versions: map[string]int64{}, packed: r.Msg.Packed}
 	for _, t := range r.Msg.Known {
 		if s.n.o.Tables[t.Name] != nil {
 			f.versions[t.Name] = t.Version
@@ -177,7 +179,9 @@
 		p := t.Tell(f.versions[name])
 		f.versions[name] = max(p.Version, f.versions[name])
 		t := plainTable(name, p)
-		n.pack(t)
+		if f.packed {
+			n.pack(t)
+		}
 		msg.Tables = append(msg.Tables, t)
 	}
 	return msg
@@ -218,7 +222,7 @@
 	msg := &v1.Update{}
 	for _, name := range s.n.o.Open {
 		t := plainTable(name, s.n.o.Tables[name].Tell(0))
-		if r.Msg.Protocol >= protocolPacked {
+		if r.Msg.Packed {
 			s.n.pack(t)
 		}
 		msg.Tables = append(msg.Tables, t)
--- a/internal/overlay/tree_test.go
+++ b/internal/overlay/tree_test.go
@@ -132,7 +132,7 @@
 	w := &wire{}
 	b := New(Options{Metrics: metrics.NewSet()})
 	b.hc.Transport = w
-	req := connect.NewRequest(&v1.FollowRequest{Box: "b", Protocol: protocol})
+	req := connect.NewRequest(&v1.FollowRequest{Box: "b", Protocol: protocol, Packed: true})
 	authorize(req.Header(), a.members.secret())
 	stream, err := b.client(a.srv.Listener.Addr().String()).Follow(context.Background(), req)
 	if err != nil {
