Hand lists on in tests as the table does

In the product list is called under that lock alone.

Change: tests hand lists on through the table; TestListNewsGathered runs in synthetic time.

--- a/internal/box/list_test.go
+++ b/internal/box/list_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,11 +30,10 @@
 				rows[fmt.Sprintf("i-%08x", i)] = []byte("ready")
 			}
 			x := listBox()
-			x.list(rows)
+			x.hand(rows)
 			for i := 0; b.Loop(); i++ {
 				rows["i-00000001"] = []byte([]string{"leaving", "ready"}[i%2])
-				x.listDue = time.Time{} // Without the pause between two of them.
-				x.list(rows)
+				x.hand(rows)
 			}
 		})
 	}
@@ -51,6 +51,14 @@
 	return x
 }
 
+// hand has the box take a list as its table hands it on, without the pause between two of them.
+func (b *RelayBox) hand(rows map[string][]byte) {
+	b.tables[tableEndpoints].Again(func() {
+		b.listDue = time.Time{}
+		b.list(rows)
+	})
+}
+
 // A list that is changed in place has no row twice and none that is gone, whatever comes and goes.
 func TestListInPlace(t *testing.T) {
 	x := listBox()
@@ -66,7 +74,7 @@
 		case 2:
 			rows[key] = []byte("leaving")
 		}
-		x.list(rows)
+		x.hand(rows)
 		if len(x.listed) != len(rows) {
 			t.Fatalf("expected %d endpoints, got %d", len(rows), len(x.listed))
 		}
@@ -87,23 +95,24 @@
 			t.Errorf("after %s: expected a pause of %s, got %s", took, want, got)
 		}
 	}
-	x := listBox()
-	table := x.tables[tableEndpoints]
-	table.Hear(follow.Part{Version: 1, Rows: []follow.Row{{Key: "e-1", Value: []byte("ready")}}}, 0)
-	x.listDue = clock.Now().Add(100 * time.Millisecond)
-	for ver := int64(1); ver < 4; ver++ {
-		table.Hear(follow.Part{Since: ver, Version: ver + 1, Rows: []follow.Row{{Key: fmt.Sprint("e-", ver+1), Value: []byte("ready")}}}, 0)
-	}
-	engines := func() int {
-		list, _, _ := x.Relay.Engines()
-		return len(list)
-	}
-	if n := engines(); n != 1 {
-		t.Errorf("expected the news to wait, got %d engines", n)
-	}
-	for end := time.Now().Add(20 * time.Second); engines() != 4; time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("expected all news to be handed on, got %d engines", engines())
+	synctest.Test(t, func(t *testing.T) {
+		x := listBox()
+		table := x.tables[tableEndpoints]
+		expect := func(what string, want int) {
+			t.Helper()
+			if list, _, _ := x.Relay.Engines(); len(list) != want {
+				t.Errorf("%s: expected %d engines, got %d", what, want, len(list))
+			}
 		}
-	}
+		table.Hear(follow.Part{Version: 1, Rows: []follow.Row{{Key: "e-1", Value: []byte("ready")}}}, 0)
+		expect("the first list", 1)
+		table.Again(func() { x.listDue = clock.Now().Add(100 * time.Millisecond) })
+		for ver := int64(1); ver < 4; ver++ {
+			table.Hear(follow.Part{Since: ver, Version: ver + 1, Rows: []follow.Row{{Key: fmt.Sprint("e-", ver+1), Value: []byte("ready")}}}, 0)
+		}
+		expect("news that came too soon", 1)
+		time.Sleep(110 * time.Millisecond)
+		synctest.Wait()
+		expect("once they are due", 4)
+	})
 }
--- a/internal/box/relay_test.go
+++ b/internal/box/relay_test.go
@@ -39,7 +39,7 @@
 	expect := func(what string, more int) {
 		t.Helper()
 		before := reads
-		b.list(rows)
+		b.hand(rows)
 		if reads-before != more {
 			t.Errorf("%s: expected %d rows to be read, got %d", what, more, reads-before)
 		}
@@ -158,8 +158,7 @@
 		for k, v := range rows {
 			in[k] = []byte(v)
 		}
-		b.listDue = time.Time{} // TestListNewsGathered has the pause between two lists.
-		b.list(in)
+		b.hand(in)
 		var got []string
 		engines, _, _ := b.Relay.Engines()
 		for _, e := range engines {
