Count the rounds in which all engines may be asked, and draw turns apart

When an engine is due was reckoned by time alone, so that all were due at once as a burst raised what may be asked. And the turn of a box to ask an engine was drawn with the hash that draws the engines it deals with: of these it has the highest draws, so the boxes of an engine asked at one moment in place of one after the other.

Ruled out: a lower bound (it was not kept), hearing answers late (they come within half a second, the draws were the same).

Change: rounds are counted by what may be asked at each time; an engine is due after one round and its draw, which has a hash of its own. The spread over boxes is a round, where that is longer. Where few engines are asked often, as on small deployments, waits are as before.

Before: TestAsksNewInTurn has all 96 engines of a box asked within five seconds. After: never more than 34, over 140 s with a burst.

--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -58,7 +58,9 @@
 	// evacuated are the data halls whose endpoints get nothing new.
 	evacuated map[string]bool
 	// heard is when an engine was last asked for its load, or others were heard to have.
-	heard map[string]time.Time
+	heard map[string]heard
+	// rounds count, for each service, how often all of its engines might have been asked.
+	rounds map[string]rounds
 }
 
 // knownRole is what an engine itself said of its role.
@@ -168,7 +170,7 @@
 	isGone := func(id string) bool { _, stays := f.index[id]; return !stays }
 	maps.DeleteFunc(f.roles, func(id string, _ knownRole) bool { return isGone(id) })
 	maps.DeleteFunc(f.askedWhy, func(id string, _ time.Time) bool { return isGone(id) })
-	maps.DeleteFunc(f.heard, func(id string, _ time.Time) bool { return isGone(id) })
+	maps.DeleteFunc(f.heard, func(id string, _ heard) bool { return isGone(id) })
 }
 
 // reportedRole takes the role that an engine reported, as of a time, and returns whether
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
@@ -96,22 +95,20 @@
 // bounded by the streams that there are.
 func (r *Relay) due(now time.Time) (out []Endpoint, next time.Duration) {
 	next = askIdle
-	neighbours := r.o.Others.Neighbours()
+	neighbours := float64(r.o.Others.Neighbours())
+	turns := map[string]turn{}
 	for _, e := range r.fleet.allEngines() {
-		all, part := r.fleet.engineCount(e.Service)
-		rate := min(askRate, max(leastAsked, askedPerStream*r.streams.rate(now, e.Service)))
-		after := askAfterDecode
-		if e.Role == decide.Prefill {
-			after = askAfterPrefill
+		t, known := turns[e.Service]
+		if !known {
+			all, part := r.fleet.engineCount(e.Service)
+			rate := min(askRate, max(leastAsked, askedPerStream*r.streams.rate(now, e.Service)))
+			t.round = seconds(max(1, float64(all)) / rate)
+			t.spread = seconds(max(1, part*neighbours) * tellTime.Seconds())
+			r.fleet.pass(e.Service, now, t.round)
+			turns[e.Service] = t
 		}
-		least := time.Duration(float64(all) / rate * float64(time.Second))
-		spread := time.Duration(max(1, part*float64(neighbours)) * float64(tellTime))
-		drawn := float64(xxhash.Sum64String(r.o.Box+" "+e.ID)>>11) / (1 << 53)
-		after = max(after, least)
-		wait := after + time.Duration(drawn*float64(spread))
-		first := time.Duration(drawn * float64(max(spread, least)))
-		r.fleet.firstSeen(e.ID, now.Add(first-wait))
-		ask, left := r.fleet.asked(e.ID, now, wait)
+		again, first := t.waits(r.o.Box, e)
+		ask, left := r.fleet.askInTurn(e, now, t, again, first)
 		if ask {
 			out = append(out, e)
 		}
@@ -126,41 +123,11 @@
 	if !listed {
 		return
 	}
-	if ask, _ := r.fleet.asked(id, clock.Now(), roomFresh); ask {
+	if r.fleet.asked(id, clock.Now(), roomFresh) {
 		go r.askLoad(context.Background(), e)
 	}
 }
 
-// asked notes that an engine is asked now, unless it was heard of within a time, of which some is left.
-func (f *fleet) asked(id string, now time.Time, within time.Duration) (ask bool, left time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if left = within - now.Sub(f.heard[id]); left > 0 {
-		return false, left
-	}
-	f.heardOf(id, now)
-	return true, within
-}
-
-// firstSeen notes when an engine that was never heard of counts as heard of, so that of many boxes one asks
-// it first, and not all engines of a large fleet at once: 986 boxes that each asked all of 96 engines at the
-// first stream would make 94,656 questions.
-func (f *fleet) firstSeen(id string, at time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if _, heard := f.heard[id]; !heard {
-		f.heardOf(id, at)
-	}
-}
-
-// heardOf notes that an engine was heard of. The lock is held.
-func (f *fleet) heardOf(id string, now time.Time) {
-	if f.heard == nil {
-		f.heard = map[string]time.Time{}
-	}
-	f.heard[id] = now
-}
-
 // allEngines lists the engines that this box may send something to.
 func (f *fleet) allEngines() []Endpoint {
 	f.mu.Lock()
--- a/internal/relay/loads_test.go
+++ b/internal/relay/loads_test.go
@@ -90,8 +90,7 @@
 	var asleep time.Duration
 	defer clock.Set(func() time.Duration { return asleep })()
 	f := fleet{}
-	first, _ := f.asked("e", clock.Now(), roomFresh)
-	if again, _ := f.asked("e", clock.Now(), roomFresh); !first || again {
+	if !f.asked("e", clock.Now(), roomFresh) || f.asked("e", clock.Now(), roomFresh) {
 		t.Error("expected one question")
 	}
 	w := waiting{}
@@ -100,7 +99,7 @@
 		t.Errorf("expected three to wait, got %d", n)
 	}
 	asleep = 5 * time.Second
-	if ask, _ := f.asked("e", clock.Now(), roomFresh); !ask {
+	if !f.asked("e", clock.Now(), roomFresh) {
 		t.Error("expected a question after the suspension")
 	}
 	if n := w.total(clock.Now()); n != 0 {
@@ -126,6 +125,29 @@
 	if most := 8; asked > most {
 		t.Errorf("expected at most %d questions in the first ten seconds, got %d", most, asked)
 	}
+	// Nor are they at any time once streams come, 40 a second and then twice as many: these allow 160 and
+	// 300 questions of all boxes, 9 and 17 in five seconds of one that hears no answer of another.
+	var recent []int
+	for at := 10 * time.Second; at < 150*time.Second; at += askTick {
+		streams := 4
+		if at > 80*time.Second {
+			streams = 8
+		}
+		for range streams {
+			r.streams.placed(start.Add(at), "llm", 1)
+		}
+		recent = append(recent, len(dueAt(r, start.Add(at))))
+		if len(recent) > int(5*time.Second/askTick) {
+			recent = recent[1:]
+		}
+		sum := 0
+		for _, n := range recent {
+			sum += n
+		}
+		if most := 34; sum > most {
+			t.Fatalf("after %s: expected at most %d questions in five seconds, got %d", at, most, sum)
+		}
+	}
 	few := subsetRelay("a", "h-0", fleetOf(9, 0))
 	asked = 0
 	for at := time.Duration(0); at <= 9*time.Second/leastAsked+askTick; at += askTick {
