Wait for the answer to a move as long as it can come

Callers saw streams end by a closed connection amid planned work only. Cause: an engine that is asked to give a run away stops it first and answers once its memory is copied. The box waited 0.9 s, asked once more, was told 409 (under way) or 404, and took the run for not stopped, though its call had ended: the stream was cut off, or read anew where its route and the retries allowed it, and the memory stayed held under a name that the late answer alone tells. Class: an order without an answer is taken for one that was not carried out. Ruled out: a longer limit (it moves the size of copy at which callers are cut); asking anew for what may run once (it would run twice). Change: the answer is waited for until the caller's time is over, and then for as long as the engine keeps the memory, so that it can be freed; 409 is asked again; an answer that cannot be read counts as none; a clean end of an answer without a length is no whole answer while nobody knows whether the run was stopped.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -265,7 +265,7 @@
 		switch {
 		case errors.Is(err, io.EOF) && begun:
 			_ = resp.Body.Close() // The connection may be used again.
-			f.send(flightEvent{attempt: a, ended: true})
+			f.send(flightEvent{attempt: a, ended: true, unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0})
 			return
 		case err != nil:
 			f.send(flightEvent{attempt: a, err: &callError{reason: outcome.Truncated, ran: true, broke: brokenOff{sent: sent}, detail: err.Error()}})
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -32,6 +32,8 @@
 	// old is how the first engine's call ended; nil while it goes on. A whole answer has no
 	// reason: whether that was its end is known only by the answer to the move.
 	old *callError
+	// unframed says that the first engine's answer ended with its connection, as a stopped one does too.
+	unframed bool
 	// going says that the next call was made, and back that it was made to the first engine.
 	going, back bool
 }
@@ -39,11 +41,13 @@
 // is tells whether an attempt is that of the move; of no move none is.
 func (m *migration) is(a decide.Attempt) bool { return m != nil && m.attempt == a }
 
-// moved is an engine's answer to a move.
+// moved is what became of a move.
 type moved struct {
-	source Source // Empty where the run was not stopped.
+	source Source // Empty where the engine named no memory.
 	copied bool
-	// said is why it was not, for the record.
+	// unanswered says that no answer came: the run may have been stopped or not.
+	unanswered bool
+	// said is why the stream was not moved, for the record.
 	said string
 }
 
@@ -55,10 +59,10 @@
 }
 
 const (
-	// moveLimit bounds a call to move a run, and moveTries how often it is made where no
-	// answer comes: whether the run was stopped must be known.
-	moveLimit = 900 * time.Millisecond
+	// moveTries is how often a move is asked for whose connection ends without an answer.
 	moveTries = 2
+	// moveAgain paces the questions to an engine that says that the move is under way already.
+	moveAgain = 100 * time.Millisecond
 	// stopTime is how long the call of a run that was stopped may take to end.
 	stopTime = 250 * time.Millisecond
 )
@@ -69,29 +73,52 @@
 	f.calls.Go(func() { f.callMigrate(a) })
 }
 
-// callMigrate reports what the engine answers. It outlives a caller that leaves: only the
-// answer names what is to be freed.
+// callMigrate reports what the engine answers. An engine stops the run before it copies the memory, so a
+// late answer does not mean that the run goes on, and only the answer names the memory. It is waited for
+// as long as the caller waits, and then for as long as the engine keeps the memory.
 func (f *flight) callMigrate(a decide.Migrate) {
-	r := f.x.r
-	address := r.disp.Address(a.From)
-	call := r.wire.Migrate(f.x.ask.ID, r.disp.Address(a.To))
-	out := &moved{}
-	for range moveTries {
-		resp, body, err := r.side.Call(context.WithoutCancel(f.ctx), moveLimit, sideRequest(address, call), sideAnswer)
+	kept := f.x.service.Engines.HandleFor
+	limit := f.x.left() + kept
+	ctx, cancel := linger(f.ctx, kept)
+	defer cancel()
+	address := f.x.r.disp.Address(a.From)
+	call := f.x.r.wire.Migrate(f.x.ask.ID, f.x.r.disp.Address(a.To))
+	out := &moved{unanswered: true}
+	for lost := 0; lost < moveTries && ctx.Err() == nil; {
+		resp, body, err := f.x.r.side.Call(ctx, limit, sideRequest(address, call), sideAnswer)
+		var answer Migration
+		if err == nil {
+			answer, err = f.x.r.wire.Migrated(resp.StatusCode, body)
+		}
 		if err != nil {
 			out.said = err.Error()
+			lost++
 			continue
 		}
 		out.said = "the engine answered " + resp.Status
-		handle, copied := r.wire.Migrated(resp.StatusCode, body)
-		if handle != "" {
-			out.source, out.copied = Source{Address: address, Handle: handle}, copied
+		if answer.UnderWay {
+			pause(ctx, moveAgain)
+			continue
+		}
+		out.unanswered = false
+		if answer.Handle != "" {
+			out.source, out.copied = Source{Address: address, Handle: answer.Handle}, answer.Copied
 		}
 		break
 	}
 	f.send(flightEvent{attempt: a.Attempt, moved: out})
 }
 
+// pause returns after a time, or when ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // whileMoving takes what a move waits for, and returns whether that was all about the event.
 func (f *flight) whileMoving(ev flightEvent) bool {
 	m := f.moving
@@ -110,7 +137,7 @@
 		m.old = ev.err
 		f.goOn()
 	case ev.ended && !m.is(ev.attempt):
-		m.old = &callError{}
+		m.old, m.unframed = &callError{}, ev.unframed
 		f.goOn()
 	default:
 		return false
@@ -134,6 +161,10 @@
 	f.stayed(ev.said)
 	switch {
 	case m.old == nil:
+	case m.old.reason == outcome.OK && m.unframed && ev.unanswered:
+		f.again(flightEvent{attempt: f.write, err: &callError{
+			reason: outcome.Truncated, ran: true, detail: "the answer had no length, and the run may have been stopped",
+		}})
 	case m.old.reason == outcome.OK:
 		f.again(flightEvent{attempt: f.write, ended: true})
 	default:
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -68,7 +68,7 @@
 }
 
 // flightEvent is what the calls to engines report. Exactly one of the fields after
-// attempt is set.
+// attempt is set, and unframed beside ended only.
 type flightEvent struct {
 	attempt decide.Attempt
 	held    *held     // Memory was set aside.
@@ -77,10 +77,12 @@
 	head    *headPart // The answer began.
 	part    *part     // The answer went on.
 	ended   bool      // The answer is whole.
-	final   *finalPart
-	err     *callError
-	moved   *moved // An engine answered to a move.
-	overdue bool   // A call that was stopped for a move should have ended.
+	// unframed says of an answer that ended that its end was that of its connection.
+	unframed bool
+	final    *finalPart
+	err      *callError
+	moved    *moved // An engine answered to a move.
+	overdue  bool   // A call that was stopped for a move should have ended.
 }
 
 // noRoom says who refused memory: the engine itself, or its home, which is named.
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -212,6 +212,16 @@
 	Events int // Made so far.
 }
 
+// Migration is an engine's answer to a move.
+type Migration struct {
+	// Handle names the memory of the run, which was stopped and goes on by it: at the other engine if
+	// Copied, and otherwise where it was. It is empty if the run was not stopped.
+	Handle string
+	Copied bool
+	// UnderWay says that the engine has not answered an earlier call for the same move yet.
+	UnderWay bool
+}
+
 // Wire is how callers and endpoints spell what the relay hears and says.
 type Wire interface {
 	// Ask reads what the caller says of its request.
@@ -235,10 +245,9 @@
 	DropHold(hold string) Call
 	DropHandle(handle string) Call
 	// Migrate has an engine stop the run of a request and give what it has in memory to
-	// another engine; Migrated reads the answer. The run goes on by that handle, at the other
-	// engine if copied, and otherwise where it was. Without a handle it was not stopped.
+	// another engine; Migrated reads the answer.
 	Migrate(request, address string) Call
-	Migrated(status int, body []byte) (handle string, copied bool)
+	Migrated(status int, body []byte) (Migration, error)
 	// AskLoad asks an engine for its load; Load reads the answer.
 	AskLoad() Call
 	Load(body []byte) (Load, error)
