Leave a quarantined stream where it runs

Callers saw a stream that was well at an engine which leaves end at once, with 6 of 30 events, when equal requests had ended engines by then. Cause: whether a request is quarantined was asked before a move as before a first call, and a request that is quarantined ends. Found by reading. Ruled out: to move it all the same (it would reach one engine more). Change: the stream stays at its engine; one that was stopped for a move already goes on there by the memory that the engine keeps.

--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -67,8 +67,13 @@
 	stopTime = 250 * time.Millisecond
 )
 
-// migrate asks the engine that writes to give the stream away.
+// migrate asks the engine that writes to give the stream away. A quarantined stream stays: it may be sent
+// to no other engine, and ending it here would take from the caller an answer that is under way.
 func (f *flight) migrate(a decide.Migrate) {
+	if o, held := f.x.held(); held {
+		f.stayed(a.Attempt, o.Reason.Sentence())
+		return
+	}
 	f.moving = &migration{attempt: a.Attempt, from: a.From, to: a.To}
 	f.calls.Go(func() { f.callMigrate(a) })
 }
@@ -158,7 +163,8 @@
 		f.goOn()
 		return
 	}
-	f.stayed(ev.said)
+	f.moving = nil
+	f.stayed(m.attempt, ev.said)
 	switch {
 	case m.old == nil:
 	case m.old.reason == outcome.OK && m.unframed && ev.unanswered:
@@ -184,22 +190,23 @@
 	}
 }
 
-// stayed ends a move after which the stream is where it was.
-func (f *flight) stayed(why string) {
+// stayed tells of a move that was not made: the stream is where it was.
+func (f *flight) stayed(move decide.Attempt, why string) {
 	f.x.r.m.MigratedNot.Inc()
 	f.x.acc.Step(record.Step{Kind: record.StepStayed, Text: why})
-	f.x.r.disp.Step(decide.MigrateFailed{ID: f.id, Attempt: f.moving.attempt})
-	f.moving = nil
+	f.x.r.disp.Step(decide.MigrateFailed{ID: f.id, Attempt: move})
 }
 
-// goOn makes the next call as soon as the run is stopped and its call has ended.
+// goOn makes the next call as soon as the run is stopped and its call has ended. One that was quarantined
+// meanwhile goes on where it was.
 func (f *flight) goOn() {
 	m := f.moving
 	if m.source.Handle == "" || m.old == nil || m.going {
 		return
 	}
 	m.going = true
-	f.callNext(!m.copied)
+	_, held := f.x.held()
+	f.callNext(held || !m.copied)
 }
 
 // callNext calls the other engine or, back, the first one, which keeps the memory.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -265,7 +265,7 @@
 func (f *flight) act(a decide.Action) (outcome.Outcome, bool) {
 	f.note(a)
 	switch a.(type) {
-	case decide.Migrate, decide.StartPrefill, decide.StartDecode:
+	case decide.StartPrefill, decide.StartDecode:
 		if o, held := f.x.held(); held {
 			return o, true
 		}
