Give back the retry of a move that was not made

Callers saw streams that may be resumed end by a closed connection though other engines had room. Cause: a move takes a retry when it is asked for. One that the engine refused kept it, and is asked again each 1.5 s while the engine leaves, so that none was left when a stream broke off. Ruled out: no retry for moves (the call by which a moved stream goes on may count as one). Change: the retry is given back to the part of the window that it was taken from, so that no window allows more.

--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -115,6 +115,7 @@
 	target      *engine
 	targetHeld  int
 	moveAttempt Attempt
+	moveAt      time.Time // When the retry for the move was taken.
 	stayUntil   time.Time
 
 	stageStart    time.Time
--- a/internal/decide/migrate.go
+++ b/internal/decide/migrate.go
@@ -158,7 +158,7 @@
 		f.stayUntil = c.now.Add(migrateEvery)
 		return
 	}
-	f.target, f.targetHeld = to, rest.need()
+	f.target, f.targetHeld, f.moveAt = to, rest.need(), c.now
 	f.moveAttempt = f.newAttempt()
 	to.usedAt = c.now
 	to.addDecode(c.now, f.ID, booking{f.targetHeld, rest.PromptTokens, 0, rest.expected()}, f.weight())
@@ -202,4 +202,6 @@
 	}
 	f.stayUntil = c.now.Add(migratePause)
 	c.releaseTarget(f)
+	// No call was made. A stream that breaks may need it to go on elsewhere.
+	c.budget.Return(f.moveAt, 1)
 }
--- a/internal/decide/migrate_test.go
+++ b/internal/decide/migrate_test.go
@@ -181,3 +181,33 @@
 	s.later(migrateEvery)
 	s.expectMoves("a stream that is nearly done", 0)
 }
+
+// A move that was not made had used up the retry that it took. Each engine that leaves is asked again every
+// 1.5 s while it has no room for the copy; with ten retries for all, none was left when a stream broke off
+// that could have gone on elsewhere, and its caller's connection was closed.
+func TestMoveNotMadeGivesItsRetryBack(t *testing.T) {
+	s := newMoveScene(t)
+	before := s.retriesLeft()
+	s.tell(0, 0)
+	s.fleet("b")
+	for n := 1; n <= 5; n++ {
+		s.tell(0, 0)
+		s.later(migratePause + migrateEvery)
+		s.expectMoves("while b leaves", n)
+		if got := s.retriesLeft(); got != before-1 {
+			t.Fatalf("expected one retry to be taken by the move under way, got %d of %d left", got, before)
+		}
+		s.step(MigrateFailed{ID: 1, Attempt: s.moves[n-1].Attempt})
+	}
+	if got := s.retriesLeft(); got != before {
+		t.Errorf("expected all %d retries to be left, got %d", before, got)
+	}
+}
+
+// retriesLeft is how many calls the budget would let through now.
+func (s *moveScene) retriesLeft() (n int) {
+	for s.c.budget.Has(s.now, n+1) {
+		n++
+	}
+	return n
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -111,6 +111,20 @@
 	return true
 }
 
+// Return gives back n calls that were taken at a time and not made. What was taken longer ago than a
+// window counts no more, and nothing is given back.
+func (b *Budget) Return(taken time.Time, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.part <= 0 {
+		return
+	}
+	at := taken.UnixNano() / int64(b.part)
+	if s := &b.slots[((at%slots)+slots)%slots]; s.at == at {
+		s.spent = max(0, s.spent-n)
+	}
+}
+
 func (b *Budget) has(now time.Time, n int) bool {
 	newest := b.slot(now)
 	if newest == nil {
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -46,6 +46,30 @@
 	}
 }
 
+// What is given back may be taken again in its window, and adds nothing to a later one.
+func TestReturn(t *testing.T) {
+	var b Budget
+	b.Fixed(0, 2, 10*time.Second)
+	now := time.Unix(1_800_000_000, 0)
+	expectTaken := func(what string, n int) {
+		t.Helper()
+		got := 0
+		for b.Take(now, 1) {
+			got++
+		}
+		if got != n {
+			t.Errorf("%s: expected %d calls to be let through, got %d", what, n, got)
+		}
+	}
+	expectTaken("at first", 2)
+	b.Return(now, 1)
+	expectTaken("after one was given back", 1)
+	taken := now
+	now = now.Add(time.Minute)
+	b.Return(taken, 1)
+	expectTaken("a minute later", 2)
+}
+
 // since counts the times after a moment.
 func since(list []time.Time, from time.Time) (n int) {
 	for _, at := range list {
