Take an empty answer for the end of a stream that goes on after an event

Callers that had every event of a stream saw it end by a closed connection. Cause: a run that is stopped between its last event and its end has nothing left to send where it goes on, and an answer without any event counted as broken off. Ruled out: to tell by the count of events (engines end an answer when they will); an answer that ends with its connection, which a broken one does too. Change: an empty answer with a length or chunks is the end of a stream that goes on after an event, of a move, of a resumed stream or of a caller that returns.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -219,7 +219,7 @@
 	case resp.StatusCode != http.StatusOK:
 		f.failure(a.Attempt, resp, sent)
 	default:
-		f.pump(a.Attempt, resp, sent)
+		f.pump(a.Attempt, resp, sent, run.LastEvent != "" || x.ask.LastEvent != "")
 	}
 }
 
@@ -238,9 +238,11 @@
 }
 
 // pump reads a stream to its end and reports whole events only: an engine may stop in
-// the middle of one, and the stream then goes on elsewhere after the last whole one.
-func (f *flight) pump(a decide.Attempt, resp *http.Response, sent time.Time) {
+// the middle of one, and the stream then goes on elsewhere after the last whole one. An empty answer is the
+// end of a stream that goes on after an event: its caller may have had the last one.
+func (f *flight) pump(a decide.Attempt, resp *http.Response, sent time.Time, goesOn bool) {
 	var s splitter
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	buf := make([]byte, 4<<10)
 	begun := false
 	for {
@@ -249,7 +251,7 @@
 		if errors.Is(err, io.EOF) {
 			p.bytes = append(p.bytes, s.rest...)
 		}
-		if len(p.bytes) > 0 {
+		if len(p.bytes) > 0 || !begun && goesOn && !unframed && errors.Is(err, io.EOF) {
 			if p.counted = int64(len(p.bytes)); !f.x.r.memory.ahead(f.ctx, p.counted) {
 				return
 			}
@@ -265,7 +267,7 @@
 		switch {
 		case errors.Is(err, io.EOF) && begun:
 			_ = resp.Body.Close() // The connection may be used again.
-			f.send(flightEvent{attempt: a, ended: true, unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0})
+			f.send(flightEvent{attempt: a, ended: true, unframed: unframed})
 			return
 		case err != nil:
 			f.send(flightEvent{attempt: a, err: &callError{reason: outcome.Truncated, ran: true, broke: brokenOff{sent: sent}, detail: err.Error()}})
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -448,6 +448,9 @@
 
 // pass sends events to the caller.
 func (f *flight) pass(p *part) (outcome.Outcome, bool) {
+	if len(p.bytes) == 0 {
+		return outcome.Outcome{}, false
+	}
 	now := clock.Now()
 	if !f.last.IsZero() {
 		gap := now.Sub(f.last)
