Go back to the first engine when a moved stream's call is lost

Callers saw a moved stream end by a closed connection. Cause: a call to the second engine whose connection broke before an answer came counted as one that ran, and what may have run is not called again. Ruled out: a double run: a handle serves once, so the first engine refuses the run if the second one has taken the memory (the second case of the test). Change: the first engine is called with the same handle.

--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -229,11 +229,13 @@
 	f.calls.Go(func() { f.callWrite(ctx, a, run) })
 }
 
-// nextFailed tries the first engine where the other one did not take the run. What may have
-// run is not tried again here.
+// nextFailed tries the first engine where the other one is not known to have taken the run: the handle
+// serves once, so it is not run there if the other engine did take it.
 func (f *flight) nextFailed(e callError) {
 	m := f.moving
-	if !m.back && !e.ran {
+	if !m.back && (!e.ran || e.broke.unanswered) {
+		f.x.acc.Step(record.Step{Kind: record.StepFailed, Attempt: int(m.attempt), Decode: m.to, Reason: e.reason, Text: e.detail})
+		f.x.brokeOff(m.to, e.broke)
 		f.stopWrite()
 		f.callNext(true)
 		return
