Give callers their time to take the end of a stream

Callers saw a stream end by a closed connection though its engine had ended it well. Cause: the end of a stream is written by the server after the last event, under that event's deadline. An engine that ends its answer 2 to 4 s later (1 s while the box is short of memory) finds the deadline over, and the end is not written. Ruled out: a deadline for the whole answer (it bounds nothing for one that lasts a minute). Change: the deadline is set anew before the end is written.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -133,6 +133,7 @@
 	o := x.runStream(ctx)
 	switch {
 	case o.Kind == outcome.Answered:
+		x.allowWrite() // The server still writes the end, which may come long after the last event.
 		x.acc.Close(o)
 	case x.begun || o.Kind == outcome.Cancelled:
 		x.cutOff(o) // A plain return would close the stream as if it were whole.
