Write on to callers that read though a deadline has passed

Callers that read all that came had their connections closed by a box that had no processor for seconds. Cause: deadlines for writing are set before a write. A process that gets no processor until after them fails each write at once, whether the caller reads or not. Ruled out: a longer deadline (a longer stall passes it too); asking whether the process stalled (a write can be overtaken by its deadline without a stall that a tick notices). A caller that takes nothing is given up as before.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -139,15 +139,11 @@
 // kratosServer is what kratos runs.
 type kratosServer = transport.Server
 
-// listenOn opens one listener behind kratos' HTTP transport. The handler is
+// serveOn puts one listener behind kratos' HTTP transport. The handler is
 // installed as a filter, so that kratos' router, which would clean paths by
 // redirecting, sees nothing; and kratos' one-second time-out, which would cut
 // streams, is off: every stage of a request has a bound of its own.
-func listenOn(address string, h http.Handler, got *string, log *zap.Logger, more ...khttp.ServerOption) (*khttp.Server, error) {
-	lis, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
+func serveOn(lis net.Listener, h http.Handler, got *string, log *zap.Logger, more ...khttp.ServerOption) *khttp.Server {
 	*got = lis.Addr().String()
 	opts := append([]khttp.ServerOption{
 		khttp.Listener(lis),
@@ -159,7 +155,7 @@
 	srv.MaxHeaderBytes = maxHeader
 	srv.IdleTimeout = idleTimeout
 	srv.ErrorLog, _ = zap.NewStdLogAt(log, zap.WarnLevel)
-	return srv, nil
+	return srv
 }
 
 // listen opens one of the box's listeners, with TLS where the settings name files.
@@ -172,10 +168,11 @@
 		}
 		opts = append(opts, khttp.TLSConfig(&tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}))
 	}
-	srv, err := listenOn(address, h, got, b.log, opts...)
+	lis, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	srv := serveOn(lis, h, got, b.log, opts...)
 	srv.ReadHeaderTimeout = b.cfg.HeaderTimeout
 	return srv, nil
 }
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -363,10 +364,15 @@
 		if p.address == "" {
 			continue
 		}
-		srv, err := listenOn(p.address, p.handler, p.got, b.log)
+		listen := net.Listen
+		if p.handler == b.Relay {
+			listen = relay.ListenCallers
+		}
+		lis, err := listen("tcp", p.address)
 		if err != nil {
 			return nil, fmt.Errorf("%s address: %w", p.name, err)
 		}
+		srv := serveOn(lis, p.handler, p.got, b.log)
 		srv.ReadHeaderTimeout = cfg.HeaderTimeout
 		srv.IdleTimeout = cfg.IdleTimeout
 		out = append(out, srv)
--- /dev/null
+++ b/internal/relay/callerconn_test.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+)
+
+// callerPair is a connection as a box has it, and the caller's end of it.
+func callerPair(t *testing.T) (box, caller net.Conn) {
+	t.Helper()
+	lis, err := ListenCallers("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	caller, err = net.Dial("tcp", lis.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	box, err = lis.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = caller.Close()
+		_ = box.Close()
+	})
+	return box, caller
+}
+
+// A box that had no processor for seconds found the deadlines of its writes passed, and closed the
+// connections of callers who had read all that came. A caller that reads gets what is written.
+func TestWriteAfterAStall(t *testing.T) {
+	box, caller := callerPair(t)
+	text := bytes.Repeat([]byte("event"), 100_000) // More than the buffers of a connection.
+	if err := box.SetWriteDeadline(time.Now().Add(-time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan []byte, 1)
+	go func() {
+		b, _ := io.ReadAll(caller)
+		got <- b
+	}()
+	if n, err := box.Write(text); err != nil || n != len(text) {
+		t.Fatalf("expected %d bytes to be written, got %d, %v", len(text), n, err)
+	}
+	if err := box.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if b := <-got; !bytes.Equal(b, text) {
+		t.Errorf("expected all %d bytes, got %d", len(text), len(b))
+	}
+}
+
+// A caller that takes nothing is given up, also after a stall.
+func TestWriteToOneThatDoesNotRead(t *testing.T) {
+	box, _ := callerPair(t)
+	if err := box.SetWriteDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	n, err := box.Write(make([]byte, 64<<20))
+	if !errors.Is(err, os.ErrDeadlineExceeded) || n == 64<<20 {
+		t.Errorf("expected the write to be given up, got %d, %v", n, err)
+	}
+}
