Free memory that is set aside late, and free again what was not freed for sure

Cause: a call that sets memory aside was given up after 0.7 s, with its answer, which alone names what is held; a call that frees memory was made once. Ruled out: a longer wait before another engine is chosen (callers wait 0.9 s for the first event). Change: the request goes on after 0.7 s as before, and the call lasts as long as its memory may be held, to free what a late answer names. Freeing is tried three times, unless the engine's port refuses.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/h1"
@@ -102,25 +104,35 @@
 		f.send(flightEvent{attempt: a, noRoom: &noRoom{home}})
 		return h, false
 	}
-	address := x.r.disp.Address(engine)
-	c := x.r.wire.TakeHold(x.ask.PromptTokens+min(x.ahead(), x.reserve()), min(x.service.Engines.HoldFor, holdFor))
-	// The call outlives a caller that leaves: only its answer names what is to be freed.
-	resp, body, err := x.r.side.Call(context.WithoutCancel(ctx), sideLimit, sideRequest(address, c), sideAnswer)
-	id := ""
-	if err == nil && resp.StatusCode == http.StatusOK {
-		id, err = x.r.wire.Held(body)
+	late := time.AfterFunc(sideLimit, func() { f.send(flightEvent{attempt: a, noRoom: &noRoom{}}) })
+	id := x.r.takeHold(ctx, engine, x)
+	inTime := late.Stop()
+	switch {
+	case inTime && ctx.Err() == nil && id != "":
+		return held{engine: engine, id: id, home: home}, true
+	case id != "":
+		x.r.drop(x.r.disp.Address(engine), x.r.wire.DropHold(id))
+	case inTime && ctx.Err() == nil:
+		f.send(flightEvent{attempt: a, noRoom: &noRoom{}})
 	}
-	if ctx.Err() != nil {
-		if id != "" {
-			x.r.drop(address, x.r.wire.DropHold(id))
-		}
-		return h, false
+	return h, false
+}
+
+// takeHold has an engine hold memory for the request, and returns its name; empty if it does not. Only the
+// answer tells the name, so the call outlives a caller that leaves, and lasts as long as the memory may be
+// held.
+func (r *Relay) takeHold(ctx context.Context, engine string, x *exchange) string {
+	life := min(x.service.Engines.HoldFor, holdFor)
+	c := r.wire.TakeHold(x.ask.PromptTokens+min(x.ahead(), x.reserve()), life)
+	resp, body, err := r.side.Call(context.WithoutCancel(ctx), sideLimit+life, sideRequest(r.disp.Address(engine), c), sideAnswer)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return ""
 	}
-	if err != nil || id == "" {
-		f.send(flightEvent{attempt: a, noRoom: &noRoom{}})
-		return h, false
+	id, err := r.wire.Held(body)
+	if err != nil {
+		r.o.Book.Log.Belief("answer about held memory not read", zap.String("endpoint", engine), zap.Error(err))
 	}
-	return held{engine: engine, id: id, home: home}, true
+	return id
 }
 
 func sideRequest(address string, c Call) *h1.Request {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
@@ -18,8 +20,11 @@
 const (
 	// eventBuffer lets a few events wait for a caller that reads slowly.
 	eventBuffer = 32
-	// sideLimit bounds a call that sets memory aside or frees it.
+	// sideLimit bounds the wait for a call that sets memory aside, and a call that frees it.
 	sideLimit = 700 * time.Millisecond
+	// dropTries is how often memory is freed whose engine does not answer, and dropAgain the pause.
+	dropTries = 3
+	dropAgain = 250 * time.Millisecond
 	// sideAnswer bounds the answer to one, in bytes.
 	sideAnswer = 64 << 10
 )
@@ -497,12 +502,18 @@
 	}
 }
 
-// drop makes a call that frees memory, without waiting for it.
+// drop makes a call that frees memory, without waiting for it. A call without an answer may not have freed
+// it and is made again; an engine whose port refuses has ended, and holds nothing.
 func (r *Relay) drop(address string, c Call) {
 	r.m.Aborts.Inc()
 	r.frees.Go(func() {
-		if _, _, err := r.side.Call(context.Background(), sideLimit, sideRequest(address, c), sideAnswer); err != nil {
-			r.m.AbortsLost.Inc()
+		for range dropTries {
+			_, _, err := r.side.Call(context.Background(), sideLimit, sideRequest(address, c), sideAnswer)
+			if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+				return
+			}
+			time.Sleep(dropAgain)
 		}
+		r.m.AbortsLost.Inc()
 	})
 }
