--- a/internal/decide/attempt.go
+++ b/internal/decide/attempt.go
@@ -36,7 +36,7 @@
 		c.startWhole(f, q, ch)
 		return true
 	}
-	f.prefill, f.prefillAttempt, f.reading = q.prefill, f.attempt, true
+	f.prefill, f.prefillAttempt, f.reading, f.kvTaken = q.prefill, f.attempt, true, false
 	f.readTokens = f.PromptTokens - q.Cached
 	delay := f.pool.speed.ReadDelay
 	c.setStage(f, prefilling, q.Queue+q.Read+delay)
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -90,6 +90,7 @@
 	selfReading    bool    // The same on a decode engine that reads the prompt itself.
 	readTokens     int     // Prompt tokens the prefill engine had to read.
 	expires        time.Time
+	kvTaken        bool // Whether a decode engine may have taken the prefill's result.
 
 	predictedRead time.Time // When the prompt was to be read, by the prediction.
 	// explained is when the prompt was to be read if no other box had sent anything.
--- a/internal/decide/retries_test.go
+++ b/internal/decide/retries_test.go
@@ -155,3 +155,28 @@
 		}
 	}
 }
+
+// A stream was answered 504 with all retries spent: the engine that took its KV cache broke off, and each
+// of the others was told to take it from the prefill engine, which had given it away. An engine that
+// refuses after that tells that it is gone, and the prompt is read again. Evidence: six decode calls for one
+// prompt, five of them refused.
+func TestTakenResultIsReadAgain(t *testing.T) {
+	s := newScene(t, 1, 3)
+	s.arrive(1, "c", 1000)
+	s.step(PrefillDone{ID: 1, Attempt: s.runs[1].Attempt, Expires: s.now.Add(5 * time.Second)})
+	s.step(Failed{ID: 1, Attempt: s.goes[1].Attempt, Reason: outcome.EndpointDied, Ran: true})
+	second := s.goes[1]
+	s.step(Failed{ID: 1, Attempt: second.Attempt, Reason: outcome.EndpointRefused})
+	if s.goes[1].Attempt != second.Attempt || s.runs[1].Attempt <= second.Attempt {
+		t.Errorf("expected the prompt to be read again after the refusal, got read %d, decode %d", s.runs[1].Attempt, s.goes[1].Attempt)
+	}
+	// Of a result that no engine can have taken, a refusal says nothing.
+	s = newScene(t, 1, 3)
+	s.arrive(1, "c", 1000)
+	s.step(PrefillDone{ID: 1, Attempt: s.runs[1].Attempt, Expires: s.now.Add(5 * time.Second)})
+	first := s.goes[1]
+	s.step(Failed{ID: 1, Attempt: first.Attempt, Reason: outcome.EndpointRefused})
+	if s.goes[1].Attempt <= first.Attempt {
+		t.Errorf("expected another engine to take the result, got %+v", s.goes[1])
+	}
+}
