Record a stream that had begun and was not completed as cut off

Cause: a stream that could not go on elsewhere for want of retries kept the core's word, may_have_run, so that the figures of streams cut off left it out. Change: once the caller has the head of an answer the end is cut_off. Figures: TestBegunStreamIsRecordedAsCutOff, before: may_have_run; after: cut_off.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -141,6 +141,9 @@
 		x.allowWrite() // The server still writes the end, which may come long after the last event.
 		x.acc.Close(o)
 	case x.begun || o.Kind == outcome.Cancelled:
+		if o.Kind != outcome.Cancelled {
+			o.Kind = outcome.CutOff // The core does not know how much of the answer the caller has.
+		}
 		x.cutOff(o) // A plain return would close the stream as if it were whole.
 	default:
 		if o.RetryAfter > 0 {
