Tell a caller whose body came too late that it has not run

Callers whose body did not arrive in their time, or was not read in it by a box without a processor, were answered 400, after which they never come back. Cause: the deadline of reading was taken for a body that ends early. Change: 408 slow_body, not run. Figures: TestBodyBeyondTheCallersTime, before: 400; after: 408.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -353,6 +354,8 @@
 		return outcome.Refuse(outcome.TooLarge, ""), false
 	case errors.Is(err, errBoxFull):
 		return boxFull(), false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return outcome.Refuse(outcome.SlowBody, ""), false
 	case err != nil:
 		return outcome.Refuse(outcome.BadRequest, "the body ended early"), false
 	}
