Read a stream anew that may be resumed where its move is not answered

Callers give up a stream that pauses for seconds; since moves are waited for, one that may be resumed waited on at an engine that had ended its run and answered late or never. Ruled out: to read anew at once (a copy that takes a second is cheaper); without asking for retries (the answer is then all that there is). Change: two seconds after the run's end the core is asked whether it may go on elsewhere; if so the move is given up, and a late answer frees what it names. Beside it: a request whose attempt was given up is not told of missing room.

--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -138,6 +138,12 @@
 	c.wait(f)
 }
 
+// MayResume says whether a stream that breaks off now would be tried again.
+func (c *Core) MayResume(now time.Time, id ID) bool {
+	f := c.flights[id]
+	return f != nil && f.stage == streaming && f.Resumable && f.tries < maxTries && f.mayGoElsewhere() && c.budget.Has(now, f.callsAgain())
+}
+
 // callsAgain is how many calls beyond the first the next try will send, now that the present one
 // has failed: a platform counts a prompt that is read again like an answer that is made again.
 // With one retry for both all boxes sent twice what they took.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -87,6 +87,13 @@
 	return r.ID, c
 }
 
+// MayResume says whether a stream that breaks off could go on at another engine.
+func (d *Dispatcher) MayResume(id decide.ID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.MayResume(clock.Now(), id)
+}
+
 // Leave takes a request out of the core, whatever became of it. What it still
 // holds anywhere is aborted; for an answered request that is nothing.
 func (d *Dispatcher) Leave(id decide.ID) {
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -104,7 +104,11 @@
 		f.send(flightEvent{attempt: a, noRoom: &noRoom{home}})
 		return h, false
 	}
-	late := time.AfterFunc(sideLimit, func() { f.send(flightEvent{attempt: a, noRoom: &noRoom{}}) })
+	late := time.AfterFunc(sideLimit, func() {
+		if ctx.Err() == nil {
+			f.send(flightEvent{attempt: a, noRoom: &noRoom{}})
+		}
+	})
 	id := x.r.takeHold(ctx, engine, x)
 	inTime := late.Stop()
 	switch {
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -65,6 +65,9 @@
 	moveAgain = 100 * time.Millisecond
 	// stopTime is how long the call of a run that was stopped may take to end.
 	stopTime = 250 * time.Millisecond
+	// resumeAfter is how long the answer to a move is waited for once the run has ended, before a stream
+	// that may be resumed is read anew elsewhere: callers give up one that pauses for some seconds.
+	resumeAfter = 2 * time.Second
 )
 
 // migrate asks the engine that writes to give the stream away. A quarantined stream stays: it may be sent
@@ -136,10 +139,13 @@
 			m.old = &callError{reason: outcome.Truncated, ran: true, detail: "ended by the box after the run had stopped"}
 			f.goOn()
 		}
+	case ev.unanswered:
+		f.resumeElsewhere()
 	case ev.err != nil && m.is(ev.attempt):
 		f.nextFailed(*ev.err)
 	case ev.err != nil:
 		m.old = ev.err
+		f.awaitAnswer()
 		f.goOn()
 	case ev.ended && !m.is(ev.attempt):
 		m.old, m.unframed = &callError{}, ev.unframed
@@ -181,13 +187,38 @@
 // again has the loop take an event that was held back during a move.
 func (f *flight) again(ev flightEvent) { f.calls.Go(func() { f.send(ev) }) }
 
+// awaitAnswer reports when the move of a stream that may be resumed should have been answered.
+func (f *flight) awaitAnswer() {
+	if !f.x.route.Resumable || f.moving.source.Handle != "" {
+		return
+	}
+	attempt := f.moving.attempt
+	f.calls.Go(func() {
+		pause(f.ctx, resumeAfter)
+		f.send(flightEvent{attempt: attempt, unanswered: true})
+	})
+}
+
+// resumeElsewhere ends a move whose run has ended without an answer, and has the stream read anew. Where
+// that is not possible the answer is all that there is, and is waited for.
+func (f *flight) resumeElsewhere() {
+	m := f.moving
+	if m.source.Handle != "" {
+		return
+	}
+	if !f.x.r.disp.MayResume(f.id) {
+		f.awaitAnswer()
+		return
+	}
+	f.moving = nil
+	f.abortMigration(m.attempt, "its run has ended, and the engine does not answer")
+	f.failed(f.write, *m.old)
+}
+
 // awaitStop reports when the call of the run that was stopped should have ended.
 func (f *flight) awaitStop(attempt decide.Attempt) {
-	select {
-	case <-time.After(stopTime):
-		f.send(flightEvent{attempt: attempt, overdue: true})
-	case <-f.ctx.Done():
-	}
+	pause(f.ctx, stopTime)
+	f.send(flightEvent{attempt: attempt, overdue: true})
 }
 
 // abortMigration keeps the stream where it is.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -88,6 +88,8 @@
 	err      *callError
 	moved    *moved // An engine answered to a move.
 	overdue  bool   // A call that was stopped for a move should have ended.
+	// unanswered says that a move should have been answered whose run has ended.
+	unanswered bool
 }
 
 // noRoom says who refused memory: the engine itself, or its home, which is named.
