Do not say of a stream that it went on where its run had ended

Cause: 'stoatramp why' said of each move that was not made that the stream went on where it was, also where the engine had ended its run and did not answer. Change: the sentence names the reason only; what came next follows it.

--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -95,7 +95,7 @@
 	case StepMigrated:
 		return fmt.Sprintf("It went on at %s.", s.Decode)
 	case StepStayed:
-		return fmt.Sprintf("It was not moved, and went on where it was: %s.", s.Text)
+		return fmt.Sprintf("It was not moved: %s.", s.Text)
 	case StepNoRoom:
 		if s.Text != "" {
 			return fmt.Sprintf("Box %s, the home of %s, said that it has no room; nothing was sent yet, and the request was placed again.", s.Text, s.Decode)
