Note a failed call to an engine in one place

Cause: a failed call was written down and counted against its engine in two places alike, and abortMigration was said to keep a stream where it is, which is not so where its run has ended. Ruled out: the shared index of the retry window's slots (one expression, twice). Change: recordFailure serves both; the comment says when a move is ended.

--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -221,7 +221,7 @@
 	f.send(flightEvent{attempt: attempt, overdue: true})
 }
 
-// abortMigration keeps the stream where it is.
+// abortMigration ends a move for which no other call was made.
 func (f *flight) abortMigration(move decide.Attempt, why string) {
 	f.x.r.m.MigratedNot.Inc()
 	f.x.acc.Step(record.Step{Kind: record.StepStayed, Text: why})
@@ -265,8 +265,7 @@
 func (f *flight) nextFailed(e callError) {
 	m := f.moving
 	if !m.back && (!e.ran || e.broke.unanswered) {
-		f.x.acc.Step(record.Step{Kind: record.StepFailed, Attempt: int(m.attempt), Decode: m.to, Reason: e.reason, Text: e.detail})
-		f.x.brokeOff(m.to, e.broke)
+		f.recordFailure(m.attempt, m.to, &e)
 		f.stopWrite()
 		f.callNext(true)
 		return
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -416,8 +416,7 @@
 		engine = f.reader
 	}
 	f.x.ran = f.x.ran || e.ran
-	f.x.acc.Step(record.Step{Kind: record.StepFailed, Attempt: int(a), Decode: engine, Reason: e.reason, Text: e.detail})
-	f.x.brokeOff(engine, e.broke)
+	f.recordFailure(a, engine, &e)
 	if e.reason == outcome.EndpointRefused {
 		f.x.r.askWhy(engine)
 		if a == f.read {
@@ -427,6 +426,12 @@
 	f.x.r.disp.Step(decide.Failed{ID: f.id, Attempt: a, Reason: e.reason, Ran: e.ran})
 }
 
+// recordFailure notes how a call to an engine failed.
+func (f *flight) recordFailure(a decide.Attempt, engine string, e *callError) {
+	f.x.acc.Step(record.Step{Kind: record.StepFailed, Attempt: int(a), Decode: engine, Reason: e.reason, Text: e.detail})
+	f.x.brokeOff(engine, e.broke)
+}
+
 // begin passes the head of the answer on, unless an earlier engine's head was: a stream
 // that goes on at another engine keeps the first one's. Of a call that the core has given up
 // nothing is passed on.
