Log the limits that endpoints name in their answers

Cause: no log line or metric told whether a box had read the limit of an endpoint that got more than it had asked for. Ruled out: reading the header where each answer is used. Answers to calls of a box's own and answers that are dropped would have been left out. Change: the pool of connections hands on the head of each answer that belongs to its request; package notice keeps what the endpoint said, by its ID. A limit that cannot be read leaves the last one in force and is logged. Nothing is decided by it yet. Tests: which numbers are taken, what lifts a limit, answers that overtake others. Conclusion: the line of the first answer with a limit says when each box knew.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -186,6 +186,7 @@
 	b.Metrics.Set.NewGauge("stoatramp_ends_known", func() float64 { n, _ := b.ends.Sizes(); return float64(n) })
 	b.Metrics.Set.NewGauge("stoatramp_requests_held", func() float64 { _, n := b.ends.Sizes(); return float64(n) })
 	b.Metrics.Set.NewGauge("stoatramp_held_bytes", func() float64 { return float64(b.Relay.Held()) })
+	b.Metrics.Set.NewGauge("stoatramp_endpoints_limited", func() float64 { return float64(b.Relay.Limited()) })
 	b.Metrics.Set.NewGauge("stoatramp_running", func() float64 { return float64(b.Relay.Running()) })
 }
 
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -54,6 +54,8 @@
 	Header  http.Header
 	// Body is sent whole with its length; nil sends none.
 	Body []byte
+	// Endpoint is the ID of the endpoint at Address, for OnAnswer; empty if nobody has to know.
+	Endpoint string
 	// Mine tells from an answer's head whether it belongs to this request. Nil takes
 	// the first answer.
 	Mine func(http.Header) bool
@@ -77,6 +79,9 @@
 	// OnSurplus is called for each answer that belonged to no request of its
 	// connection; it may be nil.
 	OnSurplus func()
+	// OnAnswer is called with the head of each answer that belongs to its request, whatever becomes of
+	// the answer, and when the request was sent; it may be nil and must not block.
+	OnAnswer func(r *Request, resp *http.Response, sent time.Time)
 
 	mu   sync.Mutex
 	idle map[string][]*conn // The one used last stands last.
@@ -117,7 +122,7 @@
 		return nil, &Error{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	sent := make(chan error, 1)
+	sent, began := make(chan error, 1), clock.Now()
 	p.write(c, r, sent)
 	resp, err := c.answer(r, p.surplus)
 	if err != nil {
@@ -128,6 +133,9 @@
 		}
 		return nil, &Error{Sent: true, Err: fmt.Errorf("no answer: %w", err)}
 	}
+	if p.OnAnswer != nil {
+		p.OnAnswer(r, resp, began)
+	}
 	resp.Body = &body{ReadCloser: resp.Body, p: p, c: c, resp: resp, stop: stop, sent: sent}
 	return resp, nil
 }
--- /dev/null
+++ b/internal/notice/notice_test.go
@@ -0,0 +1,68 @@
+package notice
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+
+// at is an answer to a request sent at a time, with a limit or without one.
+func at(seconds float64, limit float64) Answer {
+	return Answer{Endpoint: "e", Sent: after(seconds), Ran: true, Notice: Notice{Limit: limit}}
+}
+
+func after(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// expectChanges has a table take answers in their order and expects what each changes.
+func expectChanges(t *testing.T, answers []Answer, want ...Change) *Table {
+	t.Helper()
+	table := NewTable()
+	for i, a := range answers {
+		if got := table.Heard(a.Sent.Add(50*time.Millisecond), a); got != want[i] {
+			t.Errorf("answer %d: expected change %d, got %d", i+1, want[i], got)
+		}
+	}
+	return table
+}
+
+func TestLimitNamedAndLifted(t *testing.T) {
+	expectChanges(t, []Answer{at(0, 0), at(1, 6), at(2, 6.1), at(3, 3), at(4, 0), at(5, 0)},
+		None, LimitNamed, None, LimitNamed, LimitLifted, None)
+}
+
+// Answers overtake one another on separate connections.
+func TestLimitNotLiftedByAnAnswerSentBefore(t *testing.T) {
+	expectChanges(t, []Answer{at(2, 6), at(1, 0)}, LimitNamed, None)
+}
+
+// Only an answer to a request that ran takes a limit back: calls of a box's own and failures need not repeat it.
+func TestLimitNotLiftedByAFailure(t *testing.T) {
+	failed := at(2, 0)
+	failed.Ran = false
+	expectChanges(t, []Answer{at(1, 6), failed}, LimitNamed, None)
+}
+
+func TestMisreadNoticeKeepsTheLimit(t *testing.T) {
+	bad := at(2, 0)
+	bad.Notice.Unread = `Server-Limit: "-1"`
+	table := expectChanges(t, []Answer{at(1, 6), bad, bad}, LimitNamed, Misread, None)
+	if n := table.Limited(); n != 1 {
+		t.Errorf("expected the limit to hold, got %d endpoints with one", n)
+	}
+}
+
+func TestKeepForgetsOnlyWhatIsLongGone(t *testing.T) {
+	table := expectChanges(t, []Answer{at(0, 6)}, LimitNamed)
+	gone := func(string) bool { return false }
+	table.Keep(start.Add(keptFor), gone)
+	if table.Limited() != 1 {
+		t.Error("expected an endpoint whose entry may come back to be remembered")
+	}
+	table.Keep(start.Add(keptFor+time.Second), gone)
+	if table.Limited() != 0 {
+		t.Error("expected an endpoint that is long gone to be forgotten")
+	}
+}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -58,7 +58,7 @@
 			f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: outcome.Crossed}})
 			return
 		}
-		f.send(flightEvent{attempt: a.Attempt, read: &Source{Address: address, Handle: handle}})
+		f.send(flightEvent{attempt: a.Attempt, read: &Source{Engine: a.Prefill, Address: address, Handle: handle}})
 	}
 }
 
@@ -115,7 +115,7 @@
 	case inTime && ctx.Err() == nil && id != "":
 		return held{engine: engine, id: id, home: home}, true
 	case id != "":
-		x.r.drop(x.r.disp.Address(engine), x.r.wire.DropHold(id))
+		x.r.drop(engine, x.r.disp.Address(engine), x.r.wire.DropHold(id))
 	case inTime && ctx.Err() == nil:
 		f.send(flightEvent{attempt: a, noRoom: &noRoom{}})
 	}
@@ -128,7 +128,7 @@
 func (r *Relay) takeHold(ctx context.Context, engine string, x *exchange) string {
 	life := min(x.service.Engines.HoldFor, holdFor)
 	c := r.wire.TakeHold(x.ask.PromptTokens+min(x.ahead(), x.reserve()), life)
-	resp, body, err := r.side.Call(context.WithoutCancel(ctx), sideLimit+life, sideRequest(r.disp.Address(engine), c), sideAnswer)
+	resp, body, err := r.side.Call(context.WithoutCancel(ctx), sideLimit+life, sideRequest(engine, r.disp.Address(engine), c), sideAnswer)
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return ""
 	}
@@ -139,12 +139,12 @@
 	return id
 }
 
-func sideRequest(address string, c Call) *h1.Request {
+func sideRequest(endpoint, address string, c Call) *h1.Request {
 	h := http.Header{}
 	if c.Body != nil {
 		h.Set("Content-Type", "application/json")
 	}
-	return &h1.Request{Address: address, Method: c.Method, Target: c.Target, Host: address, Header: h, Body: c.Body}
+	return &h1.Request{Address: address, Endpoint: endpoint, Method: c.Method, Target: c.Target, Host: address, Header: h, Body: c.Body}
 }
 
 // reasonOf says why a call that failed without an answer did.
--- a/internal/relay/end_test.go
+++ b/internal/relay/end_test.go
@@ -17,6 +17,8 @@
 // dropWire spells the calls that free memory.
 type dropWire struct{ Wire }
 
+func (dropWire) Reply(*http.Response) Reply { return Reply{} }
+
 func (dropWire) DropHold(hold string) Call {
 	return Call{Method: http.MethodDelete, Target: "/hold/" + hold}
 }
--- a/internal/relay/ended.go
+++ b/internal/relay/ended.go
@@ -160,7 +160,7 @@
 		}
 		return c.Close()
 	}
-	resp, body, err := r.side.Call(context.Background(), loadLimit, sideRequest(e.Address, r.wire.AskLoad()), sideAnswer)
+	resp, body, err := r.side.Call(context.Background(), loadLimit, sideRequest(e.ID, e.Address, r.wire.AskLoad()), sideAnswer)
 	if err != nil {
 		return err
 	}
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -90,6 +90,7 @@
 	r.fleet.listedRoles(clock.Now())
 	next := r.fleet.index
 	r.fleet.mu.Unlock()
+	r.notices.Keep(clock.Now(), func(id string) bool { _, listed := next[id]; return listed })
 	r.logList(old, index, list, next)
 	r.applyFleet()
 }
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -135,7 +135,7 @@
 // askLoad asks an engine, and tells the other boxes what it says.
 func (r *Relay) askLoad(ctx context.Context, e Endpoint) {
 	now := clock.Now()
-	resp, body, err := r.side.Call(ctx, loadLimit, sideRequest(e.Address, r.wire.AskLoad()), sideAnswer)
+	resp, body, err := r.side.Call(ctx, loadLimit, sideRequest(e.ID, e.Address, r.wire.AskLoad()), sideAnswer)
 	if ctx.Err() != nil {
 		return
 	}
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -54,7 +54,7 @@
 // drop frees what an engine keeps for a move that nobody needs any more.
 func (m *moved) drop(r *Relay) {
 	if m.source.Handle != "" {
-		r.drop(m.source.Address, r.wire.DropHandle(m.source.Handle))
+		r.drop(m.source.Engine, m.source.Address, r.wire.DropHandle(m.source.Handle))
 	}
 }
 
@@ -93,7 +93,7 @@
 	call := f.x.r.wire.Migrate(f.x.ask.ID, f.x.r.disp.Address(a.To))
 	out := &moved{unanswered: true}
 	for lost := 0; lost < moveTries && ctx.Err() == nil; {
-		resp, body, err := f.x.r.side.Call(ctx, limit, sideRequest(address, call), sideAnswer)
+		resp, body, err := f.x.r.side.Call(ctx, limit, sideRequest(a.From, address, call), sideAnswer)
 		var answer Migration
 		if err == nil {
 			answer, err = f.x.r.wire.Migrated(resp.StatusCode, body)
@@ -110,7 +110,7 @@
 		}
 		out.unanswered = false
 		if answer.Handle != "" {
-			out.source, out.copied = Source{Address: address, Handle: answer.Handle}, answer.Copied
+			out.source, out.copied = Source{Engine: a.From, Address: address, Handle: answer.Handle}, answer.Copied
 		}
 		break
 	}
--- a/internal/relay/orders.go
+++ b/internal/relay/orders.go
@@ -28,7 +28,7 @@
 		return errOther
 	}
 	address := e.Address
-	resp, body, err := r.side.Call(ctx, loadLimit, sideRequest(address, r.wire.AskLoad()), sideAnswer)
+	resp, body, err := r.side.Call(ctx, loadLimit, sideRequest(engine, address, r.wire.AskLoad()), sideAnswer)
 	if err != nil {
 		return fmt.Errorf("ask the engine: %w", err)
 	}
@@ -42,7 +42,7 @@
 		return errBusy
 	}
 	c, h := r.wire.SetRole(engine, role, r.o.Box, l.Fence, load.Orders)
-	q := sideRequest(address, c)
+	q := sideRequest(engine, address, c)
 	for k, v := range h {
 		q.Header[k] = v
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/stoatramp/stoatramp/internal/follow"
 	"github.com/stoatramp/stoatramp/internal/gate"
 	"github.com/stoatramp/stoatramp/internal/h1"
+	"github.com/stoatramp/stoatramp/internal/notice"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/overlay"
 	"github.com/stoatramp/stoatramp/internal/quarantine"
@@ -79,8 +80,10 @@
 	pool  *h1.Pool
 	side  *h1.Pool
 	plain *plainTable
-	m     *telemetry.Metrics
-	cfg   atomic.Pointer[Config]
+	// notices are what endpoints say of themselves in their answers.
+	notices *notice.Table
+	m       *telemetry.Metrics
+	cfg     atomic.Pointer[Config]
 	// policies are the operators' programs; nil before any were read.
 	policies atomic.Pointer[policies]
 	// revoked are the keys that were taken away; never nil.
@@ -107,18 +110,20 @@
 		o.Ends = quarantine.NewList()
 	}
 	r := &Relay{
-		o:     o,
-		wire:  o.Wire,
-		disp:  dispatch.New(o.Core, nil, o.Book.Metrics),
-		pool:  h1.NewPool(),
-		side:  h1.NewPool(),
-		plain: newPlainTable(o.Hall),
-		m:     o.Book.Metrics,
+		o:       o,
+		wire:    o.Wire,
+		disp:    dispatch.New(o.Core, nil, o.Book.Metrics),
+		pool:    h1.NewPool(),
+		side:    h1.NewPool(),
+		plain:   newPlainTable(o.Hall),
+		notices: notice.NewTable(),
+		m:       o.Book.Metrics,
 	}
 	r.fleet.box, r.fleet.hall, r.fleet.region, r.fleet.halls = o.Box, o.Hall, o.Region, o.Halls
 	r.memory.limit = o.Memory
 	r.revoked.Store(&revoked{})
 	r.pool.OnSurplus = r.m.Crossed.Inc
+	r.pool.OnAnswer, r.side.OnAnswer = r.heardRun, r.heardSide
 	r.disp.OnBelief = r.believed
 	r.disp.OnLearnt = r.learnt
 	r.plain.believed = r.believed
@@ -397,7 +402,7 @@
 	}
 	x.r.wire.Stamp(h, run)
 	q := &h1.Request{
-		Address: address, Method: x.req.Method, Target: x.req.RequestURI, Host: x.req.Host, Header: h, Body: x.body,
+		Address: address, Endpoint: run.Instance, Method: x.req.Method, Target: x.req.RequestURI, Host: x.req.Host, Header: h, Body: x.body,
 		Mine: func(h http.Header) bool { return x.r.wire.Mine(h, x.ask.ID) },
 	}
 	if q.Body == nil && x.req.Method != http.MethodGet && x.req.Method != http.MethodHead {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -337,7 +337,7 @@
 // counts what the run takes, and would count the rest beside it until its lease ends.
 func (f *flight) dropHold() {
 	if f.hold.id != "" {
-		f.x.r.drop(f.x.r.disp.Address(f.hold.engine), f.x.r.wire.DropHold(f.hold.id))
+		f.x.r.drop(f.hold.engine, f.x.r.disp.Address(f.hold.engine), f.x.r.wire.DropHold(f.hold.id))
 		f.hold = held{}
 	}
 }
@@ -400,10 +400,10 @@
 		f.x.r.memory.give(ev.part.counted)
 	}
 	if ev.held != nil {
-		f.x.r.drop(f.x.r.disp.Address(ev.held.engine), f.x.r.wire.DropHold(ev.held.id))
+		f.x.r.drop(ev.held.engine, f.x.r.disp.Address(ev.held.engine), f.x.r.wire.DropHold(ev.held.id))
 	}
 	if ev.read != nil {
-		f.x.r.drop(ev.read.Address, f.x.r.wire.DropHandle(ev.read.Handle))
+		f.x.r.drop(ev.read.Engine, ev.read.Address, f.x.r.wire.DropHandle(ev.read.Handle))
 	}
 	if ev.moved != nil {
 		ev.moved.drop(f.x.r)
@@ -507,18 +507,18 @@
 	f.dropHold()
 	f.dropMoving()
 	if f.source.Handle != "" {
-		f.x.r.drop(f.source.Address, f.x.r.wire.DropHandle(f.source.Handle))
+		f.x.r.drop(f.source.Engine, f.source.Address, f.x.r.wire.DropHandle(f.source.Handle))
 		f.source = Source{}
 	}
 }
 
 // drop makes a call that frees memory, without waiting for it. A call without an answer may not have freed
 // it and is made again; an engine whose port refuses has ended, and holds nothing.
-func (r *Relay) drop(address string, c Call) {
+func (r *Relay) drop(engine, address string, c Call) {
 	r.m.Aborts.Inc()
 	r.frees.Go(func() {
 		for range dropTries {
-			_, _, err := r.side.Call(context.Background(), sideLimit, sideRequest(address, c), sideAnswer)
+			_, _, err := r.side.Call(context.Background(), sideLimit, sideRequest(engine, address, c), sideAnswer)
 			if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
 				return
 			}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/decide"
+	"github.com/stoatramp/stoatramp/internal/notice"
 )
 
 // Kind says what may be done with the requests of a route.
@@ -167,6 +168,7 @@
 
 // Source names a prefill's result.
 type Source struct {
+	Engine  string // The ID of the engine that keeps it.
 	Address string
 	Handle  string
 }
@@ -177,6 +179,8 @@
 	Signed bool
 	// NotRun says that the endpoint did not run the request and never will.
 	NotRun bool
+	// Notice is what the endpoint says of itself.
+	Notice notice.Notice
 }
 
 // Call is a call to an endpoint that is no request of a caller.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -32,6 +32,9 @@
 	// EndedUnder counts the requests under which an endpoint ended, one for each call.
 	EndedUnder *metrics.Counter
 	Aborts     *metrics.Counter
+	// LimitsNamed and LimitsLifted count the changes of limits that endpoints name in their answers, and
+	// NoticesUnread what they say there that cannot be read.
+	LimitsNamed, LimitsLifted, NoticesUnread *metrics.Counter
 	// Widened counts the times that a box took more endpoints of a service into account.
 	Widened       *metrics.Counter
 	AbortsLost    *metrics.Counter
@@ -71,6 +74,9 @@
 		CallsAgain:    s.NewCounter("stoatramp_calls_again_total"),
 		EndedUnder:    s.NewCounter("stoatramp_ended_under_total"),
 		Aborts:        s.NewCounter("stoatramp_aborts_total"),
+		LimitsNamed:   s.NewCounter(`stoatramp_endpoint_notices_total{notice="limit"}`),
+		LimitsLifted:  s.NewCounter(`stoatramp_endpoint_notices_total{notice="limit_lifted"}`),
+		NoticesUnread: s.NewCounter(`stoatramp_endpoint_notices_total{notice="unread"}`),
 		Widened:       s.NewCounter("stoatramp_circles_widened_total"),
 		AbortsLost:    s.NewCounter("stoatramp_aborts_lost_total"),
 		Crossed:       s.NewCounter(`stoatramp_dropped_chunks_total{cause="crossed"}`),
