Give the bounds on what all boxes send to one endpoint a package of their own

Cause: the limits that endpoints name need the same selection of few boxes as the pace of endpoints that have just started. Behaviour as before. Ruled out: a package for the selection alone. It is one function, and both users belong together. Tests: those of the cold start, unchanged but for names.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -20,7 +20,6 @@
 	"github.com/stoatramp/stoatramp/internal/account"
 	"github.com/stoatramp/stoatramp/internal/archive"
 	"github.com/stoatramp/stoatramp/internal/clock"
-	"github.com/stoatramp/stoatramp/internal/coldstart"
 	"github.com/stoatramp/stoatramp/internal/config"
 	"github.com/stoatramp/stoatramp/internal/control"
 	"github.com/stoatramp/stoatramp/internal/decide"
@@ -29,6 +28,7 @@
 	"github.com/stoatramp/stoatramp/internal/lease"
 	"github.com/stoatramp/stoatramp/internal/ops"
 	"github.com/stoatramp/stoatramp/internal/overlay"
+	"github.com/stoatramp/stoatramp/internal/pacing"
 	"github.com/stoatramp/stoatramp/internal/platform"
 	"github.com/stoatramp/stoatramp/internal/quarantine"
 	"github.com/stoatramp/stoatramp/internal/quota"
@@ -142,7 +142,7 @@
 		Box: cfg.Name, Hall: cfg.Hall, Region: cfg.Region, Halls: cfg.Halls, Wire: site.Wire,
 		Core: core, Book: b.book, Others: b.node, List: &b.listHeard,
 		Memory: int64(callersPart * cfg.MemoryMB * (1 << 20)),
-		Cold:   coldstart.Limits{Over: cfg.ColdOver, Slack: cfg.ColdSlack},
+		Cold:   pacing.ColdLimits{Over: cfg.ColdOver, Slack: cfg.ColdSlack},
 		Limits: b.purse, Ends: b.ends, Keys: relay.KeyRules{Strict: cfg.KeysStrict, Within: cfg.RevokedWithin, Age: b.configHeard.Age},
 	})
 	b.registerAges()
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -14,8 +14,8 @@
 import (
 	"time"
 
-	"github.com/stoatramp/stoatramp/internal/coldstart"
 	"github.com/stoatramp/stoatramp/internal/outcome"
+	"github.com/stoatramp/stoatramp/internal/pacing"
 )
 
 // ID names a request within one core.
@@ -140,7 +140,7 @@
 	// one that is Leaving they will not end, so their streams are not moved.
 	Closed bool
 	// Cold is the engine's start, from which on it bears little for a while.
-	Cold coldstart.Start
+	Cold pacing.Cold
 
 	PrefillRate   float64 // Prompt tokens a second.
 	KVTokens      int     // Decode memory in tokens.
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/pacing/cold_test.go
@@ -1,4 +1,4 @@
-package coldstart
+package pacing
 
 import (
 	"fmt"
@@ -8,14 +8,14 @@
 	"time"
 )
 
-var usual = Limits{Over: 1.5, Slack: 5}
+var usual = ColdLimits{Over: 1.5, Slack: 5}
 
 // arrivals has boxes that always have a request for a cold endpoint send as fast as they may for
 // twenty seconds. Each box goes by its own list, and a request is up to 300 ms under way.
-func arrivals(rng *rand.Rand, lists map[string][]string, rate float64, l Limits) (at []time.Duration) {
+func arrivals(rng *rand.Rand, lists map[string][]string, rate float64, l ColdLimits) (at []time.Duration) {
 	const length = 20 * time.Second
 	for box, list := range lists {
-		pace := time.Duration(PaceOf(box, list, "e", rate, l))
+		pace := time.Duration(ColdPaceOf(box, list, "e", rate, l))
 		if pace == 0 {
 			continue
 		}
@@ -47,7 +47,7 @@
 
 // expectWithin plays boxes whose lists lack a part of the boxes each, and expects every second within
 // the bound and the endpoint to get a part of its rate.
-func expectWithin(t *testing.T, boxes int, lacking, rate float64, l Limits, least float64) {
+func expectWithin(t *testing.T, boxes int, lacking, rate float64, l ColdLimits, least float64) {
 	t.Helper()
 	seeds := uint64(20)
 	if boxes > 100 {
@@ -77,20 +77,20 @@
 		expectWithin(t, boxes, 0.33, 39, usual, 0.02)
 	}
 	expectWithin(t, 80, 0, 2, usual, 0.5)
-	expectWithin(t, 80, 0, 1000, Limits{}, 0.05)
-	expectWithin(t, 80, 0, 2, Limits{}, 0.4)
+	expectWithin(t, 80, 0, 1000, ColdLimits{}, 0.05)
+	expectWithin(t, 80, 0, 2, ColdLimits{}, 0.4)
 }
 
 // An endpoint that bears less than a request a second gets none while it is cold, and a box that is not
 // on its own list is none of those that send.
 func TestSendsNothing(t *testing.T) {
-	if p := PaceOf("box-0", names(1), "e", 0.5, Limits{}); p != 0 {
+	if p := ColdPaceOf("box-0", names(1), "e", 0.5, ColdLimits{}); p != 0 {
 		t.Errorf("expected no pace for an endpoint that bears 0.5 a second, got %s", time.Duration(p))
 	}
-	if p := PaceOf("new", names(3), "e", 39, usual); p != 0 {
+	if p := ColdPaceOf("new", names(3), "e", 39, usual); p != 0 {
 		t.Errorf("expected no pace for a box that is not listed, got %s", time.Duration(p))
 	}
-	if p := PaceOf("box-0", nil, "e", 39, usual); p != 0 {
+	if p := ColdPaceOf("box-0", nil, "e", 39, usual); p != 0 {
 		t.Errorf("expected no pace without a list, got %s", time.Duration(p))
 	}
 }
@@ -101,7 +101,7 @@
 		list := names(n)
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for b.Loop() {
-				PaceOf("box-7", list, "e", 39, usual)
+				ColdPaceOf("box-7", list, "e", 39, usual)
 			}
 		})
 	}
--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
-	"github.com/stoatramp/stoatramp/internal/coldstart"
+	"github.com/stoatramp/stoatramp/internal/pacing"
 )
 
 // This file is what a box knows of cold endpoints: those that have just started and bear only a few
@@ -18,7 +18,7 @@
 type coldEndpoint struct {
 	until time.Time
 	// pace is this box's, by the list of boxes of that version.
-	pace    coldstart.Pace
+	pace    pacing.ColdPace
 	version int64
 	paced   bool
 	logged  bool
@@ -80,9 +80,9 @@
 		}
 		boxes, version := r.boxes(e.Region)
 		if !c.paced || c.version != version {
-			c.pace, c.version, c.paced = coldstart.PaceOf(r.o.Box, boxes, e.ID, rate, r.o.Cold), version, true
+			c.pace, c.version, c.paced = pacing.ColdPaceOf(r.o.Box, boxes, e.ID, rate, r.o.Cold), version, true
 		}
-		e.Cold = coldstart.Start{Until: c.until, Pace: c.pace}
+		e.Cold = pacing.Cold{Until: c.until, Pace: c.pace}
 		if !c.logged && lines < maxChanges {
 			lines++
 			r.o.Book.Log.Belief("endpoint cold", zap.String("endpoint", e.ID), zap.Duration("for", c.until.Sub(now)), zap.Duration("pace", time.Duration(c.pace)))
--- a/internal/relay/halls.go
+++ b/internal/relay/halls.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
-	"github.com/stoatramp/stoatramp/internal/coldstart"
 	"github.com/stoatramp/stoatramp/internal/outcome"
+	"github.com/stoatramp/stoatramp/internal/pacing"
 )
 
 // This file is what a box knows of data halls. Halls stand in regions, and a request is served in its
@@ -24,7 +24,7 @@
 	Region string
 	// Closed says that its hall is evacuated.
 	Closed bool
-	Cold   coldstart.Start
+	Cold   pacing.Cold
 }
 
 // open says that the endpoint may get new requests.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,7 +14,6 @@
 
 	"github.com/stoatramp/stoatramp/internal/account"
 	"github.com/stoatramp/stoatramp/internal/clock"
-	"github.com/stoatramp/stoatramp/internal/coldstart"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/dispatch"
 	"github.com/stoatramp/stoatramp/internal/follow"
@@ -23,6 +22,7 @@
 	"github.com/stoatramp/stoatramp/internal/notice"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/overlay"
+	"github.com/stoatramp/stoatramp/internal/pacing"
 	"github.com/stoatramp/stoatramp/internal/quarantine"
 	"github.com/stoatramp/stoatramp/internal/record"
 	"github.com/stoatramp/stoatramp/internal/telemetry"
@@ -51,7 +51,7 @@
 	// Memory bounds what is held for requests, in bytes; 0 for no bound.
 	Memory int64
 	// Cold bounds what all boxes send to an endpoint that has just started.
-	Cold coldstart.Limits
+	Cold pacing.ColdLimits
 }
 
 // Others are the other boxes, which are told what this one learned.
