Pass an endpoint's own failure on where no other endpoint takes the call

Callers of a route that may be repeated got a 502 of the box's own in place of the endpoint's signed 500, where the service had no second endpoint that takes calls. Cause: whether a call may go on was asked of the route and the budget only, and the answer was dropped before an endpoint was looked for. With endpoints that name limits this comes often. Test: TestFailureIsPassedOnWhereNoOtherEndpointIs; without the change it gets 502. Conclusion: the answer is dropped only once another endpoint can take the call.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -139,6 +139,18 @@
 	return wait == 0, wait
 }
 
+// another says whether a call could go on to an endpoint that was not tried yet.
+func (t *plainTable) another(service, region string, now time.Time, tried map[string]bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.service(service).byID {
+		if yes, _ := t.takes(e, region, now, tried); yes {
+			return true
+		}
+	}
+	return false
+}
+
 // choose takes the endpoint that is expected to answer first among those of a region that stay and
 // were not tried yet; nil if there is none. Endpoints set aside are a last resort. Where there are only
 // such as asked for no more than they get, wait is the time until one takes a call.
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -68,7 +68,7 @@
 		}
 		x.brokeOff(e.ID, a.broke)
 		// An endpoint's own failure says more than ours: it is passed on where no call may follow.
-		last := !x.route.repeats() || runs >= x.route.Tries || !budget.Has(clock.Now(), 1)
+		last := !x.route.repeats() || runs >= x.route.Tries || !budget.Has(clock.Now(), 1) || !x.r.plain.another(x.service.Name, x.region, clock.Now(), tried)
 		if a.resp != nil && (a.good || last) {
 			x.passOn(a)
 			return
