Log what endpoints say in answers of leaving and of rest

Cause: no log line told when a box had heard that an endpoint leaves, or for how long it had been asked for rest. Nothing is decided by them yet. What cannot be read changes nothing and is a line. Ruled out: one line for each answer with the word; an endpoint says it in all. Conclusion: a decision for the endpoint after the line shows that the word was heard and not kept.

--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -20,6 +20,11 @@
 	// Limit is how many requests a second the endpoint takes from all boxes together; 0 if it names no
 	// limit.
 	Limit float64
+	// Leaving says that the endpoint will end and takes nothing new.
+	Leaving bool
+	// Rest is for how long it wants nothing of the box that it has turned away; 0 if it does not ask for
+	// any.
+	Rest time.Duration
 	// Unread describes what the head says and could not be read; empty if there is nothing of the kind.
 	// What the endpoint said before still counts.
 	Unread string
@@ -47,12 +52,15 @@
 
 // The changes.
 const (
-	None Change = iota
+	_ Change = iota
 	// LimitNamed is a first limit or another one, LimitRepeated the same one after a while, and
 	// LimitLifted the end of it.
 	LimitNamed
 	LimitRepeated
 	LimitLifted
+	// Leaves is the first word that the endpoint leaves, and RestAsked a rest that ends later than the last.
+	Leaves
+	RestAsked
 	// Misread is a notice that could not be read, the first of its kind.
 	Misread
 )
@@ -69,8 +77,12 @@
 	// at again; zero where the limit has changed.
 	version int64
 	renewAt time.Time
-	unread  string // What was last not read.
-	heardAt time.Time
+	leaving bool
+	restBy  time.Time // When the rest of this box is over; zero if none was asked for.
+	// unread is what was last not read, as of unreadAt: an endpoint may say another thing each time.
+	unread   string
+	unreadAt time.Time
+	heardAt  time.Time
 }
 
 // Boxes lists the boxes that may send to endpoints of a region, with a number that changes with the list.
@@ -93,30 +105,42 @@
 	return &Table{box: box, boxes: boxes, epoch: clock.Now(), byID: map[string]*endpoint{}}
 }
 
-// repeatAfter is how often the other boxes are told of a limit that still counts: what is told once may
-// be lost, and boxes start meanwhile.
+// repeatAfter is how often the other boxes are told of a limit that still counts, since what is told once
+// may be lost and boxes start meanwhile, and how often a notice that cannot be read is reported.
 const repeatAfter = 5 * time.Second
 
-// Heard takes the head of an answer.
-func (t *Table) Heard(now time.Time, a Answer) Change {
+// Heard takes the head of an answer, and returns what it changes.
+func (t *Table) Heard(now time.Time, a Answer) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.byID[a.Endpoint]
 	if e == nil {
 		if a.Notice == (Notice{}) {
-			return None
+			return nil
 		}
 		e = &endpoint{}
 		t.byID[a.Endpoint] = e
 	}
 	e.heardAt, e.region = now, a.Region
+	changes := t.takeLimit(now, e, a)
+	if a.Notice.Leaving && !e.leaving {
+		e.leaving = true
+		changes = append(changes, Leaves)
+	}
+	if by := now.Add(a.Notice.Rest); a.Notice.Rest > 0 && by.After(e.restBy) {
+		e.restBy = by
+		changes = append(changes, RestAsked)
+	}
+	if other := e.unread != a.Notice.Unread; a.Notice.Unread != "" && other && now.Sub(e.unreadAt) >= repeatAfter {
+		e.unread, e.unreadAt = a.Notice.Unread, now
+		changes = append(changes, Misread)
+	}
+	return changes
+}
+
+// takeLimit takes what an answer says of a limit. The lock is held.
+func (t *Table) takeLimit(now time.Time, e *endpoint, a Answer) []Change {
 	switch {
-	case a.Notice.Unread != "":
-		fresh := e.unread != a.Notice.Unread
-		e.unread = a.Notice.Unread
-		if fresh {
-			return Misread
-		}
 	case a.Notice.Limit > 0:
 		changed := math.Abs(a.Notice.Limit-e.limit) > otherLimit*e.limit
 		if e.limit == 0 {
@@ -125,17 +149,17 @@
 		e.limit, e.limitAt = a.Notice.Limit, latest(e.limitAt, a.Sent)
 		if changed {
 			e.passedOn, e.renewAt = now, time.Time{}
-			return LimitNamed
+			return []Change{LimitNamed}
 		}
 		if now.Sub(e.passedOn) >= repeatAfter {
 			e.passedOn = now
-			return LimitRepeated
+			return []Change{LimitRepeated}
 		}
-	case e.limit > 0 && a.Ran && a.Sent.After(e.limitAt):
+	case a.Notice.Unread == "" && e.limit > 0 && a.Ran && a.Sent.After(e.limitAt):
 		t.lift(e)
-		return LimitLifted
+		return []Change{LimitLifted}
 	}
-	return None
+	return nil
 }
 
 // Knows says whether an endpoint has said anything: an answer without a notice changes nothing otherwise.
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -1,6 +1,7 @@
 package notice
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -18,12 +19,16 @@
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
-// expectChanges has a table take answers in their order and expects what each changes.
+// answerTime is how long the answers of a test take.
+const answerTime = 50 * time.Millisecond
+
+// expectChanges has a table take answers in their order and expects what each changes, 0 for nothing.
 func expectChanges(t *testing.T, answers []Answer, want ...Change) *Table {
 	t.Helper()
 	table := NewTable("b", alone)
 	for i, a := range answers {
-		if got := table.Heard(a.Sent.Add(50*time.Millisecond), a); got != want[i] {
+		got := table.Heard(a.Sent.Add(answerTime), a)
+		if want[i] == 0 && len(got) > 0 || want[i] != 0 && !slices.Equal(got, []Change{want[i]}) {
 			t.Errorf("answer %d: expected change %d, got %d", i+1, want[i], got)
 		}
 	}
@@ -32,25 +37,25 @@
 
 func TestLimitNamedAndLifted(t *testing.T) {
 	expectChanges(t, []Answer{at(0, 0), at(1, 6), at(2, 6.1), at(3, 3), at(4, 0), at(5, 0)},
-		None, LimitNamed, None, LimitNamed, LimitLifted, None)
+		0, LimitNamed, 0, LimitNamed, LimitLifted, 0)
 }
 
 // Answers overtake one another on separate connections.
 func TestLimitNotLiftedByAnAnswerSentBefore(t *testing.T) {
-	expectChanges(t, []Answer{at(2, 6), at(1, 0)}, LimitNamed, None)
+	expectChanges(t, []Answer{at(2, 6), at(1, 0)}, LimitNamed, 0)
 }
 
 // Only an answer to a request that ran takes a limit back: calls of a box's own and failures need not repeat it.
 func TestLimitNotLiftedByAFailure(t *testing.T) {
 	failed := at(2, 0)
 	failed.Ran = false
-	expectChanges(t, []Answer{at(1, 6), failed}, LimitNamed, None)
+	expectChanges(t, []Answer{at(1, 6), failed}, LimitNamed, 0)
 }
 
 func TestMisreadNoticeKeepsTheLimit(t *testing.T) {
 	bad := at(2, 0)
 	bad.Notice.Unread = `Server-Limit: "-1"`
-	table := expectChanges(t, []Answer{at(1, 6), bad, bad}, LimitNamed, Misread, None)
+	table := expectChanges(t, []Answer{at(1, 6), bad, bad}, LimitNamed, Misread, 0)
 	if n := table.Limited(); n != 1 {
 		t.Errorf("expected the limit to hold, got %d endpoints with one", n)
 	}
@@ -68,3 +73,17 @@
 		t.Error("expected an endpoint that is long gone to be forgotten")
 	}
 }
+
+func TestLeavingIsHeardOnce(t *testing.T) {
+	leaves := Answer{Endpoint: "e", Sent: start, Notice: Notice{Leaving: true}}
+	expectChanges(t, []Answer{leaves, leaves, at(2, 0)}, Leaves, 0, 0)
+}
+
+// A rest ends at the latest time that was asked for: each answer that asked for one still counts.
+func TestRestIsLengthenedAndNotShortened(t *testing.T) {
+	asks := func(at float64, rest time.Duration) Answer {
+		return Answer{Endpoint: "e", Sent: after(at), Notice: Notice{Rest: rest}}
+	}
+	expectChanges(t, []Answer{asks(0, 3*time.Second), asks(1, time.Second), asks(2, 3*time.Second), asks(3, 0)},
+		RestAsked, 0, RestAsked, 0)
+}
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -55,20 +55,37 @@
 func (r *Relay) takeNotice(a notice.Answer) (news bool) {
 	e, _ := r.fleet.called(a.Endpoint)
 	a.Region = r.fleet.regionOf(e.Hall)
-	switch r.notices.Heard(clock.Now(), a) {
+	for _, c := range r.notices.Heard(clock.Now(), a) {
+		news = r.noticed(c, a) || news
+	}
+	return news
+}
+
+// noticed logs and counts one change.
+func (r *Relay) noticed(c notice.Change, a notice.Answer) (news bool) {
+	log := func(what string, fields ...zap.Field) {
+		r.o.Book.Log.Belief(what, append(fields, zap.String("endpoint", a.Endpoint))...)
+	}
+	switch c {
 	case notice.LimitNamed:
 		r.m.LimitsNamed.Inc()
-		r.o.Book.Log.Belief("endpoint names a limit", zap.String("endpoint", a.Endpoint), zap.Float64("requests_per_s", a.Notice.Limit))
+		log("endpoint names a limit", zap.Float64("requests_per_s", a.Notice.Limit))
 		return true
 	case notice.LimitRepeated:
 		return true
 	case notice.LimitLifted:
 		r.m.LimitsLifted.Inc()
-		r.o.Book.Log.Belief("endpoint names no limit any more", zap.String("endpoint", a.Endpoint))
+		log("endpoint names no limit any more")
 		return true
+	case notice.Leaves:
+		r.m.LeavesHeard.Inc()
+		log("endpoint says that it leaves", zap.Duration("list_age", r.listAge()))
+	case notice.RestAsked:
+		r.m.RestsAsked.Inc()
+		log("endpoint asks for rest", zap.Duration("for", a.Notice.Rest))
 	case notice.Misread:
 		r.m.NoticesUnread.Inc()
-		r.o.Book.Log.Belief("endpoint notice not read", zap.String("endpoint", a.Endpoint), zap.String("header", a.Notice.Unread))
+		log("endpoint notice not read", zap.String("header", a.Notice.Unread))
 	}
 	return false
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -32,9 +32,9 @@
 	// EndedUnder counts the requests under which an endpoint ended, one for each call.
 	EndedUnder *metrics.Counter
 	Aborts     *metrics.Counter
-	// LimitsNamed and LimitsLifted count the changes of limits that endpoints name in their answers, and
-	// NoticesUnread what they say there that cannot be read.
-	LimitsNamed, LimitsLifted, NoticesUnread *metrics.Counter
+	// LimitsNamed and LimitsLifted count the changes of limits that endpoints name in their answers,
+	// LeavesHeard and RestsAsked what else they ask for there, and NoticesUnread what cannot be read.
+	LimitsNamed, LimitsLifted, LeavesHeard, RestsAsked, NoticesUnread *metrics.Counter
 	// Widened counts the times that a box took more endpoints of a service into account.
 	Widened       *metrics.Counter
 	AbortsLost    *metrics.Counter
@@ -76,6 +76,8 @@
 		Aborts:        s.NewCounter("stoatramp_aborts_total"),
 		LimitsNamed:   s.NewCounter(`stoatramp_endpoint_notices_total{notice="limit"}`),
 		LimitsLifted:  s.NewCounter(`stoatramp_endpoint_notices_total{notice="limit_lifted"}`),
+		LeavesHeard:   s.NewCounter(`stoatramp_endpoint_notices_total{notice="leaving"}`),
+		RestsAsked:    s.NewCounter(`stoatramp_endpoint_notices_total{notice="rest"}`),
 		NoticesUnread: s.NewCounter(`stoatramp_endpoint_notices_total{notice="unread"}`),
 		Widened:       s.NewCounter("stoatramp_circles_widened_total"),
 		AbortsLost:    s.NewCounter("stoatramp_aborts_lost_total"),
