Send nothing new to an endpoint that says in an answer that it leaves

Operators saw requests reach an endpoint up to 2.3 s after it had told their box that it leaves, while the store was away for 13 s and its entry still said ready. Cause: that an endpoint leaves was taken from the store's list alone, or from answers to questions for loads. Class: what an endpoint says of itself in an answer is not taken for true until the store or a question says so. Ruled out: a list, a configuration or a later choice that undoes it (nothing had been read). A mark on the endpoint's entry in the list: the next list replaces it. Change: the fleet counts an endpoint as leaving where notice.Table has the word, at each list and each configuration, so that plain calls, the decisions, moves and roles see one thing; the word is handed on to the other boxes. Conclusion: the word binds from the answer on, whatever comes later.

--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -93,8 +93,9 @@
 	box   string
 	boxes Boxes
 	epoch time.Time
-	// limits counts the endpoints with a limit, so that nobody waits for the lock while there are none.
-	limits atomic.Int64
+	// known counts the endpoints in byID, so that nobody waits for the lock while there are none, and
+	// limits those with a limit.
+	known, limits atomic.Int64
 
 	mu   sync.Mutex
 	byID map[string]*endpoint
@@ -120,6 +121,7 @@
 		}
 		e = &endpoint{}
 		t.byID[a.Endpoint] = e
+		t.known.Add(1)
 	}
 	e.heardAt, e.region = now, a.Region
 	changes := t.takeLimit(now, e, a)
@@ -164,6 +166,9 @@
 
 // Knows says whether an endpoint has said anything: an answer without a notice changes nothing otherwise.
 func (t *Table) Knows(id string) bool {
+	if t.known.Load() == 0 {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.byID[id] != nil
@@ -177,9 +182,20 @@
 	e.limit, e.pacer, e.renewAt = 0, pacing.Pacer{}, time.Time{}
 }
 
+// Leaving says that an endpoint has said that it leaves. Nothing takes that back: it is said of one start.
+func (t *Table) Leaving(id string) bool {
+	if t.known.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.byID[id]
+	return e != nil && e.leaving
+}
+
 // Wait is how long an endpoint takes nothing new of this box; 0 if it takes some now.
 func (t *Table) Wait(id string, now time.Time) time.Duration {
-	if t.limits.Load() == 0 {
+	if t.known.Load() == 0 {
 		return 0
 	}
 	t.mu.Lock()
@@ -194,7 +210,7 @@
 
 // Sent notes that something new is sent to an endpoint that took it.
 func (t *Table) Sent(id string, now time.Time) {
-	if t.limits.Load() == 0 {
+	if t.known.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
@@ -240,6 +256,7 @@
 		if !listed(id) && now.Sub(e.heardAt) > keptFor {
 			t.lift(e)
 			delete(t.byID, id)
+			t.known.Add(-1)
 		}
 	}
 }
--- a/internal/overlay/fact.go
+++ b/internal/overlay/fact.go
@@ -36,9 +36,11 @@
 // Notice is what an endpoint said of itself in an answer to a request that was sent at the fact's time.
 type Notice struct {
 	Endpoint string
-	// Limit is how many requests a second it takes from all boxes together; 0 if it names no limit any
-	// more.
-	Limit float64
+	// Limit is how many requests a second it takes from all boxes together; 0 if it names none.
+	Limit   float64
+	Leaving bool
+	// Ran says that the answer was to a request that ran to a good end.
+	Ran bool
 }
 
 // Ended says that an engine does not write a stream any more.
@@ -121,7 +123,7 @@
 	case f.Took != nil:
 		out.Kind = &v1.Fact_Took{Took: f.Took.encode()}
 	case f.Notice != nil:
-		out.Kind = &v1.Fact_Notice{Notice: &v1.EndpointNotice{Endpoint: f.Notice.Endpoint, Limit: f.Notice.Limit}}
+		out.Kind = &v1.Fact_Notice{Notice: &v1.EndpointNotice{Endpoint: f.Notice.Endpoint, Limit: f.Notice.Limit, Leaving: f.Notice.Leaving, Ran: f.Notice.Ran}}
 	case f.Waiting != nil:
 		out.Kind = &v1.Fact_Waiting{Waiting: &v1.StreamsWaiting{N: int32(f.Waiting.Streams)}}
 	}
@@ -183,7 +185,7 @@
 	case *v1.Fact_Notice:
 		n := k.Notice
 		ok = n.GetEndpoint() != "" && n.GetLimit() >= 0 && n.GetLimit() <= mostLimit // Not a number is neither.
-		f.Notice = &Notice{Endpoint: n.GetEndpoint(), Limit: n.GetLimit()}
+		f.Notice = &Notice{Endpoint: n.GetEndpoint(), Limit: n.GetLimit(), Leaving: n.GetLeaving(), Ran: n.GetRan()}
 	case *v1.Fact_Waiting:
 		f.Waiting, ok = &Waiting{int(k.Waiting.GetN())}, k.Waiting.GetN() >= 0 && k.Waiting.GetN() < mostWaiting
 	}
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -26,6 +26,8 @@
 	hall   string
 	region string
 	halls  map[string]string
+	// left says that an endpoint has said in an answer that it leaves.
+	left func(id string) bool
 
 	mu        sync.Mutex
 	cfg       *Config
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -39,7 +39,7 @@
 		return
 	}
 	if r.takeNotice(a) {
-		r.tell(overlay.Fact{At: a.Sent, Notice: &overlay.Notice{Endpoint: a.Endpoint, Limit: a.Notice.Limit}})
+		r.tell(overlay.Fact{At: a.Sent, Notice: &overlay.Notice{Endpoint: a.Endpoint, Limit: a.Notice.Limit, Leaving: a.Notice.Leaving, Ran: a.Ran}})
 	}
 }
 
@@ -47,7 +47,7 @@
 // to it, and what is kept stays as small as the list.
 func (r *Relay) hearNotice(at time.Time, n *overlay.Notice) {
 	if _, known := r.fleet.called(n.Endpoint); known {
-		r.takeNotice(notice.Answer{Endpoint: n.Endpoint, Sent: at, Ran: true, Notice: notice.Notice{Limit: n.Limit}})
+		r.takeNotice(notice.Answer{Endpoint: n.Endpoint, Sent: at, Ran: n.Ran, Notice: notice.Notice{Limit: n.Limit, Leaving: n.Leaving}})
 	}
 }
 
@@ -80,6 +80,8 @@
 	case notice.Leaves:
 		r.m.LeavesHeard.Inc()
 		log("endpoint says that it leaves", zap.Duration("list_age", r.listAge()))
+		r.applyFleet()
+		return true
 	case notice.RestAsked:
 		r.m.RestsAsked.Inc()
 		log("endpoint asks for rest", zap.Duration("for", a.Notice.Rest))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -120,6 +120,7 @@
 	}
 	r.notices = notice.NewTable(o.Box, r.boxes)
 	r.plain.notices = r.notices
+	r.fleet.left = r.notices.Leaving
 	o.Core.SetNotices(r.notices)
 	r.fleet.box, r.fleet.hall, r.fleet.region, r.fleet.halls = o.Box, o.Hall, o.Region, o.Halls
 	r.memory.limit = o.Memory
