Keep the rest that an endpoint asks a box for

Operators saw an endpoint that had turned a box away and asked for 3 s of rest get up to 9 requests from it in that time. Cause: Retry-After of an endpoint was not read. Two refusals in a row set the endpoint aside for 1.5 s, whatever it had asked for, and one that is set aside is a last resort. Class: as with leaving and with limits, a word of an endpoint in an answer is not taken for true. Ruled out: a longer set-aside (it is still a last resort, and one failure sets nothing aside); telling other boxes (the rest is asked of one). Change: a rest is absolute for first and later calls, prompts, memory, questions, moves and orders; where nothing else takes a request it is refused at once with the least time left. The reason is endpoints_throttled for limits and rest alike. Conclusion: the time that an endpoint names counts, and not one of the box's own.

--- a/internal/decide/arrive.go
+++ b/internal/decide/arrive.go
@@ -172,7 +172,7 @@
 			continue
 		}
 		if wait := c.closedFor(f); wait > 0 && c.now.Add(wait).After(f.latestStart) {
-			c.endRetry(f, outcome.EndpointLimit, wait)
+			c.endRetry(f, outcome.EndpointsThrottled, wait)
 			continue
 		}
 		tried++
--- a/internal/decide/attempt.go
+++ b/internal/decide/attempt.go
@@ -145,7 +145,7 @@
 	c.releasePrefill(f)
 	c.succeeded(f.prefill)
 	moved := outcome.OK
-	if f.decode.leaving() {
+	if f.decode.leaving() || c.rests(f.decode) {
 		moved = outcome.NoDecode
 		if !c.anotherDecode(f) {
 			c.giveUpTry(f, outcome.NoDecode, true)
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -195,6 +195,8 @@
 	Wait(engine string, now time.Time) time.Duration
 	// Sent notes that something new is sent to it.
 	Sent(engine string, now time.Time)
+	// Rests says that it has asked this box for rest, so that nothing is sent there that was placed before.
+	Rests(engine string, now time.Time) bool
 }
 
 // SetNotices has the core keep to what engines ask for. It is for before the first event; a nil core
@@ -220,6 +222,10 @@
 	}
 }
 
+func (c *Core) rests(e *engine) bool {
+	return c.notices != nil && c.notices.Rests(e.Name, c.now)
+}
+
 // closedFor is how long no engine that stays takes anything new for a request; 0 if one does.
 func (c *Core) closedFor(f *flight) time.Duration {
 	g := f.pool.in(f.Region)
--- a/internal/decide/notices_test.go
+++ b/internal/decide/notices_test.go
@@ -17,6 +17,8 @@
 	return max(0, a.until[engine].Sub(now))
 }
 
+func (a *asked) Rests(engine string, now time.Time) bool { return a.Wait(engine, now) > 0 }
+
 func (a *asked) Sent(engine string, _ time.Time) { a.sent[engine]++ }
 
 // noticeScene has two engines that read, a and b, and two that write, c and d.
@@ -46,7 +48,7 @@
 		later := start.Add(time.Minute)
 		s, _ := noticeScene(t, map[string]time.Time{role[0]: later, role[1]: later.Add(time.Second)})
 		s.arrive(1, "x", 100)
-		s.expectRefused(1, outcome.EndpointLimit)
+		s.expectRefused(1, outcome.EndpointsThrottled)
 		if back := s.ends[1].RetryAfter; back != time.Minute {
 			t.Errorf("%v: expected to be told when the first engine takes something, got %s", role, back)
 		}
@@ -64,7 +66,18 @@
 	s.expectRuns(1)
 }
 
-// The engine that was to write may have asked for less while the prompt was read.
+// The engine that was to write may have asked for rest while the prompt was read.
+func TestReadPromptGoesToAnEngineThatDoesNotRest(t *testing.T) {
+	s, a := noticeScene(t, map[string]time.Time{})
+	s.arrive(1, "x", 100)
+	first := s.runs[1].Decode
+	a.until[first] = s.now.Add(time.Minute)
+	s.step(PrefillDone{ID: 1, Attempt: 1, Expires: s.now.Add(time.Second)})
+	if got := s.goes[1].Decode; got == first || got == "" {
+		t.Errorf("expected another engine than %s to write, got %q", first, got)
+	}
+}
+
 func TestRetryGoesToAnEngineThatIsNotLimited(t *testing.T) {
 	s, a := noticeScene(t, map[string]time.Time{})
 	s.arrive(1, "x", 100)
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -240,7 +240,7 @@
 	case e.leaving():
 		passed.Leaving++
 	case c.waitFor(e) > 0:
-		passed.Limited++
+		passed.Throttled++
 	case e.health.setAside(now):
 		passed.SetAside++
 	case e.cold(now):
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -427,8 +427,8 @@
 	TooSlow  int `json:"too_slow"`
 	Busy     int `json:"busy"`
 	Cold     int `json:"cold"`
-	// Limited engines asked in their answers for no more than they get.
-	Limited int `json:"limited"`
+	// Throttled engines named a limit that is reached, or asked for rest.
+	Throttled int `json:"throttled"`
 }
 
 // Candidate is one pair of engines and the figures it was judged by.
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -193,6 +193,17 @@
 	return e != nil && e.leaving
 }
 
+// Rests says that an endpoint has asked this box for rest that is not over.
+func (t *Table) Rests(id string, now time.Time) bool {
+	if t.known.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.byID[id]
+	return e != nil && now.Before(e.restBy)
+}
+
 // Wait is how long an endpoint takes nothing new of this box; 0 if it takes some now.
 func (t *Table) Wait(id string, now time.Time) time.Duration {
 	if t.known.Load() == 0 {
@@ -201,11 +212,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.byID[id]
-	if e == nil || e.limit == 0 {
+	if e == nil {
 		return 0
 	}
+	rest := max(0, e.restBy.Sub(now))
+	if e.limit == 0 {
+		return rest
+	}
 	t.renew(e, id, now)
-	return e.pacer.Wait(now, t.epoch)
+	return max(rest, e.pacer.Wait(now, t.epoch))
 }
 
 // Sent notes that something new is sent to an endpoint that took it.
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -87,3 +87,28 @@
 	expectChanges(t, []Answer{asks(0, 3*time.Second), asks(1, time.Second), asks(2, 3*time.Second), asks(3, 0)},
 		RestAsked, 0, RestAsked, 0)
 }
+
+func TestRestIsOverAtItsTime(t *testing.T) {
+	table := expectChanges(t, []Answer{{Endpoint: "e", Sent: start, Notice: Notice{Rest: 3 * time.Second}}}, RestAsked)
+	over := start.Add(answerTime + 3*time.Second)
+	if wait := table.Wait("e", over.Add(-time.Second)); wait != time.Second || !table.Rests("e", over.Add(-time.Second)) {
+		t.Errorf("expected a second of rest to be left, got %s", wait)
+	}
+	if wait := table.Wait("e", over); wait != 0 || table.Rests("e", over) {
+		t.Errorf("expected the rest to be over, got %s", wait)
+	}
+	if table.Wait("other", start) != 0 || table.Leaving("e") {
+		t.Error("expected a rest to say nothing else, and nothing of others")
+	}
+}
+
+// Where an endpoint names a limit and asks for rest, both hold.
+func TestRestHoldsWithinTheLimit(t *testing.T) {
+	rests := at(1, 100)
+	rests.Notice.Rest = 10 * time.Second
+	table := NewTable("b", alone)
+	table.Heard(rests.Sent, rests)
+	if wait := table.Wait("e", rests.Sent.Add(5*time.Second)); wait != 5*time.Second {
+		t.Errorf("expected 5 s of rest to be left, got %s", wait)
+	}
+}
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -88,6 +88,7 @@
 
 func (noNotices) Wait(string, time.Time) time.Duration { return 0 }
 func (noNotices) Sent(string, time.Time)               {}
+func (noNotices) Rests(string, time.Time) bool         { return false }
 
 func (t *plainTable) service(name string) *plainService {
 	s := t.services[name]
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/record"
@@ -229,7 +230,7 @@
 }
 
 // goOn makes the next call as soon as the run is stopped and its call has ended. One that was quarantined
-// meanwhile goes on where it was.
+// meanwhile, or whose second engine asked for rest, goes on where it was.
 func (f *flight) goOn() {
 	m := f.moving
 	if m.source.Handle == "" || m.old == nil || m.going {
@@ -237,7 +238,7 @@
 	}
 	m.going = true
 	_, quarantined := f.x.quarantined()
-	f.callNext(quarantined || !m.copied)
+	f.callNext(quarantined || !m.copied || f.x.r.notices.Rests(m.to, clock.Now()))
 }
 
 // callNext calls the other engine or, back, the first one, which keeps the memory.
--- a/internal/relay/orders.go
+++ b/internal/relay/orders.go
@@ -17,6 +17,7 @@
 var (
 	errBusy  = errors.New("the engine carries out another order")
 	errOther = errors.New("the engine has started again")
+	errRests = errors.New("the engine asked for rest")
 	errLapse = errors.New("the lease ended before the order was sent")
 )
 
@@ -27,6 +28,9 @@
 	if !listed {
 		return errOther
 	}
+	if r.notices.Rests(engine, clock.Now()) {
+		return errRests
+	}
 	address := e.Address
 	resp, body, err := r.side.Call(ctx, loadLimit, sideRequest(engine, address, r.wire.AskLoad()), sideAnswer)
 	if err != nil {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -41,7 +41,7 @@
 		e, wait := x.r.plain.choose(x.service.Name, x.region, clock.Now(), tried)
 		if e == nil {
 			if wait > 0 && len(tried) == 0 {
-				o = limitReached(wait)
+				o = throttled(wait)
 			}
 			break
 		}
@@ -83,10 +83,10 @@
 	x.refuse(o)
 }
 
-// limitReached refuses a request that no endpoint takes for so long.
-func limitReached(wait time.Duration) outcome.Outcome {
+// throttled refuses a request that no endpoint takes for so long.
+func throttled(wait time.Duration) outcome.Outcome {
 	back := time.Duration(float64(wait) * (1 + limitSpread*rand.Float64()))
-	return outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.EndpointLimit, RetryAfter: max(limitLeast, back)}
+	return outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.EndpointsThrottled, RetryAfter: max(limitLeast, back)}
 }
 
 // admitPlain asks the policy about a plain call. wait() means run() here: plain calls do
--- a/internal/relay/subset.go
+++ b/internal/relay/subset.go
@@ -237,7 +237,7 @@
 // lacksRoom are the refusals that a wider circle might have served.
 func lacksRoom(r outcome.Reason) bool {
 	switch r {
-	case outcome.NoPrefill, outcome.NoDecode, outcome.TooLate, outcome.WaitExpired, outcome.QueueFull, outcome.ConnectFailed, outcome.EndpointLimit, outcome.EndpointRefused:
+	case outcome.NoPrefill, outcome.NoDecode, outcome.TooLate, outcome.WaitExpired, outcome.QueueFull, outcome.ConnectFailed, outcome.EndpointsThrottled, outcome.EndpointRefused:
 		return true
 	}
 	return false
