Let a request that may be late wait for an engine that is throttled

A request that may run late, or a stream that is read anew, was refused at once where all engines were at their limits, though one took requests again within the time it waits. Cause: the refusal of throttled requests went by the latest start of those that must be on time. Change: one function says when a request that waits is given up, for both. Test: TestPatientRequestWaitsForALimitedEngine. Ruled out: not refusing such requests at once at all; a wait that ends in a refusal serves nobody.

--- a/internal/decide/arrive.go
+++ b/internal/decide/arrive.go
@@ -171,7 +171,7 @@
 			c.endRetry(f, outcome.WaitExpired, c.retryAfter(f))
 			continue
 		}
-		if wait := c.closedFor(f); wait > 0 && c.now.Add(wait).After(f.latestStart) {
+		if wait := c.closedFor(f); wait > 0 && c.now.Add(wait).After(f.lastStart()) {
 			c.endRetry(f, outcome.EndpointsThrottled, wait)
 			continue
 		}
@@ -230,9 +230,12 @@
 	}
 }
 
-func (c *Core) expired(f *flight) bool {
+// lastStart is when a request that waits is given up.
+func (f *flight) lastStart() time.Time {
 	if f.patient {
-		return c.now.Sub(f.arrived) > f.maxWait()
+		return f.arrived.Add(f.maxWait())
 	}
-	return c.now.After(f.latestStart)
+	return f.latestStart
 }
+
+func (c *Core) expired(f *flight) bool { return c.now.After(f.lastStart()) }
--- a/internal/decide/notices_test.go
+++ b/internal/decide/notices_test.go
@@ -66,6 +66,21 @@
 	s.expectRuns(1)
 }
 
+// A request that may be late waits as long as one that finds no room.
+func TestPatientRequestWaitsForALimitedEngine(t *testing.T) {
+	soon := start.Add(2 * time.Second)
+	s, _ := noticeScene(t, map[string]time.Time{"c": soon, "d": soon})
+	s.step(Arrive{Request: Request{
+		ID: 1, Pool: "p", Region: "r", PromptTokens: 100, MaxTokens: 10, FirstToken: time.Second,
+		BetweenTokens: 20 * time.Millisecond, ServeLate: true, MaxWait: 3 * time.Second,
+	}})
+	if len(s.ends) > 0 {
+		t.Errorf("expected the request to wait, got %v", s.ends)
+	}
+	s.pass(2 * time.Second)
+	s.expectRuns(1)
+}
+
 // The engine that was to write may have asked for rest while the prompt was read.
 func TestReadPromptGoesToAnEngineThatDoesNotRest(t *testing.T) {
 	s, a := noticeScene(t, map[string]time.Time{})
