Forget what an endpoint said once it asks for nothing any more

Cause: an endpoint that had ever asked for rest was remembered for as long as it was listed, and with one remembered each choice of an endpoint takes a lock. Change: what is over is forgotten ten minutes after the last word; what is in force stays while the endpoint is listed. Test: TestKeepForgetsWhatAsksForNothingAndWhatIsLongGone.

--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -82,7 +82,7 @@
 	// unread is what was last not read, as of unreadAt: an endpoint may say another thing each time.
 	unread   string
 	unreadAt time.Time
-	heardAt  time.Time
+	saidAt   time.Time // When it said anything last.
 }
 
 // Boxes lists the boxes that may send to endpoints of a region, with a number that changes with the list.
@@ -123,7 +123,10 @@
 		t.byID[a.Endpoint] = e
 		t.known.Add(1)
 	}
-	e.heardAt, e.region = now, a.Region
+	e.region = a.Region
+	if a.Notice != (Notice{}) {
+		e.saidAt = now
+	}
 	changes := t.takeLimit(now, e, a)
 	if a.Notice.Leaving && !e.leaving {
 		e.leaving = true
@@ -259,16 +262,17 @@
 	return b
 }
 
-// keptFor is for how long an endpoint is remembered that is not listed and says nothing: longer than a
+// keptFor is for how long an endpoint is remembered that asks for nothing, or is not listed: longer than a
 // list is without entries that lapsed while the store was away.
 const keptFor = 10 * time.Minute
 
-// Keep forgets endpoints that are not listed and were not heard of for long.
+// Keep forgets endpoints that said nothing for long and ask for nothing any more or are not listed.
 func (t *Table) Keep(now time.Time, listed func(id string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, e := range t.byID {
-		if !listed(id) && now.Sub(e.heardAt) > keptFor {
+		asks := e.limit > 0 || e.leaving || now.Before(e.restBy)
+		if now.Sub(e.saidAt) > keptFor && !(asks && listed(id)) {
 			t.lift(e)
 			delete(t.byID, id)
 			t.known.Add(-1)
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -61,17 +61,27 @@
 	}
 }
 
-func TestKeepForgetsOnlyWhatIsLongGone(t *testing.T) {
-	table := expectChanges(t, []Answer{at(0, 6)}, LimitNamed)
-	gone := func(string) bool { return false }
-	table.Keep(start.Add(keptFor), gone)
-	if table.Limited() != 1 {
-		t.Error("expected an endpoint whose entry may come back to be remembered")
+// expectKept has an endpoint say something, and expects it to be known some time later or not.
+func expectKept(t *testing.T, n Notice, later time.Duration, listed, want bool) {
+	t.Helper()
+	table := NewTable("b", alone)
+	table.Heard(start, Answer{Endpoint: "e", Sent: start, Notice: n})
+	table.Keep(start.Add(later), func(string) bool { return listed })
+	if table.Knows("e") != want || table.Limited() > 0 && !want {
+		t.Errorf("%+v, listed %t: expected it to be known after %s: %t", n, listed, later, want)
 	}
-	table.Keep(start.Add(keptFor+time.Second), gone)
-	if table.Limited() != 0 {
-		t.Error("expected an endpoint that is long gone to be forgotten")
+}
+
+// An entry may lapse while the store is away, and what is in force stays while the endpoint is listed.
+func TestKeepForgetsWhatAsksForNothingAndWhatIsLongGone(t *testing.T) {
+	for _, n := range []Notice{{Limit: 6}, {Leaving: true}} {
+		expectKept(t, n, keptFor, false, true)
+		expectKept(t, n, keptFor+time.Second, false, false)
+		expectKept(t, n, keptFor+time.Second, true, true)
 	}
+	rest := Notice{Rest: time.Second}
+	expectKept(t, rest, keptFor, true, true)
+	expectKept(t, rest, keptFor+time.Second, true, false)
 }
 
 func TestLeavingIsHeardOnce(t *testing.T) {
