Take other boxes' words on endpoints that this box deals with only

Cause: each word that an endpoint leaves has the box work its list out anew. Where each box deals with 96 of thousands of endpoints, all that are replaced would do so at all. Change: a word about an endpoint that the box does not keep is passed on and not taken in. Found by reading; not measured at size. Tests: TestOtherBoxesHearThatAnEndpointLeaves, unchanged.

--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -43,10 +43,10 @@
 	}
 }
 
-// hearNotice takes what an endpoint said to another box. One that this box does not know of is nothing
-// to it, and what is kept stays as small as the list.
+// hearNotice takes what an endpoint said to another box, if this box deals with it: each word would have
+// the whole list worked out anew otherwise.
 func (r *Relay) hearNotice(at time.Time, n *overlay.Notice) {
-	if _, known := r.fleet.called(n.Endpoint); known {
+	if r.fleet.dealsWith(n.Endpoint) {
 		r.takeNotice(notice.Answer{Endpoint: n.Endpoint, Sent: at, Ran: n.Ran, Notice: notice.Notice{Limit: n.Limit, Leaving: n.Leaving}})
 	}
 }
--- a/internal/relay/subset.go
+++ b/internal/relay/subset.go
@@ -203,6 +203,14 @@
 	r.applyFleet()
 }
 
+// dealsWith says whether the box keeps an endpoint.
+func (f *fleet) dealsWith(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, kept := f.keptAt[id]
+	return f.drawn[id] || kept
+}
+
 // narrow halves the circles that were not widened for a while. The lock is held.
 func (f *fleet) narrow(now time.Time) {
 	for service, c := range f.circles {
