Tell a caller when the rest is over that its own request met

A caller whose request was turned away by the only endpoint, which asked for 20 s of rest, was told to come back after 0.25 s, into the same refusal. Cause: endpoints that a request had tried were left out where the time was worked out. Change: a throttled endpoint counts for the time whether it was tried or not. Test: TestRefusalThatAsksForRestTellsItsCallerWhenItIsOver.

--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -131,13 +131,13 @@
 }
 
 // takes says whether an endpoint of a service may get a call from this box that was not tried there yet.
-// Otherwise wait is how long the endpoint takes none, and 0 where nothing tells. The lock is held.
+// Otherwise wait is how long it is throttled, and 0 if it is not. The lock is held.
 func (t *plainTable) takes(e *plainEndpoint, region string, now time.Time, tried map[string]bool) (yes bool, wait time.Duration) {
-	if !e.open() || e.Region != region || tried[e.ID] || e.cold(now) {
+	if !e.open() || e.Region != region || e.cold(now) {
 		return false, 0
 	}
 	wait = t.notices.Wait(e.ID, now)
-	return wait == 0, wait
+	return wait == 0 && !tried[e.ID], wait
 }
 
 // another says whether a call could go on to an endpoint that was not tried yet.
@@ -153,8 +153,8 @@
 }
 
 // choose takes the endpoint that is expected to answer first among those of a region that stay and
-// were not tried yet; nil if there is none. Endpoints set aside are a last resort. Where there are only
-// such as asked for no more than they get, wait is the time until one takes a call.
+// were not tried yet; nil if there is none. Endpoints set aside are a last resort. Where there is
+// none, wait is the time until the first one that is throttled takes a call, and 0 if none is.
 func (t *plainTable) choose(service, region string, now time.Time, tried map[string]bool) (_ *taken, wait time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -40,8 +40,11 @@
 		}
 		e, wait := x.r.plain.choose(x.service.Name, x.region, clock.Now(), tried)
 		if e == nil {
-			if wait > 0 && len(tried) == 0 {
+			switch {
+			case wait > 0 && len(tried) == 0:
 				o = throttled(wait)
+			case wait > 0 && o.Kind == outcome.NotRun:
+				o.RetryAfter = max(o.RetryAfter, throttled(wait).RetryAfter)
 			}
 			break
 		}
