Tell tables of followers beside the node's lock

Callers of one box got no answer any more, for good, until the box was started again. Cause, by the goroutines of the box: it took a follower in and told its tables so with the node's lock held; a table handed the list of endpoints on with its own lock held; and the list is worked out anew with a lock held that asks the node who wants what. The first two alone could stand still too, since the list is handed on under the table's lock: the fault is older, and a word in an answer, which has the list worked out anew, makes it likelier. Ruled out: the lock of the notices; nothing waits for another lock while it holds that one but for the list of boxes, which is a leaf. Change: the node's lock is not held while tables are told; a lock of its own keeps them told in order. Conclusion: no table is called with the node's lock held.

--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -139,6 +139,9 @@
 	// putAt is when this box last listed itself. Only register uses it.
 	putAt time.Time
 
+	// telling has tables be told of followers one after another; it is taken before mu.
+	telling sync.Mutex
+
 	mu        sync.Mutex
 	followers map[*follower]struct{}
 	up        *link // To the box followed; nil if none is.
--- a/internal/overlay/serve.go
+++ b/internal/overlay/serve.go
@@ -102,29 +102,40 @@
 
 // admit takes a follower in, if there is room.
 func (n *Node) admit(f *follower) bool {
+	if !n.addFollower(f) {
+		return false
+	}
+	n.sayFollowed()
+	n.sayInterest() // A box that is followed passes facts on.
+	return true
+}
+
+func (n *Node) addFollower(f *follower) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if len(n.followers) >= mostFollowers || n.stopped.Err() != nil {
 		return false
 	}
 	n.followers[f] = struct{}{}
-	n.sayFollowed()
-	go n.sayInterest() // A box that is followed passes facts on. The lock is held.
 	return true
 }
 
 func (n *Node) drop(f *follower) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	delete(n.followers, f)
+	n.mu.Unlock()
 	n.sayFollowed()
-	go n.sayInterest()
+	n.sayInterest()
 }
 
-// sayFollowed tells the tables whether others depend on them. The lock is held.
+// sayFollowed tells the tables whether others depend on them. The node's lock is not held meanwhile: a
+// table calls whoever has a use for its rows with its own lock held, and these ask the node.
 func (n *Node) sayFollowed() {
+	n.telling.Lock()
+	defer n.telling.Unlock()
+	followed := n.Followers() > 0
 	for _, t := range n.o.Tables {
-		t.Followed(len(n.followers) > 0)
+		t.Followed(followed)
 	}
 }
 
