Use the field's terms for what endpoints ask for in their answers

Change: answers are observed, notices published to and received from other boxes; comments say so. Names and comments only, behaviour as before. Ruled out: renaming what other packages had before (tell, hear, facts); that is a change of its own. Tests: as they were, but for the names of what they call.

--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -163,7 +163,7 @@
 	// ticked is when the latest tick was; zero before the first.
 	ticked time.Time
 	others others
-	// notices are what engines say of themselves; nil if nothing is heard of it.
+	// notices are what engines ask for in their answers; nil if that is not known.
 	notices Notices
 	now     time.Time
 	out     []Action
@@ -189,7 +189,7 @@
 	return c
 }
 
-// Notices tells what engines ask of this box in their answers.
+// Notices are what engines ask of this box in their answers.
 type Notices interface {
 	// Wait is how long an engine takes nothing new of this box; 0 if it takes some now.
 	Wait(engine string, now time.Time) time.Duration
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -69,8 +69,8 @@
 type endpoint struct {
 	region string
 	limit  float64 // Requests a second; 0 for none.
-	// limitAt is when the request was sent whose answer named the limit last, and passedOn when the other
-	// boxes were last told.
+	// limitAt is when the request was sent whose answer named the limit last, and passedOn when that was
+	// last published to the other boxes.
 	limitAt, passedOn time.Time
 	pacer             pacing.Pacer
 	// version is that of the list of boxes by which pacer was settled, and renewAt when the list is looked
@@ -106,12 +106,12 @@
 	return &Table{box: box, boxes: boxes, epoch: clock.Now(), byID: map[string]*endpoint{}}
 }
 
-// repeatAfter is how often the other boxes are told of a limit that still counts, since what is told once
-// may be lost and boxes start meanwhile, and how often a notice that cannot be read is reported.
+// repeatAfter is how often a limit that still counts is published again, since messages are lost and boxes
+// start meanwhile, and how often a notice that cannot be read is logged.
 const repeatAfter = 5 * time.Second
 
-// Heard takes the head of an answer, and returns what it changes.
-func (t *Table) Heard(now time.Time, a Answer) []Change {
+// Observe takes the head of an answer, and returns what it changes.
+func (t *Table) Observe(now time.Time, a Answer) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.byID[a.Endpoint]
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -27,7 +27,7 @@
 	t.Helper()
 	table := NewTable("b", alone)
 	for i, a := range answers {
-		got := table.Heard(a.Sent.Add(answerTime), a)
+		got := table.Observe(a.Sent.Add(answerTime), a)
 		if want[i] == 0 && len(got) > 0 || want[i] != 0 && !slices.Equal(got, []Change{want[i]}) {
 			t.Errorf("answer %d: expected change %d, got %d", i+1, want[i], got)
 		}
@@ -65,7 +65,7 @@
 func expectKept(t *testing.T, n Notice, later time.Duration, listed, want bool) {
 	t.Helper()
 	table := NewTable("b", alone)
-	table.Heard(start, Answer{Endpoint: "e", Sent: start, Notice: n})
+	table.Observe(start, Answer{Endpoint: "e", Sent: start, Notice: n})
 	table.Keep(start.Add(later), func(string) bool { return listed })
 	if table.Knows("e") != want || table.Limited() > 0 && !want {
 		t.Errorf("%+v, listed %t: expected it to be known after %s: %t", n, listed, later, want)
@@ -117,7 +117,7 @@
 	rests := at(1, 100)
 	rests.Notice.Rest = 10 * time.Second
 	table := NewTable("b", alone)
-	table.Heard(rests.Sent, rests)
+	table.Observe(rests.Sent, rests)
 	if wait := table.Wait("e", rests.Sent.Add(5*time.Second)); wait != 5*time.Second {
 		t.Errorf("expected 5 s of rest to be left, got %s", wait)
 	}
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -139,7 +139,7 @@
 	// putAt is when this box last listed itself. Only register uses it.
 	putAt time.Time
 
-	// telling has tables be told of followers one after another; it is taken before mu.
+	// telling orders the calls to tables about followers; it is taken before mu.
 	telling sync.Mutex
 
 	mu        sync.Mutex
--- a/internal/overlay/serve.go
+++ b/internal/overlay/serve.go
@@ -128,8 +128,8 @@
 	n.sayInterest()
 }
 
-// sayFollowed tells the tables whether others depend on them. The node's lock is not held meanwhile: a
-// table calls whoever has a use for its rows with its own lock held, and these ask the node.
+// sayFollowed reports to the tables whether others depend on them. The node's lock is not held meanwhile:
+// a table hands its rows on with its own lock held, and whoever takes them asks the node.
 func (n *Node) sayFollowed() {
 	n.telling.Lock()
 	defer n.telling.Unlock()
--- a/internal/pacing/cold.go
+++ b/internal/pacing/cold.go
@@ -40,7 +40,7 @@
 // ColdPace is the least time between two requests of one box to an endpoint; 0 if it may send none.
 type ColdPace time.Duration
 
-// Cold is what one box knows of an endpoint's start: until when the endpoint is cold, and how often
+// Cold is an endpoint's start as one box sees it: until when the endpoint is cold, and how often
 // this box may send to it until then. The zero value is an endpoint that is not cold.
 type Cold struct {
 	Until time.Time
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -1,6 +1,6 @@
 // Package pacing bounds what all boxes together send to one endpoint.
 //
-// The bounds are on sums over all boxes, and hold for boxes too that hear nothing of the others. A part of
+// The bounds are on sums over all boxes, and hold for boxes too that are cut off from the others. A part of
 // the bound for each box would be less than one request. So few boxes are selected to send; each finds out
 // by itself whether it is one of them, by rendezvous hashing over the list of boxes, and keeps to its share.
 package pacing
--- a/internal/pacing/share.go
+++ b/internal/pacing/share.go
@@ -46,8 +46,8 @@
 //
 // The sum is bounded without a call between boxes. A part of the limit for each box would not do: 400
 // boxes that each send one request are far over a limit of 6. So few boxes are selected, by rendezvous
-// hashing, and the others share one more part in turns: an endpoint that lifts its limit is found out by
-// them too, though nobody tells them.
+// hashing, and the others share one more part in turns: they find out by themselves when a limit is
+// lifted, also where no message of another box reaches them.
 //
 // Example: 6 a second are at most 41 in 4 s. Of 60 boxes five are selected, each with 1 a second, and the
 // other 55 have a slot each 55 s.
@@ -65,8 +65,8 @@
 	if !slices.Contains(boxes, box) {
 		every = max(every, time.Duration(unlistedBoxes/part*float64(time.Second)))
 	}
-	drawn := float64(xxhash.Sum64String("slot "+box+" "+endpoint)>>11) / (1 << 53)
-	return Share{Every: every, Phase: time.Duration(drawn * float64(every)), Slot: min(longestSlot, every/2)}
+	phase := float64(xxhash.Sum64String("slot "+box+" "+endpoint)>>11) / (1 << 53)
+	return Share{Every: every, Phase: time.Duration(phase * float64(every)), Slot: min(longestSlot, every/2)}
 }
 
 // slot numbers the slot that a time is in, counted from an epoch; ok is false between two slots.
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -16,7 +16,7 @@
 	hall string
 	// believed is told when an endpoint is set aside or back; it must not block.
 	believed func(decide.Believed)
-	// notices tells what endpoints ask for in their answers.
+	// notices are what endpoints ask for in their answers.
 	notices decide.Notices
 
 	mu sync.Mutex
--- a/internal/relay/learn.go
+++ b/internal/relay/learn.go
@@ -70,7 +70,7 @@
 	case f.Took != nil:
 		r.hearTook(f.Took)
 	case f.Notice != nil:
-		r.hearNotice(f.At, f.Notice)
+		r.receiveNotice(f.At, f.Notice)
 	case f.Streams != nil:
 		r.otherPlaced(f.Streams.Service, f.Streams.Placed)
 	case f.Waiting != nil:
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -17,20 +17,20 @@
 // Limited is how many endpoints have a limit that they named in their answers.
 func (r *Relay) Limited() int { return r.notices.Limited() }
 
-// heardRun takes the head of the answer to a caller's request.
-func (r *Relay) heardRun(q *h1.Request, resp *http.Response, sent time.Time) {
+// observeRun takes the head of the answer to a caller's request.
+func (r *Relay) observeRun(q *h1.Request, resp *http.Response, sent time.Time) {
 	reply := r.wire.Reply(resp)
 	ran := reply.Signed && !reply.NotRun && resp.StatusCode < http.StatusInternalServerError
-	r.heard(q, resp, notice.Answer{Sent: sent, Ran: ran, Notice: reply.Notice})
+	r.observe(q, resp, notice.Answer{Sent: sent, Ran: ran, Notice: reply.Notice})
 }
 
-// heardSide takes the head of the answer to a call of this box's own.
-func (r *Relay) heardSide(q *h1.Request, resp *http.Response, sent time.Time) {
-	r.heard(q, resp, notice.Answer{Sent: sent, Notice: r.wire.Reply(resp).Notice})
+// observeSide takes the head of the answer to a call of this box's own.
+func (r *Relay) observeSide(q *h1.Request, resp *http.Response, sent time.Time) {
+	r.observe(q, resp, notice.Answer{Sent: sent, Notice: r.wire.Reply(resp).Notice})
 }
 
-// heard takes the head of an answer. A misdirected request was answered by another endpoint.
-func (r *Relay) heard(q *h1.Request, resp *http.Response, a notice.Answer) {
+// observe takes the head of an answer. A misdirected request was answered by another endpoint.
+func (r *Relay) observe(q *h1.Request, resp *http.Response, a notice.Answer) {
 	if q.Endpoint == "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
@@ -43,19 +43,19 @@
 	}
 }
 
-// hearNotice takes what an endpoint said to another box, if this box deals with it: each word would have
-// the whole list worked out anew otherwise.
-func (r *Relay) hearNotice(at time.Time, n *overlay.Notice) {
+// receiveNotice takes what an endpoint said to another box, if this box deals with the endpoint: each notice
+// of leaving has the whole list worked out anew.
+func (r *Relay) receiveNotice(at time.Time, n *overlay.Notice) {
 	if r.fleet.dealsWith(n.Endpoint) {
 		r.takeNotice(notice.Answer{Endpoint: n.Endpoint, Sent: at, Ran: n.Ran, Notice: notice.Notice{Limit: n.Limit, Leaving: n.Leaving}})
 	}
 }
 
-// takeNotice logs what an answer changes, and returns whether the other boxes are to know.
+// takeNotice takes an answer in, and returns whether what it changes is to be published to the other boxes.
 func (r *Relay) takeNotice(a notice.Answer) (news bool) {
 	e, _ := r.fleet.called(a.Endpoint)
 	a.Region = r.fleet.regionOf(e.Hall)
-	for _, c := range r.notices.Heard(clock.Now(), a) {
+	for _, c := range r.notices.Observe(clock.Now(), a) {
 		news = r.noticed(c, a) || news
 	}
 	return news
@@ -78,7 +78,7 @@
 		log("endpoint names no limit any more")
 		return true
 	case notice.Leaves:
-		r.m.LeavesHeard.Inc()
+		r.m.LeavingSeen.Inc()
 		log("endpoint says that it leaves", zap.Duration("list_age", r.listAge()))
 		r.applyFleet()
 		return true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -126,7 +126,7 @@
 	r.memory.limit = o.Memory
 	r.revoked.Store(&revoked{})
 	r.pool.OnSurplus = r.m.Crossed.Inc
-	r.pool.OnAnswer, r.side.OnAnswer = r.heardRun, r.heardSide
+	r.pool.OnAnswer, r.side.OnAnswer = r.observeRun, r.observeSide
 	r.disp.OnBelief = r.believed
 	r.disp.OnLearnt = r.learnt
 	r.plain.believed = r.believed
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -33,8 +33,8 @@
 	EndedUnder *metrics.Counter
 	Aborts     *metrics.Counter
 	// LimitsNamed and LimitsLifted count the changes of limits that endpoints name in their answers,
-	// LeavesHeard and RestsAsked what else they ask for there, and NoticesUnread what cannot be read.
-	LimitsNamed, LimitsLifted, LeavesHeard, RestsAsked, NoticesUnread *metrics.Counter
+	// LeavingSeen and RestsAsked what else they ask for there, and NoticesUnread what cannot be read.
+	LimitsNamed, LimitsLifted, LeavingSeen, RestsAsked, NoticesUnread *metrics.Counter
 	// Widened counts the times that a box took more endpoints of a service into account.
 	Widened       *metrics.Counter
 	AbortsLost    *metrics.Counter
@@ -76,7 +76,7 @@
 		Aborts:        s.NewCounter("stoatramp_aborts_total"),
 		LimitsNamed:   s.NewCounter(`stoatramp_endpoint_notices_total{notice="limit"}`),
 		LimitsLifted:  s.NewCounter(`stoatramp_endpoint_notices_total{notice="limit_lifted"}`),
-		LeavesHeard:   s.NewCounter(`stoatramp_endpoint_notices_total{notice="leaving"}`),
+		LeavingSeen:   s.NewCounter(`stoatramp_endpoint_notices_total{notice="leaving"}`),
 		RestsAsked:    s.NewCounter(`stoatramp_endpoint_notices_total{notice="rest"}`),
 		NoticesUnread: s.NewCounter(`stoatramp_endpoint_notices_total{notice="unread"}`),
 		Widened:       s.NewCounter("stoatramp_circles_widened_total"),
