Log the store's eras, and by which versions its answers are refused

Cause: not changed here. The store says in each answer, by Store-Era, how often it came back from an older copy; no code read it, so the log could not tell a table that is refused as older (hypothesis 1 of docs/incidents/older-store.md) from changes that are read on after a number of another era (2).

Ruled out: nothing yet.

The error of a refused table names both versions.

Conclusion: a refused table shows its versions, and a change that is missed shows as 'store era' without an error after it.

--- a/cmd/stoatrampd/main.go
+++ b/cmd/stoatrampd/main.go
@@ -114,6 +114,8 @@
 		Ends:        store.Ends(),
 		EndsChanges: store.EndsChanges(),
 
+		WatchEras: store.WatchEras,
+
 		Config:    platform.Config,
 		Evacuated: platform.Evacuated,
 		Endpoint:  platform.Endpoint,
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -67,6 +67,9 @@
 	// Ends is the table of requests under which endpoints ended; EndsChanges follows it.
 	Ends        quarantine.Table
 	EndsChanges follow.Source
+	// WatchEras has risen told when the store came back from an older copy, with the last known era and the
+	// new one, and unread when its answers stop naming their era. Nil where the store has no eras.
+	WatchEras func(rose func(last, now int64), unread func(error))
 	// ReadyPath is where the platform asks whether the box takes connections.
 	ReadyPath string
 }
@@ -100,6 +103,8 @@
 	tables map[string]*follow.Table
 	// storeLink is the way to the store that all tables share.
 	storeLink follow.Link
+	// storeEra is the newest era that the store was heard of in.
+	storeEra atomic.Int64
 	// listed are the endpoints by key; only list uses it, and its calls do not overlap.
 	listed map[string]listedEndpoint
 	// listNews says that listed has news which were not handed on, listDue when they may be, and
@@ -136,6 +141,7 @@
 	b.ends = quarantine.NewList()
 	b.ends.Held = b.heldFromNow
 	b.setBounds(cfg)
+	b.watchEras()
 	b.makeTables()
 	b.purse = quota.NewPurse(b.node)
 	var others relay.Others // None for a box that is alone.
@@ -185,6 +191,7 @@
 	}
 	b.Metrics.Set.NewGauge("stoatramp_store_down", func() float64 { return oneIf(b.storeLink.State(clock.Now()).Down) })
 	b.Metrics.Set.NewGauge("stoatramp_store_looking_seconds", func() float64 { return b.storeLink.State(clock.Now()).Looking.Seconds() })
+	b.Metrics.Set.NewGauge("stoatramp_store_era", func() float64 { return float64(b.storeEra.Load()) })
 	b.Metrics.Set.NewGauge("stoatramp_configuration_version", func() float64 { return float64(b.Relay.Version()) })
 	b.Metrics.Set.NewGauge("stoatramp_policies_version", func() float64 { return float64(b.Relay.PolicyVersion()) })
 	b.Metrics.Set.NewGauge("stoatramp_ends_known", func() float64 { n, _ := b.ends.Sizes(); return float64(n) })
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -141,6 +141,17 @@
 	})
 }
 
+// watchEras logs when the store came back from an older copy.
+func (b *RelayBox) watchEras() {
+	if b.site.WatchEras == nil {
+		return
+	}
+	b.site.WatchEras(func(last, now int64) {
+		b.storeEra.Store(now)
+		b.book.Log.Belief("store era", zap.Int64("era", now), zap.Int64("before", last))
+	}, func(err error) { b.book.Log.Belief("store era not read", zap.Error(err)) })
+}
+
 // follow begins to follow all tables; members only where there may be others.
 func (b *RelayBox) follow() {
 	for name, t := range b.tables {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -344,7 +345,7 @@
 	}
 	t.isBack()
 	if !t.replace(rows, ver) {
-		return errOld
+		return fmt.Errorf("%w: version %d, and %d is known", errOld, ver, t.Version())
 	}
 	return nil
 }
