--- a/cmd/stoatrampd/relay_test.go
+++ b/cmd/stoatrampd/relay_test.go
@@ -28,9 +28,11 @@
 	b       *box.RelayBox
 	store   *standin.Store
 	address string // The store's.
-	file    string // The settings'.
-	log     lines
-	ended   chan error
+	// endpoint is the address of the service.
+	endpoint string
+	file     string // The settings'.
+	log      lines
+	ended    chan error
 }
 
 // lines gathers what a box logs.
@@ -65,8 +67,8 @@
 	platform, endpoint := httptest.NewServer(store), httptest.NewServer(service)
 	t.Cleanup(platform.Close)
 	t.Cleanup(endpoint.Close)
-	store.Put("servers", "i-1", fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"h","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"sequence":0}`, endpoint.Listener.Addr()), 0)
-	x := &relayBox{t: t, store: store, address: platform.Listener.Addr().String(), ended: make(chan error, 1)}
+	x := &relayBox{t: t, store: store, address: platform.Listener.Addr().String(), endpoint: endpoint.Listener.Addr().String(), ended: make(chan error, 1)}
+	x.list("i-1", "ready")
 	x.start()
 	x.await(http.StatusServiceUnavailable) // No configuration yet.
 	x.configure(1, "/a/")
@@ -74,6 +76,11 @@
 	return x
 }
 
+// list writes the entry of an endpoint.
+func (x *relayBox) list(id, state string) {
+	x.store.Put("servers", id, fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"h","version":"v1","slots":8,"state":%q,"coldRemainingMs":0,"sequence":0}`, x.endpoint, state), 0)
+}
+
 // settings are those of the box, with more lines in its first section.
 func (x *relayBox) settings(more string) string {
 	return fmt.Sprintf(`
