Order the states of the store's tables by its era, then by its version

Callers saw requests handled by a configuration that had been replaced more than 2 s before, and at an endpoint that leaves, after the store had come back from an older copy.

Cause: versions were taken to grow with every change of the store.

Ruled out: two faults. Configuration and leaving are two tables that were refused for one reason. The circle of boxes (3) is no cause: both tests have one box.

Change: a version is an era and a number. Boxes tell each other the era (two new fields; boxes that know none leave them 0 and read the store themselves). Changes that lead to another era fit one state only, and a teller that knows an older era is no relief.

Conclusion: mended.

--- a/internal/box/list_test.go
+++ b/internal/box/list_test.go
@@ -104,11 +104,11 @@
 				t.Errorf("%s: expected %d engines, got %d", what, want, len(list))
 			}
 		}
-		table.Hear(follow.Part{Version: 1, Rows: []follow.Row{{Key: "e-1", Value: []byte("ready")}}}, 0)
+		table.Hear(follow.Part{Version: follow.Version{Number: 1}, Rows: []follow.Row{{Key: "e-1", Value: []byte("ready")}}}, 0)
 		expect("the first list", 1)
 		table.Again(func() { x.listDue = clock.Now().Add(100 * time.Millisecond) })
-		for ver := int64(1); ver < 4; ver++ {
-			table.Hear(follow.Part{Since: ver, Version: ver + 1, Rows: []follow.Row{{Key: fmt.Sprint("e-", ver+1), Value: []byte("ready")}}}, 0)
+		for n := int64(1); n < 4; n++ {
+			table.Hear(follow.Part{Since: follow.Version{Number: n}, Version: follow.Version{Number: n + 1}, Rows: []follow.Row{{Key: fmt.Sprint("e-", n+1), Value: []byte("ready")}}}, 0)
 		}
 		expect("news that came too soon", 1)
 		time.Sleep(110 * time.Millisecond)
--- a/internal/box/relay_test.go
+++ b/internal/box/relay_test.go
@@ -63,30 +63,30 @@
 	mu   sync.Mutex
 	up   bool
 	rows []follow.Row
-	ver  int64
+	ver  follow.Version
 }
 
-func (a *away) All(context.Context) ([]follow.Row, int64, error) {
+func (a *away) All(context.Context) ([]follow.Row, follow.Version, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.up {
-		return nil, 0, errors.New("away")
+		return nil, follow.Version{}, errors.New("away")
 	}
 	return a.rows, a.ver, nil
 }
 
-func (a *away) Changed(ctx context.Context, since int64, wait time.Duration) ([]follow.Row, int64, error) {
+func (a *away) Changed(ctx context.Context, since follow.Version, wait time.Duration) ([]follow.Row, follow.Version, error) {
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, follow.Version{}, ctx.Err()
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.up {
-		return nil, 0, errors.New("away")
+		return nil, follow.Version{}, errors.New("away")
 	}
-	return nil, 0, follow.ErrForgotten
+	return nil, follow.Version{}, follow.ErrForgotten
 }
 
 // An endpoint whose entry lapsed while the store was away is kept until it should be back;
@@ -98,7 +98,7 @@
 			return relay.Endpoint{ID: key}, nil
 		}}}
 		b.Relay = relay.New(relay.Options{Core: decide.New(rand.New(rand.NewPCG(1, 1)), 1), Book: book})
-		store := &away{up: true, ver: 1, rows: []follow.Row{{Key: "a"}, {Key: "b"}, {Key: "c"}}}
+		store := &away{up: true, ver: follow.Version{Number: 1}, rows: []follow.Row{{Key: "a"}, {Key: "b"}, {Key: "c"}}}
 		table := follow.New(store, follow.Options{Wait: 100 * time.Millisecond, Limit: 100 * time.Millisecond}, b.list)
 		b.tables = map[string]*follow.Table{tableEndpoints: table}
 		ctx, cancel := context.WithCancel(context.Background())
@@ -117,7 +117,7 @@
 			store.mu.Lock()
 			defer store.mu.Unlock()
 			store.up, store.rows = up, nil
-			store.ver++
+			store.ver.Number++
 			for _, k := range keys {
 				store.rows = append(store.rows, follow.Row{Key: k})
 			}
--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -14,10 +14,10 @@
 
 // Part is what one box tells another of a table.
 type Part struct {
-	// Version is the store's, of the state that the rows lead to.
-	Version int64
-	// Since is the version that the rows are changes from; 0 if they are the whole table.
-	Since int64
+	// Version is that of the state that the rows lead to.
+	Version Version
+	// Since is the version that the rows are changes from; zero if they are the whole table.
+	Since Version
 	Rows  []Row
 	// Age is how long ago the store was heard of.
 	Age time.Duration
@@ -28,8 +28,10 @@
 // changes remembers which rows changed when, also those that are gone.
 type changes struct {
 	// at is the version at which a row changed last, if that was after from.
-	at   map[string]int64
-	from int64
+	at   map[string]Version
+	from Version
+	// ended has the last version that was known of each earlier era.
+	ended map[int64]int64
 	// told is closed and replaced at each change of the version; nil while nobody waits.
 	told chan struct{}
 }
@@ -38,10 +40,34 @@
 // gets the table whole.
 const mostChanges = 2048
 
-func (c *changes) restart(ver int64) { c.at, c.from = map[string]int64{}, ver }
+func (c *changes) restart(ver Version) { c.at, c.from = map[string]Version{}, ver }
+
+// mostEnded bounds the earlier eras whose end is remembered. A box that is further behind gets the table whole.
+const mostEnded = 16
+
+// end remembers the last version that was known of an era.
+func (c *changes) end(last Version) {
+	if c.ended == nil || len(c.ended) >= mostEnded {
+		c.ended = map[int64]int64{}
+	}
+	c.ended[last.Era] = last.Number
+}
+
+// leadFrom says whether what is remembered leads from a version to the present one. Of an earlier era it does
+// so only as far as this box has read that era.
+func (c *changes) leadFrom(since, now Version) bool {
+	if since.IsZero() || since.Before(c.from) {
+		return false
+	}
+	if since.Era >= now.Era {
+		return true // There is nothing after it.
+	}
+	last, known := c.ended[since.Era]
+	return known && since.Number <= last
+}
 
 // note remembers that a row of so many changed.
-func (c *changes) note(key string, ver int64, rows int) {
+func (c *changes) note(key string, ver Version, rows int) {
 	if _, known := c.at[key]; !known && len(c.at) >= max(mostChanges, rows/2) {
 		c.forget()
 	}
@@ -51,9 +77,9 @@
 // forget drops the older half. With all dropped at once, every follower is behind what is left and gets the
 // table whole: 2.3 MB of 10,000 endpoints each time that 2,048 more of them had changed, to 986 boxes.
 func (c *changes) forget() {
-	vers := slices.Sorted(maps.Values(c.at))
+	vers := slices.SortedFunc(maps.Values(c.at), Version.Compare)
 	c.from = vers[len(vers)/2]
-	maps.DeleteFunc(c.at, func(_ string, ver int64) bool { return ver <= c.from })
+	maps.DeleteFunc(c.at, func(_ string, ver Version) bool { return !c.from.Before(ver) })
 }
 
 func (c *changes) tell() {
@@ -95,26 +121,26 @@
 	return 1<<63 - 1
 }
 
-// Version is the store's version of the copy; 0 before the table was read.
-func (t *Table) Version() int64 {
+// Version is that of the copy; zero before the table was read.
+func (t *Table) Version() Version {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.ver
 }
 
-// Tell says what changed since a version that another box has; 0 if it has nothing. A box
-// that has read nothing itself has nothing to tell: then Version is 0.
-func (t *Table) Tell(since int64) Part {
+// Tell says what changed since a version that another box has; zero if it has nothing. A box
+// that has read nothing itself has nothing to tell: then Version is zero.
+func (t *Table) Tell(since Version) Part {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := Part{Version: t.ver, Age: t.Fresh.Age(), Lost: t.Away()}
 	if t.rows == nil {
 		return Part{Lost: true}
 	}
-	if since >= t.changes.from && since > 0 {
+	if t.changes.leadFrom(since, t.ver) {
 		p.Since = since
 		for key, ver := range t.changes.at {
-			if ver <= since {
+			if !since.Before(ver) {
 				continue
 			}
 			value, there := t.rows[key]
@@ -137,22 +163,23 @@
 
 // Hear takes what another box tells. If that is fresh, this box does not read the store for
 // some time; it begins again as soon as that is over, or Alone says so. Hear returns false
-// if the part was of no use because versions between are missing: then the other box is to
-// be asked for the whole table.
+// if the part was of no use because versions between are missing, or because the other box knows an older
+// era: then this box goes on reading the store.
 func (t *Table) Hear(p Part, relief time.Duration) bool {
-	if p.Version == 0 {
+	if p.Version.IsZero() {
 		return true
 	}
-	fits := true
 	if !p.Lost && p.Age <= t.OverdueAfter() {
 		t.isBack() // Before the rows are applied, which may lack some that lapsed meanwhile.
 	}
-	if p.Since == 0 {
+	if p.Since.IsZero() {
 		t.replace(p.Rows, p.Version)
 	} else {
 		t.merge(p.Rows, p.Since, p.Version)
-		fits = t.Version() >= p.Since
 	}
+	// A box that is behind in the same era will catch up; one in another era tells of what is undone.
+	has := t.Version()
+	fits := has.Era == p.Version.Era && !has.Before(p.Since)
 	if p.Lost {
 		t.o.Link.shared(clock.Now())
 	}
--- a/internal/follow/feed_test.go
+++ b/internal/follow/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"maps"
@@ -25,45 +26,79 @@
 	os.Exit(m.Run())
 }
 
-// truth is a table of the store with its whole history: states[v] is the table as of v. Like
-// the platform's, its feed names every row that changed, also one that is as it was.
+// truth is a table of the store with its whole history: states[v] is the table as of v in the present era.
+// Like the platform's, its feed names every row that changed, also one that is as it was.
 type truth struct {
+	era     int64
 	states  []map[string][]byte
 	changed []string // changed[v] is the row whose change made version v.
+	// writes counts the changes of all eras, so that no two write the same.
+	writes int
+	// undone has the states of earlier eras.
+	undone map[Version]map[string][]byte
 }
 
-func (s *truth) now() int64 { return int64(len(s.states) - 1) }
+func (s *truth) now() Version { return Version{s.era, int64(len(s.states) - 1)} }
+
+func (s *truth) present() map[string][]byte { return s.states[len(s.states)-1] }
+
+func (s *truth) at(v Version) map[string][]byte {
+	if v.Era == s.era {
+		return s.states[v.Number]
+	}
+	return s.undone[v]
+}
 
 // change puts or removes one row.
 func (s *truth) change(key string, gone bool) {
-	next := maps.Clone(s.states[s.now()])
-	if gone {
+	next := maps.Clone(s.present())
+	if s.writes++; gone {
 		delete(next, key)
 	} else {
-		next[key] = fmt.Append(nil, s.now()+1)
+		next[key] = fmt.Append(nil, s.writes)
 	}
 	s.states, s.changed = append(s.states, next), append(s.changed, key)
 }
 
-func (s *truth) All(context.Context) (out []Row, ver int64, err error) {
-	for k, v := range s.states[s.now()] {
+// restore has the store come back from a copy that is so many versions old.
+func (s *truth) restore(by int) {
+	if s.undone == nil {
+		s.undone = map[Version]map[string][]byte{}
+	}
+	for n, state := range s.states {
+		s.undone[Version{s.era, int64(n)}] = state
+	}
+	left := max(1, len(s.states)-by)
+	s.era, s.states, s.changed = s.era+1, s.states[:left:left], s.changed[:left:left]
+}
+
+func (s *truth) All(context.Context) (out []Row, ver Version, err error) {
+	for k, v := range s.present() {
 		out = append(out, Row{Key: k, Value: v})
 	}
 	return out, s.now(), nil
 }
 
-func (s *truth) Changed(_ context.Context, since int64, _ time.Duration) (out []Row, ver int64, err error) {
-	for _, k := range s.changed[since+1:] {
-		v, there := s.states[s.now()][k]
+func (s *truth) Changed(_ context.Context, since Version, _ time.Duration) (out []Row, ver Version, err error) {
+	if since.Era != s.era {
+		return nil, Version{}, ErrForgotten
+	}
+	for _, k := range s.changed[since.Number+1:] {
+		v, there := s.present()[k]
 		out = append(out, Row{Key: k, Value: v, Gone: !there})
 	}
 	return out, s.now(), nil
 }
 
-func newTruth() truth { return truth{[]map[string][]byte{{}, {}}, []string{"", ""}} }
+func newTruth() truth {
+	return truth{states: []map[string][]byte{{}, {}}, changed: []string{"", ""}}
+}
+
+// at is a version of a store that has no eras.
+func at(n int64) Version { return Version{Number: n} }
 
 // However boxes read the store and tell each other of it, late, twice, out of order, from
-// boxes ahead or behind: each has at all times the table as it was at its version, and no
+// boxes ahead or behind, and with the store back from older copies meanwhile: each has at all times the table as it was at its version, and no
 // version is followed by an older one.
 func TestTellAndHear(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -71,7 +106,7 @@
 		s := &truth
 		const boxes = 3
 		var tables [boxes]*Table
-		var last [boxes]int64
+		var last [boxes]Version
 		for i := range tables {
 			tables[i] = New(s, Options{Stale: time.Hour}, func(map[string][]byte) {})
 		}
@@ -80,31 +115,39 @@
 			part Part
 		}
 		var under []message // Under way.
+		seen := []Version{{}, s.now()}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			i := rapid.IntRange(0, boxes-1).Draw(t, "box")
-			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0, 1:
 				s.change(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), rapid.IntRange(0, 3).Draw(t, "gone") == 0)
 			case 2:
-				_, _ = tables[i].step(context.Background(), true)
+				if _, err := tables[i].step(context.Background(), true); errors.Is(err, ErrForgotten) {
+					tables[i].forgotten()
+				}
 			case 3:
 				to := (i + rapid.IntRange(1, boxes-1).Draw(t, "to")) % boxes
 				// Also what is meant for a box that has more than this one.
-				since := rapid.Int64Range(0, max(tables[to].Version(), tables[i].Version())).Draw(t, "since")
+				since := rapid.SampledFrom([]Version{tables[to].Version(), tables[i].Version(), seen[rapid.IntRange(0, len(seen)-1).Draw(t, "since")]}).Draw(t, "of")
 				under = append(under, message{to, tables[i].Tell(since)})
 			case 4:
 				if len(under) > 0 {
 					n := rapid.IntRange(0, len(under)-1).Draw(t, "which")
 					tables[under[n].to].Hear(under[n].part, time.Minute)
 				}
+			case 5:
+				if rapid.IntRange(0, 2).Draw(t, "restore") == 0 {
+					s.restore(rapid.IntRange(0, 6).Draw(t, "by"))
+				}
 			}
+			seen = append(seen, s.now())
 			for i, table := range tables {
-				if table.ver < last[i] {
-					t.Fatalf("box %d stepped back from %d to %d", i, last[i], table.ver)
+				if table.ver.Before(last[i]) {
+					t.Fatalf("box %d stepped back from %s to %s", i, last[i], table.ver)
 				}
 				last[i] = table.ver
-				if table.rows != nil && !maps.EqualFunc(table.rows, s.states[table.ver], func(a, b []byte) bool { return string(a) == string(b) }) {
-					t.Fatalf("box %d at version %d has %q, the store had %q", i, table.ver, table.rows, s.states[table.ver])
+				if table.rows != nil && !maps.EqualFunc(table.rows, s.at(table.ver), func(a, b []byte) bool { return string(a) == string(b) }) {
+					t.Fatalf("box %d at version %s has %q, the store had %q", i, table.ver, table.rows, s.at(table.ver))
 				}
 			}
 		}
@@ -161,15 +204,15 @@
 	calls atomic.Int32
 }
 
-func (c *counted) All(ctx context.Context) ([]Row, int64, error) {
+func (c *counted) All(ctx context.Context) ([]Row, Version, error) {
 	c.calls.Add(1)
 	return c.truth.All(ctx)
 }
 
-func (c *counted) Changed(ctx context.Context, since int64, wait time.Duration) ([]Row, int64, error) {
+func (c *counted) Changed(ctx context.Context, since Version, wait time.Duration) ([]Row, Version, error) {
 	c.calls.Add(1)
 	if err := passes(ctx, wait); err != nil {
-		return nil, 0, err
+		return nil, Version{}, err
 	}
 	return c.truth.Changed(ctx, since, wait)
 }
@@ -227,7 +270,7 @@
 				at(d)
 				for _, table := range tables {
 					if told {
-						table.Hear(Part{Version: 1, Since: 1, Lost: lost}, 600*time.Millisecond)
+						table.Hear(Part{Version: Version{Number: 1}, Since: Version{Number: 1}, Lost: lost}, 600*time.Millisecond)
 					}
 				}
 			}
@@ -267,12 +310,12 @@
 	calls *atomic.Int32
 }
 
-func (c countedOutage) All(ctx context.Context) ([]Row, int64, error) {
+func (c countedOutage) All(ctx context.Context) ([]Row, Version, error) {
 	c.calls.Add(1)
 	return c.outage.All(ctx)
 }
 
-func (c countedOutage) Changed(ctx context.Context, since int64, wait time.Duration) ([]Row, int64, error) {
+func (c countedOutage) Changed(ctx context.Context, since Version, wait time.Duration) ([]Row, Version, error) {
 	c.calls.Add(1)
 	return c.outage.Changed(ctx, since, wait)
 }
@@ -294,30 +337,66 @@
 	for i := range rows {
 		all = append(all, Row{Key: fmt.Sprint(i), Value: []byte("a")})
 	}
-	table.replace(all, 1)
-	expectOne := func(since int64) {
+	table.replace(all, at(1))
+	expectOne := func(since Version) {
 		t.Helper()
 		if p := table.Tell(since); p.Since != since || len(p.Rows) != 1 {
-			t.Fatalf("expected one row that changed since %d, got %d since %d", since, len(p.Rows), p.Since)
+			t.Fatalf("expected one row that changed since %s, got %d since %s", since, len(p.Rows), p.Since)
 		}
 	}
-	ver := int64(1)
+	n := int64(1)
 	for i := range changes {
-		table.merge([]Row{{Key: fmt.Sprint(i), Value: []byte("b")}}, ver, ver+1)
-		expectOne(ver)
-		ver++
+		table.merge([]Row{{Key: fmt.Sprint(i), Value: []byte("b")}}, at(n), at(n+1))
+		expectOne(at(n))
+		n++
 	}
 	for i := range changes {
 		all[i].Value = []byte("b")
 	}
 	all[17].Value = []byte("c")
-	table.replace(all, ver+1)
-	expectOne(ver)
-	table.replace(all[:rows-1], ver+2)
-	if p := table.Tell(ver + 1); len(p.Rows) != 1 || !p.Rows[0].Gone {
+	table.replace(all, at(n+1))
+	expectOne(at(n))
+	table.replace(all[:rows-1], at(n+2))
+	if p := table.Tell(at(n + 1)); len(p.Rows) != 1 || !p.Rows[0].Gone {
 		t.Errorf("expected the row that is gone, got %v", p.Rows)
 	}
-	if p := table.Tell(1); p.Since != 0 || len(p.Rows) != rows-1 {
-		t.Errorf("expected a follower that is far behind to get the table whole, got %d rows since %d", len(p.Rows), p.Since)
+	if p := table.Tell(at(1)); !p.Since.IsZero() || len(p.Rows) != rows-1 {
+		t.Errorf("expected a follower that is far behind to get the table whole, got %d rows since %s", len(p.Rows), p.Since)
+	}
+}
+
+// A box whose teller knows an older era is not relieved of reading the store.
+func TestTellerOfAnOlderEraIsNoRelief(t *testing.T) {
+	table := New(nil, Options{Stale: time.Hour}, func(map[string][]byte) {})
+	ver := Version{Era: 2, Number: 5}
+	table.replace([]Row{{Key: "a"}}, ver)
+	for _, p := range []Part{
+		{Version: Version{Era: 1, Number: 90}, Rows: []Row{{Key: "b"}}},
+		{Version: Version{Era: 1, Number: 90}, Since: Version{Era: 1, Number: 80}, Rows: []Row{{Key: "b"}}},
+		{Version: Version{Era: 3, Number: 1}, Since: Version{Era: 2, Number: 4}, Rows: []Row{{Key: "b"}}},
+	} {
+		if table.Hear(p, time.Minute) || table.relieved() || table.Version() != ver {
+			t.Errorf("part of %s since %s: expected it to be of no use, the table is at %s", p.Version, p.Since, table.Version())
+		}
+	}
+	if p := table.Tell(Version{Era: 3, Number: 1}); len(p.Rows) != 0 {
+		t.Errorf("expected nothing to be told to a box of a newer era, got %d rows", len(p.Rows))
+	}
+	if !table.Hear(Part{Version: Version{Era: 3, Number: 1}, Since: ver, Rows: []Row{{Key: "b"}}}, time.Minute) || !table.relieved() {
+		t.Error("expected changes since the table's own version to lead to the next era")
+	}
+}
+
+// Changes over a return of the store lead only from versions that the teller had itself read.
+func TestFollowerThatHadReadFurtherBeforeTheReturnIsToldTheWholeTable(t *testing.T) {
+	table := New(nil, Options{}, func(map[string][]byte) {})
+	table.replace([]Row{{Key: "a"}}, Version{Era: 1, Number: 5})
+	table.merge([]Row{{Key: "b"}}, Version{Era: 1, Number: 5}, Version{Era: 1, Number: 7})
+	table.replace([]Row{{Key: "a"}}, Version{Era: 2, Number: 6})
+	for number, whole := range map[int64]bool{5: false, 7: false, 8: true} {
+		p := table.Tell(Version{Era: 1, Number: number})
+		if p.Since.IsZero() != whole {
+			t.Errorf("since %d: expected the whole table: %t, got changes since %s", number, whole, p.Since)
+		}
 	}
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -26,13 +26,16 @@
 // version; the table has to be read whole.
 var ErrForgotten = errors.New("the store has forgotten its history")
 
+// ErrOld means that an answer shows an older state of the store than one that is known.
+var ErrOld = errors.New("the store answered with an older state than before")
+
 // Source reads one table. Versions grow with every change of the store.
 type Source interface {
 	// All returns every row as of one version.
-	All(ctx context.Context) ([]Row, int64, error)
+	All(ctx context.Context) ([]Row, Version, error)
 	// Changed returns the rows changed since a version, as soon as there is one or
-	// after the wait.
-	Changed(ctx context.Context, since int64, wait time.Duration) ([]Row, int64, error)
+	// after the wait. The changes of one era do not lead to the next: they end with ErrForgotten.
+	Changed(ctx context.Context, since Version, wait time.Duration) ([]Row, Version, error)
 }
 
 // Options pace a follower.
@@ -109,7 +112,7 @@
 	mu sync.Mutex
 	// rows is the table as of ver; nil before it was read whole.
 	rows map[string][]byte
-	ver  int64
+	ver  Version
 	// reread says that the store has forgotten what changed since ver.
 	reread  bool
 	changes changes
@@ -120,6 +123,9 @@
 	Apply func(rows map[string][]byte)
 	// Fresh is kept up to date; New sets it, and it may be replaced before Run.
 	Fresh *Freshness
+	// Restored is called before Apply when the store has come back from an older copy: rows that were known
+	// may be missing or older until their writers have written them again. It may be nil.
+	Restored func()
 	// Lost is called when the store stops answering, and Back when it answers again after
 	// so long; they may be nil.
 	Lost func(error)
@@ -215,7 +221,7 @@
 	if err != nil && p.era.Err() != nil && ctx.Err() == nil {
 		return 0, errNotMade // The store is back, and this call had waited since before it was lost.
 	}
-	p.ended(clock.Now(), err == nil || errors.Is(err, ErrForgotten) || errors.Is(err, errOld))
+	p.ended(clock.Now(), err == nil || errors.Is(err, ErrForgotten) || errors.Is(err, ErrOld))
 	if ctx.Err() != nil {
 		return 0, err // The end is no loss.
 	}
@@ -223,7 +229,7 @@
 	switch {
 	case errors.Is(err, ErrForgotten):
 		t.forgotten()
-	case errors.Is(err, errOld):
+	case errors.Is(err, ErrOld):
 		pause = linkFirst // The store answers, but does not know yet what it said.
 	case err != nil: // The link paces what comes after a failure.
 	case changed:
@@ -300,7 +306,7 @@
 }
 
 // known is the version to read changes from; ok is false where the table must be read whole.
-func (t *Table) known() (ver int64, ok bool) {
+func (t *Table) known() (ver Version, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.ver, t.rows != nil && !t.reread
@@ -314,14 +320,15 @@
 
 // merge takes the rows that changed after one version up to another, and returns whether
 // there was one. An answer from before what is known must not take anything back, and one
-// that leaves a gap is of no use.
-func (t *Table) merge(rows []Row, since, ver int64) bool {
+// that leaves a gap is of no use. Changes that lead to another era fit one state only: what came after it in
+// the old era may be undone in the new one.
+func (t *Table) merge(rows []Row, since, ver Version) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.rows == nil || ver < t.ver || since > t.ver {
+	if t.rows == nil || ver.Before(t.ver) || t.ver.Before(since) || ver.Era != t.ver.Era && since != t.ver {
 		return false
 	}
-	t.ver = ver
+	t.advance(ver)
 	for _, r := range rows {
 		t.changes.note(r.Key, ver, len(t.rows))
 		if r.Gone {
@@ -337,6 +344,19 @@
 	return len(rows) > 0
 }
 
+// advance takes the version of the state that is about to be applied. The lock is held.
+func (t *Table) advance(ver Version) {
+	if t.rows != nil && ver.Era > t.ver.Era {
+		t.changes.end(t.ver)
+		now := clock.Now()
+		t.back.Store(&now)
+		if t.Restored != nil {
+			t.Restored()
+		}
+	}
+	t.ver = ver
+}
+
 // readAll reads the table whole. A copy older than what is known is not taken.
 func (t *Table) readAll(ctx context.Context) error {
 	rows, ver, err := t.src.All(ctx)
@@ -345,16 +365,16 @@
 	}
 	t.isBack()
 	if !t.replace(rows, ver) {
-		return fmt.Errorf("%w: version %d, and %d is known", errOld, ver, t.Version())
+		return fmt.Errorf("%w: version %s, and %s is known", ErrOld, ver, t.Version())
 	}
 	return nil
 }
 
 // replace takes the whole table as of a version, unless a newer one is known.
-func (t *Table) replace(rows []Row, ver int64) bool {
+func (t *Table) replace(rows []Row, ver Version) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if ver < t.ver {
+	if ver.Before(t.ver) {
 		return false
 	}
 	all := make(map[string][]byte, len(rows))
@@ -362,7 +382,8 @@
 		all[r.Key] = r.Value
 	}
 	t.noteReplaced(all, ver)
-	t.rows, t.ver, t.reread = all, ver, false
+	t.advance(ver)
+	t.rows, t.reread = all, false
 	t.Apply(all)
 	t.changes.tell()
 	return true
@@ -370,7 +391,7 @@
 
 // noteReplaced remembers which rows differ in a table that was read anew, so that followers need not be told
 // all of it. The lock is held.
-func (t *Table) noteReplaced(all map[string][]byte, ver int64) {
+func (t *Table) noteReplaced(all map[string][]byte, ver Version) {
 	if t.rows == nil {
 		t.changes.restart(ver)
 		return
@@ -386,5 +407,3 @@
 		}
 	}
 }
-
-var errOld = errors.New("the store answered with an older state than before")
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -43,30 +43,30 @@
 	return nil
 }
 
-func (s *store) rows() ([]Row, int64) {
-	value, ver := s.value, s.ver
+func (s *store) rows() ([]Row, Version) {
+	value, ver := s.value, at(s.ver)
 	if s.value > 5 && s.rng.Float64() < s.Old {
-		value, ver = s.value-5, s.ver-15
+		value, ver = s.value-5, at(s.ver-15)
 	}
 	return []Row{{Key: "n", Value: fmt.Append(nil, value)}}, ver
 }
 
-func (s *store) All(ctx context.Context) ([]Row, int64, error) {
+func (s *store) All(ctx context.Context) ([]Row, Version, error) {
 	if err := s.trouble(ctx); err != nil {
-		return nil, 0, err
+		return nil, Version{}, err
 	}
 	rows, ver := s.rows()
 	return rows, ver, nil
 }
 
-func (s *store) Changed(ctx context.Context, since int64, wait time.Duration) ([]Row, int64, error) {
+func (s *store) Changed(ctx context.Context, since Version, wait time.Duration) ([]Row, Version, error) {
 	if err := s.trouble(ctx); err != nil {
-		return nil, 0, err
+		return nil, Version{}, err
 	}
 	if s.rng.Float64() < s.Forgotten {
-		return nil, 0, ErrForgotten
+		return nil, Version{}, ErrForgotten
 	}
-	if s.ver == since {
+	if at(s.ver) == since {
 		time.Sleep(min(wait, 100*time.Millisecond))
 		s.now()
 	}
@@ -113,17 +113,17 @@
 // removed tells a follower first of two rows and then that one is gone.
 type removed struct{ calls int }
 
-func (r *removed) All(context.Context) ([]Row, int64, error) {
-	return []Row{{Key: "a"}, {Key: "b"}}, 1, nil
+func (r *removed) All(context.Context) ([]Row, Version, error) {
+	return []Row{{Key: "a"}, {Key: "b"}}, at(1), nil
 }
 
-func (r *removed) Changed(ctx context.Context, _ int64, _ time.Duration) ([]Row, int64, error) {
+func (r *removed) Changed(ctx context.Context, _ Version, _ time.Duration) ([]Row, Version, error) {
 	r.calls++
 	if r.calls == 1 {
-		return []Row{{Key: "a", Gone: true}}, 2, nil
+		return []Row{{Key: "a", Gone: true}}, at(2), nil
 	}
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, Version{}, ctx.Err()
 }
 
 func TestRemoved(t *testing.T) {
@@ -181,12 +181,12 @@
 	}
 }
 
-func (o *outage) All(ctx context.Context) ([]Row, int64, error) {
-	return []Row{}, 1, o.call(ctx, 0)
+func (o *outage) All(ctx context.Context) ([]Row, Version, error) {
+	return []Row{}, at(1), o.call(ctx, 0)
 }
 
-func (o *outage) Changed(ctx context.Context, _ int64, wait time.Duration) ([]Row, int64, error) {
-	return nil, 1, o.call(ctx, wait)
+func (o *outage) Changed(ctx context.Context, _ Version, wait time.Duration) ([]Row, Version, error) {
+	return nil, at(1), o.call(ctx, wait)
 }
 
 // expectOutage has three tables share a link through an outage; the calls of two wait for
--- a/internal/follow/late_test.go
+++ b/internal/follow/late_test.go
@@ -11,17 +11,17 @@
 // oneRow counts the readings of a table that has one row.
 type oneRow struct{ all atomic.Int64 }
 
-func (c *oneRow) All(context.Context) ([]Row, int64, error) {
+func (c *oneRow) All(context.Context) ([]Row, Version, error) {
 	c.all.Add(1)
-	return []Row{{Key: "a"}}, 5, nil
+	return []Row{{Key: "a"}}, at(5), nil
 }
 
-func (c *oneRow) Changed(ctx context.Context, since int64, wait time.Duration) ([]Row, int64, error) {
+func (c *oneRow) Changed(ctx context.Context, since Version, wait time.Duration) ([]Row, Version, error) {
 	select {
 	case <-time.After(wait):
 		return nil, since, nil
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, Version{}, ctx.Err()
 	}
 }
 
@@ -38,7 +38,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go table.Run(ctx)
 		if told {
-			table.Hear(Part{Version: 5, Rows: []Row{{Key: "a"}}}, 5*time.Second)
+			table.Hear(Part{Version: Version{Number: 5}, Rows: []Row{{Key: "a"}}}, 5*time.Second)
 		}
 		time.Sleep(time.Second)
 		if n := src.all.Load(); n != afterOne {
--- a/internal/follow/look_test.go
+++ b/internal/follow/look_test.go
@@ -31,20 +31,20 @@
 
 func newScript() *script { return &script{make(chan asked)} }
 
-func (s *script) All(context.Context) ([]Row, int64, error) { return nil, 1, nil }
+func (s *script) All(context.Context) ([]Row, Version, error) { return nil, at(1), nil }
 
-func (s *script) Changed(ctx context.Context, _ int64, _ time.Duration) ([]Row, int64, error) {
+func (s *script) Changed(ctx context.Context, _ Version, _ time.Duration) ([]Row, Version, error) {
 	call := asked{ctx, make(chan error, 1)}
 	select {
 	case s.calls <- call:
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, Version{}, ctx.Err()
 	}
 	select {
 	case err := <-call.answer:
-		return nil, 1, err
+		return nil, at(1), err
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, Version{}, ctx.Err()
 	}
 }
 
@@ -109,17 +109,17 @@
 	return time.Since(s.asked)
 }
 
-func (s *flaky) All(ctx context.Context) ([]Row, int64, error) {
-	_, _, err := s.Changed(ctx, 0, 0)
-	return nil, 1, err
+func (s *flaky) All(ctx context.Context) ([]Row, Version, error) {
+	_, _, err := s.Changed(ctx, Version{}, 0)
+	return nil, at(1), err
 }
 
-func (s *flaky) Changed(ctx context.Context, _ int64, wait time.Duration) ([]Row, int64, error) {
+func (s *flaky) Changed(ctx context.Context, _ Version, wait time.Duration) ([]Row, Version, error) {
 	takes, err := s.ask(wait)
 	if gone := passes(ctx, takes); gone != nil {
-		return nil, 0, gone
+		return nil, Version{}, gone
 	}
-	return nil, 1, err
+	return nil, at(1), err
 }
 
 // expectAsked has four tables share the way to a store, with others that tell one of them of it
@@ -140,7 +140,7 @@
 			for range 600 { // A minute.
 				time.Sleep(100 * time.Millisecond)
 				if told.IntN(20) == 0 {
-					tables[0].Hear(Part{Version: 1, Since: 1, Lost: told.IntN(2) == 0}, 300*time.Millisecond)
+					tables[0].Hear(Part{Version: Version{Number: 1}, Since: Version{Number: 1}, Lost: told.IntN(2) == 0}, 300*time.Millisecond)
 				}
 				if silent := s.silent(); silent > within {
 					t.Errorf("seed %d: expected the store to be asked within %s, not for %s; the link says %+v", seed, within, silent, link.State(time.Now()))
@@ -162,13 +162,13 @@
 func TestOverdueIsTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := New(newScript(), Options{Wait: time.Second, Limit: time.Second, Stale: time.Second}, func(map[string][]byte) {})
-		table.Hear(Part{Version: 1}, time.Second)
-		if table.Away() || table.Tell(0).Lost {
+		table.Hear(Part{Version: Version{Number: 1}}, time.Second)
+		if table.Away() || table.Tell(Version{}).Lost {
 			t.Error("expected a table that was just heard of to count as fresh")
 		}
 		time.Sleep(table.OverdueAfter() + time.Millisecond)
-		if !table.Away() || !table.Tell(0).Lost {
-			t.Errorf("expected one of %s to be told as such, got %+v", table.Fresh.Age(), table.Tell(0))
+		if !table.Away() || !table.Tell(Version{}).Lost {
+			t.Errorf("expected one of %s to be told as such, got %+v", table.Fresh.Age(), table.Tell(Version{}))
 		}
 	})
 }
@@ -178,13 +178,13 @@
 func TestOldWordIsNoReturn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := New(newScript(), Options{Wait: time.Second, Limit: time.Second, Stale: time.Second}, func(map[string][]byte) {})
-		table.Hear(Part{Version: 1}, time.Second)
+		table.Hear(Part{Version: Version{Number: 1}}, time.Second)
 		table.note(errDown)
-		table.Hear(Part{Version: 1, Since: 1, Age: table.OverdueAfter() + time.Millisecond}, time.Second)
+		table.Hear(Part{Version: Version{Number: 1}, Since: Version{Number: 1}, Age: table.OverdueAfter() + time.Millisecond}, time.Second)
 		if !table.Away() {
 			t.Error("expected word that is overdue not to count as the store's return")
 		}
-		table.Hear(Part{Version: 1, Since: 1}, time.Second)
+		table.Hear(Part{Version: Version{Number: 1}, Since: Version{Number: 1}}, time.Second)
 		if table.Away() {
 			t.Error("expected fresh word to count as the store's return")
 		}
--- a/internal/follow/quicken_test.go
+++ b/internal/follow/quicken_test.go
@@ -11,16 +11,16 @@
 // patient is a store that answers a call when its wait is over, and ends it with its caller.
 type patient struct{ calls, cut atomic.Int64 }
 
-func (p *patient) All(context.Context) ([]Row, int64, error) { return nil, 1, nil }
+func (p *patient) All(context.Context) ([]Row, Version, error) { return nil, at(1), nil }
 
-func (p *patient) Changed(ctx context.Context, since int64, wait time.Duration) ([]Row, int64, error) {
+func (p *patient) Changed(ctx context.Context, since Version, wait time.Duration) ([]Row, Version, error) {
 	p.calls.Add(1)
 	select {
 	case <-time.After(wait):
 		return nil, since, nil
 	case <-ctx.Done():
 		p.cut.Add(1)
-		return nil, 0, ctx.Err()
+		return nil, Version{}, ctx.Err()
 	}
 }
 
@@ -39,7 +39,7 @@
 		table.Followed(true)
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
-			if age := table.Tell(1).Age; age > 2500*time.Millisecond {
+			if age := table.Tell(at(1)).Age; age > 2500*time.Millisecond {
 				t.Fatalf("expected followers to be told what is at most 2.5 s old, got %s", age)
 			}
 		}
--- a/internal/follow/suspended_test.go
+++ b/internal/follow/suspended_test.go
@@ -13,7 +13,7 @@
 	var asleep time.Duration
 	defer clock.Set(func() time.Duration { return asleep })()
 	table := New(nil, Options{Wait: time.Second, Limit: time.Second, Stale: 2 * time.Second}, func(map[string][]byte) {})
-	table.Hear(Part{Version: 5, Rows: []Row{{Key: "a"}}}, 2*time.Second)
+	table.Hear(Part{Version: Version{Number: 5}, Rows: []Row{{Key: "a"}}}, 2*time.Second)
 	if table.Overdue() || !table.relieved() {
 		t.Fatal("expected a fresh table that another box reads")
 	}
--- a/internal/overlay/link.go
+++ b/internal/overlay/link.go
@@ -63,7 +63,8 @@
 		Box: l.n.o.Self.Name, Incarnation: l.n.o.Self.Incarnation, Protocol: protocol, Packed: true,
 	})
 	for name, t := range l.n.o.Tables {
-		req.Msg.Known = append(req.Msg.Known, &v1.Table{Name: name, Version: t.Version()})
+		ver := t.Version()
+		req.Msg.Known = append(req.Msg.Known, &v1.Table{Name: name, Version: ver.Number, Era: ver.Era})
 	}
 	authorize(req.Header(), l.key)
 	stream, err := l.client.Follow(ctx, req)
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -76,12 +76,12 @@
 
 // Table is a table that boxes pass on; package follow has it.
 type Table interface {
-	Tell(since int64) follow.Part
+	Tell(since follow.Version) follow.Part
 	Hear(p follow.Part, relief time.Duration) bool
 	Alone()
 	Followed(yes bool)
 	Changed() <-chan struct{}
-	Version() int64
+	Version() follow.Version
 	Away() bool
 }
 
@@ -454,10 +454,10 @@
 	}
 	for _, p := range msg.Tables {
 		t := n.o.Tables[p.Name]
-		if t == nil || p.Version <= t.Version() {
+		if t == nil || !t.Version().Before(versionOf(p)) {
 			continue
 		}
-		n.o.Believed("table taken from a box", zap.String("table", p.Name), zap.String("from", address), zap.Int64("version", p.Version), zap.Int64("age_ms", p.AgeMs))
+		n.o.Believed("table taken from a box", zap.String("table", p.Name), zap.String("from", address), zap.Stringer("version", versionOf(p)), zap.Int64("age_ms", p.AgeMs))
 		part, err := partOf(p)
 		if err != nil {
 			n.o.Believed("table not taken", zap.String("table", p.Name), zap.String("from", address), zap.Error(err))
@@ -467,9 +467,12 @@
 	}
 }
 
+// versionOf is the version of a table that a message tells of. Boxes that know no eras leave theirs at 0.
+func versionOf(p *v1.Table) follow.Version { return follow.Version{Era: p.Era, Number: p.Version} }
+
 // partOf reads a part of a table.
 func partOf(p *v1.Table) (follow.Part, error) {
-	out := follow.Part{Version: p.Version, Since: p.Since, Age: time.Duration(p.AgeMs) * time.Millisecond, Lost: p.AgeMs < 0}
+	out := follow.Part{Version: versionOf(p), Since: follow.Version{Era: p.SinceEra, Number: p.Since}, Age: time.Duration(p.AgeMs) * time.Millisecond, Lost: p.AgeMs < 0}
 	rows := p.Rows
 	if len(p.Packed) > 0 {
 		var err error
@@ -485,7 +488,9 @@
 
 // tableOf says a part of a table, with long rows packed for a box that reads that.
 func (n *Node) tableOf(name string, p follow.Part, packed bool) *v1.Table {
-	out := &v1.Table{Name: name, Version: p.Version, Since: p.Since, AgeMs: p.Age.Milliseconds()}
+	out := &v1.Table{
+		Name: name, Version: p.Version.Number, Era: p.Version.Era, Since: p.Since.Number, SinceEra: p.Since.Era, AgeMs: p.Age.Milliseconds(),
+	}
 	if p.Lost {
 		out.AgeMs = -1
 	}
--- a/internal/overlay/overlay_test.go
+++ b/internal/overlay/overlay_test.go
@@ -64,18 +64,18 @@
 
 var errDown = errors.New("the store is down")
 
-func (o source) read(since int64) (out []follow.Row, ver int64, changed chan struct{}, err error) {
+func (o source) read(since int64) (out []follow.Row, ver follow.Version, changed chan struct{}, err error) {
 	o.s.mu.Lock()
 	defer o.s.mu.Unlock()
 	if o.s.down {
-		return nil, 0, nil, errDown
+		return nil, follow.Version{}, nil, errDown
 	}
 	for key, r := range o.s.rows[o.table] {
 		if o.s.vers[o.table+key] > since && (since > 0 || !r.Gone) {
 			out = append(out, r)
 		}
 	}
-	return out, o.s.ver, o.s.changed, nil
+	return out, follow.Version{Number: o.s.ver}, o.s.changed, nil
 }
 
 func (o source) count() {
@@ -84,18 +84,18 @@
 	o.s.calls[o.box]++
 }
 
-func (o source) All(context.Context) ([]follow.Row, int64, error) {
+func (o source) All(context.Context) ([]follow.Row, follow.Version, error) {
 	o.count()
 	rows, ver, _, err := o.read(0)
 	return rows, ver, err
 }
 
-func (o source) Changed(ctx context.Context, since int64, wait time.Duration) ([]follow.Row, int64, error) {
+func (o source) Changed(ctx context.Context, since follow.Version, wait time.Duration) ([]follow.Row, follow.Version, error) {
 	o.count()
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
-		rows, ver, changed, err := o.read(since)
+		rows, ver, changed, err := o.read(since.Number)
 		if err != nil || len(rows) > 0 {
 			return rows, ver, err
 		}
@@ -207,7 +207,7 @@
 
 // value is the configuration as the box knows it.
 func (b *box) value() string {
-	for _, r := range b.config.Tell(0).Rows {
+	for _, r := range b.config.Tell(follow.Version{}).Rows {
 		return string(r.Value)
 	}
 	return ""
--- a/internal/overlay/pack_test.go
+++ b/internal/overlay/pack_test.go
@@ -64,7 +64,7 @@
 			eventually(t, "there is a configuration", func() bool { return a.value() != "" })
 		}
 	}
-	eventually(t, "the configuration is whole", func() bool { return len(a.config.Tell(0).Rows) == 500 })
+	eventually(t, "the configuration is whole", func() bool { return len(a.config.Tell(follow.Version{}).Rows) == 500 })
 	client := a.client(a.srv.Listener.Addr().String())
 	for _, packed := range []bool{false, true} {
 		resp, err := client.Tables(context.Background(), connect.NewRequest(&v1.TablesRequest{Packed: packed}))
--- a/internal/overlay/serve.go
+++ b/internal/overlay/serve.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/follow"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 	"github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1/stoatrampv1connect"
 )
@@ -22,7 +23,7 @@
 	name  string
 	queue queue
 	// versions are those of the tables that it has.
-	versions map[string]int64
+	versions map[string]follow.Version
 	// packed says that it reads packed rows.
 	packed bool
 	// interest is of which engines it is sent facts, and placed counts the streams of each service
@@ -86,10 +87,10 @@
 		s.n.count.refused.Inc()
 		return connect.NewError(connect.CodeFailedPrecondition, errors.New("the box speaks another version of the overlay's messages"))
 	}
-	f := &follower{name: r.Msg.Box, queue: newQueue(), versions: map[string]int64{}, packed: r.Msg.Packed}
+	f := &follower{name: r.Msg.Box, queue: newQueue(), versions: map[string]follow.Version{}, packed: r.Msg.Packed}
 	for _, t := range r.Msg.Known {
 		if s.n.o.Tables[t.Name] != nil {
-			f.versions[t.Name] = t.Version
+			f.versions[t.Name] = versionOf(t)
 		}
 	}
 	if !s.n.admit(f) {
@@ -188,7 +189,9 @@
 	}
 	for name, t := range n.o.Tables {
 		p := t.Tell(f.versions[name])
-		f.versions[name] = max(p.Version, f.versions[name])
+		if f.versions[name].Before(p.Version) {
+			f.versions[name] = p.Version
+		}
 		msg.Tables = append(msg.Tables, n.tableOf(name, p, f.packed))
 	}
 	return msg
@@ -228,7 +231,7 @@
 	}
 	msg := &v1.Update{}
 	for _, name := range s.n.o.Open {
-		msg.Tables = append(msg.Tables, s.n.tableOf(name, s.n.o.Tables[name].Tell(0), r.Msg.Packed))
+		msg.Tables = append(msg.Tables, s.n.tableOf(name, s.n.o.Tables[name].Tell(follow.Version{}), r.Msg.Packed))
 	}
 	return connect.NewResponse(msg), nil
 }
