Keep what is known of endpoints when the store comes back older

Callers would see requests at endpoints that leave or are gone: the copy lists them as ready until their entries are written again or lapse.

Cause: the list was taken as the store has it. Its newest state may now be older than what a box knows.

Ruled out: keeping every row that was known.

Change: in the first list of a new era an endpoint that was known to leave goes on leaving, one that was known as gone is not used, an earlier start of one does not come back, and one that is missing is kept as after an outage. A row that changes afterwards counts as it stands.

Conclusion: mended for boxes that read the store and boxes that are told of it; a box that starts after the return knows only the copy.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -111,6 +111,11 @@
 	// listWaits that they will be then.
 	listNews, listWaits bool
 	listDue             time.Time
+	// listRestored says that the list that is applied next is of an older copy, gone are the endpoints that were
+	// taken out of it lately, by key, and listThen that rows are to be something else after a time.
+	listRestored bool
+	gone         map[string]goneEndpoint
+	listThen     bool
 	// lapsing says that endpoints are kept whose entries may have lapsed.
 	lapsing bool
 	// began is when the process started: what it spent on retries before is not known.
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -116,11 +116,11 @@
 	operator, list, hand, members := paces(cfg, &b.storeLink)
 	ends := b.endsPace(cfg, operator)
 	b.tables = map[string]*follow.Table{
-		tableConfig:    b.table(tableConfig, b.site.Operator, operator, &b.configHeard, b.configure),
-		tableEndpoints: b.table(tableEndpoints, b.site.Endpoints, list, &b.listHeard, b.list),
-		tablePolicies:  b.table(tablePolicies, b.site.SharedChanges, hand, &b.rulesHeard, b.takeRules),
-		tableMembers:   b.table(tableMembers, b.site.Members, members, &b.membersHeard, b.takeMembers),
-		tableEnds:      b.table(tableEnds, b.site.EndsChanges, ends, &b.endsHeard, b.ends.SetRows),
+		tableConfig:    b.table(tableConfig, b.site.Operator, operator, &b.configHeard, b.configure, nil),
+		tableEndpoints: b.table(tableEndpoints, b.site.Endpoints, list, &b.listHeard, b.list, func() { b.listRestored = true }),
+		tablePolicies:  b.table(tablePolicies, b.site.SharedChanges, hand, &b.rulesHeard, b.takeRules, nil),
+		tableMembers:   b.table(tableMembers, b.site.Members, members, &b.membersHeard, b.takeMembers, nil),
+		tableEnds:      b.table(tableEnds, b.site.EndsChanges, ends, &b.endsHeard, b.ends.SetRows, nil),
 	}
 	shared := make(map[string]overlay.Table, len(b.tables))
 	for name, t := range b.tables {
@@ -161,9 +161,15 @@
 	}
 }
 
-func (b *RelayBox) table(name string, src follow.Source, o follow.Options, heard *follow.Freshness, apply func(map[string][]byte)) *follow.Table {
+func (b *RelayBox) table(name string, src follow.Source, o follow.Options, heard *follow.Freshness, apply func(map[string][]byte), restored func()) *follow.Table {
 	t := follow.New(src, o, apply)
 	t.Fresh = heard
+	t.Restored = func() {
+		b.book.Log.Belief("table of an older copy", zap.String("table", name))
+		if restored != nil {
+			restored()
+		}
+	}
 	t.Lost = func(err error) {
 		b.book.Log.Belief("store lost", zap.String("table", name), zap.Duration("age", heard.Age()), zap.Error(err))
 	}
@@ -245,8 +251,11 @@
 type listedEndpoint struct {
 	text     []byte
 	endpoint relay.Endpoint
-	// foreign rows name no endpoint: they are another writer's.
+	// foreign rows name no endpoint to use: they are another writer's, or an older copy's.
 	foreign bool
+	// then is what the row is to be from thenAt on, if it does not change before; nil if it stays.
+	then   *listedEndpoint
+	thenAt time.Time
 }
 
 // lapseGrace is for how long after the store's return an endpoint that is missing from the
@@ -282,7 +291,11 @@
 // nothing new of their endpoint: only new text is read, and only news are handed on.
 func (b *RelayBox) list(rows map[string][]byte) {
 	next, news := b.readList(rows)
+	b.listRestored = false
 	b.keepLapsed(next)
+	now := clock.Now()
+	news = b.takeThen(next, now) || news
+	b.noteGone(b.listed, next, now)
 	b.listed = next
 	b.listNews = b.listNews || news
 	if !b.listNews || b.listLater(clock.Now()) {
@@ -347,8 +360,12 @@
 		if err != nil {
 			b.book.Log.Belief("endpoint not taken", zap.Error(err))
 		}
-		news = news || !known || e != old.endpoint || (err != nil) != old.foreign
-		next[key] = listedEndpoint{text, e, err != nil}
+		read := listedEndpoint{text: text, endpoint: e, foreign: err != nil}
+		if b.listRestored {
+			read = b.restoredRow(key, read, old, known)
+		}
+		news = news || !known || read.endpoint != old.endpoint || read.foreign != old.foreign
+		next[key] = read
 	}
 	return next, news
 }
--- /dev/null
+++ b/internal/box/restored_test.go
@@ -0,0 +1,144 @@
+package box
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/follow"
+	"github.com/stoatramp/stoatramp/internal/relay"
+)
+
+// restoredList is a box whose list of endpoints comes from a store that comes back from older copies. The
+// texts of rows are a state and a start.
+type restoredList struct {
+	t   *testing.T
+	box *RelayBox
+	ver follow.Version
+}
+
+func newRestoredList(t *testing.T) *restoredList {
+	x := &restoredList{t: t, box: listBox(), ver: follow.Version{Era: 1, Number: 100}}
+	x.box.site.Endpoint = func(key string, text []byte) (relay.Endpoint, error) {
+		state, start, _ := strings.Cut(string(text), " ")
+		started, err := strconv.ParseInt(start, 10, 64)
+		return relay.Endpoint{ID: key + "@" + start, Started: started, Service: "llm", Leaving: state == "leaving"}, err
+	}
+	table := x.box.tables[tableEndpoints]
+	table.Restored = func() { x.box.listRestored = true }
+	return x
+}
+
+// hear has the box told of the whole list.
+func (x *restoredList) hear(rows states) {
+	x.t.Helper()
+	p := follow.Part{Version: x.ver}
+	for key, text := range rows {
+		p.Rows = append(p.Rows, follow.Row{Key: key, Value: []byte(text)})
+	}
+	if !x.box.tables[tableEndpoints].Hear(p, 0) {
+		x.t.Fatalf("expected the list of %s to be taken", x.ver)
+	}
+}
+
+func (x *restoredList) next(rows states) {
+	x.t.Helper()
+	x.ver.Number++
+	x.hear(rows)
+}
+
+// restore has the store come back with a list of an older copy.
+func (x *restoredList) restore(rows states) {
+	x.t.Helper()
+	x.ver = follow.Version{Era: x.ver.Era + 1, Number: x.ver.Number - 50}
+	x.hear(rows)
+}
+
+// expect expects the endpoints in use, and which of them leave.
+func (x *restoredList) expect(what string, want states) {
+	x.t.Helper()
+	synctest.Wait()
+	got := map[string]string{}
+	x.box.tables[tableEndpoints].Again(func() {})
+	for _, e := range usable(x.box.listed) {
+		got[e.ID] = map[bool]string{true: "leaving", false: "ready"}[e.Leaving]
+	}
+	same := len(got) == len(want)
+	for id, state := range want {
+		same = same && got[id] == state
+	}
+	if !same {
+		x.t.Errorf("%s: expected %v, got %v", what, want, got)
+	}
+}
+
+type states = map[string]string
+
+func TestEndpointThatLeavesIsNotReadyAgainByAnOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newRestoredList(t)
+		x.hear(states{"a": "ready 1", "b": "ready 1"})
+		x.next(states{"a": "leaving 1", "b": "ready 1"})
+		x.restore(states{"a": "ready 1", "b": "ready 1"})
+		x.expect("at the return", states{"a@1": "leaving", "b@1": "ready"})
+		x.restore(states{"a": "ready 1", "b": "ready 1"})
+		time.Sleep(time.Minute)
+		x.expect("after a second return, and long after it", states{"a@1": "leaving", "b@1": "ready"})
+		x.next(states{"a": "ready 2", "b": "ready 1"})
+		x.expect("with a new start", states{"a@2": "ready", "b@1": "ready"})
+	})
+}
+
+func TestEndpointThatIsGoneIsNotUsedAgainByAnOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newRestoredList(t)
+		x.hear(states{"a": "ready 1", "b": "ready 1"})
+		x.next(states{"b": "ready 1"})
+		x.restore(states{"a": "ready 1", "b": "ready 1"})
+		x.expect("at the return", states{"b@1": "ready"})
+		x.restore(states{"a": "ready 1", "b": "ready 1"})
+		time.Sleep(goneGrace - time.Millisecond)
+		x.expect("until it should have lapsed", states{"b@1": "ready"})
+		time.Sleep(2 * time.Millisecond)
+		x.expect("where it has not lapsed", states{"a@1": "ready", "b@1": "ready"})
+	})
+}
+
+func TestEndpointThatIsGoneIsUsedAgainWhenItWritesAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newRestoredList(t)
+		x.hear(states{"a": "ready 1", "b": "ready 1"})
+		x.next(states{"b": "ready 1"})
+		x.restore(states{"a": "ready 1", "b": "ready 1"})
+		x.next(states{"a": "ready 3", "b": "ready 1"})
+		x.expect("after its entry changed", states{"a@3": "ready", "b@1": "ready"})
+	})
+}
+
+func TestEarlierStartOfAnEndpointDoesNotComeBackByAnOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newRestoredList(t)
+		x.hear(states{"a": "ready 1", "b": "ready 1"})
+		x.next(states{"a": "ready 2", "b": "ready 1"})
+		x.restore(states{"a": "ready 1", "b": "ready 1"})
+		x.expect("at the return", states{"a@2": "ready", "b@1": "ready"})
+		time.Sleep(lapseGrace + time.Millisecond)
+		x.expect("where it has not written again", states{"b@1": "ready"})
+		x.next(states{"a": "ready 2", "b": "ready 1"})
+		x.expect("where it has", states{"a@2": "ready", "b@1": "ready"})
+	})
+}
+
+func TestEndpointThatAnOlderCopyLacksIsKeptUntilItShouldBeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newRestoredList(t)
+		x.hear(states{"b": "ready 1"})
+		x.next(states{"a": "ready 1", "b": "ready 1"})
+		x.restore(states{"b": "ready 1"})
+		x.expect("at the return", states{"a@1": "ready", "b@1": "ready"})
+		time.Sleep(lapseGrace + time.Millisecond)
+		x.expect("where it has not written again", states{"b@1": "ready"})
+	})
+}
