Keep the operator's word on halls, and take another text under the same version

Callers would be sent to a hall that is evacuated, or turned away from one that was taken back; an operator whose change was lost with the store and who writes another one under its number would not see it in force.

Cause: evacuations were taken as the store has them, and a configuration was newer by its version alone.

Ruled out: a configuration that goes back. Versions below the one in force were never taken, and are not now.

Under the version in force a text is newer if it was not seen under that version before.

--- /dev/null
+++ b/internal/box/operator_test.go
@@ -0,0 +1,47 @@
+package box
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/relay"
+)
+
+func TestOtherTextUnderTheSameVersionIsTakenAndAnOlderOneIsNot(t *testing.T) {
+	var texts configTexts
+	for n, x := range []struct {
+		version int64
+		text    byte
+		taken   bool
+	}{{4, 1, true}, {4, 1, false}, {5, 1, true}, {5, 2, true}, {5, 1, false}, {4, 3, false}, {5, 3, true}, {5, 2, false}, {6, 1, true}} {
+		c := &relay.Config{Version: x.version, Digest: relay.Digest{x.text}}
+		if got := texts.take(c); got != x.taken {
+			t.Errorf("step %d, text %d of version %d: expected taken %t, got %t", n, x.text, x.version, x.taken, got)
+		}
+	}
+}
+
+func TestEvacuationIsNotUndoneByAnOlderCopy(t *testing.T) {
+	var e evacuations
+	now := time.Now()
+	expect := func(what string, listed []string, restored bool, after time.Duration, want ...string) {
+		t.Helper()
+		now = now.Add(after)
+		if got := e.take(listed, restored, now); !slices.Equal(got, want) {
+			t.Errorf("%s: expected %q, got %q", what, want, got)
+		}
+	}
+	both := []string{"h1", "h2"}
+	expect("one is evacuated", []string{"h1"}, false, 0, "h1")
+	expect("the other, too", both, false, time.Second, both...)
+	expect("the copy lacks the last word", []string{"h1"}, true, time.Second, both...)
+	expect("it is written again", both, false, time.Second, both...)
+	expect("later", both, false, time.Minute, both...)
+	expect("one is taken back", []string{"h2"}, false, 0, "h2")
+	expect("the copy still has it", both, true, time.Second, "h2")
+	expect("it is taken out again", []string{"h2"}, false, time.Second, "h2")
+	expect("a copy lacks both and nobody writes again", nil, true, time.Minute, "h2")
+	expect("after the time to write again", nil, false, lapseGrace)
+	expect("a new one, seen first after a return", []string{"h3"}, true, time.Minute, "h3")
+}
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -111,6 +111,10 @@
 	// listWaits that they will be then.
 	listNews, listWaits bool
 	listDue             time.Time
+	// configRestored says that the operator's documents that are applied next are of an older copy.
+	configRestored bool
+	configTexts    configTexts
+	evacuations    evacuations
 	// listRestored says that the list that is applied next is of an older copy, gone are the endpoints that were
 	// taken out of it lately, by key, and listThen that rows are to be something else after a time.
 	listRestored bool
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -116,7 +116,7 @@
 	operator, list, hand, members := paces(cfg, &b.storeLink)
 	ends := b.endsPace(cfg, operator)
 	b.tables = map[string]*follow.Table{
-		tableConfig:    b.table(tableConfig, b.site.Operator, operator, &b.configHeard, b.configure, nil),
+		tableConfig:    b.table(tableConfig, b.site.Operator, operator, &b.configHeard, b.configure, func() { b.configRestored = true }),
 		tableEndpoints: b.table(tableEndpoints, b.site.Endpoints, list, &b.listHeard, b.list, func() { b.listRestored = true }),
 		tablePolicies:  b.table(tablePolicies, b.site.SharedChanges, hand, &b.rulesHeard, b.takeRules, nil),
 		tableMembers:   b.table(tableMembers, b.site.Members, members, &b.membersHeard, b.takeMembers, nil),
@@ -182,13 +182,13 @@
 func (b *RelayBox) takeMembers(rows map[string][]byte) { b.node.SetMembers(rows) }
 
 func (b *RelayBox) configure(rows map[string][]byte) {
-	b.Relay.SetEvacuated(b.site.Evacuated(rows))
+	b.evacuate(rows)
 	c, err := b.site.Config(rows)
 	if err != nil {
 		b.book.Log.Belief("configuration not taken", zap.Error(err))
 		return
 	}
-	if c == nil || c.Version <= b.Relay.Version() {
+	if c == nil || !b.configTexts.take(c) {
 		return
 	}
 	old := b.Relay.Version()
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -35,7 +35,9 @@
 
 // Config is one accepted configuration.
 type Config struct {
-	Version  int64
+	Version int64
+	// Digest tells texts of one version apart.
+	Digest   Digest
 	Routes   []*Route
 	Services map[string]*Service
 	Limits   Limits
@@ -44,6 +46,9 @@
 	Accounts map[KeyHash]*Account
 }
 
+// Digest is the SHA-256 of a text.
+type Digest [32]byte
+
 // Limits bound what callers may send.
 type Limits struct {
 	MaxBody int64 // Bytes; at least 1.
