Keep requests quarantined when the store comes back older

Callers would have endpoints crash again: a request that is known to crash them was let go, since the ends that were written in the last seconds were missing in the copy, and a missing row was one that had been taken out.

Cause: SetRows cannot tell a row that was removed from one that was lost.

Ruled out: having every box write again what is missing, 400 calls at once.

Change: with the rows of an older copy nothing is dropped; what is missing still counts and is written again, at once by the box that saw the end, and by the others after 2 s, spread by 25 ms a box, if it is still missing then. Rows that were taken out and are back are taken out again, and an end of a request that was answered whole lately does not come back.

With 400 boxes and the one that saw the ends gone, at most 40 calls write them again.

--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -120,7 +120,7 @@
 		tableEndpoints: b.table(tableEndpoints, b.site.Endpoints, list, &b.listHeard, b.list, func() { b.listRestored = true }),
 		tablePolicies:  b.table(tablePolicies, b.site.SharedChanges, hand, &b.rulesHeard, b.takeRules, nil),
 		tableMembers:   b.table(tableMembers, b.site.Members, members, &b.membersHeard, b.takeMembers, nil),
-		tableEnds:      b.table(tableEnds, b.site.EndsChanges, ends, &b.endsHeard, b.ends.SetRows, nil),
+		tableEnds:      b.table(tableEnds, b.site.EndsChanges, ends, &b.endsHeard, b.ends.SetRows, b.endsRestored),
 	}
 	shared := make(map[string]overlay.Table, len(b.tables))
 	for name, t := range b.tables {
@@ -141,6 +141,15 @@
 	})
 }
 
+// writeAgainEach is how much longer each box makes the time over which boxes write again what the store lost:
+// they hear of one another's writes within a second.
+const writeAgainEach = 25 * time.Millisecond
+
+// endsRestored has the boxes write again the ends that an older copy lacks.
+func (b *RelayBox) endsRestored() {
+	b.ends.Restored(time.Duration(b.node.Members()) * writeAgainEach)
+}
+
 // watchEras logs when the store came back from an older copy.
 func (b *RelayBox) watchEras() {
 	if b.site.WatchEras == nil {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/stoatramp/stoatramp/internal/clock"
 )
 
 // Table is the table of the platform's store that boxes share.
@@ -90,8 +92,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	put = map[string][]byte{}
+	now := clock.Now()
 	for key, k := range l.ends {
-		if !k.written && len(put) < MostWritten {
+		if !k.written && !now.Before(k.due) && len(put) < MostWritten {
 			k.sent = true
 			put[key] = k.row()
 		}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -68,6 +69,8 @@
 	// sent says that it was sent to the table, written that the table has taken it, and stored that
 	// it was seen there.
 	sent, written, stored bool
+	// due is when it may be written; zero for at once.
+	due time.Time
 }
 
 // List is what one box knows of ends: its own, and those that the table has. It is safe for
@@ -88,6 +91,10 @@
 	removing map[string]bool
 	held     map[Fingerprint]bool
 	served   served
+	// restored says that the rows that are set next are of an older copy of the table, and spread over what
+	// time boxes write again what it lacks.
+	restored bool
+	spread   time.Duration
 	// work wakes who writes the table.
 	work chan struct{}
 }
@@ -207,6 +214,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := clock.Now()
+	older := l.restored
+	if l.restored = false; older {
+		l.writeAgain(rows, now)
+	}
 	for key, k := range l.ends {
 		if _, there := rows[key]; !there && k.stored {
 			l.drop(key, false)
@@ -224,10 +235,45 @@
 		}
 		if e, ok := parse(key, text); ok && !l.isRemoving(key) {
 			l.add(&known{End: e, since: now, sent: true, written: true, stored: true})
+			if older && l.served.lately(e.Request, now) {
+				l.drop(key, true)
+			}
 		}
 	}
 }
 
+// ownerFirst is how long other boxes wait before they write an end again that an older copy of the table lacks:
+// the box that saw it does so at once.
+const ownerFirst = 2 * time.Second
+
+// Restored says that the table has come back from an older copy, whose rows are set next. What it lacks still
+// counts and is written again; boxes that did not see an end themselves share that out over the spread.
+func (l *List) Restored(spread time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.restored, l.spread = true, spread
+}
+
+// writeAgain has written again what the rows of an older copy lack, and taken out again what they have in
+// excess. The lock is held.
+func (l *List) writeAgain(rows map[string][]byte, now time.Time) {
+	wait := ownerFirst + rand.N(l.spread+1)
+	for key, k := range l.ends {
+		if _, there := rows[key]; there || !k.written {
+			continue
+		}
+		k.written, k.stored = false, false
+		if k.Sent.IsZero() { // Another box saw it.
+			k.due = now.Add(wait)
+		}
+	}
+	time.AfterFunc(wait, l.wake)
+	for key := range l.removing {
+		l.removing[key] = false
+	}
+	l.wake()
+}
+
 func (l *List) isRemoving(key string) bool {
 	_, yes := l.removing[key]
 	return yes
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -1,9 +1,11 @@
 package quarantine
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
@@ -232,3 +234,81 @@
 		t.Errorf("expected nothing to be kept, got %d ends of which %d requests are held", n, held)
 	}
 }
+
+// rowsOf is the table that has a list's ends.
+func rowsOf(l *List) map[string][]byte {
+	rows := map[string][]byte{}
+	for key, k := range l.ends {
+		rows[key] = k.row()
+	}
+	return rows
+}
+
+func TestRequestStaysHeldWhenTheTableComesBackOlder(t *testing.T) {
+	l, told := NewList(), NewList()
+	for _, e := range []string{"e1", "e2", "e3"} {
+		l.Ended(End{Request: of("deadly"), Endpoint: e, Caller: "a", Ran: 100 * time.Millisecond, Sent: clock.Now()})
+	}
+	put, _ := l.batch()
+	l.wrote(put, nil)
+	for _, box := range []*List{l, told} {
+		box.SetRows(rowsOf(l))
+		expectHeld(t, box, "deadly", true)
+		box.Restored(0)
+		box.SetRows(nil)
+		expectHeld(t, box, "deadly", true)
+		box.SetRows(nil) // A later change, of another row.
+		expectHeld(t, box, "deadly", true)
+	}
+	if put, _ := told.batch(); len(put) != 0 {
+		t.Errorf("expected a box that was told to leave the writing to the one that saw it, got %d rows", len(put))
+	}
+	if put, _ := l.batch(); len(put) != 3 {
+		t.Errorf("expected the box that saw the ends to write them again at once, got %d rows", len(put))
+	}
+}
+
+func TestEndThatWasClearedDoesNotComeBackWithAnOlderTable(t *testing.T) {
+	l := NewList()
+	ends(l, "fine", "a", 100*time.Millisecond, "e1", "e2", "e3")
+	rows := rowsOf(l)
+	l.batch()
+	l.SetRows(rows)
+	l.Served(of("fine"))
+	_, remove := l.batch()
+	l.wrote(nil, remove)
+	l.SetRows(nil)
+	l.Restored(0)
+	l.SetRows(rows)
+	expectHeld(t, l, "fine", false)
+	if _, remove := l.batch(); len(remove) != 3 {
+		t.Errorf("expected the rows to be taken out again, got %d", len(remove))
+	}
+}
+
+// The ends of a box that is gone are written again by the others, by few of them.
+func TestEndsOfABoxThatIsGoneAreWrittenAgainByFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		const boxes = 400
+		s := fleet(ctx, boxes, 1)
+		lost := NewList()
+		ends(lost, "deadly", "a", 100*time.Millisecond, "e1", "e2", "e3")
+		rows := rowsOf(lost)
+		for _, l := range s.boxes {
+			l.SetRows(rows)
+			l.Restored(boxes * 25 * time.Millisecond)
+			l.SetRows(nil)
+		}
+		time.Sleep(time.Minute)
+		calls, written := s.counts()
+		if written != len(rows) || calls > boxes/10 {
+			t.Errorf("expected %d rows by %d calls at the most, got %d rows by %d calls", len(rows), boxes/10, written, calls)
+		}
+		for _, l := range s.boxes {
+			expectHeld(t, l, "deadly", true)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
