Write accepted policies again when the store came back without them

Operators were told that a change is accepted; after the store's return boxes hold it, the store does not, a box that starts runs without it, and the next change is accepted under the same number and passed over by the boxes.

Cause: the platform's operator writes its own documents again, but the shared configuration is written by boxes, and none did.

Ruled out: giving the next change a higher number only. The text in between would still be lost for boxes that start.

Change: a box keeps the newest row of each key that it was told of or wrote. Another text under the number in force is taken if it was not seen under it before.

Conclusion: mended, but where a box that started after the return, and knows the copy alone, accepts a change before another box has written the lost one again: then that number has two texts and the later one is in force.

--- a/cmd/stoatrampd/older_test.go
+++ b/cmd/stoatrampd/older_test.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,3 +74,45 @@
 		x.list("i-1", "draining")
 	}, "nothing new at the endpoint that leaves", func(x *relayBox) bool { return !x.serves("/b/x") })
 }
+
+// startsWithPolicies starts a box whose policies have version 2, of which the store's next copy knows version 1.
+func startsWithPolicies(t *testing.T) (x *relayBox, apply func(want string)) {
+	x = startRelay(t, echo)
+	file := t.TempDir() + "/calm.star"
+	if err := os.WriteFile(file, []byte(refusing), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tries := 0
+	apply = func(want string) {
+		t.Helper()
+		tries++
+		if out := x.tool("policy", "apply", file, "--name", fmt.Sprint("p", tries), "--kind", "once", "--author", "ana"); !strings.Contains(out, want) {
+			t.Errorf("expected %q, got %s", want, out)
+		}
+	}
+	apply("Accepted as version 1")
+	x.comesBackOlder(func() { apply("Accepted as version 2") }, func() {})
+	return x, apply
+}
+
+func TestAcceptedPoliciesAreWrittenAgainWhenTheStoreCameBackOlder(t *testing.T) {
+	t.Parallel()
+	x, _ := startsWithPolicies(t)
+	x.until("version 2 in the store, with its history", func() bool {
+		return bytes.Contains(x.store.Row("shared", "config/current"), []byte(`"version":2`)) && x.store.Row("shared", "config/version/2") != nil
+	})
+	if out := x.tool("policy", "history"); !strings.Contains(out, "2") {
+		t.Errorf("expected both versions, got %s", out)
+	}
+	x.until("the log to say so", func() bool { return x.log.has("shared configuration written again", `"version":2`) })
+}
+
+func TestPoliciesAcceptedWhenTheStoreCameBackOlderGetTheNextNumber(t *testing.T) {
+	t.Parallel()
+	x, apply := startsWithPolicies(t)
+	x.until("the box to hear of the store", func() bool { return x.log.has("store era", `"era":2`) })
+	apply("Accepted as version 3")
+	for _, name := range []string{"p1", "p2", "p3"} {
+		x.tool("policy", "get", name)
+	}
+}
--- a/internal/box/operator.go
+++ b/internal/box/operator.go
@@ -11,22 +11,22 @@
 // This file is what a box makes of the operator's documents where the store may have brought them back from an
 // older copy.
 
-// configTexts says which configuration is newer than those that were in force.
-type configTexts struct {
+// texts says which text is newer than those that were in force.
+type texts struct {
 	version int64
-	seen    map[relay.Digest]bool // The texts of that version.
+	seen    map[relay.Digest]bool // Of that version.
 }
 
-// take says whether a configuration is newer, and counts it as in force then. An operator whose change was lost
-// with the store may write another text under its number; a text that was seen under it before is older.
-func (s *configTexts) take(c *relay.Config) bool {
+// take says whether a text is newer, and counts it as in force then. An operator whose change was lost with the
+// store may write another text under its number; one that was seen under it before is older.
+func (s *texts) take(version int64, d relay.Digest) bool {
 	switch {
-	case c.Version < s.version || c.Version == s.version && s.seen[c.Digest]:
+	case version < s.version || version == s.version && s.seen[d]:
 		return false
-	case c.Version > s.version:
-		s.version, s.seen = c.Version, map[relay.Digest]bool{}
+	case version > s.version:
+		s.version, s.seen = version, map[relay.Digest]bool{}
 	}
-	s.seen[c.Digest] = true
+	s.seen[d] = true
 	return true
 }
 
--- a/internal/box/operator_test.go
+++ b/internal/box/operator_test.go
@@ -9,14 +9,13 @@
 )
 
 func TestOtherTextUnderTheSameVersionIsTakenAndAnOlderOneIsNot(t *testing.T) {
-	var texts configTexts
+	var known texts
 	for n, x := range []struct {
 		version int64
 		text    byte
 		taken   bool
 	}{{4, 1, true}, {4, 1, false}, {5, 1, true}, {5, 2, true}, {5, 1, false}, {4, 3, false}, {5, 3, true}, {5, 2, false}, {6, 1, true}} {
-		c := &relay.Config{Version: x.version, Digest: relay.Digest{x.text}}
-		if got := texts.take(c); got != x.taken {
+		if got := known.take(x.version, relay.Digest{x.text}); got != x.taken {
 			t.Errorf("step %d, text %d of version %d: expected taken %t, got %t", n, x.text, x.version, x.taken, got)
 		}
 	}
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -52,7 +52,7 @@
 	Endpoint  func(key string, text []byte) (relay.Endpoint, error)
 	// Shared is the table of the shared configuration: policies and operators. Changes of
 	// it are in SharedChanges, and Versioned reads its rows.
-	Shared        control.Table
+	Shared        SharedTable
 	SharedChanges follow.Source
 	Versioned     func(key string, text []byte) (platform.Row, error)
 	// Members is the table in which boxes list themselves, and Register writes it.
@@ -81,9 +81,10 @@
 	// Reload reads the settings again; nil if they cannot be.
 	Reload func() (*config.Relay, error)
 	// rules are the policies and operators in force; never nil.
-	rules atomic.Pointer[config.Rules]
-	store *control.Store
-	book  *account.Book
+	rules  atomic.Pointer[config.Rules]
+	store  *control.Store
+	shared *keptTable
+	book   *account.Book
 	// What the box follows was heard of then.
 	configHeard, listHeard, rulesHeard, membersHeard, endsHeard follow.Freshness
 
@@ -111,9 +112,12 @@
 	// listWaits that they will be then.
 	listNews, listWaits bool
 	listDue             time.Time
+	// rewriting says that rows of the shared configuration are being written again.
+	rewriting atomic.Bool
 	// configRestored says that the operator's documents that are applied next are of an older copy.
 	configRestored bool
-	configTexts    configTexts
+	configTexts    texts
+	ruleTexts      texts
 	evacuations    evacuations
 	// listRestored says that the list that is applied next is of an older copy, gone are the endpoints that were
 	// taken out of it lately, by key, and listThen that rows are to be something else after a time.
@@ -139,7 +143,8 @@
 	b.settings.Store(cfg)
 	b.rules.Store(&config.Rules{})
 	b.ctx, b.cancel = context.WithCancel(context.Background())
-	b.store = control.NewStore(site.Shared)
+	b.shared = b.keepShared(site)
+	b.store = control.NewStore(b.shared)
 	b.archive = archive.NewByTime(site.Objects, cfg.Name, b.Metrics.RecordsLost)
 	b.book = &account.Book{
 		Records: record.NewRing(ops.RecordsKept), Archive: b.archive, Metrics: b.Metrics,
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"fmt"
 	"time"
 
@@ -230,7 +231,7 @@
 		b.book.Log.Belief("configuration not taken", zap.Error(err))
 		return
 	}
-	if c == nil || !b.configTexts.take(c) {
+	if c == nil || !b.configTexts.take(c.Version, c.Digest) {
 		return
 	}
 	old := b.Relay.Version()
@@ -242,8 +243,11 @@
 // takeRules puts a newer shared configuration in force. Versions only grow here, whatever
 // the store answers; one that does not compile is not taken, and the last one stays.
 func (b *RelayBox) takeRules(rows map[string][]byte) {
+	if b.shared.set(rows) {
+		b.rewriteShared()
+	}
 	v, err := control.Current(rows, b.site.Versioned)
-	if err == nil && (v == nil || v.Number <= b.Relay.PolicyVersion()) {
+	if err == nil && (v == nil || !b.ruleTexts.take(v.Number, sha256.Sum256([]byte(v.Text)))) {
 		return
 	}
 	var c *config.Rules
@@ -264,6 +268,34 @@
 		zap.Int("policies", len(c.Policies)), zap.Int("rules", len(c.Rules)), zap.Int("operators", len(c.Operators)))
 }
 
+// keepShared has the shared configuration kept where the store comes back without it.
+func (b *RelayBox) keepShared(site Site) *keptTable {
+	return &keptTable{
+		inner: site.Shared, read: site.Versioned,
+		failed: func(key string, err error) {
+			b.book.Log.Belief("shared configuration not written again", zap.String("row", key), zap.Error(err))
+		},
+		rewritten: func(key string, version int64) {
+			b.book.Log.Belief("shared configuration written again", zap.String("row", key), zap.Int64("version", version))
+		},
+	}
+}
+
+// rewriteShared writes again what the store lacks of the shared configuration.
+func (b *RelayBox) rewriteShared() {
+	if b.rewriting.Swap(true) {
+		return
+	}
+	spread := time.Duration(b.node.Members()) * writeAgainEach
+	go func() {
+		b.shared.rewriteAll(b.ctx, spread)
+		b.rewriting.Store(false)
+		if len(b.shared.lacking()) > 0 && b.ctx.Err() == nil {
+			b.rewriteShared() // The store came back again meanwhile.
+		}
+	}()
+}
+
 // parseRules reads an accepted version. Its cases passed before it was accepted.
 func parseRules(v *control.Version) (*config.Rules, error) {
 	c, err := config.ParseRules(fmt.Sprintf("version %d", v.Number), []byte(v.Text), nil)
