List the boxes' key again when the store came back without it

Boxes that start would make a key of their own in place of the one that all others know, and all would have to find each other again.

Cause: a key was made only by boxes that know none. Where an older copy lacks its row, those that know it left it at that.

Ruled out: that a wrong key stays. All boxes follow the row, so a second key would have won; meanwhile boxes of either key refuse each other.

Change: the key that is known is listed again, by the oldest box at once and by others after 4 s, as a new one is.

Figures: TestKeyIsTheSameAfterTheStoreCameBackWithoutIt fails where only boxes without a key make one.

Conclusion: mended.

--- a/internal/overlay/members.go
+++ b/internal/overlay/members.go
@@ -45,7 +45,9 @@
 
 	mu  sync.Mutex
 	key string
-	all map[string]Member
+	// keyListed says that the table has the key. A table of an older copy may not.
+	keyListed bool
+	all       map[string]Member
 	// bad are those that could not be followed lately.
 	bad map[string]badMember
 }
@@ -62,6 +64,7 @@
 	defer s.mu.Unlock()
 	defer s.changes.Add(1)
 	s.all = make(map[string]Member, len(rows))
+	_, s.keyListed = rows[keyRow]
 	for name, text := range rows {
 		if name == keyRow {
 			s.key = string(text)
@@ -80,6 +83,13 @@
 	return s.key
 }
 
+// keyMissing says whether the table has no key, and the one that it is to have; empty if any will do.
+func (s *members) keyMissing() (key string, missing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.key, !s.keyListed
+}
+
 func (s *members) get(name string) (Member, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -14,6 +14,7 @@
 package overlay
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -309,8 +310,13 @@
 		n.putAt = clock.Now() // The list shows it some time later.
 		_ = n.o.Register.Put(ctx, n.o.Self.Name, n.o.Self.row())
 	}
-	if n.members.secret() == "" && n.makesKey(listed, clock.Now()) {
-		_ = n.o.Register.Create(ctx, keyRow, []byte(rand.Text())) // The table tells whose it was.
+	key, missing := n.members.keyMissing()
+	if !missing {
+		n.keyless = time.Time{}
+		return
+	}
+	if n.makesKey(listed, clock.Now()) {
+		_ = n.o.Register.Create(ctx, keyRow, []byte(cmp.Or(key, rand.Text()))) // The table tells whose it was.
 	}
 }
 
--- a/internal/overlay/overlay_test.go
+++ b/internal/overlay/overlay_test.go
@@ -129,9 +129,9 @@
 
 func (s *store) Create(ctx context.Context, key string, value []byte) error {
 	s.mu.Lock()
-	_, there := s.rows["members"][key]
+	r, there := s.rows["members"][key]
 	s.mu.Unlock()
-	if there {
+	if there && !r.Gone {
 		return nil
 	}
 	return s.Put(ctx, key, value)
@@ -392,6 +392,23 @@
 	eventually(t, "the new box follows when the store is back", func() bool { return late.follows("a") })
 }
 
+func TestKeyIsTheSameAfterTheStoreCameBackWithoutIt(t *testing.T) {
+	s := newStore()
+	all := s.fleet(t)
+	eventually(t, "all have the key", func() bool {
+		return !slices.ContainsFunc(all, func(b *box) bool { return b.members.secret() == "" })
+	})
+	key := all[0].members.secret()
+	s.set("members", follow.Row{Key: keyRow, Gone: true})
+	eventually(t, "a box has heard so", func() bool { _, missing := all[0].members.keyMissing(); return missing })
+	eventually(t, "it is listed again", func() bool { _, missing := all[0].members.keyMissing(); return !missing })
+	for _, b := range all {
+		if got := b.members.secret(); got != key {
+			t.Errorf("%s: expected the key to be %q, got %q", b.o.Self.Name, key, got)
+		}
+	}
+}
+
 // A stranger, and a box that speaks another version, are refused and counted, and do no harm.
 func TestStrangers(t *testing.T) {
 	s := newStore()
