Write decision records again that an older copy of the store lacks

Operators would ask why a request went as it did, and be told that there is no record, though it had been written.

Cause: an object counts as kept once the store has taken it.

Ruled out: keeping every object until the next one is written: 30 MB processes would hold up to a minute's records twice.

Change: a box keeps its newest object for 20 s if it has at most 512 KB, and writes it again within 5 s when it hears of a new era. Records that a box wrote in its last seconds before a stop are not written again.

Figures: TestRecordsAreWrittenAgainWhenTheStoreCameBackWithoutThem fails without it (no such record).

Conclusion: mended for boxes that live.

--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -177,3 +177,36 @@
 		}
 	})
 }
+
+func TestRecordsAreWrittenAgainWhenTheStoreCameBackWithoutThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := listed{&store{objects: map[string][]byte{}}}
+		a := NewByTime(s, "a", metrics.NewSet().NewCounter("lost"))
+		ctx, cancel := context.WithCancel(context.Background())
+		go a.Run(ctx)
+		expect := func(what string, after time.Duration, down bool, want error) {
+			t.Helper()
+			s.mu.Lock()
+			clear(s.objects)
+			s.down = down
+			s.mu.Unlock()
+			a.Restored()
+			time.Sleep(restoredSpread)
+			s.mu.Lock()
+			s.down = false
+			s.mu.Unlock()
+			time.Sleep(after)
+			if _, err := a.Find(context.Background(), "one"); !errors.Is(err, want) {
+				t.Errorf("%s: expected %v, got %v", what, want, err)
+			}
+		}
+		a.Add(&record.Record{ID: "one"})
+		time.Sleep(byTimeEvery + time.Second)
+		expect("lost a second later", 0, false, nil)
+		expect("with the store down again", restoredSpread, true, nil)
+		time.Sleep(lastKept)
+		expect("long after it was written", restoredSpread, false, ErrNotFound)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/archive/bytime.go
+++ b/internal/archive/bytime.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -49,11 +50,29 @@
 
 	mu      sync.Mutex
 	waiting []*record.Record
+	last    writtenObject
+	// restored wakes Run when the store came back from an older copy.
+	restored chan struct{}
 }
 
+// writtenObject is the newest object that a box wrote.
+type writtenObject struct {
+	name  string
+	bytes []byte
+}
+
+const (
+	// lastKept is for how long an object is kept that an older copy of the store may lack, and mostLast bounds
+	// one that is kept, in bytes.
+	lastKept = 20 * time.Second
+	mostLast = 512 << 10
+	// restoredSpread keeps boxes from writing their objects again together.
+	restoredSpread = 5 * time.Second
+)
+
 // NewByTime returns an archive for a box; lost counts the records dropped.
 func NewByTime(store Listed, box string, lost *metrics.Counter) *ByTime {
-	return &ByTime{store: store, box: box, lost: lost}
+	return &ByTime{store: store, box: box, lost: lost, restored: make(chan struct{}, 1)}
 }
 
 // Add takes a finished record; it never blocks on the store.
@@ -72,6 +91,8 @@
 		case <-t.C:
 			a.Flush(ctx)
 			a.removeOld(ctx, time.Now())
+		case <-a.restored:
+			a.writeAgain(ctx)
 		case <-ctx.Done():
 			return
 		}
@@ -88,13 +109,56 @@
 		return
 	}
 	b, err := pack(list)
+	name := byTimePrefix + time.Now().UTC().Format(stampForm) + "-" + a.box
 	if err == nil {
-		err = a.store.Put(ctx, byTimePrefix+time.Now().UTC().Format(stampForm)+"-"+a.box, b)
+		err = a.store.Put(ctx, name, b)
 	}
 	if err != nil {
 		for _, r := range list {
 			a.Add(r)
 		}
+		return
+	}
+	a.keepLast(writtenObject{name, b})
+}
+
+// keepLast remembers an object for as long as an older copy of the store may lack it.
+func (a *ByTime) keepLast(o writtenObject) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.last = o; len(o.bytes) > mostLast {
+		a.last = writtenObject{}
+		return
+	}
+	time.AfterFunc(lastKept, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if a.last.name == o.name {
+			a.last = writtenObject{}
+		}
+	})
+}
+
+// Restored says that the store has come back from an older copy.
+func (a *ByTime) Restored() {
+	select {
+	case a.restored <- struct{}{}:
+	default:
+	}
+}
+
+// writeAgain writes the newest object again, which an older copy may lack.
+func (a *ByTime) writeAgain(ctx context.Context) {
+	select {
+	case <-time.After(rand.N(restoredSpread)):
+	case <-ctx.Done():
+		return
+	}
+	a.mu.Lock()
+	o := a.last
+	a.mu.Unlock()
+	if o.name != "" && a.store.Put(ctx, o.name, o.bytes) != nil {
+		a.Restored() // Tried again until the object is too old.
 	}
 }
 
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -173,6 +173,7 @@
 		before := int64(0)
 		if next.rose {
 			before = last.era
+			b.archive.Restored()
 		}
 		b.book.Log.Belief("store era", zap.Int64("era", era), zap.Int64("before", before))
 		return
