Count boxes that an older copy of the list lacks until they list themselves again

Endpoints would get more repeated calls, and accounts more than their limits, than the platform allows: boxes that had listed themselves since the copy are missing for some seconds, and the others share out what all may spend among fewer.

Cause: the list of members was taken as the store has it.

Ruled out: keeping members for good. One that has left is not told from one that was lost.

A row of a box that left since the copy stays, as one of a box that was killed does.

--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -120,7 +120,7 @@
 		tableConfig:    b.table(tableConfig, b.site.Operator, operator, &b.configHeard, b.configure, func() { b.configRestored = true }),
 		tableEndpoints: b.table(tableEndpoints, b.site.Endpoints, list, &b.listHeard, b.list, func() { b.listRestored = true }),
 		tablePolicies:  b.table(tablePolicies, b.site.SharedChanges, hand, &b.rulesHeard, b.takeRules, nil),
-		tableMembers:   b.table(tableMembers, b.site.Members, members, &b.membersHeard, b.takeMembers, nil),
+		tableMembers:   b.table(tableMembers, b.site.Members, members, &b.membersHeard, b.takeMembers, b.membersRestored),
 		tableEnds:      b.table(tableEnds, b.site.EndsChanges, ends, &b.endsHeard, b.ends.SetRows, b.endsRestored),
 	}
 	shared := make(map[string]overlay.Table, len(b.tables))
@@ -223,6 +223,12 @@
 	return t
 }
 
+// membersRestored keeps the boxes that an older copy lacks for some time.
+func (b *RelayBox) membersRestored() {
+	b.node.MembersRestored()
+	time.AfterFunc(overlay.MissingKept, func() { b.tables[tableMembers].Again(func() {}) })
+}
+
 func (b *RelayBox) takeMembers(rows map[string][]byte) { b.node.SetMembers(rows) }
 
 func (b *RelayBox) configure(rows map[string][]byte) {
--- a/internal/overlay/members.go
+++ b/internal/overlay/members.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/stoatramp/stoatramp/internal/clock"
 )
 
 // Member is one start of a box, as it lists itself in the platform's store.
@@ -48,6 +50,11 @@
 	// keyListed says that the table has the key. A table of an older copy may not.
 	keyListed bool
 	all       map[string]Member
+	// missing are members among all that the table lacks since it came back from an older copy. They are kept
+	// until keptUntil, by when they have listed themselves again: how many there are bounds what each may spend.
+	missing   map[string]bool
+	restored  bool // The table that is set next is of an older copy.
+	keptUntil time.Time
 	// bad are those that could not be followed lately.
 	bad map[string]badMember
 }
@@ -58,12 +65,28 @@
 	until       time.Time
 }
 
+// MissingKept is for how long members are kept that an older copy of the table lacks.
+const MissingKept = 3 * registerPause
+
+// setRestored says that the table that is set next is of an older copy.
+func (s *members) setRestored() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restored = true
+}
+
 // set takes the rows of the table of members. A row that says nothing of use is passed over.
 func (s *members) set(rows map[string][]byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer s.changes.Add(1)
-	s.all = make(map[string]Member, len(rows))
+	now := clock.Now()
+	if s.restored {
+		s.restored, s.keptUntil = false, now.Add(MissingKept)
+	}
+	before := s.all
+	s.all, s.missing = make(map[string]Member, len(rows)), map[string]bool{}
+	defer s.keepMissing(before, now)
 	_, s.keyListed = rows[keyRow]
 	for name, text := range rows {
 		if name == keyRow {
@@ -77,6 +100,19 @@
 	}
 }
 
+// keepMissing keeps members that the table lacks, for some time after it came back from an older copy. The lock
+// is held.
+func (s *members) keepMissing(before map[string]Member, now time.Time) {
+	if !now.Before(s.keptUntil) {
+		return
+	}
+	for name, m := range before {
+		if _, listed := s.all[name]; !listed {
+			s.all[name], s.missing[name] = m, true
+		}
+	}
+}
+
 func (s *members) secret() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -90,11 +126,12 @@
 	return s.key, !s.keyListed
 }
 
-func (s *members) get(name string) (Member, bool) {
+// get finds a member, and says whether the table has it.
+func (s *members) get(name string) (m Member, listed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m, ok := s.all[name]
-	return m, ok
+	return m, ok && !s.missing[name]
 }
 
 // older orders members by age: the oldest has shown that it lasts, and while it lives
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -204,6 +204,10 @@
 	}
 }
 
+// MembersRestored says that the table of members that is set next is of an older copy. It is to be set once
+// more after MissingKept.
+func (n *Node) MembersRestored() { n.members.setRestored() }
+
 // Followers counts the boxes that follow this one.
 func (n *Node) Followers() int {
 	n.mu.Lock()
