Apply a table over a return of the store also where no row differs

Callers could see a later change of an endpoint or a hall put off for some seconds, and an end that was taken out written again: what waited for the rows of the older copy took the next change for them.

Cause: changes told by another box were applied only if there was a row among them, and the word of the return had gone out before.

Ruled out: giving the word after the rows; what it is for is reading them.

Change: the rows are applied on every return. Beside it, the list is no longer gone through for rows that are to change later, or for endpoints that are gone, where there are none of them.

Figures: TestReturnIsAppliedThoughNoRowDiffers fails before (era 2 without rows).

Conclusion: mended; found by reading the change.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -120,7 +120,7 @@
 	ruleTexts      texts
 	evacuations    evacuations
 	// listRestored says that the list that is applied next is of an older copy, gone are the endpoints that were
-	// taken out of it lately, by key, and listThen that rows are to be something else after a time.
+	// taken out of it lately, by key, and listThen that rows may be something else after a time.
 	listRestored bool
 	gone         map[string]goneEndpoint
 	listThen     bool
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -226,7 +226,7 @@
 // membersRestored keeps the boxes that an older copy lacks for some time.
 func (b *RelayBox) membersRestored() {
 	b.node.MembersRestored()
-	time.AfterFunc(overlay.MissingKept, func() { b.tables[tableMembers].Again(func() {}) })
+	time.AfterFunc(overlay.MissingKept+time.Second, func() { b.tables[tableMembers].Again(func() {}) })
 }
 
 func (b *RelayBox) takeMembers(rows map[string][]byte) { b.node.SetMembers(rows) }
@@ -334,9 +334,14 @@
 	endpoint relay.Endpoint
 	// foreign rows name no endpoint to use: they are another writer's, or an older copy's.
 	foreign bool
-	// then is what the row is to be from thenAt on, if it does not change before; nil if it stays.
-	then   *listedEndpoint
-	thenAt time.Time
+	// then is what the row is to be later, if it does not change before; nil if it stays.
+	then *laterEndpoint
+}
+
+// laterEndpoint is what a row is to be from a time on.
+type laterEndpoint struct {
+	listedEndpoint
+	at time.Time
 }
 
 // lapseGrace is for how long after the store's return an endpoint that is missing from the
@@ -371,12 +376,16 @@
 // list takes the list of endpoints. Most rows are as before, and most that changed say
 // nothing new of their endpoint: only new text is read, and only news are handed on.
 func (b *RelayBox) list(rows map[string][]byte) {
-	next, news := b.readList(rows)
+	next, news, inPlace := b.readList(rows)
 	b.listRestored = false
-	b.keepLapsed(next)
 	now := clock.Now()
-	news = b.takeThen(next, now) || news
-	b.noteGone(b.listed, next, now)
+	if b.listThen {
+		news = b.takeThen(next, now) || news
+	}
+	if !inPlace {
+		b.keepLapsed(next)
+		b.noteGone(b.listed, next, now)
+	}
 	b.listed = next
 	b.listNews = b.listNews || news
 	if !b.listNews || b.listLater(clock.Now()) {
@@ -417,14 +426,14 @@
 
 // readList reads the rows that changed, and tells whether they say anything new. Where no row is gone the
 // list is changed in place: most changes are of one row among thousands.
-func (b *RelayBox) readList(rows map[string][]byte) (next map[string]listedEndpoint, news bool) {
+func (b *RelayBox) readList(rows map[string][]byte) (next map[string]listedEndpoint, news, inPlace bool) {
 	stay := 0
 	for key := range rows {
 		if _, known := b.listed[key]; known {
 			stay++
 		}
 	}
-	inPlace := b.listed != nil && stay == len(b.listed)
+	inPlace = b.listed != nil && stay == len(b.listed)
 	next, news = b.listed, !inPlace
 	if !inPlace {
 		next = make(map[string]listedEndpoint, len(rows))
@@ -448,7 +457,7 @@
 		news = news || !known || read.endpoint != old.endpoint || read.foreign != old.foreign
 		next[key] = read
 	}
-	return next, news
+	return next, news, inPlace
 }
 
 // usable are the endpoints of the rows that name one. Where the platform's endpoints say when they
--- a/internal/box/restored.go
+++ b/internal/box/restored.go
@@ -35,38 +35,40 @@
 	}
 	known = known && !old.foreign
 	gone, wasGone := b.gone[key]
-	now := clock.Now()
 	switch {
 	case known && old.endpoint.ID == read.endpoint.ID:
 		read.endpoint.Leaving = read.endpoint.Leaving || old.endpoint.Leaving
 	case known && old.endpoint.Started > read.endpoint.Started:
 		ended := read
 		ended.foreign = true
-		read.endpoint, read.then, read.thenAt = old.endpoint, &ended, now.Add(lapseGrace)
+		read.endpoint, read.then = old.endpoint, b.later(ended, lapseGrace)
 	case !known && wasGone && gone.id == read.endpoint.ID:
 		back := read
-		read.foreign, read.then, read.thenAt = true, &back, now.Add(goneGrace)
+		read.foreign, read.then = true, b.later(back, goneGrace)
 		b.book.Log.Belief("endpoint listed again by an older copy", zap.String("endpoint", gone.id), zap.Duration("not_used_for", goneGrace))
 	}
 	return read
 }
 
-// takeThen replaces rows by what they are to be after a time, and says whether there were any.
+// later is what a row is to be after a time.
+func (b *RelayBox) later(row listedEndpoint, after time.Duration) *laterEndpoint {
+	b.listThen = true
+	time.AfterFunc(after+time.Millisecond, func() { b.tables[tableEndpoints].Again(func() {}) })
+	return &laterEndpoint{row, clock.Now().Add(after)}
+}
+
+// takeThen replaces rows by what they are to be by now, and says whether there were any.
 func (b *RelayBox) takeThen(rows map[string]listedEndpoint, now time.Time) (news bool) {
-	var next time.Time
-	for key, l := range rows {
+	b.listThen = false
+	for key, row := range rows {
 		switch {
-		case l.then == nil:
-		case !now.Before(l.thenAt):
-			rows[key], news = *l.then, true
-		case next.IsZero() || l.thenAt.Before(next):
-			next = l.thenAt
+		case row.then == nil:
+		case now.Before(row.then.at):
+			b.listThen = true
+		default:
+			rows[key], news = row.then.listedEndpoint, true
 		}
 	}
-	if !next.IsZero() && !b.listThen {
-		b.listThen = true
-		time.AfterFunc(next.Sub(now), func() { b.tables[tableEndpoints].Again(func() { b.listThen = false }) })
-	}
 	return news
 }
 
--- a/internal/follow/feed_test.go
+++ b/internal/follow/feed_test.go
@@ -423,3 +423,16 @@
 		}
 	}
 }
+
+// What waits for the next state of a table to be that of an older copy must not take a later one for it.
+func TestReturnIsAppliedThoughNoRowDiffers(t *testing.T) {
+	told := ""
+	table := New(nil, Options{}, func(map[string][]byte) { told += " applied" })
+	table.Restored = func(era int64) { told += fmt.Sprintf(" era %d", era) }
+	ver := Version{Era: 1, Number: 7}
+	table.replace([]Row{{Key: "a"}}, ver)
+	table.Hear(Part{Version: Version{Era: 2, Number: 3}, Since: ver, Skips: true}, 0)
+	if told != " applied era 2 applied" {
+		t.Errorf("expected the return to be followed by its rows, got%s", told)
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -123,8 +123,9 @@
 	Apply func(rows map[string][]byte)
 	// Fresh is kept up to date; New sets it, and it may be replaced before Run.
 	Fresh *Freshness
-	// Restored is called before Apply when the store has come back from an older copy: rows that were known
-	// may be missing or older until their writers have written them again. It may be nil.
+	// Restored is called when the store has come back from an older copy, right before Apply is called with its
+	// rows: some that were known may be missing or older until their writers have written them again. It may be
+	// nil.
 	Restored func(era int64)
 	// Lost is called when the store stops answering, and Back when it answers again after
 	// so long; they may be nil.
@@ -331,7 +332,7 @@
 	if skips {
 		t.changes.skip(gap{t.ver, ver})
 	}
-	t.advance(ver)
+	restored := t.advance(ver)
 	for _, r := range rows {
 		t.changes.note(r.Key, ver, len(t.rows))
 		if r.Gone {
@@ -340,23 +341,27 @@
 		}
 		t.rows[r.Key] = r.Value
 	}
-	if len(rows) > 0 {
+	if len(rows) > 0 || restored {
 		t.Apply(t.rows)
 	}
 	t.changes.tell()
 	return len(rows) > 0
 }
 
-// advance takes the version of the state that is about to be applied. The lock is held.
-func (t *Table) advance(ver Version) {
-	if t.rows != nil && ver.Era > t.ver.Era {
-		now := clock.Now()
-		t.back.Store(&now)
-		if t.Restored != nil {
-			t.Restored(ver.Era)
-		}
-	}
+// advance takes the version of the state that is about to be applied, and says whether the store has come back
+// from an older copy since the last one. The lock is held.
+func (t *Table) advance(ver Version) (restored bool) {
+	restored = t.rows != nil && ver.Era > t.ver.Era
 	t.ver = ver
+	if !restored {
+		return false
+	}
+	now := clock.Now()
+	t.back.Store(&now)
+	if t.Restored != nil {
+		t.Restored(ver.Era)
+	}
+	return true
 }
 
 // readAll reads the table whole. A copy older than what is known is not taken.
