Read the list with its table's lock in the tests of older copies

Ruled out: the product. Its timers call the table, which holds its lock while the list is applied; only the test read without it.

Change: the test reads the list as the table applies it. What it expects is as before.

--- a/internal/box/restored_test.go
+++ b/internal/box/restored_test.go
@@ -61,10 +61,13 @@
 	x.t.Helper()
 	synctest.Wait()
 	got := map[string]string{}
-	x.box.tables[tableEndpoints].Again(func() {})
-	for _, e := range usable(x.box.listed) {
-		got[e.ID] = map[bool]string{true: "leaving", false: "ready"}[e.Leaving]
-	}
+	table := x.box.tables[tableEndpoints]
+	table.Again(func() {})
+	table.Again(func() { // With the table's lock, as the list has it.
+		for _, e := range usable(x.box.listed) {
+			got[e.ID] = map[bool]string{true: "leaving", false: "ready"}[e.Leaving]
+		}
+	})
 	same := len(got) == len(want)
 	for id, state := range want {
 		same = same && got[id] == state
