--- a/internal/box/operator.go
+++ b/internal/box/operator.go
@@ -11,15 +11,15 @@
 // This file is what a box makes of the operator's documents where the store may have brought them back from an
 // older copy.
 
-// texts says which text is newer than those that were in force.
-type texts struct {
+// seenTexts says which text is newer than those that were in force.
+type seenTexts struct {
 	version int64
 	seen    map[relay.Digest]bool // Of that version.
 }
 
 // take says whether a text is newer, and counts it as in force then. An operator whose change was lost with the
 // store may write another text under its number; one that was seen under it before is older.
-func (s *texts) take(version int64, d relay.Digest) bool {
+func (s *seenTexts) take(version int64, d relay.Digest) bool {
 	switch {
 	case version < s.version || version == s.version && s.seen[d]:
 		return false
@@ -100,7 +100,7 @@
 	}
 }
 
-// evacuate applies the operator's word on halls.
+// evacuate applies the evacuations of the operator's documents.
 func (b *RelayBox) evacuate(rows map[string][]byte) {
 	now := clock.Now()
 	b.Relay.SetEvacuated(b.evacuations.take(b.site.Evacuated(rows), b.configRestored, now))
--- a/internal/box/operator_test.go
+++ b/internal/box/operator_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestOtherTextUnderTheSameVersionIsTakenAndAnOlderOneIsNot(t *testing.T) {
-	var known texts
+	var known seenTexts
 	for n, x := range []struct {
 		version int64
 		text    byte
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -116,14 +116,14 @@
 	rewriting atomic.Bool
 	// configRestored says that the operator's documents that are applied next are of an older copy.
 	configRestored bool
-	configTexts    texts
-	ruleTexts      texts
+	configTexts    seenTexts
+	ruleTexts      seenTexts
 	evacuations    evacuations
 	// listRestored says that the list that is applied next is of an older copy, gone are the endpoints that were
-	// taken out of it lately, by key, and listThen that rows may be something else after a time.
-	listRestored bool
-	gone         map[string]goneEndpoint
-	listThen     bool
+	// taken out of it lately, by key, and listLaterRows that rows may be something else after a time.
+	listRestored  bool
+	gone          map[string]goneEndpoint
+	listLaterRows bool
 	// lapsing says that endpoints are kept whose entries may have lapsed.
 	lapsing bool
 	// began is when the process started: what it spent on retries before is not known.
@@ -264,7 +264,7 @@
 func (b *RelayBox) roleManager() *roles.Manager {
 	return &roles.Manager{
 		Fleet:  b.Relay,
-		Leases: &lease.Keeper{Rows: b.site.Leases, Key: "roles", Holder: b.settings.Load().Name, Length: rolesLease, Use: rolesUse, Heard: b.eraHeard},
+		Leases: &lease.Keeper{Rows: b.site.Leases, Key: "roles", Holder: b.settings.Load().Name, Length: rolesLease, Use: rolesUse, Observed: b.eraObserved},
 		Every:  rolesEvery, Steady: rolesSteady, Patience: b.rolesPatience, Spacing: rolesLease + time.Second,
 		Ordered: func(engine string, role decide.EngineRole, l lease.Lease, err error) {
 			b.book.Log.Belief("role ordered", zap.String("endpoint", engine), zap.Stringer("role", role),
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -142,59 +142,6 @@
 	})
 }
 
-// writeAgainEach is how much longer each box makes the time over which boxes write again what the store lost:
-// they hear of one another's writes within a second.
-const writeAgainEach = 25 * time.Millisecond
-
-// endsRestored has the boxes write again the ends that an older copy lacks.
-func (b *RelayBox) endsRestored() {
-	b.ends.Restored(time.Duration(b.node.Members()) * writeAgainEach)
-}
-
-// storeEra is an era of the store, and when this box first heard of it.
-type storeEra struct {
-	era int64
-	at  time.Time
-	// rose says that the box knew an earlier one.
-	rose bool
-}
-
-// hearEra takes the store's era, from the store or by way of another box.
-func (b *RelayBox) hearEra(era int64) {
-	for {
-		last := b.storeEra.Load()
-		if last != nil && era <= last.era {
-			return
-		}
-		next := &storeEra{era, clock.Now(), last != nil}
-		if !b.storeEra.CompareAndSwap(last, next) {
-			continue
-		}
-		before := int64(0)
-		if next.rose {
-			before = last.era
-			b.archive.Restored()
-		}
-		b.book.Log.Belief("store era", zap.Int64("era", era), zap.Int64("before", before))
-		return
-	}
-}
-
-// eraHeard says when this box first heard of an era, and whether it knew an earlier one.
-func (b *RelayBox) eraHeard(era int64) (at time.Time, rose bool) {
-	if known := b.storeEra.Load(); known != nil && known.era == era {
-		return known.at, known.rose
-	}
-	return b.began, false
-}
-
-// watchEras has the box hear when the store came back from an older copy.
-func (b *RelayBox) watchEras() {
-	if b.site.WatchEras != nil {
-		b.site.WatchEras(b.hearEra, func(err error) { b.book.Log.Belief("store era not read", zap.Error(err)) })
-	}
-}
-
 // follow begins to follow all tables; members only where there may be others.
 func (b *RelayBox) follow() {
 	for name, t := range b.tables {
@@ -208,7 +155,7 @@
 	t := follow.New(src, o, apply)
 	t.Fresh = heard
 	t.Restored = func(era int64) {
-		b.hearEra(era)
+		b.observeEra(era)
 		b.book.Log.Belief("table of an older copy", zap.String("table", name), zap.Int64("era", era))
 		if restored != nil {
 			restored()
@@ -223,12 +170,6 @@
 	return t
 }
 
-// membersRestored keeps the boxes that an older copy lacks for some time.
-func (b *RelayBox) membersRestored() {
-	b.node.MembersRestored()
-	time.AfterFunc(overlay.MissingKept+time.Second, func() { b.tables[tableMembers].Again(func() {}) })
-}
-
 func (b *RelayBox) takeMembers(rows map[string][]byte) { b.node.SetMembers(rows) }
 
 func (b *RelayBox) configure(rows map[string][]byte) {
@@ -275,34 +216,6 @@
 		zap.Int("policies", len(c.Policies)), zap.Int("rules", len(c.Rules)), zap.Int("operators", len(c.Operators)))
 }
 
-// keepShared has the shared configuration kept where the store comes back without it.
-func (b *RelayBox) keepShared(site Site) *keptTable {
-	return &keptTable{
-		inner: site.Shared, read: site.Versioned,
-		failed: func(key string, err error) {
-			b.book.Log.Belief("shared configuration not written again", zap.String("row", key), zap.Error(err))
-		},
-		rewritten: func(key string, version int64) {
-			b.book.Log.Belief("shared configuration written again", zap.String("row", key), zap.Int64("version", version))
-		},
-	}
-}
-
-// rewriteShared writes again what the store lacks of the shared configuration.
-func (b *RelayBox) rewriteShared() {
-	if b.rewriting.Swap(true) {
-		return
-	}
-	spread := time.Duration(b.node.Members()) * writeAgainEach
-	go func() {
-		b.shared.rewriteAll(b.ctx, spread)
-		b.rewriting.Store(false)
-		if len(b.shared.lacking()) > 0 && b.ctx.Err() == nil {
-			b.rewriteShared() // The store came back again meanwhile.
-		}
-	}()
-}
-
 // parseRules reads an accepted version. Its cases passed before it was accepted.
 func parseRules(v *control.Version) (*config.Rules, error) {
 	c, err := config.ParseRules(fmt.Sprintf("version %d", v.Number), []byte(v.Text), nil)
@@ -334,8 +247,8 @@
 	endpoint relay.Endpoint
 	// foreign rows name no endpoint to use: they are another writer's, or an older copy's.
 	foreign bool
-	// then is what the row is to be later, if it does not change before; nil if it stays.
-	then *laterEndpoint
+	// later replaces the row after a time, if it does not change before; nil if it stays.
+	later *laterEndpoint
 }
 
 // laterEndpoint is what a row is to be from a time on.
@@ -379,8 +292,8 @@
 	next, news, inPlace := b.readList(rows)
 	b.listRestored = false
 	now := clock.Now()
-	if b.listThen {
-		news = b.takeThen(next, now) || news
+	if b.listLaterRows {
+		news = b.applyLater(next, now) || news
 	}
 	if !inPlace {
 		b.keepLapsed(next)
--- a/internal/box/restored.go
+++ b/internal/box/restored.go
@@ -41,10 +41,10 @@
 	case known && old.endpoint.Started > read.endpoint.Started:
 		ended := read
 		ended.foreign = true
-		read.endpoint, read.then = old.endpoint, b.later(ended, lapseGrace)
+		read.endpoint, read.later = old.endpoint, b.later(ended, lapseGrace)
 	case !known && wasGone && gone.id == read.endpoint.ID:
 		back := read
-		read.foreign, read.then = true, b.later(back, goneGrace)
+		read.foreign, read.later = true, b.later(back, goneGrace)
 		b.book.Log.Belief("endpoint listed again by an older copy", zap.String("endpoint", gone.id), zap.Duration("not_used_for", goneGrace))
 	}
 	return read
@@ -52,21 +52,21 @@
 
 // later is what a row is to be after a time.
 func (b *RelayBox) later(row listedEndpoint, after time.Duration) *laterEndpoint {
-	b.listThen = true
+	b.listLaterRows = true
 	time.AfterFunc(after+time.Millisecond, func() { b.tables[tableEndpoints].Again(func() {}) })
 	return &laterEndpoint{row, clock.Now().Add(after)}
 }
 
-// takeThen replaces rows by what they are to be by now, and says whether there were any.
-func (b *RelayBox) takeThen(rows map[string]listedEndpoint, now time.Time) (news bool) {
-	b.listThen = false
+// applyLater replaces rows by what they are to be by now, and says whether there were any.
+func (b *RelayBox) applyLater(rows map[string]listedEndpoint, now time.Time) (news bool) {
+	b.listLaterRows = false
 	for key, row := range rows {
 		switch {
-		case row.then == nil:
-		case now.Before(row.then.at):
-			b.listThen = true
+		case row.later == nil:
+		case now.Before(row.later.at):
+			b.listLaterRows = true
 		default:
-			rows[key], news = row.then.listedEndpoint, true
+			rows[key], news = row.later.listedEndpoint, true
 		}
 	}
 	return news
--- a/internal/box/shared.go
+++ b/internal/box/shared.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/stoatramp/stoatramp/internal/control"
 	"github.com/stoatramp/stoatramp/internal/platform"
 )
@@ -155,3 +157,31 @@
 	}
 	return keys
 }
+
+// keepShared has the shared configuration kept where the store comes back without it.
+func (b *RelayBox) keepShared(site Site) *keptTable {
+	return &keptTable{
+		inner: site.Shared, read: site.Versioned,
+		failed: func(key string, err error) {
+			b.book.Log.Belief("shared configuration not written again", zap.String("row", key), zap.Error(err))
+		},
+		rewritten: func(key string, version int64) {
+			b.book.Log.Belief("shared configuration written again", zap.String("row", key), zap.Int64("version", version))
+		},
+	}
+}
+
+// rewriteShared writes again what the store lacks of the shared configuration.
+func (b *RelayBox) rewriteShared() {
+	if b.rewriting.Swap(true) {
+		return
+	}
+	spread := time.Duration(b.node.Members()) * writeAgainEach
+	go func() {
+		b.shared.rewriteAll(b.ctx, spread)
+		b.rewriting.Store(false)
+		if len(b.shared.lacking()) > 0 && b.ctx.Err() == nil {
+			b.rewriteShared() // The store came back again meanwhile.
+		}
+	}()
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -77,9 +77,9 @@
 	// its start, in which orders are sent. Use is well below Length.
 	Length time.Duration
 	Use    time.Duration
-	// Heard says when this box first heard of the store's era, and whether it knew an earlier one. It may be
+	// Observed says when this box first observed the store's era, and whether it knew an earlier one. It may be
 	// nil where the store has no eras.
-	Heard func(era int64) (at time.Time, rose bool)
+	Observed func(era int64) (at time.Time, rose bool)
 }
 
 type document struct {
@@ -125,8 +125,8 @@
 		}
 		d.Era = cmp.Or(d.Era, row.Era)
 	}
-	if k.Heard != nil {
-		at, rose := k.Heard(row.Era)
+	if k.Observed != nil {
+		at, rose := k.Observed(row.Era)
 		if (rose || d.Era < row.Era) && clock.Since(at) < k.Length {
 			return true, nil
 		}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -133,15 +133,15 @@
 	return badHistoriesOf(t, seeds, false, acquire)
 }
 
-// ears are what one start of a box heard of the store's eras.
-type ears struct {
+// observer are what one start of a box observed of the store's eras.
+type observer struct {
 	*rowStore
 	era  int64
 	at   time.Time
 	rose bool
 }
 
-func (e *ears) Get(ctx context.Context, key string) (Row, time.Duration, error) {
+func (e *observer) Get(ctx context.Context, key string) (Row, time.Duration, error) {
 	row, now, err := e.rowStore.Get(ctx, key)
 	if err == nil && row.Era > e.era {
 		e.era, e.at, e.rose = row.Era, time.Now(), e.era > 0
@@ -149,7 +149,7 @@
 	return row, now, err
 }
 
-func (e *ears) heard(int64) (time.Time, bool) { return e.at, e.rose }
+func (e *observer) observed(int64) (time.Time, bool) { return e.at, e.rose }
 
 // badHistoriesOf is badHistories, with a store that comes back from older copies and boxes that start anew
 // where restored is true.
@@ -176,11 +176,11 @@
 			for n := range 4 {
 				wg.Go(func() {
 					rng := rand.New(rand.NewPCG(seed, uint64(n)))
-					var e *ears
+					var e *observer
 					var k *Keeper
 					begin := func() {
-						e = &ears{rowStore: s}
-						k = &Keeper{Rows: e, Key: "k", Holder: fmt.Sprint("box", n), Length: length, Use: use, Heard: e.heard}
+						e = &observer{rowStore: s}
+						k = &Keeper{Rows: e, Key: "k", Holder: fmt.Sprint("box", n), Length: length, Use: use, Observed: e.observed}
 					}
 					begin()
 					for range 6 {
@@ -268,8 +268,8 @@
 
 // The checks catch a holder that takes no notice of eras, and one whose fences have none.
 func TestLeaseCheckersOfEras(t *testing.T) {
-	deaf := func(k *Keeper) (Lease, error) {
-		k.Heard = nil
+	blind := func(k *Keeper) (Lease, error) {
+		k.Observed = nil
 		return k.Acquire(context.Background())
 	}
 	plain := func(k *Keeper) (Lease, error) {
@@ -277,7 +277,7 @@
 		l.Fence &= 1<<versionBits - 1
 		return l, err
 	}
-	for name, acquire := range map[string]acquirer{"deaf": deaf, "plain": plain} {
+	for name, acquire := range map[string]acquirer{"blind": blind, "plain": plain} {
 		if bad, _ := badHistoriesOf(t, 400, true, acquire); bad == 0 {
 			t.Errorf("%s: expected the planted bug to be caught", name)
 		}
