Test what boxes that know no eras say and are told

Cause: a fleet has boxes of both kinds while it is updated; nothing tested that.

Ruled out: the product. The fields of eras are read as 0 where they are missing, and old boxes pass them over.

Change: a test: such a box is told the whole table once, by its plain version, and then changes; its word of the state before a return changes nothing and is no relief.

Conclusion: tests only.

--- a/internal/overlay/overlay_test.go
+++ b/internal/overlay/overlay_test.go
@@ -409,6 +409,27 @@
 	}
 }
 
+// Boxes that know no eras say and read plain versions.
+func TestBoxThatKnowsNoErasIsToldTheWholeTableOnce(t *testing.T) {
+	table := follow.New(nil, follow.Options{}, func(map[string][]byte) {})
+	now := follow.Version{Era: 2, Number: 5}
+	table.Hear(follow.Part{Version: now, Rows: []follow.Row{{Key: "k", Value: []byte("v")}}}, 0)
+	n := New(Options{Tables: map[string]Table{"config": table}, Metrics: metrics.NewSet()})
+	f := &follower{queue: newQueue(), versions: map[string]follow.Version{"config": versionOf(&v1.Table{Version: 7})}}
+	first, second := n.update(f).Tables[0], n.update(f).Tables[0]
+	if first.Version != now.Number || first.Since != 0 || len(first.Rows) != 1 {
+		t.Errorf("expected the whole table by its plain version, got %v", first)
+	}
+	if second.Since != now.Number || len(second.Rows) != 0 {
+		t.Errorf("expected nothing more, got %v", second)
+	}
+	old := &v1.Table{Version: 90, Since: 80} // As such a box tells of the state before the return.
+	part, err := partOf(old)
+	if err != nil || table.Hear(part, time.Minute) || table.Version() != now {
+		t.Errorf("expected the word of a box without eras to change nothing, got %s, %v", table.Version(), err)
+	}
+}
+
 // A stranger, and a box that speaks another version, are refused and counted, and do no harm.
 func TestStrangers(t *testing.T) {
 	s := newStore()
