Use the field's words in the comments on eras

Cause: some new comments said that a box hears or is told of an era.

Ruled out: nothing.

Conclusion: none.

--- a/internal/box/eras.go
+++ b/internal/box/eras.go
@@ -12,7 +12,7 @@
 // This file is how a box learns that the store came back from an older copy, and what it has done then about
 // tables that boxes write.
 
-// storeEra is an era of the store, and when this box first heard of it.
+// storeEra is an era of the store, and when this box first observed it.
 type storeEra struct {
 	era int64
 	at  time.Time
@@ -20,7 +20,7 @@
 	rose bool
 }
 
-// observeEra takes the store's era, from the store or by way of another box.
+// observeEra takes the store's era, from the store or received from another box.
 func (b *RelayBox) observeEra(era int64) {
 	last := b.storeEra.Load()
 	if last != nil && era <= last.era {
@@ -39,7 +39,7 @@
 	b.book.Log.Belief("store era", zap.Int64("era", era), zap.Int64("before", before))
 }
 
-// eraObserved says when this box first heard of an era, and whether it knew an earlier one.
+// eraObserved says when this box first observed an era, and whether it knew an earlier one.
 func (b *RelayBox) eraObserved(era int64) (at time.Time, rose bool) {
 	if known := b.storeEra.Load(); known != nil && known.era == era {
 		return known.at, known.rose
@@ -47,15 +47,15 @@
 	return b.began, false
 }
 
-// watchEras has the box hear when the store came back from an older copy.
+// watchEras subscribes to the store's eras.
 func (b *RelayBox) watchEras() {
 	if b.site.WatchEras != nil {
 		b.site.WatchEras(b.observeEra, func(err error) { b.book.Log.Belief("store era not read", zap.Error(err)) })
 	}
 }
 
-// writeAgainEach is how much longer each box makes the time over which boxes write again what the store lost:
-// they hear of one another's writes within a second.
+// writeAgainEach is how much longer each box makes the time over which boxes write again what the store lost.
+// One box's write reaches the others within a second, and spares theirs.
 const writeAgainEach = 25 * time.Millisecond
 
 // endsRestored has the boxes write again the ends that an older copy lacks.
--- a/internal/box/shared.go
+++ b/internal/box/shared.go
@@ -23,13 +23,13 @@
 	Text(version int64, w platform.Write) ([]byte, error)
 }
 
-// keptTable sees to it that the store has what this box knows of the shared configuration. What an operator was
-// told is accepted may be missing where the store came back from an older copy, and the next change would be
-// accepted under the same number.
+// keptTable keeps the store up to date with the shared configuration that this box knows. A version that was
+// accepted may be missing where the store came back from an older copy, and the next change would be accepted
+// under the same number.
 type keptTable struct {
 	inner SharedTable
 	read  func(key string, text []byte) (platform.Row, error)
-	// failed is told of rows that could not be written again, and rewritten of those that were.
+	// failed reports rows that could not be written again, and rewritten those that were.
 	failed    func(key string, err error)
 	rewritten func(key string, version int64)
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -10,7 +10,7 @@
 //
 // When the store comes back from an older copy, a lease that was taken since is not in it. Then no
 // box takes one until the longest that may have been lost is over, by its own clock from when it
-// heard of the new era. A lease of the old era stays usable meanwhile.
+// observed the new era. A lease of the old era stays usable meanwhile.
 package lease
 
 import (
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -320,7 +320,7 @@
 		return
 	}
 	if n.makesKey(listed, clock.Now()) {
-		_ = n.o.Register.Create(ctx, keyRow, []byte(cmp.Or(key, rand.Text()))) // The table tells whose it was.
+		_ = n.o.Register.Create(ctx, keyRow, []byte(cmp.Or(key, rand.Text()))) // The table shows whose it was.
 	}
 }
 
