Log each answer that is broken off with its cause, and at once

Callers saw streams end by a closed connection, and no box's log names them. Four ways lead there, and none could be told from another: a line that waits up to 200 ms is lost with a killed process; a write that fails after the handler returned is not logged at all; a panic closes the connection without an id; an answer cut off is a line among thousands at the usual level.

One counter by cause, stoatramp_answers_broken_off_total.

Conclusion: with these lines a record tells hypotheses 2, 3 and 4 by the id; no line at all is left for a process that was ended.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -21,6 +21,18 @@
 	Archive Sink
 	Metrics *telemetry.Metrics
 	Log     *Log
+	// Conditions says how the box fares, for the lines of requests that were not answered whole; nil if that
+	// is not known.
+	Conditions func() Conditions
+}
+
+// Conditions are how a box fares at a moment.
+type Conditions struct {
+	// ConfigAge is for how long its configuration has been in force.
+	ConfigAge time.Duration
+	// Stall is for how long its process had no processor when that was last the case, and StallAge how long
+	// ago that ended; Stall is 0 if it never was.
+	Stall, StallAge time.Duration
 }
 
 // Account is the account of one request. One goroutine at a time uses it.
@@ -32,6 +44,8 @@
 	// told says that each decision is logged as it is made. Otherwise its lines are
 	// written at its end, and only if something went wrong by then.
 	told bool
+	// closed says that the account has ended.
+	closed bool
 }
 
 // Open begins an account; the record's At is when the request arrived.
@@ -48,8 +62,12 @@
 	}
 }
 
-// Close ends the account.
+// Close ends the account. What is said of its end later does not count.
 func (a *Account) Close(o outcome.Outcome) {
+	if a.closed {
+		return
+	}
+	a.closed = true
 	a.Rec.Kind, a.Rec.Reason, a.Rec.Detail = o.Kind, o.Reason, o.Detail
 	a.Rec.Took = time.Since(a.arrived)
 	a.book.Records.Add(a.Rec)
@@ -71,7 +89,20 @@
 		a.book.Log.skipped()
 		return
 	}
-	a.book.Log.end(a.Rec)
+	a.book.Log.end(a.Rec, a.book.conditions())
+}
+
+func (b *Book) conditions() Conditions {
+	if b.Conditions == nil {
+		return Conditions{}
+	}
+	return b.Conditions()
+}
+
+// Undelivered says that the end of an answer could not be written, so long after its account was closed.
+func (b *Book) Undelivered(id string, after time.Duration, err error) {
+	b.Metrics.BrokenOff(outcome.Undelivered)
+	b.Log.undelivered(id, after, err, b.conditions())
 }
 
 // eventful says that something about the request may be asked about. Its lines are never
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -167,3 +169,31 @@
 	<-h.never
 	return len(b), nil
 }
+
+// Operators look for warnings; how the box fared is in the line, whatever the rate.
+func TestAnswerThatWasCutOffIsAWarningWithTheBoxsConditions(t *testing.T) {
+	b, out := book(0)
+	b.Conditions = func() Conditions {
+		return Conditions{ConfigAge: 120 * time.Millisecond, Stall: time.Second, StallAge: 30 * time.Millisecond}
+	}
+	b.one("id-1", outcome.Outcome{Kind: outcome.CutOff, Reason: outcome.Truncated})
+	b.one("id-2", outcome.Outcome{Kind: outcome.Cancelled, Reason: outcome.CallerGone})
+	b.Undelivered("id-3", time.Millisecond, io.ErrShortWrite)
+	ends := map[any]map[string]any{}
+	for _, m := range lines(t, out) {
+		ends[m["id"]] = m // The last line of each request is its end.
+	}
+	for id, level := range map[string]string{"id-1": "warn", "id-2": "info", "id-3": "warn"} {
+		m := ends[id]
+		if m["level"] != level || m["config_age_ms"] != 120.0 || m["stalled_for_ms"] != 1000.0 || m["stalled_ago_ms"] != 30.0 {
+			t.Errorf("%s: expected the level %s and the box's conditions, got %v", id, level, m)
+		}
+	}
+	var text bytes.Buffer
+	b.Metrics.Write(&text)
+	for _, cause := range []string{"truncated", "caller_gone", "undelivered"} {
+		if want := fmt.Sprintf("stoatramp_answers_broken_off_total{cause=%q} 1\n", cause); !strings.Contains(text.String(), want) {
+			t.Errorf("expected %q among the figures", want)
+		}
+	}
+}
--- a/internal/account/log.go
+++ b/internal/account/log.go
@@ -106,8 +106,33 @@
 	l.z.Info("decision", fields...)
 }
 
+// Failed logs an error of the box itself that a request met.
+func (l *Log) Failed(id, what string, fields ...zap.Field) {
+	l.z.Error(what, append([]zap.Field{zap.String("id", id)}, fields...)...)
+}
+
+func (l *Log) undelivered(id string, after time.Duration, err error, c Conditions) {
+	l.z.Warn("answer not delivered", append([]zap.Field{zap.String("id", id), ms("after_ms", after), zap.Error(err)}, c.fields()...)...)
+}
+
+func (c Conditions) fields() []zap.Field {
+	out := []zap.Field{ms("config_age_ms", c.ConfigAge)}
+	if c.Stall > 0 {
+		out = append(out, ms("stalled_for_ms", c.Stall), ms("stalled_ago_ms", c.StallAge))
+	}
+	return out
+}
+
+// levelOf is that at which operators look for what the box did to its callers.
+func levelOf(r *record.Record) zapcore.Level {
+	if r.Kind == outcome.CutOff || r.Reason == outcome.CallerSlow || r.Reason == outcome.Internal {
+		return zapcore.WarnLevel
+	}
+	return zapcore.InfoLevel
+}
+
 // end logs the end of a request.
-func (l *Log) end(r *record.Record) {
+func (l *Log) end(r *record.Record, c Conditions) {
 	fields := []zap.Field{
 		zap.String("id", r.ID), zap.String("route", r.Route), zap.Int64("config_version", r.ConfigVersion),
 		zap.Stringer("outcome", r.Kind), zap.Stringer("reason", r.Reason), ms("took_ms", r.Took),
@@ -125,10 +150,13 @@
 	if r.Kind != outcome.Answered {
 		fields = append(fields, zap.Bool("begun", r.Begun), zap.String("endpoint", r.LastEndpoint()))
 	}
+	if r.Kind == outcome.CutOff || r.Kind == outcome.Cancelled {
+		fields = append(fields, c.fields()...)
+	}
 	if r.PromptTokens > 0 {
 		fields = append(fields, zap.Int("prompt_tokens", r.PromptTokens), zap.Int("output", r.Output), ms("first_token_ms", r.FirstToken), ms("longest_gap_ms", r.LongestGap))
 	}
-	l.z.Info("request", fields...)
+	l.z.Log(levelOf(r), "request", fields...)
 }
 
 // choiceLine is the two best of the pairs compared, and what was left out.
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -169,6 +169,7 @@
 		Cold:   pacing.ColdLimits{Over: cfg.ColdOver, Slack: cfg.ColdSlack},
 		Limits: b.purse, Ends: b.ends, Keys: relay.KeyRules{Strict: cfg.KeysStrict, Within: cfg.RevokedWithin, Age: b.configHeard.Age},
 	})
+	b.book.Conditions = b.Relay.Conditions
 	b.registerAges()
 	servers, err := b.listeners()
 	if err != nil {
@@ -232,7 +233,7 @@
 	go b.heed(hup)
 	b.follow()
 	go b.watchAges()
-	go tick(b.ctx, b.Relay, func(d time.Duration) { logStall(b.log, b.Metrics, d) })
+	go tick(b.ctx, b.Relay, b.stalled)
 	go b.share()
 	go b.Relay.ShareWaiting(b.ctx)
 	go b.Relay.AskLoads(b.ctx)
@@ -342,6 +343,12 @@
 // Stop drains the box and ends it.
 func (b *RelayBox) Stop() error { return b.app.Stop() }
 
+// stalled notes that the process had no processor for a time.
+func (b *RelayBox) stalled(d time.Duration) {
+	b.Relay.Stalled(d)
+	logStall(b.log, b.Metrics, d)
+}
+
 // drain runs before the listeners close. The box says at once that it is not ready,
 // serves what still comes while callers learn that, and then waits for the rest.
 func (b *RelayBox) drain(context.Context) error {
@@ -403,6 +410,7 @@
 		srv := serveOn(lis, p.handler, p.got, b.log)
 		srv.ReadHeaderTimeout = cfg.HeaderTimeout
 		srv.IdleTimeout = cfg.IdleTimeout
+		srv.ConnContext = relay.WithCaller
 		out = append(out, srv)
 	}
 	return out, nil
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -79,6 +79,7 @@
 	EndsEndpoints
 	CallerGone
 	CallerSlow
+	Undelivered
 	Internal
 	reasonCount
 )
@@ -133,6 +134,7 @@
 	EndsEndpoints:      {"ends_endpoints", 500, "each endpoint that ran this request ended, so it is sent to no other"},
 	CallerGone:         {"caller_gone", 499, "the caller closed its connection"},
 	CallerSlow:         {"caller_slow", 499, "the caller stopped reading the answer"},
+	Undelivered:        {"undelivered", 499, "the end of the answer could not be written to the caller"},
 	Internal:           {"internal", 500, "this box failed; the logs say how"},
 }
 
--- a/internal/relay/callerconn.go
+++ b/internal/relay/callerconn.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,15 +31,30 @@
 	if err != nil {
 		return nil, err
 	}
-	return callerConn{c}, nil
+	return &callerConn{TCPConn: c}, nil
 }
 
 // callerConn is a caller's connection.
-type callerConn struct{ *net.TCPConn }
+type callerConn struct {
+	*net.TCPConn
+	// undelivered is called when a write fails after the handler of the request has returned: the server
+	// writes the end of an answer then, and says nothing of its failure. Nil while a handler runs.
+	undelivered atomic.Pointer[func(error)]
+}
 
 // Write gives up only a caller that takes nothing. Deadlines are set before a write, and this process may
 // have had no processor until after them: the write then fails at once, though the caller reads.
-func (c callerConn) Write(b []byte) (int, error) {
+func (c *callerConn) Write(b []byte) (int, error) {
+	n, err := c.write(b)
+	if err != nil {
+		if f := c.undelivered.Swap(nil); f != nil {
+			(*f)(err)
+		}
+	}
+	return n, err
+}
+
+func (c *callerConn) write(b []byte) (int, error) {
 	n, err := c.TCPConn.Write(b)
 	for errors.Is(err, os.ErrDeadlineExceeded) {
 		if err := c.SetWriteDeadline(time.Now().Add(lateWrite)); err != nil {
@@ -52,3 +69,31 @@
 	}
 	return n, err
 }
+
+type callerConnKey struct{}
+
+// WithCaller is the ConnContext of a server of callers: requests find their connection by it.
+func WithCaller(ctx context.Context, c net.Conn) context.Context {
+	if c, ok := c.(*callerConn); ok {
+		return context.WithValue(ctx, callerConnKey{}, c)
+	}
+	return ctx
+}
+
+// watchEnd reports if the end of the answer cannot be written. It is called as the handler returns.
+func (x *exchange) watchEnd() {
+	c, ok := x.req.Context().Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return
+	}
+	id, began := x.ask.ID, time.Now()
+	report := func(err error) { x.r.o.Book.Undelivered(id, time.Since(began), err) }
+	c.undelivered.Store(&report)
+}
+
+// forgetEnd ends the watch of the request before on the same connection.
+func (x *exchange) forgetEnd() {
+	if c, ok := x.req.Context().Value(callerConnKey{}).(*callerConn); ok {
+		c.undelivered.Store(nil)
+	}
+}
--- a/internal/relay/callerconn_test.go
+++ b/internal/relay/callerconn_test.go
@@ -68,3 +68,24 @@
 		t.Errorf("expected the write to be given up, got %d, %v", n, err)
 	}
 }
+
+func TestUndeliveredEndOfAnAnswerIsReportedOnce(t *testing.T) {
+	box, caller := callerPair(t)
+	reported := 0
+	report := func(error) { reported++ }
+	box.(*callerConn).undelivered.Store(&report)
+	if err := caller.(*net.TCPConn).SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	if err := caller.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		for err := error(nil); err == nil; {
+			_, err = box.Write([]byte("the end")) // Until the reset has come.
+		}
+	}
+	if reported != 1 {
+		t.Errorf("expected one report, got %d", reported)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,11 +7,14 @@
 	"io"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/stoatramp/stoatramp/internal/account"
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/decide"
@@ -84,6 +87,10 @@
 	notices *notice.Table
 	m       *telemetry.Metrics
 	cfg     atomic.Pointer[Config]
+	// cfgSince is since when cfg is in force, and stall when the process last had no processor for a while;
+	// both nil before the first.
+	cfgSince atomic.Pointer[time.Time]
+	stall    atomic.Pointer[stall]
 	// policies are the operators' programs; nil before any were read.
 	policies atomic.Pointer[policies]
 	// revoked are the keys that were taken away; never nil.
@@ -140,9 +147,32 @@
 	gone := r.revoked.Load().after(r.cfg.Load(), c)
 	r.revoked.Store(&gone)
 	r.cfg.Store(c)
+	now := clock.Now()
+	r.cfgSince.Store(&now)
 	r.m.KeepRoutes(c.has)
 }
 
+// stall is a time in which the process had no processor.
+type stall struct {
+	took  time.Duration
+	ended time.Time
+}
+
+// Stalled notes that the process had no processor for a time that has just ended.
+func (r *Relay) Stalled(d time.Duration) { r.stall.Store(&stall{d, clock.Now()}) }
+
+// Conditions are how the box fares now.
+func (r *Relay) Conditions() account.Conditions {
+	var c account.Conditions
+	if since := r.cfgSince.Load(); since != nil {
+		c.ConfigAge = clock.Since(*since)
+	}
+	if s := r.stall.Load(); s != nil {
+		c.Stall, c.StallAge = s.took, clock.Since(s.ended)
+	}
+	return c
+}
+
 // Policies finds the policy for the requests of a route, and the name of the rule that
 // gives it; nil if there is none.
 type Policies interface {
@@ -227,6 +257,8 @@
 
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	x := r.newExchange(w, req)
+	defer x.endPanic()
+	x.forgetEnd()
 	if r.stopBy.Load() != 0 {
 		w.Header().Set("Connection", "close")
 	}
@@ -236,6 +268,27 @@
 	}
 	defer r.gate.Leave()
 	x.serve()
+	x.watchEnd()
+}
+
+// endPanic closes the account of a request whose handler panicked, other than to end its connection. The server
+// would close the connection and log no id.
+func (x *exchange) endPanic() {
+	v := recover()
+	switch {
+	case v == nil:
+		return
+	case v != http.ErrAbortHandler:
+		x.r.o.Book.Log.Failed(x.ask.ID, "panic in a request", zap.Any("panic", v), zap.ByteString("stack", debug.Stack()))
+		o := outcome.Outcome{Kind: outcome.MayHaveRun, Reason: outcome.Internal}
+		if !x.begun {
+			x.refuse(o)
+			return
+		}
+		o.Kind = outcome.CutOff
+		x.acc.Close(o)
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // drainRetry lets a caller that met a stopping box try another one soon.
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -16,6 +16,9 @@
 	// asyncEvery is how long lines are gathered before they are written together. It
 	// bounds what a killed process has not written yet.
 	asyncEvery = 200 * time.Millisecond
+	// hurriedEvery is the same once Hurry was called: what went wrong just before a process is killed must
+	// be in its log.
+	hurriedEvery = 5 * time.Millisecond
 )
 
 // Async hands lines to a writer from a goroutine of its own, so that nobody who logs ever
@@ -30,6 +33,8 @@
 	w io.Writer
 	// wake has an entry while there is something to write.
 	wake chan struct{}
+	// hurry has an entry while what waits is to be written soon.
+	hurry chan struct{}
 
 	mu      sync.Mutex
 	waiting []byte
@@ -43,7 +48,7 @@
 
 // NewAsync returns a writer of lines to w. Its goroutine lives as long as the process.
 func NewAsync(w io.Writer) *Async {
-	a := &Async{w: w, wake: make(chan struct{}, 1)}
+	a := &Async{w: w, wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1)}
 	go a.run()
 	return a
 }
@@ -69,6 +74,23 @@
 	return len(line), nil
 }
 
+// Hurry has the lines that wait written soon.
+func (a *Async) Hurry() {
+	select {
+	case a.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// gather returns once the lines that wait are to be written.
+func (a *Async) gather() {
+	select {
+	case <-time.After(asyncEvery):
+	case <-a.hurry:
+		time.Sleep(hurriedEvery)
+	}
+}
+
 // droppedLine says how many lines are missing at its place.
 func droppedLine(now time.Time, lines uint64) string {
 	return fmt.Sprintf("{\"level\":\"warn\",\"time\":%q,\"msg\":\"log lines dropped\",\"lines\":%d}\n", now.Format(time.RFC3339Nano), lines)
@@ -117,7 +139,7 @@
 func (a *Async) run() {
 	var spare []byte
 	for range a.wake {
-		time.Sleep(asyncEvery)
+		a.gather()
 		a.mu.Lock()
 		lines := a.waiting
 		a.waiting = spare[:0]
--- a/internal/telemetry/async_test.go
+++ b/internal/telemetry/async_test.go
@@ -111,3 +111,24 @@
 		end(a)
 	})
 }
+
+// A process may be killed right after it cut an answer off.
+func TestWarningsAreWrittenWithoutTheUsualPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &gated{gate: make(chan struct{})}
+		close(g.gate)
+		a := NewAsync(g)
+		log := NewLogger(a)
+		log.Info("before")
+		time.Sleep(2 * hurriedEvery)
+		if g.text() != "" {
+			t.Errorf("expected lines to be gathered, got %q", g.text())
+		}
+		log.Warn("cut off")
+		time.Sleep(2 * hurriedEvery)
+		if text := g.text(); !strings.Contains(text, "before") || !strings.Contains(text, "cut off") {
+			t.Errorf("expected both lines, got %q", text)
+		}
+		end(a)
+	})
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -21,6 +21,8 @@
 	refusals map[outcome.Reason]*metrics.Counter
 	retries  map[outcome.Reason]*metrics.Counter
 	wasted   map[outcome.Reason]*metrics.Counter
+	// broken counts answers that callers did not get whole, by cause.
+	broken map[outcome.Reason]*metrics.Counter
 
 	Moves       *metrics.Counter
 	Migrated    *metrics.Counter
@@ -67,6 +69,7 @@
 		refusals:      map[outcome.Reason]*metrics.Counter{},
 		retries:       map[outcome.Reason]*metrics.Counter{},
 		wasted:        map[outcome.Reason]*metrics.Counter{},
+		broken:        map[outcome.Reason]*metrics.Counter{},
 		Moves:         s.NewCounter("stoatramp_moves_total"),
 		Migrated:      s.NewCounter(`stoatramp_migrations_total{outcome="moved"}`),
 		MigratedNot:   s.NewCounter(`stoatramp_migrations_total{outcome="stayed"}`),
@@ -107,6 +110,7 @@
 		m.refusals[r] = s.NewCounter(fmt.Sprintf("stoatramp_refusals_total{reason=%q}", r))
 		m.retries[r] = s.NewCounter(fmt.Sprintf("stoatramp_retries_total{reason=%q}", r))
 		m.wasted[r] = s.NewCounter(fmt.Sprintf("stoatramp_wasted_prefill_tokens_total{reason=%q}", r))
+		m.broken[r] = s.NewCounter(fmt.Sprintf("stoatramp_answers_broken_off_total{cause=%q}", r))
 	})
 	return m
 }
@@ -117,6 +121,16 @@
 	if c := m.refusals[o.Reason]; c != nil {
 		c.Inc()
 	}
+	if o.Kind == outcome.CutOff || o.Kind == outcome.Cancelled {
+		m.BrokenOff(o.Reason)
+	}
+}
+
+// BrokenOff counts an answer that its caller did not get whole.
+func (m *Metrics) BrokenOff(r outcome.Reason) {
+	if c := m.broken[r]; c != nil {
+		c.Inc()
+	}
 }
 
 // Retried counts a retry or move for its reason.
@@ -148,11 +162,23 @@
 	metrics.WriteProcessMetrics(w)
 }
 
+// hurrier is a writer that gathers lines, and writes them soon once it is told to.
+type hurrier interface{ Hurry() }
+
 // NewLogger writes JSON lines to w.
 func NewLogger(w io.Writer) *zap.Logger {
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.TimeKey = "time"
 	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), zapcore.AddSync(w), zapcore.InfoLevel)
-	return zap.New(core)
+	h, ok := w.(hurrier)
+	if !ok {
+		return zap.New(core)
+	}
+	return zap.New(zapcore.RegisterHooks(core, func(e zapcore.Entry) error {
+		if e.Level >= zapcore.WarnLevel {
+			h.Hurry()
+		}
+		return nil
+	}))
 }
