--- a/cmd/stoatrampd/relay_test.go
+++ b/cmd/stoatrampd/relay_test.go
@@ -64,11 +64,7 @@
 
 func startRelay(t *testing.T, service http.HandlerFunc) *relayBox {
 	store := standin.NewStore()
-	platform, endpoint := httptest.NewServer(store), httptest.NewServer(service)
-	t.Cleanup(platform.Close)
-	t.Cleanup(endpoint.Close)
-	x := &relayBox{t: t, store: store, address: platform.Listener.Addr().String(), endpoint: endpoint.Listener.Addr().String(), ended: make(chan error, 1)}
-	x.list("i-1", "ready")
+	x := newRelayBox(t, store, store, service)
 	x.start()
 	x.await(http.StatusServiceUnavailable) // No configuration yet.
 	x.configure(1, "/a/")
@@ -76,6 +72,17 @@
 	return x
 }
 
+// newRelayBox prepares a box before a service with one endpoint and a store that the platform's server passes
+// calls on to.
+func newRelayBox(t *testing.T, store *standin.Store, platform http.Handler, service http.HandlerFunc) *relayBox {
+	before, endpoint := httptest.NewServer(platform), httptest.NewServer(service)
+	t.Cleanup(before.Close)
+	t.Cleanup(endpoint.Close)
+	x := &relayBox{t: t, store: store, address: before.Listener.Addr().String(), endpoint: endpoint.Listener.Addr().String(), ended: make(chan error, 1)}
+	x.list("i-1", "ready")
+	return x
+}
+
 // list writes the entry of an endpoint.
 func (x *relayBox) list(id, state string) {
 	x.store.Put("servers", id, fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"h","version":"v1","slots":8,"state":%q,"coldRemainingMs":0,"sequence":0}`, x.endpoint, state), 0)
@@ -402,3 +409,39 @@
 		}
 	}
 }
+
+// holdsList is a store that does not answer who reads the list of endpoints until it is released.
+type holdsList struct {
+	*standin.Store
+	released chan struct{}
+}
+
+func (h holdsList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Query().Get("table") == "servers" {
+		select {
+		case <-h.released:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	h.Store.ServeHTTP(w, r)
+}
+
+func TestBoxThatDoesNotKnowTheEndpointsYetTakesNoConnections(t *testing.T) {
+	t.Parallel()
+	store := standin.NewStore()
+	held := holdsList{store, make(chan struct{})}
+	x := newRelayBox(t, store, held, echo)
+	x.configure(1, "/a/")
+	x.start()
+	x.until("the configuration in force", func() bool { return x.log.has("configuration in force") })
+	x.await(http.StatusServiceUnavailable)
+	if status, body := x.get("/a/x"); status != http.StatusServiceUnavailable || !strings.Contains(body, "no_endpoints_known") {
+		t.Errorf("expected a refusal that says why, got %d %s", status, body)
+	}
+	close(held.released)
+	x.await(http.StatusOK)
+	if status, body := x.get("/a/x"); status != http.StatusOK {
+		t.Errorf("expected the endpoint's answer, got %d %s", status, body)
+	}
+}
