Take no connections before the list of endpoints was read

Cause: a box said that it was ready, and took requests as if no service had an endpoint, as soon as it had a configuration. The list comes from another read of the store, or from another box.

Evidence: TestBoxThatDoesNotKnowTheEndpointsYetTakesNoConnections, which failed before: with the list held back the box was ready and refused everything.

Ruled out: a route to a service that is not configured (no valid configuration has one, and the reason would be the same on all boxes); endpoints that all leave (the record's boxes chose among six of them half a second before).

Change: ready once both are known; until then 503, no_endpoints_known, 0.1 s.

Conclusion: mended. It cut no stream off.

--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -49,6 +49,7 @@
 	NotAllowed
 	Draining
 	NoConfig
+	NoEndpointsKnown
 	RequestRate
 	TokenRate
 	LimitUnknown
@@ -104,6 +105,7 @@
 	NotAllowed:         {"not_allowed", 403, "the client may not use this route"},
 	Draining:           {"draining", 503, "this box is stopping and takes no new work"},
 	NoConfig:           {"no_config", 503, "this box has not yet read an accepted configuration"},
+	NoEndpointsKnown:   {"no_endpoints_known", 503, "this box has not yet read the list of endpoints"},
 	RequestRate:        {"request_rate", 429, "the client is over its limit of requests a second"},
 	TokenRate:          {"token_rate", 429, "the client is over its limit of tokens a second"},
 	LimitUnknown:       {"limit_unknown", 503, "this box cannot tell now whether the client is within its limit"},
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -95,6 +95,7 @@
 	r.notices.Keep(clock.Now(), func(id string) bool { _, listed := next[id]; return listed })
 	r.logList(old, index, list, next)
 	r.applyFleet()
+	r.listed.Store(true)
 }
 
 // list replaces the endpoints. The lock is held.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -96,6 +96,8 @@
 	// revoked are the keys that were taken away; never nil.
 	revoked atomic.Pointer[revoked]
 	fleet   fleet
+	// listed says that the list of endpoints was read.
+	listed  atomic.Bool
 	waiting waiting
 	streams streamRates
 	endings endings
@@ -233,7 +235,9 @@
 func (r *Relay) Engines() ([]decide.EngineState, int, []string) { return r.disp.Engines() }
 
 // Ready says whether the box should be sent requests.
-func (r *Relay) Ready() bool { return r.stopBy.Load() == 0 && r.gate.Open() && r.cfg.Load() != nil }
+func (r *Relay) Ready() bool {
+	return r.stopBy.Load() == 0 && r.gate.Open() && r.cfg.Load() != nil && r.listed.Load()
+}
 
 // Close begins a planned stop that ends by a time: the box is not ready any more, and
 // still serves what it can finish.
@@ -350,6 +354,10 @@
 		x.refuse(outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.NoConfig, RetryAfter: drainRetry})
 		return
 	}
+	if !x.r.listed.Load() {
+		x.refuse(outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.NoEndpointsKnown, RetryAfter: drainRetry})
+		return
+	}
 	x.rec.ConfigVersion = x.cfg.Version
 	x.route = x.cfg.RouteFor(x.req.Host, x.req.URL.Path)
 	if x.route == nil {
