Do not take the end of a request's time for a failure of its engine

Cause: a request's context ends its calls by closing their connections. The call's error and the context's end are then both ready, and select takes either.

Evidence: TestEndOfARequestsTimeIsNoFailureOfItsEngine, which failed before at once; the log of the run: 'use of closed network connection' as the engine's error.

Ruled out: an engine that really breaks off at that moment; the request is over then all the same.

Change: an error that comes after the request's end is that end.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -234,6 +234,9 @@
 				}
 			}
 		case ev := <-f.events:
+			if ev.err != nil && f.ctx.Err() != nil {
+				return f.over() // The calls of a request end with it.
+			}
 			if o, end := f.event(ev); end {
 				return o
 			}
