Deliver what an engine had answered when a request's time is over

Callers would have seen a stream cut off, or 504, though its last event lay in the box: found by reading, in the list of ways by which a box ends an answer by a verdict of its own.

Cause: the request's context and its last events are ready at once in a box that had no processor for a while, and the loop takes either.

Ruled out: callers that left; nothing is written to them.

Change: at the end of its time a request takes what its calls have reported, up to the first error or to where nothing is ready.

Conclusion: mended.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -226,7 +226,7 @@
 	for {
 		select {
 		case <-f.ctx.Done():
-			return f.over()
+			return f.rest()
 		case <-f.call.Wake:
 			for _, a := range f.call.Take() {
 				if o, end := f.act(a); end {
@@ -244,6 +244,25 @@
 	}
 }
 
+// rest passes on what engines had answered when the request's time was over. It may be the end of the answer:
+// a box that had no processor finds both at once.
+func (f *flight) rest() outcome.Outcome {
+	for f.x.req.Context().Err() == nil {
+		select {
+		case ev := <-f.events:
+			if ev.err != nil {
+				return f.over()
+			}
+			if o, end := f.event(ev); end {
+				return o
+			}
+		default:
+			return f.over()
+		}
+	}
+	return f.over()
+}
+
 // over says why the request's context ended.
 func (f *flight) over() outcome.Outcome {
 	if f.x.req.Context().Err() != nil {
