Write on to a caller after stalls in a row

Callers would have seen their connection closed amid an answer: found by reading, as a bound in wall time that the box applies to itself.

Cause: a write whose deadline had passed was given 250 ms more, once. A process without a processor between that deadline and the write finds it passed again, and Go then fails the write without trying it.

Evidence: TestWriteAfterStallsInARow fails with one try (0, i/o timeout).

Ruled out: a caller that takes nothing: such a write lasts its 250 ms, and is given up as before (TestWriteToOneThatDoesNotRead).

Change: a write that fails at once is tried again, eight times at most.

Conclusion: mended.

--- a/internal/relay/callerconn.go
+++ b/internal/relay/callerconn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -13,6 +14,9 @@
 // enough for what lies ready to leave, and short beside readerLimit.
 const lateWrite = 250 * time.Millisecond
 
+// mostStalls bounds how often one write is tried again whose deadline had passed before it was tried.
+const mostStalls = 8
+
 // callerListener accepts callers' connections.
 type callerListener struct{ *net.TCPListener }
 
@@ -45,7 +49,7 @@
 // Write gives up only a caller that takes nothing. Deadlines are set before a write, and this process may
 // have had no processor until after them: the write then fails at once, though the caller reads.
 func (c *callerConn) Write(b []byte) (int, error) {
-	n, err := c.write(b)
+	n, err := writeOn(c.TCPConn, b)
 	if err != nil {
 		if f := c.undelivered.Swap(nil); f != nil {
 			(*f)(err)
@@ -54,16 +58,27 @@
 	return n, err
 }
 
-func (c *callerConn) write(b []byte) (int, error) {
-	n, err := c.TCPConn.Write(b)
-	for errors.Is(err, os.ErrDeadlineExceeded) {
+// deadlineWriter is a connection that can be written to for a time.
+type deadlineWriter interface {
+	io.Writer
+	SetWriteDeadline(t time.Time) error
+}
+
+func writeOn(c deadlineWriter, b []byte) (int, error) {
+	n, err := c.Write(b)
+	for stalls := 0; errors.Is(err, os.ErrDeadlineExceeded); {
 		if err := c.SetWriteDeadline(time.Now().Add(lateWrite)); err != nil {
 			return n, err
 		}
+		began := time.Now()
 		var more int
-		more, err = c.TCPConn.Write(b[n:])
+		more, err = c.Write(b[n:])
 		n += more
-		if more == 0 {
+		if more > 0 {
+			continue
+		}
+		// A write that fails at once was not tried: its deadline passed before it began.
+		if stalls++; time.Since(began) > lateWrite/2 || stalls > mostStalls {
 			return n, err
 		}
 	}
--- a/internal/relay/callerconn_test.go
+++ b/internal/relay/callerconn_test.go
@@ -89,3 +89,26 @@
 		t.Errorf("expected one report, got %d", reported)
 	}
 }
+
+// stalling is a connection whose process has no processor between each of the first deadlines and its write.
+type stalling struct {
+	stalls  int
+	written bytes.Buffer
+}
+
+func (s *stalling) SetWriteDeadline(time.Time) error { return nil }
+
+func (s *stalling) Write(b []byte) (int, error) {
+	if s.stalls > 0 {
+		s.stalls--
+		return 0, os.ErrDeadlineExceeded
+	}
+	return s.written.Write(b)
+}
+
+func TestWriteAfterStallsInARow(t *testing.T) {
+	s := &stalling{stalls: 3}
+	if n, err := writeOn(s, []byte("event")); n != 5 || err != nil || s.written.String() != "event" {
+		t.Errorf("expected the event to be written, got %d, %v, %q", n, err, s.written.String())
+	}
+}
