Have the parts of a planned stop fit its time together

Cause: the parts of a stop had bounds of their own: lingering and the last requests stop_timeout, the last records 0.4 s, closing the listeners 1 s. Listeners had 1 s also where a stop had seconds left, and the ends of the last answers leave in that time.

Evidence: TestPartsOfAStopFitItsTime; the same arithmetic on the old code gives 7.4 s for 6 and 8.9 for 7.5.

Ruled out: a larger grace: it is the platform's.

Change: one plan: requests end 0.7 s before the stop does, or a quarter of a shorter one; listeners have up to 2 s, as far as the stop has them left.

Conclusion: the bound holds by itself; a stream may be cut 0.7 s earlier than before, 6.8 s after the signal with the default.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -56,6 +56,7 @@
 	limits  *limit.Table
 	archive *archive.Archive
 	records *record.Ring
+	stop    stopPlan
 	app     *kratos.App
 	cancel  context.CancelFunc
 	ctx     context.Context
@@ -112,11 +113,11 @@
 	}
 	b.app = kratos.New(
 		kratos.Name("stoatrampd"),
-		kratos.Server(callers, inner),
+		kratos.Server(plannedServer{callers, &b.stop}, plannedServer{inner, &b.stop}),
 		// kratos drains on the first of these. An empty list would mean every
 		// signal, and the Go runtime sends itself SIGURG all the time.
 		kratos.Signal(stopSignals...),
-		kratos.StopTimeout(stopTimeout),
+		kratos.StopTimeout(longestStop), // The plan has an earlier one.
 		kratos.BeforeStop(b.drain),
 	)
 	return b, nil
@@ -130,8 +131,8 @@
 var stopSignals = []os.Signal{syscall.SIGTERM, syscall.SIGINT}
 
 const (
-	// stopTimeout bounds closing the listeners once the last request is done.
-	stopTimeout = time.Second
+	// longestStop is above what the settings allow for a planned stop.
+	longestStop = 25 * time.Hour
 	maxHeader   = 64 << 10
 	idleTimeout = 2 * time.Minute
 )
@@ -222,7 +223,7 @@
 // drain runs before the listeners close: readiness fails, no new request
 // starts, and the last one is waited for.
 func (b *Box) drain(context.Context) error {
-	ctx, cancel := context.WithTimeout(context.Background(), b.cfg.DrainTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), b.stop.begin(time.Now(), b.cfg.DrainTimeout))
 	defer cancel()
 	defer flushWithin(flushLimit, b.archive.Flush)
 	if err := b.Gateway.Drain(ctx); err != nil {
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -128,6 +128,7 @@
 	lapsing bool
 	// began is when the process started: what it spent on retries before is not known.
 	began  time.Time
+	stop   stopPlan
 	app    *kratos.App
 	cancel context.CancelFunc
 	ctx    context.Context
@@ -180,7 +181,7 @@
 		kratos.Name("stoatrampd"),
 		kratos.Server(servers...),
 		kratos.Signal(stopSignals...),
-		kratos.StopTimeout(stopTimeout),
+		kratos.StopTimeout(longestStop), // The plan has an earlier one.
 		kratos.BeforeStop(b.drain),
 	)
 	return b, nil
@@ -354,10 +355,11 @@
 func (b *RelayBox) drain(context.Context) error {
 	cfg := b.settings.Load()
 	b.log.Info("stopping", zap.Int64("running", b.Relay.Running()), zap.Duration("linger", cfg.Linger), zap.Duration("stop_timeout", cfg.StopTimeout))
-	ctx, cancel := context.WithTimeout(context.Background(), cfg.StopTimeout)
+	requests := b.stop.begin(time.Now(), cfg.StopTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), requests)
 	defer cancel()
 	defer flushWithin(lastWrite, b.archive.Flush)
-	b.Relay.Close(clock.Now().Add(cfg.StopTimeout))
+	b.Relay.Close(clock.Now().Add(time.Until(requests)))
 	go flushWithin(lastWrite, b.node.Leave)
 	time.Sleep(cfg.Linger)
 	if err := b.Relay.Drain(ctx); err != nil {
@@ -367,9 +369,6 @@
 	return nil
 }
 
-// lastWrite bounds writing the last records: the platform is about to end the process.
-const lastWrite = 400 * time.Millisecond
-
 // listeners opens the box's addresses.
 func (b *RelayBox) listeners() ([]kratosServer, error) {
 	ready := http.NewServeMux()
@@ -411,7 +410,7 @@
 		srv.ReadHeaderTimeout = cfg.HeaderTimeout
 		srv.IdleTimeout = cfg.IdleTimeout
 		srv.ConnContext = relay.WithCaller
-		out = append(out, srv)
+		out = append(out, plannedServer{srv, &b.stop})
 	}
 	return out, nil
 }
--- /dev/null
+++ b/internal/box/stop_test.go
@@ -0,0 +1,51 @@
+package box
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// closing is a server that is never closed in time.
+type closing struct{}
+
+func (closing) Start(context.Context) error { return nil }
+
+func (closing) Stop(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// The parts of a stop had bounds of their own, which together were 1.4 s more than the whole.
+func TestPartsOfAStopFitItsTime(t *testing.T) {
+	for _, total := range []time.Duration{time.Second, 6 * time.Second, 7500 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			var p stopPlan
+			began := time.Now()
+			requests := p.begin(began, total)
+			if by := total / 4 * 3; requests.Sub(began) < by {
+				t.Errorf("%s: expected requests to have most of it, got %s", total, requests.Sub(began))
+			}
+			time.Sleep(time.Until(requests))
+			time.Sleep(min(lastWrite, time.Until(began.Add(total))-leastClosing)) // The last records.
+			_ = plannedServer{closing{}, &p}.Stop(context.Background())
+			if took := time.Since(began); took > total+leastClosing {
+				t.Errorf("expected a stop of %s, got %s", total, took)
+			}
+		})
+	}
+}
+
+func TestListenersHaveMoreTimeWhereRequestsEndEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var p stopPlan
+		began := time.Now()
+		p.begin(began, 6*time.Second)
+		time.Sleep(time.Second)
+		_ = plannedServer{closing{}, &p}.Stop(context.Background())
+		if took := time.Since(began) - time.Second; took != mostClosing {
+			t.Errorf("expected %s for the listeners, got %s", mostClosing, took)
+		}
+	})
+}
