Begin no answer whose time is over, and keep no request for the end of its answer

Cause: what lay ready at the end of a request's time was passed on also where it was the beginning alone. And the watch for an end that cannot be written kept the whole request, with its body, for as long as its connection rested.

Ruled out: holding the head back always: a stream that has begun gets what came.

Change: passed on if its end is among what lies ready; the watch keeps the id.

--- a/internal/relay/callerconn.go
+++ b/internal/relay/callerconn.go
@@ -101,8 +101,9 @@
 	if !ok {
 		return
 	}
-	id, began := x.ask.ID, time.Now()
-	report := func(err error) { x.r.o.Book.Undelivered(id, time.Since(began), err) }
+	// The connection may rest for long: it must not keep the whole request.
+	book, id, began := x.r.o.Book, x.ask.ID, time.Now()
+	report := func(err error) { book.Undelivered(id, time.Since(began), err) }
 	c.undelivered.Store(&report)
 }
 
--- a/internal/relay/over_test.go
+++ b/internal/relay/over_test.go
@@ -77,3 +77,16 @@
 		}
 	}
 }
+
+func TestAnswerIsNotBegunWhenItsTimeIsOver(t *testing.T) {
+	for range overTries {
+		_, f := overFlight(t)
+		f.x.begun = false
+		w := httptest.NewRecorder()
+		f.x.w = w
+		f.events <- flightEvent{attempt: f.write, head: &headPart{header: http.Header{}, part: part{bytes: []byte("id: 1\n\n"), lastID: "1", events: 1}}}
+		if o := f.loop(); o.Kind != outcome.MayHaveRun || o.Reason != outcome.DecodeSilent || w.Body.Len() > 0 {
+			t.Fatalf("expected nothing to be written, got %+v, %q", o, w.Body)
+		}
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -234,8 +234,8 @@
 				}
 			}
 		case ev := <-f.events:
-			if ev.err != nil && f.ctx.Err() != nil {
-				return f.over() // The calls of a request end with it.
+			if f.ctx.Err() != nil {
+				return f.rest(ev) // The calls of a request end with it.
 			}
 			if o, end := f.event(ev); end {
 				return o
@@ -244,25 +244,40 @@
 	}
 }
 
-// rest passes on what engines had answered when the request's time was over. It may be the end of the answer:
-// a box that had no processor finds both at once.
-func (f *flight) rest() outcome.Outcome {
-	for f.x.req.Context().Err() == nil {
-		select {
-		case ev := <-f.events:
-			if ev.err != nil {
-				return f.over()
-			}
-			if o, end := f.event(ev); end {
-				return o
-			}
-		default:
-			return f.over()
+// rest passes on an answer whose end had come when the request's time was over: a box that had no processor
+// finds both at once. An answer that has not begun and would be cut off is better not begun.
+func (f *flight) rest(taken ...flightEvent) outcome.Outcome {
+	list, whole := f.untilEnd(taken)
+	for _, ev := range list {
+		if !whole || f.x.req.Context().Err() != nil {
+			f.late(ev)
+			continue
+		}
+		if o, end := f.event(ev); end {
+			return o
 		}
 	}
 	return f.over()
 }
 
+// untilEnd takes what calls have reported beside what was taken already, up to the end of an answer or an error,
+// and says whether it came to the end.
+func (f *flight) untilEnd(list []flightEvent) (_ []flightEvent, whole bool) {
+	for n := 0; ; n++ {
+		if n == len(list) {
+			select {
+			case ev := <-f.events:
+				list = append(list, ev)
+			default:
+				return list, false
+			}
+		}
+		if ev := &list[n]; ev.ended || ev.final != nil || ev.err != nil {
+			return list, ev.err == nil
+		}
+	}
+}
+
 // over says why the request's context ended.
 func (f *flight) over() outcome.Outcome {
 	if f.x.req.Context().Err() != nil {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -162,7 +162,7 @@
 	metrics.WriteProcessMetrics(w)
 }
 
-// hurrier is a writer that gathers lines, and writes them soon once it is told to.
+// hurrier is a writer that gathers lines, and that can be asked to write them soon.
 type hurrier interface{ Hurry() }
 
 // NewLogger writes JSON lines to w.
