Offer a stopped run again to the engines that keep it

Its engine leaves, stopped the run, and could not copy its memory; the call by which the run was to go on there was turned away, with 2 s of rest asked for, and the box cut the stream off.

Cause: one refusal of the call by which a moved stream goes on was taken for the end of what is possible. An engine that turns a call away has not taken the memory and keeps it for handleTtlS (0.5 s here and on all deployments); a busy one has room some times a second. Class: an answer that says 'not now' taken for 'never'.

Ruled out: waiting longer than the memory is kept; sending more to an engine at rest than a rest allows: two calls more.

Change: offered again 0.1 s later, to the other engine where it has the copy and takes calls, else to the first, while the memory is kept; each call is one of the retries.

Conclusion: a busy engine cuts off none; one at rest that turns away each of three calls still does, since the rest binds.

--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -144,6 +144,9 @@
 	return f != nil && f.stage == streaming && f.Resumable && f.tries < maxTries && f.mayGoElsewhere() && c.budget.Has(now, f.callsAgain())
 }
 
+// TakeRetries takes n retries, all or none, and returns whether there were as many.
+func (c *Core) TakeRetries(now time.Time, n int) bool { return c.budget.Take(now, n) }
+
 // callsAgain is how many calls beyond the first the next try will send, now that the present one
 // has failed: a platform counts a prompt that is read again like an answer that is made again.
 // With one retry for both all boxes sent twice what they took.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -94,6 +94,13 @@
 	return d.core.MayResume(clock.Now(), id)
 }
 
+// TakeRetries takes n retries, all or none, and returns whether there were as many.
+func (d *Dispatcher) TakeRetries(n int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.TakeRetries(clock.Now(), n)
+}
+
 // Leave takes a request out of the core, whatever became of it. What it still
 // holds anywhere is aborted; for an answered request that is nothing.
 func (d *Dispatcher) Leave(id decide.ID) {
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -35,8 +35,13 @@
 	old *callError
 	// unframed says that the first engine's answer ended with its connection, as a stopped one does too.
 	unframed bool
-	// going says that the next call was made, and back that it was made to the first engine.
-	going, back bool
+	// keptUntil is until when the engines keep the memory at least; zero before the run is stopped.
+	keptUntil time.Time
+	// going says that the next call was made, and back that it was made to the first engine. bound says that
+	// the attempt is bound to a call.
+	going, back, bound bool
+	// rested counts the calls that were made to an engine at rest.
+	rested int
 }
 
 // is tells whether an attempt is that of the move; of no move none is.
@@ -66,6 +71,12 @@
 	moveAgain = 100 * time.Millisecond
 	// stopTime is how long the call of a run that was stopped may take to end.
 	stopTime = 250 * time.Millisecond
+	// offerAgain is the pause before a stopped run is offered again to engines that turned it away: they keep
+	// its memory, and streams end several times a second on a busy engine.
+	offerAgain = 100 * time.Millisecond
+	// restCalls is how often a stopped run is offered to an engine at rest that keeps it: nobody else can go on
+	// with it, and its request came before the rest.
+	restCalls = 2
 	// resumeAfter is how long the answer to a move is waited for once the run has ended, before a stream
 	// that may be resumed is read anew elsewhere: callers give up one that pauses for some seconds.
 	resumeAfter = 2 * time.Second
@@ -163,6 +174,7 @@
 	m := f.moving
 	if ev.source.Handle != "" {
 		m.source, m.copied = ev.source, ev.copied
+		m.keptUntil = clock.Now().Add(f.x.service.Engines.HandleFor)
 		if m.old == nil {
 			attempt := m.attempt // The loop may have ended the move by then.
 			f.calls.Go(func() { f.awaitStop(attempt) })
@@ -237,12 +249,17 @@
 		return
 	}
 	m.going = true
+	f.callNext(f.mustGoBack(), 0)
+}
+
+// mustGoBack says that the engine which a stream was to be moved to cannot go on with it.
+func (f *flight) mustGoBack() bool {
 	_, quarantined := f.x.quarantined()
-	f.callNext(quarantined || !m.copied || f.x.r.notices.Rests(m.to, clock.Now()))
+	return quarantined || !f.moving.copied || f.x.r.notices.Rests(f.moving.to, clock.Now())
 }
 
-// callNext calls the other engine or, back, the first one, which keeps the memory.
-func (f *flight) callNext(back bool) {
+// callNext calls the other engine or, back, the first one, which keeps the memory, after a pause.
+func (f *flight) callNext(back bool, after time.Duration) {
 	m := f.moving
 	m.back = back
 	engine := m.to
@@ -251,14 +268,17 @@
 	}
 	f.write, f.writer = m.attempt, engine
 	var ctx context.Context
-	if back { // The attempt is bound already: it goes on.
+	if back || m.bound { // The attempt is bound already: it goes on.
 		ctx, f.stopWrite = context.WithCancel(f.ctx)
 	} else {
-		ctx = f.bindWrite(m.attempt)
+		ctx, m.bound = f.bindWrite(m.attempt), true
 	}
 	a := decide.StartDecode{ID: f.id, Attempt: m.attempt, Decode: engine}
 	run := Run{Instance: engine, Source: m.source, LastEvent: f.lastID}
-	f.calls.Go(func() { f.callWrite(ctx, a, run) })
+	f.calls.Go(func() {
+		pause(ctx, after)
+		f.callWrite(ctx, a, run)
+	})
 }
 
 // nextFailed tries the first engine where the other one is not known to have taken the run: the handle
@@ -268,7 +288,13 @@
 	if !m.back && (!e.ran || e.broke.unanswered) {
 		f.recordFailure(m.attempt, m.to, &e)
 		f.stopWrite()
-		f.callNext(true)
+		f.callNext(true, 0)
+		return
+	}
+	if m.back && e.reason == outcome.EndpointRefused && f.mayOffer() {
+		f.recordFailure(m.attempt, m.from, &e)
+		f.stopWrite()
+		f.callNext(f.mustGoBack(), offerAgain)
 		return
 	}
 	f.x.r.m.MigratedNot.Inc()
@@ -278,6 +304,24 @@
 	f.failed(f.write, e)
 }
 
+// mayOffer says whether a stopped run that its engine turned away may be offered again: while its memory is kept,
+// and as far as a rest and the retries allow.
+func (f *flight) mayOffer() bool {
+	m, now := f.moving, clock.Now()
+	if f.ctx.Err() != nil || now.Add(offerAgain).After(m.keptUntil) {
+		return false
+	}
+	if !f.mustGoBack() {
+		return f.x.r.disp.TakeRetries(2) // The other engine's, and the first one's after it.
+	}
+	if f.x.r.notices.Rests(m.from, now) {
+		if m.rested++; m.rested > restCalls {
+			return false
+		}
+	}
+	return f.x.r.disp.TakeRetries(1)
+}
+
 // wentOn ends a move whose next call has begun to answer.
 func (f *flight) wentOn() {
 	m := f.moving
