Resume a broken stream however long it has lasted

Callers would have seen a stream that may be resumed end by a closed connection the moment its engine broke it off, or a move of it failed, though other engines were free, once 2.5 s had passed since it arrived: cut_off wait_expired.

Cause: what a stream waits for after a break was bounded by its arrival plus the time for which callers wait for a beginning (maxWait, 2.5 s). A longer stream was over that bound before it waited. Class: a bound in wall time that is counted from the wrong moment, applied to an answer that has begun.

Ruled out: no bound at all: engines would read a prompt for a caller that has given its stream up; it waits 2.5 s from the break.

Change: the wait of a stream that has begun runs from where it broke.

--- a/internal/decide/arrive.go
+++ b/internal/decide/arrive.go
@@ -230,9 +230,13 @@
 	}
 }
 
-// lastStart is when a request that waits is given up.
+// lastStart is when a request that waits is given up. A caller's patience with a stream that has begun runs from
+// where it broke.
 func (f *flight) lastStart() time.Time {
-	if f.patient {
+	switch {
+	case !f.brokeAt.IsZero():
+		return f.brokeAt.Add(f.maxWait())
+	case f.patient:
 		return f.arrived.Add(f.maxWait())
 	}
 	return f.latestStart
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -70,6 +70,8 @@
 	order time.Time
 	// patient requests wait past their target.
 	patient bool
+	// brokeAt is when a stream last broke that had begun; zero if none did.
+	brokeAt time.Time
 	// yields puts a patient request behind all that can still be on time.
 	yields  bool
 	attempt Attempt
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -42,6 +42,7 @@
 			// The caller waits in the middle of its answer, and no target is left to
 			// miss: any pair is better than none.
 			f.patient = true
+			f.brokeAt = c.now
 			f.order = f.latestStart
 			c.giveUpTry(f, reason, ran)
 			return
