Keep a broken stream though the queue of new requests is full

Callers would have seen a stream cut off as queue_full where as many requests wait on their box as its settings allow, at the moment it breaks. Found by reading.

Cause: the bound on what waits held for streams that had begun too.

Evidence: TestBrokenStreamIsNotCutOffByAFullQueue failed before.

Ruled out: a queue without a bound: what has begun is bounded by what runs.

Change: the bound holds for new requests.

Figures: decide passes; the guard's test fails without it.

--- a/internal/decide/arrive.go
+++ b/internal/decide/arrive.go
@@ -131,10 +131,11 @@
 }
 
 // wait puts the request in the queue and at once tries to start what stands
-// first, so that a new request never passes a more urgent one.
+// first, so that a new request never passes a more urgent one. The queue's length
+// bounds new requests only: it would cut a stream off that has begun.
 func (c *Core) wait(f *flight) {
 	p := f.pool
-	if len(p.queue.items) >= c.maxWait {
+	if len(p.queue.items) >= c.maxWait && f.brokeAt.IsZero() {
 		c.endRetry(f, outcome.QueueFull, c.retryAfter(f))
 		return
 	}
--- a/internal/decide/resume_test.go
+++ b/internal/decide/resume_test.go
@@ -57,3 +57,12 @@
 		t.Error("expected the stream to be given up after its wait")
 	}
 }
+
+func TestBrokenStreamIsNotCutOffByAFullQueue(t *testing.T) {
+	s := beginStream(t, time.Second)
+	s.c.SetQueue(0)
+	s.step(Failed{ID: 1, Attempt: s.goes[1].Attempt, Reason: outcome.Truncated, Ran: true})
+	if o, ended := s.ends[1]; ended {
+		t.Errorf("expected the stream to go on elsewhere, got %+v", o)
+	}
+}
