Set up the streams of two of the relay's tests in one place

Cause: over_test.go had written the engines, exchange and flight of begin_test.go again.

Ruled out: a third twin, in the other front's begin_test.go: it shares imports only.

Change: arrivedFlight serves both. The tests' steps and assertions are as they were.

--- a/internal/relay/begin_test.go
+++ b/internal/relay/begin_test.go
@@ -20,18 +20,22 @@
 	return flightEvent{attempt: a, head: &headPart{header: http.Header{}, part: part{bytes: []byte(text), events: 1}}}
 }
 
-// An answer's first event can lie in the box's queue when the core gives the call up as stalled and
-// calls another engine. The caller must get the second call's answer and nothing of the first's:
-// its text had the beginning twice.
-func TestStalledCallWritesNothing(t *testing.T) {
+// arrivedFlight is a stream that has arrived before a prefill engine and decode engines of these names. What it
+// is asked for is filled in but for what the request says.
+func arrivedFlight(t *testing.T, ctx context.Context, q decide.Request, writers ...string) (*Relay, *flight, *httptest.ResponseRecorder) {
+	t.Helper()
 	book := &account.Book{Metrics: telemetry.NewMetrics(), Log: account.Quiet()}
 	r := New(Options{Wire: dropWire{}, Core: decide.New(rand.New(rand.NewPCG(1, 1)), 1), Book: book})
 	fleet := decide.Fleet{Pools: []decide.Pool{{Name: "p", KVBytesPerToken: 1, PrefillExpiry: time.Minute}}}
-	for name, role := range map[string]decide.EngineRole{"reader": decide.Prefill, "writer-1": decide.Decode, "writer-2": decide.Decode} {
+	add := func(name string, role decide.EngineRole) {
 		fleet.Engines = append(fleet.Engines, decide.Engine{
 			Name: name, Pool: "p", Region: "r", Role: role, PrefillRate: 1000, LinkRate: 1e9, KVTokens: 10000, Step: time.Millisecond,
 		})
 	}
+	add("reader", decide.Prefill)
+	for _, name := range writers {
+		add(name, decide.Decode)
+	}
 	r.disp.SetFleet(fleet, nil)
 	w := httptest.NewRecorder()
 	rec := &record.Record{ID: "q", At: time.Now()}
@@ -39,11 +43,19 @@
 		r: r, w: w, req: httptest.NewRequest(http.MethodPost, "/", nil), rec: rec, acc: book.Open(rec),
 		service: &Service{Name: "p", Engines: &Engines{Stride: 1}},
 	}
-	f := &flight{x: x, ctx: context.Background(), events: make(chan flightEvent, eventBuffer)}
-	f.id, f.call = r.disp.Arrive("q", decide.Request{
-		Pool: "p", Region: "r", PromptTokens: 10, MaxTokens: 10, FirstToken: time.Minute, BetweenTokens: time.Second, Repeatable: true,
-	})
-	defer r.disp.Leave(f.id)
+	f := &flight{x: x, ctx: ctx, events: make(chan flightEvent, eventBuffer)}
+	q.Pool, q.Region, q.PromptTokens, q.MaxTokens = "p", "r", 10, 10
+	q.FirstToken, q.BetweenTokens, q.Repeatable = time.Minute, time.Second, true
+	f.id, f.call = r.disp.Arrive("q", q)
+	t.Cleanup(func() { r.disp.Leave(f.id) })
+	return r, f, w
+}
+
+// An answer's first event can lie in the box's queue when the core gives the call up as stalled and
+// calls another engine. The caller must get the second call's answer and nothing of the first's:
+// its text had the beginning twice.
+func TestStalledCallWritesNothing(t *testing.T) {
+	r, f, w := arrivedFlight(t, context.Background(), decide.Request{}, "writer-1", "writer-2")
 	takeWrite := func() decide.Attempt {
 		for _, a := range f.call.Take() {
 			switch a := a.(type) {
@@ -61,14 +73,14 @@
 
 	f.event(headOf(stalled, "late "))
 	f.event(flightEvent{attempt: stalled, part: &part{bytes: []byte("late ")}})
-	if x.begun || w.Body.Len() > 0 {
+	if f.x.begun || w.Body.Len() > 0 {
 		t.Errorf("expected nothing from the call that was given up, got %q", w.Body)
 	}
 	again := takeWrite()
 	if again == stalled {
 		t.Fatal("expected another decode call")
 	}
-	if !x.ran {
+	if !f.x.ran {
 		t.Error("expected the request to count as one that may have run")
 	}
 	f.event(headOf(again, "w0 "))
--- a/internal/relay/over_test.go
+++ b/internal/relay/over_test.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
-	"github.com/stoatramp/stoatramp/internal/account"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/outcome"
-	"github.com/stoatramp/stoatramp/internal/record"
-	"github.com/stoatramp/stoatramp/internal/telemetry"
 )
 
 // overTries is how often a choice between two events that are ready at once is made: each is made at random.
@@ -21,27 +17,10 @@
 // overFlight is a stream that has begun, and whose time is over.
 func overFlight(t *testing.T) (*Relay, *flight) {
 	t.Helper()
-	book := &account.Book{Metrics: telemetry.NewMetrics(), Log: account.Quiet()}
-	r := New(Options{Wire: dropWire{}, Core: decide.New(rand.New(rand.NewPCG(1, 1)), 1), Book: book})
-	fleet := decide.Fleet{Pools: []decide.Pool{{Name: "p", KVBytesPerToken: 1, PrefillExpiry: time.Minute}}}
-	for name, role := range map[string]decide.EngineRole{"reader": decide.Prefill, "writer": decide.Decode} {
-		fleet.Engines = append(fleet.Engines, decide.Engine{
-			Name: name, Pool: "p", Region: "r", Role: role, PrefillRate: 1000, LinkRate: 1e9, KVTokens: 10000, Step: time.Millisecond,
-		})
-	}
-	r.disp.SetFleet(fleet, nil)
-	rec := &record.Record{ID: "q", At: time.Now()}
-	x := &exchange{
-		r: r, w: httptest.NewRecorder(), req: httptest.NewRequest(http.MethodPost, "/", nil), rec: rec, acc: book.Open(rec),
-		service: &Service{Name: "p", Engines: &Engines{Stride: 1}}, route: &Route{Resumable: true}, begun: true,
-	}
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
 	t.Cleanup(cancel)
-	f := &flight{x: x, ctx: ctx, events: make(chan flightEvent, eventBuffer)}
-	f.id, f.call = r.disp.Arrive("q", decide.Request{
-		Pool: "p", Region: "r", PromptTokens: 10, MaxTokens: 10, FirstToken: time.Minute, BetweenTokens: time.Second, Repeatable: true, Resumable: true,
-	})
-	t.Cleanup(func() { r.disp.Leave(f.id) })
+	r, f, _ := arrivedFlight(t, ctx, decide.Request{Resumable: true}, "writer")
+	f.x.route, f.x.begun = &Route{Resumable: true}, true
 	r.disp.Step(decide.PrefillDone{ID: f.id, Attempt: 1, Expires: time.Now().Add(time.Minute)})
 	for _, a := range f.call.Take() {
 		if a, ok := a.(decide.StartDecode); ok {
