Bound the connections to an endpoint, and confirm that a new one stays open

An endpoint that has too many connections accepts a new one and resets it. With ConfirmOpen such a call is reported as not sent. With MaxConns a call waits for a connection instead of opening one too many.

--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -44,7 +44,7 @@
 			b.p.release(b.c, b.resp)
 			return
 		}
-		_ = b.c.Close()
+		b.p.discard(b.c)
 	})
 	return nil
 }
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -13,6 +13,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,6 +38,9 @@
 	idleTimeoutFraction = 0.6
 	// maxIdlePerAddress bounds the idle connections to one address.
 	maxIdlePerAddress = 16
+	// confirmMargin is how much longer than the time that connecting took a new connection is watched (ConfirmOpen). In
+	// that time the endpoint's process has accepted the connection, and a reset by the process has arrived.
+	confirmMargin = 2 * time.Millisecond
 	// maxSurplusResponses bounds how many responses are read until one belongs to the request.
 	maxSurplusResponses = 3
 	bufferBytes         = 4 << 10
@@ -55,16 +60,29 @@
 	Body []byte
 	// Endpoint is the ID of the endpoint at Address, for use in OnResponse. It may be empty.
 	Endpoint string
+	// MaxConns bounds the connections of the pool to Address; 0 means no bound. If there are as many, the request waits
+	// until a connection comes free.
+	MaxConns int
+	// ConfirmOpen delays the first byte on a new connection, by the time that connecting took plus confirmMargin. An
+	// endpoint that has too many connections accepts a new one and resets it immediately. If the connection was reset
+	// or closed by the end of the delay, Do returns an Error that wraps ErrUnconfirmed, with Sent = false.
+	ConfirmOpen bool
 	// Matches receives the headers of a response, and reports whether the response belongs to this request. If Matches
 	// is nil, the first response counts as the request's own.
 	Matches func(http.Header) bool
 }
 
+// ErrUnconfirmed means that a new connection was closed by the endpoint before the request was sent (ConfirmOpen).
+var ErrUnconfirmed = errors.New("the endpoint closed the new connection before the request was sent")
+
 // Error is the failure of a request that received no response.
 type Error struct {
 	// Sent is false only if no byte of the request was sent to the endpoint.
 	Sent bool
-	Err  error
+	// Reset is set if the endpoint reset a new connection before it had sent the header of a response. An endpoint that
+	// has too many connections does so, and also one that crashes.
+	Reset bool
+	Err   error
 }
 
 func (e *Error) Error() string { return e.Err.Error() }
@@ -82,13 +100,33 @@
 	// the time at which the request was sent. OnResponse must not block. It may be nil.
 	OnResponse func(r *Request, resp *http.Response, sent time.Time)
 
-	mu   sync.Mutex
-	idle map[string][]*conn // By address. The most recently used connection is last.
+	// OnUnconfirmed is called for each connection that failed the check of ConfirmOpen; it may be nil.
+	OnUnconfirmed func()
+
+	mu    sync.Mutex
+	hosts map[string]*host // By address. A host without connections and waiting requests has no entry.
+}
+
+// host has the connections to one address.
+type host struct {
+	idle []*conn // The most recently used connection is last.
+	// open counts the connections, including idle ones and those that are being established.
+	open int
+	// waiting are the requests that wait for a connection, the oldest first.
+	waiting []*waiter
+}
+
+// waiter is a request that waits because its host has MaxConns connections.
+type waiter struct {
+	max int
+	// ready receives one value: an idle connection, or nil. nil means that the request may open a connection, which is
+	// counted in open already.
+	ready chan *conn
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	p := &Pool{idle: map[string][]*conn{}}
+	p := &Pool{hosts: map[string]*host{}}
 	p.dialer = net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -111,26 +149,46 @@
 	r    *bufio.Reader
 	// reuseDeadline is the time after which the connection must not be reused.
 	reuseDeadline time.Time
+	// dialTime is how long connecting took. fresh is set until the connection has carried a request.
+	dialTime time.Duration
+	fresh    bool
 }
 
 // Do sends the request and returns its response as soon as the headers have arrived. The caller must close the response
 // body. Cancelling ctx closes the connection, even while the body is read.
 func (p *Pool) Do(ctx context.Context, r *Request) (*http.Response, error) {
-	c, err := p.acquire(ctx, r.Address)
+	c, err := p.acquire(ctx, r)
 	if err != nil {
-		return nil, &Error{Err: err}
+		reset := ctx.Err() == nil && errors.Is(err, syscall.ECONNRESET)
+		if reset && r.ConfirmOpen {
+			p.reportUnconfirmed()
+		}
+		return nil, &Error{Reset: reset, Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	fresh := c.fresh
+	if fresh && r.ConfirmOpen {
+		if err := c.confirm(); err != nil {
+			stop()
+			p.discard(c)
+			if ctx.Err() != nil {
+				return nil, &Error{Err: ctx.Err()}
+			}
+			p.reportUnconfirmed()
+			return nil, &Error{Reset: true, Err: fmt.Errorf("%w: %w", ErrUnconfirmed, err)}
+		}
+	}
+	c.fresh = false
 	sendResult, sentAt := make(chan error, 1), clock.Now()
 	p.write(c, r, sendResult)
 	resp, err := c.readResponse(r, p.reportSurplus)
 	if err != nil {
 		stop()
-		_ = c.Close()
+		p.discard(c)
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &Error{Sent: true, Err: fmt.Errorf("no answer: %w", err)}
+		return nil, &Error{Sent: true, Reset: fresh && isReset(err, sendResult), Err: fmt.Errorf("no answer: %w", err)}
 	}
 	if p.OnResponse != nil {
 		p.OnResponse(r, resp, sentAt)
@@ -139,6 +197,52 @@
 	return resp, nil
 }
 
+// isReset reports whether the endpoint reset the connection of a request that got no response. err is the read error. The
+// operating system reports a reset only once. If the write has got that report, the read sees the end of the data.
+func isReset(err error, sendResult <-chan error) bool {
+	if errors.Is(err, syscall.ECONNRESET) {
+		return true
+	}
+	select {
+	case err := <-sendResult:
+		return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	default:
+		return false
+	}
+}
+
+func (p *Pool) reportUnconfirmed() {
+	if p.OnUnconfirmed != nil {
+		p.OnUnconfirmed()
+	}
+}
+
+// errEarlyBytes means that an endpoint sent bytes on a connection before any request.
+var errEarlyBytes = errors.New("the endpoint sent bytes before the request")
+
+// confirm waits for the time that connecting took plus confirmMargin. It returns an error if the endpoint closes or
+// resets the new connection in that time, or sends bytes on it.
+func (c *conn) confirm() error {
+	if err := c.SetReadDeadline(time.Now().Add(c.dialTime + confirmMargin)); err != nil {
+		return err
+	}
+	_, err := c.r.Peek(1)
+	switch {
+	case err == nil:
+		return errEarlyBytes
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return err
+	}
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	// The process may have got no processor time until after the deadline, and the read was then not tried.
+	if !c.isQuiet() {
+		return net.ErrClosed
+	}
+	return nil
+}
+
 // write sends the request. An endpoint may respond before it has read the whole body. So write sends a request longer
 // than bufferBytes in the background.
 func (p *Pool) write(c *conn, r *Request, sendResult chan<- error) {
@@ -190,38 +294,116 @@
 	}
 }
 
-// acquire returns an idle connection that can still be used, or opens a new one.
-func (p *Pool) acquire(ctx context.Context, addr string) (*conn, error) {
+// acquire returns an idle connection that can still be used, or opens a new one. If the address has MaxConns
+// connections, it first waits until one comes free.
+func (p *Pool) acquire(ctx context.Context, r *Request) (*conn, error) {
 	for {
-		c := p.pop(addr)
+		c, w := p.take(r)
+		if w != nil {
+			var err error
+			if c, err = p.await(ctx, r.Address, w); err != nil {
+				return nil, err
+			}
+		}
 		if c == nil {
-			break
+			return p.open(ctx, r.Address)
 		}
 		if clock.Now().Before(c.reuseDeadline) && c.isQuiet() {
 			return c, nil
 		}
-		_ = c.Close()
+		p.discard(c)
 	}
+}
+
+// take returns an idle connection, or a waiter if the address has MaxConns connections. If it returns neither, the
+// request may open a connection, which is counted already.
+func (p *Pool) take(r *Request) (*conn, *waiter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[r.Address]
+	if h == nil {
+		h = &host{}
+		p.hosts[r.Address] = h
+	}
+	if n := len(h.idle); n > 0 {
+		c := h.idle[n-1]
+		h.idle = h.idle[:n-1]
+		return c, nil
+	}
+	if r.MaxConns > 0 && h.open >= r.MaxConns {
+		w := &waiter{max: r.MaxConns, ready: make(chan *conn, 1)}
+		h.waiting = append(h.waiting, w)
+		return nil, w
+	}
+	h.open++
+	return nil, nil
+}
+
+// await waits for the value of a waiter.
+func (p *Pool) await(ctx context.Context, addr string, w *waiter) (*conn, error) {
+	select {
+	case c := <-w.ready:
+		return c, nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	h := p.hosts[addr]
+	if i := slices.Index(h.waiting, w); i >= 0 {
+		h.waiting = slices.Delete(h.waiting, i, i+1)
+		p.mu.Unlock()
+		return nil, ctx.Err()
+	}
+	p.mu.Unlock()
+	// The value was sent meanwhile. It belongs to the next request.
+	if c := <-w.ready; c != nil {
+		p.discard(c)
+	} else {
+		p.closed(addr)
+	}
+	return nil, ctx.Err()
+}
+
+// open establishes a connection that is counted already.
+func (p *Pool) open(ctx context.Context, addr string) (*conn, error) {
 	if p.OnDial != nil {
 		p.OnDial()
 	}
+	began := time.Now()
 	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
+		p.closed(addr)
 		return nil, err
 	}
-	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, bufferBytes)}, nil
+	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, bufferBytes), dialTime: time.Since(began), fresh: true}, nil
+}
+
+// discard closes a connection. It is called once for each connection.
+func (p *Pool) discard(c *conn) {
+	_ = c.Close()
+	p.closed(c.addr)
 }
 
-func (p *Pool) pop(addr string) *conn {
+// closed records that a connection to an address was closed or could not be established. If a request waits, that
+// request may now open a connection.
+func (p *Pool) closed(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	h := p.hosts[addr]
+	h.open--
+	if len(h.waiting) > 0 && h.open < h.waiting[0].max {
+		w := h.waiting[0]
+		h.waiting = h.waiting[1:]
+		h.open++
+		w.ready <- nil
+	}
+	p.forgetUnused(addr, h)
+}
+
+// forgetUnused removes the entry of an address without connections and waiting requests. p.mu is held.
+func (p *Pool) forgetUnused(addr string, h *host) {
+	if h.open == 0 && len(h.waiting) == 0 {
+		delete(p.hosts, addr)
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	return c
 }
 
 // isQuiet reports whether the endpoint has left the idle connection open and has sent nothing on it. Bytes on an idle
@@ -248,23 +430,37 @@
 	return err == nil && quiet
 }
 
-// release puts a connection back into the pool after its response was read to its end. If the connection cannot be used
-// again, release closes it.
+// release puts a connection back into the pool after its response was read to its end, or passes it to a request that
+// waits. If the connection cannot be used again, release closes it.
 func (p *Pool) release(c *conn, resp *http.Response) {
 	idle := idleTimeout(resp.Header)
 	if resp.Close || idle <= 0 || c.r.Buffered() > 0 {
-		_ = c.Close()
+		p.discard(c)
 		return
 	}
 	c.reuseDeadline = clock.Now().Add(idle)
+	if surplus := p.putIdle(c); surplus != nil {
+		p.discard(surplus)
+	}
+}
+
+// putIdle passes a connection to a request that waits, or adds it to the idle connections. It returns a connection that
+// must be closed because there are too many idle connections, if any.
+func (p *Pool) putIdle(c *conn) (surplus *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[c.addr]
-	if len(list) >= maxIdlePerAddress {
-		_ = list[0].Close()
-		list = list[1:]
+	h := p.hosts[c.addr]
+	if len(h.waiting) > 0 {
+		h.waiting[0].ready <- c
+		h.waiting = h.waiting[1:]
+		return nil
 	}
-	p.idle[c.addr] = append(list, c)
+	if len(h.idle) >= maxIdlePerAddress {
+		surplus = h.idle[0]
+		h.idle = h.idle[1:]
+	}
+	h.idle = append(h.idle, c)
+	return surplus
 }
 
 // idleTimeout returns how long the connection may be kept idle after a response with these headers.
@@ -286,19 +482,17 @@
 func (p *Pool) Prune(now time.Time, keep map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for addr, list := range p.idle {
-		remaining := list[:0]
-		for _, c := range list {
+	for addr, h := range p.hosts {
+		remaining := h.idle[:0]
+		for _, c := range h.idle {
 			if keep[addr] && now.Before(c.reuseDeadline) {
 				remaining = append(remaining, c)
 				continue
 			}
 			_ = c.Close()
+			h.open-- // No request waits while a connection is idle.
 		}
-		if len(remaining) == 0 {
-			delete(p.idle, addr)
-			continue
-		}
-		p.idle[addr] = remaining
+		h.idle = remaining
+		p.forgetUnused(addr, h)
 	}
 }
