--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -173,9 +173,10 @@
 	b.Relay = relay.New(relay.Options{
 		Box: cfg.Name, Hall: cfg.Hall, Region: cfg.Region, Halls: cfg.Halls, Protocol: site.Protocol,
 		Core: core, Recorder: b.recorder, Peers: peers, ListFreshness: &b.listFreshness,
-		Memory:     int64(requestMemoryShare * cfg.MemoryMB * (1 << 20)),
-		ColdLimits: pacing.ColdLimits{Factor: cfg.ColdRateFactor, Slack: cfg.ColdRateSlack},
-		Limits:     b.quotaGrants, Crashes: b.crashes, Keys: relay.KeyPolicy{Strict: cfg.StrictRevocation, Within: cfg.RevokedWithin, Age: b.configFreshness.Age},
+		Memory:      int64(requestMemoryShare * cfg.MemoryMB * (1 << 20)),
+		ColdLimits:  pacing.ColdLimits{Factor: cfg.ColdRateFactor, Slack: cfg.ColdRateSlack},
+		SharedSlots: cfg.SharedSlots,
+		Limits:      b.quotaGrants, Crashes: b.crashes, Keys: relay.KeyPolicy{Strict: cfg.StrictRevocation, Within: cfg.RevokedWithin, Age: b.configFreshness.Age},
 	})
 	b.recorder.Conditions = b.Relay.Conditions
 	b.registerGauges()
--- a/internal/relay/contention_test.go
+++ b/internal/relay/contention_test.go
@@ -1,8 +1,12 @@
 package relay
 
 import (
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/overlay"
 )
 
 // observeCalls records n calls of a latency, 20 ms apart, and returns the number of them that were signs of contention.
@@ -79,3 +83,48 @@
 		t.Errorf("expected a removed service to be forgotten, got %v", removed)
 	}
 }
+
+// boxesPeers stands for a number of boxes that do not answer.
+type boxesPeers struct {
+	fakePeers
+	n int
+}
+
+func (p boxesPeers) Boxes(string) ([]string, int64) { return make([]string, p.n), 1 }
+
+// Guards against boxes that together open more connections than an endpoint accepts, and against a box that may open too
+// few to serve anything.
+func TestPartOfConnections(t *testing.T) {
+	for _, c := range []struct{ connections, boxes, want int }{{410, 23, 16}, {410, 1, 369}, {24, 20, 2}, {0, 23, 0}, {410, 0, 369}} {
+		r := &Relay{o: Options{Peers: boxesPeers{n: c.boxes}}}
+		if got := r.maxConns(&Service{MaxConnections: c.connections}, "r"); got != c.want {
+			t.Errorf("%d connections, %d boxes: expected %d, got %d", c.connections, c.boxes, c.want, got)
+		}
+	}
+}
+
+// The metric of a contended service exists from the first sign of contention until the service is no longer configured.
+func TestContendedMetric(t *testing.T) {
+	var elapsed time.Duration
+	defer clock.SetSuspendedForTest(func() time.Duration { return elapsed })()
+	r := cellRelay(1)
+	r.SetEndpoints([]Endpoint{{ID: "e", Service: "s-0", Hall: "h"}})
+	expect := func(want string) {
+		t.Helper()
+		var b strings.Builder
+		r.m.Write(&b)
+		if has := strings.Contains(b.String(), "stoatramp_slots_contended"); want == "" && has || !strings.Contains(b.String(), want) {
+			t.Errorf("expected %q in the metrics, found a gauge: %t", want, has)
+		}
+	}
+	for _, service := range []string{"unknown", "llm"} {
+		r.Receive(overlay.Message{Contended: &overlay.ServiceContended{Service: service, Region: "r"}})
+	}
+	expect("")
+	r.Receive(overlay.Message{Contended: &overlay.ServiceContended{Service: "s-0", Region: "r"}})
+	expect(`stoatramp_slots_contended{service="s-0"} 1`)
+	elapsed = contendedFor
+	expect(`stoatramp_slots_contended{service="s-0"} 0`)
+	r.SetConfig(&Config{Services: map[string]*Service{}})
+	expect("")
+}
