--- a/internal/slots/admission.go
+++ b/internal/slots/admission.go
@@ -8,6 +8,9 @@
 const (
 	// serviceMargin is how many mean service times a new request must have left after its expected wait to be on time.
 	serviceMargin = 2
+	// dropMargin is how many mean service times a waiting request must have left. With service times spread as in
+	// deployment A, an answer takes more than 1.5 times the mean in 1 of 8 calls, and more than the mean in 4 of 10.
+	dropMargin = 1.5
 	// One in lateShare grants goes to the late queue while on-time requests wait, so that callers that retry after a
 	// refusal aren't all refused again.
 	lateShare = 8
@@ -26,17 +29,20 @@
 
 	// arrivalWindow is the time constant of the measured arrival rate. At 250 requests per second the rate varies by 4%.
 	arrivalWindow = time.Second
+	// burstWindow is the time constant of a second measurement, which shows a burst before many late requests wait.
+	burstWindow = 200 * time.Millisecond
 )
 
 // arrivalRate is a moving average of a number of arrivals per second.
 type arrivalRate struct {
-	count float64
-	at    time.Time
+	window time.Duration
+	count  float64
+	at     time.Time
 }
 
 func (a *arrivalRate) decay(now time.Time) {
 	if now.After(a.at) {
-		a.count *= math.Exp(-float64(now.Sub(a.at)) / float64(arrivalWindow))
+		a.count *= math.Exp(-float64(now.Sub(a.at)) / float64(a.window))
 		a.at = now
 	}
 }
@@ -48,14 +54,14 @@
 
 func (a *arrivalRate) perSecond(now time.Time) float64 {
 	a.decay(now)
-	return a.count / arrivalWindow.Seconds()
+	return a.count / a.window.Seconds()
 }
 
 // capacity is what a set of endpoints can serve.
 type capacity struct {
 	// rate is the number of slots that come free per second while all are in use.
 	rate float64
-	// service is the mean service time.
+	// service is the mean time for which grants are in use. It includes the passes between boxes and endpoints.
 	service time.Duration
 	// inUse and limit are sums over the endpoints.
 	inUse, limit int
@@ -75,7 +81,7 @@
 			c, t = &aside, &asideTime
 		}
 		c.rate += e.rate()
-		*t += e.rate() * e.slow
+		*t += e.rate() * e.held
 		c.inUse += e.inUse
 		c.limit += e.limit
 	}
@@ -101,9 +107,14 @@
 	return c.rate - d.arrivals.perSecond(now)
 }
 
+// spareInBurst is like spare, but falls sooner if a burst begins.
+func (d *Dispatcher) spareInBurst(now time.Time, c capacity) float64 {
+	return c.rate - max(d.arrivals.perSecond(now), d.burst.perSecond(now))
+}
+
 // lateRate is the rate at which the late queue is served at least.
 func (d *Dispatcher) lateRate(now time.Time, c capacity) float64 {
-	return max(d.spare(now, c), c.rate/lateShare)
+	return max(d.spareInBurst(now, c), c.rate/lateShare)
 }
 
 // waitAt returns the expected wait of a request with ahead requests before it that are served at a rate.
@@ -121,26 +132,27 @@
 	return wait, wait+serviceMargin*c.service <= r.OnTime
 }
 
-// admitLate returns the expected wait of r in the late queue, and whether it can be served before its caller gives up.
-// left is the time until then. Only callers that were refused before may count on the share of the late queue.
+// admitLate returns the expected wait of r in the late queue, and whether it can be served there. left is the time until
+// its caller gives up. The capacity that on-time requests leave serves any request. The share of the late queue serves
+// only callers that were refused before. It serves them on time if they can be on time at all: if such requests waited
+// longer there, the share would turn a part of the on-time answers into late ones.
 func (d *Dispatcher) admitLate(now time.Time, c capacity, r *Request, left time.Duration) (time.Duration, bool) {
-	rate := d.spare(now, c)
-	if r.Returning {
-		rate = d.lateRate(now, c)
-	}
-	wait := waitAt(d.late.ahead(*r), rate)
+	ahead, margin := d.late.ahead(*r), serviceMargin*c.service
+	wait := waitAt(ahead, d.spareInBurst(now, c))
 	if d.onTime.len() > 0 {
 		wait = max(wait, waitAt(d.onTime.len(), c.rate))
 	}
-	return wait, wait+serviceMargin*c.service <= left
-}
-
-// tooLong reports whether the last request of a queue, which is served at a rate, can't be served in time.
-func tooLong(now time.Time, q *queue, rate float64, service time.Duration) bool {
-	if q.len() == 0 {
-		return false
+	if wait+margin <= left {
+		return wait, true
+	}
+	if !r.Returning {
+		return wait, false
+	}
+	if r.OnTime >= margin {
+		left = min(left, r.OnTime)
 	}
-	return now.Add(waitAt(q.len()-1, rate) + service).After(q.victim().due)
+	wait = waitAt(ahead, c.rate/lateShare)
+	return wait, wait+margin <= left
 }
 
 // retries has the callers that were told to retry.
--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -52,8 +52,9 @@
 	expiring  grantHeap
 	refused   refusals
 	told      retries
-	arrivals  arrivalRate // Of requests that could be on time on an idle endpoint, without returning ones.
 	busyUntil time.Time
+	// arrivals and burst measure the requests that could be on time on an idle endpoint, without returning ones.
+	arrivals, burst arrivalRate
 	// overloadSince is zero while there is spare capacity.
 	overloadSince time.Time
 	// changes are the decisions that Step has not returned yet.
@@ -74,7 +75,7 @@
 	return &Dispatcher{
 		part: o.Part, rand: o.Rand, hallLatency: o.HallLatency,
 		endpoints: map[string]*endpoint{}, waiting: map[string]*waiter{}, grants: map[string]*grant{},
-		refused: refusals{byID: map[string]Decision{}},
+		refused: refusals{byID: map[string]Decision{}}, arrivals: arrivalRate{window: arrivalWindow}, burst: arrivalRate{window: burstWindow},
 	}
 }
 
@@ -134,6 +135,7 @@
 		d.told.returned()
 	} else if r.OnTime >= serviceMargin*c.service {
 		d.arrivals.add(now)
+		d.burst.add(now)
 	}
 	d.noteOverload(now)
 	if c.limit == 0 {
--- a/internal/slots/endpoint.go
+++ b/internal/slots/endpoint.go
@@ -123,6 +123,10 @@
 		e.answered(now, max(res.Took-extra, 0).Seconds(), held.Seconds())
 	case Failed:
 		e.failureRate, e.failureRateAt = e.currentFailureRate(now)*(1-failureWeight)+failureWeight, now
+		// A call that fails slowly holds a slot for long. A fast failure says nothing about the calls that succeed.
+		if h := held.Seconds(); h > e.held {
+			e.held += slowWeight * (h - e.held)
+		}
 		e.failures++
 		if e.failures >= setAsideFailures {
 			e.setAsideUntil = now.Add(setAsideDuration)
--- a/internal/slots/queue.go
+++ b/internal/slots/queue.go
@@ -137,11 +137,19 @@
 // start tag of w.
 func (q *queue) remove(w *waiter) {
 	c, f := w.class, w.flow
-	i := slices.Index(f.items, w)
+	i := sort.Search(len(f.items), func(i int) bool { return f.items[i].start >= w.start })
+	for f.items[i] != w {
+		i++ // Tags are equal only if the weight is too large for the precision of a tag.
+	}
 	if i == len(f.items)-1 {
 		f.finish = w.start
 	}
-	f.items = slices.Delete(f.items, i, i+1)
+	if i == 0 {
+		f.items[0] = nil
+		f.items = f.items[1:]
+	} else {
+		f.items = slices.Delete(f.items, i, i+1)
+	}
 	c.n--
 	heap.Remove(&q.byDue, w.index)
 	if c.n == 0 {
--- a/internal/slots/server.go
+++ b/internal/slots/server.go
@@ -45,14 +45,13 @@
 	s.mu.Lock()
 	if ctx.Err() != nil {
 		defer s.mu.Unlock()
-		return Decision{State: Refused, Reason: TooLate}, s.d.Busy(s.clock())
+		return Decision{State: Refused, Reason: TooLate}, s.finish(s.clock())
 	}
 	now := s.clock()
 	d = s.d.Acquire(now, r)
 	if d.State != Queued {
 		defer s.mu.Unlock()
-		s.flush(now)
-		return d, s.d.Busy(now)
+		return d, s.finish(now)
 	}
 	p := s.pending[r.ID]
 	if p == nil {
@@ -77,7 +76,7 @@
 	p.waiting--
 	if ctx.Err() == nil {
 		p.taken = true
-		return p.decision, s.d.Busy(now)
+		return p.decision, s.finish(now)
 	}
 	if p.waiting == 0 && !p.taken {
 		// Withdraws the request, or frees the slot if it was granted meanwhile.
@@ -85,9 +84,8 @@
 		if s.pending[r.ID] == p {
 			delete(s.pending, r.ID)
 		}
-		s.flush(now)
 	}
-	return Decision{State: Refused, Reason: TooLate}, s.d.Busy(now)
+	return Decision{State: Refused, Reason: TooLate}, s.finish(now)
 }
 
 // Release ends a grant, or withdraws a queued request.
@@ -97,8 +95,7 @@
 	now := s.clock()
 	s.d.Release(now, id, res)
 	s.decide(id, Decision{State: Refused, Reason: TooLate})
-	s.flush(now)
-	return s.d.Busy(now)
+	return s.finish(now)
 }
 
 // SetEndpoints replaces the list of endpoints.
@@ -125,14 +122,17 @@
 func (s *Server) Busy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.d.Busy(s.clock())
+	return s.finish(s.clock())
 }
 
 // Snapshot returns the present state.
 func (s *Server) Snapshot() Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.d.Snapshot(s.clock())
+	now := s.clock()
+	out := s.d.Snapshot(now)
+	s.flush(now)
+	return out
 }
 
 // decide wakes the goroutines that wait for a request. s.mu is held.
@@ -144,6 +144,13 @@
 	}
 }
 
+// finish ends a call of a method: it hands out the decisions that the call led to. s.mu is held.
+func (s *Server) finish(now time.Time) (busy bool) {
+	busy = s.d.Busy(now)
+	s.flush(now)
+	return busy
+}
+
 // flush hands out the decisions that are due and sets the timer for the next ones. s.mu is held.
 func (s *Server) flush(now time.Time) {
 	for _, c := range s.d.Step(now) {
--- a/internal/slots/step.go
+++ b/internal/slots/step.go
@@ -33,7 +33,7 @@
 	}
 	for _, q := range []*queue{&d.onTime, &d.late} {
 		if q.len() > 0 {
-			earliest(q.byDue[0].due.Add(-c.service))
+			earliest(q.byDue[0].due.Add(-c.needs()))
 		}
 	}
 	if len(d.expiring) > 0 {
@@ -167,23 +167,34 @@
 func (d *Dispatcher) dropLate(now time.Time) {
 	c := d.capacityFor(now, nil)
 	for q := &d.onTime; q.len() > 0; {
-		if w := q.byDue[0]; !now.Add(c.service).Before(w.due) {
-			d.drop(now, c, w)
-		} else if tooLong(now, q, d.onTimeRate(c), c.service) {
-			d.drop(now, c, q.victim())
-		} else {
+		w := d.dropped(now, q, c, d.onTimeRate(c))
+		if w == nil {
 			break
 		}
+		d.drop(now, c, w)
 	}
 	for q := &d.late; q.len() > 0; {
-		if w := q.byDue[0]; !now.Add(c.service).Before(w.due) {
-			d.drop(now, c, w)
-		} else if tooLong(now, q, d.lateRate(now, c), c.service) {
-			d.drop(now, c, q.victim())
-		} else {
+		w := d.dropped(now, q, c, d.lateRate(now, c))
+		if w == nil {
 			break
 		}
+		d.drop(now, c, w)
+	}
+}
+
+// needs is the time before its due time at which a waiting request must get a slot.
+func (c capacity) needs() time.Duration { return seconds(dropMargin * c.service.Seconds()) }
+
+// dropped returns a request of a queue that can't be served in time, or nil. rate is the rate at which the queue is
+// served. The queue must not be empty.
+func (d *Dispatcher) dropped(now time.Time, q *queue, c capacity, rate float64) *waiter {
+	if w := q.byDue[0]; !now.Add(c.needs()).Before(w.due) {
+		return w
+	}
+	if w := q.victim(); now.Add(waitAt(q.len()-1, rate) + c.service).After(w.due) {
+		return w
 	}
+	return nil
 }
 
 // drop takes a request out of its queue that can't be served in time there.
@@ -192,7 +203,10 @@
 	ahead := q.aheadOf(w)
 	q.remove(w)
 	if !w.late {
-		if _, ok := d.admitLate(now, c, &w.Request, w.arrived.Add(w.Left).Sub(now)); ok {
+		// The share of the late queue is for callers that just returned.
+		r := w.Request
+		r.Returning = false
+		if _, ok := d.admitLate(now, c, &r, w.arrived.Add(w.Left).Sub(now)); ok {
 			d.enqueue(w, true)
 			return
 		}
