slots: try an endpoint that was slow again at low load

Its estimate went back only to its own mean, which includes the slow answers, so that at low load the other endpoint kept all calls.

--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -221,12 +222,26 @@
 	return d.hallLatency(r.Hall, e.Hall)
 }
 
+// lowestService returns the lowest slow estimate of the service time of a usable endpoint.
+func (d *Dispatcher) lowestService() float64 {
+	lowest := math.Inf(1)
+	for _, e := range d.list {
+		if e.usable() {
+			lowest = min(lowest, e.slow)
+		}
+	}
+	if math.IsInf(lowest, 1) {
+		return initialService
+	}
+	return lowest
+}
+
 // best returns the endpoint with a free slot at which r is expected to be complete first, or nil. Endpoints that are
 // set aside are considered only if r may get no others.
 func (d *Dispatcher) best(now time.Time, r *Request) *endpoint {
 	var best, aside *endpoint
 	var bestCost, asideCost float64
-	others := false
+	others, lowest := false, d.lowestService()
 	for _, e := range d.list {
 		if !e.allows(r) {
 			continue
@@ -236,7 +251,7 @@
 		if !e.free() {
 			continue
 		}
-		cost := e.cost(now, d.extra(r, e))
+		cost := e.cost(now, lowest, d.extra(r, e))
 		if out {
 			if aside == nil || cost < asideCost {
 				aside, asideCost = e, cost
@@ -282,7 +297,7 @@
 func (d *Dispatcher) end(now time.Time, g *grant, res Result) {
 	delete(d.grants, g.id)
 	e := g.endpoint
-	e.ended(now, res, now.Sub(g.at), g.extra)
+	e.ended(now, res, d.lowestService(), now.Sub(g.at), g.extra)
 	if !e.listed && e.inUse == 0 {
 		delete(d.endpoints, e.ID)
 		d.list = slices.DeleteFunc(d.list, func(x *endpoint) bool { return x == e })
--- a/internal/slots/endpoint.go
+++ b/internal/slots/endpoint.go
@@ -23,11 +23,15 @@
 	// fastCap bounds how often the usual service time a single answer counts in the fast estimate. Without it, one call in
 	// a hundred that takes five times as long makes its endpoint look 1.8 times as slow.
 	fastCap = 3
+	// spreadFactor is by how much the cost of an endpoint whose slots are all in use is raised, so that calls are spread
+	// over equal endpoints. At 0.1, the estimates, which vary by 15%, kept most calls at one endpoint at low load.
+	spreadFactor = 0.4
 	// slowWeight is the weight of an answer in the service time by which waits are estimated. Service times vary by
 	// half of their mean; at 0.04 the estimate varies by 8%.
 	slowWeight = 0.04
-	// fastHalfLife is the time in which the fast estimate of an endpoint without answers gets half as far from the slow
-	// one, so that an endpoint that was slow for a short time is tried again.
+	// fastHalfLife is the time in which the fast estimate of an endpoint without answers gets half as far from that of the
+	// fastest endpoint of the cell, so that an endpoint that was slow is tried again. Its own slow estimate would be too
+	// high for that: it includes the slow answers, and at low load no others follow.
 	fastHalfLife = time.Second
 
 	// The following values are those of internal/relay/endpoints.go, which gives their reasons.
@@ -101,29 +105,30 @@
 // rate is the number of slots that come free per second if all grants of the limit are in use.
 func (e *endpoint) rate() float64 { return float64(e.limit) / e.held }
 
-func (e *endpoint) currentFast(now time.Time) float64 {
-	return e.slow + (e.fast-e.slow)*math.Exp2(-float64(now.Sub(e.fastAt))/float64(fastHalfLife))
+// currentFast returns the fast estimate. lowest is the lowest slow estimate of the cell.
+func (e *endpoint) currentFast(now time.Time, lowest float64) float64 {
+	return lowest + (e.fast-lowest)*math.Exp2(-float64(now.Sub(e.fastAt))/float64(fastHalfLife))
 }
 
 func (e *endpoint) currentFailureRate(now time.Time) float64 {
 	return e.failureRate * math.Exp2(-float64(now.Sub(e.failureRateAt))/float64(failureHalfLife))
 }
 
-// cost is the expected time to completion of one more call, in seconds, raised by the failures. extra is the additional
-// latency between halls.
-func (e *endpoint) cost(now time.Time, extra time.Duration) float64 {
+// cost is the expected time to completion of one more call, in seconds, raised by the failures. lowest is the lowest
+// slow estimate of the cell, and extra the additional latency between halls.
+func (e *endpoint) cost(now time.Time, lowest float64, extra time.Duration) float64 {
 	running := float64(e.inUse+1) / float64(e.Slots)
-	// Up to its slots the endpoint runs calls side by side. The small addition spreads calls over equal endpoints.
-	load := max(1, running) + 0.1*running
-	return (e.currentFast(now)*load + extra.Seconds()) * (1 + failureCostFactor*e.currentFailureRate(now))
+	// Up to its slots the endpoint runs calls side by side.
+	load := max(1, running) + spreadFactor*running
+	return (e.currentFast(now, lowest)*load + extra.Seconds()) * (1 + failureCostFactor*e.currentFailureRate(now))
 }
 
-// ended records the result of a grant that was in use for held. extra is the additional latency between halls that took
-// includes.
-func (e *endpoint) ended(now time.Time, res Result, held, extra time.Duration) {
+// ended records the result of a grant that was in use for held. lowest is the lowest slow estimate of the cell,
+// and extra the additional latency between halls that res.Took includes.
+func (e *endpoint) ended(now time.Time, res Result, lowest float64, held, extra time.Duration) {
 	switch res.Outcome {
 	case Answered:
-		e.answered(now, max(res.Took-extra, 0).Seconds(), held.Seconds())
+		e.answered(now, lowest, max(res.Took-extra, 0).Seconds(), held.Seconds())
 	case Failed:
 		e.failureRate, e.failureRateAt = e.currentFailureRate(now)*(1-failureWeight)+failureWeight, now
 		// A call that fails slowly holds a slot for long. A fast failure says nothing about the calls that succeed.
@@ -146,14 +151,14 @@
 	e.inUse--
 }
 
-func (e *endpoint) answered(now time.Time, took, held float64) {
+func (e *endpoint) answered(now time.Time, lowest, took, held float64) {
 	e.failureRate, e.failureRateAt = e.currentFailureRate(now)*(1-failureWeight), now
 	e.failures, e.setAsideUntil = 0, time.Time{}
 
 	// The first answers count as much as one another, so that the initial values are forgotten.
 	e.samples++
 	first := 1 / float64(e.samples)
-	e.fast = e.currentFast(now)
+	e.fast = e.currentFast(now, lowest)
 	e.fast += max(fastWeight, first) * (min(took, fastCap*e.slow) - e.fast)
 	e.fastAt = now
 	e.slow += max(slowWeight, first) * (took - e.slow)
