--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -37,6 +38,9 @@
 	rand        *rand.Rand
 	hallLatency func(from, to string) time.Duration
 	stopped     bool
+	// current is whether advance has run at advancedTo and the state has not changed since.
+	current    bool
+	advancedTo time.Time
 
 	endpoints map[string]*endpoint
 	list      []*endpoint // The values of endpoints, ordered by ID.
@@ -52,8 +56,9 @@
 	expiring  grantHeap
 	refused   refusals
 	told      retries
-	arrivals  arrivalRate // Of requests that could be on time on an idle endpoint, without returning ones.
 	busyUntil time.Time
+	// arrivals and burst measure the requests that could be on time on an idle endpoint, without returning ones.
+	arrivals, burst arrivalRate
 	// overloadSince is zero while there is spare capacity.
 	overloadSince time.Time
 	// changes are the decisions that Step has not returned yet.
@@ -74,7 +79,7 @@
 	return &Dispatcher{
 		part: o.Part, rand: o.Rand, hallLatency: o.HallLatency,
 		endpoints: map[string]*endpoint{}, waiting: map[string]*waiter{}, grants: map[string]*grant{},
-		refused: refusals{byID: map[string]Decision{}},
+		refused: refusals{byID: map[string]Decision{}}, arrivals: arrivalRate{window: arrivalWindow}, burst: arrivalRate{window: burstWindow},
 	}
 }
 
@@ -82,6 +87,7 @@
 // statistics. Grants of endpoints that are no longer in the list go on.
 func (d *Dispatcher) SetEndpoints(now time.Time, list []Endpoint) {
 	d.advance(now)
+	d.current = false
 	for _, e := range d.endpoints {
 		e.listed = false
 	}
@@ -119,6 +125,7 @@
 	if d.stopped {
 		return Decision{State: Refused, Reason: Stopping}
 	}
+	d.current = false
 	answer := d.decide(now, r)
 	if answer.State == Refused {
 		d.refused.add(now, r.ID, answer)
@@ -130,10 +137,12 @@
 // decide decides on a new request.
 func (d *Dispatcher) decide(now time.Time, r Request) Decision {
 	c := d.capacityFor(now, &r)
+	r.OnTime = min(r.OnTime, r.Left)
 	if r.Returning {
 		d.told.returned()
 	} else if r.OnTime >= serviceMargin*c.service {
 		d.arrivals.add(now)
+		d.burst.add(now)
 	}
 	d.noteOverload(now)
 	if c.limit == 0 {
@@ -213,12 +222,26 @@
 	return d.hallLatency(r.Hall, e.Hall)
 }
 
+// lowestService returns the lowest slow estimate of the service time of a usable endpoint.
+func (d *Dispatcher) lowestService() float64 {
+	lowest := math.Inf(1)
+	for _, e := range d.list {
+		if e.usable() {
+			lowest = min(lowest, e.slow)
+		}
+	}
+	if math.IsInf(lowest, 1) {
+		return initialService
+	}
+	return lowest
+}
+
 // best returns the endpoint with a free slot at which r is expected to be complete first, or nil. Endpoints that are
 // set aside are considered only if r may get no others.
 func (d *Dispatcher) best(now time.Time, r *Request) *endpoint {
 	var best, aside *endpoint
 	var bestCost, asideCost float64
-	others := false
+	others, lowest := false, d.lowestService()
 	for _, e := range d.list {
 		if !e.allows(r) {
 			continue
@@ -228,7 +251,7 @@
 		if !e.free() {
 			continue
 		}
-		cost := e.cost(now, d.extra(r, e))
+		cost := e.cost(now, lowest, d.extra(r, e))
 		if out {
 			if aside == nil || cost < asideCost {
 				aside, asideCost = e, cost
@@ -257,6 +280,7 @@
 // Release ends a grant, or withdraws a queued request. It does nothing if the ID is unknown.
 func (d *Dispatcher) Release(now time.Time, id string, res Result) {
 	d.advance(now)
+	d.current = false
 	if w := d.waiting[id]; w != nil {
 		d.queueOf(w).remove(w)
 		delete(d.waiting, id)
@@ -273,7 +297,7 @@
 func (d *Dispatcher) end(now time.Time, g *grant, res Result) {
 	delete(d.grants, g.id)
 	e := g.endpoint
-	e.ended(now, res, now.Sub(g.at), g.extra)
+	e.ended(now, res, d.lowestService(), now.Sub(g.at), g.extra)
 	if !e.listed && e.inUse == 0 {
 		delete(d.endpoints, e.ID)
 		d.list = slices.DeleteFunc(d.list, func(x *endpoint) bool { return x == e })
