Ask the owner of a cell of endpoints for slots

The overlay selects the owner of a cell by rendezvous hashing over the boxes of the region, asks it for slots, and returns them in batches. A slot that the asking box does not learn of is released. A box can tell the others that a service is contended.

--- a/internal/overlay/fact.go
+++ b/internal/overlay/fact.go
@@ -23,6 +23,8 @@
 	Notice  *Notice
 	// Waiting is how many streams wait for engines on the box that sends the message.
 	Waiting *StreamsWaiting
+	// Contended is sent by a box whose own calls compete for the slots of a service's endpoints.
+	Contended *ServiceContended
 	// Omitted is set only in received messages. It stands for messages that the sender left out.
 	Omitted *OmittedStreams
 }
@@ -65,6 +67,10 @@
 	Streams         int
 }
 
+// ServiceContended reports that calls compete for the slots of a service's endpoints in a region. The boxes that receive
+// it ask the owners of these slots before they send a call.
+type ServiceContended struct{ Service, Region string }
+
 // StreamsWaiting reports how many streams wait for engines on a box.
 type StreamsWaiting struct{ Streams int }
 
@@ -131,6 +137,8 @@
 		out.Kind = &v1.Fact_Notice{Notice: &v1.EndpointNotice{Endpoint: msg.Notice.Endpoint, Limit: msg.Notice.Limit, Leaving: msg.Notice.Leaving, Ran: msg.Notice.Completed}}
 	case msg.Waiting != nil:
 		out.Kind = &v1.Fact_Waiting{Waiting: &v1.StreamsWaiting{N: int32(msg.Waiting.Streams)}}
+	case msg.Contended != nil:
+		out.Kind = &v1.Fact_Contended{Contended: &v1.ServiceContended{Service: msg.Contended.Service, Region: msg.Contended.Region}}
 	}
 	return out
 }
@@ -158,6 +166,8 @@
 	maxMessageAge = time.Minute
 	maxTokens     = 1 << 26
 	maxRuns       = 1024
+	// maxNameBytes bounds the names of services, regions, endpoints and accounts in messages about slots.
+	maxNameBytes = 256
 	// maxWaiting bounds the number of streams that wait on a box.
 	maxWaiting = 1 << 20
 	// maxRequestRate bounds an endpoint's limit, in requests a second.
@@ -193,12 +203,18 @@
 		msg.Notice = &Notice{Endpoint: n.GetEndpoint(), Limit: n.GetLimit(), Leaving: n.GetLeaving(), Completed: n.GetRan()}
 	case *v1.Fact_Waiting:
 		msg.Waiting, ok = &StreamsWaiting{int(k.Waiting.GetN())}, k.Waiting.GetN() >= 0 && k.Waiting.GetN() < maxWaiting
+	case *v1.Fact_Contended:
+		msg.Contended = &ServiceContended{Service: k.Contended.GetService(), Region: k.Contended.GetRegion()}
+		ok = validName(msg.Contended.Service) && len(msg.Contended.Region) <= maxNameBytes
 	}
 	return msg, ok
 }
 
 func validTokens(n int32) bool { return n >= 0 && n < maxTokens }
 
+// validName reports whether a name is present and within the bound.
+func validName(name string) bool { return name != "" && len(name) <= maxNameBytes }
+
 func decodeTiming(m *v1.StreamTook) (*StreamTiming, bool) {
 	for _, us := range []int64{m.GetReadUs(), m.GetBeginUs(), m.GetStepUs()} {
 		if us < 0 || us > maxDurationUs {
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -117,6 +117,9 @@
 	Room func(Room) bool
 	// Limits holds the shares of account limits that were lent to this box, and grants units from them.
 	Limits *quota.Pool
+	// Slots grants the slots of the cells of endpoints that this box owns. If it is nil, this box owns no cell, and
+	// AcquireSlot asks no owner.
+	Slots SlotServer
 	// OnMessage is called with each gossip message of another box, and must not block.
 	OnMessage func(Message)
 	// OnStateChange is called when this box observes a change in the state of another box, and must not block.
@@ -139,6 +142,7 @@
 	unresponsive unresponsiveOwners
 	ownerOrder   ownerRankings
 	lender       quota.Lender
+	slots        slotState
 	// interests holds the engines that this box has a use for messages about, and those that its upstream knows.
 	interests interestState
 	packer    packer
@@ -172,6 +176,10 @@
 	published, received, dropped, refused, switches  *metrics.Counter
 	roomGranted, roomDenied, roomUnanswered          *metrics.Counter
 	lent, lendFailed, allowAnswered, allowUnanswered *metrics.Counter
+	// These count the requests for slots to other boxes.
+	slotGranted, slotRefused, slotStopping, slotUnanswered *metrics.Counter
+	// slotReleaseCalls counts calls, and slotReleasesLost releases.
+	slotReleaseCalls, slotReleasesLost *metrics.Counter
 }
 
 // New returns a node that knows no other box yet.
@@ -183,6 +191,7 @@
 	n.stopped, n.stop = context.WithCancel(context.Background())
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
 	n.httpClient = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true}}
+	n.slots = newSlotState(dialer.DialContext)
 	n.count = counters{
 		published:       o.Metrics.NewCounter("stoatramp_overlay_facts_told_total"),
 		received:        o.Metrics.NewCounter("stoatramp_overlay_facts_heard_total"),
@@ -196,6 +205,13 @@
 		lendFailed:      o.Metrics.NewCounter(`stoatramp_overlay_lends_total{answer="none"}`),
 		allowAnswered:   o.Metrics.NewCounter(`stoatramp_overlay_limits_total{answer="yes"}`),
 		allowUnanswered: o.Metrics.NewCounter(`stoatramp_overlay_limits_total{answer="none"}`),
+		slotGranted:     o.Metrics.NewCounter(`stoatramp_overlay_slots_total{answer="granted"}`),
+		slotRefused:     o.Metrics.NewCounter(`stoatramp_overlay_slots_total{answer="refused"}`),
+		slotStopping:    o.Metrics.NewCounter(`stoatramp_overlay_slots_total{answer="stopping"}`),
+		slotUnanswered:  o.Metrics.NewCounter(`stoatramp_overlay_slots_total{answer="none"}`),
+
+		slotReleaseCalls: o.Metrics.NewCounter("stoatramp_overlay_slot_release_calls_total"),
+		slotReleasesLost: o.Metrics.NewCounter("stoatramp_overlay_slot_releases_lost_total"),
 	}
 	o.Metrics.NewGauge("stoatramp_overlay_members", func() float64 { return float64(n.members.size()) })
 	o.Metrics.NewGauge("stoatramp_overlay_followers", func() float64 { return float64(n.Followers()) })
--- /dev/null
+++ b/internal/overlay/slots_test.go
@@ -0,0 +1,847 @@
+package overlay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
+	"github.com/stoatramp/stoatramp/internal/slots"
+)
+
+// fakeSlots grants a number of slots of one endpoint, whichever cell is asked for.
+type fakeSlots struct {
+	mu       sync.Mutex
+	limit    int
+	wait     time.Duration // The expected wait that a queued request is told.
+	stopping bool
+	// silent requests are never decided. They end with ctx. With grantAtEnd a slot is granted at that moment.
+	silent, grantAtEnd bool
+	held               map[string]bool
+	results            map[string][]slots.Result
+	waiting            int
+	lastRequest        slots.Request
+	changed            chan struct{}
+	releaseGate        chan struct{} // Release waits until it is closed; nil if it does not wait.
+}
+
+func newFakeSlots(limit int) *fakeSlots {
+	return &fakeSlots{limit: limit, wait: 5 * time.Second, held: map[string]bool{}, results: map[string][]slots.Result{}, changed: make(chan struct{})}
+}
+
+func (f *fakeSlots) signal() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeSlots) tryGrant(r slots.Request) (d slots.Decision, changed chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastRequest = r
+	switch {
+	case f.stopping:
+		return slots.Decision{State: slots.Refused, Reason: slots.Stopping}, nil
+	case !f.silent && len(f.held) < f.limit:
+		f.held[r.ID] = true
+		return slots.Decision{State: slots.Granted, Endpoint: "e", InUse: len(f.held), Limit: f.limit}, nil
+	}
+	return slots.Decision{State: slots.Queued, Wait: f.wait, Waiting: f.waiting}, f.changed
+}
+
+func (f *fakeSlots) Acquire(ctx context.Context, _ slots.Cell, r slots.Request, queued func(slots.Decision)) (slots.Decision, bool) {
+	d, changed := f.tryGrant(r)
+	if d.State != slots.Queued {
+		return d, false
+	}
+	f.update(func() { f.waiting++ })
+	defer f.update(func() { f.waiting-- })
+	queued(d)
+	for {
+		select {
+		case <-changed:
+			if d, changed = f.tryGrant(r); d.State != slots.Queued {
+				return d, true
+			}
+		case <-ctx.Done():
+			if f.grantAtEnd {
+				f.update(func() { f.held[r.ID] = true })
+				return slots.Decision{State: slots.Granted, Endpoint: "e"}, true
+			}
+			return slots.Decision{State: slots.Refused, Reason: slots.TooLate}, true
+		}
+	}
+}
+
+func (f *fakeSlots) update(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+	f.signal()
+}
+
+func (f *fakeSlots) Release(_ slots.Cell, id string, res slots.Result) bool {
+	f.mu.Lock()
+	gate := f.releaseGate
+	f.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+	f.update(func() {
+		delete(f.held, id)
+		f.results[id] = append(f.results[id], res)
+	})
+	return false
+}
+
+func (f *fakeSlots) inUse() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.held)
+}
+
+func (f *fakeSlots) queueLength() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.waiting
+}
+
+// released reports whether the only result of a grant is res.
+func (f *fakeSlots) released(id string, res slots.Result) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.results[id]) == 1 && f.results[id][0] == res
+}
+
+// slotFleet starts five boxes in two halls that grant slots.
+func slotFleet(t *testing.T, s *fakeStore, limit int) (all []*box, fakes map[string]*fakeSlots) {
+	all, fakes = s.fleet(t), map[string]*fakeSlots{}
+	for _, b := range all {
+		fakes[b.o.Self.Name] = newFakeSlots(limit)
+		b.o.Slots = fakes[b.o.Self.Name]
+	}
+	eventually(t, "all have the key", func() bool {
+		for _, b := range all {
+			if b.members.sharedKey() == "" {
+				return false
+			}
+		}
+		return true
+	})
+	return all, fakes
+}
+
+// cellRanked returns a cell whose first possible owners, in rendezvous order, have the given names.
+func (b *box) cellRanked(t *testing.T, names ...string) slots.Cell {
+	t.Helper()
+search:
+	for i := range 10000 {
+		cell := slots.Cell{Service: fmt.Sprint("service-", i), Region: "r"}
+		ranked := b.slotOwners(cell)
+		for k, name := range names {
+			if k >= len(ranked) || ranked[k].Name != name {
+				continue search
+			}
+		}
+		return cell
+	}
+	t.Fatalf("expected a cell with the owners %v", names)
+	return slots.Cell{}
+}
+
+func (b *box) resetSlotOwners() {
+	b.resetUnresponsive()
+	b.slots.unavailable.mu.Lock()
+	defer b.slots.unavailable.mu.Unlock()
+	b.slots.unavailable.retryAt = nil
+}
+
+func boxNamed(all []*box, name string) *box {
+	for _, b := range all {
+		if b.o.Self.Name == name {
+			return b
+		}
+	}
+	return nil
+}
+
+var lastSlotID struct {
+	mu sync.Mutex
+	n  int
+}
+
+func slotRequest() slots.Request {
+	lastSlotID.mu.Lock()
+	defer lastSlotID.mu.Unlock()
+	lastSlotID.n++
+	return slots.Request{ID: fmt.Sprint("slot-", lastSlotID.n), OnTime: 5 * time.Second, Left: 20 * time.Second}
+}
+
+// acquired asks until the wanted owner has granted a slot, and returns the request. On a machine that is short of
+// processor time an owner may need more than slotFirstTimeout; then it is asked again.
+func (b *box) acquired(t *testing.T, cell slots.Cell, want string) (r slots.Request) {
+	t.Helper()
+	eventually(t, want+" grants a slot to "+b.o.Self.Name, func() bool {
+		r = slotRequest()
+		d, owner, _ := b.AcquireSlot(context.Background(), cell, r)
+		if owner == want && d.State == slots.Granted && d.Endpoint == "e" {
+			return true
+		}
+		b.ReleaseSlot(owner, cell, r.ID, slots.Result{Outcome: slots.Unused})
+		b.resetSlotOwners()
+		return false
+	})
+	return r
+}
+
+// Guards against boxes that disagree on the owner of a cell, which would grant each slot several times. The box that
+// owns the cell uses its own server. The outcome of a call reaches the owner unchanged.
+func TestSlotOwner(t *testing.T) {
+	all, fakes := slotFleet(t, newStore(), 100)
+	for _, owner := range []string{"a", "d"} {
+		cell := all[0].cellRanked(t, owner)
+		for _, b := range all {
+			if b.cellRanked(t, owner) != cell {
+				t.Errorf("expected all boxes to consider %s the owner of %v", owner, cell)
+			}
+			r := b.acquired(t, cell, owner)
+			res := slots.Result{Outcome: slots.Rejected, Took: 1234 * time.Microsecond}
+			b.ReleaseSlot(owner, cell, r.ID, res)
+			eventually(t, "the owner learns the outcome", func() bool { return fakes[owner].released(r.ID, res) })
+		}
+		eventually(t, "no slot is in use", func() bool { return fakes[owner].inUse() == 0 })
+	}
+	other := slots.Cell{Service: "s", Region: "elsewhere"}
+	if _, owner, _ := all[0].AcquireSlot(context.Background(), other, slotRequest()); owner != "" {
+		t.Errorf("expected no owner for a cell of another region, got %s", owner)
+	}
+	all[1].o.Slots = nil
+	if _, owner, _ := all[1].AcquireSlot(context.Background(), all[1].cellRanked(t, "a"), slotRequest()); owner != "" {
+		t.Errorf("expected a box without a slot server to ask no owner, got %s", owner)
+	}
+}
+
+// Guards against a queued request that is not told of its grant, and against a box that does not learn that the owner
+// is busy.
+func TestSlotQueuedThenGranted(t *testing.T) {
+	all, fakes := slotFleet(t, newStore(), 1)
+	cell := all[0].cellRanked(t, "d")
+	first := all[0].acquired(t, cell, "d")
+	type answer struct {
+		d     slots.Decision
+		owner string
+		busy  bool
+	}
+	got := make(chan answer, 1)
+	go func() {
+		d, owner, busy := all[1].AcquireSlot(context.Background(), cell, slotRequest())
+		got <- answer{d, owner, busy}
+	}()
+	eventually(t, "the second request waits", func() bool { return fakes["d"].queueLength() == 1 })
+	all[0].ReleaseSlot("d", cell, first.ID, slots.Result{Outcome: slots.Answered})
+	if a := <-got; a.owner != "d" || a.d.State != slots.Granted || !a.busy {
+		t.Errorf("expected a grant of the busy owner d, got %+v", a)
+	}
+	if n := fakes["d"].inUse(); n != 1 {
+		t.Errorf("expected one slot in use, got %d", n)
+	}
+}
+
+// Guards against calls that are not served for some time after the owner was killed: the request that finds the owner
+// gone is answered by the next box in rendezvous order, and later ones don't try the owner that is gone.
+func TestSlotOwnerKilled(t *testing.T) {
+	all, fakes := slotFleet(t, newStore(), 100)
+	cell := all[0].cellRanked(t, "d", "e")
+	all[0].acquired(t, cell, "d") // Leaves an idle connection to the owner.
+	boxNamed(all, "d").kill()
+	for _, b := range all[:3] {
+		b.resetSlotOwners()
+		r := slotRequest()
+		began := time.Now()
+		d, owner, _ := b.AcquireSlot(context.Background(), cell, r)
+		if owner != "e" || d.State != slots.Granted {
+			t.Errorf("box %s: expected a grant of e in one request, got %v of %q after %s", b.o.Self.Name, d, owner, time.Since(began))
+		}
+		if b.unresponsive.usable("d", time.Now()) {
+			t.Errorf("box %s: expected the owner that is gone not to be asked again at once", b.o.Self.Name)
+		}
+	}
+	if n := fakes["e"].inUse(); n != 3 {
+		t.Errorf("expected 3 slots of e in use, got %d", n)
+	}
+}
+
+// Guards against a queued call that fails with its owner although another box could serve it.
+func TestSlotOwnerKilledWhileRequestWaits(t *testing.T) {
+	all, fakes := slotFleet(t, newStore(), 100)
+	fakes["d"].limit = 0
+	cell := all[0].cellRanked(t, "d", "e")
+	got := make(chan string, 1)
+	go func() {
+		_, owner, _ := all[0].AcquireSlot(context.Background(), cell, slotRequest())
+		got <- owner
+	}()
+	eventually(t, "the request waits", func() bool { return fakes["d"].queueLength() == 1 })
+	boxNamed(all, "d").kill()
+	if owner := <-got; owner != "e" {
+		t.Errorf("expected the next owner e to decide, got %q", owner)
+	}
+}
+
+// listMember adds a member without a node to the list. The test listens at the member's address.
+func (s *fakeStore) listMember(t *testing.T, all []*box, name, address string) {
+	t.Helper()
+	m := Member{Name: name, Region: "r", Hall: "h1", Address: address, Incarnation: 1 << 40}
+	s.Put(context.Background(), name, m.encode())
+	eventually(t, "all list "+name, func() bool {
+		for _, b := range all {
+			if _, listed := b.members.get(name); !listed {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against calls that wait for an owner that is frozen: it accepts connections and never answers. Each box loses
+// slotFirstTimeout once, decides that call alone, and then asks the next owner.
+func TestSlotOwnerAcceptsAndNeverAnswers(t *testing.T) {
+	s := newStore()
+	all, _ := slotFleet(t, s, 100)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+		}
+	}()
+	s.listMember(t, all, "mute", l.Addr().String())
+	cell := all[0].cellRanked(t, "mute", "b")
+	for _, b := range all {
+		began := time.Now()
+		_, owner, _ := b.AcquireSlot(context.Background(), cell, slotRequest())
+		if took := time.Since(began); owner != "" || took < slotFirstTimeout || took > time.Second {
+			t.Errorf("box %s: expected no owner after %s, got %q after %s", b.o.Self.Name, slotFirstTimeout, owner, took)
+		}
+		if b.unresponsive.usable("mute", time.Now()) {
+			t.Errorf("box %s: expected the frozen owner not to be asked again at once", b.o.Self.Name)
+		}
+		if _, owner, _ = b.AcquireSlot(context.Background(), cell, slotRequest()); owner != "b" {
+			t.Errorf("box %s: expected the next owner b, got %q", b.o.Self.Name, owner)
+		}
+	}
+}
+
+// Guards against a queued call that waits without end for an owner that said how long the wait is and then froze. The
+// owner, if it still runs, withdraws the request.
+func TestSlotOwnerSilentAfterQueued(t *testing.T) {
+	all, fakes := slotFleet(t, newStore(), 0)
+	f := fakes["d"]
+	f.silent, f.wait = true, 20*time.Millisecond
+	cell := all[0].cellRanked(t, "d")
+	began := time.Now()
+	_, owner, _ := all[0].AcquireSlot(context.Background(), cell, slotRequest())
+	least := slotWaitFactor*f.wait + slotWaitMargin
+	if took := time.Since(began); owner != "" || took < least || took > least+time.Second {
+		t.Errorf("expected no owner after %s, got %q after %s", least, owner, took)
+	}
+	if all[0].unresponsive.usable("d", time.Now()) {
+		t.Error("expected the silent owner not to be asked again at once")
+	}
+	eventually(t, "the request is withdrawn", func() bool { return f.queueLength() == 0 })
+}
+
+// Guards against calls that fail, or slots that leak, while an owner stops as planned. Other boxes get their slots from
+// the next owner, at most two boxes are asked, and the stopping owner gets the releases of its grants although it is no
+// longer listed.
+func TestSlotOwnerStops(t *testing.T) {
+	all, fakes := slotFleet(t, newStore(), 100)
+	cell := all[0].cellRanked(t, "d", "e", "c")
+	earlier := all[0].acquired(t, cell, "d")
+	fakes["d"].update(func() { fakes["d"].stopping = true })
+	all[0].acquired(t, cell, "e")
+	boxNamed(all, "d").Leave(context.Background())
+	eventually(t, "the owner is no longer listed", func() bool { _, listed := all[0].members.get("d"); return !listed })
+	res := slots.Result{Outcome: slots.Answered, Took: time.Millisecond}
+	all[0].ReleaseSlot("d", cell, earlier.ID, res)
+	eventually(t, "the stopping owner gets the release", func() bool { return fakes["d"].released(earlier.ID, res) })
+	fakes["e"].update(func() { fakes["e"].stopping = true })
+	fakes["c"].update(func() { fakes["c"].stopping = true })
+	for _, b := range all[:2] {
+		b.resetSlotOwners()
+		if _, owner, _ := b.AcquireSlot(context.Background(), cell, slotRequest()); owner != "" {
+			t.Errorf("box %s: expected no third box to be asked after two that stop, got %q", b.o.Self.Name, owner)
+		}
+	}
+}
+
+// Guards against a box that grants slots while it stops although its slot server was not told: it neither grants to
+// others nor considers itself an owner.
+func TestSlotStoppingBoxGrantsNothing(t *testing.T) {
+	all, fakes := slotFleet(t, newStore(), 100)
+	d := boxNamed(all, "d")
+	cell := all[0].cellRanked(t, "d", "e")
+	d.stop()
+	for _, b := range all {
+		b.acquired(t, cell, "e")
+	}
+	if n := fakes["d"].inUse(); n != 0 {
+		t.Errorf("expected the stopping box to grant nothing, got %d", n)
+	}
+}
+
+// Guards against slots that are held for callers that have left. When the asking box ends a request that waits, the
+// owner withdraws it. If the owner grants the slot at that moment, the slot is released.
+func TestSlotAskerLeavesWhileQueued(t *testing.T) {
+	for _, asker := range []string{"a", "d"} { // A remote box, and the owner itself.
+		for _, grantAtEnd := range []bool{false, true} {
+			t.Run(fmt.Sprint(asker, grantAtEnd), func(t *testing.T) {
+				all, fakes := slotFleet(t, newStore(), 0)
+				f := fakes["d"]
+				f.grantAtEnd = grantAtEnd
+				cell := all[0].cellRanked(t, "d")
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				done := make(chan string, 1)
+				r := slotRequest()
+				go func() {
+					_, owner, _ := boxNamed(all, asker).AcquireSlot(ctx, cell, r)
+					done <- owner
+				}()
+				eventually(t, "the request waits", func() bool { return f.queueLength() == 1 })
+				cancel()
+				if owner := <-done; owner != "" {
+					t.Errorf("expected no owner, got %q", owner)
+				}
+				eventually(t, "the request is withdrawn and released", func() bool {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					return f.waiting == 0 && len(f.held) == 0 && len(f.results[r.ID]) > 0
+				})
+				if !boxNamed(all, "a").unresponsive.usable("d", time.Now()) {
+					t.Error("expected a caller that leaves not to count as a failure of the owner")
+				}
+			})
+		}
+	}
+}
+
+// Guards against a leak of the slot if only the end of the stream tells the owner that the asking box was killed.
+func TestSlotAskerKilledWhileQueued(t *testing.T) {
+	all, fakes := slotFleet(t, newStore(), 0)
+	cell := all[0].cellRanked(t, "d")
+	fakes["d"].grantAtEnd = true
+	// The call is made without the node of the asking box, which would also send a release.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r := slotRequest()
+	r.Box = "a"
+	req := connect.NewRequest(encodeSlotRequest(cell, r))
+	authorize(req.Header(), all[0].members.sharedKey())
+	d := boxNamed(all, "d")
+	stream, err := all[0].client(d.o.Self.Address).AcquireSlot(ctx, req)
+	if err != nil || !stream.Receive() {
+		t.Fatalf("expected an answer, got %v", err)
+	}
+	if !stream.Msg().Busy || stream.Msg().State != v1.SlotState_SLOT_STATE_QUEUED {
+		t.Errorf("expected a busy owner to queue the request, got %v", stream.Msg())
+	}
+	cancel()
+	eventually(t, "the slot granted meanwhile is released", func() bool {
+		return fakes["d"].released(r.ID, slots.Result{Outcome: slots.Unused}) && fakes["d"].inUse() == 0
+	})
+}
+
+// lossyHandler processes requests for slots, but closes the connection instead of sending the answers.
+func lossyHandler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasSuffix(r.URL.Path, "/AcquireSlot") {
+			h.ServeHTTP(w, r)
+			return
+		}
+		h.ServeHTTP(httptest.NewRecorder(), r)
+		_, _ = io.Copy(io.Discard, r.Body)
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_ = c.Close()
+		}
+	})
+}
+
+// Guards against a slot that stays in use because the answer with the grant was lost. The asking box releases it and
+// asks the next owner.
+func TestSlotAnswerLostAfterGrant(t *testing.T) {
+	s := newStore()
+	all, fakes := slotFleet(t, s, 100)
+	lossy := httptest.NewServer(lossyHandler(boxNamed(all, "e").Handler()))
+	defer lossy.Close()
+	s.listMember(t, all, "lossy", lossy.Listener.Addr().String())
+	cell := all[0].cellRanked(t, "lossy", "b")
+	r := slotRequest()
+	var owner string
+	eventually(t, "the request reaches the owner whose answer is lost", func() bool {
+		all[0].resetSlotOwners()
+		r = slotRequest()
+		_, owner, _ = all[0].AcquireSlot(context.Background(), cell, r)
+		return owner == "b"
+	})
+	eventually(t, "the grant is released", func() bool {
+		return fakes["e"].released(r.ID, slots.Result{Outcome: slots.Unused}) && fakes["e"].inUse() == 0
+	})
+	if all[0].unresponsive.usable("lossy", time.Now()) {
+		t.Error("expected the owner whose connection failed not to be asked again at once")
+	}
+}
+
+// Guards against a leak when a frozen owner wakes and processes the release of a request before the request itself.
+func TestSlotReleasedBeforeRequest(t *testing.T) {
+	all, fakes := slotFleet(t, newStore(), 100)
+	d := boxNamed(all, "d")
+	cell := all[0].cellRanked(t, "d")
+	r := slotRequest()
+	r.Box = "a"
+	unused := slots.Result{Outcome: slots.Unused}
+	all[0].ReleaseSlot("d", cell, r.ID, unused)
+	eventually(t, "the release arrives", func() bool { return fakes["d"].released(r.ID, unused) })
+	req := connect.NewRequest(encodeSlotRequest(cell, r))
+	authorize(req.Header(), all[0].members.sharedKey())
+	stream, err := all[0].client(d.o.Self.Address).AcquireSlot(context.Background(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	for stream.Receive() {
+	}
+	if n := fakes["d"].inUse(); n != 0 {
+		t.Errorf("expected the slot of a withdrawn request to be released, got %d in use", n)
+	}
+}
+
+// Guards against a grant that is used after the caller gave up, as by a box that was frozen meanwhile.
+func TestSlotLateGrantIsReleased(t *testing.T) {
+	all, fakes := slotFleet(t, newStore(), 0)
+	cell := all[0].cellRanked(t, "d")
+	r := slotRequest()
+	r.Left = 50 * time.Millisecond
+	go func() {
+		for fakes["d"].queueLength() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		fakes["d"].update(func() { fakes["d"].limit = 1 })
+	}()
+	d, owner, _ := all[0].AcquireSlot(context.Background(), cell, r)
+	if owner != "d" || d.State != slots.Refused || d.Reason != slots.TooLate {
+		t.Errorf("expected the late grant of d to count as a refusal, got %+v of %q", d, owner)
+	}
+	eventually(t, "the slot is released", func() bool { return fakes["d"].released(r.ID, slots.Result{Outcome: slots.Unused}) })
+}
+
+// Guards against one call per release while an owner is slow: releases that come while a call is under way go together
+// in the next one, and ReleaseSlot does not wait.
+func TestSlotReleasesAreBatched(t *testing.T) {
+	all, fakes := slotFleet(t, newStore(), 100)
+	a, f := all[0], fakes["d"]
+	cell := a.cellRanked(t, "d")
+	a.acquired(t, cell, "d")
+	// The owner holds the first call back. If the machine is so busy that this call times out, the test starts again.
+	attempt := 0
+	eventually(t, "50 releases are made during one call", func() bool {
+		attempt++
+		id := func(i int) string { return fmt.Sprintf("batched-%d-%d", attempt, i) }
+		result := func(i int) slots.Result {
+			return slots.Result{Outcome: slots.Answered, Took: time.Duration(i) * time.Millisecond}
+		}
+		calls := a.count.slotReleaseCalls.Get()
+		gate := make(chan struct{})
+		f.update(func() { f.releaseGate = gate })
+		began := time.Now()
+		a.ReleaseSlot("d", cell, id(0), result(0))
+		eventually(t, "the first call is under way", func() bool {
+			list, sending := a.pendingReleases("d", cell)
+			return sending && list == 0
+		})
+		for i := 1; i < 50; i++ {
+			a.ReleaseSlot("d", cell, id(i), result(i))
+		}
+		took := time.Since(began)
+		close(gate)
+		f.update(func() { f.releaseGate = nil })
+		eventually(t, "all releases are sent", func() bool {
+			_, sending := a.pendingReleases("d", cell)
+			return !sending
+		})
+		if took > releaseTimeout/2 {
+			return false
+		}
+		for i := range 50 {
+			if !f.released(id(i), result(i)) {
+				t.Errorf("expected release %d to arrive once", i)
+			}
+		}
+		if got := a.count.slotReleaseCalls.Get() - calls; got != 2 {
+			t.Errorf("expected 2 calls, got %d", got)
+		}
+		return true
+	})
+}
+
+// pendingReleases returns how many releases wait for the next call to an owner, and whether releases are being sent.
+func (b *box) pendingReleases(owner string, cell slots.Cell) (waiting int, sending bool) {
+	b.slots.releases.mu.Lock()
+	defer b.slots.releases.mu.Unlock()
+	list, sending := b.slots.releases.pending[releaseKey{owner, cell}]
+	return len(list), sending
+}
+
+// Guards against releases that are lost with one failed connection, and against a queue that grows without bound while
+// an owner does not answer.
+func TestSlotReleaseIsTriedTwice(t *testing.T) {
+	s := newStore()
+	all, fakes := slotFleet(t, s, 100)
+	var mu sync.Mutex
+	attempts := 0
+	h := boxNamed(all, "e").Handler()
+	flaky := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		attempts++
+		first := attempts == 1
+		mu.Unlock()
+		if first {
+			panic(http.ErrAbortHandler) // Closes the connection.
+		}
+		h.ServeHTTP(w, r)
+	}))
+	defer flaky.Close()
+	s.listMember(t, all, "flaky", flaky.Listener.Addr().String())
+	cell := slots.Cell{Service: "s", Region: "r"}
+	res := slots.Result{Outcome: slots.Reset, Took: time.Second}
+	all[0].ReleaseSlot("flaky", cell, "x", res)
+	eventually(t, "the second attempt delivers the release", func() bool { return fakes["e"].released("x", res) })
+	var q releaseQueues
+	dropped := 0
+	for range maxPendingReleases + 7 {
+		n, _ := q.add(releaseKey{}, &v1.SlotRelease{})
+		dropped += n
+	}
+	if got := len(q.pending[releaseKey{}]); got != maxPendingReleases || dropped != 7 {
+		t.Errorf("expected %d releases to wait and 7 to be dropped, got %d and %d", maxPendingReleases, got, dropped)
+	}
+}
+
+// Guards against malformed calls of other boxes that upset the arithmetic of the owner, and against calls of strangers.
+// Nothing of them reaches the slot server.
+func TestSlotMalformedRequests(t *testing.T) {
+	all, fakes := slotFleet(t, newStore(), 100)
+	a := all[0]
+	key := a.members.sharedKey()
+	client := a.client(a.o.Self.Address)
+	valid := func() *v1.AcquireSlotRequest {
+		return encodeSlotRequest(slots.Cell{Service: "s", Region: "r"}, slots.Request{ID: "i", Box: "b", Left: time.Second})
+	}
+	acquire := func(key string, m *v1.AcquireSlotRequest) error {
+		req := connect.NewRequest(m)
+		authorize(req.Header(), key)
+		stream, err := client.AcquireSlot(context.Background(), req)
+		if err != nil {
+			return err
+		}
+		defer stream.Close()
+		for stream.Receive() {
+		}
+		return stream.Err()
+	}
+	long := strings.Repeat("x", maxNameBytes+1)
+	for name, change := range map[string]func(*v1.AcquireSlotRequest){
+		"no cell":             func(m *v1.AcquireSlotRequest) { m.Cell = nil },
+		"no service":          func(m *v1.AcquireSlotRequest) { m.Cell.Service = "" },
+		"long service":        func(m *v1.AcquireSlotRequest) { m.Cell.Service = long },
+		"other region":        func(m *v1.AcquireSlotRequest) { m.Cell.Region = "q" },
+		"negative index":      func(m *v1.AcquireSlotRequest) { m.Cell.Index = -1 },
+		"large index":         func(m *v1.AcquireSlotRequest) { m.Cell.Index = maxCellIndex },
+		"no id":               func(m *v1.AcquireSlotRequest) { m.Id = "" },
+		"long id":             func(m *v1.AcquireSlotRequest) { m.Id = long },
+		"no box":              func(m *v1.AcquireSlotRequest) { m.Box = "" },
+		"long hall":           func(m *v1.AcquireSlotRequest) { m.Hall = long },
+		"long account":        func(m *v1.AcquireSlotRequest) { m.Account = long },
+		"negative weight":     func(m *v1.AcquireSlotRequest) { m.Weight = -1 },
+		"weight not a number": func(m *v1.AcquireSlotRequest) { m.Weight = math.NaN() },
+		"infinite weight":     func(m *v1.AcquireSlotRequest) { m.Weight = math.Inf(1) },
+		"negative priority":   func(m *v1.AcquireSlotRequest) { m.Priority = -1 },
+		"large priority":      func(m *v1.AcquireSlotRequest) { m.Priority = maxPriority + 1 },
+		"negative time":       func(m *v1.AcquireSlotRequest) { m.OnTimeUs = -1 },
+		"long time":           func(m *v1.AcquireSlotRequest) { m.LeftUs = math.MaxInt64 },
+		"many excluded":       func(m *v1.AcquireSlotRequest) { m.Exclude = make([]string, maxExcluded+1) },
+		"empty excluded":      func(m *v1.AcquireSlotRequest) { m.Exclude = []string{""} },
+	} {
+		m := valid()
+		change(m)
+		if err := acquire(key, m); connect.CodeOf(err) != connect.CodeInvalidArgument {
+			t.Errorf("%s: expected the request to be invalid, got %v", name, err)
+		}
+	}
+	if err := acquire("guess", valid()); connect.CodeOf(err) != connect.CodeUnauthenticated {
+		t.Errorf("expected a stranger to be refused, got %v", err)
+	}
+	release := func(key string, m *v1.ReleaseSlotRequest) error {
+		req := connect.NewRequest(m)
+		authorize(req.Header(), key)
+		_, err := client.ReleaseSlot(context.Background(), req)
+		return err
+	}
+	validRelease := func() *v1.ReleaseSlotRequest {
+		return &v1.ReleaseSlotRequest{Cell: &v1.SlotCell{Service: "s", Region: "r"}, Box: "b", Releases: []*v1.SlotRelease{encodeRelease("i", slots.Result{})}}
+	}
+	for name, change := range map[string]func(*v1.ReleaseSlotRequest){
+		"no cell":         func(m *v1.ReleaseSlotRequest) { m.Cell = nil },
+		"other region":    func(m *v1.ReleaseSlotRequest) { m.Cell.Region = "q" },
+		"no box":          func(m *v1.ReleaseSlotRequest) { m.Box = "" },
+		"no id":           func(m *v1.ReleaseSlotRequest) { m.Releases[0].Id = "" },
+		"no outcome":      func(m *v1.ReleaseSlotRequest) { m.Releases[0].Outcome = 0 },
+		"unknown outcome": func(m *v1.ReleaseSlotRequest) { m.Releases[0].Outcome = v1.SlotOutcome_SLOT_OUTCOME_UNUSED + 1 },
+		"negative time":   func(m *v1.ReleaseSlotRequest) { m.Releases[0].TookUs = -1 },
+		"many": func(m *v1.ReleaseSlotRequest) {
+			for range maxReleases {
+				m.Releases = append(m.Releases, m.Releases[0])
+			}
+		},
+	} {
+		m := validRelease()
+		change(m)
+		if err := release(key, m); connect.CodeOf(err) != connect.CodeInvalidArgument {
+			t.Errorf("release, %s: expected the call to be invalid, got %v", name, err)
+		}
+	}
+	if err := release("guess", validRelease()); connect.CodeOf(err) != connect.CodeUnauthenticated {
+		t.Errorf("expected the release of a stranger to be refused, got %v", err)
+	}
+	f := fakes["a"]
+	f.mu.Lock()
+	if len(f.held) != 0 || len(f.results) != 0 || f.lastRequest.ID != "" {
+		t.Errorf("expected no malformed call to reach the slot server, got %v, %v, %v", f.held, f.results, f.lastRequest)
+	}
+	f.mu.Unlock()
+	if err := acquire(key, valid()); err != nil {
+		t.Errorf("expected the valid request to be accepted, got %v", err)
+	}
+	if err := release(key, validRelease()); err != nil {
+		t.Errorf("expected the valid release to be accepted, got %v", err)
+	}
+	a.o.Slots = nil
+	if err := acquire(key, valid()); connect.CodeOf(err) != connect.CodeUnimplemented {
+		t.Errorf("expected a box without a slot server to serve no slots, got %v", err)
+	}
+}
+
+// Guards against fields that are lost or changed between the boxes, and against invalid answers of an owner.
+func TestSlotMessagesRoundTrip(t *testing.T) {
+	cell := slots.Cell{Service: "s", Region: "r", Index: 7}
+	r := slots.Request{
+		ID: "i", Box: "b", Hall: "h", Account: "acc", Weight: 2.5, Priority: 3, OnTime: 150 * time.Millisecond, Left: 1500 * time.Microsecond,
+		Returning: true, Exclude: []string{"e1", "e2"},
+	}
+	gotCell, got, ok := decodeSlotRequest(encodeSlotRequest(cell, r))
+	if !ok || gotCell != cell || fmt.Sprint(got) != fmt.Sprint(r) {
+		t.Errorf("expected %v %v, got %v %v", cell, r, gotCell, got)
+	}
+	for _, d := range []slots.Decision{
+		{State: slots.Queued, Wait: time.Second, Waiting: 9, InUse: 6, Limit: 7},
+		{State: slots.Granted, Endpoint: "e", Wait: time.Millisecond, InUse: 1, Limit: 3},
+		{State: slots.Refused, Reason: slots.NoEndpoint},
+		{State: slots.Refused, Reason: slots.TooLate, RetryAfter: 250 * time.Millisecond},
+		{State: slots.Refused, Reason: slots.QueueFull},
+		{State: slots.Refused, Reason: slots.Stopping},
+	} {
+		if got, ok := decodeDecision(encodeDecision(d, false)); !ok || got != d {
+			t.Errorf("expected %+v, got %+v", d, got)
+		}
+	}
+	for _, m := range []*v1.AcquireSlotResponse{
+		{},
+		{State: 9},
+		{State: v1.SlotState_SLOT_STATE_GRANTED},
+		{State: v1.SlotState_SLOT_STATE_REFUSED},
+		{State: v1.SlotState_SLOT_STATE_REFUSED, Reason: 9},
+		{State: v1.SlotState_SLOT_STATE_QUEUED, WaitUs: math.MaxInt64},
+		{State: v1.SlotState_SLOT_STATE_QUEUED, Limit: -1},
+	} {
+		if _, ok := decodeDecision(m); ok {
+			t.Errorf("expected the answer %v to be rejected", m)
+		}
+	}
+	for o := slots.Answered; o <= slots.Unused; o++ {
+		res := slots.Result{Outcome: o, Took: 1500 * time.Microsecond}
+		_, list, ok := decodeReleases(&v1.ReleaseSlotRequest{Cell: encodeCell(cell), Box: "b", Releases: []*v1.SlotRelease{encodeRelease("i", res)}})
+		if !ok || len(list) != 1 || list[0] != (release{"i", res}) {
+			t.Errorf("expected %v, got %v", res, list)
+		}
+	}
+}
+
+// Guards against a gossip message about contention that is lost on the way or names no service.
+func TestContendedRoundTrip(t *testing.T) {
+	now := time.Now()
+	sent := ServiceContended{Service: "s", Region: "r"}
+	f := Message{At: now, Contended: &sent}
+	if got, ok := decode(f.encode(now), now); !ok || got.Contended == nil || *got.Contended != sent {
+		t.Errorf("expected %+v, got %+v", sent, got.Contended)
+	}
+	long := strings.Repeat("x", maxNameBytes+1)
+	for _, m := range []*v1.ServiceContended{nil, {}, {Service: long}, {Service: "s", Region: long}} {
+		if _, ok := decode(&v1.Fact{Kind: &v1.Fact_Contended{Contended: m}}, now); ok {
+			t.Errorf("expected %v to be rejected", m)
+		}
+	}
+}
+
+// Guards against cells with more endpoints than an owner is designed for, and against most cells moving when one box is
+// gone.
+func TestSlotCells(t *testing.T) {
+	for endpoints, want := range map[int]int{0: 0, 1: 1, 32: 1, 33: 2, 64: 2, 65: 3} {
+		if got := SlotCells(endpoints); got != want {
+			t.Errorf("%d endpoints: expected %d cells, got %d", endpoints, want, got)
+		}
+	}
+	counts := map[int]int{}
+	for i := range 320 {
+		counts[SlotCellIndex(fmt.Sprint("endpoint-", i), SlotCells(320))]++
+	}
+	for index, k := range counts {
+		if index < 0 || index >= 10 || k > 64 {
+			t.Errorf("cell %d has %d of 320 endpoints, expected about 32", index, k)
+		}
+	}
+	n := &Node{o: Options{Self: Member{Name: "box-0", Region: "r"}}}
+	n.members.all = map[string]Member{}
+	for _, m := range hallOf(59) {
+		m.Region = "r"
+		n.members.all[m.Name] = m
+	}
+	before := map[slots.Cell]string{}
+	for i := range 600 {
+		cell := slots.Cell{Service: "s", Region: "r", Index: i}
+		before[cell] = n.slotOwners(cell)[0].Name
+	}
+	delete(n.members.all, "box-7")
+	n.members.changes.Add(1)
+	for cell, owner := range before {
+		if got := n.slotOwners(cell)[0].Name; got != owner && owner != "box-7" {
+			t.Errorf("%v moved from %s to %s", cell, owner, got)
+		}
+	}
+}
--- a/internal/rpc/stoatrampv1/stoatrampv1connect/overlay.connect.go
+++ b/internal/rpc/stoatrampv1/stoatrampv1connect/overlay.connect.go
@@ -45,6 +45,10 @@
 	OverlayLendProcedure = "/stoatramp.v1.Overlay/Lend"
 	// OverlayAllowProcedure is the fully-qualified name of the Overlay's Allow RPC.
 	OverlayAllowProcedure = "/stoatramp.v1.Overlay/Allow"
+	// OverlayAcquireSlotProcedure is the fully-qualified name of the Overlay's AcquireSlot RPC.
+	OverlayAcquireSlotProcedure = "/stoatramp.v1.Overlay/AcquireSlot"
+	// OverlayReleaseSlotProcedure is the fully-qualified name of the Overlay's ReleaseSlot RPC.
+	OverlayReleaseSlotProcedure = "/stoatramp.v1.Overlay/ReleaseSlot"
 )
 
 // OverlayClient is a client for the stoatramp.v1.Overlay service.
@@ -63,6 +67,12 @@
 	Lend(context.Context, *connect.Request[stoatrampv1.LendRequest]) (*connect.Response[stoatrampv1.LendResponse], error)
 	// Allow asks the owner of a client account for units of the account's limit.
 	Allow(context.Context, *connect.Request[stoatrampv1.AllowRequest]) (*connect.Response[stoatrampv1.AllowResponse], error)
+	// AcquireSlot asks the owner of a cell of endpoints for a slot. The first response comes at once. If
+	// it says queued, a second one says granted or refused. The owner withdraws a queued request whose
+	// stream ends.
+	AcquireSlot(context.Context, *connect.Request[stoatrampv1.AcquireSlotRequest]) (*connect.ServerStreamForClient[stoatrampv1.AcquireSlotResponse], error)
+	// ReleaseSlot returns granted slots to the owner of a cell, and withdraws requests for slots.
+	ReleaseSlot(context.Context, *connect.Request[stoatrampv1.ReleaseSlotRequest]) (*connect.Response[stoatrampv1.ReleaseSlotResponse], error)
 }
 
 // NewOverlayClient constructs a client for the stoatramp.v1.Overlay service. By default, it uses
@@ -112,17 +122,31 @@
 			connect.WithSchema(overlayMethods.ByName("Allow")),
 			connect.WithClientOptions(opts...),
 		),
+		acquireSlot: connect.NewClient[stoatrampv1.AcquireSlotRequest, stoatrampv1.AcquireSlotResponse](
+			httpClient,
+			baseURL+OverlayAcquireSlotProcedure,
+			connect.WithSchema(overlayMethods.ByName("AcquireSlot")),
+			connect.WithClientOptions(opts...),
+		),
+		releaseSlot: connect.NewClient[stoatrampv1.ReleaseSlotRequest, stoatrampv1.ReleaseSlotResponse](
+			httpClient,
+			baseURL+OverlayReleaseSlotProcedure,
+			connect.WithSchema(overlayMethods.ByName("ReleaseSlot")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // overlayClient implements OverlayClient.
 type overlayClient struct {
-	follow *connect.Client[stoatrampv1.FollowRequest, stoatrampv1.Update]
-	tell   *connect.Client[stoatrampv1.TellRequest, stoatrampv1.TellResponse]
-	tables *connect.Client[stoatrampv1.TablesRequest, stoatrampv1.Update]
-	room   *connect.Client[stoatrampv1.RoomRequest, stoatrampv1.RoomResponse]
-	lend   *connect.Client[stoatrampv1.LendRequest, stoatrampv1.LendResponse]
-	allow  *connect.Client[stoatrampv1.AllowRequest, stoatrampv1.AllowResponse]
+	follow      *connect.Client[stoatrampv1.FollowRequest, stoatrampv1.Update]
+	tell        *connect.Client[stoatrampv1.TellRequest, stoatrampv1.TellResponse]
+	tables      *connect.Client[stoatrampv1.TablesRequest, stoatrampv1.Update]
+	room        *connect.Client[stoatrampv1.RoomRequest, stoatrampv1.RoomResponse]
+	lend        *connect.Client[stoatrampv1.LendRequest, stoatrampv1.LendResponse]
+	allow       *connect.Client[stoatrampv1.AllowRequest, stoatrampv1.AllowResponse]
+	acquireSlot *connect.Client[stoatrampv1.AcquireSlotRequest, stoatrampv1.AcquireSlotResponse]
+	releaseSlot *connect.Client[stoatrampv1.ReleaseSlotRequest, stoatrampv1.ReleaseSlotResponse]
 }
 
 // Follow calls stoatramp.v1.Overlay.Follow.
@@ -155,6 +179,16 @@
 	return c.allow.CallUnary(ctx, req)
 }
 
+// AcquireSlot calls stoatramp.v1.Overlay.AcquireSlot.
+func (c *overlayClient) AcquireSlot(ctx context.Context, req *connect.Request[stoatrampv1.AcquireSlotRequest]) (*connect.ServerStreamForClient[stoatrampv1.AcquireSlotResponse], error) {
+	return c.acquireSlot.CallServerStream(ctx, req)
+}
+
+// ReleaseSlot calls stoatramp.v1.Overlay.ReleaseSlot.
+func (c *overlayClient) ReleaseSlot(ctx context.Context, req *connect.Request[stoatrampv1.ReleaseSlotRequest]) (*connect.Response[stoatrampv1.ReleaseSlotResponse], error) {
+	return c.releaseSlot.CallUnary(ctx, req)
+}
+
 // OverlayHandler is an implementation of the stoatramp.v1.Overlay service.
 type OverlayHandler interface {
 	// Follow streams table changes and gossip messages to a follower until either side ends the stream.
@@ -171,6 +205,12 @@
 	Lend(context.Context, *connect.Request[stoatrampv1.LendRequest]) (*connect.Response[stoatrampv1.LendResponse], error)
 	// Allow asks the owner of a client account for units of the account's limit.
 	Allow(context.Context, *connect.Request[stoatrampv1.AllowRequest]) (*connect.Response[stoatrampv1.AllowResponse], error)
+	// AcquireSlot asks the owner of a cell of endpoints for a slot. The first response comes at once. If
+	// it says queued, a second one says granted or refused. The owner withdraws a queued request whose
+	// stream ends.
+	AcquireSlot(context.Context, *connect.Request[stoatrampv1.AcquireSlotRequest], *connect.ServerStream[stoatrampv1.AcquireSlotResponse]) error
+	// ReleaseSlot returns granted slots to the owner of a cell, and withdraws requests for slots.
+	ReleaseSlot(context.Context, *connect.Request[stoatrampv1.ReleaseSlotRequest]) (*connect.Response[stoatrampv1.ReleaseSlotResponse], error)
 }
 
 // NewOverlayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -216,6 +256,18 @@
 		connect.WithSchema(overlayMethods.ByName("Allow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	overlayAcquireSlotHandler := connect.NewServerStreamHandler(
+		OverlayAcquireSlotProcedure,
+		svc.AcquireSlot,
+		connect.WithSchema(overlayMethods.ByName("AcquireSlot")),
+		connect.WithHandlerOptions(opts...),
+	)
+	overlayReleaseSlotHandler := connect.NewUnaryHandler(
+		OverlayReleaseSlotProcedure,
+		svc.ReleaseSlot,
+		connect.WithSchema(overlayMethods.ByName("ReleaseSlot")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/stoatramp.v1.Overlay/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OverlayFollowProcedure:
@@ -230,6 +282,10 @@
 			overlayLendHandler.ServeHTTP(w, r)
 		case OverlayAllowProcedure:
 			overlayAllowHandler.ServeHTTP(w, r)
+		case OverlayAcquireSlotProcedure:
+			overlayAcquireSlotHandler.ServeHTTP(w, r)
+		case OverlayReleaseSlotProcedure:
+			overlayReleaseSlotHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -262,3 +318,11 @@
 func (UnimplementedOverlayHandler) Allow(context.Context, *connect.Request[stoatrampv1.AllowRequest]) (*connect.Response[stoatrampv1.AllowResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Overlay.Allow is not implemented"))
 }
+
+func (UnimplementedOverlayHandler) AcquireSlot(context.Context, *connect.Request[stoatrampv1.AcquireSlotRequest], *connect.ServerStream[stoatrampv1.AcquireSlotResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Overlay.AcquireSlot is not implemented"))
+}
+
+func (UnimplementedOverlayHandler) ReleaseSlot(context.Context, *connect.Request[stoatrampv1.ReleaseSlotRequest]) (*connect.Response[stoatrampv1.ReleaseSlotResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Overlay.ReleaseSlot is not implemented"))
+}
