--- a/internal/slots/server_test.go
+++ b/internal/slots/server_test.go
@@ -35,13 +35,18 @@
 		t.Fatalf("%+v", d)
 	}
 	queued := make(chan Decision, 2)
-	done := make(chan Decision)
+	done := make(chan Decision, 1)
 	go func() {
 		d, _ := s.Acquire(ctx, longRequest("b"), func(d Decision) { queued <- d })
 		done <- d
 	}()
-	if d := <-queued; d.State != Queued || d.Wait <= 0 {
-		t.Errorf("%+v", d)
+	select {
+	case d := <-queued:
+		if d.State != Queued || d.Wait <= 0 {
+			t.Errorf("%+v", d)
+		}
+	case d := <-done:
+		t.Fatalf("decided without waiting: %+v", d)
 	}
 	if busy := s.Release("a", Result{Answered, simService}); !busy {
 		t.Error("not busy although a request waited")
