Keep clients of owners, and don't send invalid requests for slots

With a new client for each call, a slot took 0.32 ms of processor time at both boxes together, instead of 0.17 ms (BenchmarkSlot on one processor). A request that can't be encoded would have counted as a failure of each owner asked.

--- a/internal/overlay/fact.go
+++ b/internal/overlay/fact.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unicode/utf8"
 
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 )
@@ -205,15 +206,18 @@
 		msg.Waiting, ok = &StreamsWaiting{int(k.Waiting.GetN())}, k.Waiting.GetN() >= 0 && k.Waiting.GetN() < maxWaiting
 	case *v1.Fact_Contended:
 		msg.Contended = &ServiceContended{Service: k.Contended.GetService(), Region: k.Contended.GetRegion()}
-		ok = validName(msg.Contended.Service) && len(msg.Contended.Region) <= maxNameBytes
+		ok = validName(msg.Contended.Service) && validText(msg.Contended.Region)
 	}
 	return msg, ok
 }
 
 func validTokens(n int32) bool { return n >= 0 && n < maxTokens }
 
-// validName reports whether a name is present and within the bound.
-func validName(name string) bool { return name != "" && len(name) <= maxNameBytes }
+// validText reports whether a text is within the bound and can be sent in a message.
+func validText(text string) bool { return len(text) <= maxNameBytes && utf8.ValidString(text) }
+
+// validName reports whether a name is present and a validText.
+func validName(name string) bool { return name != "" && validText(name) }
 
 func decodeTiming(m *v1.StreamTook) (*StreamTiming, bool) {
 	for _, us := range []int64{m.GetReadUs(), m.GetBeginUs(), m.GetStepUs()} {
--- a/internal/overlay/slots.go
+++ b/internal/overlay/slots.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -58,8 +59,8 @@
 	// process a release before the request that the release belongs to. maxWithdrawn bounds the IDs.
 	withdrawnRetention = 2 * time.Second
 	maxWithdrawn       = 4096
-	// slotAddressRetention is how long the address of an owner that has left the members table is kept for releases.
-	slotAddressRetention = 2 * time.Minute
+	// slotPeerRetention is how long the address of an owner that has left the members table is kept for releases.
+	slotPeerRetention = 2 * time.Minute
 	// slotIdleConns and slotIdleTimeout bound the idle connections to each owner. 83 boxes with 4 connections each cost
 	// an owner about 10 MB.
 	slotIdleConns   = 4
@@ -101,7 +102,7 @@
 	// not answer, because a box that stops still serves other calls.
 	unavailable unresponsiveOwners
 	releases    releaseQueues
-	addresses   slotAddresses
+	peers       slotPeers
 	withdrawn   withdrawnSlots
 	// serving limits the requests of other boxes that are served at the same time to maxSlotCalls.
 	serving chan struct{}
@@ -160,11 +161,15 @@
 //
 // If the connection to an owner fails or the owner stops, the next box in rendezvous order is asked, but not more than
 // maxOwnersAsked boxes. An owner that accepts the call and does not answer in time costs one request slotFirstTimeout.
+// A request whose values are out of bounds is not sent.
 func (n *Node) AcquireSlot(ctx context.Context, cell slots.Cell, r slots.Request) (d slots.Decision, owner string, busy bool) {
 	if n.o.Slots == nil || cell.Region != n.o.Self.Region {
 		return slots.Decision{}, "", false
 	}
 	r.Box, r.Hall = cmp.Or(r.Box, n.o.Self.Name), cmp.Or(r.Hall, n.o.Self.Hall)
+	if _, _, ok := decodeSlotRequest(encodeSlotRequest(cell, r)); !ok {
+		return slots.Decision{}, "", false // Sending it would fail, and that would count as a failure of the owner.
+	}
 	began := clock.Now()
 	asked := 0
 	for _, m := range n.slotOwners(cell) {
@@ -287,10 +292,9 @@
 		cancel(nil)
 		return slots.Decision{}, false, err
 	}
-	n.slots.addresses.remember(m, clock.Now(), &n.members)
 	req := connect.NewRequest(encodeSlotRequest(cell, r))
 	authorize(req.Header(), n.members.sharedKey())
-	stream, err := n.slotClient(m.Address).AcquireSlot(streamCtx, req)
+	stream, err := n.slotPeer(m, clock.Now()).AcquireSlot(streamCtx, req)
 	if err != nil {
 		return fail(err)
 	}
@@ -327,7 +331,7 @@
 // same owner and cell that come while a call is under way go together in the next call.
 func (n *Node) ReleaseSlot(owner string, cell slots.Cell, id string, res slots.Result) {
 	switch {
-	case owner == "" || n.o.Slots == nil:
+	case owner == "" || n.o.Slots == nil || !validName(id):
 		return
 	case owner == n.o.Self.Name:
 		n.o.Slots.Release(cell, id, res)
@@ -395,19 +399,15 @@
 }
 
 func (n *Node) sendReleaseBatch(key releaseKey, list []*v1.SlotRelease) bool {
-	address := n.slots.addresses.get(key.owner)
-	if address == "" {
-		m, _ := n.members.get(key.owner)
-		address = m.Address
-	}
-	if address == "" {
+	client := n.slotClientFor(key.owner)
+	if client == nil {
 		return false
 	}
 	for range releaseAttempts {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		req := connect.NewRequest(&v1.ReleaseSlotRequest{Cell: encodeCell(key.cell), Box: n.o.Self.Name, Releases: list})
 		authorize(req.Header(), n.members.sharedKey())
-		_, err := n.slotClient(address).ReleaseSlot(ctx, req)
+		_, err := client.ReleaseSlot(ctx, req)
 		cancel()
 		if err == nil {
 			return true
@@ -416,40 +416,55 @@
 	return false
 }
 
-// slotAddresses holds the addresses of the boxes that were asked for slots. An owner that stops as planned leaves the
-// members table at once, but still accepts releases.
-type slotAddresses struct {
-	mu    sync.Mutex
-	boxes map[string]slotAddress
+// slotPeers holds the boxes that were asked for slots. An owner that stops as planned leaves the members table at once,
+// but still accepts releases.
+type slotPeers struct {
+	mu     sync.Mutex
+	byName map[string]slotPeer
 }
 
-type slotAddress struct {
+// slotPeer is a box that was asked for slots. The client is kept: with a new client for each call, a slot took 0.32 ms of
+// processor time at both boxes together, instead of 0.17 ms (BenchmarkSlot on one processor).
+type slotPeer struct {
 	address string
+	client  stoatrampv1connect.OverlayClient
 	askedAt time.Time
 }
 
-// remember keeps the address of a box that is asked. When there are more addresses than listed members, it removes
-// those that have not been used for slotAddressRetention.
-func (s *slotAddresses) remember(m Member, now time.Time, listed *members) {
+// slotPeer returns the client for a box that is asked. When more boxes are kept than are listed, it removes those that
+// were not asked for slotPeerRetention.
+func (n *Node) slotPeer(m Member, now time.Time) stoatrampv1connect.OverlayClient {
+	s := &n.slots.peers
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.boxes == nil {
-		s.boxes = map[string]slotAddress{}
-	}
-	if _, known := s.boxes[m.Name]; !known && len(s.boxes) >= listed.size() {
-		for name, a := range s.boxes {
-			if now.Sub(a.askedAt) > slotAddressRetention {
-				delete(s.boxes, name)
-			}
-		}
+	if s.byName == nil {
+		s.byName = map[string]slotPeer{}
+	}
+	p, known := s.byName[m.Name]
+	if !known && len(s.byName) >= n.members.size() {
+		maps.DeleteFunc(s.byName, func(_ string, other slotPeer) bool { return now.Sub(other.askedAt) > slotPeerRetention })
+	}
+	if p.address != m.Address {
+		p = slotPeer{address: m.Address, client: n.slotClient(m.Address)}
 	}
-	s.boxes[m.Name] = slotAddress{m.Address, now}
+	p.askedAt = now
+	s.byName[m.Name] = p
+	return p.client
 }
 
-func (s *slotAddresses) get(name string) string {
+// slotClientFor returns the client for a box that is sent releases; nil if the box's address is not known.
+func (n *Node) slotClientFor(name string) stoatrampv1connect.OverlayClient {
+	s := &n.slots.peers
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.boxes[name].address
+	p := s.byName[name]
+	s.mu.Unlock()
+	if p.client != nil {
+		return p.client
+	}
+	if m, _ := n.members.get(name); m.Address != "" {
+		return n.slotClient(m.Address)
+	}
+	return nil
 }
 
 // withdrawnSlots holds the IDs of requests that other boxes withdrew recently.
@@ -465,11 +480,7 @@
 		s.ids = map[string]time.Time{}
 	}
 	if len(s.ids) >= maxWithdrawn {
-		for other, until := range s.ids {
-			if !now.Before(until) {
-				delete(s.ids, other)
-			}
-		}
+		maps.DeleteFunc(s.ids, func(_ string, until time.Time) bool { return !now.Before(until) })
 	}
 	if len(s.ids) < maxWithdrawn { // Without the ID a grant is at worst in use until it expires.
 		s.ids[id] = now.Add(withdrawnRetention)
@@ -572,7 +583,7 @@
 
 func decodeCell(m *v1.SlotCell) (c slots.Cell, ok bool) {
 	c = slots.Cell{Service: m.GetService(), Region: m.GetRegion(), Index: int(m.GetIndex())}
-	return c, validName(c.Service) && len(c.Region) <= maxNameBytes && c.Index >= 0 && c.Index < maxCellIndex
+	return c, validName(c.Service) && validText(c.Region) && c.Index >= 0 && c.Index < maxCellIndex
 }
 
 // encodeSlotTime encodes a duration in microseconds. Durations beyond the bounds of the protocol are changed to the
@@ -594,7 +605,7 @@
 	c, cellOK := decodeCell(m.Cell)
 	onTime, onTimeOK := decodeSlotTime(m.OnTimeUs)
 	left, leftOK := decodeSlotTime(m.LeftUs)
-	ok = cellOK && onTimeOK && leftOK && validName(m.Id) && validName(m.Box) && len(m.Hall) <= maxNameBytes && len(m.Account) <= maxNameBytes &&
+	ok = cellOK && onTimeOK && leftOK && validName(m.Id) && validName(m.Box) && validText(m.Hall) && validText(m.Account) &&
 		m.Weight >= 0 && m.Weight <= maxSlotWeight && // NaN fails both comparisons.
 		m.Priority >= 0 && m.Priority <= maxPriority && len(m.Exclude) <= maxExcluded
 	for _, e := range m.Exclude {
--- a/internal/overlay/slots_test.go
+++ b/internal/overlay/slots_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sys/unix"
 
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 	"github.com/stoatramp/stoatramp/internal/slots"
@@ -391,6 +393,58 @@
 	}
 }
 
+// Guards against calls that are refused because they waited at an owner that stopped: the next owner decides on them,
+// with the time that is left.
+func TestSlotOwnerStopsWhileRequestWaits(t *testing.T) {
+	all, fakes := slotFleet(t, newStore(), 100)
+	for _, asker := range []string{"a", "d"} { // A remote box, and the owner itself.
+		fakes["d"].update(func() { fakes["d"].limit, fakes["d"].stopping = 0, false })
+		all[0].resetSlotOwners()
+		cell := all[0].cellRanked(t, "d", "e")
+		got := make(chan string, 1)
+		go func() {
+			_, owner, _ := boxNamed(all, asker).AcquireSlot(context.Background(), cell, slotRequest())
+			got <- owner
+		}()
+		eventually(t, "the request waits", func() bool { return fakes["d"].queueLength() == 1 })
+		time.Sleep(10 * time.Millisecond)
+		fakes["d"].update(func() { fakes["d"].stopping = true })
+		if owner := <-got; owner != "e" {
+			t.Errorf("asked by %s: expected the next owner e to decide, got %q", asker, owner)
+		}
+		f := fakes["e"]
+		f.mu.Lock()
+		if sent := slotRequest(); f.lastRequest.Left > sent.Left-10*time.Millisecond || f.lastRequest.OnTime > sent.OnTime-10*time.Millisecond {
+			t.Errorf("expected the time that is left, got %s and %s", f.lastRequest.Left, f.lastRequest.OnTime)
+		}
+		f.mu.Unlock()
+	}
+}
+
+// Guards against a request that no box can decode and that makes each owner appear to have failed.
+func TestSlotInvalidRequestIsNotSent(t *testing.T) {
+	all, _ := slotFleet(t, newStore(), 100)
+	cell := all[0].cellRanked(t, "d")
+	for _, change := range []func(*slots.Request){
+		func(r *slots.Request) { r.Account = "\xff" },
+		func(r *slots.Request) { r.ID = "\xff" },
+		func(r *slots.Request) { r.ID = "" },
+		func(r *slots.Request) { r.Weight = math.NaN() },
+		func(r *slots.Request) { r.Exclude = []string{strings.Repeat("x", maxNameBytes+1)} },
+	} {
+		r := slotRequest()
+		change(&r)
+		if _, owner, _ := all[0].AcquireSlot(context.Background(), cell, r); owner != "" {
+			t.Errorf("expected no owner, got %q", owner)
+		}
+		all[0].ReleaseSlot("d", cell, r.ID, slots.Result{Outcome: slots.Unused})
+	}
+	if got := all[0].count.slotUnanswered.Get(); got != 0 || all[0].resetUnresponsive() != 0 {
+		t.Errorf("expected no request to be sent, got %d without an answer", got)
+	}
+	all[0].acquired(t, cell, "d")
+}
+
 // Guards against a box that grants slots while it stops although its slot server was not told: it neither grants to
 // others nor considers itself an owner.
 func TestSlotStoppingBoxGrantsNothing(t *testing.T) {
@@ -426,8 +480,13 @@
 				}()
 				eventually(t, "the request waits", func() bool { return f.queueLength() == 1 })
 				cancel()
-				if owner := <-done; owner != "" {
-					t.Errorf("expected no owner, got %q", owner)
+				select {
+				case owner := <-done:
+					if owner != "" {
+						t.Errorf("expected no owner, got %q", owner)
+					}
+				case <-time.After(f.wait / 2):
+					t.Error("expected the request to end with its context, and not with the expected wait")
 				}
 				eventually(t, "the request is withdrawn and released", func() bool {
 					f.mu.Lock()
@@ -845,3 +904,41 @@
 		}
 	}
 }
+
+// BenchmarkSlot measures what a slot costs: one request and one release over loopback, at both boxes together. The
+// target is 0.15 ms of processor time per call and box.
+func BenchmarkSlot(b *testing.B) {
+	nodes, fake := map[string]*Node{}, newFakeSlots(1<<30)
+	rows := map[string][]byte{keyRow: []byte("key")}
+	for _, name := range []string{"a", "b"} {
+		n := New(Options{Self: Member{Name: name, Region: "r"}, Slots: fake, Metrics: metrics.NewSet()})
+		srv := httptest.NewServer(n.Handler())
+		b.Cleanup(srv.Close)
+		n.SetAddress(srv.Listener.Addr().String())
+		rows[name], nodes[name] = n.o.Self.encode(), n
+	}
+	for _, n := range nodes {
+		n.SetMembers(rows)
+	}
+	cell := slots.Cell{Service: "s", Region: "r"}
+	for nodes["a"].slotOwners(cell)[0].Name != "b" {
+		cell.Index++
+	}
+	processorTime := func() time.Duration {
+		var u unix.Rusage
+		if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
+			b.Fatal(err)
+		}
+		return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	}
+	before := processorTime()
+	b.ResetTimer()
+	for range b.N {
+		r := slotRequest()
+		if _, owner, _ := nodes["a"].AcquireSlot(context.Background(), cell, r); owner != "b" {
+			b.Fatalf("expected b to decide, got %q", owner)
+		}
+		nodes["a"].ReleaseSlot("b", cell, r.ID, slots.Result{Outcome: slots.Answered})
+	}
+	b.ReportMetric(float64(processorTime()-before)/float64(b.N)/1e6, "cpu-ms/op")
+}
