--- a/internal/overlay/slots.go
+++ b/internal/overlay/slots.go
@@ -144,14 +144,14 @@
 	return ranked
 }
 
-// slotOutcome says how a request to one possible owner ended.
-type slotOutcome uint8
+// askOutcome says how a request to one possible owner ended.
+type askOutcome uint8
 
 const (
-	slotDecided  slotOutcome = iota // The owner granted or refused.
-	slotStopping                    // The box stops, or does not serve slots.
-	slotFailed                      // The connection failed.
-	slotGivenUp                     // The owner did not answer in time, or the request was invalid, or ctx ended.
+	slotDecided  askOutcome = iota // The owner granted or refused.
+	slotStopping                   // The box stops, or does not serve slots.
+	slotFailed                     // The connection failed.
+	slotGivenUp                    // The owner did not answer in time, or the request was invalid, or ctx ended.
 )
 
 // AcquireSlot asks the owner of a cell for a slot. It blocks while the request is queued. Owner is the name of the box
@@ -187,7 +187,7 @@
 		asked++
 		request := r
 		request.OnTime, request.Left = r.OnTime-elapsed, r.Left-elapsed
-		var outcome slotOutcome
+		var outcome askOutcome
 		if m.Name == n.o.Self.Name {
 			d, busy, outcome = n.acquireLocally(ctx, cell, request)
 		} else {
@@ -222,7 +222,7 @@
 }
 
 // acquireLocally asks this box itself, as the owner of a cell.
-func (n *Node) acquireLocally(ctx context.Context, cell slots.Cell, r slots.Request) (d slots.Decision, busy bool, o slotOutcome) {
+func (n *Node) acquireLocally(ctx context.Context, cell slots.Cell, r slots.Request) (d slots.Decision, busy bool, o askOutcome) {
 	d, busy = n.o.Slots.Acquire(ctx, cell, r, func(slots.Decision) {})
 	switch {
 	case ctx.Err() != nil:
@@ -238,7 +238,7 @@
 
 // askSlotOwner asks another box for a slot. If the box may have granted a slot that this box did not learn of, the slot
 // is released.
-func (n *Node) askSlotOwner(ctx context.Context, m Member, cell slots.Cell, r slots.Request) (slots.Decision, bool, slotOutcome) {
+func (n *Node) askSlotOwner(ctx context.Context, m Member, cell slots.Cell, r slots.Request) (slots.Decision, bool, askOutcome) {
 	d, busy, err := n.exchangeSlot(ctx, m, cell, r)
 	if err == nil && d.State == slots.Refused && d.Reason == slots.Stopping {
 		n.count.slotStopping.Inc()
