--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -101,6 +101,7 @@
 			}
 			break
 		}
+		defer g.release(slots.Result{Outcome: slots.Unused}) // Also if the call panics.
 		if refused, yes := x.quarantinedAfterWait(g); yes {
 			x.r.plain.release(e)
 			o, failed = refused, nil
