Let units travel with the shares of account limits

When an owner of accounts stops as planned, it leaves the list of members at once, with the shares and with what its buckets hold. A box now remembers the member that has its share until the loan expires, asks it for units and for the return, and passes the units of the share on to the next owner.

Limits that are set again after all were removed start full: the pool took them for the first configuration after a start.

--- a/internal/overlay/accounts.go
+++ b/internal/overlay/accounts.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -30,7 +31,8 @@
 	// answers some tens of milliseconds late.
 	allowTimeout = 60 * time.Millisecond
 	lendTimeout  = 200 * time.Millisecond
-	// maxOwnersAsked is how many boxes are asked as owner of the account for one client request.
+	// maxOwnersAsked is how many boxes are asked as owner of the account for one client request. One more is asked while
+	// shares move from one owner to another.
 	maxOwnersAsked = 2
 	// unsettledLendInterval is the pause between lending attempts while a share of this box is not yet lent to
 	// the owner of its group. So after a change of owner the new owner can grant units within a tenth of a second.
@@ -51,6 +53,58 @@
 	byGroup [quota.Groups][]Member
 }
 
+// borrowers remembers the boxes that this box has lent shares to. When such a box stops as planned, it leaves the list
+// of members at once, but still has the shares. Until it returns them or the loans expire, it is asked for units and for
+// the return.
+type borrowers struct {
+	mu sync.Mutex
+	// byName has a box as it was listed when this box last lent a share to it.
+	byName map[string]Member
+}
+
+// remember records a listed box to which shares are lent.
+func (b *borrowers) remember(m Member) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.byName == nil {
+		b.byName = map[string]Member{}
+	}
+	b.byName[m.Name] = m
+}
+
+// retain forgets all boxes but those that keep reports true for.
+func (b *borrowers) retain(keep func(name string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.byName, func(name string, _ Member) bool { return !keep(name) })
+}
+
+func (b *borrowers) get(name string) (m Member, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m, ok = b.byName[name]
+	return m, ok
+}
+
+// borrower returns the member that a share is lent to. It is the listed one, or the remembered one if it is not listed
+// any more.
+func (n *Node) borrower(name string) (m Member, ok bool) {
+	if m, _ = n.members.get(name); m.Address != "" {
+		return m, true
+	}
+	return n.borrowers.get(name)
+}
+
+// isBorrower reports whether a share of this box is lent to a box, or was until a short time ago.
+func (n *Node) isBorrower(now time.Time, name string) bool {
+	for g := range quota.Groups {
+		if n.lender.Borrower(now, g) == name || n.lender.PreviousBorrower(now, g) == name {
+			return true
+		}
+	}
+	return false
+}
+
 // accountOwners returns the region's boxes in the order in which they are asked as owner of a group of accounts.
 func (n *Node) accountOwners(group int) []Member {
 	version := n.members.changes.Load()
@@ -96,7 +150,22 @@
 				n.lendOnce(ctx, alone) // Shares that were just returned are lent to their owner immediately.
 			}
 		}
-		sleep(ctx, n.nextLendDelay(clock.Now(), limited, alone))
+		n.waitToLend(ctx, n.nextLendDelay(clock.Now(), limited, alone), alone)
+	}
+}
+
+// waitToLend waits for a delay. It returns earlier if a share of this box is no longer lent to the right box, for
+// example because the owner of a group has left the list of members.
+func (n *Node) waitToLend(ctx context.Context, delay time.Duration, alone bool) {
+	for end := clock.Now().Add(delay); ctx.Err() == nil; {
+		left := end.Sub(clock.Now())
+		if left <= 0 {
+			return
+		}
+		sleep(ctx, min(left, unsettledLendInterval))
+		if n.o.Limits.HasLimits() && !n.settled(clock.Now(), alone) {
+			return
+		}
 	}
 }
 
@@ -122,12 +191,17 @@
 	return true
 }
 
-// canReachOthers reports whether calls to other boxes may be answered. A box that has just started counts as
-// able to reach others once it knows the shared key, which authenticates calls between boxes.
+// canReachOthers reports whether calls to other boxes may be answered. A box that has just started counts as able to
+// reach others once it knows the shared key, which authenticates calls between boxes. A box that stops as planned counts
+// too, although it has no followers and may follow no box any more.
 func (n *Node) canReachOthers() bool {
-	return n.Connected() || clock.Since(n.startedAt) < startupGrace && n.members.sharedKey() != ""
+	return n.Connected() || (n.stopping() || clock.Since(n.startedAt) < startupGrace) && n.members.sharedKey() != ""
 }
 
+// stopping reports whether this box has begun a planned stop. It then owns no group, even if its copy of the list of
+// members still has it.
+func (n *Node) stopping() bool { return n.stopped.Err() != nil }
+
 // desiredOwners returns the box that this box's share should be lent to now, for each group of accounts. That can be
 // this box itself.
 func (n *Node) desiredOwners(now time.Time, alone bool) (want [quota.Groups]string) {
@@ -137,6 +211,9 @@
 			continue
 		}
 		for _, m := range n.accountOwners(g) {
+			if m.Name == n.o.Self.Name && n.stopping() {
+				continue
+			}
 			if m.Name == n.o.Self.Name || n.unresponsive.usable(m.Name, now) {
 				want[g] = m.Name
 				break
@@ -146,8 +223,13 @@
 	return want
 }
 
-// updateRanks tells the pool of limits the rank of this box among the possible owners of each group.
+// updateRanks tells the pool of limits the rank of this box among the possible owners of each group. A stopping box keeps
+// its rank: with a lower rank its buckets would lose the overage before it could travel with the shares.
 func (n *Node) updateRanks(now time.Time, alone bool) {
+	if n.stopping() {
+		n.o.Limits.BeginStop(now)
+		return
+	}
 	for g := range quota.Groups {
 		at := quota.Place{Boxes: 1}
 		if !alone {
@@ -165,20 +247,37 @@
 func (n *Node) lendOnce(ctx context.Context, alone bool) (canLendAgain bool) {
 	now := clock.Now()
 	_, lent := quota.RenewalInterval(n.members.size())
+	n.borrowers.retain(func(name string) bool { return n.isBorrower(now, name) })
 	return n.runLendCalls(ctx, n.lender.Plan(now, n.desiredOwners(now, alone), lent))
 }
 
+// applyLend carries out a call of a box on this box's pool. It returns the units that belong to returned shares.
+func (n *Node) applyLend(now time.Time, lender string, c quota.Call) quota.Units {
+	returned := n.o.Limits.Lend(now, lender, c.Groups, c.Return, c.Duration)
+	if !c.Return {
+		n.o.Limits.AddUnits(now, c.Groups, c.Units)
+	}
+	return returned
+}
+
 // runLendCalls makes lend and return calls concurrently. It reports whether shares can be lent again.
 func (n *Node) runLendCalls(ctx context.Context, calls []quota.Call) (canLendAgain bool) {
 	var wg sync.WaitGroup
 	results := make([]quota.Result, len(calls))
 	for i, c := range calls {
 		if c.To == n.o.Self.Name {
-			n.o.Limits.Lend(clock.Now(), c.To, c.Groups, c.Return, c.Duration)
+			calls[i].Units = n.applyLend(clock.Now(), n.o.Self.Name, c)
+			continue
+		}
+		if n.stopping() && !c.Return {
+			results[i] = quota.Gone // The other boxes soon count one share less. This one would be beyond the limit.
 			continue
 		}
-		m, _ := n.members.get(c.To)
-		wg.Go(func() { results[i] = n.lend(ctx, m.Address, c) })
+		m, _ := n.borrower(c.To)
+		if m.Address != "" {
+			n.borrowers.remember(m)
+		}
+		wg.Go(func() { results[i], calls[i].Units = n.lend(ctx, m.Address, c) })
 	}
 	wg.Wait()
 	for i, c := range calls {
@@ -187,64 +286,109 @@
 	return canLendAgain
 }
 
-// lend makes one call that lends shares of this box to an owner, or asks for their return.
-func (n *Node) lend(ctx context.Context, address string, c quota.Call) quota.Result {
+// lend makes one call that lends shares of this box to an owner, or asks for their return. Returned are the units that
+// belong to returned shares.
+func (n *Node) lend(ctx context.Context, address string, c quota.Call) (result quota.Result, returned quota.Units) {
 	if address == "" {
-		return quota.Lost // The box is not listed any more. The loan expires on its own.
+		return quota.Lost, quota.Units{} // The box is not known any more. The loan expires on its own.
 	}
 	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
 	defer cancel()
 	req := connect.NewRequest(&v1.LendRequest{Box: n.o.Self.Name, Back: c.Return, LentMs: c.Duration.Milliseconds()})
+	if !c.Return {
+		req.Msg.Levels, req.Msg.OthersFull = encodeLevels(c.Units.Levels), c.Units.OthersFull
+	}
 	for _, g := range c.Groups {
 		req.Msg.Groups = append(req.Msg.Groups, int32(g))
 	}
 	authorize(req.Header(), n.members.sharedKey())
-	_, err := n.client(address).Lend(ctx, req)
+	resp, err := n.client(address).Lend(ctx, req)
 	if err == nil {
 		n.count.lent.Inc()
-		return quota.Delivered
+		// An answer with invalid levels still means that the shares are back. Its units are lost.
+		if levels, ok := decodeLevels(resp.Msg.Levels); ok && c.Return {
+			returned = quota.Units{Levels: levels, OthersFull: resp.Msg.OthersFull}
+		}
+		return quota.Delivered, returned
 	}
 	n.count.lendFailed.Inc()
 	if connect.CodeOf(err) == connect.CodeFailedPrecondition {
-		return quota.Gone // The called box does not list this box yet, and has accepted nothing.
+		return quota.Gone, returned // The called box does not list this box yet, and has accepted nothing.
 	}
 	n.unresponsive.failed(c.To, clock.Now())
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		return quota.Gone
+		return quota.Gone, returned
+	}
+	return quota.Lost, returned
+}
+
+func encodeLevels(levels []quota.Level) (out []*v1.Level) {
+	for _, l := range levels {
+		out = append(out, &v1.Level{Account: l.Account, Units: l.Units})
 	}
-	return quota.Lost
+	return out
 }
 
-// Allow asks the owner of an account for units of the account's limit. If no owner answers, this box grants units from
-// the shares that this box has. Known is false if neither the owner nor this box knows a limit of the account.
+// decodeLevels checks the levels of a message: their number, and that each is a number of units.
+func decodeLevels(levels []*v1.Level) (out []quota.Level, ok bool) {
+	if len(levels) > quota.MaxLevels {
+		return nil, false
+	}
+	for _, l := range levels {
+		if !(l.GetUnits() >= 0 && l.GetUnits() <= maxUnits) {
+			return nil, false
+		}
+		out = append(out, quota.Level{Account: l.GetAccount(), Units: l.GetUnits()})
+	}
+	return out, true
+}
+
+// Allow asks the owner of an account for units of the account's limit. If the owner refuses, but has the shares of too
+// few boxes to know that the limit is exceeded, the second candidate is asked too. If no owner answers, this box grants
+// units from the shares that this box has. Known is false if neither the owner nor this box knows a limit of the account.
 func (n *Node) Allow(ctx context.Context, account string, units, ahead float64) (a quota.Answer, known bool) {
 	if n.canReachOthers() {
-		for _, m := range n.ownersToAsk(clock.Now(), quota.GroupOf(account)) {
-			if m.Name == n.o.Self.Name {
-				break // This box is the owner.
-			}
-			if a, ok := n.askOwner(ctx, m, account, units, ahead); ok {
-				return a, true
-			}
-		}
+		owners := n.ownersToAsk(clock.Now(), quota.GroupOf(account))
+		a, known = quota.AskOwners(len(owners), units, ahead, func(i int, units, ahead float64) (quota.Answer, bool) {
+			return n.allowFrom(ctx, owners[i], account, units, ahead)
+		})
+	}
+	if known {
+		return a, true
 	}
 	return n.o.Limits.Grant(clock.Now(), account, units, ahead)
 }
 
+// allowFrom asks a box for units. The box can be this box.
+func (n *Node) allowFrom(ctx context.Context, m Member, account string, units, ahead float64) (a quota.Answer, ok bool) {
+	if m.Name == n.o.Self.Name {
+		return n.o.Limits.Grant(clock.Now(), account, units, ahead)
+	}
+	return n.askOwner(ctx, m, account, units, ahead)
+}
+
 // ownersToAsk returns the boxes to ask for units of a group's accounts, up to maxOwnersAsked. The first is the box that
-// this box's share is lent to. While the shares move to a new owner, that box still has shares of other boxes too.
-// After it come the possible owners in order of rank.
+// this box's share is lent to, and the second the box that it was lent to before, even if these have left the list of
+// members. While the shares move to a new owner, both have shares of other boxes too. After them come the possible owners
+// in order of rank.
 func (n *Node) ownersToAsk(now time.Time, group int) (out []Member) {
-	if to := n.lender.Borrower(now, group); to != "" {
-		if m, ok := n.members.get(to); ok && n.unresponsive.usable(to, now) {
+	most, previous := maxOwnersAsked, n.lender.PreviousBorrower(now, group)
+	if previous != "" {
+		most++ // It may have ended by now.
+	}
+	for _, to := range []string{n.lender.Borrower(now, group), previous} {
+		if m, ok := n.borrower(to); ok && n.unresponsive.usable(to, now) && !slices.Contains(out, m) {
 			out = append(out, m)
 		}
 	}
 	for _, m := range n.accountOwners(group) {
-		if len(out) >= maxOwnersAsked {
+		if len(out) >= most {
 			break
 		}
-		if (len(out) == 0 || out[0].Name != m.Name) && n.unresponsive.usable(m.Name, now) {
+		if m.Name == n.o.Self.Name && n.stopping() {
+			continue
+		}
+		if !slices.ContainsFunc(out, func(o Member) bool { return o.Name == m.Name }) && n.unresponsive.usable(m.Name, now) {
 			out = append(out, m)
 		}
 	}
@@ -280,12 +424,20 @@
 	for i, g := range r.Msg.Groups {
 		groups[i] = int(g)
 	}
+	levels, ok := decodeLevels(r.Msg.Levels)
+	if !ok {
+		s.n.count.refused.Inc()
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("the levels are too many or out of bounds"))
+	}
 	if _, listed := s.n.members.get(r.Msg.Box); !listed || len(groups) > quota.Groups || r.Msg.LentMs < 0 || r.Msg.LentMs > quota.MaxLoan.Milliseconds() {
 		s.n.count.refused.Inc()
 		return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New("the box that lends is not listed here, or lends what it cannot"))
 	}
-	s.n.o.Limits.Lend(clock.Now(), r.Msg.Box, groups, r.Msg.Back, time.Duration(r.Msg.LentMs)*time.Millisecond)
-	return connect.NewResponse(&v1.LendResponse{}), nil
+	returned := s.n.applyLend(clock.Now(), r.Msg.Box, quota.Call{
+		To: s.n.o.Self.Name, Groups: groups, Return: r.Msg.Back, Duration: time.Duration(r.Msg.LentMs) * time.Millisecond,
+		Units: quota.Units{Levels: levels, OthersFull: r.Msg.OthersFull},
+	})
+	return connect.NewResponse(&v1.LendResponse{Levels: encodeLevels(returned.Levels), OthersFull: returned.OthersFull}), nil
 }
 
 // Allow serves another box's request for units of an account that this box owns.
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -139,6 +139,7 @@
 	unresponsive unresponsiveOwners
 	ownerOrder   ownerRankings
 	lender       quota.Lender
+	borrowers    borrowers
 	// interests holds the engines that this box has a use for messages about, and those that its upstream knows.
 	interests interestState
 	packer    packer
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -25,6 +25,10 @@
 	// orderRotation is not 0 while the boxes disagree on the owner. Then each box starts at a different position of
 	// ownerOrder.
 	orderRotation int
+	// streamShare is the share of streams among the requests.
+	streamShare float64
+	// listChanges means that boxes join and leave the list of boxes.
+	listChanges bool
 	// requests has all requests so far, and whether they were admitted.
 	requests []simRequest
 }
@@ -33,6 +37,8 @@
 	at       time.Duration
 	units    float64
 	admitted bool
+	// unknown means that the request was refused as uncertain; see Verdict.Uncertain.
+	unknown bool
 }
 
 // strategy is one of the ways in which the boxes can enforce the limit together.
@@ -59,11 +65,18 @@
 	// partition is the network partition of the box: only boxes of the same partition can reach each other.
 	partition int
 	frozen    bool
+	// stopping means that the box has begun a planned stop and has left the list of boxes. It still answers calls and
+	// serves requests until it is gone.
+	stopping, gone bool
+	// listChangedAt is when the box joined or left the list of boxes. The other boxes learn it later.
+	listChangedAt time.Time
 	// remoteUsage is how many units other boxes admitted, and level how many units are left in this box's own
 	// bucket. Only the strategies without lending use them.
 	remoteUsage float64
 	level       float64
 	refilledAt  time.Time
+	// lastUnknown means that the last request was refused as uncertain.
+	lastUnknown bool
 }
 
 const simAccount = "a"
@@ -71,7 +84,7 @@
 var simBounds = Bounds{Window: 8 * time.Second, Overage: 0.1, Slack: 120_000}
 
 func newFleetSim(t *testing.T, s strategy, n int, rate float64) *fleetSim {
-	f := &fleetSim{t: t, strategy: s, rng: rand.New(rand.NewPCG(uint64(n), 1)), limit: Limit{rate, rate}, bounds: simBounds, start: time.Now()}
+	f := &fleetSim{t: t, strategy: s, rng: rand.New(rand.NewPCG(uint64(n), 1)), limit: Limit{rate, rate}, bounds: simBounds, start: time.Now(), streamShare: simStreamShare}
 	f.ownerOrder = f.rng.Perm(n)
 	for i := range n {
 		b := &simBox{fleet: f, index: i}
@@ -92,7 +105,31 @@
 
 func (b *simBox) canReach(i int) bool {
 	other := b.fleet.boxes[i]
-	return other == b || !b.frozen && !other.frozen && b.partition == other.partition
+	return other == b || !b.frozen && !other.frozen && !other.gone && b.partition == other.partition
+}
+
+// lists reports whether a box is in this box's copy of the list of boxes. Boxes learn changes of the list at different
+// times, up to simListDelay late. A stopping box doesn't count itself.
+func (b *simBox) lists(i int) bool {
+	other := b.fleet.boxes[i]
+	listed := !other.stopping && !other.gone
+	delay := simListDelay * time.Duration((b.index*7+i)%20+1) / 20
+	if other != b && !other.listChangedAt.IsZero() && time.Since(other.listChangedAt) < delay {
+		return !listed
+	}
+	return listed
+}
+
+// beginStop is the begin of a planned stop, as in Node.Leave of package overlay.
+func (b *simBox) beginStop() { b.stopping, b.listChangedAt = true, time.Now() }
+
+// endStop ends the process of a stopping box.
+func (b *simBox) endStop() { b.stopping, b.gone = false, true }
+
+// rejoin starts the box again after a planned stop.
+func (b *simBox) rejoin() {
+	b.restart()
+	b.gone, b.listChangedAt = false, time.Now()
 }
 
 func (b *simBox) isolated() bool {
@@ -103,44 +140,48 @@
 
 // ownerOrder is the order in which this box asks the boxes as owner.
 func (b *simBox) ownerOrder() []int {
-	if b.fleet.orderRotation == 0 {
-		return b.fleet.ownerOrder
+	order := b.fleet.ownerOrder
+	if b.fleet.orderRotation != 0 {
+		n := (b.index + b.fleet.orderRotation) % len(order)
+		order = slices.Concat(order[n:], order[:n])
+	}
+	if !b.fleet.listChanges {
+		return order
+	}
+	return slices.DeleteFunc(slices.Clone(order), func(i int) bool { return !b.lists(i) })
+}
+
+// desiredOwner is the box that this box's share should be lent to, as in package overlay.
+func (b *simBox) desiredOwner() int {
+	if !b.isolated() {
+		for _, i := range b.ownerOrder() {
+			if b.usable(i) {
+				return i
+			}
+		}
 	}
-	n := (b.index + b.fleet.orderRotation) % len(b.fleet.ownerOrder)
-	return slices.Concat(b.fleet.ownerOrder[n:], b.fleet.ownerOrder[:n])
+	return b.index
+}
+
+func (b *simBox) settled() bool {
+	return b.lender.Borrower(time.Now(), GroupOf(simAccount)) == fmt.Sprint(b.desiredOwner())
 }
 
 // tick lends the box's share to the owner again, as package overlay does at each renewal interval.
 func (b *simBox) tick() {
-	if b.frozen {
+	if b.frozen || b.gone {
 		return
 	}
 	group := GroupOf(simAccount)
 	_, lentFor := RenewalInterval(len(b.fleet.boxes))
-	b.pool.SetPlace(time.Now(), group, Place{Boxes: len(b.fleet.boxes), Rank: slices.Index(b.fleet.ownerOrder, b.index)})
+	b.updatePlace()
 	for range 2 {
 		var want [Groups]string
-		want[group] = fmt.Sprint(b.index)
-		for _, i := range b.ownerOrder() {
-			if b.isolated() {
-				break
-			}
-			if b.usable(i) {
-				want[group] = fmt.Sprint(i)
-				break
-			}
-		}
+		want[group] = fmt.Sprint(b.desiredOwner())
 		retry := false
 		for _, c := range b.lender.Plan(time.Now(), want, lentFor) {
-			var to int
-			_, _ = fmt.Sscan(c.To, &to)
-			result := Lost
-			if b.canReach(to) {
-				b.fleet.boxes[to].pool.Lend(time.Now(), fmt.Sprint(b.index), c.Groups, c.Return, c.Duration)
-				result = Delivered
-			} else {
-				b.unreachableUntil[to] = time.Now().Add(2 * time.Second)
-			}
+			var result Result
+			result, c.Units = b.call(c)
 			retry = b.lender.CallDone(time.Now(), c, result) || retry
 		}
 		if !retry {
@@ -149,24 +190,84 @@
 	}
 }
 
+func (b *simBox) updatePlace() {
+	if b.stopping {
+		b.pool.BeginStop(time.Now())
+		return
+	}
+	place := Place{Boxes: len(b.fleet.boxes), Rank: slices.Index(b.fleet.ownerOrder, b.index)}
+	if b.fleet.listChanges {
+		order := b.ownerOrder()
+		if place = (Place{Boxes: len(order), Rank: slices.Index(order, b.index)}); place.Rank < 0 {
+			place.Rank = place.Boxes
+		}
+	}
+	b.pool.SetPlace(time.Now(), GroupOf(simAccount), place)
+}
+
+// call makes a call that lends this box's share or asks for its return.
+func (b *simBox) call(c Call) (Result, Units) {
+	var to int
+	_, _ = fmt.Sscan(c.To, &to)
+	other := b.fleet.boxes[to]
+	if !b.canReach(to) {
+		b.unreachableUntil[to] = time.Now().Add(2 * time.Second)
+		if other.gone {
+			return Gone, Units{}
+		}
+		return Lost, Units{}
+	}
+	if other != b && !c.Return && (b.stopping || !other.lists(b.index)) {
+		return Gone, Units{} // In package overlay, a stopping box doesn't lend, and no box accepts an unlisted box's share.
+	}
+	returned := other.pool.Lend(time.Now(), fmt.Sprint(b.index), c.Groups, c.Return, c.Duration)
+	if !c.Return {
+		other.pool.AddUnits(time.Now(), c.Groups, c.Units)
+	}
+	return Delivered, returned
+}
+
 // Allow requests units from the owners in turn, as package overlay does.
-func (b *simBox) Allow(_ context.Context, account string, units, ahead float64) (Answer, bool) {
-	unreachable := 0
+func (b *simBox) Allow(_ context.Context, account string, units, ahead float64) (a Answer, known bool) {
+	if !b.isolated() {
+		owners := b.ownersToAsk()
+		a, known = AskOwners(len(owners), units, ahead, func(k int, units, ahead float64) (Answer, bool) {
+			if i := owners[k]; b.canReach(i) {
+				return b.fleet.boxes[i].pool.Grant(time.Now(), account, units, ahead)
+			}
+			b.unreachableUntil[owners[k]] = time.Now().Add(2 * time.Second)
+			return Answer{}, false
+		})
+	}
+	if known {
+		return a, true
+	}
+	return b.pool.Grant(time.Now(), account, units, ahead)
+}
+
+// ownersToAsk returns the boxes to ask for units: the one that this box's share is lent to, the one before it, and
+// the next usable ones in the order of owners, two in all or three while the share moves.
+func (b *simBox) ownersToAsk() (out []int) {
+	group := GroupOf(simAccount)
+	most, previous := 2, b.lender.PreviousBorrower(time.Now(), group)
+	if previous != "" {
+		most++
+	}
+	for _, to := range []string{b.lender.Borrower(time.Now(), group), previous} {
+		var i int
+		if n, _ := fmt.Sscan(to, &i); n == 1 && b.usable(i) && !slices.Contains(out, i) {
+			out = append(out, i)
+		}
+	}
 	for _, i := range b.ownerOrder() {
-		if i == b.index || b.isolated() || unreachable == 2 {
+		if len(out) >= most {
 			break
 		}
-		if !b.usable(i) {
-			continue
+		if !slices.Contains(out, i) && b.usable(i) {
+			out = append(out, i)
 		}
-		if b.canReach(i) {
-			a, _ := b.fleet.boxes[i].pool.Grant(time.Now(), account, units, ahead)
-			return a, true
-		}
-		b.unreachableUntil[i] = time.Now().Add(2 * time.Second)
-		unreachable++
 	}
-	return b.pool.Grant(time.Now(), account, units, ahead)
+	return out
 }
 
 // admit decides by the simulated strategy whether a request of some units is admitted.
@@ -174,7 +275,9 @@
 	n := float64(len(b.fleet.boxes))
 	switch b.fleet.strategy {
 	case lentShares:
-		return b.cache.Take(context.Background(), simAccount, units).OK
+		v := b.cache.Take(context.Background(), simAccount, units)
+		b.lastUnknown = !v.OK && v.Uncertain
+		return v.OK
 	case ownShares:
 		return b.takeOwn(units, 1/n, b.fleet.bounds.overage(b.fleet.limit)/n/2)
 	case fullLimitAtOwner:
@@ -232,11 +335,20 @@
 	simOverloadFrom     = 20 * time.Second
 	simOverloadUntil    = 26500 * time.Millisecond
 	simEnd              = 36 * time.Second
-	simMeanUnits        = simStreamShare*simStreamUnits + (1-simStreamShare)*simPlainUnits
 	simWarmup           = 10 * time.Second
 	simFaultFrom        = 20500 * time.Millisecond
 	simFaultUntil       = 26 * time.Second
 	simRotationInterval = 400 * time.Millisecond
+	// simUnsettledInterval is the pause between lending attempts in package overlay while a share isn't lent to the
+	// right box.
+	simUnsettledInterval = 100 * time.Millisecond
+	// Owners stop as planned, one after the other. Each runs on for simStopGrace after it left the list. In a restart
+	// it starts again simRestartDelay later.
+	simStops        = 5
+	simStopInterval = 1100 * time.Millisecond
+	simStopGrace    = time.Second
+	simRestartDelay = 50 * time.Millisecond
+	simListDelay    = 300 * time.Millisecond
 )
 
 // run sends the load to a fifth of the boxes, at least two, while fault disturbs the boxes.
@@ -247,22 +359,27 @@
 	for now := time.Duration(0); now < simEnd; now = time.Since(f.start) {
 		fault(f, now)
 		for _, b := range f.boxes {
-			if (int(now/simStep)+b.index)%int(renew/simStep) == 0 {
+			step := int(now/simStep) + b.index
+			if step%int(renew/simStep) == 0 || step%int(simUnsettledInterval/simStep) == 0 && !b.settled() {
 				b.tick()
 			}
 		}
-		rate := simBaseLoad * f.limit.Rate / simMeanUnits
+		rate := simBaseLoad * f.limit.Rate / (f.streamShare*simStreamUnits + (1-f.streamShare)*simPlainUnits)
 		if now >= simOverloadFrom && now < simOverloadUntil {
 			rate *= loadFactor
 		}
 		for due += rate * simStep.Seconds(); due >= 1; due-- {
 			units := simPlainUnits
-			if f.rng.Float64() < simStreamShare {
+			if f.rng.Float64() < f.streamShare {
 				units = simStreamUnits
 			}
 			b := f.boxes[entryBoxes[f.rng.IntN(len(entryBoxes))]]
+			for b.gone {
+				b = f.boxes[(b.index+1)%len(f.boxes)]
+			}
+			b.lastUnknown = false
 			ok := !b.frozen && b.admit(units)
-			f.requests = append(f.requests, simRequest{now, units, ok})
+			f.requests = append(f.requests, simRequest{now, units, ok, b.lastUnknown})
 		}
 		time.Sleep(simStep)
 	}
@@ -287,8 +404,9 @@
 	return maxSum / (r + f.bounds.overage(f.limit))
 }
 
-// wronglyRefused is the fraction of the units within the limit that were refused after the warm-up.
-func (f *fleetSim) wronglyRefused() float64 {
+// wronglyRefused is the fraction of the units within the limit that were refused after the warm-up. Unknown is how many
+// requests within the limit were refused as uncertain.
+func (f *fleetSim) wronglyRefused() (fraction float64, unknown int) {
 	level, at, within, refused := f.limit.Burst, time.Duration(0), 0.0, 0.0
 	for _, request := range f.requests {
 		level = min(f.limit.Burst, level+(request.at-at).Seconds()*f.limit.Rate)
@@ -304,8 +422,11 @@
 		if !request.admitted {
 			refused += request.units
 		}
+		if request.unknown {
+			unknown++
+		}
 	}
-	return refused / within
+	return refused / within, unknown
 }
 
 var simFaults = []struct {
@@ -348,6 +469,27 @@
 			slices.Reverse(f.ownerOrder)
 		}
 	}},
+	{"owners stop as planned", func(f *fleetSim, at time.Duration) { f.stopOwners(at, false) }},
+	{"owners restart as planned", func(f *fleetSim, at time.Duration) { f.stopOwners(at, true) }},
+}
+
+// stopOwners stops the present owner as planned, at most half of the boxes one after the other. With restart set, each
+// of them starts again before the next one stops, so that the first owner gets the shares back.
+func (f *fleetSim) stopOwners(at time.Duration, restart bool) {
+	f.listChanges = true
+	for k := range min(simStops, len(f.boxes)/2) {
+		b := f.boxes[f.ownerOrder[k]]
+		switch from := simFaultFrom + time.Duration(k)*simStopInterval; at {
+		case from:
+			b.beginStop()
+		case from + simStopGrace:
+			b.endStop()
+		case from + simStopGrace + simRestartDelay:
+			if restart {
+				b.rejoin()
+			}
+		}
+	}
 }
 
 func (f *fleetSim) partition(at time.Duration, partitionOf func(i int) int) {
@@ -360,13 +502,14 @@
 }
 
 // runSim simulates one strategy for n boxes under one fault.
-func runSim(t *testing.T, s strategy, n int, rate, loadFactor float64, fault func(f *fleetSim, at time.Duration)) (worst, refused float64) {
+func runSim(t *testing.T, s strategy, n int, rate, loadFactor float64, fault func(f *fleetSim, at time.Duration)) (worst, refused float64, unknown int) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleetSim(t, s, n, rate)
 		f.run(loadFactor, fault)
-		worst, refused = f.worstWindow(), f.wronglyRefused()
+		worst = f.worstWindow()
+		refused, unknown = f.wronglyRefused()
 	})
-	return worst, refused
+	return worst, refused, unknown
 }
 
 // An account asks for more than four times its limit. All boxes together give it no more units than the platform
@@ -379,7 +522,7 @@
 			for _, fault := range simFaults {
 				t.Run(fmt.Sprintf("%d/%.0f/%s", n, rate, fault.name), func(t *testing.T) {
 					t.Parallel()
-					if worst, _ := runSim(t, lentShares, n, rate, simOverloadFactor, fault.apply); worst > 1 {
+					if worst, _, _ := runSim(t, lentShares, n, rate, simOverloadFactor, fault.apply); worst > 1 {
 						t.Errorf("expected at most what the platform allows, got %.2f times that", worst)
 					}
 				})
@@ -388,16 +531,72 @@
 	}
 }
 
-// While the boxes reach each other, less than 0.5% of the units of an account within its limit are refused.
+// simFaultNamed returns the fault with a name.
+func simFaultNamed(t *testing.T, name string) func(f *fleetSim, at time.Duration) {
+	t.Helper()
+	for _, fault := range simFaults {
+		if fault.name == name {
+			return fault.apply
+		}
+	}
+	t.Fatalf("no fault has the name %q", name)
+	return nil
+}
+
+// plannedFaults are the faults in which all boxes reach each other.
+var plannedFaults = []string{"none", "owners stop as planned", "owners restart as planned"}
+
+// While the boxes reach each other, less than 0.5% of the units of an account within its limit are refused. That also
+// holds while owners stop as planned. No request within the limit is then refused as unknown, as 201 requests in 1.5 s
+// were when a stopping owner left the list of boxes with the shares.
 func TestWithinTheLimit(t *testing.T) {
 	for _, n := range []int{8, 60, 400} {
 		for _, rate := range []float64{29_000, 141_000} {
-			t.Run(fmt.Sprintf("%d/%.0f", n, rate), func(t *testing.T) {
-				t.Parallel()
-				if _, refused := runSim(t, lentShares, n, rate, 1, simFaults[0].apply); refused > 0.005 {
-					t.Errorf("expected under 0.5%% of what is within the limit to be refused, got %.2f%%", 100*refused)
-				}
-			})
+			for _, name := range plannedFaults {
+				t.Run(fmt.Sprintf("%d/%.0f/%s", n, rate, name), func(t *testing.T) {
+					t.Parallel()
+					_, refused, unknown := runSim(t, lentShares, n, rate, 1, simFaultNamed(t, name))
+					if refused > 0.005 {
+						t.Errorf("expected under 0.5%% of what is within the limit to be refused, got %.2f%%", 100*refused)
+					}
+					if unknown > 0 {
+						t.Errorf("expected no request within the limit to be refused as unknown, got %d", unknown)
+					}
+				})
+			}
+		}
+	}
+}
+
+// While owners stop as planned, an account that asks for more than its limit gets no more units in any window than
+// without the stops. It got more when units that travel were counted at both owners: when the next owner kept an overage
+// of its own, and while the stopping owner's overage went on being refilled. All requests are plain calls. With streams
+// of 14,000 units the sums of two runs would differ by whole streams.
+func TestPlannedStopWorstWindow(t *testing.T) {
+	for _, n := range []int{8, 60, 400} {
+		for _, rate := range []float64{29_000, 141_000} {
+			seeds := []uint64{1, 2, 3, 4, 5}
+			if n > 60 {
+				seeds = seeds[:1] // A run of 400 boxes takes several seconds with the race detector.
+			}
+			for _, seed := range seeds {
+				t.Run(fmt.Sprintf("%d/%.0f/%d", n, rate, seed), func(t *testing.T) {
+					t.Parallel()
+					worst := func(name string) float64 {
+						fault := simFaultNamed(t, name)
+						w, _, _ := runSim(t, lentShares, n, rate, simOverloadFactor, func(f *fleetSim, at time.Duration) {
+							if at == 0 {
+								f.rng, f.streamShare = rand.New(rand.NewPCG(uint64(n), seed)), 0
+							}
+							fault(f, at)
+						})
+						return w
+					}
+					if calm, stopped := worst("none"), worst("owners stop as planned"); stopped > calm {
+						t.Errorf("expected at most %.4f of what is allowed, got %.4f", calm, stopped)
+					}
+				})
+			}
 		}
 	}
 }
@@ -413,10 +612,10 @@
 		for _, fault := range simFaults {
 			row := fmt.Sprintf("| %s | %s |", s, fault.name)
 			for _, n := range []int{8, 60, 400} {
-				worst, _ := runSim(t, s, n, 29_000, simOverloadFactor, fault.apply)
-				large, _ := runSim(t, s, n, 141_000, simOverloadFactor, fault.apply)
-				_, withinLimit := runSim(t, s, n, 29_000, 1, fault.apply)
-				_, largeWithinLimit := runSim(t, s, n, 141_000, 1, fault.apply)
+				worst, _, _ := runSim(t, s, n, 29_000, simOverloadFactor, fault.apply)
+				large, _, _ := runSim(t, s, n, 141_000, simOverloadFactor, fault.apply)
+				_, withinLimit, _ := runSim(t, s, n, 29_000, 1, fault.apply)
+				_, largeWithinLimit, _ := runSim(t, s, n, 141_000, 1, fault.apply)
 				row += fmt.Sprintf(" %.2f, %.2f | %.1f%%, %.1f%% |", worst, large, 100*withinLimit, 100*largeWithinLimit)
 			}
 			t.Log(row)
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -18,6 +18,12 @@
 type loan struct {
 	to    string
 	until time.Time
+	// units belong to the share while it is not lent. They go with the next loan, once.
+	units Units
+	// previous returned the share before it was lent to to. While that loan would have lasted, previous may still have
+	// shares of other boxes.
+	previous      string
+	previousUntil time.Time
 }
 
 // Call is a call that this box should make to another box. The call lends shares or asks for the return of shares.
@@ -28,6 +34,9 @@
 	Return bool
 	// Duration is how long the loan lasts from the call on.
 	Duration time.Duration
+	// Units are the units that go with the shares. For a call that lends, Plan sets them. For a call for return, the
+	// caller sets them from the answer before CallDone.
+	Units Units
 }
 
 // Result is the result of a Call.
@@ -47,28 +56,37 @@
 
 // Plan returns the calls that are needed to lend the share of each group to the box that want names for the group. If
 // the share is lent to another box, Plan first asks that box to return it. If that box does not answer, the share stays
-// lent to it until the loan expires.
+// lent to it until the loan expires. Units that came back with a share go with the next loan of the share. They are not
+// sent again, even if that call is lost: it may have been carried out.
 func (l *Lender) Plan(now time.Time, want [Groups]string, lentFor time.Duration) []Call {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	lend, back := map[string][]int{}, map[string][]int{}
+	// Calls that carry units are made for one group each: OthersFull holds for all groups of a call, and each answer
+	// lists at most MaxLevels accounts.
+	var back, withUnits []Call
+	lend := map[string][]int{}
 	for g, owner := range want {
 		current := &l.lent[g]
 		switch {
 		case owner == "":
 		case current.to == owner || current.to == "" || !now.Before(current.until):
-			*current = loan{owner, now.Add(maxCallDelay + lentFor)}
+			units := current.units
+			current.to, current.until, current.units = owner, now.Add(maxCallDelay+lentFor), Units{}
+			if !units.empty() {
+				withUnits = append(withUnits, Call{To: owner, Groups: []int{g}, Duration: lentFor, Units: units})
+				continue
+			}
 			lend[owner] = append(lend[owner], g)
 		default:
-			back[current.to] = append(back[current.to], g)
+			back = append(back, Call{To: current.to, Groups: []int{g}, Return: true, Duration: lentFor})
 		}
 	}
-	return append(buildCalls(back, true, lentFor), buildCalls(lend, false, lentFor)...)
+	return slices.Concat(back, withUnits, buildLendCalls(lend, lentFor))
 }
 
-func buildCalls(groupsByBox map[string][]int, takeBack bool, lentFor time.Duration) (out []Call) {
+func buildLendCalls(groupsByBox map[string][]int, lentFor time.Duration) (out []Call) {
 	for _, to := range slices.Sorted(maps.Keys(groupsByBox)) {
-		out = append(out, Call{to, groupsByBox[to], takeBack, lentFor})
+		out = append(out, Call{To: to, Groups: groupsByBox[to], Duration: lentFor})
 	}
 	return out
 }
@@ -83,6 +101,17 @@
 	return ""
 }
 
+// PreviousBorrower returns the box that this box's share of a group was lent to before; empty if that loan would have
+// expired by now.
+func (l *Lender) PreviousBorrower(now time.Time, group int) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if loan := l.lent[group]; now.Before(loan.previousUntil) {
+		return loan.previous
+	}
+	return ""
+}
+
 // CallDone records the result of a call. It reports whether shares became free that can be lent again immediately.
 func (l *Lender) CallDone(now time.Time, c Call, r Result) (canLendAgain bool) {
 	l.mu.Lock()
@@ -93,8 +122,11 @@
 			continue
 		}
 		switch {
-		case r == Gone || c.Return && r == Delivered:
-			*current = loan{}
+		case c.Return && r == Delivered:
+			*current = loan{units: c.Units.ofGroup(g), previous: c.To, previousUntil: current.until}
+			canLendAgain = true
+		case r == Gone:
+			current.to, current.until = "", time.Time{}
 			canLendAgain = true
 		case r == Delivered:
 			current.until = now.Add(c.Duration)
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -14,6 +14,10 @@
 	bounds   Bounds
 	groups   [Groups]group
 	accounts map[string]*bucket
+	// unlimited has the accounts whose limit has a rate of 0. They have no bucket.
+	unlimited map[string]bool
+	// configured means that limits were set since the start.
+	configured bool
 }
 
 // group is this box's state of one group of accounts.
@@ -22,11 +26,15 @@
 	// loanExpiry names the boxes that have lent their shares to this box, with the time at which each loan expires.
 	loanExpiry map[string]time.Time
 	members    []*bucket
+	// ownOverage means that the buckets have this box's own part of the overage, which accrued while no box had lent
+	// its share, and that no units of another owner were added to it since.
+	ownOverage bool
 }
 
 // bucket is the token bucket of an account. Granted units are subtracted from level, and level is refilled over time.
 // The level never exceeds the bucket's capacity.
 type bucket struct {
+	account    string
 	limit      Limit
 	groupIndex int
 	level      float64
@@ -37,7 +45,7 @@
 func NewPool() *Pool {
 	p := &Pool{accounts: map[string]*bucket{}}
 	for i := range p.groups {
-		p.groups[i].loanExpiry = map[string]time.Time{}
+		p.groups[i].loanExpiry, p.groups[i].ownOverage = map[string]time.Time{}, true
 	}
 	return p
 }
@@ -52,20 +60,26 @@
 
 // SetLimits applies the limits of a configuration. The bucket of a new account is full, since no box has granted units
 // of it yet. With the first configuration after a start all buckets are empty instead. This box possibly granted any
-// number of units before it restarted.
+// number of units before it restarted. A configuration without limits counts as the first one too.
 func (p *Pool) SetLimits(now time.Time, limits map[string]Limit) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refillAll(now)
-	first := len(p.accounts) == 0
+	first := !p.configured
+	p.configured = true
+	p.unlimited = map[string]bool{}
 	next := make(map[string]*bucket, len(limits))
 	for i := range p.groups {
 		p.groups[i].members = nil
 	}
 	for name, l := range limits {
+		if l.Rate <= 0 {
+			p.unlimited[name] = true
+			continue
+		}
 		b := p.accounts[name]
 		if b == nil {
-			b = &bucket{limit: l, groupIndex: GroupOf(name), updatedAt: now}
+			b = &bucket{account: name, limit: l, groupIndex: GroupOf(name), updatedAt: now}
 			if !first {
 				b.level = p.capacity(b)
 			}
@@ -79,7 +93,7 @@
 	p.accounts = next
 }
 
-// HasLimits reports whether any account has a limit.
+// HasLimits reports whether any account has a limit with a rate above 0.
 func (p *Pool) HasLimits() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -98,13 +112,27 @@
 	p.clampGroup(group)
 }
 
+// BeginStop records that this box has begun a planned stop; see Place.Stopping. Its place does not change any more.
+func (p *Pool) BeginStop(now time.Time) {
+	for i := range p.groups {
+		p.mu.Lock()
+		place := p.groups[i].place
+		p.mu.Unlock()
+		place.Stopping = true
+		p.SetPlace(now, i, place)
+	}
+}
+
 // Lend records that a box has lent its shares of groups to this box for a time, at most MaxLoan. If back is set, Lend
-// ends the loans of these shares instead, so that the box has them back.
-func (p *Pool) Lend(now time.Time, box string, groups []int, back bool, lentFor time.Duration) {
+// ends the loans of these shares instead, so that the box has them back. It then returns the units that belong to the
+// shares and subtracts them from the buckets. Nothing belongs to a share that was not lent to this box.
+func (p *Pool) Lend(now time.Time, box string, groups []int, back bool, lentFor time.Duration) (returned Units) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	ended, othersFull := 0, true
 	for _, i := range groups {
 		if i < 0 || i >= Groups {
+			othersFull = false
 			continue
 		}
 		p.expire(now, i)
@@ -114,20 +142,32 @@
 			p.refillGroup(now, i)
 		}
 		if back {
-			delete(g.loanExpiry, box)
+			if existed {
+				u := p.takeUnits(i, MaxLevels-len(returned.Levels))
+				returned.Levels = append(returned.Levels, u.Levels...)
+				othersFull = othersFull && u.OthersFull
+				ended++
+			}
+			g.endLoan(box)
 		} else {
 			g.loanExpiry[box] = now.Add(min(lentFor, MaxLoan))
 		}
 		p.clampGroup(i)
 	}
+	// OthersFull holds for all groups of the call, so each of them must have had the share.
+	returned.OthersFull = othersFull && ended > 0 && ended == len(groups)
+	return returned
 }
 
 // Grant grants units of an account, or none if the bucket has fewer. If it grants them, it also grants up to ahead
-// units in advance. Units in advance come only from the part of the bucket above half of its capacity. Known is false
-// if this box knows no limit of the account.
+// units in advance. Units in advance come only from the part of the bucket above half of its capacity. An account whose
+// limit has a rate of 0 gets all units. Known is false if this box knows no limit of the account.
 func (p *Pool) Grant(now time.Time, account string, units, ahead float64) (a Answer, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.unlimited[account] {
+		return Answer{Granted: units, LentShare: 1}, true
+	}
 	b := p.accounts[account]
 	if b == nil {
 		return Answer{}, false
@@ -175,11 +215,17 @@
 	slices.SortFunc(expired, func(a, b expiry) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.box, b.box)) })
 	for _, e := range expired {
 		p.refillGroup(e.at, group)
-		delete(g.loanExpiry, e.box)
+		g.endLoan(e.box)
 		p.clampGroup(group)
 	}
 }
 
+// endLoan removes the loan of a box's share.
+func (g *group) endLoan(box string) {
+	delete(g.loanExpiry, box)
+	g.ownOverage = g.ownOverage || len(g.loanExpiry) == 0
+}
+
 // lentShare is the proportion of all boxes that have lent their shares of a group to this box. p.mu must be held.
 func (p *Pool) lentShare(group int) float64 {
 	g := &p.groups[group]
@@ -197,7 +243,7 @@
 	overage := place.overageShare() * p.bounds.overage(b.limit)
 	burst = share*b.limit.Burst + overage/2
 	rate = share * b.limit.Rate
-	if p.bounds.Window > 0 {
+	if p.bounds.Window > 0 && !place.Stopping {
 		rate += overage / 2 / p.bounds.Window.Seconds()
 	}
 	return burst, rate
--- /dev/null
+++ b/internal/quota/pool_test.go
@@ -0,0 +1,62 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// poolWithShares returns a pool of the owner of all groups, to which the given number of the boxes have lent their
+// shares.
+func poolWithShares(now time.Time, boxes, lenders int, limits map[string]Limit) *Pool {
+	p := NewPool()
+	p.SetLimits(now, nil)
+	for g := range Groups {
+		p.SetPlace(now, g, Place{Boxes: boxes})
+	}
+	for i := range lenders {
+		p.Lend(now, fmt.Sprint(i), []int{0, 1, 2, 3}, false, time.Second)
+	}
+	p.SetLimits(now, limits)
+	return p
+}
+
+// A configuration that sets limits again after all were removed is not the first one after a start. Its buckets were
+// empty, and the accounts' requests were refused.
+func TestLimitsSetAgainStartFull(t *testing.T) {
+	now := time.Now()
+	p := NewPool()
+	limits := map[string]Limit{"a": {Rate: 1, Burst: 100}}
+	p.SetPlace(now, GroupOf("a"), Place{Boxes: 1})
+	p.Lend(now, "box", []int{GroupOf("a")}, false, time.Second)
+	p.SetLimits(now, limits)
+	if a, _ := p.Grant(now, "a", 1, 0); a.Granted != 0 {
+		t.Errorf("expected an empty bucket after a start, got %g units", a.Granted)
+	}
+	p.SetLimits(now, nil)
+	p.SetLimits(now, limits)
+	if a, _ := p.Grant(now, "a", 100, 0); a.Granted != 100 {
+		t.Errorf("expected the burst of 100 after the limits were set again, got %g", a.Granted)
+	}
+}
+
+// A rate of 0 means no limit. Such an account was refused, and counted as one that is near its limit.
+func TestRateOfZeroIsNoLimit(t *testing.T) {
+	now := time.Now()
+	p := poolWithShares(now, 1, 1, map[string]Limit{"free": {}, "other": {Burst: 10}})
+	for _, account := range []string{"free", "other"} {
+		if a, known := p.Grant(now, account, 1e6, 0); !known || a.Granted != 1e6 || a.Uncertain(1e6) {
+			t.Errorf("expected all units for the account %q, got %+v, known %t", account, a, known)
+		}
+	}
+	if p.HasLimits() || len(p.LowAccounts(now, 2)) > 0 {
+		t.Errorf("expected no limits and no account near one, got %v", p.LowAccounts(now, 2))
+	}
+	p.SetLimits(now, map[string]Limit{"free": {Rate: 1, Burst: 10}})
+	if a, _ := p.Grant(now, "free", 11, 0); a.Granted != 0 {
+		t.Errorf("expected a limit of 10 at once after it was set, got %g", a.Granted)
+	}
+	if a, _ := p.Grant(now, "free", 10, 0); a.Granted != 10 {
+		t.Errorf("expected a full bucket of a new limit, got %g", a.Granted)
+	}
+}
--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -71,7 +71,8 @@
 
 // Take uses units of an account for a request. Cached units are used first. If they are too few, Take asks the
 // account's owner for the missing units, and for some more units in advance. Units granted in advance go into the
-// cache. If the owner refuses, the cached units go back into the cache and the request is not within the limit.
+// cache. If the owner refuses, the cached units go back into the cache and the request is not within the limit. The same
+// holds for units of a part of the request.
 func (p *GrantCache) Take(ctx context.Context, account string, units float64) Verdict {
 	fromCache, ahead := p.takeCached(clock.Now(), account, units)
 	if fromCache >= units {
@@ -82,7 +83,7 @@
 		p.storeGrant(clock.Now(), account, a.Granted-(units-fromCache))
 		return Verdict{OK: true, LentShare: a.LentShare, Owner: a.Owner}
 	}
-	p.Refund(account, fromCache)
+	p.Refund(account, fromCache+a.Granted)
 	return Verdict{Uncertain: a.Wait >= 0 && (!known || a.LentShare < minLentShare), Wait: a.Wait, LentShare: a.LentShare, Owner: a.Owner}
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -55,6 +55,58 @@
 	Owner string
 }
 
+// Uncertain reports whether the answer refuses units, but possibly not because of the limit: too few boxes had lent
+// their shares to the box that answered; see minLentShare. Another box may then have units.
+func (a Answer) Uncertain(units float64) bool {
+	return a.Granted < units && a.Wait >= 0 && a.LentShare < minLentShare
+}
+
+// AskOwners requests units of an account from candidates for its owner, in turn, until one grants them or refuses them
+// because of the limit. Ask calls a candidate; its result is false if the candidate did not answer or knows no limit of
+// the account. Known is false if that was so for all candidates. If Granted is above 0 but below units, the request is
+// refused, and the granted units can be used by later requests.
+//
+// While shares move from one owner to another, each of them may have too few units for a request for which they have
+// enough together. Units travel in proportion to the shares, so the owners are then asked for parts in this proportion.
+func AskOwners(candidates int, units, ahead float64, ask func(i int, units, ahead float64) (Answer, bool)) (a Answer, known bool) {
+	type refusal struct {
+		candidate int
+		share     float64
+	}
+	var refusals []refusal
+	shares := 0.0
+	for i := 0; i < candidates && shares < minLentShare; i++ {
+		answer, ok := ask(i, units, ahead)
+		if !ok {
+			continue
+		}
+		if !answer.Uncertain(units) {
+			return answer, true
+		}
+		if !known || answer.LentShare > a.LentShare {
+			a, known = answer, true
+		}
+		if answer.LentShare > 0 {
+			refusals = append(refusals, refusal{i, answer.LentShare})
+			shares += answer.LentShare
+		}
+	}
+	if shares < minLentShare {
+		return a, known
+	}
+	a.LentShare = min(1, shares) // If they refuse now, the limit is exceeded.
+	for _, r := range refusals {
+		part := units * r.share / shares
+		answer, ok := ask(r.candidate, part, 0)
+		if !ok || answer.Granted < part {
+			return a, true
+		}
+		a.Granted += part
+	}
+	a.Granted = units // The sum of the parts can differ by a rounding error.
+	return a, true
+}
+
 // Groups is the number of groups that the accounts are divided into. All accounts of a group have the same owner.
 // More groups spread the work over more boxes, but each box makes lend calls to every owner. With four groups and 60
 // boxes, each box makes 8 lend calls per second in addition to the calls for requests.
@@ -109,6 +161,9 @@
 	Boxes int
 	// Rank is 0 for the candidate that all boxes ask first. Ranks beyond the third make no difference.
 	Rank int
+	// Stopping means that the box has begun a planned stop. Its buckets keep the overage that they have until it travels
+	// with the shares, but get no more of it: the next owner gets the whole overage from now on.
+	Stopping bool
 }
 
 // overageShare is the share of an account's overage that the box at this place may grant; see ownerOverageShare.
