--- a/internal/overlay/accounts.go
+++ b/internal/overlay/accounts.go
@@ -34,6 +34,10 @@
 	// maxOwnersAsked is how many boxes are asked as owner of the account for one client request. One more is asked while
 	// shares move from one owner to another.
 	maxOwnersAsked = 2
+	// A share that moves from one owner to another is with neither of them between two calls. If all boxes move their
+	// shares at the same time, both owners refuse. The request is then repeated up to maxMoveRetries times.
+	maxMoveRetries = 3
+	moveRetryDelay = 20 * time.Millisecond
 	// unsettledLendInterval is the pause between lending attempts while a share of this box is not yet lent to
 	// the owner of its group. So after a change of owner the new owner can grant units within a tenth of a second.
 	// Before, the shares were lent to the new owner only at the next renewal of the loans, five seconds later. In
@@ -87,8 +91,11 @@
 }
 
 // borrower returns the member that a share is lent to. It is the listed one, or the remembered one if it is not listed
-// any more.
+// any more. It can be this box.
 func (n *Node) borrower(name string) (m Member, ok bool) {
+	if name == n.o.Self.Name {
+		return n.o.Self, true
+	}
 	if m, _ = n.members.get(name); m.Address != "" {
 		return m, true
 	}
@@ -347,18 +354,34 @@
 // few boxes to know that the limit is exceeded, the second candidate is asked too. If no owner answers, this box grants
 // units from the shares that this box has. Known is false if neither the owner nor this box knows a limit of the account.
 func (n *Node) Allow(ctx context.Context, account string, units, ahead float64) (a quota.Answer, known bool) {
-	if n.canReachOthers() {
-		owners := n.ownersToAsk(clock.Now(), quota.GroupOf(account))
+	group := quota.GroupOf(account)
+	for try := 0; n.canReachOthers(); try++ {
+		owners := n.ownersToAsk(clock.Now(), group)
 		a, known = quota.AskOwners(len(owners), units, ahead, func(i int, units, ahead float64) (quota.Answer, bool) {
 			return n.allowFrom(ctx, owners[i], account, units, ahead)
 		})
-	}
-	if known {
-		return a, true
+		if !known {
+			break
+		}
+		if !a.Uncertain(units) || try == maxMoveRetries || !n.sharesMove(clock.Now(), group) || ctx.Err() != nil {
+			return a, true
+		}
+		sleep(ctx, moveRetryDelay)
 	}
 	return n.o.Limits.Grant(clock.Now(), account, units, ahead)
 }
 
+// sharesMove reports whether the shares of a group are moving to another owner: this box's share has moved a short time
+// ago, or the box that has it has left the list of members.
+func (n *Node) sharesMove(now time.Time, group int) bool {
+	if n.lender.PreviousBorrower(now, group) != "" {
+		return true
+	}
+	to := n.lender.Borrower(now, group)
+	_, listed := n.members.get(to)
+	return to != "" && !listed
+}
+
 // allowFrom asks a box for units. The box can be this box.
 func (n *Node) allowFrom(ctx context.Context, m Member, account string, units, ahead float64) (a quota.Answer, ok bool) {
 	if m.Name == n.o.Self.Name {
@@ -377,7 +400,7 @@
 		most++ // It may have ended by now.
 	}
 	for _, to := range []string{n.lender.Borrower(now, group), previous} {
-		if m, ok := n.borrower(to); ok && n.unresponsive.usable(to, now) && !slices.Contains(out, m) {
+		if m, ok := n.borrower(to); ok && n.unresponsive.usable(to, now) && !containsMember(out, m.Name) {
 			out = append(out, m)
 		}
 	}
@@ -388,13 +411,17 @@
 		if m.Name == n.o.Self.Name && n.stopping() {
 			continue
 		}
-		if !slices.ContainsFunc(out, func(o Member) bool { return o.Name == m.Name }) && n.unresponsive.usable(m.Name, now) {
+		if !containsMember(out, m.Name) && n.unresponsive.usable(m.Name, now) {
 			out = append(out, m)
 		}
 	}
 	return out
 }
 
+func containsMember(list []Member, name string) bool {
+	return slices.ContainsFunc(list, func(m Member) bool { return m.Name == name })
+}
+
 // askOwner asks one owner for units. Ok is false if the owner did not answer or knows no limit of the account.
 func (n *Node) askOwner(ctx context.Context, m Member, account string, units, ahead float64) (a quota.Answer, ok bool) {
 	limited, cancel := context.WithTimeout(ctx, allowTimeout)
