--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -143,6 +143,7 @@
 	ownerOrder   ownerRankings
 	lender       quota.Lender
 	slots        slotState
+	borrowers    borrowers
 	// interests holds the engines that this box has a use for messages about, and those that its upstream knows.
 	interests interestState
 	packer    packer
