Remember denied room, and count starts and grants fully

An engine that denied room to a stream was tried again by the same box every 100 ms, because nothing else of the denial was remembered, and the denial of a large stream made the engine eligible for small ones again. Now the pause doubles up to 800 ms while denials go on, it ends early when ended streams or a newer report show that enough memory became free, and after a denial requests are placed one at a time until the engine has had room.

Starts older than a second are removed on every addition. Before, they were removed only while requests waited, and a full list took no newer starts.

Grant counts the longest answer if the request has no OutputReserve.

TestNoGrantAfterRefusal and the test in advise_test.go only name the renamed fields.

--- a/internal/decide/advise_test.go
+++ b/internal/decide/advise_test.go
@@ -161,7 +161,7 @@
 	if _, ok := out[len(out)-1].(Waiting); !ok {
 		t.Errorf("expected the request to wait while both are full, got %+v", out)
 	}
-	if out = c.Step(c.now.Add(refusedKVPause+time.Millisecond), Tick{}); len(out) == 0 {
+	if out = c.Step(c.now.Add(minDenialPause+time.Millisecond), Tick{}); len(out) == 0 {
 		t.Error("expected another try after the pause")
 	}
 }
--- a/internal/decide/attempt.go
+++ b/internal/decide/attempt.go
@@ -30,7 +30,7 @@
 		return false
 	}
 	f.pool.throughput.addStarted(f)
-	c.remote.addStart(c.now)
+	c.remote.addStart(c.now, c.now)
 	f.tries++
 	f.attempt = f.newAttempt()
 	if chosen.prefill == nil {
@@ -97,6 +97,7 @@
 	f.decode = e
 	f.reservedKV = f.kvNeed()
 	c.noteSent(e)
+	e.denial.probe(c.now, f)
 	e.reserveDecode(c.now, f.ID, reservation{f.reservedKV, f.PromptTokens, f.kvNeedAtStart() - f.PromptTokens, f.expectedOutput()}, f.streamWeight())
 	e.health.noteRequest(c.now)
 }
@@ -145,6 +146,7 @@
 	}
 	c.releasePrefill(f)
 	c.noteSuccess(f.prefill)
+	f.decode.denial.confirm() // The prompt was sent only after the decode engine had reserved memory.
 	moved := outcome.OK
 	if f.decode.leaving() || c.isPaused(f.decode) {
 		moved = outcome.NoDecode
@@ -242,6 +244,7 @@
 	}
 	c.noteSuccess(f.decode)
 	f.timing.Step, f.timing.Streams = f.meanStep(c.now, ev.Output), f.decode.running()
+	f.decode.denial.addFreed(c.now, f.PromptTokens+ev.Output)
 	c.learn(f.pool, f.timing)
 	c.emit(RequestTiming{f.ID, f.timing})
 	f.decodeAttempt, f.prefillAttempt = 0, 0
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -336,7 +336,7 @@
 		if e := c.engines[ev.Engine]; e != nil {
 			e.addRemotePlacement(ev)
 			if ev.KV > 0 {
-				c.remote.addStart(ev.At)
+				c.remote.addStart(c.now, ev.At)
 				c.pools[e.Pool].observeRemote(ev)
 			}
 		}
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -53,11 +53,7 @@
 	}
 }
 
-// refusedKVPause is a pause after a decode engine refused to reserve memory. In the pause, the engine is not asked for
-// as much memory or more. The pause is short, because several streams per second end on a busy engine.
-const refusedKVPause = 100 * time.Millisecond
-
-// handleNoRoom places a request again after its decode engine refused to reserve memory. The engine was full, because
+// handleNoRoom places a request again after its decode engine or the owner of that engine denied room. The engine was full, because
 // its reported load was out of date or other boxes were faster. Nothing was sent to any engine. So the placement does
 // not count as a try, and uses no retry of the budget.
 func (c *Core) handleNoRoom(ev ReservationRefused) {
@@ -66,7 +62,7 @@
 	if f == nil || f.stage != prefilling && !selfPrefilling || ev.Attempt != f.attempt {
 		return
 	}
-	f.decode.refusedKV, f.decode.refusedKVUntil = f.kvNeed(), c.now.Add(refusedKVPause)
+	f.decode.denial.add(c.now, f, f.decode)
 	f.tries--
 	f.prefillAttempt, f.decodeAttempt = 0, 0
 	c.abortCalls(f)
--- a/internal/decide/grant.go
+++ b/internal/decide/grant.go
@@ -19,9 +19,14 @@
 	}
 	p := c.pools[e.Pool]
 	f := &flight{Request: r, pool: p, mayBeLate: r.ServeLate}
-	if !e.hasRoom(p, f, now) || f.kvNeed() >= e.refusedKV && now.Before(e.refusedKVUntil) {
+	if !e.hasRoom(p, f, now) || e.denial.holds(now, f) {
 		return false
 	}
-	e.addRemotePlacement(RemotePlacement{Engine: engine, At: now, KV: f.PromptTokens + f.expectedOutput(), PromptTokens: f.PromptTokens, OutputReserve: f.OutputReserve})
+	if !e.hasReport || now.After(e.report.At) {
+		// Without an OutputReserve, the longest answer must fit when decoding begins, even if a shorter one is
+		// expected.
+		kv := max(f.PromptTokens+f.expectedOutput(), f.kvNeedAtStart())
+		e.addPlacement(placement{at: now, streams: 1, reservation: reservation{kv, f.PromptTokens, f.kvNeedAtStart() - f.PromptTokens, f.expectedOutput()}})
+	}
 	return true
 }
--- a/internal/decide/grant_test.go
+++ b/internal/decide/grant_test.go
@@ -73,7 +73,7 @@
 func TestNoGrantAfterRefusal(t *testing.T) {
 	now := time.Now()
 	c := newGrantCore(now)
-	c.engines["w"].refusedKV, c.engines["w"].refusedKVUntil = 6000, now.Add(refusedKVPause)
+	c.engines["w"].denial = denial{kv: 6000, until: now.Add(minDenialPause)}
 	if c.Grant(now, "w", streamRequest(5000)) {
 		t.Error("expected no grant while the engine refuses reservations")
 	}
--- a/internal/decide/ledger.go
+++ b/internal/decide/ledger.go
@@ -35,10 +35,7 @@
 	cache         blockCache
 	health        health
 
-	// refusedKV is the memory, in tokens, that the engine last refused to reserve. Until refusedKVUntil, requests
-	// that need this much or more are not placed on the engine.
-	refusedKV      int
-	refusedKVUntil time.Time
+	denial denial
 
 	// lastUsed is when this box last sent a request to the engine.
 	lastUsed time.Time
@@ -229,6 +226,7 @@
 
 // addStreamEnded removes an ended stream from the last report, if that report was measured before the stream ended.
 func (e *engine) addStreamEnded(p *pool, ev StreamEnded) {
+	e.denial.addFreed(ev.At, ev.Tokens)
 	if !e.hasReport || e.report.Runs == nil || !ev.At.After(e.report.At) {
 		return
 	}
@@ -290,6 +288,7 @@
 	if e.hasReport && r.At.Before(e.report.At) {
 		return
 	}
+	e.denial.addReport(r)
 	e.report = r
 	e.forecast = memoryForecast{}
 	e.hasReport = true
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -453,7 +453,7 @@
 		if !c.usable(e, now, excluded) || !f.canRunOn(e) {
 			continue
 		}
-		if !e.hasRoom(p, f, now) || f.kvNeed() >= e.refusedKV && now.Before(e.refusedKVUntil) {
+		if !e.hasRoom(p, f, now) || e.denial.holds(now, f) {
 			excluded.NoRoom++
 			continue
 		}
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -176,7 +176,7 @@
 // remoteLoad is what this box knows of the waiting and starting requests of all boxes.
 type remoteLoad struct {
 	waiting int // Requests that wait on the other boxes.
-	// starts are the times at which requests of all boxes were started in the last startsWindow.
+	// starts are the times at which requests of all boxes were started in about the last startsWindow.
 	starts []time.Time
 }
 
@@ -189,10 +189,37 @@
 	minStartChance = 0.5
 )
 
-func (o *remoteLoad) addStart(at time.Time) {
-	if len(o.starts) < maxStarts {
-		o.starts = append(o.starts, at)
+// addStart adds a start and removes the starts that are older than startsWindow. If the list is full, the start that was
+// added first is removed.
+func (o *remoteLoad) addStart(now, at time.Time) {
+	o.prune(now)
+	if len(o.starts) >= maxStarts {
+		o.starts = slices.Delete(o.starts, 0, 1)
 	}
+	o.starts = append(o.starts, at)
+}
+
+// prune removes starts that are older than startsWindow from the front of the list. News of starts on other boxes
+// arrives out of order by some milliseconds, so a few older starts can remain behind a newer one. rate does not count
+// them.
+func (o *remoteLoad) prune(now time.Time) {
+	n := 0
+	for n < len(o.starts) && now.Sub(o.starts[n]) > startsWindow {
+		n++
+	}
+	o.starts = slices.Delete(o.starts, 0, n)
+}
+
+// rate is the number of requests of all boxes that started in the last startsWindow, per second. It is at least one
+// per startsWindow.
+func (o *remoteLoad) rate(now time.Time) float64 {
+	n := 0
+	for _, at := range o.starts {
+		if now.Sub(at) <= startsWindow {
+			n++
+		}
+	}
+	return float64(max(1, n)) / startsWindow.Seconds()
 }
 
 // startChance is the probability that a waiting request of this box starts within the given time. It assumes that all
@@ -205,7 +232,5 @@
 	if o.waiting == 0 {
 		return 1
 	}
-	o.starts = slices.DeleteFunc(o.starts, func(at time.Time) bool { return now.Sub(at) > startsWindow })
-	rate := float64(max(1, len(o.starts))) / startsWindow.Seconds()
-	return 1 - math.Exp(-rate*within.Seconds()/float64(o.waiting+localWaiting))
+	return 1 - math.Exp(-o.rate(now)*within.Seconds()/float64(o.waiting+localWaiting))
 }
