Place waiting streams by rank and in fair order between accounts

The queue considered only deadlines. Now the rank is compared first. Within a rank, a stream of an account whose starting and running streams on this box, relative to its weight, are above the mean of the waiting accounts lets streams of other accounts go first, unless it would lose its start time to a stream that is on time anyway. shedLate refuses streams of the lowest rank first, and a stream of a caller that returned only if its client has no other.

The Retry-After of a refused stream is the time until the waiting streams and those of callers told to retry have started, at the rate of starts of all boxes in the last second. It was one second at least, whatever the load.

--- a/internal/decide/arrive.go
+++ b/internal/decide/arrive.go
@@ -34,6 +34,9 @@
 	if f.CallerRetry {
 		f.order = f.arrived
 	}
+	if f.CallerRetry {
+		c.told.removeFirst()
+	}
 	f.pool.urgency.addArrival(f)
 	if !f.mayBeLate && c.now.Add(c.shortestQueue(f)).After(f.latestStart) {
 		c.endTooLate(f, "every prefill engine has more to read already than the target allows")
@@ -96,10 +99,61 @@
 	return least
 }
 
-// retryAfter is the retry delay that a refused caller is told. It is the predicted time until all waiting requests
-// that go first have started, but at least a second. A caller that retries then has a chance of being served.
-func (c *Core) retryAfter(f *flight) time.Duration {
-	return max(time.Second, f.pool.timeAhead(f)+c.shortestQueue(f))
+const (
+	// minRetryAfter is the shortest retry delay that a refused caller is told. maxRetryAfter bounds the delay before
+	// it is spread.
+	minRetryAfter = 300 * time.Millisecond
+	maxRetryAfter = 8 * time.Second
+	// retrySpread is by how much a retry delay is changed at random, as a fraction. Callers that are refused at the
+	// same time then do not all retry at the same time.
+	retrySpread = 0.25
+	// forgetRetryAfter is how long after the due time a caller that has not retried still counts.
+	forgetRetryAfter = time.Second
+)
+
+// retryAfter is the retry delay that a refused caller is told, and counts the caller as one who will retry. The delay is
+// the time until all waiting requests and those of callers that were told to retry have started, at the rate of starts of
+// all boxes in the last second.
+//
+// Example: 20 requests wait on all boxes, 10 callers of this box were told to retry, and 15 requests started in the last
+// second. The caller is told a delay of 1.5 to 2.5 s.
+func (c *Core) retryAfter() time.Duration {
+	c.told.prune(c.now)
+	ahead := float64(c.Waiting() + c.remote.waiting + len(c.told.due))
+	// The lower bound is raised before the delay is spread, so that the shortest delays are spread too.
+	mean := max(minRetryAfter.Seconds()/(1-retrySpread), min(ahead/c.remote.rate(c.now), maxRetryAfter.Seconds()))
+	delay := seconds(mean * (1 + retrySpread*(2*c.rng.Float64()-1)))
+	c.told.add(c.now.Add(delay))
+	return delay
+}
+
+// toldCallers are the callers that this box told to retry.
+type toldCallers struct{ due []time.Time } // When the callers will retry, earliest first.
+
+// maxToldCallers bounds the list. Beyond it, the delay is maxRetryAfter at any rate of starts that a box can reach.
+const maxToldCallers = 4096
+
+func (t *toldCallers) add(due time.Time) {
+	if len(t.due) < maxToldCallers {
+		i, _ := slices.BinarySearchFunc(t.due, due, time.Time.Compare)
+		t.due = slices.Insert(t.due, i, due)
+	}
+}
+
+// prune removes callers that should have retried more than forgetRetryAfter ago.
+func (t *toldCallers) prune(now time.Time) {
+	n := 0
+	for n < len(t.due) && now.Sub(t.due[n]) > forgetRetryAfter {
+		n++
+	}
+	t.due = slices.Delete(t.due, 0, n)
+}
+
+// removeFirst removes the caller whose retry is due first. It is called when a caller retries.
+func (t *toldCallers) removeFirst() {
+	if len(t.due) > 0 {
+		t.due = slices.Delete(t.due, 0, 1)
+	}
 }
 
 func (c *Core) admit(f *flight) bool {
@@ -136,8 +190,9 @@
 // connection is queued even then, because otherwise its answer would be cut off.
 func (c *Core) enqueue(f *flight) {
 	p := f.pool
+	f.noteInactive()
 	if len(p.queue.items) >= c.maxWaiting && f.connectionLostAt.IsZero() {
-		c.endWithRetryAfter(f, outcome.QueueFull, c.retryAfter(f))
+		c.endWithRetryAfter(f, outcome.QueueFull, c.retryAfter())
 		return
 	}
 	f.stage = waiting
@@ -159,18 +214,23 @@
 	return outcome.NoPrefill
 }
 
-// drainQueue starts waiting requests, most urgent first. It refuses requests that can no longer meet their target. If a
+// drainQueue starts waiting requests in the order of nextToPlace. It refuses requests that can no longer meet their target. If a
 // request cannot be started now, drainQueue tries a few more, so that a large request does not block small ones.
 func (c *Core) drainQueue(p *pool) {
 	if p == nil {
 		return
 	}
 	tried := 0
-	for i := 0; i < len(p.queue.items) && tried < maxPlacementTries; {
-		f := p.queue.items[i]
+	rest := append(c.toPlace[:0], p.queue.items...)
+	c.toPlace = rest
+	for len(rest) > 0 && tried < maxPlacementTries {
+		i := c.nextToPlace(p, rest)
+		f := rest[i]
+		copy(rest[1:], rest[:i]) // Requests that were passed over stay in order.
+		rest = rest[1:]
 		f.lastChoice, f.missesTarget = nil, false
 		if c.expired(f) {
-			c.endWithRetryAfter(f, outcome.WaitExpired, c.retryAfter(f))
+			c.endWithRetryAfter(f, outcome.WaitExpired, c.retryAfter())
 			continue
 		}
 		if wait := c.allThrottledFor(f); wait > 0 && c.now.Add(wait).After(f.startDeadline()) {
@@ -180,13 +240,12 @@
 		tried++
 		switch {
 		case c.tryPlace(f):
-			p.queue.items = append(p.queue.items[:i], p.queue.items[i+1:]...)
+			p.queue.remove(f)
 		case f.missesTarget:
 			c.endTooLate(f, "the best pair of engines would be too slow")
-		default:
-			i++
 		}
 	}
+	clear(c.toPlace) // Ended requests must not be kept in memory.
 	p.updateScarceRole(tried)
 	p.throughput.update(c.now, len(p.queue.items) > 0)
 }
--- a/internal/decide/attempt.go
+++ b/internal/decide/attempt.go
@@ -31,6 +31,7 @@
 	}
 	f.pool.throughput.addStarted(f)
 	c.remote.addStart(c.now, c.now)
+	f.noteActive()
 	f.tries++
 	f.attempt = f.newAttempt()
 	if chosen.prefill == nil {
@@ -244,7 +245,6 @@
 	}
 	c.noteSuccess(f.decode)
 	f.timing.Step, f.timing.Streams = f.meanStep(c.now, ev.Output), f.decode.running()
-	f.decode.denial.addFreed(c.now, f.PromptTokens+ev.Output)
 	c.learn(f.pool, f.timing)
 	c.emit(RequestTiming{f.ID, f.timing})
 	f.decodeAttempt, f.prefillAttempt = 0, 0
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -84,6 +84,8 @@
 	connectionLostAt time.Time
 	// yieldsToOnTime means that the request goes behind all requests that can still be on time.
 	yieldsToOnTime bool
+	// active means that the request counts in pool.active.
+	active bool
 	// attempt is the number of the latest call to an engine.
 	attempt Attempt
 	// ran is set once any part of the request may have run, and is never reset.
@@ -185,6 +187,7 @@
 	// lastTick is the time of the last tick; zero before the first.
 	lastTick time.Time
 	remote   remoteLoad
+	told     toldCallers
 	// notices tells which limits and pauses engines have announced; nil if nothing does.
 	notices Notices
 	now     time.Time
@@ -195,6 +198,8 @@
 	prefillOptions                  []prefillOption
 	decodeOptions                   []decodeOption
 	bestPairs                       []pair
+	// toPlace is working memory of drainQueue.
+	toPlace []*flight
 }
 
 // New returns a core without pools. At most maxWait requests can wait on it.
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -222,7 +222,7 @@
 
 // endTooLate refuses a request that cannot be on time. The caller is told why (detail) and when to retry.
 func (c *Core) endTooLate(f *flight, detail string) {
-	c.finish(f, outcome.Outcome{Kind: f.kindWithoutAnswer(), Reason: outcome.TooLate, Detail: detail, RetryAfter: c.retryAfter(f)})
+	c.finish(f, outcome.Outcome{Kind: f.kindWithoutAnswer(), Reason: outcome.TooLate, Detail: detail, RetryAfter: c.retryAfter()})
 }
 
 // kindWithoutAnswer is the kind of outcome of a request that ends without a complete answer.
@@ -245,6 +245,7 @@
 	}
 	c.releasePrefill(f)
 	c.releaseDecode(f)
+	f.noteInactive()
 	delete(c.flights, f.ID)
 }
 
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -63,10 +63,13 @@
 // pool is the state of one pool: its engines and its waiting requests.
 type pool struct {
 	Pool
-	prefill         []*engine
-	decode          []*engine
-	ring            []ringPoint // The consistent hash ring of the prefill engines, sorted by hash.
-	queue           waitQueue
+	prefill []*engine
+	decode  []*engine
+	ring    []ringPoint // The consistent hash ring of the prefill engines, sorted by hash.
+	queue   waitQueue
+	// active is the number of starting and running requests of this box, by client account. Accounts without such
+	// requests are not listed.
+	active          map[string]int
 	throughput      throughput
 	predictionError predictionError
 	urgency         urgency
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -7,11 +7,14 @@
 	"time"
 )
 
-// waitQueue holds the waiting requests, sorted by flight.order. The order of a waiting request never changes, so a
-// sorted slice is enough.
+// waitQueue holds the waiting requests, sorted by rank and then by flight.order. Both never change while a request waits,
+// so a sorted slice is enough.
 type waitQueue struct{ items []*flight }
 
 func byOrder(a, b *flight) int {
+	if n := cmp.Compare(a.Rank, b.Rank); n != 0 {
+		return n
+	}
 	if n := a.order.Compare(b.order); n != 0 {
 		return n
 	}
@@ -30,6 +33,14 @@
 	}
 }
 
+// ofRank returns the waiting requests of a rank.
+func (q *waitQueue) ofRank(rank int) []*flight {
+	compare := func(f *flight, rank int) int { return cmp.Compare(f.Rank, rank) }
+	from, _ := slices.BinarySearchFunc(q.items, rank, compare)
+	to, _ := slices.BinarySearchFunc(q.items, rank+1, compare)
+	return q.items[from:to]
+}
+
 // throughput measures how much work this box starts while requests wait, in engine seconds per second, by role. With
 // n engines and no other box, the throughput is about n. With other boxes, it is the part of n that this box gets.
 // It falls when engines are removed.
@@ -87,13 +98,20 @@
 	return max(minThroughput, min(p.engines[role], p.estimate[role]))
 }
 
-// timeAhead is how long it will take to start the waiting requests that go before f.
+// timeAhead is how long it will take to start the waiting requests that go before f. Requests that yield to f do not
+// count.
 func (p *pool) timeAhead(f *flight) time.Duration {
 	work := 0.0
+	rank := p.queue.ofRank(f.Rank)
+	mean, several := meanLoad(rank)
+	skipYielding := several && !f.yields(mean)
 	for _, other := range p.queue.items {
 		if byOrder(other, f) >= 0 {
 			break
 		}
+		if skipYielding && other.Rank == f.Rank && other.yields(mean) {
+			continue
+		}
 		work += other.work[p.scarceRole].Seconds()
 	}
 	return seconds(work / p.throughput.rate(p.scarceRole))
@@ -104,8 +122,9 @@
 
 // shedLate refuses waiting requests as soon as not all of them can be on time. It goes through the queue in order and
 // adds up the work for engines of the scarce role, until it finds a request that would start too late. Of this request
-// and those before it, it determines the client with the most work. It refuses the largest request of that client, and
-// then repeats all this, at most maxShed times. Refusing the largest request keeps the most requests on time
+// and those of the same rank before it, it determines the client with the most work relative to its weight. Requests of
+// higher ranks are not refused for it. It refuses the largest request of that client, and then repeats all this, at most
+// maxShed times. Refusing the largest request keeps the most requests on time
 // (Moore-Hodgson algorithm). Selecting a client first protects the few requests of one client from the bulk load of
 // another.
 //
@@ -118,7 +137,9 @@
 		if index < 0 {
 			return
 		}
-		f := largestOfBusiestClient(p.queue.items[:index+1], p.scarceRole)
+		lowest := p.queue.items[index].Rank
+		first := slices.IndexFunc(p.queue.items, func(f *flight) bool { return f.Rank == lowest })
+		f := largestOfBusiestClient(p.queue.items[first:index+1], p.scarceRole)
 		c.endTooLate(f, "more is waiting for "+p.scarceRole.String()+" engines than can be on time, and it was the largest of the client with most waiting")
 	}
 }
@@ -142,23 +163,27 @@
 	return -1
 }
 
-// largestOfBusiestClient determines the client whose requests need the most work of the given role, and returns the
-// largest request of that client. Requests that may be late do not count.
+// largestOfBusiestClient determines the client whose requests need the most work of the given role, relative to its
+// weight, and returns the largest request of that client. A request with CallerRetry is returned only if the client has no
+// other. Requests that may be late do not count.
 func largestOfBusiestClient(items []*flight, role EngineRole) *flight {
-	total := map[string]time.Duration{}
+	total := map[string]float64{}
 	busiestClient := ""
 	for _, f := range items {
 		if f.mayBeLate {
 			continue
 		}
-		total[f.Client] += f.work[role]
+		total[f.Client] += float64(f.work[role]) / f.weight()
 		if t := total[f.Client]; busiestClient == "" || t > total[busiestClient] {
 			busiestClient = f.Client
 		}
 	}
 	var best *flight
 	for _, f := range items {
-		if !f.mayBeLate && f.Client == busiestClient && (best == nil || f.work[role] > best.work[role]) {
+		if f.mayBeLate || f.Client != busiestClient {
+			continue
+		}
+		if best == nil || best.CallerRetry && !f.CallerRetry || best.CallerRetry == f.CallerRetry && f.work[role] > best.work[role] {
 			best = f
 		}
 	}
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -42,9 +42,12 @@
 	Region string
 	// Hall is the data hall of the box. Engines in other halls then cost more. If Hall is empty, halls do not
 	// matter.
-	Hall   string
-	Route  string
+	Hall  string
+	Route string
+	// Client is the name of the client account; empty without accounts. Weight is the share of the account relative
+	// to other accounts; 0 stands for 1.
 	Client string
+	Weight float64
 
 	PromptTokens int
 	// MaxTokens bounds the length of the answer. Memory for prompt and answer together is reserved on
@@ -88,9 +91,10 @@
 	// Priority, in seconds, is added to the deadline by which requests are ordered. A request with a negative
 	// priority goes before others, and a request with a positive priority after them.
 	Priority int
-	// Kind is the name of the route's kind. Rank is the priority of that kind, 0 being the highest. Only policies
-	// read these two fields.
+	// Kind is the name of the route's kind. Only policies read it.
 	Kind string
+	// Rank is the priority of the client account or the route, 0 being the highest. Waiting requests are placed by
+	// rank first, and those of the lowest rank are refused first.
 	Rank int
 	// Policy is the operator's program; if it is nil, only the built-in rules apply.
 	Policy Policy
