--- a/internal/decide/memory.go
+++ b/internal/decide/memory.go
@@ -189,6 +189,29 @@
 	return true
 }
 
+// hasRoomAfter reports whether the engine is expected to have room for the start of the request after the given time, when
+// the prompt has been read and the KV cache transferred. hasRoom checks the room at the present time. Without a forecast, the
+// result is true.
+func (e *engine) hasRoomAfter(p *pool, f *flight, now time.Time, delay time.Duration) bool {
+	if e.lacksForecast(now) || e.report.Runs == nil || p.meanOutput <= 0 {
+		return true
+	}
+	step := max(1e-6, (e.Step + time.Duration(e.report.Streams)*e.StepPerStream).Seconds())
+	used := e.forecastMemory(p, now).meanAt(delay.Seconds() / step / p.meanOutput)
+	return used+float64(f.kvNeedAtStart()) <= float64(e.KVTokens)
+}
+
+// meanAt is the expected memory use at a time between two horizons, by linear interpolation. After the last horizon, it is
+// the use at the last one.
+func (o *memoryForecast) meanAt(horizon float64) float64 {
+	for i := 1; i < len(forecastHorizons); i++ {
+		if from, to := forecastHorizons[i-1], forecastHorizons[i]; horizon < to {
+			return o.mean[i-1] + (horizon-from)/(to-from)*(o.mean[i]-o.mean[i-1])
+		}
+	}
+	return o.mean[len(o.mean)-1]
+}
+
 // requestLengths are the mean lengths, in tokens, of the prompts and answers of a pool's requests. Before the
 // first request, all values are 0.
 type requestLengths struct {
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -350,17 +350,31 @@
 		return best, choice, false
 	}
 	c.bestPairs = c.bestPairs[:0]
+	withoutRoom := 0
+	compare := func(candidate pair) {
+		// A stream that lost its connection is placed on any engine that has room now, because its caller waits in the
+		// middle of the answer.
+		if f.connectionLostAt.IsZero() && !c.decodeOptions[candidate.decodeIndex].e.hasRoomAfter(p, f, now, candidate.firstToken) {
+			withoutRoom++
+			return
+		}
+		c.keepCheapest(candidate)
+	}
 	if p.SelfPrefillRatio > 0 {
 		for j := range c.decodeOptions {
-			c.keepCheapest(c.predictSelfPrefill(p, f, j, now))
+			compare(c.predictSelfPrefill(p, f, j, now))
 		}
 	}
 	for i := range c.prefillOptions {
 		for j := range c.decodeOptions {
-			c.keepCheapest(c.predictPair(p, f, i, j, now))
+			compare(c.predictPair(p, f, i, j, now))
 		}
 	}
-	choice.Compared = max(1, len(c.prefillOptions)) * len(c.decodeOptions)
+	if len(c.bestPairs) == 0 {
+		choice.Excluded.NoRoom += len(c.decodeOptions)
+		return best, choice, false
+	}
+	choice.Compared = max(len(c.bestPairs), max(1, len(c.prefillOptions))*len(c.decodeOptions)-withoutRoom)
 	choice.Candidates = make([]Candidate, len(c.bestPairs))
 	for i, candidate := range c.bestPairs {
 		choice.Candidates[i] = c.newCandidate(candidate)
