Start over after two refusals instead of refusing the stream

TestStreamHandleLost and TestStreamDecodeRefused of platform ask that a stream that two decode engines refused once each is still served. Now at most one other engine is tried each time that the prompt was read, and the stream starts over if it can still be on time and retries are left.

--- a/internal/decide/attempt.go
+++ b/internal/decide/attempt.go
@@ -134,7 +134,7 @@
 		return
 	}
 	f.ran = f.ran || !f.PrefillNotRun
-	f.expires = ev.Expires
+	f.expires, f.decodeRefusals = ev.Expires, 0
 	f.pool.urgency.observeLateness(f, c.now.Sub(f.predictedPrefillEnd))
 	f.prefill.observeWait(c.now, c.now.Sub(f.ownWorkEnd), true)
 	if len(f.Blocks) > 0 {
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -45,7 +45,7 @@
 	// maxTries is how many times a request may be started, even if the retry budget allows more.
 	maxTries = 3
 	// maxDecodeRefusals is how many decode engines may refuse a request after its prompt was read. If two engines
-	// refuse, the pool is most likely full, and further calls would only add load.
+	// refuse, the pool is most likely full, and calls to further engines would only add load.
 	maxDecodeRefusals = 2
 	// maxPlacementTries bounds how many waiting requests one event tries to place.
 	maxPlacementTries = 8
@@ -102,7 +102,7 @@
 	// engineToAvoid is the engine on which the last call failed, or the decode engine that had to be
 	// replaced. A new try uses this engine only if there is no other.
 	engineToAvoid *engine
-	// decodeRefusals is the number of decode engines that refused the request after its prompt was read.
+	// decodeRefusals is the number of decode engines that refused the request since its prompt was last read.
 	decodeRefusals int
 	// lastChoice is the result of the last attempt to place the request. missesTarget reports that the
 	// best pair of engines in that attempt was predicted to miss the first-token target.
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -70,25 +70,18 @@
 }
 
 // retryDecode lets another decode engine fetch the KV cache. This requires that the prefill engine still has the cache,
-// that the request may be run again, and that a retry is left. Otherwise retryDecode abandons the try. A request that
-// maxDecodeRefusals engines refused ends.
+// that fewer than maxDecodeRefusals engines have refused the request since, that the request may be run again, and that a
+// retry is left. Otherwise retryDecode abandons the try.
 func (c *Core) retryDecode(f *flight, reason outcome.Reason, ran, kvGone bool) {
 	c.abortDecode(f)
 	// The KV cache can be fetched only once. A call that may have run may have fetched the cache. If another engine
 	// then refuses the request, the cache is gone, and calls to further engines would waste retries.
 	kvGone = kvGone || f.kvMayBeTaken && reason == outcome.EndpointRefused
 	f.kvMayBeTaken = f.kvMayBeTaken || ran
-	if reason == outcome.EndpointRefused && !kvGone {
+	if reason == outcome.EndpointRefused {
 		f.decodeRefusals++
 	}
-	if f.decodeRefusals >= maxDecodeRefusals && f.connectionLostAt.IsZero() {
-		c.emit(WastedPrefill{f.ID, f.uncachedTokens, reason})
-		f.ran = f.ran || ran
-		c.abortCalls(f)
-		c.end(f, reason, "")
-		return
-	}
-	usable := !kvGone && c.now.Add(expiryMargin).Before(f.expires)
+	usable := !kvGone && f.decodeRefusals < maxDecodeRefusals && c.now.Add(expiryMargin).Before(f.expires)
 	if usable && (f.Repeatable || !ran) && c.budget.Has(c.now, 1) && c.reserveOtherDecode(f) {
 		c.budget.Take(c.now, 1)
 		c.emit(Retry{f.ID, f.engineToAvoid.Name, reason})
