Keep the fair order's cost independent of the queue's length

The mean load of the waiting accounts was computed from the whole queue for each attempt to place a stream. Now the queue counts its requests by account.

--- a/internal/decide/fair.go
+++ b/internal/decide/fair.go
@@ -1,6 +1,11 @@
 package decide
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
 
 // This file orders waiting streams fairly between client accounts. Streams are placed by rank and then by deadline. Within
 // a rank, an account that has more than its share of the started streams lets other accounts go first.
@@ -38,62 +43,77 @@
 // load is the number of starting and running requests of the request's account, divided by the account's weight.
 func (f *flight) load() float64 { return float64(f.pool.active[f.Client]) / f.weight() }
 
-// meanLoad is the mean load of the accounts that have a request in the list. several reports whether there is more than
-// one such account. If there is not, meanLoad is not computed.
-func meanLoad(list []*flight) (mean float64, several bool) {
-	for _, f := range list {
-		if f.Client != list[0].Client {
-			several = true
-			break
-		}
+// waitingAccount is a client account with waiting requests of one rank.
+type waitingAccount struct {
+	rank   int
+	client string
+	n      int // The number of waiting requests.
+	first  *flight
+}
+
+func (a waitingAccount) compare(f *flight) int {
+	if n := cmp.Compare(a.rank, f.Rank); n != 0 {
+		return n
+	}
+	return strings.Compare(a.client, f.Client)
+}
+
+// addAccount and removeAccount count a request that begins or ends to wait.
+func (q *waitQueue) addAccount(f *flight) {
+	i, ok := slices.BinarySearchFunc(q.accounts, f, waitingAccount.compare)
+	if !ok {
+		q.accounts = slices.Insert(q.accounts, i, waitingAccount{rank: f.Rank, client: f.Client, first: f})
+	}
+	q.accounts[i].n++
+}
+
+func (q *waitQueue) removeAccount(f *flight) {
+	i, ok := slices.BinarySearchFunc(q.accounts, f, waitingAccount.compare)
+	if !ok {
+		return
 	}
-	if !several {
-		return 0, false
+	if q.accounts[i].n--; q.accounts[i].n == 0 {
+		q.accounts = slices.Delete(q.accounts, i, i+1)
 	}
-	seen := map[string]bool{}
-	for _, f := range list {
-		if !seen[f.Client] {
-			seen[f.Client] = true
-			mean += f.load()
+}
+
+// meanLoad is the mean load of the accounts with waiting requests of a rank. several reports whether there is more than
+// one such account. The cost depends on the number of accounts and not on the length of the queue.
+func (q *waitQueue) meanLoad(rank int) (mean float64, several bool) {
+	n := 0
+	for _, a := range q.accounts {
+		if a.rank == rank {
+			mean += a.first.load()
+			n++
 		}
 	}
-	return mean / float64(len(seen)), true
+	return mean / float64(max(1, n)), n > 1
 }
 
 // yields reports whether the request lets requests of accounts with at most the mean load go first. A stream that lost its
 // connection never yields, because its caller has already received a part of the answer.
 func (f *flight) yields(mean float64) bool { return f.connectionLostAt.IsZero() && f.load() > mean }
 
-// sameRank is the part of a sorted list that has the rank of its first request.
-func sameRank(list []*flight) []*flight {
-	for i, f := range list {
-		if f.Rank != list[0].Rank {
-			return list[:i]
-		}
-	}
-	return list
-}
-
 // nextToPlace returns the index of the request that is to be placed first. list is sorted by byOrder and not empty. The
 // result is the first request of an account that does not yield, among those of the highest rank. The requests before it
 // yield only if none of them would lose its start time by this while the chosen request would be on time anyway. Otherwise
 // the result is 0.
 func (c *Core) nextToPlace(p *pool, list []*flight) int {
-	list = sameRank(list)
-	mean, several := meanLoad(list)
-	if !several || !list[0].yields(mean) {
+	first := list[0]
+	mean, several := p.queue.meanLoad(first.Rank)
+	if !several || !first.yields(mean) {
 		return 0
 	}
-	index := 0
-	for index < len(list) && list[index].yields(mean) {
+	index := 1
+	for index < len(list) && list[index].Rank == first.Rank && (list[index].Client == first.Client && list[index].connectionLostAt.IsZero() || list[index].yields(mean)) {
 		index++
 	}
-	if index == len(list) {
+	if index == len(list) || list[index].Rank != first.Rank {
 		return 0
 	}
 	at := c.now
 	if p.scarceRole == Prefill {
-		at = at.Add(c.shortestQueue(list[0]))
+		at = at.Add(c.shortestQueue(first))
 	}
 	chosen := list[index]
 	delay := p.timeToStart(chosen)
--- a/internal/decide/fair_test.go
+++ b/internal/decide/fair_test.go
@@ -233,6 +233,8 @@
 		work := [2]time.Duration{Decode: time.Second}
 		large := &flight{Request: Request{ID: 1, Client: "large"}, pool: p, work: work, latestStart: start.Add(500*time.Millisecond + slack)}
 		small := &flight{Request: Request{ID: 2, Client: "small"}, pool: p, work: work, latestStart: start.Add(20 * time.Second)}
+		p.queue.add(large)
+		p.queue.add(small)
 		want := 0
 		if slack > 0 {
 			want = 1
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -9,7 +9,10 @@
 
 // waitQueue holds the waiting requests, sorted by rank and then by flight.order. Both never change while a request waits,
 // so a sorted slice is enough.
-type waitQueue struct{ items []*flight }
+type waitQueue struct {
+	items    []*flight
+	accounts []waitingAccount // The client accounts of items, sorted by rank and then by name.
+}
 
 func byOrder(a, b *flight) int {
 	if n := cmp.Compare(a.Rank, b.Rank); n != 0 {
@@ -24,23 +27,17 @@
 func (q *waitQueue) add(f *flight) {
 	i, _ := slices.BinarySearchFunc(q.items, f, byOrder)
 	q.items = slices.Insert(q.items, i, f)
+	q.addAccount(f)
 }
 
 func (q *waitQueue) remove(f *flight) {
 	i, ok := slices.BinarySearchFunc(q.items, f, byOrder)
 	if ok {
 		q.items = slices.Delete(q.items, i, i+1)
+		q.removeAccount(f)
 	}
 }
 
-// ofRank returns the waiting requests of a rank.
-func (q *waitQueue) ofRank(rank int) []*flight {
-	compare := func(f *flight, rank int) int { return cmp.Compare(f.Rank, rank) }
-	from, _ := slices.BinarySearchFunc(q.items, rank, compare)
-	to, _ := slices.BinarySearchFunc(q.items, rank+1, compare)
-	return q.items[from:to]
-}
-
 // throughput measures how much work this box starts while requests wait, in engine seconds per second, by role. With
 // n engines and no other box, the throughput is about n. With other boxes, it is the part of n that this box gets.
 // It falls when engines are removed.
@@ -102,8 +99,7 @@
 // count.
 func (p *pool) timeAhead(f *flight) time.Duration {
 	work := 0.0
-	rank := p.queue.ofRank(f.Rank)
-	mean, several := meanLoad(rank)
+	mean, several := p.queue.meanLoad(f.Rank)
 	skipYielding := several && !f.yields(mean)
 	for _, other := range p.queue.items {
 		if byOrder(other, f) >= 0 {
