--- a/internal/decide/fair.go
+++ b/internal/decide/fair.go
@@ -111,19 +111,22 @@
 	if index == len(list) || list[index].Rank != first.Rank {
 		return 0
 	}
-	at := c.now
+	// ahead is the time until the work before a request has started, counted from now.
+	ahead := time.Duration(0)
 	if p.scarceRole == Prefill {
-		at = at.Add(c.shortestQueue(first))
+		ahead = c.shortestQueue(first)
 	}
-	chosen := list[index]
-	delay := p.timeToStart(chosen)
+	chosen, rate := list[index], p.throughput.rate(p.scarceRole)
+	delay := time.Duration(float64(chosen.work[p.scarceRole]) / rate)
 	losesStart := false
 	for _, f := range list[:index] {
-		deadline := f.startDeadline().Add(-yieldMargin(f))
-		losesStart = losesStart || !at.After(deadline) && at.Add(delay).After(deadline)
-		at = at.Add(p.timeToStart(f))
+		if !losesStart {
+			slack := f.startDeadline().Sub(c.now) - yieldMargin(f)
+			losesStart = ahead <= slack && ahead+delay > slack
+		}
+		ahead += time.Duration(float64(f.work[p.scarceRole]) / rate)
 	}
-	if losesStart && !at.After(chosen.startDeadline()) {
+	if losesStart && ahead <= chosen.startDeadline().Sub(c.now) {
 		return 0
 	}
 	return index
@@ -133,8 +136,3 @@
 // five seeds of the loads 0.5 to 1.3 on one box, 59,175 requests of both mixes were served in time without a margin,
 // 59,453 with a quarter of the target, 59,230 with half of it, and 58,838 before any request yielded.
 func yieldMargin(f *flight) time.Duration { return f.FirstToken / 4 }
-
-// timeToStart is how long this box needs, while requests wait, to start as much work as the request has.
-func (p *pool) timeToStart(f *flight) time.Duration {
-	return seconds(f.work[p.scarceRole].Seconds() / p.throughput.rate(p.scarceRole))
-}
