--- a/internal/decide/attempt.go
+++ b/internal/decide/attempt.go
@@ -30,7 +30,8 @@
 		return false
 	}
 	f.pool.throughput.addStarted(f)
-	c.remote.addStart(c.now)
+	c.remote.addStart(c.now, c.now)
+	f.noteActive()
 	f.tries++
 	f.attempt = f.newAttempt()
 	if chosen.prefill == nil {
@@ -97,6 +98,7 @@
 	f.decode = e
 	f.reservedKV = f.kvNeed()
 	c.noteSent(e)
+	e.denial.probe(c.now, f)
 	e.reserveDecode(c.now, f.ID, reservation{f.reservedKV, f.PromptTokens, f.kvNeedAtStart() - f.PromptTokens, f.expectedOutput()}, f.streamWeight())
 	e.health.noteRequest(c.now)
 }
@@ -132,7 +134,7 @@
 		return
 	}
 	f.ran = f.ran || !f.PrefillNotRun
-	f.expires = ev.Expires
+	f.expires, f.decodeRefusals = ev.Expires, 0
 	f.pool.urgency.observeLateness(f, c.now.Sub(f.predictedPrefillEnd))
 	f.prefill.observeWait(c.now, c.now.Sub(f.ownWorkEnd), true)
 	if len(f.Blocks) > 0 {
@@ -145,6 +147,7 @@
 	}
 	c.releasePrefill(f)
 	c.noteSuccess(f.prefill)
+	f.decode.denial.confirm() // The prompt was sent only after the decode engine had reserved memory.
 	moved := outcome.OK
 	if f.decode.leaving() || c.isPaused(f.decode) {
 		moved = outcome.NoDecode
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -44,6 +44,9 @@
 	lateOrderDelay = defaultMaxWait
 	// maxTries is how many times a request may be started, even if the retry budget allows more.
 	maxTries = 3
+	// maxDecodeRefusals is how many decode engines may refuse a request after its prompt was read. If two engines
+	// refuse, the pool is most likely full, and calls to further engines would only add load.
+	maxDecodeRefusals = 2
 	// maxPlacementTries bounds how many waiting requests one event tries to place.
 	maxPlacementTries = 8
 )
@@ -84,6 +87,8 @@
 	connectionLostAt time.Time
 	// yieldsToOnTime means that the request goes behind all requests that can still be on time.
 	yieldsToOnTime bool
+	// active means that the request counts in pool.active.
+	active bool
 	// attempt is the number of the latest call to an engine.
 	attempt Attempt
 	// ran is set once any part of the request may have run, and is never reset.
@@ -97,6 +102,8 @@
 	// engineToAvoid is the engine on which the last call failed, or the decode engine that had to be
 	// replaced. A new try uses this engine only if there is no other.
 	engineToAvoid *engine
+	// decodeRefusals is the number of decode engines that refused the request since its prompt was last read.
+	decodeRefusals int
 	// lastChoice is the result of the last attempt to place the request. missesTarget reports that the
 	// best pair of engines in that attempt was predicted to miss the first-token target.
 	lastChoice   *Choice
@@ -185,6 +192,7 @@
 	// lastTick is the time of the last tick; zero before the first.
 	lastTick time.Time
 	remote   remoteLoad
+	told     toldCallers
 	// notices tells which limits and pauses engines have announced; nil if nothing does.
 	notices Notices
 	now     time.Time
@@ -195,6 +203,8 @@
 	prefillOptions                  []prefillOption
 	decodeOptions                   []decodeOption
 	bestPairs                       []pair
+	// toPlace is working memory of drainQueue.
+	toPlace []*flight
 }
 
 // New returns a core without pools. At most maxWait requests can wait on it.
@@ -336,7 +346,7 @@
 		if e := c.engines[ev.Engine]; e != nil {
 			e.addRemotePlacement(ev)
 			if ev.KV > 0 {
-				c.remote.addStart(ev.At)
+				c.remote.addStart(c.now, ev.At)
 				c.pools[e.Pool].observeRemote(ev)
 			}
 		}
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -53,11 +53,7 @@
 	}
 }
 
-// refusedKVPause is a pause after a decode engine refused to reserve memory. In the pause, the engine is not asked for
-// as much memory or more. The pause is short, because several streams per second end on a busy engine.
-const refusedKVPause = 100 * time.Millisecond
-
-// handleNoRoom places a request again after its decode engine refused to reserve memory. The engine was full, because
+// handleNoRoom places a request again after its decode engine or the owner of that engine denied room. The engine was full, because
 // its reported load was out of date or other boxes were faster. Nothing was sent to any engine. So the placement does
 // not count as a try, and uses no retry of the budget.
 func (c *Core) handleNoRoom(ev ReservationRefused) {
@@ -66,7 +62,7 @@
 	if f == nil || f.stage != prefilling && !selfPrefilling || ev.Attempt != f.attempt {
 		return
 	}
-	f.decode.refusedKV, f.decode.refusedKVUntil = f.kvNeed(), c.now.Add(refusedKVPause)
+	f.decode.denial.add(c.now, f, f.decode)
 	f.tries--
 	f.prefillAttempt, f.decodeAttempt = 0, 0
 	c.abortCalls(f)
@@ -74,14 +70,18 @@
 }
 
 // retryDecode lets another decode engine fetch the KV cache. This requires that the prefill engine still has the cache,
-// that the request may be run again, and that a retry is left. Otherwise retryDecode abandons the try.
+// that fewer than maxDecodeRefusals engines have refused the request since, that the request may be run again, and that a
+// retry is left. Otherwise retryDecode abandons the try.
 func (c *Core) retryDecode(f *flight, reason outcome.Reason, ran, kvGone bool) {
 	c.abortDecode(f)
 	// The KV cache can be fetched only once. A call that may have run may have fetched the cache. If another engine
 	// then refuses the request, the cache is gone, and calls to further engines would waste retries.
 	kvGone = kvGone || f.kvMayBeTaken && reason == outcome.EndpointRefused
 	f.kvMayBeTaken = f.kvMayBeTaken || ran
-	usable := !kvGone && c.now.Add(expiryMargin).Before(f.expires)
+	if reason == outcome.EndpointRefused {
+		f.decodeRefusals++
+	}
+	usable := !kvGone && f.decodeRefusals < maxDecodeRefusals && c.now.Add(expiryMargin).Before(f.expires)
 	if usable && (f.Repeatable || !ran) && c.budget.Has(c.now, 1) && c.reserveOtherDecode(f) {
 		c.budget.Take(c.now, 1)
 		c.emit(Retry{f.ID, f.engineToAvoid.Name, reason})
@@ -226,7 +226,7 @@
 
 // endTooLate refuses a request that cannot be on time. The caller is told why (detail) and when to retry.
 func (c *Core) endTooLate(f *flight, detail string) {
-	c.finish(f, outcome.Outcome{Kind: f.kindWithoutAnswer(), Reason: outcome.TooLate, Detail: detail, RetryAfter: c.retryAfter(f)})
+	c.finish(f, outcome.Outcome{Kind: f.kindWithoutAnswer(), Reason: outcome.TooLate, Detail: detail, RetryAfter: c.retryAfter()})
 }
 
 // kindWithoutAnswer is the kind of outcome of a request that ends without a complete answer.
@@ -249,6 +249,7 @@
 	}
 	c.releasePrefill(f)
 	c.releaseDecode(f)
+	f.noteInactive()
 	delete(c.flights, f.ID)
 }
 
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -63,10 +63,13 @@
 // pool is the state of one pool: its engines and its waiting requests.
 type pool struct {
 	Pool
-	prefill         []*engine
-	decode          []*engine
-	ring            []ringPoint // The consistent hash ring of the prefill engines, sorted by hash.
-	queue           waitQueue
+	prefill []*engine
+	decode  []*engine
+	ring    []ringPoint // The consistent hash ring of the prefill engines, sorted by hash.
+	queue   waitQueue
+	// active is the number of starting and running requests of this box, by client account. Accounts without such
+	// requests are not listed.
+	active          map[string]int
 	throughput      throughput
 	predictionError predictionError
 	urgency         urgency
@@ -347,17 +350,31 @@
 		return best, choice, false
 	}
 	c.bestPairs = c.bestPairs[:0]
+	withoutRoom := 0
+	compare := func(candidate pair) {
+		// A stream that lost its connection is placed on any engine that has room now, because its caller waits in the
+		// middle of the answer.
+		if f.connectionLostAt.IsZero() && !c.decodeOptions[candidate.decodeIndex].e.hasRoomAfter(p, f, now, candidate.firstToken) {
+			withoutRoom++
+			return
+		}
+		c.keepCheapest(candidate)
+	}
 	if p.SelfPrefillRatio > 0 {
 		for j := range c.decodeOptions {
-			c.keepCheapest(c.predictSelfPrefill(p, f, j, now))
+			compare(c.predictSelfPrefill(p, f, j, now))
 		}
 	}
 	for i := range c.prefillOptions {
 		for j := range c.decodeOptions {
-			c.keepCheapest(c.predictPair(p, f, i, j, now))
+			compare(c.predictPair(p, f, i, j, now))
 		}
 	}
-	choice.Compared = max(1, len(c.prefillOptions)) * len(c.decodeOptions)
+	if len(c.bestPairs) == 0 {
+		choice.Excluded.NoRoom += len(c.decodeOptions)
+		return best, choice, false
+	}
+	choice.Compared = max(len(c.bestPairs), max(1, len(c.prefillOptions))*len(c.decodeOptions)-withoutRoom)
 	choice.Candidates = make([]Candidate, len(c.bestPairs))
 	for i, candidate := range c.bestPairs {
 		choice.Candidates[i] = c.newCandidate(candidate)
@@ -453,7 +470,7 @@
 		if !c.usable(e, now, excluded) || !f.canRunOn(e) {
 			continue
 		}
-		if !e.hasRoom(p, f, now) || f.kvNeed() >= e.refusedKV && now.Before(e.refusedKVUntil) {
+		if !e.hasRoom(p, f, now) || e.denial.holds(now, f) {
 			excluded.NoRoom++
 			continue
 		}
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -7,11 +7,17 @@
 	"time"
 )
 
-// waitQueue holds the waiting requests, sorted by flight.order. The order of a waiting request never changes, so a
-// sorted slice is enough.
-type waitQueue struct{ items []*flight }
+// waitQueue holds the waiting requests, sorted by rank and then by flight.order. Both never change while a request waits,
+// so a sorted slice is enough.
+type waitQueue struct {
+	items    []*flight
+	accounts []waitingAccount // The client accounts of items, sorted by rank and then by name.
+}
 
 func byOrder(a, b *flight) int {
+	if n := cmp.Compare(a.Rank, b.Rank); n != 0 {
+		return n
+	}
 	if n := a.order.Compare(b.order); n != 0 {
 		return n
 	}
@@ -21,12 +27,14 @@
 func (q *waitQueue) add(f *flight) {
 	i, _ := slices.BinarySearchFunc(q.items, f, byOrder)
 	q.items = slices.Insert(q.items, i, f)
+	q.addAccount(f)
 }
 
 func (q *waitQueue) remove(f *flight) {
 	i, ok := slices.BinarySearchFunc(q.items, f, byOrder)
 	if ok {
 		q.items = slices.Delete(q.items, i, i+1)
+		q.removeAccount(f)
 	}
 }
 
@@ -87,13 +95,19 @@
 	return max(minThroughput, min(p.engines[role], p.estimate[role]))
 }
 
-// timeAhead is how long it will take to start the waiting requests that go before f.
+// timeAhead is how long it will take to start the waiting requests that go before f. Requests that yield to f do not
+// count.
 func (p *pool) timeAhead(f *flight) time.Duration {
 	work := 0.0
+	mean, several := p.queue.meanLoad(f.Rank)
+	skipYielding := several && !f.yields(mean)
 	for _, other := range p.queue.items {
 		if byOrder(other, f) >= 0 {
 			break
 		}
+		if skipYielding && other.Rank == f.Rank && other.yields(mean) {
+			continue
+		}
 		work += other.work[p.scarceRole].Seconds()
 	}
 	return seconds(work / p.throughput.rate(p.scarceRole))
@@ -104,8 +118,9 @@
 
 // shedLate refuses waiting requests as soon as not all of them can be on time. It goes through the queue in order and
 // adds up the work for engines of the scarce role, until it finds a request that would start too late. Of this request
-// and those before it, it determines the client with the most work. It refuses the largest request of that client, and
-// then repeats all this, at most maxShed times. Refusing the largest request keeps the most requests on time
+// and those of the same rank before it, it determines the client with the most work relative to its weight. Requests of
+// higher ranks are not refused for it. It refuses the largest request of that client, and then repeats all this, at most
+// maxShed times. Refusing the largest request keeps the most requests on time
 // (Moore-Hodgson algorithm). Selecting a client first protects the few requests of one client from the bulk load of
 // another.
 //
@@ -118,7 +133,9 @@
 		if index < 0 {
 			return
 		}
-		f := largestOfBusiestClient(p.queue.items[:index+1], p.scarceRole)
+		lowest := p.queue.items[index].Rank
+		first := slices.IndexFunc(p.queue.items, func(f *flight) bool { return f.Rank == lowest })
+		f := largestOfBusiestClient(p.queue.items[first:index+1], p.scarceRole)
 		c.endTooLate(f, "more is waiting for "+p.scarceRole.String()+" engines than can be on time, and it was the largest of the client with most waiting")
 	}
 }
@@ -142,23 +159,27 @@
 	return -1
 }
 
-// largestOfBusiestClient determines the client whose requests need the most work of the given role, and returns the
-// largest request of that client. Requests that may be late do not count.
+// largestOfBusiestClient determines the client whose requests need the most work of the given role, relative to its
+// weight, and returns the largest request of that client. A request with CallerRetry is returned only if the client has no
+// other. Requests that may be late do not count.
 func largestOfBusiestClient(items []*flight, role EngineRole) *flight {
-	total := map[string]time.Duration{}
+	total := map[string]float64{}
 	busiestClient := ""
 	for _, f := range items {
 		if f.mayBeLate {
 			continue
 		}
-		total[f.Client] += f.work[role]
+		total[f.Client] += float64(f.work[role]) / f.weight()
 		if t := total[f.Client]; busiestClient == "" || t > total[busiestClient] {
 			busiestClient = f.Client
 		}
 	}
 	var best *flight
 	for _, f := range items {
-		if !f.mayBeLate && f.Client == busiestClient && (best == nil || f.work[role] > best.work[role]) {
+		if f.mayBeLate || f.Client != busiestClient {
+			continue
+		}
+		if best == nil || best.CallerRetry && !f.CallerRetry || best.CallerRetry == f.CallerRetry && f.work[role] > best.work[role] {
 			best = f
 		}
 	}
@@ -176,7 +197,7 @@
 // remoteLoad is what this box knows of the waiting and starting requests of all boxes.
 type remoteLoad struct {
 	waiting int // Requests that wait on the other boxes.
-	// starts are the times at which requests of all boxes were started in the last startsWindow.
+	// starts are the times at which requests of all boxes were started in about the last startsWindow.
 	starts []time.Time
 }
 
@@ -189,10 +210,37 @@
 	minStartChance = 0.5
 )
 
-func (o *remoteLoad) addStart(at time.Time) {
-	if len(o.starts) < maxStarts {
-		o.starts = append(o.starts, at)
+// addStart adds a start and removes the starts that are older than startsWindow. If the list is full, the start that was
+// added first is removed.
+func (o *remoteLoad) addStart(now, at time.Time) {
+	o.prune(now)
+	if len(o.starts) >= maxStarts {
+		o.starts = slices.Delete(o.starts, 0, 1)
+	}
+	o.starts = append(o.starts, at)
+}
+
+// prune removes starts that are older than startsWindow from the front of the list. News of starts on other boxes
+// arrives out of order by some milliseconds, so a few older starts can remain behind a newer one. rate does not count
+// them.
+func (o *remoteLoad) prune(now time.Time) {
+	n := 0
+	for n < len(o.starts) && now.Sub(o.starts[n]) > startsWindow {
+		n++
+	}
+	o.starts = slices.Delete(o.starts, 0, n)
+}
+
+// rate is the number of requests of all boxes that started in the last startsWindow, per second. It is at least one
+// per startsWindow.
+func (o *remoteLoad) rate(now time.Time) float64 {
+	n := 0
+	for _, at := range o.starts {
+		if now.Sub(at) <= startsWindow {
+			n++
+		}
 	}
+	return float64(max(1, n)) / startsWindow.Seconds()
 }
 
 // startChance is the probability that a waiting request of this box starts within the given time. It assumes that all
@@ -205,7 +253,5 @@
 	if o.waiting == 0 {
 		return 1
 	}
-	o.starts = slices.DeleteFunc(o.starts, func(at time.Time) bool { return now.Sub(at) > startsWindow })
-	rate := float64(max(1, len(o.starts))) / startsWindow.Seconds()
-	return 1 - math.Exp(-rate*within.Seconds()/float64(o.waiting+localWaiting))
+	return 1 - math.Exp(-o.rate(now)*within.Seconds()/float64(o.waiting+localWaiting))
 }
