--- a/internal/overlay/slots.go
+++ b/internal/overlay/slots.go
@@ -33,9 +33,11 @@
 	// slotFirstTimeout bounds the time until an owner's first answer. A call between halls takes 4 ms, and that includes
 	// connecting. A box that is short of processor time answers some tens of milliseconds late.
 	slotFirstTimeout = 40 * time.Millisecond
-	// A queued request is given up after slotWaitFactor times the expected wait plus slotWaitMargin.
-	slotWaitFactor = 2
-	slotWaitMargin = 100 * time.Millisecond
+	// An owner repeats its answer to a queued request every slotQueuedInterval. A box that hears nothing for
+	// slotQueuedTimeout takes the owner for gone. The expected wait is no bound: requests that can still be on time go
+	// before those that cannot.
+	slotQueuedInterval = 50 * time.Millisecond
+	slotQueuedTimeout  = 150 * time.Millisecond
 	// releaseTimeout bounds one call that releases slots. releaseAttempts is how often the call is tried. A release that
 	// is lost costs a slot until the grant expires.
 	releaseTimeout  = 200 * time.Millisecond
@@ -305,7 +307,7 @@
 			return fail(errInvalidDecision)
 		}
 		if d.State == slots.Queued {
-			timer.Reset(slotWaitFactor*d.Wait + slotWaitMargin)
+			timer.Reset(slotQueuedTimeout)
 			continue
 		}
 		busy = stream.Msg().Busy
@@ -538,11 +540,17 @@
 func (n *Node) serveSlot(ctx context.Context, cell slots.Cell, r slots.Request, send func(*v1.AcquireSlotResponse) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var repeats sync.WaitGroup
+	decided := make(chan struct{})
 	d, busy := n.o.Slots.Acquire(ctx, cell, r, func(d slots.Decision) {
 		if send(encodeDecision(d, true)) != nil { // An owner with a queue is busy.
 			cancel()
+			return
 		}
+		repeats.Go(func() { repeatQueued(decided, d, send, cancel) })
 	})
+	close(decided)
+	repeats.Wait() // The answers of a stream must not be sent at the same time.
 	err := ctx.Err()
 	if err == nil {
 		err = send(encodeDecision(d, busy))
@@ -556,6 +564,24 @@
 	return err
 }
 
+// repeatQueued repeats the answer to a queued request until the request is decided. If the answer cannot be sent, it calls
+// cancel.
+func repeatQueued(decided <-chan struct{}, d slots.Decision, send func(*v1.AcquireSlotResponse) error, cancel func()) {
+	t := time.NewTicker(slotQueuedInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			if send(encodeDecision(d, true)) != nil {
+				cancel()
+				return
+			}
+		case <-decided:
+			return
+		}
+	}
+}
+
 // ReleaseSlot serves another box's call that returns slots. A box that stops still accepts it.
 func (s *server) ReleaseSlot(_ context.Context, r *connect.Request[v1.ReleaseSlotRequest]) (*connect.Response[v1.ReleaseSlotResponse], error) {
 	n := s.n
--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -64,6 +64,15 @@
 	}
 }
 
+// earlierAttempts returns how much time a returning caller with this timeout has spent on earlier attempts. It is 0 for
+// other callers.
+func (r *Route) earlierAttempts(callerTimeout time.Duration) time.Duration {
+	if !r.isReturning(callerTimeout) {
+		return 0
+	}
+	return time.Duration(r.callerTimeout.Load()) - callerTimeout
+}
+
 // pick selects the service for a request. The choice depends only on the request's id, so that each attempt goes to the
 // same service, whichever box receives it.
 func (r *Route) pick(id string) string {
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -165,7 +165,8 @@
 	}
 	q.OnTime = q.Left
 	if x.route.LatencyTarget > 0 {
-		q.OnTime = min(q.Left, x.route.LatencyTarget-clock.Since(x.arrived))
+		elapsed := clock.Since(x.arrived) + x.route.earlierAttempts(x.meta.Timeout)
+		q.OnTime = min(q.Left, x.route.LatencyTarget-elapsed)
 	}
 	if x.account != nil {
 		q.Account = x.account.Name
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -163,12 +163,11 @@
 	}
 }
 
-// refusalDelay returns the delay that the caller of a refused stream is told. For the reasons that depend on how many
-// streams wait, the decision core has computed the delay from the load. Other delays are at least streamRetryAfter.
+// refusalDelay returns the delay that the caller of a refused stream is told. It is at least streamRetryAfter, because the
+// decision core counts only the callers that this box told to retry, and not those of the other boxes.
 func refusalDelay(o outcome.Outcome) time.Duration {
-	switch {
-	case o.RetryAfter == 0 || o.Reason == outcome.TooLate || o.Reason == outcome.QueueFull || o.Reason == outcome.WaitExpired:
-		return o.RetryAfter
+	if o.RetryAfter == 0 {
+		return 0
 	}
 	return max(o.RetryAfter, jitter(streamRetryAfter))
 }
--- a/internal/slots/admission.go
+++ b/internal/slots/admission.go
@@ -11,6 +11,10 @@
 	// dropMargin is how many mean service times a waiting request must have left. With service times spread as in
 	// deployment A, an answer takes more than 1.5 times the mean in 1 of 8 calls, and more than the mean in 4 of 10.
 	dropMargin = 1.5
+	// maxServiceMargin and maxDropMargin bound these margins, as parts of the time that a request has in total. Without
+	// the bounds, an endpoint whose mean service time rises to half of the target would get late requests only.
+	maxServiceMargin = 0.7
+	maxDropMargin    = 0.5
 	// One in lateShare grants goes to the late queue while on-time requests wait, so that callers that retry after a
 	// refusal aren't all refused again.
 	lateShare = 8
@@ -129,7 +133,17 @@
 // admitOnTime returns the expected wait of r in the on-time queue, and whether it can be on time.
 func (d *Dispatcher) admitOnTime(c capacity, r *Request) (time.Duration, bool) {
 	wait := waitAt(d.onTime.ahead(*r), d.onTimeRate(c))
-	return wait, wait+serviceMargin*c.service <= r.OnTime
+	return wait, wait+c.margin(r.OnTime) <= r.OnTime
+}
+
+// margin is the time that a new request must have left after its expected wait, if it has the time left in total.
+func (c capacity) margin(left time.Duration) time.Duration {
+	return max(c.service, min(serviceMargin*c.service, seconds(maxServiceMargin*left.Seconds())))
+}
+
+// needs is the time before its due time at which a waiting request must get a slot.
+func (c capacity) needs(w *waiter) time.Duration {
+	return seconds(min(dropMargin*c.service.Seconds(), maxDropMargin*w.due.Sub(w.arrived).Seconds()))
 }
 
 // admitLate returns the expected wait of r in the late queue, and whether it can be served there. left is the time until
@@ -137,7 +151,7 @@
 // only callers that were refused before. It serves them on time if they can be on time at all: if such requests waited
 // longer there, the share would turn a part of the on-time answers into late ones.
 func (d *Dispatcher) admitLate(now time.Time, c capacity, r *Request, left time.Duration) (time.Duration, bool) {
-	ahead, margin := d.late.ahead(*r), serviceMargin*c.service
+	ahead, margin := d.late.ahead(*r), c.margin(left)
 	wait := waitAt(ahead, d.spareInBurst(now, c))
 	if d.onTime.len() > 0 {
 		wait = max(wait, waitAt(d.onTime.len(), c.rate))
--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -14,6 +14,11 @@
 	maxWaiting = 4096
 	// grantGrace is how long a grant counts as in use after its caller has given up. It covers the way of the release.
 	grantGrace = 200 * time.Millisecond
+	// A grant counts as in use for at most overdueFactor mean service times. An endpoint that lost an answer, or runs the
+	// call no more, would otherwise hold a slot until the caller gives up: with one lost answer in 200 calls and callers
+	// that wait 1.1 s, a quarter of the slots was held for nothing. minOverdue leaves room for the first estimates.
+	overdueFactor = 6
+	minOverdue    = 150 * time.Millisecond
 	// busyMemory is how long boxes go on asking after the slots were last contended.
 	busyMemory = 2 * time.Second
 )
@@ -140,7 +145,7 @@
 	r.OnTime = min(r.OnTime, r.Left)
 	if r.Returning {
 		d.told.returned()
-	} else if r.OnTime >= serviceMargin*c.service {
+	} else if r.OnTime >= c.service {
 		d.arrivals.add(now)
 		d.burst.add(now)
 	}
@@ -206,7 +211,12 @@
 
 // grant gives a slot of e to w, which must not be in a queue.
 func (d *Dispatcher) grant(now time.Time, w *waiter, e *endpoint) Decision {
-	g := &grant{id: w.ID, endpoint: e, at: now, expires: w.arrived.Add(w.Left + grantGrace), extra: d.extra(&w.Request, e)}
+	g := &grant{id: w.ID, endpoint: e, at: now, extra: d.extra(&w.Request, e)}
+	g.ends = w.arrived.Add(w.Left + grantGrace)
+	g.expires = now.Add(max(minOverdue, seconds(overdueFactor*e.slow)) + g.extra)
+	if g.ends.Before(g.expires) {
+		g.expires = g.ends
+	}
 	e.inUse++
 	g.decision = Decision{State: Granted, Endpoint: e.ID, Wait: now.Sub(w.arrived), InUse: e.inUse, Limit: e.limit}
 	g.decision.Waiting = len(d.waiting)
@@ -298,6 +308,9 @@
 	delete(d.grants, g.id)
 	e := g.endpoint
 	e.ended(now, res, d.lowestService(), now.Sub(g.at), g.extra)
+	if !g.overdue {
+		e.inUse--
+	}
 	if !e.listed && e.inUse == 0 {
 		delete(d.endpoints, e.ID)
 		d.list = slices.DeleteFunc(d.list, func(x *endpoint) bool { return x == e })
--- a/internal/slots/endpoint.go
+++ b/internal/slots/endpoint.go
@@ -151,7 +151,6 @@
 		e.answers = 0
 		e.nextCut = now.Add(seconds(e.slow))
 	}
-	e.inUse--
 }
 
 func (e *endpoint) answered(now time.Time, lowest, took, held float64) {
--- a/internal/slots/expiry.go
+++ b/internal/slots/expiry.go
@@ -12,6 +12,10 @@
 	at       time.Time
 	// expires is when the grant no longer counts as in use although it was not released.
 	expires time.Time
+	// ends is when the grant is forgotten. Between expires and ends it is overdue: it takes no slot, and its result still
+	// counts in the endpoint's statistics.
+	ends    time.Time
+	overdue bool
 	// extra is the additional latency between the halls of the box and of the endpoint.
 	extra    time.Duration
 	decision Decision
--- a/internal/slots/step.go
+++ b/internal/slots/step.go
@@ -33,7 +33,7 @@
 	}
 	for _, q := range []*queue{&d.onTime, &d.late} {
 		if q.len() > 0 {
-			earliest(q.byDue[0].due.Add(-c.needs()))
+			earliest(q.byDue[0].due.Add(-c.needs(q.byDue[0])))
 		}
 	}
 	if len(d.expiring) > 0 {
@@ -91,8 +91,15 @@
 	d.current, d.advancedTo = true, now
 	d.noteBusy(now)
 	for len(d.expiring) > 0 && !d.expiring[0].expires.After(now) {
+		g := heap.Pop(&d.expiring).(*grant)
+		if now.Before(g.ends) {
+			g.overdue, g.expires = true, g.ends
+			g.endpoint.inUse--
+			heap.Push(&d.expiring, g)
+			continue
+		}
 		// How the call ended is not known.
-		d.end(now, heap.Pop(&d.expiring).(*grant), Result{Outcome: Unused})
+		d.end(now, g, Result{Outcome: Unused})
 	}
 	d.refused.advance(now)
 	d.told.advance(now)
@@ -196,13 +203,10 @@
 	}
 }
 
-// needs is the time before its due time at which a waiting request must get a slot.
-func (c capacity) needs() time.Duration { return seconds(dropMargin * c.service.Seconds()) }
-
 // unservable returns a request that can't be served in time, or nil. rate is the rate at which the queue is served. The
 // queue must not be empty.
 func (q *queue) unservable(now time.Time, c capacity, rate float64, scope dropScope) *waiter {
-	if w := q.byDue[0]; !now.Add(c.needs()).Before(w.due) {
+	if w := q.byDue[0]; !now.Add(c.needs(w)).Before(w.due) {
 		return w
 	}
 	if scope == dueOnly {
