--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -311,7 +311,8 @@
 	if !g.overdue {
 		e.inUse--
 	}
-	if !e.listed && e.inUse == 0 {
+	// If the last grant of an endpoint that left the list was overdue, the list may have the endpoint again by now.
+	if !e.listed && e.inUse == 0 && d.endpoints[e.ID] == e {
 		delete(d.endpoints, e.ID)
 		d.list = slices.DeleteFunc(d.list, func(x *endpoint) bool { return x == e })
 	}
--- a/internal/slots/dispatcher_test.go
+++ b/internal/slots/dispatcher_test.go
@@ -186,12 +186,13 @@
 // Guards against a waiting request that is refused only when its caller has given up, and against one that is refused
 // while it can still be served.
 func TestRefusedWhenItCannotBeServed(t *testing.T) {
-	for _, left := range []time.Duration{simTarget, overdueFactor*simService - 5*time.Millisecond} {
+	// Each time is shorter than the time after which the call that occupies the slot is overdue.
+	for onTime, left := range map[time.Duration]time.Duration{simTarget: simTarget, 100 * time.Millisecond: 170 * time.Millisecond} {
 		d := newTestDispatcher(Endpoint{ID: "e1", Slots: 1, Usable: true})
-		now := warm(d, 50)
+		now := warm(d, 50).Add(2 * time.Second)
 		occupy(t, d, now)
 		r := request("a")
-		r.Left = left
+		r.OnTime, r.Left = onTime, left
 		if got := d.Acquire(now, r); got.State != Queued {
 			t.Fatalf("%+v", got)
 		}
