--- a/internal/overlay/slots.go
+++ b/internal/overlay/slots.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
@@ -45,8 +44,6 @@
 	// maxReleases bounds the releases of one call, and maxPendingReleases those that wait for the next call.
 	maxReleases        = 512
 	maxPendingReleases = 4096
-	// endpointsPerCell is the maximum mean number of endpoints of a cell.
-	endpointsPerCell = 32
 	// rankedSlotOwners is how many boxes are kept per cell in the order in which they are asked. If none of them is
 	// usable, the asking box decides alone.
 	rankedSlotOwners = 16
@@ -88,14 +85,6 @@
 	Release(cell slots.Cell, id string, res slots.Result) (busy bool)
 }
 
-// SlotCells returns the number of cells of a service that has this number of endpoints in a region.
-func SlotCells(endpoints int) int { return (endpoints + endpointsPerCell - 1) / endpointsPerCell }
-
-// SlotCellIndex returns the index of the cell that an endpoint belongs to. Cells is the result of SlotCells, at least 1.
-func SlotCellIndex(endpoint string, cells int) int {
-	return int(xxhash.Sum64String(endpoint) % uint64(cells))
-}
-
 // slotState is what a Node keeps to ask owners of cells and to serve as one.
 type slotState struct {
 	httpClient *http.Client
--- a/internal/relay/cells.go
+++ b/internal/relay/cells.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/slots"
 )
@@ -19,8 +17,6 @@
 // of the slots.
 
 const (
-	// maxCellEndpoints is the mean number of endpoints of a cell that is not exceeded.
-	maxCellEndpoints = 32
 	// maxCells bounds the cells for which a box grants slots, and cellTTL the time that an unused one is kept.
 	maxCells = 256
 	cellTTL  = 30 * time.Second
@@ -47,7 +43,7 @@
 		n[serviceRegion{e.Service, f.regionOf(e.Hall)}]++
 	}
 	for k := range n {
-		n[k] = (n[k] + maxCellEndpoints - 1) / maxCellEndpoints
+		n[k] = slots.CellCount(n[k])
 	}
 	f.cellCounts = n
 }
@@ -67,7 +63,7 @@
 		if !services[k] {
 			continue
 		}
-		c := slots.Cell{Service: k.service, Region: k.region, Index: int(xxhash.Sum64String(e.ID) % uint64(f.cellCounts[k]))}
+		c := slots.Cell{Service: k.service, Region: k.region, Index: slots.CellIndex(e.ID, f.cellCounts[k])}
 		if wanted[c] {
 			known := f.describe(i)
 			out[c] = append(out[c], slots.Endpoint{ID: e.ID, Hall: e.Hall, Slots: e.Slots, Usable: known.open() && !f.isCold(now, e)})
--- a/internal/slots/types.go
+++ b/internal/slots/types.go
@@ -8,13 +8,6 @@
 
 import "time"
 
-// Cell is a group of endpoints of one service and region whose slots are granted by one owner.
-type Cell struct {
-	Service, Region string
-	// Index numbers the cells of a service and region from 0.
-	Index int
-}
-
 // Endpoint is an endpoint whose slots a Dispatcher grants.
 type Endpoint struct {
 	ID, Hall string
