--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -19,6 +19,9 @@
 	// that wait 1.1 s, a quarter of the slots was held for nothing. minOverdue leaves room for the first estimates.
 	overdueFactor = 6
 	minOverdue    = 150 * time.Millisecond
+	// maxOverdue bounds the grants that are overdue. Beyond it, a grant is forgotten when it becomes overdue, and its result
+	// is not counted. Otherwise the number of grants would depend on how long the boxes say that callers wait.
+	maxOverdue = 4096
 	// busyMemory is how long boxes go on asking after the slots were last contended.
 	busyMemory = 2 * time.Second
 )
@@ -59,6 +62,7 @@
 
 	grants    map[string]*grant
 	expiring  grantHeap
+	overdue   int // The grants that are overdue.
 	refused   refusals
 	told      retries
 	busyUntil time.Time
@@ -308,7 +312,9 @@
 	delete(d.grants, g.id)
 	e := g.endpoint
 	e.ended(now, res, d.lowestService(), now.Sub(g.at), g.extra)
-	if !g.overdue {
+	if g.overdue {
+		d.overdue--
+	} else {
 		e.inUse--
 	}
 	// If the last grant of an endpoint that left the list was overdue, the list may have the endpoint again by now.
--- a/internal/slots/step.go
+++ b/internal/slots/step.go
@@ -92,7 +92,8 @@
 	d.noteBusy(now)
 	for len(d.expiring) > 0 && !d.expiring[0].expires.After(now) {
 		g := heap.Pop(&d.expiring).(*grant)
-		if now.Before(g.ends) {
+		if now.Before(g.ends) && d.overdue < maxOverdue {
+			d.overdue++
 			g.overdue, g.expires = true, g.ends
 			g.endpoint.inUse--
 			heap.Push(&d.expiring, g)
