Bound the accounts of a queue and the effect of tiny weights

An account without waiting requests is kept while its finish tag is ahead. With weights near 0 that was for as long as requests wait, and an infinite tag ended fair order.

--- a/internal/slots/queue.go
+++ b/internal/slots/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -25,15 +26,19 @@
 	flow  *flow
 }
 
-func (w *waiter) weight() float64 { return weightOf(w.Request) }
+// minWeight is the lowest weight that counts. Start tags lose their precision if one request adds too much to them.
+const minWeight = 1e-6
 
-func weightOf(r Request) float64 {
-	if !(r.Weight > 0) {
+func (w *waiter) weight() float64 {
+	if !(w.Weight > 0) {
 		return 1
 	}
-	return r.Weight
+	return max(w.Weight, minWeight)
 }
 
+// maxFlows bounds the accounts of a class. It leaves room for an account of its own for each request that waits.
+const maxFlows = maxWaiting
+
 // queue has waiting requests, ordered by priority, then by start-time fair queueing between accounts, then by arrival.
 type queue struct {
 	// classes are the priorities with waiting requests, the highest priority first.
@@ -53,10 +58,9 @@
 
 // flow has the waiting requests of one account and priority, in order of arrival and of their start tags.
 type flow struct {
-	account string
-	weight  float64
-	finish  float64 // The finish tag of the newest request.
-	items   []*waiter
+	weight float64
+	finish float64 // The finish tag of the newest request.
+	items  []*waiter
 }
 
 // work is the waiting work of the flow relative to its weight.
@@ -122,7 +126,10 @@
 	w.start = c.startTag(w.Account)
 	f := c.flows[w.Account]
 	if f == nil {
-		f = &flow{account: w.Account}
+		if len(c.flows) >= maxFlows {
+			maps.DeleteFunc(c.flows, func(_ string, f *flow) bool { return len(f.items) == 0 })
+		}
+		f = &flow{}
 		c.flows[w.Account] = f
 	}
 	f.weight = w.weight()
