--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -141,6 +141,7 @@
 	seedLimiter  bucket
 	unresponsive unresponsiveOwners
 	ownerOrder   ownerRankings
+	boxes        regionBoxes
 	lender       quota.Lender
 	slots        slotState
 	borrowers    borrowers
@@ -271,11 +272,29 @@
 // exchange gossip messages.
 func (n *Node) RegionSize() int { return len(n.members.list(n.o.Self.Region)) }
 
-// Boxes lists the names of the boxes of a region. Version is a number that changes whenever the list changes.
+// regionBoxes caches the names of the boxes of each region, because they are needed for each plain call.
+type regionBoxes struct {
+	mu       sync.Mutex
+	version  int64
+	byRegion map[string][]string
+}
+
+// Boxes lists the names of the boxes of a region. The list must not be changed. Version is a number that changes whenever
+// the list changes.
 func (n *Node) Boxes(region string) (names []string, version int64) {
 	version = n.members.changes.Load()
-	for _, m := range n.members.list(region) {
-		names = append(names, m.Name)
+	s := &n.boxes
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byRegion == nil || s.version != version {
+		s.byRegion, s.version = map[string][]string{}, version
+	}
+	names, ok := s.byRegion[region]
+	if !ok {
+		for _, m := range n.members.list(region) {
+			names = append(names, m.Name)
+		}
+		s.byRegion[region] = names
 	}
 	return names, version
 }
--- a/internal/overlay/slots_test.go
+++ b/internal/overlay/slots_test.go
@@ -921,6 +921,29 @@
 	}
 }
 
+// Guards against work per plain call that grows with the number of boxes, and against a list of boxes that is out of date.
+func TestBoxesCostNoWorkPerCall(t *testing.T) {
+	n := &Node{}
+	rows := map[string][]byte{}
+	for _, m := range hallOf(986) {
+		m.Region, m.Address = "r", "a:1"
+		rows[m.Name] = m.encode()
+	}
+	n.members.set(rows)
+	if names, _ := n.Boxes("r"); len(names) != 986 {
+		t.Errorf("expected 986 boxes, got %d", len(names))
+	}
+	if allocs := testing.AllocsPerRun(100, func() { n.Boxes("r") }); allocs > 0 {
+		t.Errorf("expected no allocations, got %v", allocs)
+	}
+	_, before := n.Boxes("r")
+	delete(rows, "box-7")
+	n.members.set(rows)
+	if names, version := n.Boxes("r"); len(names) != 985 || version == before {
+		t.Errorf("expected 985 boxes and another version, got %d, version %d as before", len(names), version)
+	}
+}
+
 // BenchmarkSlot measures what a slot costs: one request and one release over loopback, at both boxes together. The
 // target is 0.15 ms of processor time per call and box.
 func BenchmarkSlot(b *testing.B) {
