Keep the reason when an owner's answer comes as time runs out

If the timer had fired but its cause was not set yet, the error was nil, and the granted slot was taken for a refusal and not released. No test provokes this: the window is some microseconds.

--- a/internal/overlay/slots.go
+++ b/internal/overlay/slots.go
@@ -302,7 +302,8 @@
 		busy = stream.Msg().Busy
 		if !keep() || !timer.Stop() {
 			_ = stream.Close()
-			return fail(ctx.Err()) // The stream was cancelled while the answer came, and the owner may have noticed.
+			// The stream is cancelled while the answer comes, and the owner may notice. The cause may not be set yet.
+			return fail(cmp.Or(ctx.Err(), errOwnerSilent))
 		}
 		go func() { // Reads the end of the stream, so that the connection can be used again.
 			timer.Reset(callTimeout)
