--- a/internal/decide/arrive.go
+++ b/internal/decide/arrive.go
@@ -33,8 +33,6 @@
 	}
 	if f.CallerRetry {
 		f.order = f.arrived
-	}
-	if f.CallerRetry {
 		c.told.removeFirst()
 	}
 	f.pool.urgency.addArrival(f)
