Check an endpoint again after a call waited for a connection

With a limit on connections, a call can wait until the route's time is over. It was then sent also if the endpoint had begun to leave, was removed from the list or its hall was evacuated.

--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -70,6 +70,9 @@
 	// the endpoint has not read the request: the endpoint's operating system acknowledges bytes before the process accepts
 	// the connection, and an acknowledgement of bytes that the process has read can be lost.
 	ConfirmOpen bool
+	// StillAllowed is called before the first byte is sent if the request waited for a connection or opened one. If it
+	// returns false, Do returns ErrNotAllowed with Sent = false. If StillAllowed is nil, the request is sent.
+	StillAllowed func() bool
 	// Matches receives the headers of a response, and reports whether the response belongs to this request. If Matches
 	// is nil, the first response counts as the request's own.
 	Matches func(http.Header) bool
@@ -78,6 +81,9 @@
 // ErrUnconfirmed means that a new connection was closed by the endpoint before the request was sent (ConfirmOpen).
 var ErrUnconfirmed = errors.New("the endpoint closed the new connection before the request was sent")
 
+// ErrNotAllowed means that StillAllowed returned false.
+var ErrNotAllowed = errors.New("the endpoint takes no more requests")
+
 // ErrConnsBusy means that all MaxConns connections stayed in use until the request's context ended.
 var ErrConnsBusy = errors.New("all connections to the endpoint are in use")
 
@@ -158,6 +164,7 @@
 	// dialTime is how long connecting took. fresh is set until the connection has carried a request.
 	dialTime time.Duration
 	fresh    bool
+	awaited  bool // The request that uses the connection waited for it.
 }
 
 // Do sends the request and returns its response as soon as the headers have arrived. The caller must close the response
@@ -189,7 +196,13 @@
 			return nil, &Error{Reset: true, Err: fmt.Errorf("%w: %w", ErrUnconfirmed, err)}
 		}
 	}
-	c.fresh = false
+	waited := fresh || c.awaited
+	c.fresh, c.awaited = false, false
+	if waited && r.StillAllowed != nil && !r.StillAllowed() {
+		stop()
+		p.discard(c)
+		return nil, &Error{Err: ErrNotAllowed}
+	}
 	sendResult, sentAt := make(chan error, 1), clock.Now()
 	p.write(c, r, sendResult)
 	resp, err := c.readResponse(r, p.reportSurplus)
@@ -325,6 +338,9 @@
 			if c, err = p.await(ctx, r.Address, w); err != nil {
 				return nil, err
 			}
+			if c != nil {
+				c.awaited = true
+			}
 		}
 		if c == nil {
 			return p.open(ctx, r.Address)
--- a/internal/relay/cells.go
+++ b/internal/relay/cells.go
@@ -90,6 +90,18 @@
 	return e, e.open() && !f.isCold(now, &e.Endpoint)
 }
 
+// isOpen reports whether an endpoint is listed and may get new requests.
+func (f *fleet) isOpen(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i, listed := f.index[id]
+	if !listed {
+		return false
+	}
+	e := f.describe(i)
+	return e.open()
+}
+
 // slotCells grants the slots of cells.
 type slotCells struct {
 	r *Relay
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -228,8 +228,10 @@
 	full   bool // The endpoint rejected the request because it is full.
 	// connsBusy is set if this box's connections to the endpoint stayed in use until the request's time was over.
 	connsBusy bool
-	reset     bool          // The endpoint reset a new connection before it sent the header of an answer.
-	took      time.Duration // How long the call took.
+	// notAllowed is set if the endpoint began to leave, or its hall was evacuated, while the call waited for a connection.
+	notAllowed bool
+	reset      bool          // The endpoint reset a new connection before it sent the header of an answer.
+	took       time.Duration // How long the call took.
 	// connLoss describes the lost connection, if the endpoint closed it before the answer was complete.
 	connLoss connLoss
 }
@@ -247,7 +249,7 @@
 	start := clock.Now()
 	defer func() {
 		a.took = clock.Since(start)
-		if a.full || a.reset && !a.sent || a.connsBusy {
+		if a.full || a.reset && !a.sent || a.connsBusy || a.notAllowed {
 			x.r.plain.release(e) // The endpoint did not fail.
 			return
 		}
@@ -255,9 +257,11 @@
 	}()
 	q := x.request(e.Address, Run{Instance: e.ID})
 	q.MaxConns, q.ConfirmOpen = x.r.maxConns(x.service, x.region), x.contended()
+	q.StillAllowed = func() bool { return x.r.fleet.isOpen(e.ID) }
 	resp, err := x.r.callerPool.Do(ctx, q)
 	if err != nil {
 		a.reset, a.connsBusy = wasReset(err), errors.Is(err, h1.ErrConnsBusy)
+		a.notAllowed = errors.Is(err, h1.ErrNotAllowed)
 		var failed *h1.Error
 		sent := !errors.As(err, &failed) || failed.Sent
 		a.sent, a.ran, a.reason = sent, sent, outcome.EndpointLost
--- /dev/null
+++ b/internal/relay/plain_wait_test.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/slots"
+)
+
+// Guards against calls to an endpoint that began to leave, or whose hall was evacuated, while the call waited for one of
+// the box's connections. Such a call must be reported as not sent, and must not count as a failure.
+func TestNoCallToEndpointThatLeftDuringWait(t *testing.T) {
+	list := []Endpoint{{ID: "e", Service: "s-0", Hall: "h"}}
+	for name, leave := range map[string]func(*Relay){
+		"leaving": func(r *Relay) {
+			r.SetEndpoints([]Endpoint{{ID: "e", Service: "s-0", Hall: "h", Leaving: true}})
+		},
+		"evacuated": func(r *Relay) { r.SetEvacuated([]string{"h"}) },
+		"removed":   func(r *Relay) { r.SetEndpoints(nil) },
+	} {
+		var arrived atomic.Int32
+		answer := make(chan struct{})
+		srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			arrived.Add(1)
+			<-answer
+		}))
+		list[0].Address = srv.Listener.Addr().String()
+		r := cellRelay(1)
+		r.SetEndpoints(list)
+		service := &Service{Name: "s-0", MaxConnections: minConnections}
+		call := func() (plainAnswer, slots.Outcome) {
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			x := &exchange{r: r, req: httptest.NewRequest(http.MethodGet, "/", nil), service: service, region: "r", route: &Route{}, deadline: clock.Now().Add(20 * time.Second)}
+			e, _ := r.plain.choose("s-0", "r", clock.Now(), nil)
+			a := x.callPlain(ctx, e)
+			return a, x.slotOutcome(ctx, &a)
+		}
+		var wg sync.WaitGroup
+		for range minConnections {
+			wg.Go(func() { _, _ = call() })
+		}
+		for arrived.Load() < minConnections {
+			time.Sleep(time.Millisecond)
+		}
+		wg.Go(func() {
+			if a, o := call(); a.sent || a.ran || o != slots.Unused {
+				t.Errorf("%s: expected an unused slot, got %+v, outcome %d", name, a, o)
+			}
+		})
+		for r.plain.running("s-0") <= minConnections {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond) // The call waits for a connection.
+		leave(r)
+		close(answer)
+		wg.Wait()
+		srv.Close()
+		if n := arrived.Load(); n != minConnections {
+			t.Errorf("%s: expected %d calls at the endpoint, got %d", name, minConnections, n)
+		}
+	}
+}
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -234,7 +234,7 @@
 	case a.reset && (!a.sent || a.took < immediateLossLimit):
 		// A connection that is lost later was probably lost while the request ran.
 		return slots.Reset
-	case errors.Is(ctx.Err(), context.Canceled), a.connsBusy:
+	case errors.Is(ctx.Err(), context.Canceled), a.connsBusy, a.notAllowed:
 		return slots.Unused
 	case a.good:
 		return slots.Answered
