--- a/internal/slots/step.go
+++ b/internal/slots/step.go
@@ -120,13 +120,11 @@
 			return
 		}
 		anyFree := d.best(now, &Request{}) != nil
-		var e *endpoint
 		fits := func(w *waiter) bool {
-			if len(w.Exclude) == 0 && !anyFree {
-				return false
+			if len(w.Exclude) == 0 {
+				return anyFree
 			}
-			e = d.best(now, &w.Request)
-			return e != nil
+			return d.best(now, &w.Request) != nil
 		}
 		q := d.nextQueue()
 		w := q.first(fits)
@@ -139,7 +137,6 @@
 		if w == nil {
 			return
 		}
-		e = d.best(now, &w.Request)
 		if w.late {
 			d.sinceLate = 0
 		} else {
@@ -147,7 +144,7 @@
 		}
 		q.serve(w)
 		delete(d.waiting, w.ID)
-		d.changes = append(d.changes, Change{w.ID, d.grant(now, w, e)})
+		d.changes = append(d.changes, Change{w.ID, d.grant(now, w, d.best(now, &w.Request))})
 	}
 }
 
