Update the endpoints of cells one list at a time

Two updates at the same time could end with the older list, and the owner then granted an endpoint that leaves for up to a second. Found by reading; a test of 2,000 concurrent updates did not provoke it.

--- a/internal/relay/cells.go
+++ b/internal/relay/cells.go
@@ -108,6 +108,10 @@
 	// part returns the part of a cell's slots that this box may grant. The owner of a cell may grant all of them (1).
 	part func(slots.Cell) float64
 
+	// updating is held while refresh updates the endpoints, so that an older list does not replace a newer one. It is
+	// locked before mu.
+	updating sync.Mutex
+
 	mu    sync.Mutex
 	cells map[slots.Cell]*slotCell
 	// stopped is set by a planned stop. From then on all requests are refused with slots.Stopping.
@@ -189,11 +193,21 @@
 // per cellRefreshInterval.
 func (c *slotCells) refresh(now time.Time, listChanged bool) {
 	c.mu.Lock()
-	if !listChanged && now.Before(c.nextRefresh) {
-		c.mu.Unlock()
-		return
+	due := listChanged || !now.Before(c.nextRefresh)
+	if due {
+		c.nextRefresh = now.Add(cellRefreshInterval)
+	}
+	c.mu.Unlock()
+	if due {
+		c.update(now)
 	}
-	c.nextRefresh = now.Add(cellRefreshInterval)
+}
+
+// update updates the endpoints of all cells, and drops unused cells.
+func (c *slotCells) update(now time.Time) {
+	c.updating.Lock()
+	defer c.updating.Unlock()
+	c.mu.Lock()
 	wanted := make(map[slots.Cell]bool, len(c.cells))
 	for cell, s := range c.cells {
 		if s.active == 0 && now.Sub(s.lastUsed) >= cellTTL {
