Let the endpoint of TestConfirmOpen reset connections at a known time

The endpoint now holds connections for half of the window with ConfirmOpen, and for 50 ms without it.

--- a/internal/h1/conns_test.go
+++ b/internal/h1/conns_test.go
@@ -21,6 +21,7 @@
 	ln    net.Listener
 	cap   int
 	delay time.Duration
+	hold  time.Duration // How long the first connection waits before it is handled, and with it all others.
 
 	mu                               sync.Mutex
 	open, mostOpen, resets, requests int
@@ -34,23 +35,31 @@
 }
 
 func newCappedListener(t *testing.T, limit int, delay time.Duration) *cappedListener {
+	t.Helper()
+	return newSlowListener(t, limit, delay, 0)
+}
+
+func newSlowListener(t *testing.T, limit int, delay, hold time.Duration) *cappedListener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &cappedListener{t: t, ln: ln, cap: limit, delay: delay}
+	l := &cappedListener{t: t, ln: ln, cap: limit, delay: delay, hold: hold}
 	go l.accept()
 	t.Cleanup(func() { _ = ln.Close() })
 	return l
 }
 
 func (l *cappedListener) accept() {
-	for {
+	for first := true; ; first = false {
 		c, err := l.ln.Accept()
 		if err != nil {
 			return
 		}
+		if first {
+			time.Sleep(l.hold)
+		}
 		l.mu.Lock()
 		full := l.open >= l.cap
 		if full {
@@ -191,9 +200,9 @@
 // calls were reported as sent although they failed, and as not sent. late is how many connections the endpoint reset more
 // than confirmMargin after the client began to connect. Connections are accepted in the order in which they were
 // established, so the nth one accepted can't have been established before the nth dial began.
-func expectResets(t *testing.T, p *Pool, confirm bool) (sent, notSent, late int) {
+func expectResets(t *testing.T, p *Pool, confirm bool, hold time.Duration) (sent, notSent, late int) {
 	t.Helper()
-	l := newCappedListener(t, 4, 200*time.Millisecond)
+	l := newSlowListener(t, 4, 200*time.Millisecond, hold)
 	var mu sync.Mutex
 	var dials []time.Time
 	p.OnDial = func() {
@@ -229,18 +238,18 @@
 }
 
 // An endpoint resets connections beyond its cap. With ConfirmOpen, each of these calls must be reported as not sent, so
-// that a call that may run only once can be retried. Without it, the calls are reported as sent. On a busy machine, the
-// endpoint can accept a connection only after the time for which ConfirmOpen waits. Only as many calls may be reported as
-// sent as there were such connections.
+// that a call that may run only once can be retried. Without it, the calls are reported as sent, if the endpoint resets the
+// connections only after the requests were written. On a busy machine, the endpoint can accept a connection after the time
+// for which ConfirmOpen waits. Only as many calls may be reported as sent as there were such connections.
 func TestConfirmOpen(t *testing.T) {
 	p := NewPool()
 	var unconfirmed atomic.Int32
 	p.OnUnconfirmed = func() { unconfirmed.Add(1) }
-	sent, notSent, late := expectResets(t, p, true)
+	sent, notSent, late := expectResets(t, p, true, confirmMargin/2)
 	if sent > late || int(unconfirmed.Load()) != notSent {
 		t.Errorf("expected only unsent calls, got %d sent, %d not sent, %d counted, %d reset late", sent, notSent, unconfirmed.Load(), late)
 	}
-	if sent, _, _ := expectResets(t, NewPool(), false); sent == 0 {
+	if sent, _, _ := expectResets(t, NewPool(), false, 50*time.Millisecond); sent == 0 {
 		t.Error("expected calls without ConfirmOpen to be reported as sent; otherwise the test shows nothing")
 	}
 }
