--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -71,7 +71,8 @@
 	// the connection, and an acknowledgement of bytes that the process has read can be lost.
 	ConfirmOpen bool
 	// StillAllowed is called before the first byte is sent if the request waited for a connection or opened one. If it
-	// returns false, Do returns ErrNotAllowed with Sent = false. If StillAllowed is nil, the request is sent.
+	// returns false, Do returns ErrNotAllowed with Sent = false. It may change Header. If StillAllowed is nil, the request
+	// is sent.
 	StillAllowed func() bool
 	// Matches receives the headers of a response, and reports whether the response belongs to this request. If Matches
 	// is nil, the first response counts as the request's own.
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -255,9 +255,13 @@
 		}
 		x.r.plain.done(e, clock.Now(), a.took, a.good || errors.Is(ctx.Err(), context.Canceled))
 	}()
-	q := x.request(e.Address, Run{Instance: e.ID})
+	run := Run{Instance: e.ID}
+	q := x.request(e.Address, run)
 	q.MaxConns, q.ConfirmOpen = x.r.maxConns(x.service, x.region), x.contended()
-	q.StillAllowed = func() bool { return x.r.fleet.isOpen(e.ID) }
+	q.StillAllowed = func() bool {
+		q.Header = x.request(e.Address, run).Header // Less time is left than before the wait.
+		return x.r.fleet.isOpen(e.ID)
+	}
 	resp, err := x.r.callerPool.Do(ctx, q)
 	if err != nil {
 		a.reset, a.connsBusy = wasReset(err), errors.Is(err, h1.ErrConnsBusy)
--- a/internal/relay/plain_wait_test.go
+++ b/internal/relay/plain_wait_test.go
@@ -67,3 +67,45 @@
 		}
 	}
 }
+
+// timeProtocol tells endpoints how long the caller will still wait.
+type timeProtocol struct{ fakeProtocol }
+
+func (timeProtocol) SetHeaders(h http.Header, run Run) { h.Set("Time-Left", run.TimeLeft.String()) }
+
+func (timeProtocol) ParseReply(*http.Response) Reply { return Reply{Signed: true} }
+
+// Guards against telling an endpoint the time that was left before the call waited for a connection. The endpoint would
+// work on after the caller has left.
+func TestTimeLeftAfterWaitForConnection(t *testing.T) {
+	const wait = 100 * time.Millisecond
+	var mu sync.Mutex
+	var arrived int
+	var last time.Duration
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		mu.Lock()
+		arrived++
+		last, _ = time.ParseDuration(q.Header.Get("Time-Left"))
+		mu.Unlock()
+		time.Sleep(wait)
+	}))
+	defer srv.Close()
+	r := cellRelay(1)
+	r.protocol = timeProtocol{}
+	r.SetEndpoints([]Endpoint{{ID: "e", Service: "s-0", Hall: "h", Address: srv.Listener.Addr().String()}})
+	deadline := clock.Now().Add(20 * time.Second)
+	var wg sync.WaitGroup
+	for range minConnections + 1 {
+		wg.Go(func() {
+			x := &exchange{r: r, req: httptest.NewRequest(http.MethodGet, "/", nil), service: &Service{Name: "s-0", MaxConnections: minConnections}, region: "r", route: &Route{}, deadline: deadline}
+			e, _ := r.plain.choose("s-0", "r", clock.Now(), nil)
+			if a := x.callPlain(context.Background(), e); !a.good {
+				t.Errorf("expected an answer, got %+v", a)
+			}
+		})
+	}
+	wg.Wait()
+	if arrived != minConnections+1 || last > 20*time.Second-wait || last <= 0 {
+		t.Errorf("expected %d calls, the last one with at most %v left, got %d and %v", minConnections+1, 20*time.Second-wait, arrived, last)
+	}
+}
