--- a/internal/slots/cell.go
+++ b/internal/slots/cell.go
@@ -19,3 +19,9 @@
 func CellIndex(endpoint string, cells int) int {
 	return int(xxhash.Sum64String(endpoint) % uint64(cells))
 }
+
+// CellSnapshot is the state of a cell for display.
+type CellSnapshot struct {
+	Cell
+	Snapshot
+}
--- a/internal/slots/server.go
+++ b/internal/slots/server.go
@@ -118,13 +118,6 @@
 	s.flush(now)
 }
 
-// Busy reports whether boxes should go on asking.
-func (s *Server) Busy() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.finish(s.clock())
-}
-
 // Snapshot returns the present state.
 func (s *Server) Snapshot() Snapshot {
 	s.mu.Lock()
--- a/internal/slots/step.go
+++ b/internal/slots/step.go
@@ -252,15 +252,10 @@
 
 // Snapshot is the state of a Dispatcher for display.
 type Snapshot struct {
-	// Waiting is the number of requests that wait, and WaitingLate how many of them can't be on time.
-	Waiting, WaitingLate int
+	// Waiting is the number of requests that wait.
+	Waiting int
 	// Endpoints are ordered by ID. They include endpoints that left the list while grants of theirs are in use.
 	Endpoints []EndpointSnapshot
-	// Accounts has the number of waiting requests of each account.
-	Accounts map[string]int
-	// Rate is the number of slots that come free per second while all are in use, and Arrivals the number of requests
-	// per second that could be on time.
-	Rate, Arrivals float64
 	// ToldToRetry is the number of callers whose suggested retry is not yet due.
 	ToldToRetry int
 }
@@ -279,13 +274,7 @@
 // Snapshot returns the present state.
 func (d *Dispatcher) Snapshot(now time.Time) Snapshot {
 	d.advance(now)
-	s := Snapshot{
-		Waiting: len(d.waiting), WaitingLate: d.late.len(), Accounts: map[string]int{},
-		Rate: d.capacityFor(now, nil).rate, Arrivals: d.arrivals.perSecond(now), ToldToRetry: len(d.told.pending),
-	}
-	for _, w := range d.waiting {
-		s.Accounts[w.Account]++
-	}
+	s := Snapshot{Waiting: len(d.waiting), ToldToRetry: len(d.told.pending)}
 	for _, e := range d.list {
 		s.Endpoints = append(s.Endpoints, EndpointSnapshot{
 			ID: e.ID, Hall: e.Hall, Slots: e.Slots, Limit: e.limit, InUse: e.inUse, Usable: e.usable(),
