--- a/internal/relay/cells.go
+++ b/internal/relay/cells.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/slots"
 )
@@ -19,8 +17,6 @@
 // of the slots.
 
 const (
-	// maxCellEndpoints is the mean number of endpoints of a cell that is not exceeded.
-	maxCellEndpoints = 32
 	// maxCells bounds the cells for which a box grants slots, and cellTTL the time that an unused one is kept.
 	maxCells = 256
 	cellTTL  = 30 * time.Second
@@ -47,7 +43,7 @@
 		n[serviceRegion{e.Service, f.regionOf(e.Hall)}]++
 	}
 	for k := range n {
-		n[k] = (n[k] + maxCellEndpoints - 1) / maxCellEndpoints
+		n[k] = slots.CellCount(n[k])
 	}
 	f.cellCounts = n
 }
@@ -67,7 +63,7 @@
 		if !services[k] {
 			continue
 		}
-		c := slots.Cell{Service: k.service, Region: k.region, Index: int(xxhash.Sum64String(e.ID) % uint64(f.cellCounts[k]))}
+		c := slots.Cell{Service: k.service, Region: k.region, Index: slots.CellIndex(e.ID, f.cellCounts[k])}
 		if wanted[c] {
 			known := f.describe(i)
 			out[c] = append(out[c], slots.Endpoint{ID: e.ID, Hall: e.Hall, Slots: e.Slots, Usable: known.open() && !f.isCold(now, e)})
@@ -94,12 +90,28 @@
 	return e, e.open() && !f.isCold(now, &e.Endpoint)
 }
 
+// isOpen reports whether an endpoint is listed and may get new requests.
+func (f *fleet) isOpen(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i, listed := f.index[id]
+	if !listed {
+		return false
+	}
+	e := f.describe(i)
+	return e.open()
+}
+
 // slotCells grants the slots of cells.
 type slotCells struct {
 	r *Relay
 	// part returns the part of a cell's slots that this box may grant. The owner of a cell may grant all of them (1).
 	part func(slots.Cell) float64
 
+	// updating is held while refresh updates the endpoints, so that an older list does not replace a newer one. It is
+	// locked before mu.
+	updating sync.Mutex
+
 	mu    sync.Mutex
 	cells map[slots.Cell]*slotCell
 	// stopped is set by a planned stop. From then on all requests are refused with slots.Stopping.
@@ -181,11 +193,21 @@
 // per cellRefreshInterval.
 func (c *slotCells) refresh(now time.Time, listChanged bool) {
 	c.mu.Lock()
-	if !listChanged && now.Before(c.nextRefresh) {
-		c.mu.Unlock()
-		return
+	due := listChanged || !now.Before(c.nextRefresh)
+	if due {
+		c.nextRefresh = now.Add(cellRefreshInterval)
+	}
+	c.mu.Unlock()
+	if due {
+		c.update(now)
 	}
-	c.nextRefresh = now.Add(cellRefreshInterval)
+}
+
+// update updates the endpoints of all cells, and drops unused cells.
+func (c *slotCells) update(now time.Time) {
+	c.updating.Lock()
+	defer c.updating.Unlock()
+	c.mu.Lock()
 	wanted := make(map[slots.Cell]bool, len(c.cells))
 	for cell, s := range c.cells {
 		if s.active == 0 && now.Sub(s.lastUsed) >= cellTTL {
