Show owners, accounts and connections of shared slots

status lists, for each contended service, the cells with the box that this box asks first; for each endpoint of an owned cell its slots, state, overdue calls and share of failed calls; for each account of an owned cell the calls that wait, the slots in use, and what was granted and refused by reason, with the callers that came back in vain; and this box's calls and connections by endpoint. Before, only the limit, the slots in use and the mean service time of endpoints were shown, so that a refusal could not be traced to an account, nor an idle endpoint to its cause.

The step of a slot in why and in the decision log names the cell and the account, says whether the caller was refused before, and after how long a slot was expected. stoatramp_slots_returning_total counts the callers that came back.

--- a/internal/account/log.go
+++ b/internal/account/log.go
@@ -228,5 +228,15 @@
 	e.AddInt("in_use", s.InUse)
 	e.AddInt("limit", s.Limit)
 	e.AddInt64("age_ms", s.AgeMS)
+	e.AddInt("cell", s.Cell)
+	if s.Account != "" {
+		e.AddString("account", s.Account)
+	}
+	if s.Returning {
+		e.AddBool("returning", true)
+	}
+	if s.RetryMS > 0 {
+		e.AddInt64("retry_ms", s.RetryMS)
+	}
 	return nil
 }
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -164,6 +164,14 @@
 	return s.b.Relay.SlotServer().Release(cell, id, res)
 }
 
+// slotOwner returns the box that this box asks first for a slot of a cell. A box without peers is the owner of all cells.
+func (b *RelayBox) slotOwner(cell slots.Cell) string {
+	if cfg := b.settings.Load(); cfg.Peers == "" {
+		return cfg.Name
+	}
+	return b.node.SlotOwner(cell)
+}
+
 // followTables starts to follow all tables. The members are followed only if the box has an address for peers.
 func (b *RelayBox) followTables() {
 	for name, t := range b.tables {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -1,8 +1,12 @@
 package cli
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
+	"strings"
 	"text/tabwriter"
 
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
@@ -18,20 +22,70 @@
 	for _, n := range s.Notes {
 		fmt.Fprintf(w, "note: %s\n", n)
 	}
-	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(t, "ENGINE\tPOOL\tROLE\tHALL\tSTATE\tQUEUE\tSTREAMS\tFREE KV\tHELD BY THIS BOX")
-	for _, e := range s.Engines {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d ms\t%d\t%d\t%d\n",
+	err := printTable(w, "ENGINE\tPOOL\tROLE\tHALL\tSTATE\tQUEUE\tSTREAMS\tFREE KV\tHELD BY THIS BOX", s.Engines, func(e *v1.EngineStatus) string {
+		return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%d ms\t%d\t%d\t%d",
 			e.Name, e.Pool, e.Role, e.Hall, e.State, e.QueueMs, e.Streams, e.FreeKvTokens, e.HeldKvTokens)
-	}
-	if err := t.Flush(); err != nil || len(s.Slots) == 0 {
+	})
+	if err != nil {
 		return err
 	}
-	t = tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(t, "SLOTS OF\tREGION\tCELL\tENDPOINT\tLIMIT\tIN USE\tWAITING\tSERVICE TIME")
-	for _, e := range s.Slots {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%d\t%d\t%d\t%.1f ms\n",
-			e.Service, e.Region, e.Cell, e.Endpoint, e.Limit, e.InUse, e.Waiting, float64(e.ServiceUs)/1000)
+	return printSlots(w, s)
+}
+
+// printSlots prints the state of plain services. Tables without entries are left out.
+func printSlots(w io.Writer, s *v1.StatusResponse) error {
+	var err error
+	if len(s.PlainEndpoints) > 0 {
+		err = printTable(w, "CALLS OF THIS BOX TO\tREGION\tENDPOINT\tSTATE\tIN PROGRESS\tMEAN\tCONNECTIONS\tIDLE\tAT MOST\tWAITING FOR ONE", s.PlainEndpoints,
+			func(e *v1.PlainEndpointStatus) string {
+				return fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%s\t%d\t%d\t%s\t%d", e.Service, e.Region, e.Endpoint, e.State, e.Calls, micros(e.MeanUs),
+					e.Connections, e.IdleConnections, bound(e.MaxConnections), e.WaitingCalls)
+			})
+	}
+	if err == nil && len(s.Cells) > 0 {
+		err = printTable(w, "CONTENDED\tREGION\tCELL\tOWNER\tLAST SIGN", s.Cells, func(c *v1.CellStatus) string {
+			return fmt.Sprintf("%s\t%s\t%d\t%s\t%d ms ago", c.Service, c.Region, c.Cell, cmp.Or(c.Owner, "none found"), c.SignAgeMs)
+		})
+	}
+	if err == nil && len(s.Slots) > 0 {
+		err = printTable(w, "SLOTS OF\tREGION\tCELL\tENDPOINT\tSTATE\tSLOTS\tLIMIT\tIN USE\tOVERDUE\tWAITING\tSERVICE TIME\tFAILED", s.Slots, func(e *v1.SlotStatus) string {
+			return fmt.Sprintf("%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%d%%", e.Service, e.Region, e.Cell, e.Endpoint, e.State, e.Slots, e.Limit, e.InUse,
+				e.Overdue, e.Waiting, micros(e.ServiceUs), e.FailedPercent)
+		})
+	}
+	if err == nil && len(s.SlotAccounts) > 0 {
+		err = printTable(w, "SLOTS OF\tREGION\tCELL\tACCOUNT\tWAITING\tIN USE\tGRANTED\tREFUSED\tGAVE UP\tCAME BACK\tIN VAIN", s.SlotAccounts, func(a *v1.SlotAccountStatus) string {
+			return fmt.Sprintf("%s\t%s\t%d\t%s\t%d\t%d\t%d\t%s\t%d\t%d\t%d", a.Service, a.Region, a.Cell, cmp.Or(a.Account, "(none)"), a.Waiting, a.InUse,
+				a.Granted, byReason(a.Refused), a.Withdrawn, a.Returning, a.ReturningRefused)
+		})
+	}
+	return err
+}
+
+// printTable prints a table with a row for each entry.
+func printTable[T any](w io.Writer, head string, list []T, row func(T) string) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, head)
+	for _, e := range list {
+		fmt.Fprintln(t, row(e))
 	}
 	return t.Flush()
 }
+
+func micros(us int64) string { return fmt.Sprintf("%.1f ms", float64(us)/1000) }
+
+func bound(n int32) string {
+	if n == 0 {
+		return "no bound"
+	}
+	return fmt.Sprint(n)
+}
+
+// byReason lists counts with their reasons, ordered by reason; 0 if there are none.
+func byReason(counts map[string]uint64) string {
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d %s", counts[reason], reason))
+	}
+	return cmp.Or(strings.Join(parts, ", "), "0")
+}
--- a/internal/h1/conns_test.go
+++ b/internal/h1/conns_test.go
@@ -229,3 +229,26 @@
 		t.Errorf("expected one connection, got %d", dials)
 	}
 }
+
+// Guards against a status that shows no calls waiting at an endpoint whose connections are all in use.
+func TestConns(t *testing.T) {
+	l, p := newCappedListener(t, 2, 50*time.Millisecond), NewPool()
+	var wg sync.WaitGroup
+	for range 3 {
+		wg.Go(func() {
+			if _, _, err := p.DoShort(context.Background(), 20*time.Second, l.request(1, false), 100); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	want := ConnCounts{Open: 1, Waiting: 2}
+	for end := time.Now().Add(10 * time.Second); p.Conns()[l.ln.Addr().String()] != want; time.Sleep(time.Millisecond) {
+		if requests, _, _ := l.counts(); requests > 1 || time.Now().After(end) {
+			t.Fatalf("expected %+v, got %+v", want, p.Conns())
+		}
+	}
+	wg.Wait()
+	if got, want := p.Conns()[l.ln.Addr().String()], (ConnCounts{Open: 1, Idle: 1}); got != want {
+		t.Errorf("expected %+v, got %+v", want, got)
+	}
+}
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -481,6 +481,21 @@
 	return defaultIdleTimeout
 }
 
+// ConnCounts counts the connections of a pool to one address. Open includes idle connections and those that are being
+// established. Waiting is the number of requests that wait for a connection.
+type ConnCounts struct{ Open, Idle, Waiting int }
+
+// Conns returns the connections by address. Addresses without connections and waiting requests are left out.
+func (p *Pool) Conns() map[string]ConnCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]ConnCounts, len(p.hosts))
+	for addr, h := range p.hosts {
+		out[addr] = ConnCounts{Open: h.open, Idle: len(h.idle), Waiting: len(h.waiting)}
+	}
+	return out
+}
+
 // Prune closes idle connections that are too old to be used. It also closes idle connections to addresses that are not
 // in keep.
 func (p *Pool) Prune(now time.Time, keep map[string]bool) {
--- a/internal/ops/relay.go
+++ b/internal/ops/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"net/http"
 	"slices"
 
@@ -13,6 +14,7 @@
 
 	"github.com/stoatramp/stoatramp/internal/archive"
 	"github.com/stoatramp/stoatramp/internal/record"
+	"github.com/stoatramp/stoatramp/internal/relay"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 	"github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1/stoatrampv1connect"
 	"github.com/stoatramp/stoatramp/internal/slots"
@@ -38,6 +40,8 @@
 	// its burst capacity that is left. It covers only the accounts that this box owns. An account's owner is the box
 	// that divides the account's limit among all boxes. NearLimit is nil if the box does not know these accounts.
 	NearLimit func() map[string]float64
+	// SlotOwner returns the box that this box asks first for a slot of a cell; an empty string if there is none.
+	SlotOwner func(slots.Cell) string
 }
 
 // RelayState is the state that operators can read of a relay box.
@@ -47,6 +51,10 @@
 	PolicyVersion() int64
 	// OwnedCells is the state of the cells that the box owns: groups of endpoints whose slots the box grants.
 	OwnedCells() []slots.CellSnapshot
+	// ContendedCells are the cells whose owners the box asks for slots at present.
+	ContendedCells() []relay.ContendedCell
+	// PlainEndpoints are the endpoints of plain services that have calls or connections of the box.
+	PlainEndpoints() []relay.PlainEndpoint
 }
 
 var _ stoatrampv1connect.OperatorHandler = (*RelayServer)(nil)
@@ -73,7 +81,10 @@
 	if s.NearLimit != nil {
 		out.Notes = append(out.Notes, nearLimitNotes(s.NearLimit())...)
 	}
-	out.Slots = slotStatus(s.Relay.OwnedCells())
+	cells := s.Relay.OwnedCells()
+	out.Slots, out.SlotAccounts = slotStatus(cells), slotAccountStatus(cells)
+	out.Cells = cellStatus(s.Relay.ContendedCells(), s.SlotOwner)
+	out.PlainEndpoints = plainEndpointStatus(s.Relay.PlainEndpoints())
 	return connect.NewResponse(out), nil
 }
 
@@ -84,12 +95,66 @@
 			out = append(out, &v1.SlotStatus{
 				Service: c.Service, Region: c.Region, Cell: int32(c.Index), Endpoint: e.ID,
 				Limit: int32(e.Limit), InUse: int32(e.InUse), Waiting: int32(c.Waiting), ServiceUs: e.Service.Microseconds(),
+				Slots: int32(e.Slots), State: endpointState(e.Usable, e.SetAside), Overdue: int32(e.Overdue), FailedPercent: int32(math.Round(100 * e.FailureRate)),
 			})
 		}
 	}
 	return out
 }
 
+func endpointState(open, setAside bool) string {
+	switch {
+	case !open:
+		return "closed"
+	case setAside:
+		return "set_aside"
+	}
+	return "ready"
+}
+
+// slotAccountStatus lists the accounts of cells.
+func slotAccountStatus(cells []slots.CellSnapshot) (out []*v1.SlotAccountStatus) {
+	for _, c := range cells {
+		for _, a := range c.Accounts {
+			s := &v1.SlotAccountStatus{
+				Service: c.Service, Region: c.Region, Cell: int32(c.Index), Account: a.Account, Waiting: int32(a.Waiting), InUse: int32(a.InUse),
+				Granted: a.Granted, Withdrawn: a.Withdrawn, Returning: a.Returning, ReturningRefused: a.ReturningRefused, Refused: map[string]uint64{},
+			}
+			for reason, n := range a.Refused {
+				if n > 0 {
+					s.Refused[slots.Reason(reason).String()] = n
+				}
+			}
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// cellStatus lists the cells of contended services with their owners.
+func cellStatus(cells []relay.ContendedCell, owner func(slots.Cell) string) (out []*v1.CellStatus) {
+	for _, c := range cells {
+		s := &v1.CellStatus{Service: c.Service, Region: c.Region, Cell: int32(c.Index), SignAgeMs: c.SignAge.Milliseconds()}
+		if owner != nil {
+			s.Owner = owner(c.Cell)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// plainEndpointStatus lists the endpoints of plain services.
+func plainEndpointStatus(list []relay.PlainEndpoint) (out []*v1.PlainEndpointStatus) {
+	for _, e := range list {
+		out = append(out, &v1.PlainEndpointStatus{
+			Service: e.Service, Region: e.Region, Endpoint: e.ID, State: endpointState(e.Open, e.SetAside), Calls: int32(e.Calls),
+			MeanUs: e.Mean.Microseconds(), Connections: int32(e.Conns.Open), IdleConnections: int32(e.Conns.Idle),
+			WaitingCalls: int32(e.Conns.Waiting), MaxConnections: int32(e.MaxConns),
+		})
+	}
+	return out
+}
+
 // maxNearLimitNotes is the maximum number of accounts near their limit that a status names.
 const maxNearLimitNotes = 10
 
--- a/internal/overlay/slots.go
+++ b/internal/overlay/slots.go
@@ -146,6 +146,20 @@
 	return ranked
 }
 
+// SlotOwner returns the name of the box that this box would ask first for a slot of a cell. It is empty if there is none.
+func (n *Node) SlotOwner(cell slots.Cell) string {
+	if n.o.Slots == nil || cell.Region != n.o.Self.Region {
+		return ""
+	}
+	now := clock.Now()
+	for _, m := range n.slotOwners(cell) {
+		if n.slotOwnerUsable(m, now) {
+			return m.Name
+		}
+	}
+	return ""
+}
+
 // askOutcome says how a request to one possible owner ended.
 type askOutcome uint8
 
--- a/internal/overlay/slots_test.go
+++ b/internal/overlay/slots_test.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
 
+	"github.com/stoatramp/stoatramp/internal/clock"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 	"github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1/stoatrampv1connect"
 	"github.com/stoatramp/stoatramp/internal/slots"
@@ -206,6 +207,24 @@
 	return r
 }
 
+// Guards against a status that names another owner than the one that is asked, also after the first one did not answer.
+func TestSlotOwnerForDisplay(t *testing.T) {
+	all, _ := slotFleet(t, newStore(), 100)
+	b := boxNamed(all, "a")
+	cell := b.cellRanked(t, "d", "b")
+	if got := b.SlotOwner(cell); got != "d" {
+		t.Errorf("expected d, got %q", got)
+	}
+	b.unresponsive.failed("d", clock.Now())
+	if got := b.SlotOwner(cell); got != "b" {
+		t.Errorf("expected the next box, got %q", got)
+	}
+	cell.Region = "elsewhere"
+	if got := b.SlotOwner(cell); got != "" {
+		t.Errorf("expected no owner in another region, got %q", got)
+	}
+}
+
 // Guards against boxes that disagree on the owner of a cell, which would grant each slot several times. The box that
 // owns the cell uses its own server. The outcome of a call reaches the owner unchanged.
 func TestSlotOwner(t *testing.T) {
--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -119,8 +119,18 @@
 	if s.Decode == "" {
 		verdict = fmt.Sprintf("A slot was refused (%s) by %s", s.Text, by)
 	}
-	return fmt.Sprintf("%s, after %d ms: %d requests were ahead and %d of %d slots in use; the last sign of contention was %d ms old.",
-		verdict, s.Slot.WaitedMS, s.Slot.Ahead, s.Slot.InUse, s.Slot.Limit, s.Slot.AgeMS)
+	text := fmt.Sprintf("%s, after %d ms: %d requests were ahead and %d of %d slots in use; the last sign of contention was %d ms old. It was asked for in cell %d",
+		verdict, s.Slot.WaitedMS, s.Slot.Ahead, s.Slot.InUse, s.Slot.Limit, s.Slot.AgeMS, s.Slot.Cell)
+	if s.Slot.Account != "" {
+		text += " for account " + s.Slot.Account
+	}
+	if s.Slot.Returning {
+		text += ", by a caller that was refused before"
+	}
+	if s.Decode == "" && s.Slot.RetryMS > 0 {
+		text += fmt.Sprintf("; a slot was expected after %d ms", s.Slot.RetryMS)
+	}
+	return text + "."
 }
 
 func seenText(s *EndpointState) string {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -71,6 +71,13 @@
 	// AgeMS is the time since the latest sign that calls compete for the service's endpoints. While there are such
 	// signs, a box asks for slots.
 	AgeMS int64 `json:"age_ms"`
+	// Cell is the index of the cell of endpoints that was asked for, and Account the client account of the request.
+	Cell    int    `json:"cell"`
+	Account string `json:"account,omitempty"`
+	// Returning is set if the caller was refused before. RetryMS is the time after which the owner of the cell expects
+	// a slot for a refused request; 0 if it expects none.
+	Returning bool  `json:"returning,omitempty"`
+	RetryMS   int64 `json:"retry_ms,omitempty"`
 }
 
 // EndpointState is the state of an endpoint of a plain service as observed by a box.
--- a/internal/relay/cells.go
+++ b/internal/relay/cells.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -227,7 +226,7 @@
 		out = append(out, slots.CellSnapshot{Cell: cell, Snapshot: s.server.Snapshot()})
 	}
 	slices.SortFunc(out, func(a, b slots.CellSnapshot) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Region, b.Region), cmp.Compare(a.Index, b.Index))
+		return compareCells(a.Cell, b.Cell)
 	})
 	return out
 }
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -139,11 +139,23 @@
 	r, began := x.r, clock.Now()
 	_, age := r.contentions.contended(x.place(), began)
 	r.m.SlotsWaiting.Inc()
-	d, owner, by, end := r.requestSlot(ctx, cell, func() slots.Request { return x.slotRequest(exclude) })
+	returning := false
+	d, owner, by, end := r.requestSlot(ctx, cell, func() slots.Request {
+		q := x.slotRequest(exclude)
+		returning = q.Returning
+		return q
+	})
 	r.m.SlotsWaiting.Dec()
+	if returning {
+		r.m.SlotsReturning[d.State == slots.Granted].Inc()
+	}
 	s := record.Step{Kind: record.StepSlot, Slot: &record.SlotState{
 		Owner: owner, WaitedMS: clock.Since(began).Milliseconds(), Ahead: d.Waiting, InUse: d.InUse, Limit: d.Limit, AgeMS: age.Milliseconds(),
+		Cell: cell.Index, Returning: returning, RetryMS: d.RetryAfter.Milliseconds(),
 	}}
+	if x.account != nil {
+		s.Slot.Account = x.account.Name
+	}
 	if d.State != slots.Granted {
 		r.m.SlotsRefused[d.Reason].Inc()
 		s.Reason, s.Text = outcome.SlotsFull, d.Reason.String()
--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -66,6 +66,8 @@
 	arrivals, burst arrivalRate
 	// overloadSince is zero while there is spare capacity.
 	overloadSince time.Time
+	// counts has the counts of at most maxCountedAccounts accounts and of otherAccounts.
+	counts map[string]*AccountCounts
 	// changes are the decisions that Step has not returned yet.
 	changes []Change
 }
@@ -83,7 +85,7 @@
 	}
 	return &Dispatcher{
 		part: o.Part, rand: o.Rand, hallLatency: o.HallLatency,
-		endpoints: map[string]*endpoint{}, waiting: map[string]*waiter{}, grants: map[string]*grant{},
+		endpoints: map[string]*endpoint{}, waiting: map[string]*waiter{}, grants: map[string]*grant{}, counts: map[string]*AccountCounts{},
 		refused: refusals{byID: map[string]Decision{}}, arrivals: arrivalRate{window: arrivalWindow}, burst: arrivalRate{window: burstWindow},
 	}
 }
@@ -134,6 +136,10 @@
 	answer := d.decide(now, r)
 	if answer.State == Refused {
 		d.refused.add(now, r.ID, answer)
+		d.countRefusal(&r, answer.Reason)
+	}
+	if c := d.countsOf(r.Account); r.Returning {
+		c.Returning++
 	}
 	d.advance(now)
 	return answer
@@ -211,13 +217,14 @@
 
 // grant gives a slot of e to w, which must not be in a queue.
 func (d *Dispatcher) grant(now time.Time, w *waiter, e *endpoint) Decision {
-	g := &grant{id: w.ID, endpoint: e, at: now, extra: d.extra(&w.Request, e)}
+	g := &grant{id: w.ID, account: w.Account, endpoint: e, at: now, extra: d.extra(&w.Request, e)}
 	g.ends = w.arrived.Add(w.Left + grantGrace)
 	g.expires = now.Add(max(minOverdue, seconds(overdueFactor*e.slow)) + g.extra)
 	if g.ends.Before(g.expires) {
 		g.expires = g.ends
 	}
 	e.inUse++
+	d.countsOf(w.Account).Granted++
 	g.decision = Decision{State: Granted, Endpoint: e.ID, Wait: now.Sub(w.arrived), InUse: e.inUse, Limit: e.limit}
 	g.decision.Waiting = len(d.waiting)
 	d.grants[g.id] = g
@@ -294,6 +301,7 @@
 	if w := d.waiting[id]; w != nil {
 		d.queueOf(w).remove(w)
 		delete(d.waiting, id)
+		d.countsOf(w.Account).Withdrawn++
 	} else if g := d.grants[id]; g != nil {
 		heap.Remove(&d.expiring, g.index)
 		d.end(now, g, res)
--- a/internal/slots/expiry.go
+++ b/internal/slots/expiry.go
@@ -8,6 +8,7 @@
 // grant is a slot that was granted to a request and not released yet.
 type grant struct {
 	id       string
+	account  string
 	endpoint *endpoint
 	at       time.Time
 	// expires is when the grant no longer counts as in use although it was not released.
--- a/internal/slots/step.go
+++ b/internal/slots/step.go
@@ -57,6 +57,7 @@
 	for _, w := range slices.SortedFunc(maps.Values(d.waiting), func(a, b *waiter) int { return cmp.Compare(a.seq, b.seq) }) {
 		d.queueOf(w).remove(w)
 		delete(d.waiting, w.ID)
+		d.countRefusal(&w.Request, Stopping)
 		d.changes = append(d.changes, Change{w.ID, Decision{State: Refused, Reason: Stopping}})
 	}
 	return d.Step(now)
@@ -248,6 +249,7 @@
 		answer = d.refusal(now, reason, c, ahead)
 		answer.Wait = now.Sub(w.arrived)
 		d.refused.add(now, w.ID, answer)
+		d.countRefusal(&w.Request, reason)
 	}
 	d.changes = append(d.changes, Change{w.ID, answer})
 }
@@ -258,8 +260,8 @@
 	Waiting, WaitingLate int
 	// Endpoints are ordered by ID. They include endpoints that left the list while grants of theirs are in use.
 	Endpoints []EndpointSnapshot
-	// Accounts has the number of waiting requests of each account.
-	Accounts map[string]int
+	// Accounts are ordered by name.
+	Accounts []AccountSnapshot
 	// Rate is the number of slots that come free per second while all are in use, and Arrivals the number of requests
 	// per second that could be on time.
 	Rate, Arrivals float64
@@ -271,7 +273,9 @@
 type EndpointSnapshot struct {
 	ID, Hall            string
 	Slots, Limit, InUse int
-	Usable, SetAside    bool
+	// Overdue is the number of calls that take so long that they no longer hold a slot. Their results still count.
+	Overdue          int
+	Usable, SetAside bool
 	// Service is the mean service time.
 	Service time.Duration
 	// FailureRate is the recent share of calls that failed.
@@ -282,15 +286,18 @@
 func (d *Dispatcher) Snapshot(now time.Time) Snapshot {
 	d.advance(now)
 	s := Snapshot{
-		Waiting: len(d.waiting), WaitingLate: d.late.len(), Accounts: map[string]int{},
+		Waiting: len(d.waiting), WaitingLate: d.late.len(), Accounts: d.accountSnapshots(),
 		Rate: d.capacityFor(now, nil).rate, Arrivals: d.arrivals.perSecond(now), ToldToRetry: len(d.told.pending),
 	}
-	for _, w := range d.waiting {
-		s.Accounts[w.Account]++
+	overdue := map[*endpoint]int{}
+	for _, g := range d.grants {
+		if g.overdue {
+			overdue[g.endpoint]++
+		}
 	}
 	for _, e := range d.list {
 		s.Endpoints = append(s.Endpoints, EndpointSnapshot{
-			ID: e.ID, Hall: e.Hall, Slots: e.Slots, Limit: e.limit, InUse: e.inUse, Usable: e.usable(),
+			ID: e.ID, Hall: e.Hall, Slots: e.Slots, Limit: e.limit, InUse: e.inUse, Overdue: overdue[e], Usable: e.usable(),
 			SetAside: e.isSetAside(now), Service: seconds(e.slow), FailureRate: e.currentFailureRate(now),
 		})
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -62,8 +62,10 @@
 	// calls hold.
 	SlotsGranted map[string]*metrics.Counter
 	SlotsRefused map[slots.Reason]*metrics.Counter
-	SlotsWaiting *metrics.Gauge
-	SlotsInUse   *metrics.Gauge
+	// SlotsReturning counts the requests for slots of callers that were refused before, by whether a slot was granted.
+	SlotsReturning map[bool]*metrics.Counter
+	SlotsWaiting   *metrics.Gauge
+	SlotsInUse     *metrics.Gauge
 	// UnconfirmedConns counts new connections that an endpoint closed before a request was sent.
 	UnconfirmedConns *metrics.Counter
 	// LimitCheckTime is the time that a check of a client account's limits took.
@@ -137,9 +139,13 @@
 		LimitCheckTime:      s.NewHistogram("stoatramp_limit_seconds"),
 		SlotsGranted:        map[string]*metrics.Counter{},
 		SlotsRefused:        map[slots.Reason]*metrics.Counter{},
-		SlotsWaiting:        s.NewGauge("stoatramp_slots_waiting", nil),
-		SlotsInUse:          s.NewGauge("stoatramp_slots_in_use", nil),
-		UnconfirmedConns:    s.NewCounter("stoatramp_connections_unconfirmed_total"),
+		SlotsReturning: map[bool]*metrics.Counter{
+			true:  s.NewCounter(`stoatramp_slots_returning_total{answer="granted"}`),
+			false: s.NewCounter(`stoatramp_slots_returning_total{answer="refused"}`),
+		},
+		SlotsWaiting:     s.NewGauge("stoatramp_slots_waiting", nil),
+		SlotsInUse:       s.NewGauge("stoatramp_slots_in_use", nil),
+		UnconfirmedConns: s.NewCounter("stoatramp_connections_unconfirmed_total"),
 	}
 	for _, by := range []string{SlotByOwner, SlotBySelf, SlotByPart} {
 		m.SlotsGranted[by] = s.NewCounter(fmt.Sprintf("stoatramp_slots_granted_total{by=%q}", by))
