--- a/internal/decide/fair_test.go
+++ b/internal/decide/fair_test.go
@@ -264,3 +264,26 @@
 		t.Errorf("expected at most a quarter of the callers that return to be refused again, got %d of %d", again, returned)
 	}
 }
+
+// Guards against a status that hides which account's streams wait, or names accounts without waiting streams.
+func TestAccountNotes(t *testing.T) {
+	d := newDriver()
+	if got := d.c.AccountNotes(); len(got) != 0 {
+		t.Errorf("expected no notes, got %q", got)
+	}
+	for i := range 22 {
+		account := "large"
+		if i == 21 {
+			account = ""
+		}
+		r := streamOf(account, 0)
+		d.next++
+		r.ID, r.RefuseEarly = d.next, false
+		d.c.Step(d.now, Submit{r})
+	}
+	got := d.c.AccountNotes()
+	want := []string{"pool p: client account large has 5 streams waiting and 16 starting or running on this box", "pool p: callers without an account have 1 streams waiting and 0 starting or running on this box"}
+	if !slices.Equal(got, want) {
+		t.Errorf("expected %q, got %q", want, got)
+	}
+}
--- a/internal/decide/snapshot.go
+++ b/internal/decide/snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -90,3 +92,29 @@
 	}
 	return ""
 }
+
+// maxAccountNotes is how many accounts of a pool AccountNotes names.
+const maxAccountNotes = 10
+
+// AccountNotes returns a sentence for each client account whose streams wait on this box, those with most waiting first.
+// Streams in a pool without an account are named as such. While no stream waits, there are no sentences.
+func (c *Core) AccountNotes() (out []string) {
+	for _, name := range c.poolNames {
+		p := c.pools[name]
+		waiting := map[string]int{}
+		for _, a := range p.queue.accounts {
+			waiting[a.client] += a.n
+		}
+		clients := slices.SortedFunc(maps.Keys(waiting), func(a, b string) int {
+			return cmp.Or(cmp.Compare(waiting[b], waiting[a]), cmp.Compare(a, b))
+		})
+		for _, client := range clients[:min(len(clients), maxAccountNotes)] {
+			who := "client account " + client + " has"
+			if client == "" {
+				who = "callers without an account have"
+			}
+			out = append(out, fmt.Sprintf("pool %s: %s %d streams waiting and %d starting or running on this box", name, who, waiting[client], p.active[client]))
+		}
+	}
+	return out
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -283,13 +283,14 @@
 func (d *Dispatcher) WaitAborts() { d.aborts.Wait() }
 
 // Engines returns the engines as the core sees them, and the number of requests that wait for an engine. It also
-// returns a sentence for each role (prefill or decode) that is short of capacity.
+// returns a sentence for each role (prefill or decode) that is short of capacity, and for each client account whose
+// requests wait.
 func (d *Dispatcher) Engines() ([]decide.EngineState, int, []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := clock.Now()
 	engines, waiting := d.core.Snapshot(now)
-	return engines, waiting, d.core.Imbalance(now)
+	return engines, waiting, append(d.core.Imbalance(now), d.core.AccountNotes()...)
 }
 
 // Waiting returns the number of requests that wait for an engine.
--- a/internal/slots/accounts_test.go
+++ b/internal/slots/accounts_test.go
@@ -79,3 +79,19 @@
 		t.Errorf("expected %d accounts and the others together, got %d with %d grants of others", maxCountedAccounts, len(got), n)
 	}
 }
+
+// Guards against requests that are refused while they wait and appear in no count.
+func TestRefusalWhileWaitingIsCounted(t *testing.T) {
+	d := newTestDispatcher(Endpoint{ID: "e", Slots: 1, Usable: true})
+	long := accountRequest("1", "a")
+	long.Left = 10 * time.Second
+	d.Acquire(epoch, long)
+	r := accountRequest("2", "b")
+	r.Returning = true
+	if q := d.Acquire(epoch, r); q.State != Queued {
+		t.Fatalf("expected the request to wait, got %+v", q)
+	}
+	if a := accountsOf(d.Snapshot(epoch.Add(r.Left)))["b"]; a.Waiting != 0 || a.Refused[TooLate] != 1 || a.Returning != 1 || a.ReturningRefused != 1 {
+		t.Errorf("expected one refusal of a caller that returned, got %+v", a)
+	}
+}
