Say in why what a granted slot's number of requests means

The owner puts the number of all waiting requests into a grant, and the number of those ahead into a refusal. why called both requests that were ahead. In a run of TestSlotViewsOfAccounts, grants of the account that went first showed 18 to 25 such requests. TestSlotText expected the old sentence for a grant; it now expects the new one, and the whole sentence of a refusal.

--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -115,12 +115,12 @@
 	if s.Slot.Owner == "" {
 		by = "this box, by its own part of the slots, because no owner answered"
 	}
-	verdict := fmt.Sprintf("A slot of %s was granted by %s", s.Decode, by)
+	verdict, ahead := fmt.Sprintf("A slot of %s was granted by %s", s.Decode, by), "other requests were waiting"
 	if s.Decode == "" {
-		verdict = fmt.Sprintf("A slot was refused (%s) by %s", s.Text, by)
+		verdict, ahead = fmt.Sprintf("A slot was refused (%s) by %s", s.Text, by), "requests were ahead"
 	}
-	text := fmt.Sprintf("%s, after %d ms: %d requests were ahead and %d of %d slots in use; the last sign of contention was %d ms old. It was asked for in cell %d",
-		verdict, s.Slot.WaitedMS, s.Slot.Ahead, s.Slot.InUse, s.Slot.Limit, s.Slot.AgeMS, s.Slot.Cell)
+	text := fmt.Sprintf("%s, after %d ms: %d %s and %d of %d slots in use; the last sign of contention was %d ms old. It was asked for in cell %d",
+		verdict, s.Slot.WaitedMS, s.Slot.Ahead, ahead, s.Slot.InUse, s.Slot.Limit, s.Slot.AgeMS, s.Slot.Cell)
 	if s.Slot.Account != "" {
 		text += " for account " + s.Slot.Account
 	}
--- a/internal/record/explain_test.go
+++ b/internal/record/explain_test.go
@@ -16,8 +16,8 @@
 // The sentence says who decided on a slot, and why the request had to wait.
 func TestSlotText(t *testing.T) {
 	state := SlotState{Owner: "box7", WaitedMS: 12, Ahead: 3, InUse: 6, Limit: 7, AgeMS: 40}
-	expectStepSentence(t, Step{Kind: StepSlot, Decode: "p1", Slot: &state}, "A slot of p1 was granted by box box7, after 12 ms: 3 requests were ahead and 6 of 7 slots in use")
-	expectStepSentence(t, Step{Kind: StepSlot, Text: "too_late", Slot: &state}, "A slot was refused (too_late) by box box7")
+	expectStepSentence(t, Step{Kind: StepSlot, Decode: "p1", Slot: &state}, "A slot of p1 was granted by box box7, after 12 ms: 3 other requests were waiting and 6 of 7 slots in use")
+	expectStepSentence(t, Step{Kind: StepSlot, Text: "too_late", Slot: &state}, "A slot was refused (too_late) by box box7, after 12 ms: 3 requests were ahead and 6 of 7 slots in use")
 	state.Cell, state.Account, state.Returning, state.RetryMS = 2, "norrvik", true, 340
 	expectStepSentence(t, Step{Kind: StepSlot, Text: "too_late", Slot: &state},
 		"asked for in cell 2 for account norrvik, by a caller that was refused before; a slot was expected after 340 ms.")
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -63,7 +63,8 @@
 	// slots.
 	Owner    string `json:"owner,omitempty"`
 	WaitedMS int64  `json:"waited_ms"`
-	// Ahead is the number of requests that were waiting before this one, InUse the number of granted slots, and Limit
+	// Ahead is the number of requests ahead of a refused one. For a granted one it is the number of all others that were
+	// waiting at that moment, in whatever order they are served. InUse is the number of granted slots, and Limit
 	// how many may be granted at the same time.
 	Ahead int `json:"ahead"`
 	InUse int `json:"in_use"`
