--- a/internal/slots/step.go
+++ b/internal/slots/step.go
@@ -57,6 +57,7 @@
 	for _, w := range slices.SortedFunc(maps.Values(d.waiting), func(a, b *waiter) int { return cmp.Compare(a.seq, b.seq) }) {
 		d.queueOf(w).remove(w)
 		delete(d.waiting, w.ID)
+		d.countRefusal(&w.Request, Stopping)
 		d.changes = append(d.changes, Change{w.ID, Decision{State: Refused, Reason: Stopping}})
 	}
 	return d.Step(now)
@@ -246,6 +247,7 @@
 		answer = d.refusal(now, reason, c, ahead)
 		answer.Wait = now.Sub(w.arrived)
 		d.refused.add(now, w.ID, answer)
+		d.countRefusal(&w.Request, reason)
 	}
 	d.changes = append(d.changes, Change{w.ID, answer})
 }
@@ -256,6 +258,8 @@
 	Waiting int
 	// Endpoints are ordered by ID. They include endpoints that left the list while grants of theirs are in use.
 	Endpoints []EndpointSnapshot
+	// Accounts are ordered by name.
+	Accounts []AccountSnapshot
 	// ToldToRetry is the number of callers whose suggested retry is not yet due.
 	ToldToRetry int
 }
@@ -264,7 +268,9 @@
 type EndpointSnapshot struct {
 	ID, Hall            string
 	Slots, Limit, InUse int
-	Usable, SetAside    bool
+	// Overdue is the number of calls that take so long that they no longer hold a slot. Their results still count.
+	Overdue          int
+	Usable, SetAside bool
 	// Service is the mean service time.
 	Service time.Duration
 	// FailureRate is the recent share of calls that failed.
@@ -274,10 +280,16 @@
 // Snapshot returns the present state.
 func (d *Dispatcher) Snapshot(now time.Time) Snapshot {
 	d.advance(now)
-	s := Snapshot{Waiting: len(d.waiting), ToldToRetry: len(d.told.pending)}
+	s := Snapshot{Waiting: len(d.waiting), Accounts: d.accountSnapshots(), ToldToRetry: len(d.told.pending)}
+	overdue := map[*endpoint]int{}
+	for _, g := range d.grants {
+		if g.overdue {
+			overdue[g.endpoint]++
+		}
+	}
 	for _, e := range d.list {
 		s.Endpoints = append(s.Endpoints, EndpointSnapshot{
-			ID: e.ID, Hall: e.Hall, Slots: e.Slots, Limit: e.limit, InUse: e.inUse, Usable: e.usable(),
+			ID: e.ID, Hall: e.Hall, Slots: e.Slots, Limit: e.limit, InUse: e.inUse, Overdue: overdue[e], Usable: e.usable(),
 			SetAside: e.isSetAside(now), Service: seconds(e.slow), FailureRate: e.currentFailureRate(now),
 		})
 	}
