Key the cache of packed tables by era

After a restore the store may reach a version number again. The cache compared numbers alone, so followers were sent the old era's rows as the new era's.

--- a/internal/overlay/pack.go
+++ b/internal/overlay/pack.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/stoatramp/stoatramp/internal/follow"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 )
 
@@ -21,8 +22,9 @@
 const minPackBytes = 8 << 10
 
 // packedPart holds the compressed rows of a part of a table. The part has the changes from version since to version.
+// Version numbers alone do not identify a part: after a restore the store may reach a number again.
 type packedPart struct {
-	since, version int64
+	since, version follow.Version
 	bytes          []byte
 }
 
@@ -43,9 +45,10 @@
 	if size < minPackBytes {
 		return nil
 	}
+	since, version := follow.Version{Era: t.SinceEra, Number: t.Since}, tableVersion(t)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if last, ok := p.last[t.Name]; ok && last.since == t.Since && last.version == t.Version {
+	if last, ok := p.last[t.Name]; ok && last.since == since && last.version == version {
 		return last.bytes
 	}
 	text, err := proto.Marshal(&v1.Rows{Rows: t.Rows})
@@ -62,7 +65,7 @@
 	if p.last == nil {
 		p.last = map[string]packedPart{}
 	}
-	p.last[t.Name] = packedPart{t.Since, t.Version, out.Bytes()}
+	p.last[t.Name] = packedPart{since, version, out.Bytes()}
 	return out.Bytes()
 }
 
--- a/internal/overlay/pack_test.go
+++ b/internal/overlay/pack_test.go
@@ -45,6 +45,30 @@
 	}
 }
 
+// After a restore the store may reach a version number again. Followers must be sent the rows of the new era, not the
+// cached rows of the era before.
+func TestPackTellsErasApart(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(*v1.Table)
+	}{
+		{"version of another era", func(t *v1.Table) { t.Era++ }},
+		{"base version of another era", func(t *v1.Table) { t.SinceEra++ }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var p packer
+			p.pack(listPart(500))
+			part := listPart(500)
+			part.Rows[0].Value = []byte("new")
+			tt.change(part)
+			rows, err := unpack(p.pack(part))
+			if err != nil || !proto.Equal(&v1.Rows{Rows: rows}, &v1.Rows{Rows: part.Rows}) {
+				t.Errorf("expected the rows of this part, got those of the part before, %v", err)
+			}
+		})
+	}
+}
+
 // Compressed rows that are corrupt are an error. A box must not mistake them for an empty table.
 func TestUnpackCorrupt(t *testing.T) {
 	packed := (&packer{}).pack(listPart(500))
