Probe an engine by its current role

The prober kept the role that an engine had when it was first configured, so an engine that became a prefill engine was never asked for cache events.

--- a/internal/box/probe.go
+++ b/internal/box/probe.go
@@ -57,6 +57,7 @@
 		}
 		n := &probeTarget{name: e.Name, addr: e.Address, role: e.Role}
 		if o := old[e.Address]; o != nil && o.name == e.Name {
+			o.role = e.Role
 			n = o
 		}
 		p.byAddr[e.Address] = n
