--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -140,8 +140,9 @@
 		Register: b.site.MemberTable,
 		Tables:   shared,
 		// A box that starts while the store is unavailable may fetch these tables from another box. It needs no key
-		// of the boxes for that. The other two tables are not open: the policies contain the hashes of the
-		// operators' keys, and the members contain the key of the boxes.
+		// of the boxes for that. The configuration contains the hashes of callers' keys: without them, the new
+		// box would refuse all callers. The other two tables are not open: the policies contain the hashes of
+		// the operators' keys, and the members contain the key of the boxes.
 		KeylessTables: []string{tableConfig, tableEndpoints, tableCrashes},
 		Seeds:         cfg.Seeds,
 		Room:          func(r overlay.Room) bool { return b.Relay.HasRoom(r) },
