--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -94,24 +95,37 @@
 	}
 }
 
+// requeue puts the records of a failed write back in front of those that arrived during the write. If there are more
+// than maxPending, it drops and counts the oldest.
+func requeue(failed, pending []*record.Record, lost *metrics.Counter) []*record.Record {
+	all := slices.Concat(failed, pending)
+	if excess := len(all) - maxPending; excess > 0 {
+		lost.Add(excess)
+		all = all[excess:]
+	}
+	return all
+}
+
 // Flush writes the pending records, grouped into one object for each minute. Records that cannot be written stay
 // pending.
 func (a *Archive) Flush(ctx context.Context) {
 	a.mu.Lock()
+	list := a.pending
+	a.pending = nil
+	a.mu.Unlock()
 	byMinute := map[string][]*record.Record{}
-	for _, r := range a.pending {
+	for _, r := range list {
 		dir := keyPrefix(r.ID)
 		byMinute[dir] = append(byMinute[dir], r)
 	}
-	a.pending = nil
-	a.mu.Unlock()
+	failed := map[string]bool{}
 	for dir, list := range byMinute {
-		if err := a.write(ctx, dir, list); err != nil {
-			for _, r := range list {
-				a.Add(r)
-			}
-		}
+		failed[dir] = a.write(ctx, dir, list) != nil
 	}
+	list = slices.DeleteFunc(list, func(r *record.Record) bool { return !failed[keyPrefix(r.ID)] })
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pending = requeue(list, a.pending, a.lost)
 }
 
 // write stores records of one minute as the next part of that minute. The answer of the store may be lost. A later
--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -23,11 +23,23 @@
 	objects     map[string][]byte
 	down        bool
 	loseAnswers int
+	onCall      func() // If set, it is called once, at the start of the next read or write.
 }
 
 var errDown = errors.New("down")
 
+func (s *fakeStore) called() {
+	s.mu.Lock()
+	f := s.onCall
+	s.onCall = nil
+	s.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
 func (s *fakeStore) PutObject(_ context.Context, key string, b []byte) error {
+	s.called()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -42,6 +54,7 @@
 }
 
 func (s *fakeStore) GetObject(_ context.Context, key string) ([]byte, error) {
+	s.called()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -113,6 +126,53 @@
 	}
 }
 
+// Records of a failed flush are older than those that arrived meanwhile. They must be dropped first.
+func TestFailedFlushDropsOldestFirst(t *testing.T) {
+	a, s, lost := newArchive()
+	byTime := NewTimeArchive(listedStore{s}, "a", lost)
+	add := func(n int) {
+		a.Add(&record.Record{ID: id(n)})
+		byTime.Add(&record.Record{ID: id(n)})
+	}
+	s.down = true
+	for n := range maxPending {
+		add(n)
+	}
+	a.Flush(context.Background())
+	byTime.Flush(context.Background())
+	for n := range 10 {
+		add(maxPending + n)
+	}
+	for _, pending := range [][]*record.Record{a.pending, byTime.pending} {
+		for i, r := range pending {
+			if r.ID != id(i+10) {
+				t.Errorf("expected %s at position %d, got %s", id(i+10), i, r.ID)
+				break
+			}
+		}
+	}
+	if lost.Get() != 20 {
+		t.Errorf("expected 10 records of each archive lost, got %d", lost.Get())
+	}
+}
+
+// Records that arrive during a failed write can fill the queue. The records of that write are then the ones to drop.
+func TestRecordsDuringFailedFlush(t *testing.T) {
+	a, s, lost := newArchive()
+	s.down = true
+	a.Add(&record.Record{ID: id(0)})
+	a.Add(&record.Record{ID: id(1)})
+	s.onCall = func() {
+		for n := range maxPending - 1 {
+			a.Add(&record.Record{ID: id(n + 2)})
+		}
+	}
+	a.Flush(context.Background())
+	if len(a.pending) != maxPending || a.pending[0].ID != id(1) || lost.Get() != 1 {
+		t.Errorf("expected the oldest record to be dropped, got %d pending from %s on, %d lost", len(a.pending), a.pending[0].ID, lost.Get())
+	}
+}
+
 // listedStore is a fakeStore that can also list and delete objects.
 type listedStore struct{ *fakeStore }
 
--- a/internal/archive/bytime.go
+++ b/internal/archive/bytime.go
@@ -116,9 +116,9 @@
 		err = a.store.Put(ctx, name, b)
 	}
 	if err != nil {
-		for _, r := range list {
-			a.Add(r)
-		}
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.pending = requeue(list, a.pending, a.lost)
 		return
 	}
 	a.rememberLast(writtenObject{name, b})
