Store archived records once after a lost answer

A write whose answer was lost was repeated under another name. The minute's archive now remembers the part's number before the write. The archive by time writes again under the same name for up to 5 minutes; after a longer outage the records get a new name, so that they are not removed early, and an object of the first try may stay beside it until it is removed.

--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -54,7 +54,7 @@
 
 type partState struct {
 	next int
-	at   time.Time // When the last part was written.
+	at   time.Time // When a write of a part was last tried.
 }
 
 // partsRetention is how long the box remembers which part of a minute to write next.
@@ -129,7 +129,8 @@
 }
 
 // write stores records of one minute as the next part of that minute. The answer of the store may be lost. A later
-// write then repeats the part under the same name, possibly with more records. It replaces the first object.
+// write then repeats the part under the same name, possibly with more records. It replaces the first object. So the
+// number of the part is remembered before the write: once the object exists, nextPart would return the next number.
 func (a *Archive) write(ctx context.Context, dir string, list []*record.Record) error {
 	b, err := encodeRecords(list)
 	if err != nil {
@@ -139,18 +140,24 @@
 	if err != nil {
 		return err
 	}
+	a.rememberPart(dir, part)
 	if err := a.store.PutObject(ctx, fmt.Sprintf("%s/%d", dir, part), b); err != nil {
 		return err
 	}
+	a.rememberPart(dir, part+1)
+	return nil
+}
+
+// rememberPart sets the next part of a minute, and forgets the minutes that were not written for partsRetention.
+func (a *Archive) rememberPart(dir string, next int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.parts[dir] = partState{part + 1, time.Now()}
+	a.parts[dir] = partState{next, time.Now()}
 	for d, p := range a.parts {
 		if time.Since(p.at) > partsRetention {
 			delete(a.parts, d)
 		}
 	}
-	return nil
 }
 
 // nextPart returns the number of the first part of a minute that is not written yet. If the box does not remember the
--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -126,6 +126,22 @@
 	}
 }
 
+// If the answer to a write was lost, the records are stored once. A second copy in another part would use up the parts
+// of the minute, and a search reads them one after another.
+func TestLostAnswerStoresOnce(t *testing.T) {
+	a, s, _ := newArchive()
+	s.loseAnswers = 1
+	a.Add(&record.Record{ID: id(1)})
+	a.Flush(context.Background())
+	a.Add(&record.Record{ID: id(2)})
+	a.Flush(context.Background())
+	expectFound(t, a, 1, nil)
+	expectFound(t, a, 2, nil)
+	if len(s.objects) != 1 {
+		t.Errorf("expected one object, got %d", len(s.objects))
+	}
+}
+
 // Records of a failed flush are older than those that arrived meanwhile. They must be dropped first.
 func TestFailedFlushDropsOldestFirst(t *testing.T) {
 	a, s, lost := newArchive()
@@ -238,6 +254,48 @@
 	})
 }
 
+// If the answer to a write was lost, the records are stored once. A second object would make searches read more.
+func TestByTimeLostAnswerStoresOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := listedStore{&fakeStore{objects: map[string][]byte{}, loseAnswers: 1}}
+		a := NewTimeArchive(s, "a", metrics.NewSet().NewCounter("lost"))
+		a.Add(&record.Record{ID: "one"})
+		a.Flush(context.Background())
+		time.Sleep(byTimeInterval)
+		a.Add(&record.Record{ID: "two"})
+		a.Flush(context.Background())
+		for _, id := range []string{"one", "two"} {
+			if _, err := a.Find(context.Background(), id); err != nil {
+				t.Errorf("%s: %v", id, err)
+			}
+		}
+		if len(s.objects) != 1 {
+			t.Errorf("expected one object, got %d", len(s.objects))
+		}
+	})
+}
+
+// A record that is written after a long outage is kept for the whole retention. Under the name of the first failed
+// write it would be removed early.
+func TestByTimeNameAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := listedStore{&fakeStore{objects: map[string][]byte{}, down: true}}
+		a := NewTimeArchive(s, "a", metrics.NewSet().NewCounter("lost"))
+		a.Add(&record.Record{ID: "one"})
+		for range 20 {
+			a.Flush(context.Background())
+			time.Sleep(byTimeInterval)
+		}
+		s.down = false
+		a.Flush(context.Background())
+		time.Sleep(retention - maxRetryAge)
+		a.removeOld(context.Background(), time.Now())
+		if _, err := a.Find(context.Background(), "one"); err != nil {
+			t.Errorf("expected the record to be kept, got %v", err)
+		}
+	})
+}
+
 func TestRecordsAreWrittenAgainWhenTheStoreCameBackWithoutThem(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := listedStore{&fakeStore{objects: map[string][]byte{}}}
--- a/internal/archive/bytime.go
+++ b/internal/archive/bytime.go
@@ -51,6 +51,10 @@
 	mu         sync.Mutex
 	pending    []*record.Record
 	lastObject writtenObject
+	// failedName is the name of the object whose write failed last, and failedAt the time in that name. Pending has
+	// the records of that object, apart from dropped ones. The name is empty if the last write succeeded.
+	failedName string
+	failedAt   time.Time
 	// storeRestored wakes Run after the store was restored from an older snapshot.
 	storeRestored chan struct{}
 }
@@ -101,17 +105,18 @@
 	}
 }
 
+// maxRetryAge is how long the records of a failed write are written again under the same name, with those that arrived
+// since. If only the answer of the store was lost, the new object replaces the first one. Objects are removed by the
+// time in their names, so after a longer outage the records get a new name.
+const maxRetryAge = 5 * time.Minute
+
 // Flush writes the pending records as one object. If that fails, the records stay pending.
 func (a *TimeArchive) Flush(ctx context.Context) {
-	a.mu.Lock()
-	list := a.pending
-	a.pending = nil
-	a.mu.Unlock()
+	name, at, list := a.takePending(time.Now())
 	if len(list) == 0 {
 		return
 	}
 	b, err := encodeRecords(list)
-	name := byTimePrefix + time.Now().UTC().Format(timestampLayout) + "-" + a.box
 	if err == nil {
 		err = a.store.Put(ctx, name, b)
 	}
@@ -119,11 +124,25 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.pending = requeue(list, a.pending, a.lost)
+		a.failedName, a.failedAt = name, at
 		return
 	}
 	a.rememberLast(writtenObject{name, b})
 }
 
+// takePending removes the pending records. It returns them with the name of their object and the time in that name.
+func (a *TimeArchive) takePending(now time.Time) (name string, at time.Time, list []*record.Record) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	list, a.pending = a.pending, nil
+	name, at = a.failedName, a.failedAt
+	a.failedName = ""
+	if name == "" || now.Sub(at) > maxRetryAge {
+		name, at = byTimePrefix+now.UTC().Format(timestampLayout)+"-"+a.box, now
+	}
+	return name, at, list
+}
+
 // rememberLast keeps an object in memory for lastObjectRetention, unless it is larger than maxLastObjectBytes. The
 // store may be restored in that time from a snapshot that lacks the object. the object until then.
 func (a *TimeArchive) rememberLast(o writtenObject) {
