--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -296,6 +296,26 @@
 	})
 }
 
+// A box may flush twice within a second, at a regular write and when it stops. The second object must not replace the
+// first one.
+func TestByTimeFlushesWithinOneSecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := listedStore{&fakeStore{objects: map[string][]byte{}}}
+		a := NewTimeArchive(s, "a", metrics.NewSet().NewCounter("lost"))
+		ids := []string{"one", "two", "three"}
+		for _, id := range ids {
+			a.Add(&record.Record{ID: id})
+			a.Flush(context.Background())
+			time.Sleep(400 * time.Millisecond)
+		}
+		for _, id := range ids {
+			if _, err := a.Find(context.Background(), id); err != nil {
+				t.Errorf("%s: %v", id, err)
+			}
+		}
+	})
+}
+
 func TestRecordsAreWrittenAgainWhenTheStoreCameBackWithoutThem(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := listedStore{&fakeStore{objects: map[string][]byte{}}}
--- a/internal/archive/bytime.go
+++ b/internal/archive/bytime.go
@@ -55,6 +55,8 @@
 	// the records of that object, apart from dropped ones. The name is empty if the last write succeeded.
 	failedName string
 	failedAt   time.Time
+	// lastNamedAt is the time in the newest name of an object of this box.
+	lastNamedAt time.Time
 	// storeRestored wakes Run after the store was restored from an older snapshot.
 	storeRestored chan struct{}
 }
@@ -137,8 +139,13 @@
 	list, a.pending = a.pending, nil
 	name, at = a.failedName, a.failedAt
 	a.failedName = ""
-	if name == "" || now.Sub(at) > maxRetryAge {
-		name, at = byTimePrefix+now.UTC().Format(timestampLayout)+"-"+a.box, now
+	if len(list) > 0 && (name == "" || now.Sub(at) > maxRetryAge) {
+		// A name has whole seconds. Two objects within a second need different names.
+		at = now.Truncate(time.Second)
+		if !at.After(a.lastNamedAt) {
+			at = a.lastNamedAt.Add(time.Second)
+		}
+		name, a.lastNamedAt = byTimePrefix+at.UTC().Format(timestampLayout)+"-"+a.box, at
 	}
 	return name, at, list
 }
