--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -33,6 +33,8 @@
 	ErrConflict = errors.New("platform: the row has another version")
 )
 
+var errTooLarge = fmt.Errorf("platform: the answer is larger than %d bytes", maxResponseBytes)
+
 // Row is one row of the table.
 type Row struct {
 	Key string `json:"key"`
@@ -102,10 +104,13 @@
 		return 0, nil, fmt.Errorf("platform: %w", err)
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return 0, nil, fmt.Errorf("platform: %w", err)
 	}
+	if len(b) > maxResponseBytes {
+		return 0, nil, errTooLarge
+	}
 	return resp.StatusCode, b, nil
 }
 
