Keep an endpoint's cold period when its entry is unchanged

Each new list counted the entry's remaining cold time from now, so a list that changed for another endpoint's sake lengthened the cold period.

--- a/internal/relay/cold.go
+++ b/internal/relay/cold.go
@@ -27,10 +27,17 @@
 }
 
 // updateCold marks the endpoints that a new list shows as cold. It forgets endpoints that have left the list, and
-// endpoints whose cold period has ended. f.mu is held.
-func (f *fleet) updateCold(now time.Time) {
+// endpoints whose cold period has ended. old is the list before, and oldIndex the positions in it by endpoint ID. An
+// endpoint with the same ColdLeft as before is not marked again: ColdLeft counts from when the platform wrote the
+// entry, and the entry has not been written since. f.mu is held.
+func (f *fleet) updateCold(now time.Time, old []Endpoint, oldIndex map[string]int) {
 	for _, e := range f.endpoints {
-		f.markCold(e.ID, now, e.ColdLeft)
+		if e.ColdLeft <= 0 {
+			continue
+		}
+		if i, listed := oldIndex[e.ID]; !listed || old[i].ColdLeft != e.ColdLeft {
+			f.markCold(e.ID, now, e.ColdLeft)
+		}
 	}
 	maps.DeleteFunc(f.cold, func(id string, c *coldEndpoint) bool {
 		_, listed := f.index[id]
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -109,7 +109,7 @@
 
 // replaceEndpoints replaces the list of endpoints. f.mu is held.
 func (f *fleet) replaceEndpoints(list []Endpoint) {
-	before := f.endpoints
+	before, beforeIndex := f.endpoints, f.index
 	f.endpoints = list
 	f.index = make(map[string]int, len(list))
 	for i, e := range list {
@@ -126,7 +126,7 @@
 			f.removed[e.ID] = removedEndpoint{e, now}
 		}
 	}
-	f.updateCold(now)
+	f.updateCold(now, before, beforeIndex)
 }
 
 // removedEndpoint is an endpoint with the time at which it was removed from the list.
