--- a/internal/relay/orders.go
+++ b/internal/relay/orders.go
@@ -37,10 +37,13 @@
 	if err != nil {
 		return fmt.Errorf("query engine load: %w", err)
 	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("query engine load: %s", resp.Status)
+	}
 	load, err := r.protocol.ParseLoad(body)
 	switch {
-	case err != nil || resp.StatusCode != http.StatusOK:
-		return fmt.Errorf("query engine load: %s, %w", resp.Status, err)
+	case err != nil:
+		return fmt.Errorf("query engine load: %w", err)
 	case !load.matchesStart(&e):
 		return errRestarted
 	case load.ExecutingOrder || load.Leaving || load.Role == role:
