--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -116,6 +116,15 @@
 	return true, a.printJSON(b)
 }
 
+// printValueAsJSON prints a value that is not a message of a box as JSON.
+func (a *app) printValueAsJSON(v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return a.printJSON(b)
+}
+
 func (a *app) printJSON(b []byte) error {
 	var v any
 	if err := json.Unmarshal(b, &v); err != nil {
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -113,10 +113,22 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprint(a.out, diff(fmt.Sprintf("version %d", current.Version), current.Text, c.File, text))
+	out := diff(fmt.Sprintf("version %d", current.Version), current.Text, c.File, text)
+	if a.JSON {
+		return a.printValueAsJSON(configDiffJSON{current.Version, text != current.Text, out})
+	}
+	_, err = fmt.Fprint(a.out, out)
 	return err
 }
 
+// configDiffJSON is the output of "config diff --json". Version is the accepted version. Here and below, versions are
+// strings, as in the messages of a box.
+type configDiffJSON struct {
+	Version int64  `json:"version,string"`
+	Differs bool   `json:"differs"`
+	Diff    string `json:"diff"`
+}
+
 func diff(nameA, a, nameB, b string) string {
 	out, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
 		A: difflib.SplitLines(a), FromFile: nameA,
--- a/internal/cli/shared.go
+++ b/internal/cli/shared.go
@@ -107,6 +107,9 @@
 		return err
 	}
 	if c.Name == "" {
+		if a.JSON {
+			return a.printValueAsJSON(newRulesJSON(rules))
+		}
 		for _, r := range rules.Rules {
 			fmt.Fprintf(a.out, "%s: policy %s for %s\n", r.Name, r.Policy, ruleScope(r))
 		}
@@ -114,13 +117,52 @@
 	}
 	for _, p := range rules.Policies {
 		if p.Name == c.Name {
-			_, err := fmt.Fprintln(a.out, strings.Trim(p.Program, "\n"))
+			program := strings.Trim(p.Program, "\n")
+			if a.JSON {
+				return a.printValueAsJSON(policyJSON{rules.Version, p.Name, program, strings.Trim(p.Cases, "\n")})
+			}
+			_, err := fmt.Fprintln(a.out, program)
 			return err
 		}
 	}
 	return &exitError{exitNotFound, fmt.Errorf("no policy %q in version %d", c.Name, rules.Version)}
 }
 
+// policyJSON is the output of "policy get NAME --json".
+type policyJSON struct {
+	Version int64  `json:"version,string"`
+	Name    string `json:"name"`
+	Program string `json:"program"`
+	Cases   string `json:"cases"`
+}
+
+// rulesJSON is the output of "policy get --json".
+type rulesJSON struct {
+	Version int64      `json:"version,string"`
+	Rules   []ruleJSON `json:"rules"`
+}
+
+type ruleJSON struct {
+	Name    string `json:"name"`
+	Policy  string `json:"policy"`
+	Kind    string `json:"kind"`
+	Service string `json:"service"`
+	// Priority is nil if the rule applies to routes of every priority.
+	Priority *int `json:"priority"`
+}
+
+func newRulesJSON(rules *config.Rules) rulesJSON {
+	out := rulesJSON{Version: rules.Version, Rules: []ruleJSON{}}
+	for _, r := range rules.Rules {
+		j := ruleJSON{Name: r.Name, Policy: r.Policy, Kind: r.Kind, Service: r.Service}
+		if r.Priority != config.AnyPriority {
+			j.Priority = &r.Priority
+		}
+		out.Rules = append(out.Rules, j)
+	}
+	return out
+}
+
 // ruleScope describes in words the requests that a rule applies to.
 func ruleScope(r *config.Rule) string {
 	var parts []string
@@ -199,12 +241,33 @@
 	if err != nil {
 		return err
 	}
+	if a.JSON {
+		out := operatorsJSON{Version: rules.Version, Operators: []operatorJSON{}}
+		for _, o := range rules.Operators {
+			out.Operators = append(out.Operators, operatorJSON{o.Name, o.KeySHA256[:shownDigits]})
+		}
+		return a.printValueAsJSON(out)
+	}
 	for _, o := range rules.Operators {
-		fmt.Fprintf(a.out, "%s  sha256 %s…\n", o.Name, o.KeySHA256[:12])
+		fmt.Fprintf(a.out, "%s  sha256 %s…\n", o.Name, o.KeySHA256[:shownDigits])
 	}
 	return nil
 }
 
+// shownDigits is how many digits of a key's hash are shown: enough to tell keys apart.
+const shownDigits = 12
+
+// operatorsJSON is the output of "key list --json".
+type operatorsJSON struct {
+	Version   int64          `json:"version,string"`
+	Operators []operatorJSON `json:"operators"`
+}
+
+type operatorJSON struct {
+	Name      string `json:"name"`
+	KeyPrefix string `json:"key_sha256_prefix"`
+}
+
 type keyRevokeCmd struct {
 	Name   string `arg:"" help:"The operator's name."`
 	Author string `help:"Author of the change; the current user if not given."`
