Try a configuration version again that could not be applied

It was not tried again until a newer one came, also where its text came from another box and the table's text was whole. It is read again each minute.

--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -220,26 +220,36 @@
 // followInterval is how long a box waits between two reads of the accepted version.
 const followInterval = time.Second
 
+// retryInterval is how long a box waits before it reads a version again that it could not apply. Most such versions fail
+// again, and each try reads the whole text.
+const retryInterval = time.Minute
+
 // FallbackSource returns a version newer than known, the version that the caller has. While the table is unavailable,
 // it gets that version from elsewhere, such as another box. It returns only versions that the table has accepted.
 type FallbackSource func(ctx context.Context, known int64) (*Version, error)
 
 // Follow polls the table and calls apply with each newer version, until ctx ends. It ignores a version that is older
-// than the version it last passed to apply.
+// than the version it last passed to apply. If apply returns an error, Follow reads the version again after
+// retryInterval, and passes it to apply again.
 func (s *Store) Follow(ctx context.Context, fallback FallbackSource, apply func(*Version) error, onError func(error)) {
-	var known int64
+	// known is the newest version that was passed to apply, and inForce the newest that was applied. If they differ,
+	// known is tried again at retryAt.
+	var known, inForce int64
+	var retryAt time.Time
 	for {
-		v, err := s.Load(ctx, known)
-		if err != nil && fallback != nil && !errors.Is(err, platform.ErrUnchanged) && !errors.Is(err, platform.ErrNotFound) {
-			if fetched, fetchErr := fallback(ctx, known); fetchErr == nil {
-				v, err = fetched, nil
-			}
+		newerThan := known
+		if known > inForce && !time.Now().Before(retryAt) {
+			newerThan = inForce
 		}
+		v, err := s.loadOrFallBack(ctx, newerThan, fallback)
 		switch {
-		case err == nil && v.Number > known:
+		case err == nil && (v.Number > known || v.Number == known && newerThan < known):
 			known = v.Number
 			if err := apply(v); err != nil {
+				retryAt = time.Now().Add(retryInterval)
 				onError(err)
+			} else {
+				inForce = known
 			}
 		case err != nil && !errors.Is(err, platform.ErrUnchanged) && !errors.Is(err, platform.ErrNotFound):
 			onError(err)
@@ -252,6 +262,17 @@
 	}
 }
 
+// loadOrFallBack reads the accepted version from the table, or from fallback if the table does not answer.
+func (s *Store) loadOrFallBack(ctx context.Context, known int64, fallback FallbackSource) (*Version, error) {
+	v, err := s.Load(ctx, known)
+	if err != nil && fallback != nil && !errors.Is(err, platform.ErrUnchanged) && !errors.Is(err, platform.ErrNotFound) {
+		if fetched, fetchErr := fallback(ctx, known); fetchErr == nil {
+			return fetched, nil
+		}
+	}
+	return v, err
+}
+
 // Parse parses and validates the version's text.
 func (v *Version) Parse(check func(*config.Policy) error) (*config.Shared, error) {
 	c, err := config.ParseShared(fmt.Sprintf("configuration version %d", v.Number), []byte(v.Text), check)
--- a/internal/control/store_test.go
+++ b/internal/control/store_test.go
@@ -204,3 +204,47 @@
 		t.Error("the checker let a careless store pass")
 	}
 }
+
+// A version that could not be applied must be read and tried again, at intervals. Its text may have come from another
+// box, and the table's may be whole. A version that is in force must not be applied again.
+func TestFollowRetriesFailedVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+		defer cancel()
+		var tries []time.Duration
+		start := time.Now()
+		NewStore(&scriptedTable{versions: slices.Repeat([]int64{7}, 1000)}).Follow(ctx, nil, func(*Version) error {
+			if tries = append(tries, time.Since(start)); len(tries) < 3 {
+				return errors.New("could not be applied")
+			}
+			return nil
+		}, func(error) {})
+		if len(tries) != 3 {
+			t.Fatalf("expected two more tries, got them at %v", tries)
+		}
+		for i := 1; i < len(tries); i++ {
+			if d := tries[i] - tries[i-1]; d < retryInterval || d > retryInterval+2*followInterval {
+				t.Errorf("expected a try each %s, got them at %v", retryInterval, tries)
+			}
+		}
+	})
+}
+
+// After a version that could not be applied, a newer one is applied at once, and an older one never.
+func TestFollowAfterFailedVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+		defer cancel()
+		var tried []int64
+		reads := slices.Concat([]int64{5, 7, 8}, slices.Repeat([]int64{5}, 1000))
+		NewStore(&scriptedTable{versions: reads}).Follow(ctx, nil, func(v *Version) error {
+			if tried = append(tried, v.Number); v.Number > 5 {
+				return errors.New("could not be applied")
+			}
+			return nil
+		}, func(error) {})
+		if want := []int64{5, 7, 8}; !slices.Equal(tried, want) {
+			t.Errorf("expected %v to be tried, got %v", want, tried)
+		}
+	})
+}
