--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -64,8 +64,8 @@
 	// that the endpoint asked for a pause that ends later than the pause it asked for before.
 	LeavingAnnounced
 	PauseRequested
-	// MalformedNotice means that the endpoint sent a malformed notice. The notice differs from the malformed notice
-	// that was last reported, and that report is at least repeatInterval old.
+	// MalformedNotice means that the endpoint sent a malformed notice. The last report of a malformed notice of the
+	// endpoint is at least repeatInterval old, or malformedRepeatInterval if that notice was the same.
 	MalformedNotice
 )
 
@@ -112,9 +112,14 @@
 }
 
 // repeatInterval is how often a limit that still applies is published again. This is needed because messages are lost
-// and boxes restart. repeatInterval is also the least time between two reports of malformed notices of one endpoint.
+// and boxes restart. repeatInterval is also the least time between two reports of different malformed notices
+// of one endpoint.
 const repeatInterval = 5 * time.Second
 
+// malformedRepeatInterval is the least time between two reports of the same malformed notice of one endpoint. It is
+// longer than repeatInterval, because all endpoints of a faulty version may send such a notice.
+const malformedRepeatInterval = time.Minute
+
 // Observe records the notice in a response. It returns how the notice changed the endpoint's state.
 func (t *Table) Observe(now time.Time, a Answer) []Change {
 	t.mu.Lock()
@@ -141,13 +146,21 @@
 		e.pausedUntil = pauseEnd
 		changes = append(changes, PauseRequested)
 	}
-	if differs := e.malformed != a.Notice.Malformed; a.Notice.Malformed != "" && differs && now.Sub(e.malformedAt) >= repeatInterval {
+	if a.Notice.Malformed != "" && now.Sub(e.malformedAt) >= e.reportInterval(a.Notice.Malformed) {
 		e.malformed, e.malformedAt = a.Notice.Malformed, now
 		changes = append(changes, MalformedNotice)
 	}
 	return changes
 }
 
+// reportInterval is the least time between the last report of a malformed notice and a report of this one.
+func (e *endpoint) reportInterval(malformed string) time.Duration {
+	if malformed == e.malformed {
+		return malformedRepeatInterval
+	}
+	return repeatInterval
+}
+
 // updateLimit records what a response says about the endpoint's limit, and returns the resulting change. The caller
 // must hold t.mu.
 func (t *Table) updateLimit(now time.Time, e *endpoint, a Answer) []Change {
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -65,6 +65,22 @@
 	}
 }
 
+// An endpoint may send the same malformed notice for hours. It must be reported at intervals: a single report would
+// have left the log long before anybody looks.
+func TestMalformedNoticeReportedAgain(t *testing.T) {
+	malformedAt := func(seconds float64, text string) Answer {
+		a := answerAt(seconds, 0)
+		a.Notice.Malformed = text
+		return a
+	}
+	same := malformedRepeatInterval.Seconds()
+	other := repeatInterval.Seconds()
+	expectChanges(t, []Answer{
+		malformedAt(0, "a"), malformedAt(same-1, "a"), malformedAt(same, "a"), malformedAt(same+1, "a"),
+		malformedAt(same+other-1, "b"), malformedAt(same+other, "b"), malformedAt(2*same, "b"), malformedAt(2*same+other, "b"),
+	}, MalformedNotice, 0, MalformedNotice, 0, 0, MalformedNotice, 0, MalformedNotice)
+}
+
 // expectKept lets an endpoint send a notice. Some time later, the table must still remember the endpoint if want is
 // true, and must have forgotten it otherwise.
 func expectKept(t *testing.T, n Notice, later time.Duration, listed, want bool) {
