--- a/internal/overlay/fact.go
+++ b/internal/overlay/fact.go
@@ -169,6 +169,8 @@
 	maxRuns       = 1024
 	// maxNameBytes bounds the names of services, regions, endpoints and accounts in messages about slots.
 	maxNameBytes = 256
+	// maxStreams bounds the queued and the running streams of an engine.
+	maxStreams = 1 << 20
 	// maxWaiting bounds the number of streams that wait on a box.
 	maxWaiting = 1 << 20
 	// maxRequestRate bounds an endpoint's limit, in requests a second.
@@ -239,6 +241,9 @@
 	if m.GetEngine() == "" || !validTokens(m.KvUsed) || !validTokens(m.KvTotal) || len(m.Runs) > 2*maxRuns || len(m.Runs)%2 != 0 {
 		return nil, false
 	}
+	if m.Queued < 0 || m.Queued > maxStreams || m.Running < 0 || m.Running > maxStreams {
+		return nil, false
+	}
 	l := &Load{
 		Engine: m.Engine, Unresponsive: m.Silent, Decodes: m.Writes, Leaving: m.Leaving, ExecutingOrder: m.Busy, Queued: int(m.Queued),
 		Running: int(m.Running), KVUsed: int(m.KvUsed), KVTotal: int(m.KvTotal), Orders: m.Orders,
