--- a/internal/overlay/gossip.go
+++ b/internal/overlay/gossip.go
@@ -1,6 +1,7 @@
 package overlay
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -96,13 +97,24 @@
 		n.mu.Unlock()
 		return // So a box that is not listed gets no element in lastReceived.
 	}
-	n.lastReceived[m.Box] = messagePosition{m.Incarnation, m.Seq}
+	n.lastReceived[m.Box] = messagePosition{m.Incarnation, m.Seq, now}
 	n.forward(queuedMessage{m, msg.At}, fromUpstream, fromFollower)
 	n.mu.Unlock()
 	n.count.received.Inc()
 	n.o.OnMessage(msg)
 }
 
+// forgetLastReceived forgets the last messages of boxes that have left. It keeps those received less than maxMessageAge
+// ago, because late copies of the box's messages may still arrive, and the box may be listed again by then.
+func (n *Node) forgetLastReceived(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	maps.DeleteFunc(n.lastReceived, func(box string, last messagePosition) bool {
+		_, listed := n.members.get(box)
+		return !listed && now.Sub(last.receivedAt) > maxMessageAge
+	})
+}
+
 // forward queues a message for the upstream and the followers, except the box that sent the message. A follower
 // that has no use for the message does not get it. n.mu must be held.
 func (n *Node) forward(message queuedMessage, fromUpstream *link, fromFollower *follower) {
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -171,6 +171,7 @@
 type messagePosition struct {
 	incarnation int64
 	seq         uint64
+	receivedAt  time.Time
 }
 
 type counters struct {
@@ -225,6 +226,7 @@
 // SetMembers replaces the table of members.
 func (n *Node) SetMembers(rows map[string][]byte) {
 	n.members.set(rows)
+	n.forgetLastReceived(clock.Now())
 	select {
 	case n.membersChanged <- struct{}{}:
 	default:
