--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -151,18 +151,29 @@
 }
 
 // findSection returns the byte offsets of the start and the end of a section. start is -1 if there is no such section.
-// Lines inside """ quotes do not count as section headers.
+// Lines inside """ quotes do not count as section headers. Comment lines directly above a header belong to that
+// header's section, so a section ends before those of the next one.
 func findSection(text, name string) (start, end int) {
 	start, inText, offset := -1, false, 0
+	comment := -1 // The start of the comment lines directly above the current line; -1 if there are none.
 	for line := range strings.Lines(text) {
 		trimmed := strings.TrimSpace(line)
 		header := !inText && strings.HasPrefix(trimmed, "[") && strings.HasSuffix(trimmed, "]")
 		if header && start >= 0 {
+			if comment >= 0 {
+				return start, comment
+			}
 			return start, offset
 		}
 		if header && trimmed == "["+name+"]" {
 			start = offset
 		}
+		switch {
+		case inText || !strings.HasPrefix(trimmed, "#") && !strings.HasPrefix(trimmed, ";"):
+			comment = -1
+		case comment < 0:
+			comment = offset
+		}
 		if strings.Count(trimmed, `"""`)%2 == 1 {
 			inText = !inText
 		}
--- a/internal/config/rules_test.go
+++ b/internal/config/rules_test.go
@@ -102,3 +102,34 @@
 		t.Error("expected a program's text to hold no sections")
 	}
 }
+
+// A comment directly above a section belongs to that section. Removing or replacing the section before must keep it.
+func TestCommentOfNextSection(t *testing.T) {
+	const text = `# who and what
+[rule a]
+policy = p
+# on a's key
+
+# b is for the night shift
+; and for tests
+[rule b]
+policy = p
+`
+	const rest = "# b is for the night shift\n; and for tests\n[rule b]\npolicy = p\n"
+	const head = "# who and what\n"
+	for _, tt := range []struct{ name, text, want string }{
+		{"comment of the next section", text, head + rest},
+		{"no blank line above the comment", "[rule a]\npolicy = p\n" + rest, rest},
+		{"no comment", "[rule a]\npolicy = p\n\n[rule b]\n", "[rule b]\n"},
+		{"last section", "[rule b]\n[rule a]\npolicy = p\n# end\n", "[rule b]\n"},
+		{"comment inside a program", "[rule a]\nprogram = \"\"\"\nx\n# y\n\"\"\"\n[rule b]\n", "[rule b]\n"},
+	} {
+		if got, ok := RemoveSection(tt.text, "rule a"); !ok || got != tt.want {
+			t.Errorf("%s: expected %q, got %q", tt.name, tt.want, got)
+		}
+	}
+	set := SetSection("[rule a]\npolicy = p\n\n"+rest, "rule a", "policy = q")
+	if want := "[rule a]\npolicy = q\n" + rest; set != want {
+		t.Errorf("expected %q, got %q", want, set)
+	}
+}
