Test windows of 0 in a platform's settings

No fault: a platform fills these settings, and a box must start with any of its numbers. The new test of accounts fails without the pool's check of the window.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -74,6 +74,14 @@
 	expectProblems(t, err, []string{"[plain] shared_slots: expected true or false"})
 }
 
+// A platform fills the windows into the settings. A box must start with a window of 0, and pass it on as it is.
+func TestWindowsOfZero(t *testing.T) {
+	r, err := ParseRelay("box.ini", []byte(validRelay+"[engines]\nretry_window_s = 0\n[accounts]\nlimit_window_s = 0"))
+	if err != nil || r.RetryWindow != 0 || r.LimitWindow != 0 {
+		t.Errorf("expected windows of 0, got %+v, %v", r, err)
+	}
+}
+
 func TestBox(t *testing.T) {
 	expectBox(t, validBox)
 	expectBox(t, strings.Replace(validBox, "hall =", "hal =", 1), "box.ini:4: [box] hal: is not a known key", "box.ini:1: [box] hall: is missing; expected the data hall's name")
--- a/internal/quota/pool_test.go
+++ b/internal/quota/pool_test.go
@@ -60,3 +60,21 @@
 		t.Errorf("expected a full bucket of a new limit, got %g", a.Granted)
 	}
 }
+
+// A platform may set a window of 0. The overage is then part of the bucket's capacity only: a refill rate over a window
+// of 0 would be infinite, and no limit would hold.
+func TestOverageOfWindowZero(t *testing.T) {
+	now := time.Now()
+	p := poolWithShares(now, 1, 1, map[string]Limit{"a": {Rate: 10, Burst: 100}})
+	p.SetBounds(now, Bounds{Overage: 0.1, Slack: 20})
+	granted := 0.0
+	for end := now.Add(900 * time.Millisecond); now.Before(end); now = now.Add(time.Millisecond) {
+		if a, _ := p.Grant(now, "a", 1, 0); a.Granted > 0 {
+			granted += a.Granted
+		}
+	}
+	// The burst, 9 units of 0.9 s, and the overage of 0.1 * 100 + 20.
+	if granted < 100 || granted > 100+9+30 {
+		t.Errorf("expected the burst, and at most the limit with its overage, got %g units", granted)
+	}
+}
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -116,3 +116,18 @@
 		t.Error("expected the budget to be available again after the window and the maximum transit time, and not before")
 	}
 }
+
+// A platform may set a window of 0. The budget must then still be bounded: calls are counted over maxTransit.
+func TestWindowZero(t *testing.T) {
+	var b Budget
+	now := time.Unix(1_800_000_000, 0)
+	b.SetBound(Limits{FreeCalls: 10}, 1, now.Add(-time.Minute))
+	for i := range 10 {
+		if got, want := b.Take(now, 1), i < 9; got != want {
+			t.Errorf("call %d: expected allowed %t, got %t", i+1, want, got)
+		}
+	}
+	if b.Take(now.Add(maxTransit*9/10), 1) || !b.Take(now.Add(2*maxTransit), 1) {
+		t.Error("expected free calls again after maxTransit, and none before")
+	}
+}
