Count a box that the list lacks for a moment as behind

A rollout asked listed boxes only. A box with an older version that was missing in the platform's list for one poll was never asked again, and the version was reported as in force on all boxes. Boxes count for 10 s after the list lacks them, unless they announced that they leave and no longer answer.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,6 +16,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/platform"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 	"github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1/stoatrampv1connect"
@@ -32,6 +33,9 @@
 	maxConcurrentCalls = 16
 	// maxConfigPeers is the maximum number of peers that one call of Peers.Config asks.
 	maxConfigPeers = 3
+	// missingRetention is how long a box that is missing in the platform's list may still serve callers. It is longer
+	// than the rollout of a configuration, which takes up to 5 s, and than some reads of the list.
+	missingRetention = 10 * time.Second
 )
 
 // Lister reads the platform's list of boxes.
@@ -48,6 +52,14 @@
 
 	mu    sync.Mutex
 	boxes []platform.BoxInfo
+	// missing has the boxes that were in the list before and are not in it now, until their retention is over.
+	missing map[string]missingBox
+}
+
+// missingBox is a box as it was last listed, with the time of the first list without it.
+type missingBox struct {
+	platform.BoxInfo
+	since time.Time
 }
 
 // New returns the Peers of the box with the name self. Its list of boxes is empty until Run has read the list.
@@ -68,8 +80,11 @@
 	}
 }
 
-func (p *Peers) refreshInterval() time.Duration {
-	return listInterval * time.Duration(max(1, len(p.Others())/smallListSize))
+func (p *Peers) refreshInterval() time.Duration { return listIntervalFor(len(p.Others())) }
+
+// listIntervalFor returns how often a list of the given length is read.
+func listIntervalFor(length int) time.Duration {
+	return listInterval * time.Duration(max(1, length/smallListSize))
 }
 
 // Refresh reads the list once.
@@ -82,9 +97,48 @@
 	slices.SortFunc(boxes, func(a, b platform.BoxInfo) int { return cmp.Compare(a.Name, b.Name) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordMissing(boxes, clock.Now())
 	p.boxes = boxes
 }
 
+// recordMissing updates the missing boxes before a new list is set. p.mu must be held.
+func (p *Peers) recordMissing(next []platform.BoxInfo, now time.Time) {
+	missing := map[string]missingBox{}
+	for _, b := range p.boxes {
+		missing[b.Name] = missingBox{b, now}
+	}
+	for name, b := range p.missing {
+		if p.retained(b, now) {
+			missing[name] = b
+		}
+	}
+	for _, b := range next {
+		delete(missing, b.Name)
+	}
+	p.missing = missing
+}
+
+// retained reports whether a missing box may still serve callers. Long lists are read less often, so a box is then
+// missing for longer. p.mu must be held.
+func (p *Peers) retained(b missingBox, now time.Time) bool {
+	return now.Sub(b.since) < max(missingRetention, 3*listIntervalFor(len(p.boxes)))
+}
+
+// withMissing returns the other boxes, followed by the missing boxes whose retention is not over. listed is the number
+// of the former.
+func (p *Peers) withMissing() (boxes []platform.BoxInfo, listed int) {
+	now := clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	boxes = slices.Clone(p.boxes)
+	for _, b := range p.missing {
+		if p.retained(b, now) {
+			boxes = append(boxes, b.BoxInfo)
+		}
+	}
+	return boxes, len(p.boxes)
+}
+
 // Others returns the other boxes, sorted by name.
 func (p *Peers) Others() []platform.BoxInfo {
 	p.mu.Lock()
@@ -136,10 +190,12 @@
 	return resp.Msg, nil
 }
 
-// Serving returns the names of the other boxes that are not leaving.
+// Serving returns the names of the other boxes that are not leaving. It includes boxes that have been missing in the
+// list for a short time, since they may still serve callers.
 func (p *Peers) Serving() []string {
 	var names []string
-	for _, b := range p.Others() {
+	boxes, _ := p.withMissing()
+	for _, b := range boxes {
 		if !b.Leaving {
 			names = append(names, b.Name)
 		}
@@ -149,20 +205,23 @@
 
 // Behind asks the named boxes which configuration version they use. It returns the names of the boxes whose version is
 // older than the given version. It also returns the names of the boxes that do not answer, since these boxes may still
-// serve callers.
+// serve callers. It does not return a box that announced that it is leaving, is not listed any more and does not answer.
 func (p *Peers) Behind(ctx context.Context, version int64, names []string) []string {
 	var mu sync.Mutex
 	var behind []string
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, maxConcurrentCalls)
-	for _, b := range p.Others() {
+	boxes, listed := p.withMissing()
+	for i, b := range boxes {
 		if !slices.Contains(names, b.Name) {
 			continue
 		}
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			if p.version(ctx, b) < version {
+			got := p.version(ctx, b)
+			left := i >= listed && b.Leaving && got == noAnswer
+			if got < version && !left {
 				mu.Lock()
 				defer mu.Unlock()
 				behind = append(behind, b.Name)
@@ -174,12 +233,16 @@
 	return behind
 }
 
+// noAnswer is the version of a box that does not answer. It is older than all versions.
+const noAnswer = -1
+
+// version asks a box for the version of its configuration. It returns noAnswer if the box does not answer.
 func (p *Peers) version(ctx context.Context, b platform.BoxInfo) int64 {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	resp, err := p.client(b).State(ctx, connect.NewRequest(&v1.StateRequest{}))
 	if err != nil {
-		return -1
+		return noAnswer
 	}
 	return resp.Msg.ConfigVersion
 }
