--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -110,12 +110,15 @@
 	operators.Peers, operators.Grants, operators.Archive = b.peers, b.grants, b.archive
 	operators.Incarnation = b.Gateway.Incarnation
 	operators.Stop = func() { go func() { _ = b.Stop() }() }
-	callerServer, err := b.listen(cfg.Callers, cfg.CallerTLS, b.Gateway, &b.Callers)
+	callerServer, callers, err := b.listen(cfg.Callers, cfg.CallerTLS, b.Gateway, &b.Callers)
 	if err != nil {
+		b.cancel()
 		return nil, fmt.Errorf("callers' address: %w", err)
 	}
-	operatorServer, err := b.listen(cfg.Operators, cfg.OperatorTLS, operators.Handler(), &b.Operators)
+	operatorServer, _, err := b.listen(cfg.Operators, cfg.OperatorTLS, operators.Handler(), &b.Operators)
 	if err != nil {
+		b.cancel()
+		closeAll(callers)
 		return nil, fmt.Errorf("operators' address: %w", err)
 	}
 	b.app = kratos.New(
@@ -164,24 +167,31 @@
 	return srv
 }
 
-// listen opens a listener of the box and stores its address in addr. The listener uses TLS if the settings name
-// certificate files.
-func (b *Box) listen(address string, files config.TLSFiles, h http.Handler, addr *string) (*khttp.Server, error) {
+// listen opens a listener of the box, stores its address in addr, and returns it with its server. The listener uses TLS
+// if the settings name certificate files.
+func (b *Box) listen(address string, files config.TLSFiles, h http.Handler, addr *string) (*khttp.Server, net.Listener, error) {
 	var opts []khttp.ServerOption
 	if files.Cert != "" {
 		pair, err := tls.LoadX509KeyPair(files.Cert, files.Key)
 		if err != nil {
-			return nil, fmt.Errorf("TLS: %w", err)
+			return nil, nil, fmt.Errorf("TLS: %w", err)
 		}
 		opts = append(opts, khttp.TLSConfig(&tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}))
 	}
 	lis, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	srv := newHTTPServer(lis, h, addr, b.log, opts...)
 	srv.ReadHeaderTimeout = b.cfg.HeaderTimeout
-	return srv, nil
+	return srv, lis, nil
+}
+
+// closeAll closes the listeners that a box has opened before it failed to open another one.
+func closeAll(opened ...net.Listener) {
+	for _, lis := range opened {
+		_ = lis.Close()
+	}
 }
 
 // Run serves until Stop is called or a signal arrives. It returns nil if all running requests have ended by then.
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -182,6 +182,7 @@
 	b.registerGauges()
 	servers, err := b.listeners()
 	if err != nil {
+		b.cancel()
 		return nil, err
 	}
 	b.node.SetAddress(cmp.Or(cfg.PeersAddress, b.Peers))
@@ -412,14 +413,17 @@
 		{"peers", cfg.Peers, net.Listen, b.node.Handler(), &b.Peers},
 	}
 	var out []kratosServer
+	var opened []net.Listener
 	for _, p := range specs {
 		if p.address == "" {
 			continue
 		}
 		lis, err := p.listen("tcp", p.address)
 		if err != nil {
+			closeAll(opened...)
 			return nil, fmt.Errorf("%s address: %w", p.name, err)
 		}
+		opened = append(opened, lis)
 		srv := newHTTPServer(lis, p.handler, p.boundAddr, b.log)
 		srv.ReadHeaderTimeout = cfg.HeaderTimeout
 		srv.IdleTimeout = cfg.IdleTimeout
