--- a/internal/box/fault_test.go
+++ b/internal/box/fault_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -251,11 +252,28 @@
 	g.logReply(reply{})
 }
 
-// firstTokenSeen reports whether the box has received the first token of a caller's answer.
+// firstTokenSeen reports whether the box has received the first token of exactly one caller's answer.
 func (g *rig) firstTokenSeen() bool {
 	var text bytes.Buffer
 	g.box.Metrics.Set.WritePrometheus(&text)
-	return strings.Contains(text.String(), "stoatramp_first_token_seconds_count 1")
+	return countsOneFirstToken(text.String())
+}
+
+func countsOneFirstToken(metrics string) bool {
+	return slices.Contains(strings.Split(metrics, "\n"), "stoatramp_first_token_seconds_count 1")
+}
+
+// Guards against a check that takes any count that begins with 1 for one answer.
+func TestCountsOneFirstToken(t *testing.T) {
+	for text, want := range map[string]bool{
+		"": false, "stoatramp_first_token_seconds_count 0\n": false, "stoatramp_first_token_seconds_count 1\n": true,
+		"a 1\nstoatramp_first_token_seconds_count 1\nb 2\n": true, "stoatramp_first_token_seconds_count 10\n": false,
+		"stoatramp_first_token_seconds_count 19\n": false, "other_stoatramp_first_token_seconds_count 1\n": false,
+	} {
+		if got := countsOneFirstToken(text); got != want {
+			t.Errorf("%q: expected %t, got %t", text, want, got)
+		}
+	}
 }
 
 func holdMemory(engines []*standin.Engine) bool {
