--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -23,11 +23,23 @@
 	objects     map[string][]byte
 	down        bool
 	loseAnswers int
+	onCall      func() // If set, it is called once, at the start of the next read or write.
 }
 
 var errDown = errors.New("down")
 
+func (s *fakeStore) called() {
+	s.mu.Lock()
+	f := s.onCall
+	s.onCall = nil
+	s.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
 func (s *fakeStore) PutObject(_ context.Context, key string, b []byte) error {
+	s.called()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -42,6 +54,7 @@
 }
 
 func (s *fakeStore) GetObject(_ context.Context, key string) ([]byte, error) {
+	s.called()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -113,6 +126,69 @@
 	}
 }
 
+// If the answer to a write was lost, the records are stored once. A second copy in another part would use up the parts
+// of the minute, and a search reads them one after another.
+func TestLostAnswerStoresOnce(t *testing.T) {
+	a, s, _ := newArchive()
+	s.loseAnswers = 1
+	a.Add(&record.Record{ID: id(1)})
+	a.Flush(context.Background())
+	a.Add(&record.Record{ID: id(2)})
+	a.Flush(context.Background())
+	expectFound(t, a, 1, nil)
+	expectFound(t, a, 2, nil)
+	if len(s.objects) != 1 {
+		t.Errorf("expected one object, got %d", len(s.objects))
+	}
+}
+
+// Records of a failed flush are older than those that arrived meanwhile. They must be dropped first.
+func TestFailedFlushDropsOldestFirst(t *testing.T) {
+	a, s, lost := newArchive()
+	byTime := NewTimeArchive(listedStore{s}, "a", lost)
+	add := func(n int) {
+		a.Add(&record.Record{ID: id(n)})
+		byTime.Add(&record.Record{ID: id(n)})
+	}
+	s.down = true
+	for n := range maxPending {
+		add(n)
+	}
+	a.Flush(context.Background())
+	byTime.Flush(context.Background())
+	for n := range 10 {
+		add(maxPending + n)
+	}
+	for _, pending := range [][]*record.Record{a.pending, byTime.pending} {
+		for i, r := range pending {
+			if r.ID != id(i+10) {
+				t.Errorf("expected %s at position %d, got %s", id(i+10), i, r.ID)
+				break
+			}
+		}
+	}
+	if lost.Get() != 20 {
+		t.Errorf("expected 10 records of each archive lost, got %d", lost.Get())
+	}
+}
+
+// Records that arrive during a failed write can fill the queue. The records of that write are then the ones to drop.
+func TestRecordsDuringFailedFlush(t *testing.T) {
+	a, s, lost := newArchive()
+	s.down = true
+	a.Add(&record.Record{ID: id(0)})
+	a.Add(&record.Record{ID: id(1)})
+	s.onCall = func() {
+		for n := range maxPending - 1 {
+			a.Add(&record.Record{ID: id(n + 2)})
+		}
+	}
+	a.Flush(context.Background())
+	if len(a.pending) != maxPending || a.pending[0].ID != id(1) || lost.Get() != 1 {
+		t.Errorf("expected the oldest record to be dropped, got %d pending from %s on, %d lost", len(a.pending), a.pending[0].ID, lost.Get())
+	}
+}
+
 // listedStore is a fakeStore that can also list and delete objects.
 type listedStore struct{ *fakeStore }
 
@@ -178,6 +254,68 @@
 	})
 }
 
+// If the answer to a write was lost, the records are stored once. A second object would make searches read more.
+func TestByTimeLostAnswerStoresOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := listedStore{&fakeStore{objects: map[string][]byte{}, loseAnswers: 1}}
+		a := NewTimeArchive(s, "a", metrics.NewSet().NewCounter("lost"))
+		a.Add(&record.Record{ID: "one"})
+		a.Flush(context.Background())
+		time.Sleep(byTimeInterval)
+		a.Add(&record.Record{ID: "two"})
+		a.Flush(context.Background())
+		for _, id := range []string{"one", "two"} {
+			if _, err := a.Find(context.Background(), id); err != nil {
+				t.Errorf("%s: %v", id, err)
+			}
+		}
+		if len(s.objects) != 1 {
+			t.Errorf("expected one object, got %d", len(s.objects))
+		}
+	})
+}
+
+// A record that is written after a long outage is kept for the whole retention. Under the name of the first failed
+// write it would be removed early.
+func TestByTimeNameAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := listedStore{&fakeStore{objects: map[string][]byte{}, down: true}}
+		a := NewTimeArchive(s, "a", metrics.NewSet().NewCounter("lost"))
+		a.Add(&record.Record{ID: "one"})
+		for range 20 {
+			a.Flush(context.Background())
+			time.Sleep(byTimeInterval)
+		}
+		s.down = false
+		a.Flush(context.Background())
+		time.Sleep(retention - maxRetryAge)
+		a.removeOld(context.Background(), time.Now())
+		if _, err := a.Find(context.Background(), "one"); err != nil {
+			t.Errorf("expected the record to be kept, got %v", err)
+		}
+	})
+}
+
+// A box may flush twice within a second, at a regular write and when it stops. The second object must not replace the
+// first one.
+func TestByTimeFlushesWithinOneSecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := listedStore{&fakeStore{objects: map[string][]byte{}}}
+		a := NewTimeArchive(s, "a", metrics.NewSet().NewCounter("lost"))
+		ids := []string{"one", "two", "three"}
+		for _, id := range ids {
+			a.Add(&record.Record{ID: id})
+			a.Flush(context.Background())
+			time.Sleep(400 * time.Millisecond)
+		}
+		for _, id := range ids {
+			if _, err := a.Find(context.Background(), id); err != nil {
+				t.Errorf("%s: %v", id, err)
+			}
+		}
+	})
+}
+
 func TestRecordsAreWrittenAgainWhenTheStoreCameBackWithoutThem(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := listedStore{&fakeStore{objects: map[string][]byte{}}}
