--- a/internal/slots/dispatcher_test.go
+++ b/internal/slots/dispatcher_test.go
@@ -130,6 +130,27 @@
 	}
 }
 
+// Guards against an endpoint that rejects every call and gets most calls, because its slot is free again at once. Past
+// fault: it got 891 of 1,539 calls while another endpoint answered.
+func TestEndpointThatRejectsEverything(t *testing.T) {
+	d := newTestDispatcher(Endpoint{ID: "e1", Slots: 4, Usable: true}, Endpoint{ID: "e2", Slots: 4, Usable: true})
+	now, rejected := epoch, 0
+	for i := range 500 {
+		now = now.Add(6 * time.Millisecond) // 3 s in total.
+		id := fmt.Sprint(i)
+		switch g := d.Acquire(now, request(id)); g.Endpoint {
+		case "e1":
+			rejected++
+			d.Release(now.Add(time.Millisecond), id, Result{Outcome: Rejected, Took: time.Millisecond})
+		default:
+			d.Release(now.Add(4*time.Millisecond), id, Result{Answered, 4 * time.Millisecond})
+		}
+	}
+	if rejected > 50 {
+		t.Errorf("%d of 500 calls went to the endpoint that rejects all, want a tenth at most", rejected)
+	}
+}
+
 // Guards against calls to a broken endpoint that could wait for a working one, and against refusals of calls that an
 // endpoint which recovered could run.
 func TestSetAsideEndpointGetsOneCallInsteadOfRefusal(t *testing.T) {
--- a/internal/slots/endpoint.go
+++ b/internal/slots/endpoint.go
@@ -66,10 +66,12 @@
 	fastAt           time.Time
 	samples          int
 
-	failures      int // The failures since the last success.
-	setAsideUntil time.Time
-	failureRate   float64
-	failureRateAt time.Time
+	// failures and rejections are counted since the last success. An endpoint that rejects even single calls is set aside
+	// too: it would otherwise look idle, and get most calls.
+	failures, rejections int
+	setAsideUntil        time.Time
+	failureRate          float64
+	failureRateAt        time.Time
 }
 
 func newEndpoint(e Endpoint, part float64) *endpoint {
@@ -143,6 +145,10 @@
 			e.setAsideUntil = now.Add(setAsideDuration)
 		}
 	case Rejected, Reset:
+		e.rejections++
+		if e.limit == 1 && e.rejections >= setAsideFailures {
+			e.setAsideUntil = now.Add(setAsideDuration)
+		}
 		if now.Before(e.nextCut) {
 			break
 		}
@@ -155,7 +161,7 @@
 
 func (e *endpoint) answered(now time.Time, lowest, took, held float64) {
 	e.failureRate, e.failureRateAt = e.currentFailureRate(now)*(1-failureWeight), now
-	e.failures, e.setAsideUntil = 0, time.Time{}
+	e.failures, e.rejections, e.setAsideUntil = 0, 0, time.Time{}
 
 	// The first answers count as much as one another, so that the initial values are forgotten.
 	e.samples++
