--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -569,10 +569,11 @@
 // the request's region.
 func (c *Core) samplePrefills(p *pool, f *flight) []*engine {
 	c.sampledPrefills = c.sampledPrefills[:0]
-	if len(f.Blocks) > 0 && len(p.prefill) > sampleThreshold {
+	all := p.regionNamed(f.Region).prefill
+	if len(f.Blocks) > 0 && len(all) > sampleThreshold { // Of a short list, all engines are compared anyway.
 		c.sampledPrefills = p.appendAffine(c.sampledPrefills, f.Blocks[0])
 	}
 	c.sampledPrefills = slices.DeleteFunc(c.sampledPrefills, func(e *engine) bool { return e.Region != f.Region })
-	c.sampledPrefills = c.appendSample(c.sampledPrefills, p.regionNamed(f.Region).prefill)
+	c.sampledPrefills = c.appendSample(c.sampledPrefills, all)
 	return c.sampledPrefills
 }
--- /dev/null
+++ b/internal/decide/place_test.go
@@ -0,0 +1,42 @@
+package decide
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// newRegionsCore returns a core with one pool that has the given number of prefill engines in each of two regions.
+func newRegionsCore(prefills map[string]int) *Core {
+	c := New(rand.New(rand.NewPCG(1, 1)), 100)
+	f := Fleet{Pools: []Pool{{Name: "p", KVBytesPerToken: 1, PrefillExpiry: time.Second}}}
+	for region, n := range prefills {
+		for i := range n {
+			f.Engines = append(f.Engines, Engine{Name: fmt.Sprint(region, i), Pool: "p", Region: region, Role: Prefill, PrefillRate: 50_000, LinkRate: 1e9})
+		}
+	}
+	c.Step(time.Unix(1_800_000_000, 0), f)
+	return c
+}
+
+// In a pool with several regions, a decision compares each prefill engine once. An engine that the prompt's hash maps to
+// was compared twice where its region has few engines and the pool has many.
+func TestSampledPrefillsAreDistinct(t *testing.T) {
+	for _, own := range []int{3, sampleThreshold, 2 * sampleThreshold} {
+		c := newRegionsCore(map[string]int{"r": own, "far": 2 * sampleThreshold})
+		for n := range uint64(200) {
+			f := &flight{Request: Request{Region: "r", Blocks: []uint64{n * (1 << 56)}}}
+			seen := map[*engine]bool{}
+			for _, e := range c.samplePrefills(c.pools["p"], f) {
+				if seen[e] || e.Region != "r" {
+					t.Fatalf("%d engines in the region: expected engines of the region, each once, got %s again", own, e.Name)
+				}
+				seen[e] = true
+			}
+			if own <= sampleThreshold && len(seen) != own {
+				t.Fatalf("expected all %d engines of the region to be compared, got %d", own, len(seen))
+			}
+		}
+	}
+}
