--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -203,7 +203,7 @@
 // updateFigures recomputes the values that are derived from the configuration of all engines: the fastest
 // link, the shortest step, the regions and the numbers of engines by role.
 func (p *pool) updateFigures() {
-	p.maxLinkRate, p.minStep = 0, 0
+	p.maxLinkRate, p.minStep, p.stepPerStreamAtMinStep = 0, 0, 0
 	p.regions = map[string]*region{}
 	for _, e := range p.prefill {
 		reg := p.regionNamed(e.Region)
--- a/internal/decide/place_test.go
+++ b/internal/decide/place_test.go
@@ -40,3 +40,20 @@
 		}
 	}
 }
+
+// The step time per stream belongs to engines that still run. Past fault: it was kept when all decode engines had left,
+// beside a shortest step of 0.
+func TestStepTimesAfterAllDecodesLeft(t *testing.T) {
+	c := newPoolCore(1, 2, 0)
+	p := c.pools["p"]
+	if p.minStep == 0 || p.stepPerStreamAtMinStep == 0 {
+		t.Fatalf("expected step times of the engines, got %s and %s", p.minStep, p.stepPerStreamAtMinStep)
+	}
+	for _, e := range p.decode {
+		e.Leaving = true
+	}
+	p.updateFigures()
+	if p.minStep != 0 || p.stepPerStreamAtMinStep != 0 {
+		t.Errorf("expected no step times, got %s and %s", p.minStep, p.stepPerStreamAtMinStep)
+	}
+}
