--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -114,15 +114,21 @@
 	maxSlots int
 }
 
-// regionNamed returns the region with the given name. If the pool has no engine in the region,
-// regionNamed inserts an empty region into p.regions and returns it.
+// regionNamed returns the region with the given name, for reading. If the pool has no engine in the region, the result is
+// an empty region that is not part of the pool.
 func (p *pool) regionNamed(name string) *region {
-	found := p.regions[name]
-	if found == nil {
-		found = &region{}
-		p.regions[name] = found
+	if found := p.regions[name]; found != nil {
+		return found
 	}
-	return found
+	return &region{}
+}
+
+// addRegion returns the region with the given name, and adds it to the pool if necessary.
+func (p *pool) addRegion(name string) *region {
+	if p.regions[name] == nil {
+		p.regions[name] = &region{}
+	}
+	return p.regions[name]
 }
 
 // maxBatch is how many streams a decode engine can run so that a step takes no longer than the
@@ -206,7 +212,7 @@
 	p.maxLinkRate, p.minStep, p.stepPerStreamAtMinStep = 0, 0, 0
 	p.regions = map[string]*region{}
 	for _, e := range p.prefill {
-		reg := p.regionNamed(e.Region)
+		reg := p.addRegion(e.Region)
 		reg.prefill = append(reg.prefill, e)
 		if e.Leaving || e.Evacuated {
 			continue
@@ -217,7 +223,7 @@
 	p.throughput.setEngines(Prefill, len(p.prefill))
 	p.throughput.setEngines(Decode, len(p.decode))
 	for _, e := range p.decode {
-		reg := p.regionNamed(e.Region)
+		reg := p.addRegion(e.Region)
 		reg.decode = append(reg.decode, e)
 		if e.Leaving || e.Evacuated {
 			continue
--- a/internal/decide/place_test.go
+++ b/internal/decide/place_test.go
@@ -57,3 +57,16 @@
 		t.Errorf("expected no step times, got %s and %s", p.minStep, p.stepPerStreamAtMinStep)
 	}
 }
+
+// A request may name a region without engines. The pool must not remember the name: a list of regions would grow with
+// the names in requests.
+func TestUnknownRegionIsNotAdded(t *testing.T) {
+	c := newPoolCore(2, 2, 0)
+	p := c.pools["p"]
+	c.Step(c.now, Submit{Request{ID: 1, Pool: "p", Region: "nowhere", PromptTokens: 100, MaxTokens: 10, FirstToken: time.Second, BetweenTokens: 5 * time.Millisecond}})
+	p.selfPrefillWait(&flight{Request: Request{Region: "nowhere"}}, c.now)
+	p.decodeWork(&flight{Request: Request{Region: "nowhere", BetweenTokens: time.Millisecond}})
+	if got := p.regionNames(); len(got) != 1 {
+		t.Errorf("expected the region of the engines alone, got %q", got)
+	}
+}
