Record the prefill time of a decode engine alone

Where a decode engine prefills the prompt itself, the recorded time contained the prefill delay, and the delay of the first event less a step.

--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -319,11 +319,13 @@
 	cost         float64
 	prefillIndex int
 	decodeIndex  int
-	// transfer, firstToken and queue play no part in the comparison of pairs. They are copied to the
-	// Candidate that describes the pair.
-	transfer   time.Duration
-	firstToken time.Duration
-	queue      time.Duration // Wait for the decode engine if it prefills the prompt itself (selfPrefill); otherwise 0.
+	// transfer, firstToken, queue and prefillTime play no part in the comparison of pairs. They are copied to the
+	// Candidate that describes the pair. queue and prefillTime are set only if the decode engine prefills the prompt
+	// itself (selfPrefill). They are the wait for that engine and the time that it needs for the prompt.
+	transfer    time.Duration
+	firstToken  time.Duration
+	queue       time.Duration
+	prefillTime time.Duration
 }
 
 // selfPrefill is the prefillIndex of a pair without a prefill engine: the decode engine prefills the
@@ -417,7 +419,7 @@
 	dec := &c.decodeOptions[candidate.decodeIndex]
 	if candidate.prefillIndex == selfPrefill {
 		return Candidate{
-			Decode: dec.e.Name, SameHall: true, Queue: candidate.queue, PrefillTime: candidate.firstToken - candidate.queue - dec.step, FirstToken: candidate.firstToken,
+			Decode: dec.e.Name, SameHall: true, Queue: candidate.queue, PrefillTime: candidate.prefillTime, FirstToken: candidate.firstToken,
 			Step: dec.step, FreeKV: dec.e.freeKV(), Cost: candidate.cost, ReportAge: dec.e.reportAge(c.now),
 		}
 	}
@@ -541,6 +543,7 @@
 	dec := &c.decodeOptions[j]
 	result := pair{prefillIndex: selfPrefill, decodeIndex: j, queue: dec.e.queueTime(now)}
 	selfTime := dec.e.prefillTime(int(float64(f.PromptTokens) / p.SelfPrefillRatio))
+	result.prefillTime = selfTime
 	result.firstToken = result.queue + selfTime + p.speed.PrefillDelay + p.beginTime(dec.step)
 	result.cost = dec.cost + result.queue.Seconds() + (1+prefillWorkWeight)*selfTime.Seconds() + selfPrefillCost
 	return result
--- a/internal/decide/place_test.go
+++ b/internal/decide/place_test.go
@@ -70,3 +70,20 @@
 		t.Errorf("expected the region of the engines alone, got %q", got)
 	}
 }
+
+// The record of a pair states the time for the prompt alone. Past fault: where the decode engine prefills itself, it
+// contained the delay of the first event, once that was known, less a step.
+func TestPrefillTimeOfSelfPrefill(t *testing.T) {
+	c := newPoolCore(0, 1, 0.5)
+	p := c.pools["p"]
+	p.speed.FirstEventDelay, p.speed.PrefillDelay = 30*time.Millisecond, 4*time.Millisecond
+	f := &flight{pool: p, Request: Request{ID: 1, Pool: "p", Region: "r", PromptTokens: 1000, MaxTokens: 10, FirstToken: time.Second, BetweenTokens: 5 * time.Millisecond}}
+	best, _, ok := c.choose(p, f, c.now)
+	// The engine prefills 50,000 tokens per second, and half as many beside its streams.
+	if want := 40 * time.Millisecond; !ok || best.PrefillTime != want {
+		t.Errorf("expected a prefill time of %s, got %s", want, best.PrefillTime)
+	}
+	if want := 74 * time.Millisecond; best.FirstToken != want {
+		t.Errorf("expected the first token after %s, got %s", want, best.FirstToken)
+	}
+}
