Count tokens in the record of a stream on the platform

Output counted pieces of the stream, as the connection split them, and was published as output_tokens. It now counts events by the tokens of one event, as the decisions do.

--- a/internal/relay/begin_test.go
+++ b/internal/relay/begin_test.go
@@ -89,3 +89,20 @@
 		t.Errorf("expected the second call's answer alone, got %q", got)
 	}
 }
+
+// The record of a stream states the tokens of its answer. A piece of a stream holds any number of events, so the number
+// of pieces depends on how the connection splits the stream.
+func TestOutputCountsTokens(t *testing.T) {
+	_, f, _ := arrivedFlight(t, context.Background(), decide.Request{}, "writer")
+	f.x.service.Engines.TokensPerEvent = 4
+	for _, p := range []part{
+		{bytes: []byte("first "), events: 1}, {bytes: []byte("three more "), events: 3}, {bytes: []byte("an event without an id ")}, {},
+	} {
+		if o, ended := f.passEvents(&p); ended {
+			t.Fatalf("expected the events to be sent, got %+v", o)
+		}
+	}
+	if f.x.rec.Output != 16 {
+		t.Errorf("expected 16 tokens of four events, got %d", f.x.rec.Output)
+	}
+}
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -45,7 +45,7 @@
 	if f.firstEventAt.IsZero() || engine == "" {
 		return
 	}
-	e := &overlay.StreamEnded{Engine: engine, Tokens: f.x.meta.PromptTokens + f.eventsSent*f.x.service.Engines.TokensPerEvent}
+	e := &overlay.StreamEnded{Engine: engine, Tokens: f.x.meta.PromptTokens + f.tokensSent()}
 	f.x.r.publish(overlay.Message{Ended: e})
 	f.x.r.disp.Step(decide.StreamEnded{Engine: e.Engine, At: clock.Now(), Tokens: e.Tokens})
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -455,7 +455,7 @@
 		return f.passErrorAnswer(ev.errorAnswer), true
 	case ev.ended:
 		f.x.recordServed()
-		f.x.r.disp.Step(decide.Done{ID: f.id, Attempt: ev.attempt, Output: f.eventsSent * f.x.service.Engines.TokensPerEvent})
+		f.x.r.disp.Step(decide.Done{ID: f.id, Attempt: ev.attempt, Output: f.tokensSent()})
 		return outcome.Outcome{Kind: outcome.Answered}, true
 	}
 	return outcome.Outcome{}, false
@@ -537,6 +537,10 @@
 	return f.passEvents(&ev.head.part)
 }
 
+// tokensSent is the number of tokens that were sent to the caller. Each event counts as TokensPerEvent tokens, which the
+// last event of an answer may lack.
+func (f *flight) tokensSent() int { return f.eventsSent * f.x.service.Engines.TokensPerEvent }
+
 // passEvents sends events to the caller, and releases the memory of this box that was reserved for the events. If the
 // events cannot be sent, it returns the outcome of the request and true.
 func (f *flight) passEvents(p *part) (outcome.Outcome, bool) {
@@ -550,11 +554,11 @@
 		f.x.rec.LongestGap = max(f.x.rec.LongestGap, gap)
 	}
 	f.lastEventAt = now
-	f.x.rec.Output++
 	if p.lastID != "" {
 		f.lastID = p.lastID
 	}
 	f.eventsSent += p.events
+	f.x.rec.Output = f.tokensSent()
 	_, err := callerWriter{f.x}.Write(p.bytes)
 	f.x.r.memory.release(p.reservedBytes)
 	if err == nil && len(f.events) == 0 {
