Test a request whose only prefill engine reports that it leaves

No fault: engines report so also while they carry out an order. A new test shows that the request waits and starts when the engine takes prompts again, and is refused as not run when its first-token target has passed.

--- a/internal/decide/place_test.go
+++ b/internal/decide/place_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/stoatramp/stoatramp/internal/outcome"
 )
 
 // newRegionsCore returns a core with one pool that has the given number of prefill engines in each of two regions.
@@ -87,3 +89,38 @@
 		t.Errorf("expected the first token after %s, got %s", want, best.FirstToken)
 	}
 }
+
+// The only prefill engine reports that it takes no prompts, as engines do while they carry out an order. The request
+// waits, and starts once a report says that the engine takes prompts again. It would be refused if reports counted in
+// the check of the region's engines. If the engine does not come back, the request is refused when its time is over.
+func TestRequestWaitsForReportedLeaving(t *testing.T) {
+	for _, comesBack := range []bool{true, false} {
+		c := newPoolCore(1, 2, 0)
+		step := func(ev Event) (last Action) {
+			if out := c.Step(c.now, ev); len(out) > 0 {
+				last = out[len(out)-1]
+			}
+			return last
+		}
+		step(LoadReport{Engine: "e00", At: c.now, Leaving: true})
+		a := step(Submit{Request{ID: 1, Pool: "p", Region: "r", PromptTokens: 100, MaxTokens: 10, FirstToken: time.Second, BetweenTokens: 5 * time.Millisecond}})
+		if w, ok := a.(Waiting); !ok || w.Reason != outcome.NoPrefill {
+			t.Fatalf("expected the request to wait, got %+v", a)
+		}
+		c.now = c.now.Add(200 * time.Millisecond)
+		if comesBack {
+			if a, ok := step(LoadReport{Engine: "e00", At: c.now}).(StartPrefill); !ok || a.Prefill != "e00" {
+				t.Errorf("expected the request to start, got %+v", a)
+			}
+			continue
+		}
+		var end Action
+		for waited := time.Duration(0); end == nil && waited < time.Minute; waited += 50 * time.Millisecond {
+			c.now = c.now.Add(50 * time.Millisecond)
+			end = step(Tick{})
+		}
+		if a, ok := end.(End); !ok || a.Outcome.Kind != outcome.NotRun || c.now.Sub(c.engines["e00"].report.At) > 1100*time.Millisecond {
+			t.Errorf("expected the request to be refused as not run when its time is over, got %+v", end)
+		}
+	}
+}
