--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -114,15 +114,21 @@
 	maxSlots int
 }
 
-// regionNamed returns the region with the given name. If the pool has no engine in the region,
-// regionNamed inserts an empty region into p.regions and returns it.
+// regionNamed returns the region with the given name, for reading. If the pool has no engine in the region, the result is
+// an empty region that is not part of the pool.
 func (p *pool) regionNamed(name string) *region {
-	found := p.regions[name]
-	if found == nil {
-		found = &region{}
-		p.regions[name] = found
+	if found := p.regions[name]; found != nil {
+		return found
 	}
-	return found
+	return &region{}
+}
+
+// addRegion returns the region with the given name, and adds it to the pool if necessary.
+func (p *pool) addRegion(name string) *region {
+	if p.regions[name] == nil {
+		p.regions[name] = &region{}
+	}
+	return p.regions[name]
 }
 
 // maxBatch is how many streams a decode engine can run so that a step takes no longer than the
@@ -203,10 +209,10 @@
 // updateFigures recomputes the values that are derived from the configuration of all engines: the fastest
 // link, the shortest step, the regions and the numbers of engines by role.
 func (p *pool) updateFigures() {
-	p.maxLinkRate, p.minStep = 0, 0
+	p.maxLinkRate, p.minStep, p.stepPerStreamAtMinStep = 0, 0, 0
 	p.regions = map[string]*region{}
 	for _, e := range p.prefill {
-		reg := p.regionNamed(e.Region)
+		reg := p.addRegion(e.Region)
 		reg.prefill = append(reg.prefill, e)
 		if e.Leaving || e.Evacuated {
 			continue
@@ -217,7 +223,7 @@
 	p.throughput.setEngines(Prefill, len(p.prefill))
 	p.throughput.setEngines(Decode, len(p.decode))
 	for _, e := range p.decode {
-		reg := p.regionNamed(e.Region)
+		reg := p.addRegion(e.Region)
 		reg.decode = append(reg.decode, e)
 		if e.Leaving || e.Evacuated {
 			continue
@@ -313,11 +319,13 @@
 	cost         float64
 	prefillIndex int
 	decodeIndex  int
-	// transfer, firstToken and queue play no part in the comparison of pairs. They are copied to the
-	// Candidate that describes the pair.
-	transfer   time.Duration
-	firstToken time.Duration
-	queue      time.Duration // Wait for the decode engine if it prefills the prompt itself (selfPrefill); otherwise 0.
+	// transfer, firstToken, queue and prefillTime play no part in the comparison of pairs. They are copied to the
+	// Candidate that describes the pair. queue and prefillTime are set only if the decode engine prefills the prompt
+	// itself (selfPrefill). They are the wait for that engine and the time that it needs for the prompt.
+	transfer    time.Duration
+	firstToken  time.Duration
+	queue       time.Duration
+	prefillTime time.Duration
 }
 
 // selfPrefill is the prefillIndex of a pair without a prefill engine: the decode engine prefills the
@@ -411,7 +419,7 @@
 	dec := &c.decodeOptions[candidate.decodeIndex]
 	if candidate.prefillIndex == selfPrefill {
 		return Candidate{
-			Decode: dec.e.Name, SameHall: true, Queue: candidate.queue, PrefillTime: candidate.firstToken - candidate.queue - dec.step, FirstToken: candidate.firstToken,
+			Decode: dec.e.Name, SameHall: true, Queue: candidate.queue, PrefillTime: candidate.prefillTime, FirstToken: candidate.firstToken,
 			Step: dec.step, FreeKV: dec.e.freeKV(), Cost: candidate.cost, ReportAge: dec.e.reportAge(c.now),
 		}
 	}
@@ -535,6 +543,7 @@
 	dec := &c.decodeOptions[j]
 	result := pair{prefillIndex: selfPrefill, decodeIndex: j, queue: dec.e.queueTime(now)}
 	selfTime := dec.e.prefillTime(int(float64(f.PromptTokens) / p.SelfPrefillRatio))
+	result.prefillTime = selfTime
 	result.firstToken = result.queue + selfTime + p.speed.PrefillDelay + p.beginTime(dec.step)
 	result.cost = dec.cost + result.queue.Seconds() + (1+prefillWorkWeight)*selfTime.Seconds() + selfPrefillCost
 	return result
