Ask for no slots of another region

The owners of cells serve only the boxes of their region. A box that called endpoints of another region got no answer, decided by its own part of the slots and refused most calls. Found by reading the joined code. TestNoSlotsForAnotherRegion fails without the condition.

--- a/internal/relay/cells_test.go
+++ b/internal/relay/cells_test.go
@@ -184,6 +184,21 @@
 	}
 }
 
+// Guards against refusing calls to another region for lack of a slot, because no owner there answers this box.
+func TestNoSlotsForAnotherRegion(t *testing.T) {
+	r := cellRelay(1)
+	r.fleet.halls = map[string]string{"h": "r", "far": "q"}
+	r.SetEndpoints([]Endpoint{{ID: "e-far", Service: "s-0", Hall: "far"}})
+	r.plain.set([]knownEndpoint{{Endpoint: Endpoint{ID: "e-far", Service: "s-0", Hall: "far"}, Region: "q"}})
+	r.signContention(serviceRegion{"s-0", "q"}, false)
+	x := &exchange{r: r, service: r.cfg.Load().Services["s-0"], route: &Route{Timeout: time.Second, MaxEndpoints: 1}, region: "q", deadline: clock.Now().Add(time.Second), arrived: clock.Now()}
+	for i := range 10 {
+		if e, g, o, _ := x.chooseEndpoint(context.Background(), nil); e == nil || g != nil || o != nil {
+			t.Fatalf("call %d: expected an endpoint without a slot, got %v, %v, %v", i, e, g, o)
+		}
+	}
+}
+
 // Guards against counting a rejection as a failure. Two failures in a row set an endpoint aside.
 func TestRejectedCallsDoNotSetAside(t *testing.T) {
 	table := newPlainTable("h")
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -75,7 +75,7 @@
 // granted slot. If e is nil, the call must not be made. o is then the reason if there is a special one, and wait is the
 // time until the first endpoint that asked for fewer requests accepts one.
 func (x *exchange) chooseEndpoint(ctx context.Context, exclude map[string]bool) (e *chosenEndpoint, g *slotGrant, o *outcome.Outcome, wait time.Duration) {
-	if x.contended() {
+	if x.contended() && x.asksForSlots() {
 		if e, g, o = x.chooseWithSlot(ctx, exclude); e != nil || o != nil {
 			return e, g, o, 0
 		}
@@ -265,6 +265,10 @@
 	}
 }
 
+// asksForSlots reports whether the request's calls need slots. The owners of cells serve only the boxes of their own
+// region. A box of another region would have only its own part of the slots, and would refuse most calls.
+func (x *exchange) asksForSlots() bool { return x.region == x.r.o.Region }
+
 // contended reports whether the request's service is contended.
 func (x *exchange) contended() bool {
 	contended, _ := x.r.contentions.contended(x.place(), clock.Now())
