Tell callers over an account's limit to return in turn

Each refused request was told the time at which the bucket has room for it alone. Callers that were refused together were told the same time, and all but one were refused again. The pool now counts the units of callers that were told to retry, up to 8 s of the account's rate. TestRefusedCallersAreToldToReturnInTurn: 19 of 20 refused again before, at most 5 allowed.

--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -39,8 +39,15 @@
 	groupIndex int
 	level      float64
 	updatedAt  time.Time
+	// promised is the units of refused requests whose callers were told when to retry, as of promisedAt. It falls at the
+	// account's rate.
+	promised   float64
+	promisedAt time.Time
 }
 
+// maxPromised bounds the time for which the rate of an account is promised to callers that were told to retry.
+const maxPromised = 8 * time.Second
+
 // NewPool returns a pool to which no box has lent its shares yet.
 func NewPool() *Pool {
 	p := &Pool{accounts: map[string]*bucket{}}
@@ -176,7 +183,7 @@
 	p.refill(b, now)
 	a.LentShare = p.lentShare(b.groupIndex)
 	if units > b.level {
-		a.Wait = p.waitFor(b, units)
+		a.Wait = p.waitFor(now, b, units)
 		return a, true
 	}
 	if spare := b.level - units - p.capacity(b)/2; spare > 0 {
@@ -187,15 +194,23 @@
 	return a, true
 }
 
-// waitFor returns how long it takes until a bucket has enough units; -1 if it never will. It assumes that all boxes
-// have lent their shares to this box. If another owner now has some of the shares, that owner grants units from them.
-func (p *Pool) waitFor(b *bucket, units float64) time.Duration {
+// waitFor returns how long it takes until a bucket has enough units; -1 if it never will. Callers that were told to retry
+// before go first: without them, callers that are refused together are told the same time, and all but one of them are
+// refused again. waitFor assumes that all boxes have lent their shares to this box. If another owner now has some of the
+// shares, that owner grants units from them.
+func (p *Pool) waitFor(now time.Time, b *bucket, units float64) time.Duration {
 	ownerPlace := Place{Boxes: p.groups[b.groupIndex].place.Boxes, Rank: 0}
 	burst, rate := p.burstAndRate(b, 1, ownerPlace)
 	if units > burst || rate <= 0 {
 		return -1
 	}
-	return time.Duration((units - b.level) / rate * float64(time.Second))
+	b.promised = max(0, b.promised-rate*now.Sub(b.promisedAt).Seconds())
+	b.promisedAt = now
+	wait := (units - b.level + b.promised) / rate
+	if p.lentShare(b.groupIndex) >= minLentShare { // Otherwise another owner may be asked for the same request.
+		b.promised = min(b.promised+units, rate*maxPromised.Seconds())
+	}
+	return time.Duration(wait * float64(time.Second))
 }
 
 // expire ends the expired loans of a group. It counts each loan up to the time at which the loan expired. p.mu must be
--- a/internal/quota/pool_test.go
+++ b/internal/quota/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -78,3 +79,38 @@
 		t.Errorf("expected the burst, and at most the limit with its overage, got %g units", granted)
 	}
 }
+
+// Guards against callers that are refused together, told the same time, and refused again when they return together.
+func TestRefusedCallersAreToldToReturnInTurn(t *testing.T) {
+	p, now := NewPool(), time.Unix(1000, 0)
+	p.SetLimits(now, map[string]Limit{"other": {Rate: 1, Burst: 1}})
+	p.SetLimits(now, map[string]Limit{"a": {Rate: 100, Burst: 100}})
+	g := GroupOf("a")
+	p.SetPlace(now, g, Place{Boxes: 1})
+	p.Lend(now, "self", []int{g}, false, MaxLoan)
+	now = now.Add(5 * time.Second)
+	for { // Empties the bucket.
+		if a, _ := p.Grant(now, "a", 10, 0); a.Granted == 0 {
+			break
+		}
+	}
+	type retry struct{ at time.Time }
+	var due []retry
+	for range 20 {
+		a, _ := p.Grant(now, "a", 50, 0)
+		if a.Granted > 0 {
+			t.Fatal("expected a refusal")
+		}
+		due = append(due, retry{now.Add(a.Wait)})
+	}
+	slices.SortFunc(due, func(a, b retry) int { return a.at.Compare(b.at) })
+	again := 0
+	for _, r := range due {
+		if a, _ := p.Grant(r.at, "a", 50, 0); a.Granted == 0 {
+			again++
+		}
+	}
+	if again > 5 {
+		t.Errorf("%d of 20 callers were refused again, want a quarter at most", again)
+	}
+}
