Give a box without a list of boxes the smallest part of the slots

A box that decides by its own part of the slots, and knows no list of boxes, took the whole for its part. It takes one call per endpoint now. TestPartOfSlotsWithoutAList fails before.

--- a/internal/relay/contention_test.go
+++ b/internal/relay/contention_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/overlay"
+	"github.com/stoatramp/stoatramp/internal/slots"
 )
 
 // observeCalls records n calls of a latency, 20 ms apart, and returns the number of them that were signs of contention.
@@ -124,6 +125,16 @@
 	}
 }
 
+// Guards against boxes that use all slots each, because they started during an outage and no box is listed.
+func TestPartOfSlotsWithoutAList(t *testing.T) {
+	for boxes, want := range map[int]float64{0: unknownPart, 1: 1, 20: 0.05} {
+		r := &Relay{o: Options{Peers: boxesPeers{n: boxes}}}
+		if got := r.slotPart(slots.Cell{Service: "s", Region: "r"}); got != want {
+			t.Errorf("%d boxes: expected a part of %g, got %g", boxes, want, got)
+		}
+	}
+}
+
 // The metric of a contended service exists from the first sign of contention until the service is no longer configured.
 func TestContendedMetric(t *testing.T) {
 	var elapsed time.Duration
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -151,7 +151,7 @@
 	r.contentions.enabled = o.SharedSlots
 	r.slotIDs = o.Box + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"
 	r.ownedCells = &slotCells{r: r, part: func(slots.Cell) float64 { return 1 }, cells: map[slots.Cell]*slotCell{}}
-	r.partCells = &slotCells{r: r, part: func(c slots.Cell) float64 { return r.part(c.Region) }, cells: map[slots.Cell]*slotCell{}}
+	r.partCells = &slotCells{r: r, part: r.slotPart, cells: map[slots.Cell]*slotCell{}}
 	r.notices = notice.NewTable(o.Box, r.boxes)
 	r.plain.notices = r.notices
 	r.fleet.hasAnnouncedLeaving = r.notices.Leaving
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -57,6 +57,18 @@
 	return 1 / float64(max(1, len(boxes)))
 }
 
+// slotPart returns this box's part of the slots of a cell.
+func (r *Relay) slotPart(c slots.Cell) float64 {
+	if boxes, _ := r.boxes(c.Region); len(boxes) == 0 {
+		return unknownPart
+	}
+	return r.part(c.Region)
+}
+
+// unknownPart is the part of a box that does not know how many boxes there are. It gives one call per endpoint. With the
+// whole, each of three boxes that started during an outage of the store used all slots.
+const unknownPart = 0.01
+
 // maxConns returns this box's part of the connections that an endpoint of a service accepts; 0 means no bound.
 func (r *Relay) maxConns(s *Service, region string) int {
 	if s.MaxConnections == 0 {
