--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -66,7 +66,7 @@
 }
 
 // unknownPart is the part of a box that does not know how many boxes there are. It gives one call per endpoint. With the
-// whole, each of three boxes that started during an outage of the store used all slots.
+// whole, each of several boxes that start during an outage of the store could use all slots.
 const unknownPart = 0.01
 
 // maxConns returns this box's part of the connections that an endpoint of a service accepts; 0 means no bound.
