--- a/internal/slots/admission.go
+++ b/internal/slots/admission.go
@@ -8,8 +8,8 @@
 const (
 	// serviceMargin is how many mean service times a new request must have left after its expected wait to be on time.
 	serviceMargin = 2
-	// dropMargin is how many mean service times a waiting request must have left. With service times
-	// that vary by half of their mean, an answer takes more than 1.5 times the mean in 1 of 8 calls, and more than the mean in 4 of 10.
+	// dropMargin is how many mean service times a waiting request must have left. With service times that vary by half of
+	// their mean, an answer takes more than 1.5 times the mean in 1 of 8 calls, and more than the mean in 4 of 10.
 	dropMargin = 1.5
 	// maxServiceMargin and maxDropMargin bound these margins, as parts of the time that a request has in total. Without
 	// the bounds, an endpoint whose mean service time rises to half of the target would get late requests only.
