Count the immediate loss of a call from when its request was sent

A dropped call gave the outcome Failed after 12.4 ms, where Reset was expected. slotOutcome compared the time of the whole call with immediateLossLimit (10 ms). That time includes connecting and the delay of ConfirmOpen, which is at least 5 ms. The doubt about a crash (connLoss) began at the same time.

Change: h1.Error has the time at which the request was sent, and both comparisons use it. clock.SetNowForTest replaces the time in tests.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -38,8 +38,9 @@
 	// suspendedBeforeStart is how long the machine was suspended before this process began.
 	suspendedBeforeStart = suspendedSinceBoot(0)
 	lastReading          atomic.Pointer[reading]
-	// override replaces the measurement of the suspended time in tests.
-	override atomic.Pointer[func() time.Duration]
+	// override replaces the measurement of the suspended time in tests, and nowOverride the result of Now.
+	override    atomic.Pointer[func() time.Duration]
+	nowOverride atomic.Pointer[func() time.Time]
 )
 
 // suspendedSinceBoot returns how long the machine was suspended since it booted. That is the difference between
@@ -79,8 +80,17 @@
 	return func() { override.Store(old) }
 }
 
+// SetNowForTest replaces Now by f, and returns a function that undoes this.
+func SetNowForTest(f func() time.Time) (restore func()) {
+	old := nowOverride.Swap(&f)
+	return func() { nowOverride.Store(old) }
+}
+
 // Now returns the time of package time plus the time for which the machine was suspended since the process began.
 func Now() time.Time {
+	if f := nowOverride.Load(); f != nil {
+		return (*f)()
+	}
 	now := time.Now()
 	return now.Add(suspendedSinceStart(now))
 }
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -96,7 +96,9 @@
 	// Reset is set if the endpoint reset a new connection before it had sent the header of a response. An endpoint that
 	// has too many connections does so, and also one that crashes.
 	Reset bool
-	Err   error
+	// SentAt is when the request was sent, after connecting and the delay of ConfirmOpen. It is zero if nothing was sent.
+	SentAt time.Time
+	Err    error
 }
 
 func (e *Error) Error() string { return e.Err.Error() }
@@ -220,7 +222,11 @@
 		if !sent && reset && r.ConfirmOpen {
 			p.reportUnconfirmed()
 		}
-		return nil, &Error{Sent: sent, Reset: reset, Err: fmt.Errorf("no answer: %w", err)}
+		failed := &Error{Sent: sent, Reset: reset, Err: fmt.Errorf("no answer: %w", err)}
+		if sent {
+			failed.SentAt = sentAt
+		}
+		return nil, failed
 	}
 	if p.OnResponse != nil {
 		p.OnResponse(r, resp, sentAt)
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -43,7 +43,7 @@
 	sent := clock.Now()
 	resp, err := x.r.callerPool.Do(ctx, x.request(address, Run{Instance: a.Prefill, PrefillOnly: true}))
 	if err != nil {
-		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), connLoss: connLossFrom(err, sent), detail: err.Error()}})
+		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), connLoss: connLossFrom(err), detail: err.Error()}})
 		return
 	}
 	body, err := h1.ReadLimited(resp, maxControlAnswer)
@@ -225,7 +225,7 @@
 	if err != nil {
 		var e *h1.Error
 		ran := !errors.As(err, &e) || e.Sent
-		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), ran: ran, connLoss: connLossFrom(err, sent), detail: err.Error()}})
+		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), ran: ran, connLoss: connLossFrom(err), detail: err.Error()}})
 		return
 	}
 	defer resp.Body.Close()
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/quarantine"
 )
@@ -29,13 +30,13 @@
 	unanswered bool
 }
 
-// connLossFrom returns the connLoss of a call that got no answer. err is the error of the call, and sent the time at
-// which the call was sent.
-func connLossFrom(err error, sent time.Time) connLoss {
-	if reasonOf(err) != outcome.EndpointLost {
+// connLossFrom returns the connLoss of a call that got no answer. err is the error of the call.
+func connLossFrom(err error) connLoss {
+	var failed *h1.Error
+	if reasonOf(err) != outcome.EndpointLost || !errors.As(err, &failed) {
 		return connLoss{}
 	}
-	return connLoss{sent, true}
+	return connLoss{failed.SentAt, true}
 }
 
 // immediateLossLimit is the time within which a call fails if its endpoint had crashed before the call was sent. Such a
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -231,7 +231,9 @@
 	// notAllowed is set if the endpoint began to leave, or its hall was evacuated, while the call waited for a connection.
 	notAllowed bool
 	reset      bool          // The endpoint reset a new connection before it sent the header of an answer.
-	took       time.Duration // How long the call took.
+	took       time.Duration // How long the call took, with connecting and waiting for a connection.
+	// lostAfter is the time from when the request was sent until the call failed without an answer.
+	lostAfter time.Duration
 	// connLoss describes the lost connection, if the endpoint closed it before the answer was complete.
 	connLoss connLoss
 }
@@ -268,6 +270,9 @@
 		a.notAllowed = errors.Is(err, h1.ErrNotAllowed)
 		var failed *h1.Error
 		sent := !errors.As(err, &failed) || failed.Sent
+		if failed != nil && failed.Sent {
+			a.lostAfter = clock.Since(failed.SentAt)
+		}
 		a.sent, a.ran, a.reason = sent, sent, outcome.EndpointLost
 		if !sent {
 			a.reason = outcome.ConnectFailed
@@ -276,7 +281,7 @@
 			a.reason = outcome.WrongAnswer
 		}
 		if ctx.Err() == nil {
-			a.connLoss = connLossFrom(err, start)
+			a.connLoss = connLossFrom(err)
 		}
 		return a
 	}
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -255,7 +255,7 @@
 	switch {
 	case a.full:
 		return slots.Rejected
-	case a.reset && (!a.sent || a.took < immediateLossLimit):
+	case a.reset && (!a.sent || a.lostAfter < immediateLossLimit):
 		// A connection that is lost later was probably lost while the request ran.
 		return slots.Reset
 	case errors.Is(ctx.Err(), context.Canceled), a.connsBusy, a.notAllowed:
