Share one type for callers told to retry, and one heap

internal/slots and internal/decide each kept the due times of callers that were told to retry, forgotten 1 s after, with bounds and edge cases of their own. Both use retry.ToldCallers now. The two heaps of internal/slots that are left have the same five methods and become one generic timeHeap.

The bound of decide rises from 4096 callers to 16384, that of slots; beyond 4096 its delay was the longest one already.

--- a/internal/decide/arrive.go
+++ b/internal/decide/arrive.go
@@ -33,7 +33,7 @@
 	}
 	if f.CallerRetry {
 		f.order = f.arrived
-		c.told.removeFirst()
+		c.told.RemoveFirst()
 	}
 	f.pool.urgency.addArrival(f)
 	if !f.mayBeLate && c.now.Add(c.shortestQueue(f)).After(f.latestStart) {
@@ -105,8 +105,6 @@
 	// retrySpread is by how much a retry delay is changed at random, as a fraction. Callers that are refused at the
 	// same time then do not all retry at the same time.
 	retrySpread = 0.25
-	// forgetRetryAfter is how long after the due time a caller that has not retried still counts.
-	forgetRetryAfter = time.Second
 )
 
 // retryAfter is the retry delay that a refused caller is told, and counts the caller as one who will retry. The delay is
@@ -116,44 +114,15 @@
 // Example: 20 requests wait on all boxes, 10 callers of this box were told to retry, and 15 requests started in the last
 // second. The caller is told a delay of 1.5 to 2.5 s.
 func (c *Core) retryAfter() time.Duration {
-	c.told.prune(c.now)
-	ahead := float64(c.Waiting() + c.remote.waiting + len(c.told.due))
+	c.told.Prune(c.now)
+	ahead := float64(c.Waiting() + c.remote.waiting + c.told.Len())
 	// The lower bound is raised before the delay is spread, so that the shortest delays are spread too.
 	mean := max(minRetryAfter.Seconds()/(1-retrySpread), min(ahead/c.remote.rate(c.now), maxRetryAfter.Seconds()))
 	delay := seconds(mean * (1 + retrySpread*(2*c.rng.Float64()-1)))
-	c.told.add(c.now.Add(delay))
+	c.told.Add(c.now.Add(delay))
 	return delay
 }
 
-// toldCallers are the callers that this box told to retry.
-type toldCallers struct{ due []time.Time } // When the callers will retry, earliest first.
-
-// maxToldCallers bounds the list. Beyond it, the delay is maxRetryAfter at any rate of starts that a box can reach.
-const maxToldCallers = 4096
-
-func (t *toldCallers) add(due time.Time) {
-	if len(t.due) < maxToldCallers {
-		i, _ := slices.BinarySearchFunc(t.due, due, time.Time.Compare)
-		t.due = slices.Insert(t.due, i, due)
-	}
-}
-
-// prune removes callers that should have retried more than forgetRetryAfter ago.
-func (t *toldCallers) prune(now time.Time) {
-	n := 0
-	for n < len(t.due) && now.Sub(t.due[n]) > forgetRetryAfter {
-		n++
-	}
-	t.due = slices.Delete(t.due, 0, n)
-}
-
-// removeFirst removes the caller whose retry is due first. It is called when a caller retries.
-func (t *toldCallers) removeFirst() {
-	if len(t.due) > 0 {
-		t.due = slices.Delete(t.due, 0, 1)
-	}
-}
-
 func (c *Core) admit(f *flight) bool {
 	v := f.Policy.Admit(&f.Request, c.view(f))
 	if v.Text != "" || v.Fault != "" || v.Refuse || v.Wait {
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -192,7 +192,7 @@
 	// lastTick is the time of the last tick; zero before the first.
 	lastTick time.Time
 	remote   remoteLoad
-	told     toldCallers
+	told     retry.ToldCallers // The callers that this box told to retry.
 	// notices tells which limits and pauses engines have announced; nil if nothing does.
 	notices Notices
 	now     time.Time
--- a/internal/slots/admission.go
+++ b/internal/slots/admission.go
@@ -26,10 +26,6 @@
 	retrySpread   = 0.25
 	// overloadRetryAfter is the time of the first second of an overload; it doubles for each further second.
 	overloadRetryAfter = time.Second
-	// retryMemory is how long after its due time a caller that was told to retry is forgotten.
-	retryMemory = time.Second
-	// maxTold bounds the memory for callers that were told to retry.
-	maxTold = 1 << 14
 
 	// arrivalWindow is the time constant of the measured arrival rate. At 250 requests per second the rate varies by 4%.
 	arrivalWindow = time.Second
@@ -169,39 +165,6 @@
 	return wait, wait+margin <= left
 }
 
-// retries has the callers that were told to retry.
-type retries struct {
-	// pending has the due times of retries that are not due yet, and overdue those of retries that are.
-	pending timeHeap
-	overdue []time.Time
-}
-
-// advance forgets callers whose retries were due long ago.
-func (t *retries) advance(now time.Time) {
-	for len(t.pending) > 0 && !t.pending[0].After(now) {
-		t.overdue = append(t.overdue, t.pending.pop())
-	}
-	for len(t.overdue) > 0 && now.Sub(t.overdue[0]) >= retryMemory {
-		t.overdue = t.overdue[1:]
-	}
-}
-
-// returned records that a caller came back.
-func (t *retries) returned() {
-	if len(t.overdue) > 0 {
-		t.overdue = t.overdue[1:]
-	} else if len(t.pending) > 0 {
-		t.pending.pop()
-	}
-}
-
-// add records that a caller was told to retry at a time.
-func (t *retries) add(at time.Time) {
-	if len(t.pending)+len(t.overdue) < maxTold {
-		t.pending.push(at)
-	}
-}
-
 // noteOverload keeps overloadSince, the time since when the on-time load has left no spare capacity.
 func (d *Dispatcher) noteOverload(now time.Time) {
 	if d.spare(now, d.capacityFor(now, nil)) > 0 {
@@ -216,7 +179,7 @@
 	var after time.Duration
 	c := d.capacityFor(now, nil)
 	if spare := d.spare(now, c); spare > 0 {
-		after = waitAt(d.onTime.len()+d.late.len()+len(d.told.pending)-1, spare)
+		after = waitAt(d.onTime.len()+d.late.len()+d.told.DueAfter(now)-1, spare)
 	} else {
 		lasted := time.Duration(0)
 		if !d.overloadSince.IsZero() {
@@ -227,6 +190,6 @@
 	// The bounds hold after the spread.
 	after = min(max(after, seconds(minRetryAfter.Seconds()/(1-retrySpread))), seconds(maxRetryAfter.Seconds()/(1+retrySpread)))
 	after = max(minRetryAfter, min(maxRetryAfter, seconds(after.Seconds()*(1-retrySpread+2*retrySpread*d.rand.Float64()))))
-	d.told.add(now.Add(after))
+	d.told.Add(now.Add(after))
 	return after
 }
--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -2,11 +2,12 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/stoatramp/stoatramp/internal/retry"
 )
 
 const (
@@ -61,10 +62,10 @@
 	sinceLate int
 
 	grants    map[string]*grant
-	expiring  grantHeap
+	expiring  timeHeap[*grant]
 	overdue   int // The grants that are overdue.
 	refused   refusals
-	told      retries
+	told      retry.ToldCallers
 	busyUntil time.Time
 	// arrivals and burst measure the requests that could be on time on an idle endpoint, without returning ones.
 	arrivals, burst arrivalRate
@@ -154,7 +155,7 @@
 	c := d.capacityFor(now, &r)
 	r.OnTime = min(r.OnTime, r.Left)
 	if r.Returning {
-		d.told.returned()
+		d.told.RemoveFirst()
 	} else if r.OnTime >= c.service {
 		d.arrivals.add(now)
 		d.burst.add(now)
@@ -232,7 +233,7 @@
 	g.decision = Decision{State: Granted, Endpoint: e.ID, Wait: now.Sub(w.arrived), InUse: e.inUse, Limit: e.limit}
 	g.decision.Waiting = len(d.waiting)
 	d.grants[g.id] = g
-	heap.Push(&d.expiring, g)
+	d.expiring.push(g)
 	return g.decision
 }
 
@@ -307,7 +308,7 @@
 		delete(d.waiting, id)
 		d.countsOf(w.Account).Withdrawn++
 	} else if g := d.grants[id]; g != nil {
-		heap.Remove(&d.expiring, g.index)
+		d.expiring.remove(g)
 		d.end(now, g, res)
 		// The decision may not have been taken yet.
 		d.changes = slices.DeleteFunc(d.changes, func(c Change) bool { return c.ID == id })
--- a/internal/slots/expiry.go
+++ b/internal/slots/expiry.go
@@ -1,9 +1,6 @@
 package slots
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 // grant is a slot that was granted to a request and not released yet.
 type grant struct {
@@ -20,47 +17,10 @@
 	// extra is the additional latency between the halls of the box and of the endpoint.
 	extra    time.Duration
 	decision Decision
-	index    int // The index in grantHeap.
-}
-
-// grantHeap has the grants in use, the one that expires first at the top.
-type grantHeap []*grant
-
-func (h grantHeap) Len() int           { return len(h) }
-func (h grantHeap) Less(i, j int) bool { return h[i].expires.Before(h[j].expires) }
-func (h grantHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *grantHeap) Push(x any) {
-	g := x.(*grant)
-	g.index = len(*h)
-	*h = append(*h, g)
-}
-func (h *grantHeap) Pop() any {
-	old := *h
-	g := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return g
-}
-
-// timeHeap has times, the earliest at the top.
-type timeHeap []time.Time
-
-func (h timeHeap) Len() int           { return len(h) }
-func (h timeHeap) Less(i, j int) bool { return h[i].Before(h[j]) }
-func (h timeHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *timeHeap) Push(x any)        { *h = append(*h, x.(time.Time)) }
-func (h *timeHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return t
+	heapEntry
 }
 
-func (h *timeHeap) push(t time.Time) { heap.Push(h, t) }
-func (h *timeHeap) pop() time.Time   { return heap.Pop(h).(time.Time) }
+func (g *grant) heapTime() time.Time { return g.expires }
 
 // refusals remembers the decisions on refused requests for a short time, so that a request that is sent twice gets the
 // same answer twice.
--- a/internal/slots/queue.go
+++ b/internal/slots/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"maps"
 	"slices"
 	"sort"
@@ -20,12 +19,14 @@
 	late  bool
 	// due is when the answer must be complete: on time for the on-time queue, before the caller gives up for the late
 	// queue.
-	due   time.Time
-	index int // The index in queue.byDue.
+	due time.Time
+	heapEntry
 	class *class
 	flow  *flow
 }
 
+func (w *waiter) heapTime() time.Time { return w.due }
+
 // minWeight is the lowest weight that counts. Start tags lose their precision if one request adds too much to them.
 const minWeight = 1e-6
 
@@ -43,7 +44,7 @@
 type queue struct {
 	// classes are the priorities with waiting requests, the highest priority first.
 	classes []*class
-	byDue   dueHeap
+	byDue   timeHeap[*waiter]
 }
 
 // class has the waiting requests of one priority. It exists only while requests of the priority wait, so the tags of
@@ -137,7 +138,7 @@
 	f.items = append(f.items, w)
 	c.n++
 	w.class, w.flow = c, f
-	heap.Push(&q.byDue, w)
+	q.byDue.push(w)
 }
 
 // remove takes w out of the queue. If w is the newest request of its account, the account's next request gets the
@@ -158,7 +159,7 @@
 		f.items = slices.Delete(f.items, i, i+1)
 	}
 	c.n--
-	heap.Remove(&q.byDue, w.index)
+	q.byDue.remove(w)
 	if c.n == 0 {
 		i, _ := q.class(c.priority)
 		q.classes = slices.Delete(q.classes, i, i+1)
@@ -222,25 +223,3 @@
 }
 
 func (f *flow) newest() *waiter { return f.items[len(f.items)-1] }
-
-// dueHeap has the requests of a queue, the one that is due first at the top.
-type dueHeap []*waiter
-
-func (h dueHeap) Len() int           { return len(h) }
-func (h dueHeap) Less(i, j int) bool { return h[i].due.Before(h[j].due) }
-func (h dueHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *dueHeap) Push(x any) {
-	w := x.(*waiter)
-	w.index = len(*h)
-	*h = append(*h, w)
-}
-func (h *dueHeap) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return w
-}
--- a/internal/slots/step.go
+++ b/internal/slots/step.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"maps"
 	"slices"
 	"time"
@@ -92,19 +91,19 @@
 	d.current, d.advancedTo = true, now
 	d.noteBusy(now)
 	for len(d.expiring) > 0 && !d.expiring[0].expires.After(now) {
-		g := heap.Pop(&d.expiring).(*grant)
+		g := d.expiring.pop()
 		if now.Before(g.ends) && d.overdue < maxOverdue {
 			d.overdue++
 			g.overdue, g.expires = true, g.ends
 			g.endpoint.inUse--
-			heap.Push(&d.expiring, g)
+			d.expiring.push(g)
 			continue
 		}
 		// How the call ended is not known.
 		d.end(now, g, Result{Outcome: Unused})
 	}
 	d.refused.advance(now)
-	d.told.advance(now)
+	d.told.Prune(now)
 	if len(d.waiting) > 0 {
 		// After a pause of the process, requests may wait whose callers have given up. They must not be granted a slot.
 		d.drop(now, dueOnly)
@@ -280,7 +279,7 @@
 // Snapshot returns the present state.
 func (d *Dispatcher) Snapshot(now time.Time) Snapshot {
 	d.advance(now)
-	s := Snapshot{Waiting: len(d.waiting), Accounts: d.accountSnapshots(), ToldToRetry: len(d.told.pending)}
+	s := Snapshot{Waiting: len(d.waiting), Accounts: d.accountSnapshots(), ToldToRetry: d.told.DueAfter(now)}
 	overdue := map[*endpoint]int{}
 	for _, g := range d.grants {
 		if g.overdue {
