Learn the times of first attempts for each route

A box took a caller for a returning one if its time was under 0.97 of the longest time seen on the route. Where first attempts are spread between 0.85 and 1.0 of the longest, four of five were taken for returning: their plain calls went to the late queue, and their streams before others.

retry.CallerTimes learns the range of the times while the box refuses nobody on the route and the service is not contended. It was kept with the route, and so lost with each configuration; the relay keeps it by route name now.

--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -73,7 +73,6 @@
 		x.refuse(o)
 		return
 	}
-	x.route.isReturning(x.meta.Timeout) // Also learns the callers' longest timeout.
 	budget := x.r.plain.budgetOf(x.service.Name)
 	budget.CountRequest(clock.Now())
 	p := plainRuns{tried: map[string]bool{}, ranAt: map[string]bool{}, failedAt: map[string]bool{}}
@@ -198,7 +197,7 @@
 	}
 	v := x.r.disp.Admit(p, &decide.Request{
 		Pool: x.service.Name, Region: x.region, Route: x.route.Name, Kind: x.route.Kind.String(), Rank: x.priority(),
-		FirstToken: x.route.LatencyTarget, Repeatable: x.route.repeats(), CallerRetry: x.route.isReturning(x.meta.Timeout),
+		FirstToken: x.route.LatencyTarget, Repeatable: x.route.repeats(), CallerRetry: x.isReturning(),
 	}, decide.View{Waiting: x.r.plain.running(x.service.Name)})
 	if s, ok := record.NewStep(decide.PolicyVerdict{Verdict: v}); ok && v != (decide.Verdict{}) {
 		x.trace.Step(s)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,6 +28,7 @@
 	"github.com/stoatramp/stoatramp/internal/pacing"
 	"github.com/stoatramp/stoatramp/internal/quarantine"
 	"github.com/stoatramp/stoatramp/internal/record"
+	"github.com/stoatramp/stoatramp/internal/retry"
 	"github.com/stoatramp/stoatramp/internal/slots"
 	"github.com/stoatramp/stoatramp/internal/telemetry"
 )
@@ -107,6 +108,8 @@
 	notices *notice.Table
 	m       *telemetry.Metrics
 	cfg     atomic.Pointer[Config]
+	// callerTimes has what was learned of the callers of each route, by the route's name.
+	callerTimes atomic.Pointer[map[string]*retry.CallerTimes]
 	// cfgAppliedAt is when cfg was applied; nil before the first configuration. lastStall is the last period during
 	// which the process got no processor time; nil if there was no such period.
 	cfgAppliedAt atomic.Pointer[time.Time]
@@ -175,6 +178,8 @@
 	r.forgetContention(c)
 	next := r.revoked.Load().updated(r.cfg.Load(), c)
 	r.revoked.Store(&next)
+	callers := keepCallerTimes(r.callerTimes.Load(), c)
+	r.callerTimes.Store(&callers)
 	r.cfg.Store(c)
 	now := clock.Now()
 	r.cfgAppliedAt.Store(&now)
@@ -357,6 +362,10 @@
 	// tokens that the request was charged on the account's limit.
 	account *Account
 	units   float64
+	// callers has what was learned of the route's callers; nil if the route is not configured any more. spentBefore is the
+	// time that the caller has spent at least on attempts that were refused; 0 for a first attempt.
+	callers     *retry.CallerTimes
+	spentBefore time.Duration
 	// dispatched is set once a request was built for an endpoint. ran is set once a call has failed at an endpoint that
 	// may have run the request.
 	dispatched, ran bool
@@ -425,6 +434,7 @@
 		return
 	}
 	x.setDeadline()
+	x.observeCaller()
 	if o, ok := x.bufferBody(); !ok {
 		x.refuse(o)
 		return
@@ -550,6 +560,9 @@
 	if o.Kind == outcome.NotRun && x.service != nil && isCapacityRefusal(o.Reason) {
 		x.r.growSubset(clock.Now(), x.service.Name)
 	}
+	if o.Kind == outcome.NotRun && o.RetryAfter > 0 {
+		x.callers.Refused(clock.Now())
+	}
 	if !x.begun {
 		h := x.w.Header()
 		h.Set("Content-Type", "application/json")
--- a/internal/relay/route.go
+++ b/internal/relay/route.go
@@ -5,9 +5,10 @@
 	"net"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/stoatramp/stoatramp/internal/retry"
 )
 
 // Sort orders the routes as RouteFor needs them: routes with longer prefixes come first. It must be called once after a
@@ -43,34 +44,33 @@
 // repeats reports whether a request of the route may run more than once.
 func (r *Route) repeats() bool { return r.Kind == Repeatable || r.Kind == Stream && r.Resumable }
 
-// returningTimeoutShare is a share of the longest timeout seen on a route. A caller whose timeout is below that share
-// is assumed to have been refused before. It has then spent the missing time on its earlier attempt.
-const returningTimeoutShare = 0.97
-
-// isReturning reports whether a caller with this timeout was probably refused before. Callers of one route start with
-// the same timeout, and each refused attempt takes time from it.
-func (r *Route) isReturning(callerTimeout time.Duration) bool {
-	if callerTimeout <= 0 {
-		return false
-	}
-	for {
-		longest := r.callerTimeout.Load()
-		if int64(callerTimeout) <= longest {
-			return float64(callerTimeout) < returningTimeoutShare*float64(longest)
-		}
-		if r.callerTimeout.CompareAndSwap(longest, int64(callerTimeout)) {
-			return false
-		}
+// observeCaller learns from the time that the caller will wait, and sets how much it spent on refused attempts before.
+// The range of first attempts is not learned from calls that may be of callers who come back: to a contended service, or
+// to resume a stream.
+func (x *exchange) observeCaller() {
+	if all := x.r.callerTimes.Load(); all != nil {
+		x.callers = (*all)[x.route.Name]
 	}
+	x.callers.Observe(x.arrived, x.meta.Timeout, x.meta.LastEvent == "" && !x.contended())
+	x.spentBefore = x.callers.SpentBefore(x.meta.Timeout)
 }
 
-// earlierAttempts returns how much time a returning caller with this timeout has spent on earlier attempts. It is 0 for
-// other callers.
-func (r *Route) earlierAttempts(callerTimeout time.Duration) time.Duration {
-	if !r.isReturning(callerTimeout) {
-		return 0
+// isReturning reports whether the caller was probably refused before.
+func (x *exchange) isReturning() bool { return x.spentBefore > 0 }
+
+// keepCallerTimes returns what was learned of the callers of each route of a new configuration. A route with the name of
+// an old one has the same callers.
+func keepCallerTimes(old *map[string]*retry.CallerTimes, c *Config) map[string]*retry.CallerTimes {
+	next := make(map[string]*retry.CallerTimes, len(c.Routes))
+	for _, r := range c.Routes {
+		if old != nil {
+			next[r.Name] = (*old)[r.Name]
+		}
+		if next[r.Name] == nil {
+			next[r.Name] = &retry.CallerTimes{}
+		}
 	}
-	return time.Duration(r.callerTimeout.Load()) - callerTimeout
+	return next
 }
 
 // pick selects the service for a request. The choice depends only on the request's id, so that each attempt goes to the
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -185,11 +185,11 @@
 func (x *exchange) slotRequest(exclude []string) slots.Request {
 	q := slots.Request{
 		ID: x.r.newSlotID(), Box: x.r.o.Box, Hall: x.r.o.Hall, Priority: x.priority(), Left: clock.Until(x.deadline),
-		Returning: x.route.isReturning(x.meta.Timeout), Exclude: exclude,
+		Returning: x.isReturning(), Exclude: exclude,
 	}
 	q.OnTime = q.Left
 	if x.route.LatencyTarget > 0 {
-		elapsed := clock.Since(x.arrived) + x.route.earlierAttempts(x.meta.Timeout)
+		elapsed := clock.Since(x.arrived) + x.spentBefore
 		q.OnTime = min(q.Left, x.route.LatencyTarget-elapsed)
 	}
 	if x.account != nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -237,7 +237,7 @@
 		Resumable:      x.route.Resumable,
 		MaxEngines:     x.route.MaxEndpoints,
 		PrefillNotRun:  true,
-		CallerRetry:    x.route.isReturning(x.meta.Timeout),
+		CallerRetry:    x.isReturning(),
 		RefuseEarly:    true,
 		MaxWait:        maxStreamWait,
 		Kind:           x.route.Kind.String(),
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -20,7 +20,6 @@
 
 import (
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/decide"
@@ -91,9 +90,6 @@
 	EventGapTarget time.Duration
 	// MaxEndpoints limits the endpoints that may run one request, one after the other. It is at least 1.
 	MaxEndpoints int
-	// callerTimeout is the longest timeout, in nanoseconds, that a caller of the route has sent. A caller with a
-	// clearly shorter timeout is assumed to have been refused before (isReturning).
-	callerTimeout atomic.Int64
 }
 
 // Target is a service of a route, with its share of the route's requests.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -14,6 +14,9 @@
 // Alternative: one box could grant the retries. Then each retry costs a call to that box, and that box must be found.
 //
 // Fixed parts cost no calls. Their drawback: if only one box meets a fault, it can use only its own part of the bound.
+//
+// The package also has what a box knows of callers who retry: CallerTimes tells them from callers at their first attempt,
+// and ToldCallers counts those who were told to retry and have not done so yet.
 package retry
 
 import (
