Run a lost stream again on the engine that has its prompt

A decode engine that lost the connection of an answer has fetched the KV cache, whose handle can be used once. The box called another engine with the used handle, was refused, and had the prompt prefilled again. Now the same engine gets the request once more, without a handle and with a new reservation, at the cost of one retry. It does so once per engine, and only if the engine takes requests, has room, and the first event would be in time even if the prompt had to be prefilled at the engine's pace. If room is denied, the retry is given back, and the handle is still there for another engine.

A resumed stream no longer counts in the estimate of the time between tokens: its tokens were divided by the time since it was resumed.

--- a/internal/decide/attempt.go
+++ b/internal/decide/attempt.go
@@ -201,7 +201,9 @@
 // reserveOtherDecode releases the memory on the present decode engine and tries to reserve memory on another decode
 // engine. It reports whether another engine could take the request. The present engine becomes engineToAvoid.
 func (c *Core) reserveOtherDecode(f *flight) bool {
-	f.engineToAvoid = f.decode
+	if f.decode != nil {
+		f.engineToAvoid = f.decode
+	}
 	c.releaseDecode(f)
 	var excluded Exclusions
 	var best *engine
@@ -232,6 +234,7 @@
 		f.pool.predictionError.observeTransfer(took-f.pool.beginTime(f.decode.stepTime()), alone)
 		f.timing.FirstEventDelay = max(0, took-alone)
 	}
+	c.endRerun(f, RerunBegun)
 	f.firstTokens = ev.Tokens
 	f.prefillAttempt = 0 // The decode engine has fetched the KV cache, so the prefill engine no longer holds it.
 	f.stageDeadline = time.Time{}
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -99,6 +99,10 @@
 	tries      int
 	// prefillSent and decodeSent report whether a prefill call and a decode call were sent in any try so far.
 	prefillSent, decodeSent bool
+	// enginesRerun are the decode engines on which the request was run for the second time. rerun is the rerun in
+	// progress; nil if there is none.
+	enginesRerun []*engine
+	rerun        *rerun
 	// engineToAvoid is the engine on which the last call failed, or the decode engine that had to be
 	// replaced. A new try uses this engine only if there is no other.
 	engineToAvoid *engine
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -26,7 +26,10 @@
 	if f.stage == prefilling && ev.Reason == outcome.EndpointRefused {
 		e.health.noteRefusal(c.now)
 	}
-	c.recoverFromFailure(f, ev.Reason, ev.Ran, ev.KVGone)
+	c.endFailedRerun(f, ev.Reason)
+	if !ev.KVCached || !c.tryRerun(f, ev.Reason) {
+		c.recoverFromFailure(f, ev.Reason, ev.Ran, ev.KVGone)
+	}
 	c.drainQueue(f.pool)
 }
 
@@ -40,11 +43,7 @@
 		c.retryDecode(f, reason, ran, kvGone)
 	case streaming:
 		if f.Resumable {
-			// The caller has already received a part of the answer and waits for more. So the first-token
-			// target no longer matters, and any pair of engines is better than none.
-			f.mayBeLate = true
-			f.connectionLostAt = c.now
-			f.order = f.latestStart
+			f.resumeLate(c.now)
 			c.abandonTry(f, reason, ran)
 			return
 		}
@@ -62,6 +61,10 @@
 	if f == nil || f.stage != prefilling && !selfPrefilling || ev.Attempt != f.attempt {
 		return
 	}
+	if f.rerun != nil {
+		c.handleRerunNoRoom(f)
+		return
+	}
 	f.decode.denial.add(c.now, f, f.decode)
 	f.tries--
 	f.prefillAttempt, f.decodeAttempt = 0, 0
@@ -202,6 +205,7 @@
 	if f == nil {
 		return
 	}
+	c.endRerun(f, RerunCancelled)
 	if f.stage == prefilling || f.stage == transferring {
 		c.emit(WastedPrefill{f.ID, f.uncachedTokens, outcome.CallerGone})
 	}
@@ -270,6 +274,7 @@
 		f.noteMayHaveRun()
 	}
 	f.ran = f.ran || ran
+	c.endFailedRerun(f, reason)
 	c.recoverFromFailure(f, reason, ran, false)
 }
 
--- /dev/null
+++ b/internal/decide/rerun_test.go
@@ -0,0 +1,263 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/outcome"
+)
+
+// rerunFixture is a fixture whose decode engines can prefill prompts. The answer of request 1 is lost.
+type rerunFixture struct {
+	*fixture
+	results []RerunEnded
+	aborts  []Abort
+	engine  string // The engine that lost the answer.
+}
+
+// newRerunFixture returns a fixture with a stream for which set has changed the request. The stream waits for the first
+// event of its decode engine, or has begun.
+func newRerunFixture(t *testing.T, begun bool, set func(*Request)) *rerunFixture {
+	t.Helper()
+	s := &rerunFixture{fixture: newFixture(t, 1, 3)}
+	s.setFleet(func(*Engine) {})
+	r := Request{
+		ID: 1, Pool: "p", Region: "r", PromptTokens: 2000, MaxTokens: 1000, FirstToken: time.Second, BetweenTokens: 20 * time.Millisecond,
+		Repeatable: true, Resumable: true, MaxEngines: 3, PrefillNotRun: true,
+	}
+	set(&r)
+	s.step(Submit{Request: r})
+	s.now = s.now.Add(200 * time.Millisecond)
+	s.step(PrefillDone{ID: 1, Attempt: s.prefills[1].Attempt, Expires: s.now.Add(5 * time.Second)})
+	s.now = s.now.Add(10 * time.Millisecond)
+	s.engine = s.decodes[1].Decode
+	if begun {
+		s.step(FirstToken{ID: 1, Attempt: s.decodes[1].Attempt})
+		s.now = s.now.Add(time.Second)
+	}
+	return s
+}
+
+// setFleet configures the engines of the fixture, each changed by set.
+func (s *rerunFixture) setFleet(set func(*Engine)) {
+	f := Fleet{Pools: []Pool{{Name: "p", KVBytesPerToken: 1, PrefillExpiry: 5 * time.Second, SelfPrefillRatio: 0.5}}}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		e := s.c.engines[name].Engine
+		set(&e)
+		f.Engines = append(f.Engines, e)
+	}
+	s.step(f)
+}
+
+func (s *rerunFixture) step(ev Event) {
+	for _, a := range s.c.Step(s.now, ev) {
+		switch a := a.(type) {
+		case StartPrefill:
+			s.prefills[a.ID] = a
+		case StartDecode:
+			s.decodes[a.ID] = a
+		case End:
+			s.outcomes[a.ID] = a.Outcome
+		case RerunEnded:
+			s.results = append(s.results, a)
+		case Abort:
+			s.aborts = append(s.aborts, a)
+		}
+	}
+}
+
+// lose reports that the current decode call lost its connection.
+func (s *rerunFixture) lose() {
+	s.step(Failed{ID: 1, Attempt: s.decodes[1].Attempt, Reason: outcome.EndpointLost, Ran: true, KVCached: true})
+}
+
+func (s *rerunFixture) expectResults(want ...RerunResult) {
+	s.t.Helper()
+	var got []RerunResult
+	for _, r := range s.results {
+		got = append(got, r.Result)
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		s.t.Errorf("expected reruns that ended with %v, got %+v", want, s.results)
+	}
+}
+
+func (s *rerunFixture) expectRerun(want bool) {
+	s.t.Helper()
+	d := s.decodes[1]
+	if rerun := d.Rerun != outcome.OK && d.Decode == s.engine && d.Prefill == ""; rerun != want {
+		s.t.Errorf("expected a rerun on %s %t, got %+v, reruns %+v", s.engine, want, d, s.results)
+	}
+}
+
+// A decode engine that loses its connection has fetched the KV cache, and its handle is used up. Past fault: other decode
+// engines were called with the same handle, refused, and the prompt was prefilled again.
+func TestLostAnswerIsRunAgainOnItsEngine(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		s := newRerunFixture(t, begun, func(*Request) {})
+		first, retries := s.decodes[1], retriesLeft(s.c)
+		s.lose()
+		s.expectRerun(true)
+		if len(s.aborts) != 1 || s.aborts[0].Attempt != first.Attempt {
+			t.Errorf("begun %t: expected the first call to be aborted before the second, got %+v", begun, s.aborts)
+		}
+		if got := retriesLeft(s.c); got != retries-1 {
+			t.Errorf("begun %t: expected one of %d retries to be used, got %d left", begun, retries, got)
+		}
+		s.step(FirstToken{ID: 1, Attempt: s.decodes[1].Attempt})
+		s.expectResults(RerunBegun)
+		s.step(Done{ID: 1, Attempt: s.decodes[1].Attempt, Output: 100})
+		if kv := s.c.engines[s.engine].reservedKV; kv != 0 || len(s.c.flights) != 0 {
+			t.Errorf("begun %t: expected nothing to be left, got %d tokens and %d requests", begun, kv, len(s.c.flights))
+		}
+	}
+}
+
+// A second loss on the same engine is handled like any other failure, also after the rerun has begun to answer. Another
+// engine may run the request again in its turn.
+func TestLostRerunIsNotRunThereAgain(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		s := newRerunFixture(t, false, func(*Request) {})
+		s.lose()
+		if begun {
+			s.step(FirstToken{ID: 1, Attempt: s.decodes[1].Attempt})
+		}
+		before := s.decodes[1]
+		s.lose()
+		if begun {
+			s.expectResults(RerunBegun)
+		} else {
+			s.expectResults(RerunFailed)
+		}
+		if s.decodes[1] != before || s.prefills[1].Attempt <= before.Attempt || s.prefills[1].Decode == s.engine {
+			t.Fatalf("begun %t: expected the prompt to be prefilled for another engine, got %+v", begun, s.prefills[1])
+		}
+		s.now = s.now.Add(200 * time.Millisecond)
+		s.step(PrefillDone{ID: 1, Attempt: s.prefills[1].Attempt, Expires: s.now.Add(5 * time.Second)})
+		s.now = s.now.Add(10 * time.Millisecond)
+		s.engine = s.decodes[1].Decode
+		s.lose()
+		s.expectRerun(true)
+	}
+}
+
+// Each case is a request or an engine for which a second run is forbidden or of no use.
+func TestLostAnswerIsNotRunAgain(t *testing.T) {
+	atEngine := func(set func(*engine)) func(*rerunFixture) {
+		return func(s *rerunFixture) { set(s.c.engines[s.engine]) }
+	}
+	for name, c := range map[string]struct {
+		begun   bool
+		request func(*Request)
+		before  func(*rerunFixture)
+		failed  Failed
+		silent  bool // The rule does not apply at all, so no result is reported.
+	}{
+		"may run once":          {request: func(r *Request) { r.Repeatable, r.Resumable = false, false }, silent: true},
+		"begun, not resumable":  {begun: true, request: func(r *Request) { r.Resumable = false }, silent: true},
+		"refused":               {failed: Failed{Reason: outcome.EndpointRefused}, silent: true},
+		"suspected or answered": {failed: Failed{Reason: outcome.EndpointLost, Ran: true}, silent: true},
+		"lost before the transfer": {silent: true, before: func(s *rerunFixture) {
+			s.c.flights[1].stageStart = s.now
+		}},
+		"engines cannot prefill": {silent: true, before: func(s *rerunFixture) { s.c.pools["p"].SelfPrefillRatio = 0 }},
+		"leaving":                {before: atEngine(func(e *engine) { e.Leaving = true })},
+		"evacuated":              {before: atEngine(func(e *engine) { e.Evacuated = true })},
+		"reports that it leaves": {before: atEngine(func(e *engine) { e.report.Leaving, e.hasReport = true, true })},
+		"third failure":          {before: atEngine(func(e *engine) { e.health.failuresInRow = failuresToSetAside - 1 })},
+		"throttled":              {before: func(s *rerunFixture) { s.c.SetNotices(throttledNotices{engine: s.engine}) }},
+		"paused":                 {before: func(s *rerunFixture) { s.c.SetNotices(throttledNotices{paused: s.engine}) }},
+		"no room by its report": {before: func(s *rerunFixture) {
+			s.now = s.now.Add(time.Millisecond)
+			s.step(LoadReport{Engine: s.engine, At: s.now, FreeKV: 100, Runs: []StreamLoad{{Tokens: 99900}}})
+		}},
+		"denied room lately": {before: atEngine(func(e *engine) { e.denial.until, e.denial.kv = start.Add(time.Hour), 1 })},
+		"no retry left":      {before: func(s *rerunFixture) { s.c.budget.SetFixed(0, 0, time.Minute) }},
+		"late without the cached prompt": {before: func(s *rerunFixture) {
+			s.now = s.now.Add(400 * time.Millisecond) // Prefilling 2,000 tokens at half the pace takes 400 ms.
+		}},
+	} {
+		set := c.request
+		if set == nil {
+			set = func(*Request) {}
+		}
+		s := newRerunFixture(t, c.begun, set)
+		if c.before != nil {
+			c.before(s)
+		}
+		c.failed.ID, c.failed.Attempt = 1, s.decodes[1].Attempt
+		if c.failed.Reason == outcome.OK {
+			c.failed.Reason, c.failed.Ran, c.failed.KVCached = outcome.EndpointLost, true, true
+		}
+		s.step(c.failed)
+		if s.decodes[1].Rerun != outcome.OK {
+			t.Errorf("%s: expected no rerun, got %+v", name, s.decodes[1])
+		}
+		if c.silent != (len(s.results) == 0) || !c.silent && (s.results[0].Result != RerunDeclined || s.results[0].Text == "") {
+			t.Errorf("%s: expected a declined rerun %t, got %+v", name, !c.silent, s.results)
+		}
+		if e := s.c.engines[s.engine]; s.prefills[1].Attempt == 1 && e.reservedKV != 0 && s.decodes[1].Decode != s.engine {
+			t.Errorf("%s: expected the engine's memory to be released, got %d tokens", name, e.reservedKV)
+		}
+	}
+}
+
+// throttledNotices throttles one engine, and has asked for a pause on another.
+type throttledNotices struct{ engine, paused string }
+
+func (n throttledNotices) ThrottledFor(engine string, _ time.Time) time.Duration {
+	if engine == n.engine {
+		return time.Second
+	}
+	return 0
+}
+func (throttledNotices) Sent(string, time.Time)                     {}
+func (n throttledNotices) IsPaused(engine string, _ time.Time) bool { return engine == n.paused }
+
+// The engine or its owner denies room to a rerun. Nothing was sent, so the retry is given back and another engine may
+// still fetch the KV cache.
+func TestRerunWithoutRoom(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		s := newRerunFixture(t, begun, func(*Request) {})
+		retries := retriesLeft(s.c)
+		s.lose()
+		s.step(ReservationRefused{ID: 1, Attempt: s.decodes[1].Attempt})
+		s.expectResults(RerunNoRoom)
+		if begun {
+			if s.prefills[1].Attempt < 3 || retriesLeft(s.c) != retries-2 {
+				t.Errorf("expected the prompt to be prefilled again with two of %d retries, got %+v, %d left", retries, s.prefills[1], retriesLeft(s.c))
+			}
+		} else if d := s.decodes[1]; d.Prefill == "" || d.Decode == s.engine || retriesLeft(s.c) != retries-1 {
+			t.Errorf("expected another engine to fetch the KV cache with one of %d retries, got %+v, %d left", retries, d, retriesLeft(s.c))
+		}
+		s.step(Cancel{ID: 1})
+		for name, e := range s.c.engines {
+			if e.reservedKV != 0 {
+				t.Errorf("expected nothing to be reserved, got %d tokens on %s", e.reservedKV, name)
+			}
+		}
+	}
+}
+
+// A caller that leaves during a rerun, and an engine that refuses one or does not answer it, each have a result of their
+// own.
+func TestRerunResults(t *testing.T) {
+	s := newRerunFixture(t, false, func(*Request) {})
+	s.lose()
+	s.step(Cancel{ID: 1})
+	s.expectResults(RerunCancelled)
+
+	s = newRerunFixture(t, false, func(*Request) {})
+	s.lose()
+	s.step(Failed{ID: 1, Attempt: s.decodes[1].Attempt, Reason: outcome.EndpointRefused})
+	s.expectResults(RerunRefused)
+
+	s = newRerunFixture(t, false, func(*Request) {})
+	s.lose()
+	for end := s.now.Add(hardStallTimeout + 2*time.Second); s.now.Before(end); {
+		s.now = s.now.Add(tickInterval)
+		s.step(Tick{})
+	}
+	s.expectResults(RerunFailed)
+}
--- a/internal/decide/speed.go
+++ b/internal/decide/speed.go
@@ -274,9 +274,10 @@
 	return time.Duration(tokens) * sum / time.Duration(len(p.decode))
 }
 
-// meanStep is the mean time per token of a stream that is done; 0 if it cannot be determined.
+// meanStep is the mean time per token of a stream that is done; 0 if it cannot be determined. A resumed stream began its
+// answer more than once.
 func (f *flight) meanStep(now time.Time, output int) time.Duration {
-	if f.firstTokens <= 0 || output <= 2*f.firstTokens || f.decode == nil || f.wasMigrated {
+	if f.firstTokens <= 0 || output <= 2*f.firstTokens || f.decode == nil || f.wasMigrated || !f.connectionLostAt.IsZero() {
 		return 0
 	}
 	return now.Sub(f.streamStart) / time.Duration(output-f.firstTokens)
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -239,6 +239,9 @@
 	Ran bool
 	// KVGone reports that the prefill engine no longer has the KV cache.
 	KVGone bool
+	// KVCached reports that the decode engine may still have the KV cache as a cached prefix. The connection was reset
+	// or closed after the request was sent, and the request is not suspected of crashing engines.
+	KVCached bool
 }
 
 // ReservationRefused reports that the decode engine chosen for a request refused to reserve memory
@@ -352,7 +355,11 @@
 	// Moved says why an earlier choice of decode engine no longer holds. Either the engine could not be used, or
 	// its call failed. Moved is OK if neither happened.
 	Moved outcome.Reason
-	// Choice is set only if Prefill is empty. Otherwise the Choice is in the StartPrefill action.
+	// Rerun is set if the engine runs the request for the second time, because the connection of the first run was
+	// lost. Rerun says how; otherwise it is OK. Prefill is empty then. The handle must be kept until the engine has
+	// reserved memory. If room is denied, another engine can still be given the handle.
+	Rerun outcome.Reason
+	// Choice is set only if Prefill is empty and Rerun is OK. Otherwise the Choice is in an earlier action.
 	Choice *Choice
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -181,6 +181,9 @@
 		case decide.Retry:
 			d.m.CountRetry(a.Reason)
 			d.calls[a.ID].push(a)
+		case decide.RerunEnded:
+			d.m.CountRerun(a.Result)
+			d.calls[a.ID].push(a)
 		case decide.Waiting:
 			d.calls[a.ID].push(a)
 		case decide.WastedPrefill:
--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -73,6 +73,11 @@
 			text += fmt.Sprintf(" This is a move, because %s.", s.Reason.Sentence())
 		}
 		return text
+	case StepRerun:
+		return fmt.Sprintf("Attempt %d: %s was told to run it again without a KV cache to fetch, because it may still have the prompt in its cache. Its connection had been lost: %s.",
+			s.Attempt, s.Decode, s.Reason.Sentence())
+	case StepNoRerun:
+		return fmt.Sprintf("It was not run again on %s, which may still have the prompt in its cache: %s.", s.Decode, s.Text)
 	case StepFirstToken:
 		return fmt.Sprintf("%s sent the first token.", s.Decode)
 	case StepRetry:
--- a/internal/record/explain_test.go
+++ b/internal/record/explain_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"github.com/stoatramp/stoatramp/internal/outcome"
 )
 
 // expectStepSentence expects that the sentence that describes a step contains want.
@@ -25,6 +27,14 @@
 	expectStepSentence(t, Step{Kind: StepSlot, Decode: "p1", Slot: &state}, "by this box, by its own part of the slots, because no owner answered")
 }
 
+// The sentences say why the engine that lost a connection was called again, or why it was not.
+func TestRerunText(t *testing.T) {
+	expectStepSentence(t, Step{Kind: StepRerun, Attempt: 3, Decode: "decode-3", Reason: outcome.EndpointLost},
+		"Attempt 3: decode-3 was told to run it again without a KV cache to fetch, because it may still have the prompt in its cache. Its connection had been lost: the endpoint went away")
+	expectStepSentence(t, Step{Kind: StepNoRerun, Decode: "decode-3", Text: "the engine has no room"},
+		"It was not run again on decode-3, which may still have the prompt in its cache: the engine has no room.")
+}
+
 // An engine's owner is the box that grants the engine's memory to the other boxes. The sentence says who refused to
 // reserve memory: the engine itself or the engine's owner.
 func TestNoRoomText(t *testing.T) {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -20,6 +20,8 @@
 	StepPrefill          StepKind = "prefill"
 	StepPrefillDone      StepKind = "read" // The prefill engine has finished the prompt.
 	StepDecode           StepKind = "decode"
+	StepRerun            StepKind = "rerun"    // The engine Decode runs the request again; Reason is how its first call failed.
+	StepNoRerun          StepKind = "no_rerun" // The engine Decode could not run the request again; Text is why.
 	StepFirstToken       StepKind = "first_token"
 	StepRetry            StepKind = "retry"
 	StepResume           StepKind = "resume"
@@ -101,6 +103,9 @@
 	case decide.StartPrefill:
 		return Step{Kind: StepPrefill, Attempt: int(a.Attempt), Prefill: a.Prefill, Decode: a.Decode, Choice: a.Choice}, true
 	case decide.StartDecode:
+		if a.Rerun != outcome.OK {
+			return Step{Kind: StepRerun, Attempt: int(a.Attempt), Decode: a.Decode, Reason: a.Rerun}, true
+		}
 		return Step{Kind: StepDecode, Attempt: int(a.Attempt), Prefill: a.Prefill, Decode: a.Decode, Reason: a.Moved, Choice: a.Choice}, true
 	case decide.Migrate:
 		why := a.From + " will run out of memory"
@@ -110,6 +115,8 @@
 		return Step{Kind: StepMigrate, Attempt: int(a.Attempt), Decode: a.To, Text: why}, true
 	case decide.Retry:
 		return Step{Kind: StepRetry, Decode: a.Engine, Reason: a.Reason}, true
+	case decide.RerunEnded:
+		return Step{Kind: StepNoRerun, Decode: a.Engine, Text: a.Text}, a.Result == decide.RerunDeclined
 	case decide.Waiting:
 		return Step{Kind: StepWait, Reason: a.Reason, Tokens: a.View.Waiting}, true
 	case decide.WastedPrefill:
@@ -162,7 +169,7 @@
 func (r *Record) LastEndpoint() string {
 	for i := len(r.Steps) - 1; i >= 0; i-- {
 		switch s := &r.Steps[i]; s.Kind {
-		case StepFirstToken, StepMigrated, StepEndpoint, StepDecode:
+		case StepFirstToken, StepMigrated, StepEndpoint, StepDecode, StepRerun:
 			return s.Decode
 		}
 	}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -162,6 +163,12 @@
 	return outcome.EndpointLost
 }
 
+// isConnDropped reports whether the endpoint reset or closed the connection before its answer was complete. Time-outs and
+// invalid answers do not count, and neither does the regular end of an answer, which is io.EOF.
+func isConnDropped(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // maxStreamWait limits how long a stream may wait on the box if it would begin late. Callers abandon a stream that does
 // not begin.
 const maxStreamWait = 2500 * time.Millisecond
@@ -225,7 +232,7 @@
 	if err != nil {
 		var e *h1.Error
 		ran := !errors.As(err, &e) || e.Sent
-		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), ran: ran, connLoss: connLossFrom(err, sent), detail: err.Error()}})
+		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), ran: ran, connLoss: connLossFrom(err, sent), dropped: isConnDropped(err), detail: err.Error()}})
 		return
 	}
 	defer resp.Body.Close()
@@ -290,7 +297,10 @@
 			f.send(flightEvent{attempt: a, ended: true, unframed: unframed})
 			return
 		case err != nil:
-			f.send(flightEvent{attempt: a, err: &callError{reason: outcome.Truncated, ran: true, connLoss: connLoss{sent: sent}, detail: err.Error()}})
+			_ = resp.Body.Close() // So that the run has ended before another call is made.
+			f.send(flightEvent{attempt: a, err: &callError{
+				reason: outcome.Truncated, ran: true, connLoss: connLoss{sent: sent}, dropped: isConnDropped(err) || unframed && errors.Is(err, io.EOF), detail: err.Error(),
+			}})
 			return
 		}
 	}
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -167,6 +167,7 @@
 		f.handleResumeFailure(*ev.err)
 	case ev.err != nil:
 		m.sourceEnd = ev.err
+		m.sourceEnd.dropped = false // The engine may have stopped the run.
 		f.awaitAnswer()
 		f.resumeWhenStopped()
 	case ev.ended && !m.is(ev.attempt):
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -30,6 +30,12 @@
 	return o, true
 }
 
+// suspected reports whether an equal request is known to have crashed an endpoint. The evidence may not suffice for a
+// quarantine.
+func (x *exchange) suspected() bool {
+	return !x.r.o.Crashes.Empty() && len(x.r.o.Crashes.Check(x.fingerprint()).Crashes) > 0
+}
+
 // maxRememberedBody is the longest body, in bytes, of an answered request that is recorded while the list of crashes is
 // empty. Recording needs the fingerprint of the request, which costs 1 ns for each byte of the body.
 const maxRememberedBody = 64 << 10
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -57,6 +57,9 @@
 	source      Source
 	// prefillCalls and decodeCalls are the numbers of prefill and decode calls sent to engines.
 	prefillCalls, decodeCalls int
+	// rerunAttempt is the attempt number of the last decode call to an engine that lost the connection of an earlier one;
+	// 0 if there is none.
+	rerunAttempt decide.Attempt
 	// migration is the migration in progress; nil if there is none.
 	migration *migration
 	// stopDecode cancels the current decode call; nil before the first decode call.
@@ -132,6 +135,9 @@
 	ran    bool // The engine may have run the caller's request.
 	// connLoss describes how the engine closed the connection; empty if the engine did not close it.
 	connLoss connLoss
+	// dropped is set if the connection was reset or closed before the answer was complete, and not by the engine to stop
+	// the run for a migration.
+	dropped bool
 	// detail is the text of the connection's error, for the trace of the request; empty if there is none.
 	detail string
 }
@@ -366,7 +372,12 @@
 		}
 		f.decodeAttempt, f.decodeEngine, f.plannedDecode = a.Attempt, a.Decode, a.Decode
 		if a.Prefill == "" {
-			f.free() // Frees what engines store for an earlier attempt.
+			if a.Rerun != outcome.OK {
+				f.rerunAttempt = a.Attempt
+				f.freeReservation()
+			} else {
+				f.free() // Frees what engines store for an earlier attempt.
+			}
 			ctx, last := f.bindDecode(a.Attempt), f.lastID
 			f.calls.Go(func() { f.callCombined(ctx, a, last) })
 			break
@@ -436,6 +447,9 @@
 		f.handleFailure(ev.attempt, *ev.err)
 	case ev.reserved != nil:
 		f.reservation = *ev.reserved
+		if ev.attempt == f.rerunAttempt {
+			f.freeSource() // The engine runs the request without the handle.
+		}
 		f.publishPlaced(ev.attempt)
 		f.countCall(ev.attempt) // Not counted earlier: until now the request was in no engine's queue.
 	case ev.noRoom != nil:
@@ -497,7 +511,8 @@
 			f.x.r.publish(overlay.Message{Refused: &overlay.PrefillRefused{Engine: engine}})
 		}
 	}
-	f.x.r.disp.Step(decide.Failed{ID: f.id, Attempt: a, Reason: e.reason, Ran: e.ran})
+	f.x.r.disp.Step(decide.Failed{ID: f.id, Attempt: a, Reason: e.reason, Ran: e.ran,
+		KVCached: a == f.decodeAttempt && e.ran && e.dropped && !f.x.suspected()})
 }
 
 // recordFailure adds the failure of a call to the request's trace. If the engine closed the connection, it records that
@@ -588,6 +603,11 @@
 func (f *flight) free() {
 	f.freeReservation()
 	f.freeMigration()
+	f.freeSource()
+}
+
+// freeSource starts to free the result of the last prefill, if an engine stores it.
+func (f *flight) freeSource() {
 	if f.source.Handle != "" {
 		f.x.r.drop(f.source.Engine, f.source.Address, f.x.r.protocol.ReleaseHandle(f.source.Handle))
 		f.source = Source{}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/slots"
 )
@@ -22,6 +23,7 @@
 	refusals map[outcome.Reason]*metrics.Counter
 	retries  map[outcome.Reason]*metrics.Counter
 	wasted   map[outcome.Reason]*metrics.Counter
+	reruns   map[decide.RerunResult]*metrics.Counter
 	// incomplete counts the answers that callers did not receive whole, by reason.
 	incomplete map[outcome.Reason]*metrics.Counter
 
@@ -107,6 +109,7 @@
 		refusals:            map[outcome.Reason]*metrics.Counter{},
 		retries:             map[outcome.Reason]*metrics.Counter{},
 		wasted:              map[outcome.Reason]*metrics.Counter{},
+		reruns:              map[decide.RerunResult]*metrics.Counter{},
 		incomplete:          map[outcome.Reason]*metrics.Counter{},
 		Moves:               s.NewCounter("stoatramp_moves_total"),
 		CompletedMigrations: s.NewCounter(`stoatramp_migrations_total{outcome="moved"}`),
@@ -153,6 +156,9 @@
 	for r := slots.NoEndpoint; r <= slots.Stopping; r++ {
 		m.SlotsRefused[r] = s.NewCounter(fmt.Sprintf("stoatramp_slots_refused_total{reason=%q}", r))
 	}
+	decide.RerunResults(func(r decide.RerunResult) {
+		m.reruns[r] = s.NewCounter(fmt.Sprintf("stoatramp_reruns_total{result=%q}", r))
+	})
 	outcome.Kinds(func(k outcome.Kind) {
 		m.outcomes[k] = s.NewCounter(fmt.Sprintf("stoatramp_requests_total{outcome=%q}", k))
 	})
@@ -193,6 +199,11 @@
 	}
 }
 
+// CountRerun counts a second call to an engine that lost the connection of a request, by its result.
+func (m *Metrics) CountRerun(r decide.RerunResult) { m.reruns[r].Inc() }
+
+func (m *Metrics) RerunCount(r decide.RerunResult) uint64 { return m.reruns[r].Get() }
+
 // CountWasted counts prompt tokens that an engine computed and whose results were thrown away.
 func (m *Metrics) CountWasted(r outcome.Reason, tokens int) {
 	if c := m.wasted[r]; c != nil {
