--- a/internal/decide/rerun.go
+++ b/internal/decide/rerun.go
@@ -63,11 +63,13 @@
 	if !c.mayHaveKV(f) || slices.Contains(f.enginesRerun, e) {
 		return false
 	}
+	c.abortDecode(f) // A run must have ended before the next begins.
+	f.engineToAvoid = e
 	if f.stage == streaming {
 		f.resumeLate(c.now)
+		// The engine's last report still contains the run.
+		e.addStreamEnded(f.pool, StreamEnded{Engine: e.Name, At: c.now, Tokens: f.PromptTokens + f.outputSoFar(c.now)})
 	}
-	c.abortDecode(f) // A run must have ended before the next begins.
-	f.engineToAvoid = e
 	c.releaseDecode(f)
 	obstacle := c.rerunObstacle(f, e)
 	if obstacle == "" && !c.budget.Take(c.now, 1) {
--- a/internal/decide/rerun_test.go
+++ b/internal/decide/rerun_test.go
@@ -123,8 +123,11 @@
 		if begun {
 			s.step(FirstToken{ID: 1, Attempt: s.decodes[1].Attempt})
 		}
-		before := s.decodes[1]
+		before, retries := s.decodes[1], retriesLeft(s.c)
 		s.lose()
+		if got := retriesLeft(s.c); got != retries-2 {
+			t.Errorf("begun %t: expected a prefill and a decode call to use two of %d retries, got %d left", begun, retries, got)
+		}
 		if begun {
 			s.expectResults(RerunBegun)
 		} else {
@@ -163,6 +166,7 @@
 		}},
 		"engines cannot prefill": {silent: true, before: func(s *rerunFixture) { s.c.pools["p"].SelfPrefillRatio = 0 }},
 		"leaving":                {before: atEngine(func(e *engine) { e.Leaving = true })},
+		"cold":                   {before: atEngine(func(e *engine) { e.Cold.Until = start.Add(time.Hour) })},
 		"evacuated":              {before: atEngine(func(e *engine) { e.Evacuated = true })},
 		"reports that it leaves": {before: atEngine(func(e *engine) { e.report.Leaving, e.hasReport = true, true })},
 		"third failure":          {before: atEngine(func(e *engine) { e.health.failuresInRow = failuresToSetAside - 1 })},
@@ -203,6 +207,16 @@
 	}
 }
 
+// The engine's last report contains the run whose connection was lost. Past fault: the run counted beside its rerun, so
+// that an engine with room for one of them was taken for full.
+func TestLostRunNeedsNoRoomBesideItsRerun(t *testing.T) {
+	s := newRerunFixture(t, true, func(r *Request) { r.ExpectedTokens = 1000 })
+	s.step(LoadReport{Engine: s.engine, At: s.now, FreeKV: 2000, Streams: 2, Runs: []StreamLoad{{Tokens: 95000}, {Tokens: 3000, Output: 1000}}})
+	s.now = s.now.Add(time.Millisecond)
+	s.lose()
+	s.expectRerun(true)
+}
+
 // throttledNotices throttles one engine, and has asked for a pause on another.
 type throttledNotices struct{ engine, paused string }
 
