Abort the prefill call of a request whose rerun fails

While an engine runs a request again, the flight had forgotten the prefill that made its KV cache. If the rerun failed, or the caller left, that prefill was not aborted, so a front that frees the KV cache by aborts (internal/gateway has no reruns yet) would leave it to expire. The flight keeps it now until the engine answers.

TestPromises draws lost connections whose engine may have the prompt cached. It also checks that an engine runs a request again once only, that the request is repeatable, and that no other call is open.

--- a/internal/decide/attempt.go
+++ b/internal/decide/attempt.go
@@ -228,7 +228,7 @@
 	f.stage, f.streamStart = streaming, c.now
 	f.cancelTransfer()
 	c.releaseSelfPrefill(f)
-	if f.prefill != nil {
+	if f.prefill != nil && f.rerun == nil {
 		alone := transferTime(f.pool, f, f.prefill, f.decode)
 		took := c.now.Sub(f.stageStart)
 		f.pool.predictionError.observeTransfer(took-f.pool.beginTime(f.decode.stepTime()), alone)
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -52,12 +52,20 @@
 	}
 }
 
+// resumeLate lets a stream that has lost its connection continue late. The caller has already received a part of the
+// answer and waits for more. So the first-token target no longer matters, and any pair of engines is better than none.
+func (f *flight) resumeLate(now time.Time) {
+	f.mayBeLate = true
+	f.connectionLostAt = now
+	f.order = f.latestStart
+}
+
 // handleNoRoom places a request again after its decode engine or the owner of that engine denied room. The engine was full, because
 // its reported load was out of date or other boxes were faster. Nothing was sent to any engine. So the placement does
 // not count as a try, and uses no retry of the budget.
 func (c *Core) handleNoRoom(ev ReservationRefused) {
 	f := c.flights[ev.ID]
-	selfPrefilling := f != nil && f.stage == transferring && f.prefill == nil
+	selfPrefilling := f != nil && f.stage == transferring && (f.prefill == nil || f.rerun != nil)
 	if f == nil || f.stage != prefilling && !selfPrefilling || ev.Attempt != f.attempt {
 		return
 	}
--- a/internal/decide/promise_test.go
+++ b/internal/decide/promise_test.go
@@ -43,6 +43,11 @@
 	// migrateAttempt is 0, no migration is in progress.
 	migrateAttempt Attempt
 	migrateTo      string
+	// lostAt is the engine that last lost a connection and may have the KV cache cached. rerunAt are the engines that
+	// have run the request again, and rerunning is set while one of them is called.
+	lostAt    string
+	rerunAt   map[string]bool
+	rerunning bool
 }
 
 func newModel(t *rapid.T) *model {
@@ -98,7 +103,10 @@
 	case StartDecode:
 		r := m.live(a.ID)
 		m.checkStart(r, a.Decode, a.Attempt)
-		if a.Prefill == "" {
+		r.rerunning = a.Rerun != outcome.OK
+		if r.rerunning {
+			m.checkRerun(r, a)
+		} else if a.Prefill == "" {
 			r.prefillAttempt = 0
 		} else if a.PrefillAttempt != r.prefillAttempt || r.openCalls[r.prefillAttempt] != a.Prefill {
 			m.t.Fatalf("request %d: decode from a KV cache that no prefill engine has: %+v", a.ID, a)
@@ -154,6 +162,19 @@
 	}
 }
 
+// checkRerun checks that an engine runs a request for the second time only, and not beside another call.
+func (m *model) checkRerun(r *trackedRequest, a StartDecode) {
+	if a.Decode != r.lostAt || r.rerunAt[a.Decode] || !r.req.Repeatable || a.Prefill != "" {
+		m.t.Fatalf("request %d: invalid rerun after a loss at %q: %+v", a.ID, r.lostAt, a)
+	}
+	r.rerunAt[a.Decode] = true
+	for attempt, engine := range r.openCalls {
+		if attempt != r.prefillAttempt {
+			m.t.Fatalf("request %d runs again while call %d to %s is open", a.ID, attempt, engine)
+		}
+	}
+}
+
 func (m *model) checkEnd(r *trackedRequest, a End) {
 	r.ended = true
 	if len(r.openCalls) != 0 {
@@ -191,7 +212,7 @@
 
 func (m *model) arrive() {
 	m.next++
-	r := &trackedRequest{openCalls: map[Attempt]string{}, req: Request{
+	r := &trackedRequest{openCalls: map[Attempt]string{}, rerunAt: map[string]bool{}, req: Request{
 		ID: m.next, Pool: "p", Region: rapid.SampledFrom([]string{"r1", "r2", "r3"}).Draw(m.t, "region"), Client: "c",
 		PromptTokens: rapid.IntRange(1, 2000).Draw(m.t, "prompt"), MaxTokens: rapid.IntRange(1, 1500).Draw(m.t, "max"),
 		Blocks:     []uint64{rapid.Uint64Range(0, 3).Draw(m.t, "block")},
@@ -269,7 +290,7 @@
 		return
 	}
 	a := m.pickAttempt(r)
-	if a == r.currentAttempt && (r.stage == prefilling || r.stage == transferring && r.prefillAttempt == 0) {
+	if a == r.currentAttempt && (r.stage == prefilling || r.stage == transferring && (r.prefillAttempt == 0 || r.rerunning)) {
 		delete(r.openCalls, a)
 		r.stage = waiting
 	}
@@ -286,7 +307,11 @@
 	if a == r.currentAttempt {
 		r.ran, r.mayHaveRunFailed = r.ran || ran, r.mayHaveRunFailed || ran
 	}
-	m.step(Failed{ID: r.req.ID, Attempt: a, Reason: outcome.EndpointLost, Ran: ran, KVGone: rapid.Bool().Draw(m.t, "gone")})
+	cached := ran && rapid.Bool().Draw(m.t, "cached")
+	if r.lostAt = ""; cached && a == r.currentAttempt && r.stage != prefilling {
+		r.lostAt = r.openCalls[a]
+	}
+	m.step(Failed{ID: r.req.ID, Attempt: a, Reason: outcome.EndpointLost, Ran: ran, KVGone: rapid.Bool().Draw(m.t, "gone"), KVCached: cached})
 }
 
 // advance moves the clock, sometimes so far that calls stall. Stalled calls may have run the request.
--- a/internal/decide/rerun.go
+++ b/internal/decide/rerun.go
@@ -45,15 +45,13 @@
 
 func (RerunEnded) action() {}
 
-// rerun is the state of a rerun until the engine answers. The fields keep what the flight is set back to if room is
-// denied, because nothing was sent in that case.
+// rerun is the state of a rerun until the engine answers. If room is denied, nothing was sent, and the flight is set back
+// to stage and expires.
 type rerun struct {
-	reason         outcome.Reason // Why the first call failed.
-	stage          stage
-	prefill        *engine
-	prefillAttempt Attempt
-	expires        time.Time
-	takenAt        time.Time // When the retry was taken from the budget.
+	reason  outcome.Reason // Why the first call failed.
+	stage   stage
+	expires time.Time
+	takenAt time.Time // When the retry was taken from the budget.
 }
 
 // tryRerun runs the request again on its decode engine, and reports whether it did. Otherwise it has aborted the lost
@@ -80,9 +78,8 @@
 		return false
 	}
 	f.enginesRerun = append(f.enginesRerun, e)
-	f.rerun = &rerun{reason, f.stage, f.prefill, f.prefillAttempt, f.expires, c.now}
-	f.prefillSent, f.decodeSent = f.prefillSent || f.prefill != nil, true
-	f.prefill, f.prefillAttempt, f.expires = nil, 0, time.Time{}
+	f.rerun = &rerun{reason, f.stage, f.expires, c.now}
+	f.expires = time.Time{} // If the rerun fails, the handle is used no more.
 	f.attempt = f.newAttempt()
 	f.decodeAttempt = f.attempt
 	c.reserveDecode(f, e)
@@ -153,14 +150,8 @@
 	f.decode.denial.add(c.now, f, f.decode)
 	c.budget.Return(r.takenAt, 1)
 	c.endRerun(f, RerunNoRoom)
-	f.stage, f.prefill, f.prefillAttempt, f.expires, f.decodeAttempt = r.stage, r.prefill, r.prefillAttempt, r.expires, 0
+	f.stage, f.expires, f.decodeAttempt = r.stage, r.expires, 0
 	f.engineToAvoid = f.decode
 	c.recoverFromFailure(f, r.reason, true, false)
 	c.drainQueue(f.pool)
 }
-
-// resumeLate lets a stream that has lost its connection continue late. The caller has already received a part of the
-// answer and waits for more. So the first-token target no longer matters, and any pair of engines is better than none.
-func (f *flight) resumeLate(now time.Time) {
-	f.mayBeLate, f.connectionLostAt, f.order = true, now, f.latestStart
-}
