--- a/internal/decide/lost_test.go
+++ b/internal/decide/lost_test.go
@@ -35,8 +35,7 @@
 	open     Attempt // The call that has not ended; 0 if there is none.
 	handle   bool    // Whether the prefill engine has the KV cache under a handle.
 	cachedAt map[string]bool
-	began    time.Time // When the run in progress began to answer.
-	sent     int       // Tokens that the caller has received.
+	sent     int // Tokens that the caller has received.
 	lastSent time.Time
 	inTime   bool
 	whole    bool
