Ask a late slot owner again, and wait for the list before owning slots

An owner that did not answer is asked again after 250 ms, with one request, and the next box in order only after 500 ms. A box owns no slots until it has heard the list of boxes since its start. An owner learns from requests which other box granted slots of the cell, and yields to one that goes before it. An owner that is not first in its own order grants half of the slots. A change of the part keeps the grants that are in use, instead of starting a new count.

--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -66,6 +66,9 @@
 	// membersPause is the least time between two reads of the list of members that return changes. Several boxes
 	// may start together. Because of the pause, a box reads them in one batch.
 	membersPause = time.Second
+	// membersFirstWait is the wait of the first calls for changes of the list of members. A box acts as owner of slots
+	// only once the list was confirmed 1 s after its start; with manualWait that took 9 s.
+	membersFirstWait = 500 * time.Millisecond
 )
 
 // scale returns the share p of a duration.
@@ -90,7 +93,7 @@
 		FollowedWait: manualWait, FollowedPause: changePause, StaleAfter: manualMaxAge, SettleDelay: settleTime,
 	}
 	members = manual
-	members.Pause, members.FollowedPause, members.SettleDelay = membersPause, membersPause, membersSettleTime
+	members.Pause, members.FollowedPause, members.SettleDelay, members.FirstWait = membersPause, membersPause, membersSettleTime, membersFirstWait
 	return operator, list, manual, members
 }
 
@@ -148,6 +151,7 @@
 		Room:          func(r overlay.Room) bool { return b.Relay.HasRoom(r) },
 		Limits:        b.quotaPool,
 		Slots:         relaySlots{b},
+		MembersAge:    b.membersFreshness.Age,
 		OnMessage:     func(msg overlay.Message) { b.Relay.Receive(msg) },
 		OnStateChange: b.recorder.Log.StateChange,
 		Metrics:       b.Metrics.Set,
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -60,6 +60,9 @@
 	// FollowedWait is used, and the shorter one of Pause and FollowedPause.
 	FollowedWait  time.Duration
 	FollowedPause time.Duration
+	// FirstWait replaces a longer Wait for firstWaitTime after the start, so that the store confirms the table soon
+	// although nothing changes. 0 means that Wait applies from the start.
+	FirstWait time.Duration
 	// StaleAfter is a bound on the age of the table that another box sends. If the table is older than StaleAfter,
 	// this box reads the store itself.
 	StaleAfter time.Duration
@@ -146,6 +149,8 @@
 	// storeLost tells other goroutines that the store does not answer and no other box provides the table.
 	lostSince time.Time
 	storeLost atomic.Bool
+	// startedAt is when Run was called. Only Run's goroutine uses it.
+	startedAt time.Time
 	// recoveredAt is when the store last became available again or was restored from an older copy.
 	recoveredAt atomic.Pointer[time.Time]
 	// followed means that this box sends the table to other boxes. paceChanged has an element when it has just
@@ -169,8 +174,12 @@
 	return t
 }
 
+// firstWaitTime is how long after the start FirstWait applies.
+const firstWaitTime = 2 * time.Second
+
 // Run keeps the table up to date until ctx ends.
 func (t *Table) Run(ctx context.Context) {
+	t.startedAt = clock.Now()
 	if !t.delayFirstRead(ctx) {
 		return
 	}
@@ -284,6 +293,9 @@
 // callOnce makes one call and applies the result. The store answers a probe immediately, without waiting for a change.
 func (t *Table) callOnce(ctx context.Context, probe bool) (changed bool, err error) {
 	wait, _ := t.pace()
+	if t.o.FirstWait > 0 && clock.Since(t.startedAt) < firstWaitTime {
+		wait = min(wait, t.o.FirstWait)
+	}
 	if probe {
 		wait = 0
 	}
--- a/internal/overlay/accounts.go
+++ b/internal/overlay/accounts.go
@@ -138,7 +138,7 @@
 	for i, m := range list {
 		all[i] = scored{m, rendezvousScore(m, key)}
 	}
-	slices.SortFunc(all, func(a, b scored) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.m.Name, b.m.Name)) })
+	slices.SortFunc(all, func(a, b scored) int { return compareScores(a.m, b.m, a.score, b.score) })
 	out := make([]Member, len(all))
 	for i, s := range all {
 		out[i] = s.m
@@ -146,6 +146,15 @@
 	return out
 }
 
+func compareScores(a, b Member, scoreA, scoreB uint64) int {
+	return cmp.Or(cmp.Compare(scoreB, scoreA), cmp.Compare(a.Name, b.Name))
+}
+
+// compareRank compares two members by the order of rankMembers.
+func compareRank(a, b Member, key string) int {
+	return compareScores(a, b, rendezvousScore(a, key), rendezvousScore(b, key))
+}
+
 // RunLimits lends this box's shares of the account limits to the owners of the accounts until ctx ends. It also tells
 // the pool of limits the rank of this box. Alone means that there are no other boxes.
 func (n *Node) RunLimits(ctx context.Context, alone bool) {
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -120,6 +120,9 @@
 	// Slots grants the slots of the cells of endpoints that this box owns. If it is nil, this box owns no cell, and
 	// AcquireSlot asks no owner.
 	Slots SlotServer
+	// MembersAge is the time since the store last confirmed the table of members, to this box or to one that sends the
+	// table to this box. If it is nil, the table counts as complete from the start.
+	MembersAge func() time.Duration
 	// OnMessage is called with each gossip message of another box, and must not block.
 	OnMessage func(Message)
 	// OnStateChange is called when this box observes a change in the state of another box, and must not block.
--- a/internal/overlay/slots.go
+++ b/internal/overlay/slots.go
@@ -9,12 +9,14 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
+	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 	"github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1/stoatrampv1connect"
 	"github.com/stoatramp/stoatramp/internal/slots"
 )
@@ -87,12 +89,15 @@
 type slotState struct {
 	httpClient *http.Client
 	rankings   slotRankings
-	// unavailable holds the boxes that stop, or that don't support slots. They are kept apart from the boxes that did
-	// not answer, because a box that stops still serves other calls.
-	unavailable unresponsiveOwners
-	releases    releaseQueues
-	peers       slotPeers
-	withdrawn   withdrawnSlots
+	// owners is kept apart from Node.unresponsive: a box that stops still serves other calls, and one late answer to
+	// another kind of call must not change the owner of slots.
+	owners slotOwnerStates
+	// granted has the boxes that granted slots to this box, reported those that granted slots to boxes that ask this box.
+	granted, reported slotGrantors
+	listHeard         atomic.Bool
+	releases          releaseQueues
+	peers             slotPeers
+	withdrawn         withdrawnSlots
 	// serving limits the requests of other boxes that are served at the same time to maxSlotCalls.
 	serving chan struct{}
 }
@@ -115,6 +120,9 @@
 	byCell  map[slots.Cell][]Member
 }
 
+// slotKey is the key by which rendezvous hashing selects the owner of a cell.
+func slotKey(cell slots.Cell) string { return "slots " + cell.Service + " " + strconv.Itoa(cell.Index) }
+
 // slotOwners returns the boxes that may own a cell, in the order in which they are asked.
 func (n *Node) slotOwners(cell slots.Cell) []Member {
 	version := n.members.changes.Load()
@@ -123,10 +131,11 @@
 	defer s.mu.Unlock()
 	if s.byCell == nil || s.version != version || len(s.byCell) >= maxRankedCells {
 		s.byCell, s.version = map[slots.Cell][]Member{}, version
+		n.slots.owners.retain(n.members.size(), func(name string) bool { _, listed := n.members.get(name); return listed })
 	}
 	ranked, ok := s.byCell[cell]
 	if !ok {
-		ranked = rankMembers(n.members.list(n.o.Self.Region), "slots "+cell.Service+" "+strconv.Itoa(cell.Index))
+		ranked = rankMembers(n.members.list(n.o.Self.Region), slotKey(cell))
 		ranked = slices.Clone(ranked[:min(len(ranked), rankedSlotOwners)])
 		s.byCell[cell] = ranked
 	}
@@ -140,8 +149,11 @@
 	}
 	now := clock.Now()
 	for _, m := range n.slotOwners(cell) {
-		if n.slotOwnerUsable(m, now) {
+		switch n.chooseSlotOwner(m, now, false) {
+		case askOwner:
 			return m.Name
+		case awaitOwner:
+			return ""
 		}
 	}
 	return ""
@@ -152,7 +164,8 @@
 
 const (
 	slotDecided  askOutcome = iota // The owner granted or refused.
-	slotStopping                   // The box stops, or does not serve slots.
+	slotStopping                   // The box stops, or does not serve slots, or not yet.
+	slotYielded                    // The box grants no slots because another one goes before it.
 	slotFailed                     // The connection failed.
 	slotGivenUp                    // The owner did not answer in time, or the request was invalid, or ctx ended.
 )
@@ -163,7 +176,8 @@
 // returned with ReleaseSlot.
 //
 // If the connection to an owner fails or the owner stops, the next box in rendezvous order is asked, but not more than
-// maxOwnersAsked boxes. An owner that accepts the call and does not answer in time costs one request slotFirstTimeout.
+// maxOwnersAsked boxes. An owner that accepts the call and does not answer in time costs one request slotFirstTimeout
+// per slotRetryInterval. No box is asked by the others until the owner has not answered for slotLostTimeout.
 // A request whose values are out of bounds is not sent.
 func (n *Node) AcquireSlot(ctx context.Context, cell slots.Cell, r slots.Request) (d slots.Decision, owner string, busy bool) {
 	if n.o.Slots == nil || cell.Region != n.o.Self.Region {
@@ -180,9 +194,13 @@
 			break
 		}
 		now := clock.Now()
-		if !n.slotOwnerUsable(m, now) {
+		choice := n.chooseSlotOwner(m, now, true)
+		if choice == skipOwner {
 			continue
 		}
+		if choice == awaitOwner {
+			break
+		}
 		elapsed := now.Sub(began)
 		if asked > 0 && elapsed >= r.Left {
 			break
@@ -199,19 +217,26 @@
 		switch outcome {
 		case slotDecided:
 			return n.dropLateGrant(d, m.Name, cell, r, clock.Since(began)), m.Name, busy
-		case slotGivenUp:
+		case slotGivenUp, slotYielded:
 			return slots.Decision{}, "", false
 		}
 	}
 	return slots.Decision{}, "", false
 }
 
-// slotOwnerUsable reports whether a box may be asked as owner of a cell now.
-func (n *Node) slotOwnerUsable(m Member, now time.Time) bool {
-	if m.Name == n.o.Self.Name {
-		return n.stopped.Err() == nil
+// chooseSlotOwner says whether a box is asked as owner of a cell now. See slotOwnerStates.choose.
+func (n *Node) chooseSlotOwner(m Member, now time.Time, claim bool) slotChoice {
+	switch {
+	case m.Name == n.o.Self.Name && n.stopped.Err() != nil:
+		return skipOwner
+	case m.Name == n.o.Self.Name && !n.mayOwnSlots():
+		return awaitOwner
+	case m.Name == n.o.Self.Name:
+		return askOwner
+	case n.members.sharedKey() == "":
+		return skipOwner
 	}
-	return n.members.sharedKey() != "" && n.unresponsive.usable(m.Name, now) && n.slots.unavailable.usable(m.Name, now)
+	return n.slots.owners.choose(m, now, claim)
 }
 
 // dropLateGrant returns the decision, or a refusal if a slot was granted after the caller gave up. That happens to a box
@@ -226,6 +251,10 @@
 
 // acquireLocally asks this box itself, as the owner of a cell.
 func (n *Node) acquireLocally(ctx context.Context, cell slots.Cell, r slots.Request) (d slots.Decision, busy bool, o askOutcome) {
+	now := clock.Now()
+	if _, before := n.ownerBefore(cell, n.lastGrantor(cell, now), now); before {
+		return d, false, slotYielded
+	}
 	d, busy = n.o.Slots.Acquire(ctx, cell, r, func(slots.Decision) {})
 	switch {
 	case ctx.Err() != nil:
@@ -233,6 +262,8 @@
 		return d, busy, slotGivenUp
 	case d.State == slots.Refused && d.Reason == slots.Stopping:
 		return d, busy, slotStopping
+	case d.State == slots.Granted:
+		n.slots.granted.set(cell, slotGrantor{n.o.Self.Name, n.o.Self.Incarnation, clock.Now()})
 	}
 	return d, busy, slotDecided
 }
@@ -242,19 +273,12 @@
 // askSlotOwner asks another box for a slot. If the box may have granted a slot that this box did not learn of, the slot
 // is released.
 func (n *Node) askSlotOwner(ctx context.Context, m Member, cell slots.Cell, r slots.Request) (slots.Decision, bool, askOutcome) {
-	d, busy, err := n.exchangeSlot(ctx, m, cell, r)
-	if err == nil && d.State == slots.Refused && d.Reason == slots.Stopping {
-		n.count.slotStopping.Inc()
-		n.slots.unavailable.failed(m.Name, clock.Now())
-		return d, busy, slotStopping
-	}
+	sent := clock.Now()
+	d, answer, err := n.exchangeSlot(ctx, m, cell, r)
+	now := clock.Now()
 	if err == nil {
-		if d.State == slots.Granted {
-			n.count.slotGranted.Inc()
-		} else {
-			n.count.slotRefused.Inc()
-		}
-		return d, busy, slotDecided
+		n.slots.owners.answered(m, now)
+		return d, answer.Busy, n.slotAnswered(m, cell, d, answer, now)
 	}
 	n.count.slotUnanswered.Inc()
 	refused := errors.Is(err, syscall.ECONNREFUSED)
@@ -262,42 +286,74 @@
 		n.ReleaseSlot(m.Name, cell, r.ID, slots.Result{Outcome: slots.Unused})
 	}
 	if ctx.Err() != nil {
-		return d, busy, slotGivenUp // The caller has left, which says nothing about the owner.
+		return d, false, slotGivenUp // The caller has left, which says nothing about the owner.
 	}
 	switch connect.CodeOf(err) {
 	case connect.CodeUnimplemented: // A box of an older release.
-		n.slots.unavailable.failed(m.Name, clock.Now())
-		return d, busy, slotStopping
+		n.slots.owners.skip(m, now.Add(ownerRetryDelay))
+		return d, false, slotStopping
 	case connect.CodeInvalidArgument, connect.CodeUnauthenticated:
-		return d, busy, slotGivenUp // Another box would answer the same.
+		return d, false, slotGivenUp // Another box would answer the same.
 	}
-	n.unresponsive.failed(m.Name, clock.Now())
+	n.unresponsive.failed(m.Name, now)
 	if errors.Is(err, errOwnerSilent) {
-		return d, busy, slotGivenUp
+		n.slots.owners.silent(m, sent, now)
+		return d, false, slotGivenUp
 	}
-	return d, busy, slotFailed
+	n.slots.owners.skip(m, now.Add(slotRetryInterval))
+	return d, false, slotFailed
+}
+
+// slotAnswered records the answer of another box.
+func (n *Node) slotAnswered(m Member, cell slots.Cell, d slots.Decision, answer *v1.AcquireSlotResponse, now time.Time) askOutcome {
+	switch {
+	case d.State == slots.Granted:
+		n.count.slotGranted.Inc()
+		// A box of an older release does not name itself.
+		n.slots.granted.set(cell, slotGrantor{cmp.Or(answer.Owner, m.Name), cmp.Or(answer.Incarnation, m.Incarnation), now})
+	case d.Reason != slots.Stopping:
+		n.count.slotRefused.Inc()
+	default:
+		n.count.slotStopping.Inc()
+		if answer.YieldsTo != "" {
+			if first, listed := n.members.get(answer.YieldsTo); listed {
+				n.slots.owners.alive(first, now)
+			}
+			n.slots.owners.skip(m, now.Add(slotRetryInterval))
+			return slotYielded
+		}
+		delay := ownerRetryDelay
+		if answer.Starting {
+			delay = slotRetryInterval
+		}
+		n.slots.owners.skip(m, now.Add(delay))
+		return slotStopping
+	}
+	return slotDecided
 }
 
 var errInvalidDecision = errors.New("the owner's answer is invalid")
 
 // exchangeSlot sends a request for a slot and receives the answers until the request is granted or refused.
-func (n *Node) exchangeSlot(ctx context.Context, m Member, cell slots.Cell, r slots.Request) (d slots.Decision, busy bool, err error) {
+func (n *Node) exchangeSlot(ctx context.Context, m Member, cell slots.Cell, r slots.Request) (slots.Decision, *v1.AcquireSlotResponse, error) {
 	// Once the request is decided, the end of ctx must not end the stream: the owner would take it as withdrawn.
 	streamCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	keep := context.AfterFunc(ctx, func() { cancel(ctx.Err()) })
 	timer := time.AfterFunc(slotFirstTimeout, func() { cancel(errOwnerSilent) })
-	fail := func(err error) (slots.Decision, bool, error) {
+	fail := func(err error) (slots.Decision, *v1.AcquireSlotResponse, error) {
 		keep()
 		timer.Stop()
 		if cause := context.Cause(streamCtx); cause != nil {
 			err = cause
 		}
 		cancel(nil)
-		return slots.Decision{}, false, err
+		return slots.Decision{}, nil, err
 	}
+	now := clock.Now()
 	req := connect.NewRequest(encodeSlotRequest(cell, r))
+	encodeGrantor(req.Msg, n.lastGrantor(cell, now), now)
 	authorize(req.Header(), n.members.sharedKey())
-	stream, err := n.slotPeer(m, clock.Now()).AcquireSlot(streamCtx, req)
+	stream, err := n.slotPeer(m, now).AcquireSlot(streamCtx, req)
 	if err != nil {
 		return fail(err)
 	}
@@ -311,7 +367,7 @@
 			timer.Reset(slotQueuedTimeout)
 			continue
 		}
-		busy = stream.Msg().Busy
+		answer := stream.Msg()
 		if !keep() || !timer.Stop() {
 			_ = stream.Close()
 			// The stream is cancelled while the answer comes, and the owner may notice. The cause may not be set yet.
@@ -324,7 +380,7 @@
 			timer.Stop()
 			cancel(nil)
 		}()
-		return d, busy, nil
+		return d, answer, nil
 	}
 	err = cmp.Or(stream.Err(), errStreamEnded)
 	_ = stream.Close()
--- a/internal/overlay/slots_message.go
+++ b/internal/overlay/slots_message.go
@@ -48,6 +48,22 @@
 	return c, r, ok
 }
 
+// encodeGrantor adds the last grant of the asking box to a request.
+func encodeGrantor(m *v1.AcquireSlotRequest, g slotGrantor, now time.Time) {
+	if g.name != "" {
+		m.LastOwner, m.LastIncarnation, m.LastAgeUs = g.name, g.incarnation, encodeSlotTime(now.Sub(g.at))
+	}
+}
+
+// decodeGrantor returns the last grant of the asking box. The name is empty if there is none.
+func decodeGrantor(m *v1.AcquireSlotRequest, now time.Time) (g slotGrantor, ok bool) {
+	if m.LastOwner == "" {
+		return slotGrantor{}, m.LastIncarnation == 0 && m.LastAgeUs == 0
+	}
+	age, ok := decodeSlotTime(m.LastAgeUs)
+	return slotGrantor{m.LastOwner, m.LastIncarnation, now.Add(-age)}, ok && age <= slotGrantMemory && validName(m.LastOwner) && m.LastIncarnation >= 0
+}
+
 // The protocol's values of slots.State, slots.Reason and slots.Outcome are one higher, since 0 stands for a value that
 // was not sent.
 
@@ -74,6 +90,7 @@
 	for _, n := range []int32{m.Waiting, m.InUse, m.Limit} {
 		ok = ok && n >= 0 && n <= maxSlots
 	}
+	ok = ok && validText(m.Owner) && validText(m.YieldsTo) && m.Incarnation >= 0
 	d = slots.Decision{Wait: wait, Waiting: int(m.Waiting), InUse: int(m.InUse), Limit: int(m.Limit)}
 	switch m.State {
 	case v1.SlotState_SLOT_STATE_QUEUED:
--- a/internal/overlay/slots_serve.go
+++ b/internal/overlay/slots_serve.go
@@ -69,8 +69,23 @@
 		n.count.refused.Inc()
 		return errSlotsInvalid
 	}
-	if n.stopped.Err() != nil {
-		return stream.Send(encodeDecision(slots.Decision{State: slots.Refused, Reason: slots.Stopping}, false))
+	now := clock.Now()
+	reported, ok := decodeGrantor(r.Msg, now)
+	if !ok {
+		n.count.refused.Inc()
+		return errSlotsInvalid
+	}
+	before, yields := n.ownerBefore(cell, reported, now)
+	stopping := encodeDecision(slots.Decision{State: slots.Refused, Reason: slots.Stopping}, false)
+	switch {
+	case n.stopped.Err() != nil:
+		return stream.Send(stopping)
+	case !n.mayOwnSlots():
+		stopping.Starting = true
+		return stream.Send(stopping)
+	case yields:
+		stopping.YieldsTo = before
+		return stream.Send(stopping)
 	}
 	select {
 	case n.slots.serving <- struct{}{}:
@@ -99,7 +114,9 @@
 	repeats.Wait() // The answers of a stream must not be sent at the same time.
 	err := ctx.Err()
 	if err == nil {
-		err = send(encodeDecision(d, busy))
+		answer := encodeDecision(d, busy)
+		answer.Owner, answer.Incarnation = n.o.Self.Name, n.o.Self.Incarnation
+		err = send(answer)
 	}
 	if err == nil {
 		err = ctx.Err()
--- a/internal/relay/cells.go
+++ b/internal/relay/cells.go
@@ -22,7 +22,7 @@
 	// cellRefreshInterval is the interval at which a cell's endpoints are checked, beside each change of the list. An
 	// endpoint that is no longer cold becomes usable without such a change.
 	cellRefreshInterval = time.Second
-	// partTolerance is the relative change of a box's part of the slots from which on a cell gets a new server.
+	// partTolerance is the relative change of a box's part of the slots from which on a cell's limits follow it.
 	partTolerance = 0.1
 )
 
@@ -104,7 +104,7 @@
 // slotCells grants the slots of cells.
 type slotCells struct {
 	r *Relay
-	// part returns the part of a cell's slots that this box may grant. The owner of a cell may grant all of them (1).
+	// part returns the part of a cell's slots that this box may grant.
 	part func(slots.Cell) float64
 
 	// updating is held while refresh updates the endpoints, so that an older list does not replace a newer one. It is
@@ -162,13 +162,13 @@
 	defer c.mu.Unlock()
 	s := c.cells[cell]
 	switch {
-	case c.stopped:
+	case c.stopped, part == 0:
 		return nil, slots.Stopping
 	case s == nil && len(c.cells) >= maxCells:
 		return nil, slots.Stopping
 	case s != nil && math.Abs(s.part-part) > partTolerance*part:
-		s.server.Stop() // Requests that wait are refused with Stopping, and are sent again.
-		s = nil
+		s.server.SetPart(part)
+		s.part = part
 	}
 	if s == nil {
 		s = &slotCell{server: slots.NewServer(slots.Options{Part: part}), part: part}
--- a/internal/relay/loads_test.go
+++ b/internal/relay/loads_test.go
@@ -28,6 +28,7 @@
 func (fakePeers) AcquireSlot(context.Context, slots.Cell, slots.Request) (slots.Decision, string, bool) {
 	return slots.Decision{}, "", false
 }
+func (fakePeers) SlotOwnerPart(slots.Cell) float64                     { return 1 }
 func (fakePeers) ReleaseSlot(string, slots.Cell, string, slots.Result) {}
 func (fakePeers) AskRoom(context.Context, string, overlay.Room) (bool, string) {
 	return true, ""
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,6 +78,8 @@
 	// empty if no owner answered; then this box decides by its own part of the slots. busy means that the owner said
 	// that boxes should go on asking.
 	AcquireSlot(ctx context.Context, cell slots.Cell, r slots.Request) (d slots.Decision, owner string, busy bool)
+	// SlotOwnerPart returns the part of a cell's slots that this box may grant as owner; 0 if it must not act as owner.
+	SlotOwnerPart(cell slots.Cell) float64
 	// ReleaseSlot ends a grant of an owner. It does not wait for the owner.
 	ReleaseSlot(owner string, cell slots.Cell, id string, res slots.Result)
 	// SetInterest selects the engines that this box needs messages about. nil selects all engines.
@@ -150,7 +152,7 @@
 	}
 	r.contentions.enabled = o.SharedSlots
 	r.slotIDs = o.Box + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"
-	r.ownedCells = &slotCells{r: r, part: func(slots.Cell) float64 { return 1 }, cells: map[slots.Cell]*slotCell{}}
+	r.ownedCells = &slotCells{r: r, part: r.ownerPart, cells: map[slots.Cell]*slotCell{}}
 	r.partCells = &slotCells{r: r, part: r.slotPart, cells: map[slots.Cell]*slotCell{}}
 	r.notices = notice.NewTable(o.Box, r.boxes)
 	r.plain.notices = r.notices
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -51,18 +51,29 @@
 // place identifies the endpoints that may serve the request.
 func (x *exchange) place() serviceRegion { return serviceRegion{x.service.Name, x.region} }
 
-// part returns this box's part of the slots and connections in a region: one divided by the number of boxes.
-func (r *Relay) part(region string) float64 {
+// part returns this box's part of the slots and connections in a region: one divided by the number of boxes. known is
+// false if the number is not known, because there is no list of boxes yet.
+func (r *Relay) part(region string) (part float64, known bool) {
 	boxes, _ := r.boxes(region)
-	return 1 / float64(max(1, len(boxes)))
+	return 1 / float64(max(1, len(boxes))), len(boxes) > 0
 }
 
-// slotPart returns this box's part of the slots of a cell.
+// slotPart returns this box's part of the slots of a cell. While the list of boxes may lack others, a list with only
+// this box does not count.
 func (r *Relay) slotPart(c slots.Cell) float64 {
-	if boxes, _ := r.boxes(c.Region); len(boxes) == 0 {
+	part, known := r.part(c.Region)
+	if !known || part == 1 && r.ownerPart(c) == 0 {
 		return unknownPart
 	}
-	return r.part(c.Region)
+	return part
+}
+
+// ownerPart returns the part of a cell's slots that this box may grant as their owner; 0 if it must not act as owner.
+func (r *Relay) ownerPart(c slots.Cell) float64 {
+	if r.o.Peers == nil {
+		return 1
+	}
+	return r.o.Peers.SlotOwnerPart(c)
 }
 
 // unknownPart is the part of a box that does not know how many boxes there are. It gives one call per endpoint. With the
@@ -74,7 +85,8 @@
 	if s.MaxConnections == 0 {
 		return 0
 	}
-	return max(minConnections, int(float64(s.MaxConnections)*usableConnections*r.part(region)))
+	part, _ := r.part(region)
+	return max(minConnections, int(float64(s.MaxConnections)*usableConnections*part))
 }
 
 // newSlotID returns an ID for a request for a slot. It differs from the IDs of other boxes, and from those before a
@@ -126,7 +138,7 @@
 		switch d.Reason {
 		case slots.NoEndpoint:
 			cell.Index = (cell.Index + 1) % n
-		case slots.Stopping: // This box's own part was renewed.
+		case slots.Stopping: // This box stops, or grants slots of too many cells.
 		default:
 			delay := d.RetryAfter
 			if delay <= 0 {
--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -78,9 +78,6 @@
 
 // NewDispatcher returns a Dispatcher without endpoints.
 func NewDispatcher(o Options) *Dispatcher {
-	if !(o.Part > 0 && o.Part < 1) {
-		o.Part = 1
-	}
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
@@ -88,12 +85,29 @@
 		o.HallLatency = func(string, string) time.Duration { return otherHallLatency }
 	}
 	return &Dispatcher{
-		part: o.Part, rand: o.Rand, hallLatency: o.HallLatency,
+		part: validPart(o.Part), rand: o.Rand, hallLatency: o.HallLatency,
 		endpoints: map[string]*endpoint{}, waiting: map[string]*waiter{}, grants: map[string]*grant{}, counts: map[string]*AccountCounts{},
 		refused: refusals{byID: map[string]Decision{}}, arrivals: arrivalRate{window: arrivalWindow}, burst: arrivalRate{window: burstWindow},
 	}
 }
 
+func validPart(part float64) float64 {
+	if !(part > 0 && part < 1) {
+		return 1
+	}
+	return part
+}
+
+// SetPart changes Options.Part. Grants that are in use go on and count as before.
+func (d *Dispatcher) SetPart(now time.Time, part float64) {
+	d.advance(now)
+	d.current, d.part = false, validPart(part)
+	for _, e := range d.endpoints {
+		e.setPart(d.part)
+	}
+	d.advance(now)
+}
+
 // SetEndpoints replaces the list of endpoints. Endpoints that are also in the new list keep their limits and
 // statistics. Grants of endpoints that are no longer in the list go on.
 func (d *Dispatcher) SetEndpoints(now time.Time, list []Endpoint) {
--- a/internal/slots/endpoint.go
+++ b/internal/slots/endpoint.go
@@ -88,10 +88,15 @@
 		x.Slots = defaultSlots
 	}
 	e.Endpoint, e.listed = x, true
+	e.setPart(part)
+}
+
+// setPart sets the part of the slots that the Dispatcher grants. Grants beyond it go on.
+func (e *endpoint) setPart(part float64) {
 	if part < 1 {
-		e.maxLimit = max(1, int(float64(x.Slots)*part))
+		e.maxLimit = max(1, int(float64(e.Slots)*part))
 	} else {
-		e.maxLimit = x.Slots + max(1, x.Slots/slotsPerSpare)
+		e.maxLimit = e.Slots + max(1, e.Slots/slotsPerSpare)
 	}
 	e.limit = min(e.limit, e.maxLimit)
 }
--- a/internal/slots/server.go
+++ b/internal/slots/server.go
@@ -107,6 +107,15 @@
 	s.flush(now)
 }
 
+// SetPart changes Options.Part.
+func (s *Server) SetPart(part float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	s.d.SetPart(now, part)
+	s.flush(now)
+}
+
 // Stop refuses all requests that wait, and all later ones, with Stopping. Grants can still be released.
 func (s *Server) Stop() {
 	s.mu.Lock()
