--- a/internal/overlay/slots.go
+++ b/internal/overlay/slots.go
@@ -339,10 +339,10 @@
 	// Once the request is decided, the end of ctx must not end the stream: the owner would take it as withdrawn.
 	streamCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	keep := context.AfterFunc(ctx, func() { cancel(ctx.Err()) })
-	timer := time.AfterFunc(slotFirstTimeout, func() { cancel(errOwnerSilent) })
+	timer := newSilenceTimer(slotFirstTimeout, func() { cancel(errOwnerSilent) })
+	defer timer.stop()
 	fail := func(err error) (slots.Decision, *v1.AcquireSlotResponse, error) {
 		keep()
-		timer.Stop()
 		if cause := context.Cause(streamCtx); cause != nil {
 			err = cause
 		}
@@ -364,20 +364,20 @@
 			return fail(errInvalidDecision)
 		}
 		if d.State == slots.Queued {
-			timer.Reset(slotQueuedTimeout)
+			timer.reset(slotQueuedTimeout)
 			continue
 		}
 		answer := stream.Msg()
-		if !keep() || !timer.Stop() {
+		if !keep() || !timer.stop() {
 			_ = stream.Close()
 			// The stream is cancelled while the answer comes, and the owner may notice. The cause may not be set yet.
 			return fail(cmp.Or(ctx.Err(), errOwnerSilent))
 		}
 		go func() { // Reads the end of the stream, so that the connection can be used again.
-			timer.Reset(callTimeout)
+			end := time.AfterFunc(callTimeout, func() { cancel(nil) })
 			stream.Receive()
 			_ = stream.Close()
-			timer.Stop()
+			end.Stop()
 			cancel(nil)
 		}()
 		return d, answer, nil
--- a/internal/overlay/slots_owners.go
+++ b/internal/overlay/slots_owners.go
@@ -13,9 +13,13 @@
 // avoids that several boxes act as owners of the same cell.
 
 const (
-	// slotRetryInterval is how long an owner that did not answer in time is not asked again. With 2 s, a single late
-	// answer made the asking box use another owner for 2 s, and the endpoints got the calls of both.
-	slotRetryInterval = 250 * time.Millisecond
+	// An owner that did not answer in time is asked again after firstSlotRetryInterval. The interval doubles up to
+	// slotRetryInterval. With 2 s, a single late answer made the asking box use another owner for 2 s, and the endpoints
+	// got the calls of both. With 250 ms from the start, they got the calls of the owner and of the own part for as long.
+	firstSlotRetryInterval = 50 * time.Millisecond
+	slotRetryInterval      = 250 * time.Millisecond
+	// slotStallSlack is by how much a time-out must be late for the time to count as one in which this box stood still.
+	slotStallSlack = 10 * time.Millisecond
 	// slotLostTimeout is how long an owner must not have answered before the next box in rendezvous order is asked.
 	// Until then the asking box uses its own part.
 	slotLostTimeout = 500 * time.Millisecond
@@ -47,6 +51,7 @@
 	// silentSince is when the box first did not answer in time; zero if it has answered since. retryAt is the time from
 	// which it is asked again.
 	silentSince, retryAt time.Time
+	retryInterval        time.Duration
 	// answeredAt is when the box answered last.
 	answeredAt time.Time
 }
@@ -60,7 +65,7 @@
 	skipOwner             // The next box is asked.
 )
 
-// choose says whether a box is asked now. With claim, only one caller per slotRetryInterval is told to ask a box that
+// choose says whether a box is asked now. With claim, only one caller per retry interval is told to ask a box that
 // did not answer, so that only one request waits for it.
 func (s *slotOwnerStates) choose(m Member, now time.Time, claim bool) slotChoice {
 	s.mu.Lock()
@@ -75,7 +80,7 @@
 		return askOwner
 	case !now.Before(st.retryAt):
 		if claim {
-			st.retryAt = now.Add(slotRetryInterval)
+			st.delayRetry(now)
 			s.byName[m.Name] = st
 		}
 		return askOwner
@@ -113,12 +118,75 @@
 			return
 		}
 		if st.silentSince.IsZero() {
-			st.silentSince = now
+			st.silentSince, st.retryInterval = now, firstSlotRetryInterval/2
+			st.delayRetry(now)
 		}
-		st.retryAt = now.Add(slotRetryInterval)
 	})
 }
 
+// delayRetry sets the time from which the box is asked again.
+func (st *slotOwnerState) delayRetry(now time.Time) {
+	st.retryInterval = min(2*st.retryInterval, slotRetryInterval)
+	st.retryAt = now.Add(st.retryInterval)
+}
+
+// silenceTimer calls a function when an owner was silent for a time. Time in which this box itself stood still does not
+// count: a box that is short of processor time would take its owner for gone.
+type silenceTimer struct {
+	fire func()
+
+	mu       sync.Mutex
+	timer    *time.Timer
+	timeout  time.Duration
+	due      time.Time
+	extended bool // The timer was set once more because this box stood still.
+	ended    bool
+}
+
+func newSilenceTimer(timeout time.Duration, fire func()) *silenceTimer {
+	t := &silenceTimer{fire: fire, timeout: timeout, due: time.Now().Add(timeout)}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(timeout, t.onTimer)
+	return t
+}
+
+func (t *silenceTimer) onTimer() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	late := time.Since(t.due)
+	switch {
+	case t.ended || late < 0: // The timer was stopped or reset meanwhile.
+		return
+	case late > slotStallSlack && !t.extended:
+		t.extended, t.due = true, time.Now().Add(t.timeout)
+		t.timer.Reset(t.timeout)
+		return
+	}
+	t.ended = true
+	t.fire()
+}
+
+// reset starts the time again, unless it is over.
+func (t *silenceTimer) reset(timeout time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.ended {
+		t.timeout, t.due, t.extended = timeout, time.Now().Add(timeout), false
+		t.timer.Reset(timeout)
+	}
+}
+
+// stop ends the timer. It returns false if the time was over before.
+func (t *silenceTimer) stop() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	running := !t.ended
+	t.ended = true
+	t.timer.Stop()
+	return running
+}
+
 // alive records that a silent box grants slots to others: it is asked again before the next box is.
 func (s *slotOwnerStates) alive(m Member, now time.Time) {
 	s.update(m, func(st *slotOwnerState) {
