--- a/internal/overlay/slots.go
+++ b/internal/overlay/slots.go
@@ -30,7 +30,7 @@
 
 const (
 	// slotFirstTimeout bounds the time until an owner's first answer. A call between halls takes 4 ms, and that includes
-	// connecting. A box that is short of processor time answers some tens of milliseconds late.
+	// connecting. A box that is short of processor time answers some tens of milliseconds late; see silenceTimer.
 	slotFirstTimeout = 40 * time.Millisecond
 	// An owner repeats its answer to a queued request every slotQueuedInterval. A box that hears nothing for
 	// slotQueuedTimeout takes the owner for gone. The expected wait is no bound: requests that can still be on time go
@@ -339,7 +339,7 @@
 	// Once the request is decided, the end of ctx must not end the stream: the owner would take it as withdrawn.
 	streamCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	keep := context.AfterFunc(ctx, func() { cancel(ctx.Err()) })
-	timer := newSilenceTimer(slotFirstTimeout, func() { cancel(errOwnerSilent) })
+	timer := newSilenceTimer(slotFirstTimeout, func(since time.Time) bool { return n.slots.owners.answeredSince(m, since) }, func() { cancel(errOwnerSilent) })
 	defer timer.stop()
 	fail := func(err error) (slots.Decision, *v1.AcquireSlotResponse, error) {
 		keep()
--- a/internal/overlay/slots_message_test.go
+++ b/internal/overlay/slots_message_test.go
@@ -155,6 +155,11 @@
 		"long time":           func(m *v1.AcquireSlotRequest) { m.LeftUs = math.MaxInt64 },
 		"many excluded":       func(m *v1.AcquireSlotRequest) { m.Exclude = make([]string, maxExcluded+1) },
 		"empty excluded":      func(m *v1.AcquireSlotRequest) { m.Exclude = []string{""} },
+		"long last owner":     func(m *v1.AcquireSlotRequest) { m.LastOwner = long },
+		"negative last age":   func(m *v1.AcquireSlotRequest) { m.LastOwner, m.LastAgeUs = "d", -1 },
+		"long last age":       func(m *v1.AcquireSlotRequest) { m.LastOwner, m.LastAgeUs = "d", slotGrantMemory.Microseconds()+1 },
+		"negative last start": func(m *v1.AcquireSlotRequest) { m.LastOwner, m.LastIncarnation = "d", -1 },
+		"no last owner":       func(m *v1.AcquireSlotRequest) { m.LastIncarnation = 1 },
 	} {
 		m := valid()
 		change(m)
@@ -246,6 +251,9 @@
 		{State: v1.SlotState_SLOT_STATE_REFUSED, Reason: 9},
 		{State: v1.SlotState_SLOT_STATE_QUEUED, WaitUs: math.MaxInt64},
 		{State: v1.SlotState_SLOT_STATE_QUEUED, Limit: -1},
+		{State: v1.SlotState_SLOT_STATE_GRANTED, Endpoint: "e", Incarnation: -1},
+		{State: v1.SlotState_SLOT_STATE_GRANTED, Endpoint: "e", Owner: strings.Repeat("x", maxNameBytes+1)},
+		{State: v1.SlotState_SLOT_STATE_REFUSED, Reason: 4, YieldsTo: strings.Repeat("x", maxNameBytes+1)},
 	} {
 		if _, ok := decodeDecision(m); ok {
 			t.Errorf("expected the answer %v to be rejected", m)
--- a/internal/overlay/slots_owners.go
+++ b/internal/overlay/slots_owners.go
@@ -131,20 +131,26 @@
 }
 
 // silenceTimer calls a function when an owner was silent for a time. Time in which this box itself stood still does not
-// count: a box that is short of processor time would take its owner for gone.
+// count: a box that is short of processor time would take its owner for gone. While the owner answers other requests,
+// the time is extended up to slotQueuedTimeout: with one late answer in a hundred, calls by the own part were added to
+// those of an owner that used all slots.
 type silenceTimer struct {
-	fire func()
+	// answered reports whether the owner has answered another request since a time.
+	answered func(since time.Time) bool
+	fire     func()
 
 	mu       sync.Mutex
 	timer    *time.Timer
 	timeout  time.Duration
 	due      time.Time
+	began    time.Time
 	extended bool // The timer was set once more because this box stood still.
 	ended    bool
 }
 
-func newSilenceTimer(timeout time.Duration, fire func()) *silenceTimer {
-	t := &silenceTimer{fire: fire, timeout: timeout, due: time.Now().Add(timeout)}
+func newSilenceTimer(timeout time.Duration, answered func(since time.Time) bool, fire func()) *silenceTimer {
+	now := time.Now()
+	t := &silenceTimer{answered: answered, fire: fire, timeout: timeout, began: now, due: now.Add(timeout)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(timeout, t.onTimer)
@@ -154,17 +160,19 @@
 func (t *silenceTimer) onTimer() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	late := time.Since(t.due)
+	now := time.Now()
+	late := now.Sub(t.due)
+	stalled := late > slotStallSlack && !t.extended
 	switch {
 	case t.ended || late < 0: // The timer was stopped or reset meanwhile.
-		return
-	case late > slotStallSlack && !t.extended:
-		t.extended, t.due = true, time.Now().Add(t.timeout)
+	case stalled, now.Sub(t.began) < slotQueuedTimeout && t.answered(t.due.Add(-t.timeout)):
+		t.extended = t.extended || stalled
+		t.due = now.Add(t.timeout)
 		t.timer.Reset(t.timeout)
-		return
+	default:
+		t.ended = true
+		t.fire()
 	}
-	t.ended = true
-	t.fire()
 }
 
 // reset starts the time again, unless it is over.
@@ -172,7 +180,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.ended {
-		t.timeout, t.due, t.extended = timeout, time.Now().Add(timeout), false
+		t.timeout, t.began, t.extended = timeout, time.Now(), false
+		t.due = t.began.Add(timeout)
 		t.timer.Reset(timeout)
 	}
 }
@@ -187,6 +196,14 @@
 	return running
 }
 
+// answeredSince reports whether a box has answered a request since a time.
+func (s *slotOwnerStates) answeredSince(m Member, since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.byName[m.Name]
+	return st.incarnation == m.Incarnation && st.answeredAt.After(since)
+}
+
 // alive records that a silent box grants slots to others: it is asked again before the next box is.
 func (s *slotOwnerStates) alive(m Member, now time.Time) {
 	s.update(m, func(st *slotOwnerState) {
--- a/internal/relay/contention_test.go
+++ b/internal/relay/contention_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"strings"
@@ -160,3 +161,55 @@
 	r.SetConfig(&Config{Services: map[string]*Service{}})
 	expect("")
 }
+
+// unheardPeers stands for the node of a box that has not heard the list of boxes since its start.
+type unheardPeers struct{ boxesPeers }
+
+func (unheardPeers) SlotOwnerPart(slots.Cell) float64 { return 0 }
+
+// Guards against a box that uses all slots because its list has only itself, and against grants of a box that must not act
+// as owner.
+func TestPartOfSlotsWithoutAHeardList(t *testing.T) {
+	cell := slots.Cell{Service: "s-0", Region: "r"}
+	for boxes, want := range map[int]float64{0: unknownPart, 1: unknownPart, 20: 0.05} {
+		r := cellRelay(1)
+		r.o.Peers = unheardPeers{boxesPeers{n: boxes}}
+		if got := r.slotPart(cell); got != want {
+			t.Errorf("%d boxes: expected a part of %g, got %g", boxes, want, got)
+		}
+		r.SetEndpoints([]Endpoint{{ID: "e", Service: "s-0", Hall: "h", Slots: 6}})
+		if d := acquireNow(r, cell, "1"); d.State != slots.Refused || d.Reason != slots.Stopping {
+			t.Errorf("%d boxes: expected the box not to act as owner, got %+v", boxes, d)
+		}
+	}
+}
+
+// partPeers stands for the node of a box whose part as owner changes.
+type partPeers struct {
+	fakePeers
+	part float64
+}
+
+func (p *partPeers) SlotOwnerPart(slots.Cell) float64 { return p.part }
+
+// Guards against an owner that grants more than its limit because it forgets its grants when its part changes.
+func TestGrantsCountWhenPartChanges(t *testing.T) {
+	peers := &partPeers{part: 1}
+	r := cellRelay(1)
+	r.o.Peers = peers
+	cell := slots.Cell{Service: "s-0", Region: "r"}
+	r.SetEndpoints([]Endpoint{{ID: "e", Service: "s-0", Hall: "h", Slots: 6}})
+	granted := 0
+	for i := range 6 {
+		peers.part = []float64{1, 0.5}[i%2]
+		if d := acquireNow(r, cell, fmt.Sprint(i)); d.State == slots.Granted {
+			granted++
+		}
+		if e := r.OwnedCells()[0].Endpoints[0]; e.InUse+e.Overdue != granted || e.InUse > 3 {
+			t.Errorf("expected %d grants to count and at most half of 6 slots in use, got %d and %d overdue", granted, e.InUse, e.Overdue)
+		}
+	}
+	if granted == 0 {
+		t.Error("expected a grant")
+	}
+}
--- a/internal/slots/bounds_test.go
+++ b/internal/slots/bounds_test.go
@@ -73,3 +73,34 @@
 		t.Errorf("expected the only request of a small account behind few others, got %d ahead", n)
 	}
 }
+
+// Guards against an owner that loses the count of its grants when its part of the slots changes.
+func TestPartChangesKeepGrants(t *testing.T) {
+	d := newTestDispatcher(Endpoint{ID: "e", Slots: 6, Usable: true})
+	now := warm(d, 60)
+	grant := func(prefix string) (n int) {
+		for i := range 20 {
+			if d.Acquire(now, request(fmt.Sprint(prefix, i))).State == Granted {
+				n++
+			}
+		}
+		return n
+	}
+	if n := grant("whole"); n != 7 {
+		t.Fatalf("expected 6 slots and a spare one, got %d", n)
+	}
+	d.SetPart(now, 0.5)
+	if used := d.endpoints["e"].inUse; used != 7 {
+		t.Errorf("expected the grants to go on, got %d", used)
+	}
+	for i := range 7 {
+		d.Release(now, fmt.Sprint("whole", i), Result{Answered, simService})
+	}
+	if used := d.endpoints["e"].inUse; used > 3 || used == 0 {
+		t.Errorf("expected at most half of the slots in use, got %d", used)
+	}
+	d.SetPart(now, 1)
+	if e := d.endpoints["e"]; e.maxLimit != 7 || e.limit > 3 {
+		t.Errorf("expected the limit to rise from half with each answer, got %d of %d", e.limit, e.maxLimit)
+	}
+}
