--- a/internal/decide/rerun_test.go
+++ b/internal/decide/rerun_test.go
@@ -13,6 +13,7 @@
 	*fixture
 	results []RerunEnded
 	aborts  []Abort
+	timings []Timing
 	engine  string // The engine that lost the answer.
 }
 
@@ -63,6 +64,8 @@
 			s.results = append(s.results, a)
 		case Abort:
 			s.aborts = append(s.aborts, a)
+		case RequestTiming:
+			s.timings = append(s.timings, a.Timing)
 		}
 	}
 }
@@ -217,6 +220,21 @@
 	s.expectRerun(true)
 }
 
+// The tokens of a resumed stream were generated in several runs. Past fault: all of them were divided by the time of the last
+// run, so that engines seemed faster than they are.
+func TestResumedStreamGivesNoStepTime(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		s := newRerunFixture(t, begun, func(*Request) {})
+		s.lose()
+		s.step(FirstToken{ID: 1, Attempt: s.decodes[1].Attempt, Tokens: 10})
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.step(Done{ID: 1, Attempt: s.decodes[1].Attempt, Output: 1000})
+		if len(s.timings) != 1 || (s.timings[0].Step == 0) != begun {
+			t.Errorf("begun %t: expected one timing, with a step time only if all tokens are of one run, got %+v", begun, s.timings)
+		}
+	}
+}
+
 // throttledNotices throttles one engine, and has asked for a pause on another.
 type throttledNotices struct{ engine, paused string }
 
