--- a/internal/follow/pacechange_test.go
+++ b/internal/follow/pacechange_test.go
@@ -64,3 +64,23 @@
 	expectPaceChange(t, 5*time.Second, 500*time.Millisecond, 0)
 }
 func TestFollowedDuringCall(t *testing.T) { expectPaceChange(t, 0, 500*time.Millisecond, 1) }
+
+// Guards against a list that a box that has just started hears again only after the long wait of a store without changes.
+func TestFirstWaitConfirmsSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		src := &longPollStore{}
+		table := New(src, Options{Wait: 8 * time.Second, FollowedWait: 8 * time.Second, FirstWait: 500 * time.Millisecond, SettleDelay: 450 * time.Millisecond, Pause: time.Second, CallTimeout: time.Second}, func(map[string][]byte) {})
+		ctx, cancel := context.WithCancel(context.Background())
+		go table.Run(ctx)
+		time.Sleep(2500 * time.Millisecond)
+		if age := table.Fresh.Age(); age > 1500*time.Millisecond {
+			t.Errorf("expected the store to confirm the table later than 1 s after the start, got an age of %s", age)
+		}
+		time.Sleep(10 * time.Second)
+		if n := src.calls.Load(); n > 6 {
+			t.Errorf("expected long waits after the start, got %d calls", n)
+		}
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
