--- a/internal/relay/cells.go
+++ b/internal/relay/cells.go
@@ -89,6 +89,30 @@
 	return e, e.open() && !f.isCold(now, &e.Endpoint)
 }
 
+// ownerGrants counts the calls of this box with slots that owners of cells granted. They count against this box's own
+// part: without that, a box whose owner was late sent as many calls again as it had in progress.
+type ownerGrants struct {
+	mu         sync.Mutex
+	byEndpoint map[string]int
+}
+
+func (g *ownerGrants) add(endpoint string, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.byEndpoint == nil {
+		g.byEndpoint = map[string]int{}
+	}
+	if g.byEndpoint[endpoint] += n; g.byEndpoint[endpoint] == 0 {
+		delete(g.byEndpoint, endpoint)
+	}
+}
+
+func (g *ownerGrants) count(endpoint string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.byEndpoint[endpoint]
+}
+
 // isOpen reports whether an endpoint is listed and may get new requests.
 func (f *fleet) isOpen(id string) bool {
 	f.mu.Lock()
@@ -106,6 +130,8 @@
 	r *Relay
 	// part returns the part of a cell's slots that this box may grant.
 	part func(slots.Cell) float64
+	// outside is Options.Outside of the servers of the cells.
+	outside func(endpoint string) int
 
 	// updating is held while refresh updates the endpoints, so that an older list does not replace a newer one. It is
 	// locked before mu.
@@ -171,7 +197,7 @@
 		s.part = part
 	}
 	if s == nil {
-		s = &slotCell{server: slots.NewServer(slots.Options{Part: part}), part: part}
+		s = &slotCell{server: slots.NewServer(slots.Options{Part: part, Outside: c.outside}), part: part}
 		s.server.SetEndpoints(c.r.fleet.cellEndpoints(now, map[slots.Cell]bool{cell: true})[cell])
 		c.cells[cell] = s
 	}
--- a/internal/relay/contention_test.go
+++ b/internal/relay/contention_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -213,3 +214,49 @@
 		t.Error("expected a grant")
 	}
 }
+
+// ownerOf stands for the node of a box that another box grants slots of an endpoint until it is silent.
+type ownerOf struct {
+	fakePeers
+	silent bool
+}
+
+func (p *ownerOf) AcquireSlot(context.Context, slots.Cell, slots.Request) (slots.Decision, string, bool) {
+	if p.silent {
+		return slots.Decision{}, "", false
+	}
+	return slots.Decision{State: slots.Granted, Endpoint: "e"}, "b", false
+}
+func (*ownerOf) Boxes(string) ([]string, int64) { return []string{"a", "b"}, 1 }
+
+// Guards against a box that has as many calls again at an endpoint when its owner is late.
+func TestOwnPartCountsOwnersGrants(t *testing.T) {
+	peers := &ownerOf{}
+	r := cellRelay(1)
+	r.o.Peers = peers
+	cell := slots.Cell{Service: "s-0", Region: "r"}
+	r.SetEndpoints([]Endpoint{{ID: "e", Service: "s-0", Hall: "h", Slots: 6}})
+	id := 0
+	request := func() slots.Request {
+		id++
+		return slots.Request{ID: fmt.Sprint(id), Box: "a", OnTime: 20 * time.Millisecond, Left: 20 * time.Millisecond}
+	}
+	var ends []func(slots.Result)
+	for range 3 {
+		_, _, _, end := r.requestSlot(context.Background(), cell, request)
+		ends = append(ends, end)
+	}
+	peers.silent = true
+	if d, _, _, _ := r.requestSlot(context.Background(), cell, request); d.State == slots.Granted {
+		t.Errorf("expected no slot beside three calls of a part of three, got %+v", d)
+	}
+	for _, end := range ends {
+		end(slots.Result{Outcome: slots.Unused})
+	}
+	if d, owner, _, _ := r.requestSlot(context.Background(), cell, request); d.State != slots.Granted || owner != "" {
+		t.Errorf("expected a slot of this box's part, got %+v of %q", d, owner)
+	}
+	if len(r.ownerGrants.byEndpoint) != 0 {
+		t.Errorf("expected no calls with slots of an owner, got %v", r.ownerGrants.byEndpoint)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -102,6 +102,7 @@
 	// ownedCells grants the slots of the cells that this box owns. partCells grants this box its own part of the slots of
 	// a cell whose owner does not answer.
 	ownedCells, partCells *slotCells
+	ownerGrants           ownerGrants
 	// slotIDs is the prefix of the IDs of this box's requests for slots, and lastSlotID the number in the latest ID.
 	slotIDs    string
 	lastSlotID atomic.Uint64
@@ -153,7 +154,7 @@
 	r.contentions.enabled = o.SharedSlots
 	r.slotIDs = o.Box + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"
 	r.ownedCells = &slotCells{r: r, part: r.ownerPart, cells: map[slots.Cell]*slotCell{}}
-	r.partCells = &slotCells{r: r, part: r.slotPart, cells: map[slots.Cell]*slotCell{}}
+	r.partCells = &slotCells{r: r, part: r.slotPart, outside: r.ownerGrants.count, cells: map[slots.Cell]*slotCell{}}
 	r.notices = notice.NewTable(o.Box, r.boxes)
 	r.plain.notices = r.notices
 	r.fleet.hasAnnouncedLeaving = r.notices.Leaving
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -242,6 +242,15 @@
 	if owner == "" {
 		return slots.Decision{State: slots.Refused, Reason: slots.TooLate}, "", nil
 	}
+	if d.State == slots.Granted {
+		r.ownerGrants.add(d.Endpoint, 1)
+		release := end
+		end = func(res slots.Result) {
+			r.ownerGrants.add(d.Endpoint, -1)
+			release(res)
+			r.partCells.Release(cell, "", slots.Result{}) // A request may wait for this box's own part.
+		}
+	}
 	if busy {
 		r.signContention(serviceRegion{cell.Service, cell.Region}, true)
 	}
--- a/internal/slots/bounds_test.go
+++ b/internal/slots/bounds_test.go
@@ -104,3 +104,19 @@
 		t.Errorf("expected the limit to rise from half with each answer, got %d of %d", e.limit, e.maxLimit)
 	}
 }
+
+// Guards against a box's own part that comes on top of the calls that the box already has at an endpoint.
+func TestCallsOutsideCountAgainstLimit(t *testing.T) {
+	outside := 2
+	d := NewDispatcher(Options{Part: 0.5, Outside: func(string) int { return outside }})
+	d.SetEndpoints(epoch, []Endpoint{{ID: "e", Slots: 12, Usable: true}})
+	grant := func(id string) State { return d.Acquire(epoch, request(id)).State }
+	if grant("1") != Granted || grant("2") == Granted {
+		t.Error("expected one slot beside the two calls outside, of a limit that begins at 3")
+	}
+	outside = 0
+	d.Release(epoch, "", Result{})
+	if got := grant("2"); got != Granted {
+		t.Errorf("expected the request that waits to get the slot once the calls outside have ended, got %v", got)
+	}
+}
--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -31,6 +31,9 @@
 	// Part is the part of the slots that the Dispatcher may grant. 0 stands for 1, the part of an owner. With a smaller
 	// part, an endpoint gets at most Slots times Part calls at once, and at least one.
 	Part float64
+	// Outside returns how many calls are at an endpoint that count against its limit and were not granted by this
+	// Dispatcher. It must not block. Nil stands for 0. Release must be called when the result has fallen.
+	Outside func(endpoint string) int
 	// Clock returns the present time for a Server. Nil stands for internal/clock.Now.
 	Clock func() time.Time
 	// Rand spreads the times of retries. Nil stands for a source with a random seed.
@@ -43,6 +46,7 @@
 // times given to them must not decrease.
 type Dispatcher struct {
 	part        float64
+	outside     func(endpoint string) int
 	rand        *rand.Rand
 	hallLatency func(from, to string) time.Duration
 	stopped     bool
@@ -81,11 +85,14 @@
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	if o.Outside == nil {
+		o.Outside = func(string) int { return 0 }
+	}
 	if o.HallLatency == nil {
 		o.HallLatency = func(string, string) time.Duration { return otherHallLatency }
 	}
 	return &Dispatcher{
-		part: validPart(o.Part), rand: o.Rand, hallLatency: o.HallLatency,
+		part: validPart(o.Part), outside: o.Outside, rand: o.Rand, hallLatency: o.HallLatency,
 		endpoints: map[string]*endpoint{}, waiting: map[string]*waiter{}, grants: map[string]*grant{}, counts: map[string]*AccountCounts{},
 		refused: refusals{byID: map[string]Decision{}}, arrivals: arrivalRate{window: arrivalWindow}, burst: arrivalRate{window: burstWindow},
 	}
@@ -250,6 +257,9 @@
 	return g.decision
 }
 
+// free reports whether an endpoint has a free slot.
+func (d *Dispatcher) free(e *endpoint) bool { return e.inUse+d.outside(e.ID) < e.limit }
+
 func (d *Dispatcher) extra(r *Request, e *endpoint) time.Duration {
 	if r.Hall == e.Hall || r.Hall == "" || e.Hall == "" {
 		return 0
@@ -283,7 +293,7 @@
 		}
 		out := e.isSetAside(now)
 		others = others || !out
-		if !e.free() {
+		if !d.free(e) {
 			continue
 		}
 		cost := e.cost(now, lowest, d.extra(r, e))
--- a/internal/slots/endpoint.go
+++ b/internal/slots/endpoint.go
@@ -106,8 +106,6 @@
 
 func (e *endpoint) usable() bool { return e.listed && e.Usable }
 
-func (e *endpoint) free() bool { return e.inUse < e.limit }
-
 func (e *endpoint) isSetAside(now time.Time) bool { return now.Before(e.setAsideUntil) }
 
 func (e *endpoint) allows(r *Request) bool { return e.usable() && !slices.Contains(r.Exclude, e.ID) }
--- a/internal/slots/step.go
+++ b/internal/slots/step.go
@@ -152,7 +152,7 @@
 // hasFree reports whether any endpoint has a free slot.
 func (d *Dispatcher) hasFree() bool {
 	for _, e := range d.list {
-		if e.usable() && e.free() {
+		if e.usable() && d.free(e) {
 			return true
 		}
 	}
