--- a/internal/overlay/slots_owners.go
+++ b/internal/overlay/slots_owners.go
@@ -336,12 +336,9 @@
 	return heard
 }
 
-// knowsOthers reports whether this box knows of other boxes than those in its list: one follows it, or its
-// configuration names one while the store does not answer.
+// knowsOthers reports whether this box knows of other boxes than those in its list: its configuration names one while
+// the store does not answer. While the store answers, its list is right, and the configuration may be out of date.
 func (n *Node) knowsOthers() bool {
-	if n.Followers() > 0 {
-		return true
-	}
 	for _, address := range n.o.Seeds {
 		if address != n.o.Self.Address {
 			return n.storeLost()
