Wait longer for the answer to a migration whose caller has left

Cause: an engine stops a run, copies its memory, and answers with a handle only then. When the caller left meanwhile, the box waited for that answer only as long as an engine keeps a handle. If the copy took longer, the handle was never freed.

Change: the box waits for migrateAnswerTimeout (2 s) after the request has ended, or for the time that an engine keeps a handle if that is longer.

Measured: TestSlowMigrationOfGoneCallerIsFreed failed 3 of 3 times before ("memory was not freed: w1: 0 reservations, 1 handles, 0 runs") and passes. Tests of platform and internal/relay pass with -race (without TestBoxesAtConnectionCap).

--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -86,7 +86,8 @@
 	maxPauseRetries = 2
 	// migrateAnswerTimeout is how long the box waits for the answer to a migration request after the run has ended.
 	// Then a resumable stream is prefilled again at another engine. Callers abandon a stream that pauses for some
-	// seconds.
+	// seconds. It is also how long the box waits after the request has ended, in order to free the memory: with only the
+	// time for which an engine keeps a handle, copies that took longer were left to the engine's expiry.
 	migrateAnswerTimeout = 2 * time.Second
 )
 
@@ -103,10 +104,10 @@
 
 // callMigrate sends a migration request, and reports the engine's answer. An engine stops the run before it copies the
 // memory. A late answer therefore does not mean that the run continues, and only the answer has the handle of the
-// memory. callMigrate waits for the answer until the caller's deadline. It waits longer by the time for which the
-// engine stores the memory.
+// memory. callMigrate waits for the answer until the caller's deadline, and for migrateAnswerTimeout or the time for
+// which the engine stores the memory longer, also if the caller has left.
 func (f *flight) callMigrate(a decide.Migrate) {
-	gracePeriod := f.x.service.Engines.HandleTTL
+	gracePeriod := max(f.x.service.Engines.HandleTTL, migrateAnswerTimeout)
 	limit := f.x.timeLeft() + gracePeriod
 	ctx, cancel := withGracePeriod(f.ctx, gracePeriod)
 	defer cancel()
