Order waiting streams of all boxes for the memory of an engine

Cause: the owner of an engine gave freed memory to whichever request came first. In bursts it denied 459 of 519 placements in a second, and neither rank nor account counted. Each box knew only how many streams wait elsewhere.

Change: requests for room carry rank, account, weight, load and deadline. The owner remembers denied requests for 150 ms and leaves freed memory to one that goes first, for at most 20 ms. It also leaves it to higher ranks that wait on other boxes, if they need over 150 ms to start. Boxes publish waiting and running streams of up to 8 accounts while streams wait anywhere. The fair order, the chance to start in time and the status use the sums of all boxes. Boxes of the older release send none of it and are served as before. AskRoom and Grant now say whether a denied request had to yield.

--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -145,7 +145,7 @@
 		// the operators' keys, and the members contain the key of the boxes.
 		KeylessTables: []string{tableConfig, tableEndpoints, tableCrashes},
 		Seeds:         cfg.Seeds,
-		Room:          func(r overlay.Room) bool { return b.Relay.HasRoom(r) },
+		Room:          func(r overlay.Room) overlay.RoomAnswer { return b.Relay.HasRoom(r) },
 		Limits:        b.quotaPool,
 		Slots:         relaySlots{b},
 		OnMessage:     func(msg overlay.Message) { b.Relay.Receive(msg) },
--- a/internal/decide/arrive.go
+++ b/internal/decide/arrive.go
@@ -113,11 +113,10 @@
 // the time until all waiting requests and those of callers that were told to retry have started, at the rate of starts of
 // all boxes in the last second.
 //
-// Example: 20 requests wait on all boxes, 10 callers of this box were told to retry, and 15 requests started in the last
+// Example: 20 requests wait on all boxes, 10 callers of all boxes were told to retry, and 15 requests started in the last
 // second. The caller is told a delay of 1.5 to 2.5 s.
 func (c *Core) retryAfter() time.Duration {
-	c.told.prune(c.now)
-	ahead := float64(c.Waiting() + c.remote.waiting + len(c.told.due))
+	ahead := float64(c.Waiting() + c.remote.waiting + c.Told(c.now) + c.remote.told)
 	// The lower bound is raised before the delay is spread, so that the shortest delays are spread too.
 	mean := max(minRetryAfter.Seconds()/(1-retrySpread), min(ahead/c.remote.rate(c.now), maxRetryAfter.Seconds()))
 	delay := seconds(mean * (1 + retrySpread*(2*c.rng.Float64()-1)))
@@ -125,6 +124,12 @@
 	return delay
 }
 
+// Told is how many callers this box told to retry, without those that should have retried more than forgetRetryAfter ago.
+func (c *Core) Told(now time.Time) int {
+	c.told.prune(now)
+	return len(c.told.due)
+}
+
 // toldCallers are the callers that this box told to retry.
 type toldCallers struct{ due []time.Time } // When the callers will retry, earliest first.
 
@@ -284,7 +289,8 @@
 			c.endTooLate(f, "more urgent requests that wait take longer than its target allows")
 			continue
 		}
-		if c.remote.startChance(c.now, len(p.queue.items), f.latestStart.Sub(c.now)) < minStartChance {
+		localBehind, remoteBehind := f.waitingBehind()
+		if c.remote.startChance(c.now, len(p.queue.items)-localBehind, c.remote.waiting-remoteBehind, f.latestStart.Sub(c.now)) < minStartChance {
 			c.endTooLate(f, "too many wait on all boxes for it to start in time")
 		}
 	}
--- a/internal/decide/attempt.go
+++ b/internal/decide/attempt.go
@@ -99,6 +99,7 @@
 	f.reservedKV = f.kvNeed()
 	c.noteSent(e)
 	e.denial.probe(c.now, f)
+	e.denied.granted(0)
 	e.reserveDecode(c.now, f.ID, reservation{f.reservedKV, f.PromptTokens, f.kvNeedAtStart() - f.PromptTokens, f.expectedOutput()}, f.streamWeight())
 	e.health.noteRequest(c.now)
 }
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -365,7 +365,7 @@
 			c.drainQueue(p)
 		}
 	case RemoteQueue:
-		c.remote.waiting = ev.Waiting
+		c.handleRemoteQueue(ev)
 	case SetEstimates:
 		c.handleSetEstimates(ev.Estimates)
 	case RemoteTiming:
--- a/internal/decide/denial.go
+++ b/internal/decide/denial.go
@@ -15,6 +15,10 @@
 	leastKV  int           // The least free memory of the engine in the report at the time of the denial and in later ones.
 	probed   bool          // Whether a request has been placed on the engine since the pause.
 	reported bool          // Whether leastKV is known.
+	// yielded is the request that the owner of the engine last denied in favour of one that goes first. Until yieldUntil,
+	// only requests that go before it are placed on the engine.
+	yielded    Precedence
+	yieldUntil time.Time
 }
 
 const (
@@ -39,9 +43,26 @@
 	*d = denial{kv: need, atStart: atStart, at: now, until: now.Add(d.pause), pause: d.pause, leastKV: e.report.FreeKV, reported: e.hasReport}
 }
 
+// addYield records that the owner of the engine leaves the room to a request that goes before f. Requests of this box that
+// go before f can still be placed. After maxKeptFree, the owner keeps no memory free.
+func (d *denial) addYield(now time.Time, f *flight) {
+	o := f.precedence()
+	if !now.Before(d.yieldUntil) || o.before(&d.yielded) {
+		d.yielded = o
+	}
+	d.yieldUntil = now.Add(maxKeptFree)
+}
+
 // holds reports whether f must not be placed on the engine.
 func (d *denial) holds(now time.Time, f *flight) bool {
-	return now.Before(d.until) && f.kvNeed() >= d.kv
+	if now.Before(d.until) && f.kvNeed() >= d.kv {
+		return true
+	}
+	if !now.Before(d.yieldUntil) {
+		return false
+	}
+	o := f.precedence()
+	return !o.before(&d.yielded)
 }
 
 // recent reports whether the engine denied room lately and has not had room since.
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -62,7 +62,11 @@
 	if f == nil || f.stage != prefilling && !selfPrefilling || ev.Attempt != f.attempt {
 		return
 	}
-	f.decode.denial.add(c.now, f, f.decode)
+	if ev.Yielded {
+		f.decode.denial.addYield(c.now, f)
+	} else {
+		f.decode.denial.add(c.now, f, f.decode)
+	}
 	f.tries--
 	f.prefillAttempt, f.decodeAttempt = 0, 0
 	c.abortCalls(f)
--- a/internal/decide/fair.go
+++ b/internal/decide/fair.go
@@ -40,8 +40,94 @@
 	}
 }
 
-// load is the number of starting and running requests of the request's account, divided by the account's weight.
-func (f *flight) load() float64 { return float64(f.pool.active[f.Client]) / f.weight() }
+// activeEverywhere is the number of starting and running requests of an account on all boxes, as far as the others
+// report it.
+func (p *pool) activeEverywhere(client string) int { return p.active[client] + p.remoteActive[client] }
+
+// load is the number of starting and running requests of the request's account on all boxes, divided by the account's
+// weight.
+func (f *flight) load() float64 { return float64(f.pool.activeEverywhere(f.Client)) / f.weight() }
+
+// handleRemoteQueue replaces what the other boxes report of their requests.
+func (c *Core) handleRemoteQueue(ev RemoteQueue) {
+	c.remote.waiting, c.remote.told = ev.Waiting, ev.Told
+	for _, p := range c.pools {
+		p.remoteActive, p.remoteQueues = nil, nil
+	}
+	for _, a := range ev.Accounts {
+		p := c.pools[a.Pool]
+		if p == nil {
+			continue
+		}
+		if a.Running > 0 {
+			if p.remoteActive == nil {
+				p.remoteActive = map[string]int{}
+			}
+			p.remoteActive[a.Client] += a.Running
+		}
+		if a.Waiting > 0 {
+			p.remoteQueues = append(p.remoteQueues, a)
+		}
+	}
+}
+
+// AccountQueues lists the client accounts of this box that the other boxes need to know of: those that wait on this box,
+// and those that run here and wait elsewhere. There are at most n, those with the most requests. They are sorted by pool.
+func (c *Core) AccountQueues(n int) []AccountQueue {
+	var out []AccountQueue
+	for _, name := range c.poolNames {
+		p := c.pools[name]
+		listed := map[string]bool{}
+		add := func(client string, rank, waiting int, weight float64) {
+			a := AccountQueue{Pool: name, Client: client, Rank: rank, Weight: weight, Waiting: waiting}
+			if !listed[client] {
+				a.Running = p.active[client]
+			}
+			listed[client] = true
+			if a.Waiting+a.Running > 0 {
+				out = append(out, a)
+			}
+		}
+		for _, a := range p.queue.accounts {
+			add(a.client, a.rank, a.n, a.first.weight())
+		}
+		for _, a := range p.remoteQueues {
+			if !listed[a.Client] {
+				add(a.Client, a.Rank, 0, a.Weight)
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b AccountQueue) int { return cmp.Compare(b.Waiting+b.Running, a.Waiting+a.Running) })
+	out = out[:min(len(out), n)]
+	slices.SortStableFunc(out, func(a, b AccountQueue) int {
+		return cmp.Or(strings.Compare(a.Pool, b.Pool), strings.Compare(a.Client, b.Client), cmp.Compare(a.Rank, b.Rank))
+	})
+	return out
+}
+
+// goesBefore reports whether f goes before the waiting requests of an account, because of their rank or the load of the
+// account on all boxes.
+func (f *flight) goesBefore(rank int, client string, weight float64) bool {
+	own := Precedence{Rank: f.Rank, Account: f.Client, Weight: f.Weight, Streams: f.pool.activeEverywhere(f.Client)}
+	other := Precedence{Rank: rank, Account: client, Weight: weight, Streams: f.pool.activeEverywhere(client)}
+	return own.before(&other)
+}
+
+// waitingBehind is the number of requests on this box and on the others that f goes before. Requests of accounts that the
+// other boxes don't report are not counted.
+func (f *flight) waitingBehind() (local, remote int) {
+	for _, a := range f.pool.queue.accounts {
+		if f.goesBefore(a.rank, a.client, a.first.Weight) {
+			local += a.n
+		}
+	}
+	for _, a := range f.pool.remoteQueues {
+		if f.goesBefore(a.Rank, a.Client, a.Weight) {
+			remote += a.Waiting
+		}
+	}
+	return local, remote
+}
 
 // waitingAccount is a client account with waiting requests of one rank.
 type waitingAccount struct {
--- a/internal/decide/fair_test.go
+++ b/internal/decide/fair_test.go
@@ -286,4 +286,52 @@
 	if !slices.Equal(got, want) {
 		t.Errorf("expected %q, got %q", want, got)
 	}
+	d.c.Step(d.now, RemoteQueue{Waiting: 7, Accounts: []AccountQueue{{Pool: "p", Client: "large", Waiting: 7, Running: 30}}})
+	want[0] += ", 7 and 30 on the others"
+	if got := d.c.AccountNotes(); !slices.Equal(got, want) {
+		t.Errorf("expected %q, got %q", want, got)
+	}
+}
+
+// The fair order counts the streams of an account on all boxes. Past fault: an account with many streams on other boxes
+// went first on a box where it had none.
+func TestFairOrderCountsOtherBoxes(t *testing.T) {
+	p := &pool{Pool: Pool{Name: "p"}, scarceRole: Decode}
+	p.throughput.setEngines(Decode, 1)
+	c := New(rand.New(rand.NewPCG(1, 1)), 10)
+	c.now, c.pools["p"], c.poolNames = start, p, []string{"p"}
+	first := &flight{Request: Request{ID: 1, Client: "large"}, pool: p, latestStart: start.Add(time.Minute), order: start}
+	second := &flight{Request: Request{ID: 2, Client: "small"}, pool: p, latestStart: start.Add(time.Minute), order: start.Add(time.Second)}
+	p.queue.add(first)
+	p.queue.add(second)
+	if got := c.nextToPlace(p, p.queue.items); got != 0 {
+		t.Errorf("expected the order of deadlines without streams elsewhere, got %d", got)
+	}
+	c.Step(start, RemoteQueue{Accounts: []AccountQueue{{Pool: "p", Client: "large", Running: 9}, {Pool: "unknown", Client: "large", Running: 9}}})
+	if got := c.nextToPlace(p, p.queue.items); got != 1 {
+		t.Errorf("expected the account without streams to go first, got %d", got)
+	}
+	c.Step(start, RemoteQueue{})
+	if got := c.nextToPlace(p, p.queue.items); got != 0 {
+		t.Errorf("expected the order of deadlines once the reports have expired, got %d", got)
+	}
+}
+
+// Guards against messages that leave out an account that runs here and waits elsewhere, or the accounts with most streams.
+func TestAccountQueues(t *testing.T) {
+	p := &pool{Pool: Pool{Name: "p"}, active: map[string]int{"a": 3, "b": 2, "c": 1}}
+	c := New(rand.New(rand.NewPCG(1, 1)), 10)
+	c.pools["p"], c.poolNames = p, []string{"p"}
+	p.queue.add(&flight{Request: Request{ID: 1, Client: "a"}, pool: p})
+	p.queue.add(&flight{Request: Request{ID: 2, Client: "a", Rank: 1, Weight: 2}, pool: p})
+	c.Step(start, RemoteQueue{Accounts: []AccountQueue{{Pool: "p", Client: "b", Rank: 1, Waiting: 4}, {Pool: "p", Client: "d", Waiting: 1}}})
+	want := []AccountQueue{
+		{Pool: "p", Client: "a", Weight: 1, Waiting: 1, Running: 3}, {Pool: "p", Client: "a", Rank: 1, Weight: 2, Waiting: 1}, {Pool: "p", Client: "b", Rank: 1, Running: 2},
+	}
+	if got := c.AccountQueues(8); !slices.Equal(got, want) {
+		t.Errorf("expected %+v, got %+v", want, got)
+	}
+	if got := c.AccountQueues(1); !slices.Equal(got, want[:1]) {
+		t.Errorf("expected %+v, got %+v", want[:1], got)
+	}
 }
--- a/internal/decide/grant.go
+++ b/internal/decide/grant.go
@@ -10,23 +10,38 @@
 // a request. The owner knows immediately what it granted. Without owners, boxes would learn of each other's
 // placements some hundred milliseconds later. In a burst, several boxes would then use the same free memory.
 //
+// If the engine has no room, the owner remembers the request for deniedMemory. A request that goes after a remembered one is
+// denied the room that the remembered one needs (see mustYield); yields is then set. A request without precedence neither
+// yields nor is remembered.
+//
 // A grant guarantees nothing, since only the engine itself can reserve its memory. If this box does not know
 // the engine, it grants the request, since the asking box knows more about the engine.
-func (c *Core) Grant(now time.Time, engine string, r Request) bool {
+func (c *Core) Grant(now time.Time, engine string, r Request, o Precedence) (granted, yields bool) {
 	e := c.engines[engine]
 	if e == nil {
-		return true
+		return true, false
 	}
 	p := c.pools[e.Pool]
+	e.denied.askedAt = now
 	f := &flight{Request: r, pool: p, mayBeLate: r.ServeLate}
 	if !e.hasRoom(p, f, now) || e.denial.holds(now, f) {
-		return false
+		e.denied.add(now, f, o)
+		return false, false
+	}
+	if o.Stream != 0 && c.mustYield(e, f, &o, now) {
+		e.denied.add(now, f, o)
+		return false, true
 	}
+	e.denied.granted(o.Stream)
 	if !e.hasReport || now.After(e.report.At) {
-		// Without an OutputReserve, the longest answer must fit when decoding begins, even if a shorter one is
-		// expected.
-		kv := max(f.PromptTokens+f.expectedOutput(), f.kvNeedAtStart())
-		e.addPlacement(placement{at: now, streams: 1, reservation: reservation{kv, f.PromptTokens, f.kvNeedAtStart() - f.PromptTokens, f.expectedOutput()}})
+		e.addPlacement(placement{at: now, streams: 1, reservation: f.expectedReservation()})
 	}
-	return true
+	return true, false
+}
+
+// expectedReservation is the memory that the request is expected to use. Without an OutputReserve, the longest answer must
+// fit when decoding begins, even if a shorter one is expected.
+func (f *flight) expectedReservation() reservation {
+	kv := max(f.PromptTokens+f.expectedOutput(), f.kvNeedAtStart())
+	return reservation{kv, f.PromptTokens, f.kvNeedAtStart() - f.PromptTokens, f.expectedOutput()}
 }
--- a/internal/decide/grant_test.go
+++ b/internal/decide/grant_test.go
@@ -28,7 +28,7 @@
 // countGrants lets boxes ask for engine w at the same time, each for one stream, and counts the grants.
 func countGrants(c *Core, now time.Time, boxes int) (n int) {
 	for range boxes {
-		if c.Grant(now, "w", streamRequest(5000)) {
+		if granted, _ := c.Grant(now, "w", streamRequest(5000), Precedence{}); granted {
 			n++
 		}
 	}
@@ -64,7 +64,7 @@
 // A box grants a request for an engine that it does not know.
 func TestGrantForUnknownEngine(t *testing.T) {
 	now := time.Now()
-	if !newGrantCore(now).Grant(now, "elsewhere", streamRequest(5000)) {
+	if granted, _ := newGrantCore(now).Grant(now, "elsewhere", streamRequest(5000), Precedence{}); !granted {
 		t.Error("expected a grant for an unknown engine")
 	}
 }
@@ -74,7 +74,7 @@
 	now := time.Now()
 	c := newGrantCore(now)
 	c.engines["w"].denial = denial{kv: 6000, until: now.Add(minDenialPause)}
-	if c.Grant(now, "w", streamRequest(5000)) {
+	if granted, _ := c.Grant(now, "w", streamRequest(5000), Precedence{}); granted {
 		t.Error("expected no grant while the engine refuses reservations")
 	}
 }
--- a/internal/decide/ledger.go
+++ b/internal/decide/ledger.go
@@ -36,6 +36,8 @@
 	health        health
 
 	denial denial
+	// denied are the requests that this box denied as the owner of the engine.
+	denied deniedRequests
 
 	// lastUsed is when this box last sent a request to the engine.
 	lastUsed time.Time
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -69,7 +69,11 @@
 	queue   waitQueue
 	// active is the number of starting and running requests of this box, by client account. Accounts without such
 	// requests are not listed.
-	active          map[string]int
+	active map[string]int
+	// remoteActive is the number of starting and running requests on the other boxes, by client account, as far as these
+	// boxes report it. remoteQueues are the accounts with requests that wait on them.
+	remoteActive    map[string]int
+	remoteQueues    []AccountQueue
 	throughput      throughput
 	predictionError predictionError
 	urgency         urgency
@@ -482,6 +486,13 @@
 			excluded.NoRoom++
 			continue
 		}
+		// Requests of the owner of an engine yield as those of other boxes do.
+		if f.stage == waiting && e.denied.owned(now) {
+			if o := f.precedence(); c.mustYield(e, f, &o, now) {
+				excluded.NoRoom++
+				continue
+			}
+		}
 		dec := decodeOption{e: e, step: e.stepTime(), cost: e.penalty(f, now)}
 		if p.ForecastsMemory && e.lacksForecast(now) {
 			dec.cost += noForecastCost
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -197,6 +197,7 @@
 // remoteLoad is what this box knows of the waiting and starting requests of all boxes.
 type remoteLoad struct {
 	waiting int // Requests that wait on the other boxes.
+	told    int // Callers that the other boxes told to retry.
 	// starts are the times at which requests of all boxes were started in about the last startsWindow.
 	starts []time.Time
 }
@@ -244,14 +245,14 @@
 }
 
 // startChance is the probability that a waiting request of this box starts within the given time. It assumes that all
-// waiting requests of all boxes are equally likely to be the next to start. localWaiting is the number of requests
-// that wait on this box. If no request is known to wait on other boxes, the result is 1.
+// waiting requests of all boxes are equally likely to be the next to start. local and remote are the numbers of requests
+// that wait on this box and on the others, without those that the request goes before. If remote is 0, the result is 1.
 //
 // Example: 20 requests wait on all boxes, and 30 started in the last second. A waiting request then starts
 // within 0.5 s with a probability of 1 - exp(-30 * 0.5 / 20) = 0.53.
-func (o *remoteLoad) startChance(now time.Time, localWaiting int, within time.Duration) float64 {
-	if o.waiting == 0 {
+func (o *remoteLoad) startChance(now time.Time, local, remote int, within time.Duration) float64 {
+	if remote <= 0 {
 		return 1
 	}
-	return 1 - math.Exp(-o.rate(now)*within.Seconds()/float64(o.waiting+localWaiting))
+	return 1 - math.Exp(-o.rate(now)*within.Seconds()/float64(remote+local))
 }
--- a/internal/decide/remote_test.go
+++ b/internal/decide/remote_test.go
@@ -17,7 +17,7 @@
 			o.addStart(now, now)
 		}
 		o.waiting = 1
-		if got := o.startChance(now, 0, 50*time.Millisecond); got < 0.98 {
+		if got := o.startChance(now, 0, o.waiting, 50*time.Millisecond); got < 0.98 {
 			t.Errorf("after %s: expected a chance of 0.99, got %.3f", idle, got)
 		}
 	}
@@ -29,7 +29,7 @@
 	for i := range 100 {
 		o.addStart(start, start.Add(time.Duration(i)*10*time.Millisecond))
 	}
-	if got := o.startChance(start.Add(30*time.Second), 0, 50*time.Millisecond); got > 0.05 {
+	if got := o.startChance(start.Add(30*time.Second), 0, o.waiting, 50*time.Millisecond); got > 0.05 {
 		t.Errorf("expected a chance of 0.05 at one start per second, got %.3f", got)
 	}
 }
@@ -45,7 +45,7 @@
 		}
 		n := 0
 		for range 50 {
-			if c.Grant(now, "w", Request{PromptTokens: 1000, MaxTokens: 20000, ExpectedTokens: 100, ServeLate: true}) {
+			if granted, _ := c.Grant(now, "w", Request{PromptTokens: 1000, MaxTokens: 20000, ExpectedTokens: 100, ServeLate: true}, Precedence{}); granted {
 				n++
 			}
 		}
--- a/internal/decide/snapshot.go
+++ b/internal/decide/snapshot.go
@@ -97,7 +97,8 @@
 const maxAccountNotes = 10
 
 // AccountNotes returns a sentence for each client account whose streams wait on this box, those with most waiting first.
-// Streams in a pool without an account are named as such. While no stream waits, there are no sentences.
+// Streams in a pool without an account are named as such. If other boxes reported streams of the account, the sentence has
+// their numbers too. While no stream waits, there are no sentences.
 func (c *Core) AccountNotes() (out []string) {
 	for _, name := range c.poolNames {
 		p := c.pools[name]
@@ -113,7 +114,17 @@
 			if client == "" {
 				who = "callers without an account have"
 			}
-			out = append(out, fmt.Sprintf("pool %s: %s %d streams waiting and %d starting or running on this box", name, who, waiting[client], p.active[client]))
+			note := fmt.Sprintf("pool %s: %s %d streams waiting and %d starting or running on this box", name, who, waiting[client], p.active[client])
+			remote := 0
+			for _, a := range p.remoteQueues {
+				if a.Client == client {
+					remote += a.Waiting
+				}
+			}
+			if remote+p.remoteActive[client] > 0 {
+				note += fmt.Sprintf(", %d and %d on the others", remote, p.remoteActive[client])
+			}
+			out = append(out, note)
 		}
 	}
 	return out
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -246,6 +246,8 @@
 type ReservationRefused struct {
 	ID      ID
 	Attempt Attempt // The number of the StartPrefill, or of the StartDecode if there was none.
+	// Yielded reports that the owner of the engine had room, but leaves it to a request that goes first.
+	Yielded bool
 }
 
 // LoadReport is the load that an engine reports.
@@ -289,7 +291,25 @@
 
 // RemoteQueue reports how many requests wait on the other boxes, as a sum over these boxes. All of these
 // requests wait for an engine.
-type RemoteQueue struct{ Waiting int }
+type RemoteQueue struct {
+	Waiting int
+	// Told is how many callers the other boxes told to retry, and which have not been due for long.
+	Told int
+	// Accounts are the client accounts that the other boxes report. Accounts that wait nowhere may be missing.
+	Accounts []AccountQueue
+}
+
+// AccountQueue counts the requests of a client account and rank in a pool.
+type AccountQueue struct {
+	Pool   string
+	Client string
+	Rank   int
+	// Weight is the share of the account relative to other accounts; 0 stands for 1.
+	Weight  float64
+	Waiting int
+	// Running are the starting and running requests. An account that waits with several ranks has them in one entry only.
+	Running int
+}
 
 // RemotePrefillRefused reports that an engine refused a prompt of another box.
 type RemotePrefillRefused struct{ Engine string }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -300,6 +300,14 @@
 	return d.core.Waiting()
 }
 
+// Queues returns what the other boxes need to know of this box's queues: the number of requests that wait for an engine,
+// the number of callers that were told to retry, and at most n client accounts.
+func (d *Dispatcher) Queues(n int) (waiting, told int, accounts []decide.AccountQueue) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Waiting(), d.core.Told(clock.Now()), d.core.AccountQueues(n)
+}
+
 // RecommendRoleChange returns engines that should change their role (prefill or decode). The bool is false if no engine
 // should.
 func (d *Dispatcher) RecommendRoleChange() (decide.RoleChange, bool) {
@@ -310,11 +318,19 @@
 
 // Grant answers another box that wants to send a request to a decode engine. Each engine has one box as its owner. The
 // owner adds up the requests of all boxes to the engine. So all boxes together do not send more than fits on the
-// engine. If the engine has free capacity, Grant counts the request on that engine and returns true.
-func (d *Dispatcher) Grant(engine string, r decide.Request) bool {
+// engine. If the engine has free capacity, Grant counts the request on that engine and returns true. yields means that
+// there is capacity, but that a request with a higher precedence needs it.
+func (d *Dispatcher) Grant(engine string, r decide.Request, o decide.Precedence) (granted, yields bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Grant(clock.Now(), engine, r, o)
+}
+
+// Precedence returns the precedence of a request that is being placed. ok is false if the request has ended.
+func (d *Dispatcher) Precedence(id decide.ID) (o decide.Precedence, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.core.Grant(clock.Now(), engine, r)
+	return d.core.Precedence(id)
 }
 
 // EstimateStreamTime predicts how long the decode engines of a pool need to generate a number of tokens for one
--- a/internal/overlay/fact.go
+++ b/internal/overlay/fact.go
@@ -4,6 +4,8 @@
 	"time"
 	"unicode/utf8"
 
+	"google.golang.org/protobuf/proto"
+
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 )
 
@@ -73,7 +75,80 @@
 type ServiceContended struct{ Service, Region string }
 
 // StreamsWaiting reports how many streams wait for engines on a box.
-type StreamsWaiting struct{ Streams int }
+type StreamsWaiting struct {
+	Streams int
+	// Told is how many callers the box told to retry. HasTold is false in messages from a box of an older release, which
+	// does not report it.
+	Told    int
+	HasTold bool
+	// Accounts are client accounts with streams that wait on some box, sorted by pool. There are at most
+	// MaxAccountStreams. Accounts that make the message longer than maxStreamMessageBytes are not sent.
+	Accounts []AccountStreams
+}
+
+// AccountStreams counts the streams of a client account and rank in a pool of engines on a box.
+type AccountStreams struct {
+	Pool    string
+	Account string // Empty for callers without an account.
+	Rank    int
+	Weight  float64 // The share of the account relative to other accounts; 0 stands for 1.
+	Waiting int
+	Running int // Streams that start or run. Of the entries of an account, one has them.
+}
+
+// MaxAccountStreams bounds the accounts in a StreamsWaiting message.
+const MaxAccountStreams = 8
+
+func (w *StreamsWaiting) encode() *v1.StreamsWaiting {
+	out := &v1.StreamsWaiting{N: int32(w.Streams)}
+	if w.HasTold {
+		out.Told = proto.Int32(int32(min(w.Told, maxWaiting-1)))
+	}
+	pool := ""
+	for _, a := range w.Accounts[:min(len(w.Accounts), MaxAccountStreams)] {
+		m := &v1.AccountStreams{Account: a.Account, Rank: encodeRank(a.Rank), Weight: float32(a.Weight), Waiting: int32(a.Waiting), Running: int32(a.Running)}
+		if a.Weight == 1 {
+			m.Weight = 0
+		}
+		if a.Pool != pool {
+			m.Pool = a.Pool
+		}
+		out.Accounts = append(out.Accounts, m)
+		if proto.Size(out) > maxStreamMessageBytes-messageHeaderBytes {
+			out.Accounts = out.Accounts[:len(out.Accounts)-1]
+			break
+		}
+		pool = a.Pool
+	}
+	return out
+}
+
+func decodeWaiting(m *v1.StreamsWaiting) (*StreamsWaiting, bool) {
+	if !validStreams(m.GetN()) || !validStreams(m.GetTold()) || len(m.GetAccounts()) > MaxAccountStreams {
+		return nil, false
+	}
+	w := &StreamsWaiting{Streams: int(m.GetN()), Told: int(m.GetTold()), HasTold: m != nil && m.Told != nil}
+	pool := ""
+	for _, a := range m.GetAccounts() {
+		if a.Pool != "" {
+			pool = a.Pool
+		}
+		if !validName(pool) || !validText(a.Account) || !validStreams(a.Waiting) || !validStreams(a.Running) || !validRank(a.Rank) || !validWeight(float64(a.Weight)) {
+			return nil, false
+		}
+		w.Accounts = append(w.Accounts, AccountStreams{Pool: pool, Account: a.Account, Rank: int(a.Rank), Weight: float64(a.Weight), Waiting: int(a.Waiting), Running: int(a.Running)})
+	}
+	return w, true
+}
+
+func validStreams(n int32) bool { return n >= 0 && n < maxWaiting }
+
+func encodeRank(n int) int32 { return int32(max(-maxPriority, min(n, maxPriority))) }
+
+func validRank(n int32) bool { return n >= -maxPriority && n <= maxPriority }
+
+// validWeight reports whether the weight of an account is in bounds. NaN fails both comparisons.
+func validWeight(w float64) bool { return w >= 0 && w <= maxAccountWeight }
 
 // Load is the load that an engine reports.
 type Load struct {
@@ -137,7 +212,7 @@
 	case msg.Notice != nil:
 		out.Kind = &v1.Fact_Notice{Notice: &v1.EndpointNotice{Endpoint: msg.Notice.Endpoint, Limit: msg.Notice.Limit, Leaving: msg.Notice.Leaving, Ran: msg.Notice.Completed}}
 	case msg.Waiting != nil:
-		out.Kind = &v1.Fact_Waiting{Waiting: &v1.StreamsWaiting{N: int32(msg.Waiting.Streams)}}
+		out.Kind = &v1.Fact_Waiting{Waiting: msg.Waiting.encode()}
 	case msg.Contended != nil:
 		out.Kind = &v1.Fact_Contended{Contended: &v1.ServiceContended{Service: msg.Contended.Service, Region: msg.Contended.Region}}
 	}
@@ -173,6 +248,12 @@
 	maxStreams = 1 << 20
 	// maxWaiting bounds the number of streams that wait on a box.
 	maxWaiting = 1 << 20
+	// maxAccountWeight bounds the weight of a client account.
+	maxAccountWeight = 1e6
+	// maxStreamMessageBytes bounds the messages about waiting streams and for room. messageHeaderBytes is the part of a gossip
+	// message outside of StreamsWaiting, for a box whose name has at most 64 bytes.
+	maxStreamMessageBytes = 400
+	messageHeaderBytes    = 100
 	// maxRequestRate bounds an endpoint's limit, in requests a second.
 	maxRequestRate = 1e6
 	// maxDurationUs bounds the durations of StreamTiming, in microseconds.
@@ -205,7 +286,7 @@
 		ok = n.GetEndpoint() != "" && n.GetLimit() >= 0 && n.GetLimit() <= maxRequestRate // NaN fails both comparisons.
 		msg.Notice = &Notice{Endpoint: n.GetEndpoint(), Limit: n.GetLimit(), Leaving: n.GetLeaving(), Completed: n.GetRan()}
 	case *v1.Fact_Waiting:
-		msg.Waiting, ok = &StreamsWaiting{int(k.Waiting.GetN())}, k.Waiting.GetN() >= 0 && k.Waiting.GetN() < maxWaiting
+		msg.Waiting, ok = decodeWaiting(k.Waiting)
 	case *v1.Fact_Contended:
 		msg.Contended = &ServiceContended{Service: k.Contended.GetService(), Region: k.Contended.GetRegion()}
 		ok = validName(msg.Contended.Service) && validText(msg.Contended.Region)
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -114,7 +114,7 @@
 	// Seeds are addresses of boxes, as ip:port. Some may be out of date.
 	Seeds []string
 	// Room decides whether an engine that this box owns has enough free memory for a stream. It must not block.
-	Room func(Room) bool
+	Room func(Room) RoomAnswer
 	// Limits holds the shares of account limits that were lent to this box, and grants units from them.
 	Limits *quota.Pool
 	// Slots grants the slots of the cells of endpoints that this box owns. If it is nil, this box owns no cell, and
@@ -176,9 +176,9 @@
 }
 
 type counters struct {
-	published, received, dropped, refused, switches  *metrics.Counter
-	roomGranted, roomDenied, roomUnanswered          *metrics.Counter
-	lent, lendFailed, allowAnswered, allowUnanswered *metrics.Counter
+	published, received, dropped, refused, switches      *metrics.Counter
+	roomGranted, roomDenied, roomYielded, roomUnanswered *metrics.Counter
+	lent, lendFailed, allowAnswered, allowUnanswered     *metrics.Counter
 	// These count the requests for slots to other boxes.
 	slotGranted, slotRefused, slotStopping, slotUnanswered *metrics.Counter
 	// slotReleaseCalls counts calls, and slotReleasesLost releases.
@@ -203,6 +203,7 @@
 		switches:        o.Metrics.NewCounter("stoatramp_overlay_switches_total"),
 		roomGranted:     o.Metrics.NewCounter(`stoatramp_overlay_rooms_total{answer="granted"}`),
 		roomDenied:      o.Metrics.NewCounter(`stoatramp_overlay_rooms_total{answer="denied"}`),
+		roomYielded:     o.Metrics.NewCounter(`stoatramp_overlay_rooms_total{answer="yielded"}`),
 		roomUnanswered:  o.Metrics.NewCounter(`stoatramp_overlay_rooms_total{answer="none"}`),
 		lent:            o.Metrics.NewCounter(`stoatramp_overlay_lends_total{answer="yes"}`),
 		lendFailed:      o.Metrics.NewCounter(`stoatramp_overlay_lends_total{answer="none"}`),
--- a/internal/overlay/owner.go
+++ b/internal/overlay/owner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
@@ -32,6 +33,25 @@
 	MaxTokens      int
 	// OutputReserve is the room that must be free in addition to the prompt before the answer can begin.
 	OutputReserve int
+	// Stream identifies the stream among the streams of all boxes. It is 0 in a request from a box of an older release,
+	// which sends none of the following fields. They say whether the stream goes before others that need the same room.
+	Stream uint64
+	Rank   int // 0 is the highest.
+	// Account is the client account, and Weight its share relative to other accounts; 0 stands for 1. AccountStreams is how
+	// many streams of the account run or start on all boxes, as far as the asking box knows.
+	Account        string
+	Weight         float64
+	AccountStreams int
+	// Order is the time until the deadline by which streams are ordered, and Left the time until the stream must start.
+	// Both are negative once the time has passed.
+	Order, Left time.Duration
+}
+
+// RoomAnswer is the decision about a request for room.
+type RoomAnswer struct {
+	Granted bool
+	// Yields reports that the engine has room, but that the owner leaves it to a stream that goes first.
+	Yields bool
 }
 
 const (
@@ -84,35 +104,35 @@
 }
 
 // AskRoom asks the owner of an engine in a hall whether the engine has room for a stream. By is the name of the box
-// that answered. If this box is the owner or gets no answer, by is empty and granted is true. In that case this box
+// that answered. If this box is the owner or gets no answer, by is empty and the room is granted. In that case this box
 // decides by what it knows, and it found room before the call. An owner that fails to answer is not asked again for
 // ownerRetryDelay.
-func (n *Node) AskRoom(ctx context.Context, hall string, r Room) (granted bool, by string) {
+func (n *Node) AskRoom(ctx context.Context, hall string, r Room) (answer RoomAnswer, by string) {
+	alone := RoomAnswer{Granted: true}
 	owner, ok := n.ownerOf(hall, r.Engine, clock.Now())
 	if !ok || owner.Name == n.o.Self.Name || !n.Connected() {
-		return true, ""
+		return alone, ""
 	}
 	ctx, cancel := context.WithTimeout(ctx, roomTimeout)
 	defer cancel()
-	req := connect.NewRequest(&v1.RoomRequest{
-		Engine: r.Engine, PromptTokens: int32(r.PromptTokens), ExpectedTokens: int32(r.ExpectedTokens), MostTokens: int32(r.MaxTokens),
-		AheadTokens: int32(r.OutputReserve),
-	})
+	req := connect.NewRequest(r.encode())
 	authorize(req.Header(), n.members.sharedKey())
 	resp, err := n.client(owner.Address).Room(ctx, req)
 	switch {
 	case err != nil && errors.Is(ctx.Err(), context.Canceled):
-		return true, "" // The client has left, which says nothing about the owner.
+		return alone, "" // The client has left, which says nothing about the owner.
 	case err != nil:
 		n.count.roomUnanswered.Inc()
 		n.unresponsive.failed(owner.Name, clock.Now())
-		return true, ""
+		return alone, ""
 	case resp.Msg.Granted:
 		n.count.roomGranted.Inc()
+	case resp.Msg.Yields:
+		n.count.roomYielded.Inc()
 	default:
 		n.count.roomDenied.Inc()
 	}
-	return resp.Msg.Granted, owner.Name
+	return RoomAnswer{Granted: resp.Msg.Granted, Yields: resp.Msg.Yields}, owner.Name
 }
 
 // Room serves another box's request for room at an engine that this box owns.
@@ -128,14 +148,40 @@
 	if !s.n.Connected() {
 		return nil, connect.NewError(connect.CodeUnavailable, errors.New("this box does not hear of the others"))
 	}
-	return connect.NewResponse(&v1.RoomResponse{Granted: s.n.o.Room(room)}), nil
+	answer := s.n.o.Room(room)
+	return connect.NewResponse(&v1.RoomResponse{Granted: answer.Granted, Yields: answer.Yields}), nil
+}
+
+// maxRoomTime bounds the times in a request for room.
+const maxRoomTime = time.Hour
+
+// encode encodes the request. If it would be longer than maxStreamMessageBytes, it is sent without precedence.
+func (r *Room) encode() *v1.RoomRequest {
+	m := &v1.RoomRequest{
+		Engine: r.Engine, PromptTokens: int32(r.PromptTokens), ExpectedTokens: int32(r.ExpectedTokens), MostTokens: int32(r.MaxTokens),
+		AheadTokens: int32(r.OutputReserve),
+	}
+	if r.Stream == 0 {
+		return m
+	}
+	millis := func(d time.Duration) int64 { return max(-maxRoomTime, min(d, maxRoomTime)).Milliseconds() }
+	full := proto.CloneOf(m)
+	full.Stream, full.Rank, full.Account, full.Weight = r.Stream, encodeRank(r.Rank), r.Account, r.Weight
+	full.AccountStreams, full.OrderMs, full.LeftMs = int32(min(r.AccountStreams, maxWaiting-1)), millis(r.Order), millis(r.Left)
+	if proto.Size(full) > maxStreamMessageBytes {
+		return m
+	}
+	return full
 }
 
 func decodeRoom(m *v1.RoomRequest) (r Room, ok bool) {
 	ok = m.Engine != "" && validTokens(m.PromptTokens) && validTokens(m.ExpectedTokens) && validTokens(m.MostTokens) && validTokens(m.AheadTokens)
+	inTime := func(ms int64) bool { return ms >= -maxRoomTime.Milliseconds() && ms <= maxRoomTime.Milliseconds() }
+	ok = ok && validRank(m.Rank) && validText(m.Account) && validWeight(m.Weight) && validStreams(m.AccountStreams) && inTime(m.OrderMs) && inTime(m.LeftMs)
 	r = Room{
 		Engine: m.Engine, PromptTokens: int(m.PromptTokens), ExpectedTokens: int(m.ExpectedTokens), MaxTokens: int(m.MostTokens),
-		OutputReserve: int(m.AheadTokens),
+		OutputReserve: int(m.AheadTokens), Stream: m.Stream, Rank: int(m.Rank), Account: m.Account, Weight: m.Weight, AccountStreams: int(m.AccountStreams),
+		Order: time.Duration(m.OrderMs) * time.Millisecond, Left: time.Duration(m.LeftMs) * time.Millisecond,
 	}
 	return r, ok
 }
--- a/internal/overlay/owner_test.go
+++ b/internal/overlay/owner_test.go
@@ -34,7 +34,7 @@
 	s := newStore()
 	all := s.fleet(t)
 	for _, b := range all {
-		b.o.Room = func(r Room) bool { return r.PromptTokens < 100 }
+		b.o.Room = func(r Room) RoomAnswer { return RoomAnswer{Granted: r.PromptTokens < 100} }
 	}
 	ctx := context.Background()
 	owners := map[string]bool{}
@@ -48,12 +48,12 @@
 				t.Fatalf("box %d considers %s the owner of %s, the first one %s", i, got, engine, owner)
 			}
 			for _, prompt := range []int{50, 500} {
-				granted, by := b.AskRoom(ctx, "h2", Room{Engine: engine, PromptTokens: prompt})
+				answer, by := b.AskRoom(ctx, "h2", Room{Engine: engine, PromptTokens: prompt})
 				if n := b.resetUnresponsive(); n > 0 && by != "" {
 					t.Errorf("box %d: expected no owner that answered to be skipped, got %d", i, n)
 				}
-				if want := prompt == 50 || by == ""; granted != want || by != owner && by != "" {
-					t.Errorf("box %d, prompt of %d: expected %t of %s, got %t of %q", i, prompt, want, owner, granted, by)
+				if want := prompt == 50 || by == ""; answer.Granted != want || by != owner && by != "" {
+					t.Errorf("box %d, prompt of %d: expected %t of %s, got %t of %q", i, prompt, want, owner, answer.Granted, by)
 				}
 			}
 		}
@@ -65,8 +65,8 @@
 	for n := range 20 {
 		engine := fmt.Sprint("engine-", n)
 		eventually(t, "the other box of the hall is the owner of "+engine, func() bool {
-			granted, by := all[0].AskRoom(ctx, "h2", Room{Engine: engine, PromptTokens: 50})
-			if !granted {
+			answer, by := all[0].AskRoom(ctx, "h2", Room{Engine: engine, PromptTokens: 50})
+			if !answer.Granted {
 				t.Error("expected a box that gets no answer to decide alone")
 			}
 			return by == "e"
@@ -78,7 +78,7 @@
 func TestRoomStrangers(t *testing.T) {
 	s := newStore()
 	all := s.fleet(t)
-	all[0].o.Room = func(Room) bool { return true }
+	all[0].o.Room = func(Room) RoomAnswer { return RoomAnswer{Granted: true} }
 	client := all[0].client(all[0].srv.Listener.Addr().String())
 	expect := func(key string, prompt int32, want connect.Code) {
 		t.Helper()
--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -103,6 +103,8 @@
 			return fmt.Sprintf("Box %s, the home of %s, said that it has no room; nothing was sent yet, and the request was placed again.", s.Text, s.Decode)
 		}
 		return fmt.Sprintf("%s refused to set memory aside; nothing was sent yet, and it was placed again.", s.Decode)
+	case StepYielded:
+		return fmt.Sprintf("Box %s, the owner of %s, left its room to a request of a higher rank, a less loaded account or an earlier deadline; nothing was sent yet, and the request was placed again.", s.Text, s.Decode)
 	}
 	return string(s.Kind)
 }
--- a/internal/record/explain_test.go
+++ b/internal/record/explain_test.go
@@ -30,4 +30,5 @@
 func TestNoRoomText(t *testing.T) {
 	expectStepSentence(t, Step{Kind: StepNoRoom, Decode: "decode-3"}, "decode-3 refused to set memory aside")
 	expectStepSentence(t, Step{Kind: StepNoRoom, Decode: "decode-3", Text: "box7"}, "Box box7, the home of decode-3, said that it has no room")
+	expectStepSentence(t, Step{Kind: StepYielded, Decode: "decode-3", Text: "box7"}, "Box box7, the owner of decode-3, left its room to a request of a higher rank")
 }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -33,6 +33,8 @@
 	// StepNoRoom means that memory on a decode engine was refused. If Text is empty, the engine refused. Otherwise
 	// Text names the box that refused. That box grants the engine's memory to the other boxes.
 	StepNoRoom StepKind = "no_room"
+	// StepYielded means that the box Text, which grants the memory of the decode engine, left it to a request that goes first.
+	StepYielded StepKind = "yielded"
 	// StepSlot means that a slot of a plain service's endpoints was granted or refused. Slot has the details. Decode is
 	// the endpoint of a granted slot. Text is the reason of a refusal.
 	StepSlot StepKind = "slot"
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -100,9 +100,9 @@
 // reserves none in time. reserveKV then reports noRoom to the loop, unless the attempt has ended.
 func (f *flight) reserveKV(ctx context.Context, a decide.Attempt, engine string) (res reservation, ok bool) {
 	x := f.x
-	granted, owner := x.r.askRoom(ctx, engine, x)
-	if !granted {
-		f.send(flightEvent{attempt: a, noRoom: &noRoom{owner}})
+	answer, owner := f.askRoom(ctx, engine)
+	if !answer.Granted {
+		f.send(flightEvent{attempt: a, noRoom: &noRoom{owner: owner, yields: answer.Yields}})
 		return res, false
 	}
 	timeout := time.AfterFunc(controlCallTimeout, func() {
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"context"
-	"sync"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
@@ -75,7 +73,7 @@
 	case msg.Omitted != nil:
 		r.countRemoteStreams(msg.Omitted.Service, msg.Omitted.Placed)
 	case msg.Waiting != nil:
-		r.remoteWaiting.receive(msg.Box, msg.Waiting.Streams, msg.At)
+		r.remoteQueues.receive(msg.Box, *msg.Waiting, msg.At)
 	case msg.Contended != nil:
 		r.receiveContended(msg.Contended)
 	}
@@ -153,101 +151,6 @@
 	}})
 }
 
-const (
-	// waitingPublishInterval is the interval at which a box checks how many streams wait on it. It publishes the number
-	// if the number has changed. waitingTTL is how long a received number is valid. A number above zero is published
-	// again after half of waitingTTL.
-	waitingPublishInterval = 100 * time.Millisecond
-	waitingTTL             = time.Second
-)
-
-// remoteWaiting counts the streams that wait on other boxes.
-type remoteWaiting struct {
-	mu    sync.Mutex
-	byBox map[string]waitingCount
-}
-
-// waitingCount is the number of streams that wait on a box, at a time.
-type waitingCount struct {
-	n  int
-	at time.Time
-}
-
-// receive records the number of streams that wait on a box.
-func (w *remoteWaiting) receive(box string, n int, at time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.byBox == nil {
-		w.byBox = map[string]waitingCount{}
-	}
-	if n == 0 {
-		delete(w.byBox, box)
-		return
-	}
-	w.byBox[box] = waitingCount{n, at}
-}
-
-// total returns the number of streams that wait on all other boxes.
-func (w *remoteWaiting) total(now time.Time) (n int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for box, on := range w.byBox {
-		if now.Sub(on.at) > waitingTTL {
-			delete(w.byBox, box)
-			continue
-		}
-		n += on.n
-	}
-	return n
-}
-
-// PublishWaiting runs until ctx ends. It publishes the number of streams that wait on this box. It tells the decision
-// core the number of streams that wait on other boxes. It pauses while this box has no requests: no stream waits here
-// then, and there is nothing to decide.
-func (r *Relay) PublishWaiting(ctx context.Context) {
-	busy := r.NotifyBusy()
-	t := time.NewTicker(waitingPublishInterval)
-	defer t.Stop()
-	var s waitingPublisher
-	for {
-		s.step(r, clock.Now())
-		if r.Running() == 0 && s.published == 0 {
-			t.Stop()
-			select {
-			case <-busy:
-				t.Reset(waitingPublishInterval)
-				continue
-			case <-ctx.Done():
-				return
-			}
-		}
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// waitingPublisher has the last numbers of waiting streams that were sent to the other boxes and to the decision core.
-type waitingPublisher struct {
-	published   int // The number of this box, as sent to the other boxes.
-	publishedAt time.Time
-	remote      int // The number of all other boxes, as passed to the decision core.
-}
-
-func (s *waitingPublisher) step(r *Relay, now time.Time) {
-	n := r.disp.Waiting()
-	if n != s.published || n > 0 && now.Sub(s.publishedAt) > waitingTTL/2 {
-		r.publish(overlay.Message{Waiting: &overlay.StreamsWaiting{Streams: n}})
-		s.published, s.publishedAt = n, now
-	}
-	if total := r.remoteWaiting.total(now); total != s.remote {
-		r.disp.Step(decide.RemoteQueue{Waiting: total})
-		s.remote = total
-	}
-}
-
 // UpdatePeers tells the decision core whether this box receives messages from other boxes. It sets this box's part of
 // the retry limits, given the number of boxes and the time at which this box started. It also recomputes the paces of
 // cold endpoints.
--- a/internal/relay/loads_test.go
+++ b/internal/relay/loads_test.go
@@ -29,8 +29,8 @@
 	return slots.Decision{}, "", false
 }
 func (fakePeers) ReleaseSlot(string, slots.Cell, string, slots.Result) {}
-func (fakePeers) AskRoom(context.Context, string, overlay.Room) (bool, string) {
-	return true, ""
+func (fakePeers) AskRoom(context.Context, string, overlay.Room) (overlay.RoomAnswer, string) {
+	return overlay.RoomAnswer{Granted: true}, ""
 }
 
 // expectPollRate checks the polls a second of one box with a number of decode engines, over ten seconds at a thousand
@@ -100,17 +100,17 @@
 	if !f.claimStalePoll("e", clock.Now(), ownerLoadMaxAge) || f.claimStalePoll("e", clock.Now(), ownerLoadMaxAge) {
 		t.Error("expected one poll")
 	}
-	w := remoteWaiting{}
-	w.receive("b", 3, clock.Now())
-	if n := w.total(clock.Now()); n != 3 {
-		t.Errorf("expected three waiting streams, got %d", n)
+	w := remoteQueues{}
+	w.receive("b", overlay.StreamsWaiting{Streams: 3}, clock.Now())
+	if got, _ := w.totals(clock.Now()); got.waiting != 3 {
+		t.Errorf("expected three waiting streams, got %d", got.waiting)
 	}
 	suspended = 5 * time.Second
 	if !f.claimStalePoll("e", clock.Now(), ownerLoadMaxAge) {
 		t.Error("expected a poll after the suspension")
 	}
-	if n := w.total(clock.Now()); n != 0 {
-		t.Errorf("expected no waiting streams after the suspension, got %d", n)
+	if got, _ := w.totals(clock.Now()); got.waiting != 0 {
+		t.Errorf("expected no waiting streams after the suspension, got %d", got.waiting)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -72,8 +72,8 @@
 	Boxes(region string) (names []string, version int64)
 	// AskRoom asks the owner of an engine in a hall whether the engine has room for a stream. Room is free engine
 	// memory. The owner is the box that grants the engine's room. by is the other box that granted or denied the room.
-	// by is empty if this box owns the engine, or if the owner did not answer.
-	AskRoom(ctx context.Context, hall string, r overlay.Room) (granted bool, by string)
+	// by is empty if this box owns the engine, or if the owner did not answer. The room then counts as granted.
+	AskRoom(ctx context.Context, hall string, r overlay.Room) (answer overlay.RoomAnswer, by string)
 	// AcquireSlot asks the owner of a cell for a slot, and waits for the decision. owner is the box that decided. It is
 	// empty if no owner answered; then this box decides by its own part of the slots. busy means that the owner said
 	// that boxes should go on asking.
@@ -117,10 +117,10 @@
 	revoked atomic.Pointer[revoked]
 	fleet   fleet
 	// listed is set once the first list of endpoints was applied.
-	listed        atomic.Bool
-	remoteWaiting remoteWaiting
-	streams       streamRates
-	crashWatch    crashWatch
+	listed       atomic.Bool
+	remoteQueues remoteQueues
+	streams      streamRates
+	crashWatch   crashWatch
 
 	memory memory
 
--- a/internal/relay/room_test.go
+++ b/internal/relay/room_test.go
@@ -25,13 +25,13 @@
 	}, nil)
 	r.disp.Step(decide.LoadReport{Engine: "w", At: now.Add(-time.Second), FreeKV: 20000})
 	room := overlay.Room{Engine: "w", PromptTokens: 5000, ExpectedTokens: 1000, MaxTokens: 1000, OutputReserve: 500}
-	if !r.HasRoom(room) {
+	if !r.HasRoom(room).Granted {
 		t.Fatal("expected an empty engine to have room")
 	}
 	r.Receive(overlay.Message{At: now, Placed: &overlay.StreamPlaced{DecodeEngine: "w", KVTokens: 6000, PromptTokens: 5000, OutputReserve: 500, Owner: placedBy}})
 	second := room
 	second.PromptTokens = 11000
-	if got := r.HasRoom(second); got != want {
+	if got := r.HasRoom(second).Granted; got != want {
 		t.Errorf("placed by %q: expected room %t, got %t", placedBy, want, got)
 	}
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -100,7 +100,11 @@
 
 // noRoom reports that no memory was reserved. owner is the box that denied the memory, as the owner of the engine.
 // owner is empty if the engine itself reserved no memory.
-type noRoom struct{ owner string }
+type noRoom struct {
+	owner string
+	// yields is set if the engine has room, but the owner leaves it to a stream that goes first.
+	yields bool
+}
 
 // headPart is the header of an answer with the first part of its body.
 type headPart struct {
@@ -439,8 +443,12 @@
 		f.publishPlaced(ev.attempt)
 		f.countCall(ev.attempt) // Not counted earlier: until now the request was in no engine's queue.
 	case ev.noRoom != nil:
-		f.x.trace.Step(record.Step{Kind: record.StepNoRoom, Attempt: int(ev.attempt), Decode: f.plannedDecode, Text: ev.noRoom.owner})
-		f.x.r.disp.Step(decide.ReservationRefused{ID: f.id, Attempt: ev.attempt})
+		kind := record.StepNoRoom
+		if ev.noRoom.yields {
+			kind = record.StepYielded
+		}
+		f.x.trace.Step(record.Step{Kind: kind, Attempt: int(ev.attempt), Decode: f.plannedDecode, Text: ev.noRoom.owner})
+		f.x.r.disp.Step(decide.ReservationRefused{ID: f.id, Attempt: ev.attempt, Yielded: ev.noRoom.yields})
 	case ev.prefillResult != nil:
 		f.source = *ev.prefillResult
 		f.x.r.m.PrefillTokens.Add(f.x.meta.PromptTokens)
