--- a/internal/decide/arrive.go
+++ b/internal/decide/arrive.go
@@ -111,11 +111,10 @@
 // the time until all waiting requests and those of callers that were told to retry have started, at the rate of starts of
 // all boxes in the last second.
 //
-// Example: 20 requests wait on all boxes, 10 callers of this box were told to retry, and 15 requests started in the last
+// Example: 20 requests wait on all boxes, 10 callers of all boxes were told to retry, and 15 requests started in the last
 // second. The caller is told a delay of 1.5 to 2.5 s.
 func (c *Core) retryAfter() time.Duration {
-	c.told.Prune(c.now)
-	ahead := float64(c.Waiting() + c.remote.waiting + c.told.Len())
+	ahead := float64(c.Waiting() + c.remote.waiting + c.Told(c.now) + c.remote.told)
 	// The lower bound is raised before the delay is spread, so that the shortest delays are spread too.
 	mean := max(minRetryAfter.Seconds()/(1-retrySpread), min(ahead/c.remote.rate(c.now), maxRetryAfter.Seconds()))
 	delay := seconds(mean * (1 + retrySpread*(2*c.rng.Float64()-1)))
@@ -123,6 +122,12 @@
 	return delay
 }
 
+// Told is how many callers this box told to retry, without those that should have retried some time ago.
+func (c *Core) Told(now time.Time) int {
+	c.told.Prune(now)
+	return c.told.Len()
+}
+
 func (c *Core) admit(f *flight) bool {
 	v := f.Policy.Admit(&f.Request, c.view(f))
 	if v.Text != "" || v.Fault != "" || v.Refuse || v.Wait {
@@ -253,7 +258,8 @@
 			c.endTooLate(f, "more urgent requests that wait take longer than its target allows")
 			continue
 		}
-		if c.remote.startChance(c.now, len(p.queue.items), f.latestStart.Sub(c.now)) < minStartChance {
+		localBehind, remoteBehind := f.waitingBehind()
+		if c.remote.startChance(c.now, len(p.queue.items)-localBehind, c.remote.waiting-remoteBehind, f.latestStart.Sub(c.now)) < minStartChance {
 			c.endTooLate(f, "too many wait on all boxes for it to start in time")
 		}
 	}
--- a/internal/decide/rerun.go
+++ b/internal/decide/rerun.go
@@ -147,7 +147,6 @@
 // back, and the loss of the first call is handled as if there had been no rerun.
 func (c *Core) handleRerunNoRoom(f *flight) {
 	r := f.rerun
-	f.decode.denial.add(c.now, f, f.decode)
 	c.budget.Return(r.takenAt, 1)
 	c.endRerun(f, RerunNoRoom)
 	f.stage, f.expires, f.decodeAttempt = r.stage, r.expires, 0
