--- a/internal/decide/retries_test.go
+++ b/internal/decide/retries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -35,6 +36,8 @@
 	// number of calls.
 	share, slack float64
 	window       time.Duration
+	// lends means that boxes lend each other calls.
+	lends bool
 }
 
 var (
@@ -89,6 +92,9 @@
 			}})
 		}
 		for _, b := range boxes {
+			if p.lends && at%(50*time.Millisecond) == 0 {
+				b.borrow(now, boxes, rng)
+			}
 			b.step(now, Tick{})
 			for range b.extra {
 				extra = append(extra, at)
@@ -147,6 +153,27 @@
 	}
 }
 
+// borrow borrows the calls that the box wants of other boxes, and returns those that it did not make.
+func (b *failingBox) borrow(now time.Time, boxes []*failingBox, rng *rand.Rand) {
+	budget := b.c.RetryBudget()
+	for _, l := range budget.TakeUnused(now) {
+		i, _ := strconv.Atoi(l.Lender)
+		boxes[i].c.RetryBudget().TakeBack(now, l.ID, l.Calls)
+	}
+	wanted := budget.Wanted(now, b.c.HasRepeatable())
+	if wanted == 0 {
+		return
+	}
+	var loans []retry.Loan
+	for range wanted {
+		if i := rng.IntN(len(boxes)); boxes[i] != b {
+			n, id := boxes[i].c.RetryBudget().Lend(now, 1)
+			loans = append(loans, retry.Loan{Lender: strconv.Itoa(i), ID: id, Calls: n})
+		}
+	}
+	budget.Borrow(now, now, loans...)
+}
+
 func (b *failingBox) count(calls map[ID]int, id ID) {
 	if calls[id]++; calls[id] > 1 {
 		b.extra++
@@ -155,9 +182,11 @@
 
 func TestRetriesOfAllBoxes(t *testing.T) {
 	for _, p := range []retryPlatform{smallPlatform, grownPlatform, largePlatform} {
-		for _, how := range []failureMode{rejectsPrefills, losesKVHandles} {
-			expectRetriesWithin(t, p, how, 0)
-			expectRetriesWithin(t, p, how, restartsPerSecond(max(1, p.boxes/10)))
+		for _, p.lends = range []bool{false, true} {
+			for _, how := range []failureMode{rejectsPrefills, losesKVHandles} {
+				expectRetriesWithin(t, p, how, 0)
+				expectRetriesWithin(t, p, how, restartsPerSecond(max(1, p.boxes/10)))
+			}
 		}
 	}
 }
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -17,8 +17,9 @@
 // a box that runs out of calls during a fault borrows some of other boxes. A lent call counts at the lender as made, until
 // the borrower returns it unused. If one of their messages is lost, so is the call, and the sum stays within the bound.
 //
-// Alternative: borrowed calls that are not used could expire without being returned. Then a box uses one in eight of the
-// calls that it borrows, and where answers are lost at all boxes more requests end for lack of a retry than without loans.
+// Alternative: borrowed calls that are not used could expire without being returned. Then a box uses one in five
+// to seven of the calls that it borrows, and where answers are lost at all boxes more requests end for lack of a retry than
+// without loans.
 //
 // The package also has what a box knows of callers who retry: CallerTimes tells them from callers at their first attempt,
 // and ToldCallers counts those who were told to retry and have not done so yet.
