Ask a silent owner for an answer before its share is lent again

A box that could not reach the owner of a group tried again every 2 s: it took its share back from the second candidate and lent it to the owner, which was still frozen, so the share was of no use until that loan had ended. The lender asks a box that did not answer its last call for a return first, which the box grants without having anything, and moves the share only after an answer. A stopping box records that its share is lent, instead of trying again every 100 ms.

--- a/internal/overlay/accounts.go
+++ b/internal/overlay/accounts.go
@@ -277,7 +277,8 @@
 			continue
 		}
 		if n.stopping() && !c.Return {
-			results[i] = quota.Gone // The other boxes soon count one share less. This one would be beyond the limit.
+			// Nobody gets the share: the other boxes soon count one share less, and this one would be beyond the limit.
+			results[i] = quota.Delivered
 			continue
 		}
 		m, _ := n.borrower(c.To)
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -217,8 +217,11 @@
 		}
 		return Lost, Units{}
 	}
-	if other != b && !c.Return && (b.stopping || !other.lists(b.index)) {
-		return Gone, Units{} // In package overlay, a stopping box doesn't lend, and no box accepts an unlisted box's share.
+	if other != b && !c.Return && b.stopping {
+		return Delivered, Units{} // In package overlay, a stopping box only records that it has lent its share.
+	}
+	if other != b && !c.Return && !other.lists(b.index) {
+		return Gone, Units{} // In package overlay, no box accepts an unlisted box's share.
 	}
 	returned := other.pool.Lend(time.Now(), fmt.Sprint(b.index), c.Groups, c.Return, c.Duration)
 	if !c.Return {
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -12,6 +12,8 @@
 type Lender struct {
 	mu   sync.Mutex
 	lent [Groups]loan
+	// silent is the last box that did not answer a call for the group, until it answers one.
+	silent [Groups]string
 }
 
 // loan records which box this box's share of a group is lent to. No other box may get the share before until.
@@ -56,7 +58,8 @@
 
 // Plan returns the calls that are needed to lend the share of each group to the box that want names for the group. If
 // the share is lent to another box, Plan first asks that box to return it. If that box does not answer, the share stays
-// lent to it until the loan expires. Units that came back with a share go with the next loan of the share. They are not
+// lent to it until the loan expires. A box that did not answer the last call for a group must answer a call for return
+// before it gets the share: the share would be lost for the length of a loan if it still does not answer. Units that came back with a share go with the next loan of the share. They are not
 // sent again, even if that call is lost: it may have been carried out.
 func (l *Lender) Plan(now time.Time, want [Groups]string, lentFor time.Duration) []Call {
 	l.mu.Lock()
@@ -67,6 +70,13 @@
 	lend := map[string][]int{}
 	for g, owner := range want {
 		current := &l.lent[g]
+		if owner != "" && owner == l.silent[g] && owner != current.to {
+			back = append(back, Call{To: owner, Groups: []int{g}, Return: true, Duration: lentFor})
+			owner = ""
+			if now.Before(current.until) {
+				owner = current.to
+			}
+		}
 		switch {
 		case owner == "":
 		case current.to == owner || current.to == "" || !now.Before(current.until):
@@ -118,6 +128,11 @@
 	defer l.mu.Unlock()
 	for _, g := range c.Groups {
 		current := &l.lent[g]
+		if r != Delivered {
+			l.silent[g] = c.To
+		} else if l.silent[g] == c.To {
+			l.silent[g] = ""
+		}
 		if current.to != c.To {
 			continue
 		}
