Lend the overage of limits with the shares

A bucket held one burst and 0.15 of the overage, so an account that used little before was refused when its requests came close together, at 0.78 to 0.95 of what its rate and burst give in a window. 0.55 of the overage is lent with the shares now, as capacity of the bucket only, and travels with them at a planned stop. The fixed parts fall to 0.05, 0.15, 0.08 and 0.07; two thirds of a fixed part are in the bucket, which was a half. The reserve of the second and third candidate ends with the first share that is lent to them: without that, an account got up to 0.2% more in a window while owners stopped (400 boxes, TestPlannedStopWorstWindow).

TestUseWithinRateAndBurstOfWindowIsServed failed before: 5 of 14 requests were refused.

--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -16,9 +16,11 @@
 	t        *testing.T
 	rng      *rand.Rand
 	strategy strategy
-	limit    Limit
-	bounds   Bounds
-	boxes    []*simBox
+	// overage returns how a box divides the overage; nil if all boxes have the present release.
+	overage func(box int) overageParts
+	limit   Limit
+	bounds  Bounds
+	boxes   []*simBox
 	// ownerOrder is the order in which boxes are asked as owner of the account, by their indexes.
 	ownerOrder []int
 	start      time.Time
@@ -98,6 +100,9 @@
 func (b *simBox) restart() {
 	b.pool, b.lender, b.unreachableUntil = NewPool(), &Lender{}, map[int]time.Time{}
 	b.cache = NewGrantCache(b)
+	if b.fleet.overage != nil {
+		b.pool.overage = b.fleet.overage(b.index)
+	}
 	b.pool.SetBounds(time.Now(), b.fleet.bounds)
 	b.pool.SetLimits(time.Now(), map[string]Limit{simAccount: b.fleet.limit})
 	b.level, b.refilledAt, b.remoteUsage = 0, time.Now(), 0
@@ -534,6 +539,57 @@
 	}
 }
 
+// olderParts is how a box of the release before lentOverageShare divides the overage.
+var olderParts = overageParts{byRank: [...]float64{0.30, 0.30, 0.15}, isolated: 0.15, atOnce: 0.5}
+
+// Guards against a sum over the platform's bound while boxes of the release before lentOverageShare run beside new ones.
+// Each release divides the overage by its own constants. At worst all shares are lent to a new box, and the first three
+// candidates are older ones that use their reserves. The constants then allow 1.45 times the overage. That needs a fault
+// and boxes that disagree on the owner; in each of the faults that are simulated the sum is within the bound.
+func TestSumWithOlderBoxes(t *testing.T) {
+	older := map[string]func(rank int) bool{
+		"older owner":     func(rank int) bool { return rank == 0 },
+		"older reserves":  func(rank int) bool { return rank == 1 || rank == 2 },
+		"older first 3":   func(rank int) bool { return rank < 3 },
+		"newer owner":     func(rank int) bool { return rank > 0 },
+		"every other one": func(rank int) bool { return rank%2 == 0 },
+	}
+	for mix, isOlder := range older {
+		for _, n := range []int{8, 60} {
+			for _, rate := range []float64{29_000, 141_000} {
+				for _, fault := range simFaults {
+					t.Run(fmt.Sprintf("%s/%d/%.0f/%s", mix, n, rate, fault.name), func(t *testing.T) {
+						t.Parallel()
+						worst, _, _ := runSim(t, lentShares, n, rate, simOverloadFactor, func(f *fleetSim, at time.Duration) {
+							if at == 0 {
+								f.setOlder(isOlder)
+							}
+							fault.apply(f, at)
+						})
+						if worst > 1 {
+							t.Errorf("expected at most what the platform allows, got %.2f times that", worst)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// setOlder has boxes run the older release, by their rank in the order of owners at the start.
+func (f *fleetSim) setOlder(isOlder func(rank int) bool) {
+	order := slices.Clone(f.ownerOrder)
+	f.overage = func(box int) overageParts {
+		if isOlder(slices.Index(order, box)) {
+			return olderParts
+		}
+		return presentParts
+	}
+	for _, b := range f.boxes {
+		b.pool.overage = f.overage(b.index)
+	}
+}
+
 // simFaultNamed returns the fault with a name.
 func simFaultNamed(t *testing.T, name string) func(f *fleetSim, at time.Duration) {
 	t.Helper()
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -59,8 +59,10 @@
 // Plan returns the calls that are needed to lend the share of each group to the box that want names for the group. If
 // the share is lent to another box, Plan first asks that box to return it. If that box does not answer, the share stays
 // lent to it until the loan expires. A box that did not answer the last call for a group must answer a call for return
-// before it gets the share: the share would be lost for the length of a loan if it still does not answer. Units that came back with a share go with the next loan of the share. They are not
-// sent again, even if that call is lost: it may have been carried out.
+// before it gets the share: the share would be lost for the length of a loan if it still does not answer.
+//
+// Units that came back with a share go with the next loan of the share. They are not sent again, even if that call is
+// lost: it may have been carried out.
 func (l *Lender) Plan(now time.Time, want [Groups]string, lentFor time.Duration) []Call {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -12,6 +12,7 @@
 type Pool struct {
 	mu       sync.Mutex
 	bounds   Bounds
+	overage  overageParts
 	groups   [Groups]group
 	accounts map[string]*bucket
 	// unlimited has the accounts whose limit has a rate of 0. They have no bucket.
@@ -26,7 +27,7 @@
 	// loanExpiry names the boxes that have lent their shares to this box, with the time at which each loan expires.
 	loanExpiry map[string]time.Time
 	members    []*bucket
-	// ownOverage means that the buckets have this box's own part of the overage, which accrued while no box had lent
+	// ownOverage means that the buckets have this box's fixed part of the overage, which accrued while no box had lent
 	// its share, and that no units of another owner were added to it since.
 	ownOverage bool
 }
@@ -50,7 +51,7 @@
 
 // NewPool returns a pool to which no box has lent its shares yet.
 func NewPool() *Pool {
-	p := &Pool{accounts: map[string]*bucket{}}
+	p := &Pool{accounts: map[string]*bucket{}, overage: presentParts}
 	for i := range p.groups {
 		p.groups[i].loanExpiry, p.groups[i].ownOverage = map[string]time.Time{}, true
 	}
@@ -252,18 +253,24 @@
 
 // burstAndRate returns the capacity and the refill rate of an account's bucket. Share is the proportion of all boxes
 // that have lent to this box. Place is this box's place among the candidates. The overage is how many units an account
-// may use beyond its limit in a window. Half of the overage is added to the capacity. The other half is refilled over
-// a window. So the account never gets more than the whole overage in a window.
+// may use beyond its limit in a window. The part that is lent with the shares is added to the capacity only. The fixed
+// part of the place is added to the capacity in part, and the rest of it is refilled over a window. So all owners together
+// grant at most the limit and the parts of the overage in a window.
 func (p *Pool) burstAndRate(b *bucket, share float64, place Place) (burst, rate float64) {
-	overage := place.overageShare() * p.bounds.overage(b.limit)
-	burst = share*b.limit.Burst + overage/2
+	fixed := p.overage.fixed(place, share > 0) * p.bounds.overage(b.limit)
+	burst = share*p.lentBurst(b) + p.overage.atOnce*fixed
 	rate = share * b.limit.Rate
 	if p.bounds.Window > 0 && !place.Stopping {
-		rate += overage / 2 / p.bounds.Window.Seconds()
+		rate += (1 - p.overage.atOnce) * fixed / p.bounds.Window.Seconds()
 	}
 	return burst, rate
 }
 
+// lentBurst is how many units of a bucket's capacity belong to the shares of all boxes.
+func (p *Pool) lentBurst(b *bucket) float64 {
+	return b.limit.Burst + p.overage.lent*p.bounds.overage(b.limit)
+}
+
 func (p *Pool) currentBurstAndRate(b *bucket) (burst, rate float64) {
 	return p.burstAndRate(b, p.lentShare(b.groupIndex), p.groups[b.groupIndex].place)
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -138,22 +138,37 @@
 	return renew, renewalsPerLoan * renew
 }
 
-// These constants divide the overage: the units that an account may use in a window beyond its limit. The owner gets
-// only ownerOverageShare of the overage. That leaves room for units that are granted in advance but used in a later
-// window. It also leaves room for requests that arrive closer together than the owner granted them.
+// These constants divide the overage: the units that an account may use in a window beyond its limit. lentOverageShare is
+// lent with the shares, and only makes buckets larger. An owner that has all shares grants it to an account that used less
+// than its limit before. The other parts are fixed: each belongs to boxes, whatever was lent to these. A tenth is left for
+// units that are granted in advance but used in a later window, and for requests that arrive closer together than the
+// owner granted them.
 //
 // If the owner does not answer, boxes ask the second and then the third candidate. These two candidates get
-// secondOverageShare and thirdOverageShare in addition to the shares lent to them. They grant from this overage until
-// other boxes have lent their shares to them too. All boxes together get isolatedOverageShare in equal parts, for
-// boxes that reach no other box.
+// secondOverageShare and thirdOverageShare until shares are lent to them too. All boxes together get
+// isolatedOverageShare in equal parts, for boxes that reach no other box.
 const (
-	ownerOverageShare    = 0.30
-	secondOverageShare   = 0.30
-	thirdOverageShare    = 0.15
-	isolatedOverageShare = 0.15
+	lentOverageShare     = 0.55
+	ownerOverageShare    = 0.05
+	secondOverageShare   = 0.15
+	thirdOverageShare    = 0.08
+	isolatedOverageShare = 0.07
+	// fixedAtOnce of a fixed part is in the bucket, and the rest is refilled over a window. At a half, a second candidate
+	// had too little for one stream, and 400 boxes that restart in turn refused 3.7% instead of 0.0% (TestWays).
+	fixedAtOnce = 2.0 / 3
 )
 
-var overageShareByRank = [...]float64{ownerOverageShare, secondOverageShare, thirdOverageShare}
+// overageParts divides the overage among boxes. It has the constants above, except on boxes of another release.
+type overageParts struct {
+	lent, isolated float64
+	byRank         [3]float64
+	atOnce         float64
+}
+
+var presentParts = overageParts{
+	lent: lentOverageShare, isolated: isolatedOverageShare,
+	byRank: [...]float64{ownerOverageShare, secondOverageShare, thirdOverageShare}, atOnce: fixedAtOnce,
+}
 
 // Place is the position of a box among the candidates for the owner of a group of accounts.
 type Place struct {
@@ -166,14 +181,19 @@
 	Stopping bool
 }
 
-// overageShare is the share of an account's overage that the box at this place may grant; see ownerOverageShare.
-func (p Place) overageShare() float64 {
+// fixed is the share of an account's overage that the box at a place may grant in addition to what was lent to it. The
+// reserve of the second and third candidate ends once a share is lent to them: while an owner stops as planned, an account
+// would otherwise get more than without the stop.
+func (o *overageParts) fixed(p Place, hasShares bool) float64 {
 	if p.Boxes <= 0 {
 		return 0
 	}
-	share := isolatedOverageShare / float64(p.Boxes)
-	if p.Rank < len(overageShareByRank) {
-		share += overageShareByRank[p.Rank]
+	share := o.isolated / float64(p.Boxes)
+	if p.Rank >= len(o.byRank) {
+		return share
+	}
+	if hasShares {
+		return share + min(o.byRank[0], o.byRank[p.Rank])
 	}
-	return share
+	return share + o.byRank[p.Rank]
 }
--- a/internal/quota/units.go
+++ b/internal/quota/units.go
@@ -79,11 +79,11 @@
 	}
 }
 
-// unitsPerShare is how many units of a full bucket belong to one share: the part of the limit's burst. The part of the
-// overage is left out, since each owner has an overage of its own.
+// unitsPerShare is how many units of a full bucket belong to one share: the part of the limit's burst and of the overage
+// that is lent with the shares. The fixed part of the overage is left out, since each owner has one of its own.
 func (p *Pool) unitsPerShare(b *bucket) float64 {
 	if boxes := p.groups[b.groupIndex].place.Boxes; boxes > 0 {
-		return b.limit.Burst / float64(boxes)
+		return p.lentBurst(b) / float64(boxes)
 	}
 	return 0
 }
--- a/internal/quota/units_test.go
+++ b/internal/quota/units_test.go
@@ -57,6 +57,43 @@
 	}
 }
 
+// Guards against a lent part of the overage that is lost at a planned stop, or that both owners have: with shares, a full
+// bucket moves as a whole, and so does what is left of one that isn't full.
+func TestLentOverageTravelsWithShares(t *testing.T) {
+	now := time.Now()
+	names := accountsOfGroup(0, 2)
+	used, unused := names[0], names[1]
+	bounds := Bounds{Slack: 1000} // Without a window nothing is refilled.
+	limits := limitsOf(Limit{Rate: 1e-9, Burst: 100}, names...)
+	var owners [2]*Pool
+	for i, lenders := range []int{4, 0} {
+		p := poolWithShares(now, 4, lenders, nil)
+		p.SetBounds(now, bounds)
+		for g := range Groups {
+			p.SetPlace(now, g, Place{Boxes: 4, Rank: 3, Stopping: i == 0})
+		}
+		p.overage.isolated = 0 // Leaves the lent part alone.
+		p.SetLimits(now, limits)
+		owners[i] = p
+	}
+	const full = 100 + lentOverageShare*1000
+	owners[0].Grant(now, used, 250, 0)
+	for i := range 4 {
+		box := fmt.Sprint(i)
+		u := owners[0].Lend(now, box, []int{0}, true, 0)
+		owners[1].Lend(now, box, []int{0}, false, time.Second)
+		owners[1].AddUnits(now, []int{0}, u)
+		for name, want := range map[string]float64{used: full - 250, unused: full} {
+			if sum := owners[0].levelOf(name) + owners[1].levelOf(name); math.Abs(sum-want) > 1e-6 {
+				t.Errorf("%d shares moved: expected %g units of %s at both owners, got %g", i+1, want, name, sum)
+			}
+		}
+	}
+	if got := owners[1].levelOf(used); math.Abs(got-(full-250)) > 1e-6 {
+		t.Errorf("expected all units at the next owner, got %g", got)
+	}
+}
+
 // A share that was not lent to this box has no units, and so has a share that was returned before: the answer to the
 // first call for return may be lost, and its units must not be granted twice.
 func TestReturnHasUnitsOnce(t *testing.T) {
