--- a/scripts/soak-guards.sh
+++ b/scripts/soak-guards.sh
@@ -9,8 +9,10 @@
 cd "$(dirname "$0")/.."
 only=${1:-}
 failed=0
-play() { # play DIR SCHEDULE
-  (cd "$1" && go test ./platform/soak -run 'TestSoak$' -count=1 -v -timeout 5m -args -soak.file="testdata/guards/$2" 2>&1)
+play() { # play DIR SCHEDULE; a line "# args: ..." of the schedule has more arguments
+  local args
+  read -ra args < <(sed -n 's/^# args: //p' "$1/platform/soak/testdata/guards/$2")
+  (cd "$1" && go test ./platform/soak -run 'TestSoak$' -count=1 -v -timeout 5m -args -soak.file="testdata/guards/$2" "${args[@]}" 2>&1)
 }
 for schedule in platform/soak/testdata/guards/*.txt; do
   [ -z "$only" ] || break
