Count the told callers of all boxes in the time to return

Cause: a box counted only the callers that it told to retry itself, so the delay had a lower bound of 3 s.

Change: StreamsWaiting carries the number of told callers. While the box hears of others, and every box with waiting streams sends that number, the caller is told the delay of the decision core (at least 300 ms). Otherwise 3 s stay.

--- a/internal/decide/owners_test.go
+++ b/internal/decide/owners_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/stoatramp/stoatramp/internal/outcome"
 )
 
 // ownedFleet plays several boxes that share the decode engines of one pool, in virtual time. Each engine has one box as
@@ -24,13 +26,18 @@
 	// refuseEarly lets streams be refused as soon as they are not expected to start in time.
 	refuseEarly bool
 	// spread is by how much the delays of news differ.
-	spread     time.Duration
-	jitter     *rand.Rand
-	seed       uint64 // Of the arrivals.
-	placements int    // Placements by all boxes.
-	denied     int    // Placements that the owner denied, or that the engine had no memory for.
-	onTime     int    // Streams that began within their target.
-	peak       int    // The most streams that ran at the same time.
+	spread time.Duration
+	jitter *rand.Rand
+	seed   uint64 // Of the arrivals.
+	// returns lets each refused caller return once, to a random box. told lets the boxes report
+	// the callers that they told to retry.
+	returns, told bool
+	returned      map[ID]bool // The second requests of callers.
+	refused       [2]int      // Refused first and second requests.
+	placements    int         // Placements by all boxes.
+	denied        int         // Placements that the owner denied, or that the engine had no memory for.
+	onTime        int         // Streams that began within their target.
+	peak          int         // The most streams that ran at the same time.
 }
 
 type ownedEvent struct {
@@ -48,7 +55,7 @@
 
 func newOwnedFleet(boxes, engines int) *ownedFleet {
 	w := &ownedFleet{
-		now: start, events: map[int64][]ownedEvent{}, running: make([]int, engines), arrived: map[ID]time.Time{}, requests: map[ID]Request{}, served: map[ID]bool{},
+		now: start, events: map[int64][]ownedEvent{}, running: make([]int, engines), arrived: map[ID]time.Time{}, requests: map[ID]Request{}, served: map[ID]bool{}, returned: map[ID]bool{},
 		jitter: rand.New(rand.NewPCG(5, 5)),
 	}
 	for i := range boxes {
@@ -140,7 +147,7 @@
 	}
 	for i, c := range w.boxes {
 		ev := RemoteQueue{Waiting: total - c.Waiting()}
-		if !w.unordered {
+		if w.told {
 			ev.Told = told - c.Told(w.now)
 		}
 		for j, list := range lists {
@@ -166,6 +173,23 @@
 	return arrived, served
 }
 
+// end lets the caller of a refused request return once.
+func (w *ownedFleet) end(a End) {
+	if a.Outcome.Kind != outcome.NotRun || !w.returns {
+		return
+	}
+	if w.returned[a.ID] {
+		w.refused[1]++
+		return
+	}
+	w.refused[0]++
+	r := w.requests[a.ID]
+	r.ID, r.CallerRetry = ID(len(w.requests)+1), true
+	w.requests[r.ID], w.returned[r.ID] = r, true
+	w.arrived[r.ID] = w.now.Add(a.Outcome.RetryAfter)
+	w.at(a.Outcome.RetryAfter, w.jitter.IntN(len(w.boxes)), Submit{r})
+}
+
 func (w *ownedFleet) step(box int, ev Event) {
 	if d, ok := ev.(Done); ok {
 		e := d.Output // The driver passes the engine in Output.
@@ -208,6 +232,8 @@
 				}
 			}
 			w.at(3*time.Millisecond, box, PrefillDone{ID: a.ID, Attempt: a.Attempt, Expires: w.now.Add(5 * time.Second)})
+		case End:
+			w.end(a)
 		case StartDecode:
 			var e int
 			_, _ = fmt.Sscanf(a.Decode, "w%d", &e)
@@ -326,3 +352,26 @@
 		}
 	})
 }
+
+// Callers that boxes refuse in an overload of three seconds return once, to any box. Fewer are refused again if the boxes
+// tell each other how many callers will return. Past fault: each box knew only of its own.
+func TestToldCallersOfAllBoxes(t *testing.T) {
+	t.Parallel()
+	var again [2]int
+	var wg sync.WaitGroup
+	for i, told := range []bool{false, true} {
+		w := newOwnedFleet(20, 32)
+		w.refuseEarly, w.spread, w.returns, w.told = true, newsDelay, true, told
+		wg.Go(func() {
+			w.run(2*time.Second, ownedLoad{"", 0, 180})
+			w.run(3*time.Second, ownedLoad{"", 0, 500})
+			w.run(7*time.Second, ownedLoad{"", 0, 180})
+			again[i] = w.refused[1]
+			t.Logf("told %t: %d streams on time, %d refused, %d refused again", told, len(w.served), w.refused[0], w.refused[1])
+		})
+	}
+	wg.Wait()
+	if again[1] >= again[0] {
+		t.Errorf("expected fewer than %d callers to be refused again, got %d", again[0], again[1])
+	}
+}
--- a/internal/relay/queues.go
+++ b/internal/relay/queues.go
@@ -134,6 +134,18 @@
 	return t, changed
 }
 
+// everyTold reports whether all boxes that send their number of waiting streams send that of the told callers too.
+func (q *remoteQueues) everyTold(now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, on := range q.byBox {
+		if !on.HasTold && now.Sub(on.at) <= waitingTTL {
+			return false
+		}
+	}
+	return true
+}
+
 // PublishWaiting runs until ctx ends. It publishes the number of streams that wait on this box. It tells the decision
 // core the number of streams that wait on other boxes. It pauses while this box has no requests: no stream waits here
 // then, and there is nothing to decide.
