Read the weights of client accounts from the shared configuration

Cause: all accounts had weight 1 in the fair orders of streams and plain calls.

Change: `[client NAME] weight`, 0.01 to 1000, 1 if missing, in the shared configuration of relay boxes and in that of gateways. `config check` names the line and the range.

Result: TestRulesWeights, TestClientWeight and TestAccountWeight fail without it (no such section; weight 1).

--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -243,6 +243,7 @@
 	}
 	b.rules.Store(c)
 	b.Relay.SetPolicies(c.Version, set)
+	b.Relay.SetWeights(c.Weights)
 	b.recorder.Log.StateChange("policies in force", zap.Int64("version", c.Version), zap.String("author", v.Author),
 		zap.Int("policies", len(c.Policies)), zap.Int("rules", len(c.Rules)), zap.Int("operators", len(c.Operators)))
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -154,3 +154,14 @@
 		}
 	})
 }
+
+// Guards against weights of clients that are lost or out of range.
+func TestClientWeight(t *testing.T) {
+	for line, want := range map[string]float64{"": 1, "weight = 3": 3} {
+		c, err := ParseShared("shared.ini", []byte(strings.Replace(validShared, "allow = r", "allow = r\n"+line, 1)), nil)
+		if err != nil || c.Clients[0].Weight != want {
+			t.Errorf("%q: expected %g, got %+v, %v", line, want, c, err)
+		}
+	}
+	expectShared(t, strings.Replace(validShared, "allow = r", "allow = r\nweight = 2000", 1), `[client c] weight: expected a number from 0.01 to 1000, found "2000"`)
+}
--- a/internal/config/rules.go
+++ b/internal/config/rules.go
@@ -5,14 +5,16 @@
 	"strings"
 )
 
-// Rules is the shared configuration of relay boxes. It has policies, the operators, and the rules that assign policies
-// to requests. It has no routes or endpoints, because the boxes' platform manages them.
+// Rules is the shared configuration of relay boxes. It has policies, the operators, the rules that assign policies to
+// requests, and the weights of client accounts. It has no routes or endpoints, because the boxes' platform manages them.
 type Rules struct {
 	Version  int64
 	Policies []*Policy
 	// Rules are tried in order. The first rule that matches a request decides which policy applies to it.
 	Rules     []*Rule
 	Operators []*Operator
+	// Weights are the shares of client accounts relative to other accounts, by name. An account that is missing has 1.
+	Weights map[string]float64
 }
 
 // Rule assigns a policy to requests. It selects requests by their properties. It does not select them by the name of a
@@ -54,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &Rules{}
+	out := &Rules{Weights: map[string]float64{}}
 	policies, operators := map[string]bool{}, map[string]string{}
 	for _, s := range d.sections() {
 		out.parseSection(s, checkPolicy, operators)
@@ -91,8 +93,10 @@
 		}
 		operators[o.KeySHA256] = o.Name
 		c.Operators = append(c.Operators, o)
+	case "client":
+		c.Weights[s.Name] = parseWeight(s)
 	default:
-		s.addProblem("", "is not a known section; expected policy, rule or operator (routes and endpoints are the platform's)")
+		s.addProblem("", "is not a known section; expected policy, rule, operator or client (routes and endpoints are the platform's)")
 	}
 }
 
--- a/internal/config/rules_test.go
+++ b/internal/config/rules_test.go
@@ -133,3 +133,15 @@
 		t.Errorf("expected %q, got %q", want, set)
 	}
 }
+
+// Guards against weights that are lost, and against a bad value whose message does not say what is expected.
+func TestRulesWeights(t *testing.T) {
+	c := expectRules(t, rulesText+"\n[client bakery]\nweight = 2.5\n[client lab]\n", "")
+	if c.Weights["bakery"] != 2.5 || c.Weights["lab"] != 1 || len(c.Weights) != 2 {
+		t.Errorf("expected 2.5 for bakery and 1 for lab, got %v", c.Weights)
+	}
+	for _, bad := range []string{"0", "0.009", "1001", "-1", "NaN", "heavy", ""} {
+		expectRules(t, "[client lab]\nweight = "+bad+"\n", `f:2: [client lab] weight: expected a number from 0.01 to 1000, found "`+bad+`"`)
+	}
+	expectRules(t, "[client lab]\nwieght = 2\n", "wieght: is not a known key of [client]")
+}
--- a/internal/config/shared.go
+++ b/internal/config/shared.go
@@ -106,6 +106,8 @@
 	Burst      int
 	Tokens     float64 // Limit on tokens per second, counting prompts and answers.
 	TokenBurst int
+	// Weight is the share of the client relative to other clients, where requests compete for capacity.
+	Weight float64
 	// Allow lists the routes and services that the client may use; empty means all of them.
 	Allow []string
 }
@@ -255,6 +257,7 @@
 		Burst:      s.integer("burst", 0, 0, 1<<30),
 		Tokens:     s.number("tokens", 0, 0, 1e12),
 		TokenBurst: s.integer("token_burst", 0, 0, 1<<40),
+		Weight:     parseWeight(s),
 		Allow:      s.list("allow"),
 	}
 	if other, ok := c.clients[v.KeySHA256]; ok {
@@ -264,6 +267,9 @@
 	c.Clients = append(c.Clients, v)
 }
 
+// parseWeight reads the weight of a client.
+func parseWeight(s *section) float64 { return s.number("weight", 1, 0.01, 1000) }
+
 // checkReferences reports references to sections that do not exist, and models or addresses that are used twice.
 func (c *Shared) checkReferences(d *document, all []*section) {
 	known := map[string]bool{}
--- a/internal/decide/denied_test.go
+++ b/internal/decide/denied_test.go
@@ -165,3 +165,20 @@
 		t.Error("expected only the request of the lower rank to be held back, for a moment")
 	}
 }
+
+// BenchmarkGrantAmongDenied measures a request for room while the owner remembers as many denied requests as it can.
+func BenchmarkGrantAmongDenied(b *testing.B) {
+	c := newGrantCore(start)
+	countGrants(c, start, 50)
+	freeOne(c)
+	e := c.engines["w"]
+	for i := range maxDenied {
+		e.denied.add(start, &flight{Request: streamRequest(5000)}, ask(uint64(i+1), 0, "a", 1, 0))
+	}
+	for b.Loop() {
+		e.denied.keptSince = time.Time{}
+		if _, yields := c.Grant(start, "w", streamRequest(5000), ask(1000, 1, "b", 1, 0)); !yields {
+			b.Fatal("expected the request to yield")
+		}
+	}
+}
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -139,6 +139,7 @@
 		Region:        f.x.g.box.Region,
 		Route:         f.route.Name,
 		Client:        f.x.client.Name,
+		Weight:        f.x.client.Weight,
 		PromptTokens:  f.req.PromptTokens,
 		MaxTokens:     f.req.MaxTokens * f.req.Choices,
 		Blocks:        f.req.Blocks,
--- a/internal/relay/accounts.go
+++ b/internal/relay/accounts.go
@@ -215,8 +215,18 @@
 	return x.route.Priority
 }
 
-// accountWeight is the share of a client account relative to other accounts. The configuration has no weights yet.
-const accountWeight = 1
+// SetWeights sets the shares of client accounts relative to other accounts, by name. The map must not be changed later.
+func (r *Relay) SetWeights(weights map[string]float64) { r.weights.Store(&weights) }
+
+// weight returns the share of the request's client account relative to other accounts.
+func (x *exchange) weight() float64 {
+	if weights := x.r.weights.Load(); weights != nil {
+		if w := (*weights)[x.accountName()]; w > 0 {
+			return w
+		}
+	}
+	return 1
+}
 
 // accountName returns the name of the request's client account; empty without an account.
 func (x *exchange) accountName() string {
--- a/internal/relay/refusal_delay_test.go
+++ b/internal/relay/refusal_delay_test.go
@@ -25,6 +25,21 @@
 	}
 }
 
+// The weight of an account reaches the fair orders of streams and of plain calls. Past fault: all accounts had weight 1.
+func TestAccountWeight(t *testing.T) {
+	_, f, _ := arrivedFlight(t, context.Background(), decide.Request{}, "writer")
+	f.x.route, f.x.account = &Route{}, &Account{Name: "bakery"}
+	for _, tt := range []struct {
+		weights map[string]float64
+		want    float64
+	}{{nil, 1}, {map[string]float64{"bakery": 2.5, "lab": 4}, 2.5}, {map[string]float64{"lab": 4}, 1}} {
+		f.x.r.SetWeights(tt.weights)
+		if stream, call := f.request().Weight, f.x.slotRequest(nil).Weight; stream != tt.want || call != tt.want {
+			t.Errorf("expected weight %g, got %g for a stream and %g for a call", tt.want, stream, call)
+		}
+	}
+}
+
 // A delay that the decision core computed from a long queue is passed on. A short one is raised, unless the box knows which
 // callers all boxes told to retry. Past fault: callers that were told less than three seconds came back during the same
 // overload and were refused again.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -113,6 +113,8 @@
 	lastStall    atomic.Pointer[stall]
 	// policies are the operators' programs that decide on requests; nil before any were loaded.
 	policies atomic.Pointer[policies]
+	// weights are the shares of client accounts by name; nil before any were set.
+	weights atomic.Pointer[map[string]float64]
 	// revoked are the keys that were removed from the configuration; never nil.
 	revoked atomic.Pointer[revoked]
 	fleet   fleet
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -193,7 +193,7 @@
 		q.OnTime = min(q.Left, x.route.LatencyTarget-elapsed)
 	}
 	if x.account != nil {
-		q.Account = x.account.Name
+		q.Account, q.Weight = x.account.Name, x.weight()
 	}
 	return q
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -230,7 +230,7 @@
 		Hall:           x.r.o.Hall,
 		Route:          x.route.Name,
 		Client:         x.accountName(),
-		Weight:         accountWeight,
+		Weight:         x.weight(),
 		PromptTokens:   x.meta.PromptTokens,
 		MaxTokens:      x.reservedOutput(),
 		OutputReserve:  x.outputReserve(),
