Run stalled decode calls again and offer used handles to no other engine

Cause: after a decode call was lost or stalled, the handle was offered to another engine, which refused it because it had been fetched. Calls without an answer were given up only after three times the predicted time and half of the target. An owner denied room to reruns, because the lost run still counted.

Change: a call that had the time to fetch the KV cache counts as having fetched it. A decode call stalls after its predicted time and mean + 4 deviations of the observed first-event delays, at least 100 ms, and may then be run again on its engine. A request for room says that it is for a rerun (field rerun), and the owner judges the room without the lost run. StreamEnded is published for each run that is lost. why no longer names an empty prefill engine.

--- a/internal/decide/attempt.go
+++ b/internal/decide/attempt.go
@@ -90,6 +90,23 @@
 	return max(minStallMargin, min(maxStallMargin, f.FirstToken/2))
 }
 
+// setDecodeStage begins the wait for the first event of a decode call with the given predicted duration.
+func (c *Core) setDecodeStage(f *flight, predicted time.Duration) {
+	c.setStage(f, transferring, predicted)
+	if margin, ok := f.decodeMargin(); ok {
+		f.stageDeadline = c.now.Add(predicted + margin)
+	}
+}
+
+// decodeMargin is how much longer than predicted a decode call may take to its first event. It follows from the
+// observed delays, and doubles with each stall of the request, like a retransmission time-out. ok is false while too few
+// delays are known.
+func (f *flight) decodeMargin() (margin time.Duration, ok bool) {
+	margin, ok = f.pool.speed.firstEvents.margin()
+	margin = max(margin, minDecodeMargin) << min(f.stalls, maxTries)
+	return min(margin, f.stallMargin()), ok
+}
+
 // enginePriority is the request's order in milliseconds since engineEpoch. Engines run the request with the lowest
 // value first. So an engine serves the requests of all boxes in the order of their deadlines.
 func (f *flight) enginePriority() int { return int(f.order.Sub(engineEpoch).Milliseconds()) }
@@ -170,7 +187,7 @@
 	f.decodeAttempt = f.attempt
 	transfer := predictTransfer(f.pool, f, f.prefill, f.decode, c.now)
 	f.planTransfer(c.now)
-	c.setStage(f, transferring, transfer+f.pool.beginTime(f.decode.stepTime()))
+	c.setDecodeStage(f, transfer+f.pool.beginTime(f.decode.stepTime()))
 	c.emit(StartDecode{
 		ID: f.ID, Attempt: f.attempt, Prefill: f.prefill.Name, PrefillAttempt: f.prefillAttempt,
 		Decode: f.decode.Name, Priority: f.enginePriority(), Moved: moved,
@@ -233,6 +250,7 @@
 		took := c.now.Sub(f.stageStart)
 		f.pool.predictionError.observeTransfer(took-f.pool.beginTime(f.decode.stepTime()), alone)
 		f.timing.FirstEventDelay = max(0, took-alone)
+		f.pool.speed.firstEvents.observe(f.timing.FirstEventDelay)
 	}
 	c.endRerun(f, RerunBegun)
 	f.firstTokens = ev.Tokens
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -24,12 +24,16 @@
 	minRebindGain = 5 * time.Millisecond
 	// A stage of a request (prefill or transfer) counts as stalled after stallFactor times its predicted
 	// duration plus a margin. The margin is half the first-token target, but at least minStallMargin and
-	// at most maxStallMargin. A stalled request is moved if another engine can take it. Otherwise it is
-	// left alone, because a slow call is not a lost call. If many calls were given up at the same time,
-	// they would only load the other engines.
+	// at most maxStallMargin. A decode call that fetches the KV cache, or is a rerun, stalls sooner (see
+	// decodeDeadline). A stalled request is moved if another engine can take it or its decode engine can
+	// run it again. Otherwise it is left alone, because a slow call is not a lost call. If many calls were
+	// given up at the same time, they would only load the other engines.
 	stallFactor    = 3
 	minStallMargin = 300 * time.Millisecond
 	maxStallMargin = 2 * time.Second
+	// minDecodeMargin is the least margin of a decode call. An engine may begin late for some tens of
+	// milliseconds, and the box sees stalls only at its ticks.
+	minDecodeMargin = 100 * time.Millisecond
 	// After hardStallTimeout plus the first-token target, a call is given up even if no other
 	// engine can take the request.
 	hardStallTimeout = 5 * time.Second
@@ -103,6 +107,8 @@
 	// progress; nil if there is none.
 	enginesRerun []*engine
 	rerun        *rerun
+	// stalls is the number of decode calls that stalled.
+	stalls int
 	// engineToAvoid is the engine on which the last call failed, or the decode engine that had to be
 	// replaced. A new try uses this engine only if there is no other.
 	engineToAvoid *engine
@@ -344,6 +350,8 @@
 		c.handleFailed(ev)
 	case ReservationRefused:
 		c.handleNoRoom(ev)
+	case RerunForbidden:
+		c.handleRerunForbidden(ev)
 	case LoadReport:
 		c.handleReport(ev)
 	case RemotePlacement:
@@ -374,6 +382,7 @@
 		c.handleSetEstimates(ev.Estimates)
 	case RemoteTiming:
 		if p := c.pools[ev.Pool]; p != nil {
+			p.speed.firstEvents.observe(ev.FirstEventDelay)
 			c.learn(p, ev.Timing)
 		}
 	case ProbeFailed:
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -27,6 +27,9 @@
 		e.health.noteRefusal(c.now)
 	}
 	c.endFailedRerun(f, ev.Reason)
+	if ev.Ran && f.stage != prefilling {
+		e.addLostRun(f, c.now)
+	}
 	if !ev.KVCached || !c.tryRerun(f, ev.Reason) {
 		c.recoverFromFailure(f, ev.Reason, ev.Ran, ev.KVGone)
 	}
@@ -84,10 +87,11 @@
 // that fewer than maxDecodeRefusals engines have refused the request since, that the request may be run again, and that a
 // retry is left. Otherwise retryDecode abandons the try.
 func (c *Core) retryDecode(f *flight, reason outcome.Reason, ran, kvGone bool) {
+	// The KV cache can be fetched only once. A call that may have run, and had the time to fetch the cache, counts as
+	// having fetched it. A call that had less time may have fetched it too. If another engine then refuses the
+	// request, the cache is gone, and calls to further engines would waste retries.
+	kvGone = kvGone || ran && c.hadTimeToFetch(f) || f.kvMayBeTaken && reason == outcome.EndpointRefused
 	c.abortDecode(f)
-	// The KV cache can be fetched only once. A call that may have run may have fetched the cache. If another engine
-	// then refuses the request, the cache is gone, and calls to further engines would waste retries.
-	kvGone = kvGone || f.kvMayBeTaken && reason == outcome.EndpointRefused
 	f.kvMayBeTaken = f.kvMayBeTaken || ran
 	if reason == outcome.EndpointRefused {
 		f.decodeRefusals++
@@ -269,7 +273,11 @@
 // the hard timeout has passed. Otherwise the call gets more time.
 func (c *Core) handleStall(f *flight) {
 	if c.now.Before(f.stageStart.Add(hardStallTimeout+f.FirstToken)) && !c.hasAlternative(f) {
-		f.stageDeadline = c.now.Add(f.stallMargin())
+		margin := f.stallMargin()
+		if shorter, ok := f.decodeMargin(); ok && f.stage == transferring {
+			margin = shorter
+		}
+		f.stageDeadline = c.now.Add(margin)
 		return
 	}
 	reason := outcome.TransferStalled
@@ -278,41 +286,63 @@
 	}
 	c.noteFailure(f.currentEngine())
 	ran := f.stage != prefilling || !f.PrefillNotRun
+	f.ran = f.ran || ran
+	c.endFailedRerun(f, reason)
 	if f.stage != prefilling {
 		f.noteMayHaveRun()
+		f.stalls++
+		f.decode.addLostRun(f, c.now)
+		if c.tryRerun(f, reason) {
+			return
+		}
 	}
-	f.ran = f.ran || ran
-	c.endFailedRerun(f, reason)
 	c.recoverFromFailure(f, reason, ran, false)
 }
 
-// hasAlternative reports whether a stalled request can be moved to another engine, with enough retries left for this.
+// hasAlternative reports whether a stalled request can be moved to another engine or be run again on its decode engine,
+// with enough retries left for this.
 func (c *Core) hasAlternative(f *flight) bool {
-	calls := 1 // After the prefill, only the decode call has to be repeated.
-	if f.stage == prefilling {
-		calls = f.retriesForNextTry()
+	if f.stage == transferring && c.canRerun(f) {
+		return true
 	}
-	if !f.Repeatable || !f.canUseAnotherEngine() || !c.budget.Has(c.now, calls) {
+	if !c.mayTryAgain(f) {
 		return false
 	}
-	var excluded Exclusions
 	if f.stage == transferring {
-		c.findDecodeOptions(f.pool, f, c.now, &excluded)
-		other := func(option decodeOption) bool { return option.e != f.decode }
-		return c.now.Add(expiryMargin).Before(f.expires) && slices.ContainsFunc(c.decodeOptions, other)
+		return c.canStartElsewhere(f, f.decode)
 	}
-	if f.tries >= maxTries || !f.mayBeLate && c.now.After(f.latestStart) || f.prefill.mayBeQueued(f) {
+	if f.prefill.mayBeQueued(f) {
 		return false
 	}
+	var excluded Exclusions
 	c.findPrefillOptions(f.pool, f, c.now, &excluded)
 	return slices.ContainsFunc(c.prefillOptions, func(option prefillOption) bool {
 		return option.e != f.prefill && option.urgentQueue <= maxPrefillBacklog
 	})
 }
 
-// maxTickGap is the longest time between two ticks on a box that runs normally: five tick intervals. After a longer
-// gap, the box itself must have been paused.
-const maxTickGap = 5 * tickInterval
+// mayTryAgain reports whether the rules and the retry budget allow a new try on other engines.
+func (c *Core) mayTryAgain(f *flight) bool {
+	return f.Repeatable && f.canUseAnotherEngine() && f.tries < maxTries && (f.mayBeLate || !c.now.After(f.latestStart)) &&
+		c.budget.Has(c.now, f.retriesForNextTry())
+}
+
+// canStartElsewhere reports whether a new try could begin its answer in time, on another decode engine than e.
+func (c *Core) canStartElsewhere(f *flight, e *engine) bool {
+	avoided := f.engineToAvoid
+	f.engineToAvoid = e
+	chosen, _, ok := c.choose(f.pool, f, c.now)
+	f.engineToAvoid = avoided
+	if !ok || chosen.Decode == e.Name || c.tooBusy(f, &chosen) {
+		return false
+	}
+	begin := c.now.Add(chosen.FirstToken + f.pool.urgency.lateness(f))
+	return f.mayBeLate || !begin.After(f.arrived.Add(f.FirstToken))
+}
+
+// maxTickGap is the longest time between two ticks on a box that runs normally. After a longer gap, the box itself must
+// have been paused. A pause of less than minDecodeMargin must be noticed, since a decode call could stall in it.
+const maxTickGap = 2 * tickInterval
 
 // extendDeadlinesAfterPause detects that this box was paused (frozen or without a CPU), and adds the time of the pause
 // to the deadlines of all running stages. Answers that arrived during the pause have not been read yet. So a missing
@@ -326,7 +356,7 @@
 	}
 	for _, f := range c.flights {
 		if !f.stageDeadline.IsZero() {
-			f.stageDeadline = f.stageDeadline.Add(min(gap, c.now.Sub(f.stageStart)))
+			f.stageDeadline = f.stageDeadline.Add(min(gap-tickInterval, c.now.Sub(f.stageStart)))
 		}
 	}
 }
--- a/internal/decide/grant.go
+++ b/internal/decide/grant.go
@@ -22,11 +22,16 @@
 	if !e.hasRoom(p, f, now) || e.denial.holds(now, f) {
 		return false
 	}
+	e.addGrant(now, f)
+	return true
+}
+
+// addGrant adds a request of another box to the load of the engine.
+func (e *engine) addGrant(now time.Time, f *flight) {
 	if !e.hasReport || now.After(e.report.At) {
 		// Without an OutputReserve, the longest answer must fit when decoding begins, even if a shorter one is
 		// expected.
 		kv := max(f.PromptTokens+f.expectedOutput(), f.kvNeedAtStart())
 		e.addPlacement(placement{at: now, streams: 1, reservation: reservation{kv, f.PromptTokens, f.kvNeedAtStart() - f.PromptTokens, f.expectedOutput()}})
 	}
-	return true
 }
--- a/internal/decide/speed.go
+++ b/internal/decide/speed.go
@@ -88,6 +88,31 @@
 	sinceFit                int // Timings since the estimates were last computed.
 	// prior holds the estimates of boxes that ran earlier, as given by SetEstimates.
 	prior Speed
+	// firstEvents follows the first-event delays of this box and of the others, also if the speed is configured.
+	firstEvents delayStats
+}
+
+// delayStats follows a delay like the round-trip time of a retransmission time-out (RFC 6298).
+type delayStats struct {
+	n               int
+	mean, deviation time.Duration // Smoothed mean, and smoothed mean deviation from it.
+}
+
+func (d *delayStats) observe(t time.Duration) {
+	if t <= 0 {
+		return
+	}
+	if d.n++; d.n == 1 {
+		d.mean, d.deviation = t, t/2
+		return
+	}
+	d.deviation += (max(t-d.mean, d.mean-t) - d.deviation) / 4
+	d.mean += (t - d.mean) / 8
+}
+
+// margin is a time that the delay exceeds rarely. ok is false while too few delays are known.
+func (d *delayStats) margin() (t time.Duration, ok bool) {
+	return d.mean + 4*d.deviation, d.n >= minTimings
 }
 
 // add records one timing, and reports whether the estimates may have changed.
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -251,6 +251,12 @@
 	Attempt Attempt // The number of the StartPrefill, or of the StartDecode if there was none.
 }
 
+// RerunForbidden reports that a rerun was not sent, because the request is suspected of crashing engines.
+type RerunForbidden struct {
+	ID      ID
+	Attempt Attempt // The number of the StartDecode.
+}
+
 // LoadReport is the load that an engine reports.
 type LoadReport struct {
 	Engine string
@@ -319,6 +325,7 @@
 func (Done) event()                 {}
 func (Failed) event()               {}
 func (ReservationRefused) event()   {}
+func (RerunForbidden) event()       {}
 func (LoadReport) event()           {}
 func (RemotePlacement) event()      {}
 func (RemotePrefillRefused) event() {}
@@ -356,8 +363,8 @@
 	// its call failed. Moved is OK if neither happened.
 	Moved outcome.Reason
 	// Rerun is set if the engine runs the request for the second time, because the connection of the first run was
-	// lost. Rerun says how; otherwise it is OK. Prefill is empty then. The handle must be kept until the engine has
-	// reserved memory. If room is denied, another engine can still be given the handle.
+	// lost or the first run did not begin in time. Rerun says how; otherwise it is OK. Prefill is empty then, and
+	// the handle is not used any more.
 	Rerun outcome.Reason
 	// Choice is set only if Prefill is empty and Rerun is OK. Otherwise the Choice is in an earlier action.
 	Choice *Choice
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -320,6 +320,14 @@
 	return d.core.Grant(clock.Now(), engine, r)
 }
 
+// GrantRerun is Grant for a request that the engine runs again. Its lost run used the given memory, in tokens, and has
+// ended.
+func (d *Dispatcher) GrantRerun(engine string, r decide.Request, lost int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.GrantRerun(clock.Now(), engine, r, lost)
+}
+
 // EstimateStreamTime predicts how long the decode engines of a pool need to generate a number of tokens for one
 // request.
 func (d *Dispatcher) EstimateStreamTime(pool string, tokens int) time.Duration {
--- a/internal/overlay/owner.go
+++ b/internal/overlay/owner.go
@@ -32,6 +32,9 @@
 	MaxTokens      int
 	// OutputReserve is the room that must be free in addition to the prompt before the answer can begin.
 	OutputReserve int
+	// Rerun is the room that a lost run of the stream used, if the engine runs the stream again; otherwise it is 0. The
+	// lost run has ended, which the owner may not know yet.
+	Rerun int
 }
 
 const (
@@ -96,7 +99,7 @@
 	defer cancel()
 	req := connect.NewRequest(&v1.RoomRequest{
 		Engine: r.Engine, PromptTokens: int32(r.PromptTokens), ExpectedTokens: int32(r.ExpectedTokens), MostTokens: int32(r.MaxTokens),
-		AheadTokens: int32(r.OutputReserve),
+		AheadTokens: int32(r.OutputReserve), Rerun: int32(r.Rerun),
 	})
 	authorize(req.Header(), n.members.sharedKey())
 	resp, err := n.client(owner.Address).Room(ctx, req)
@@ -132,10 +135,10 @@
 }
 
 func decodeRoom(m *v1.RoomRequest) (r Room, ok bool) {
-	ok = m.Engine != "" && validTokens(m.PromptTokens) && validTokens(m.ExpectedTokens) && validTokens(m.MostTokens) && validTokens(m.AheadTokens)
+	ok = m.Engine != "" && validTokens(m.PromptTokens) && validTokens(m.ExpectedTokens) && validTokens(m.MostTokens) && validTokens(m.AheadTokens) && validTokens(m.Rerun)
 	r = Room{
 		Engine: m.Engine, PromptTokens: int(m.PromptTokens), ExpectedTokens: int(m.ExpectedTokens), MaxTokens: int(m.MostTokens),
-		OutputReserve: int(m.AheadTokens),
+		OutputReserve: int(m.AheadTokens), Rerun: int(m.Rerun),
 	}
 	return r, ok
 }
--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -68,14 +68,21 @@
 	case StepPrefillDone:
 		return fmt.Sprintf("%s had read the prompt, %d tokens of it from its cache.", s.Prefill, s.Tokens)
 	case StepDecode:
+		if s.Prefill == "" {
+			return fmt.Sprintf("Attempt %d: engine %s was chosen to read the prompt itself and write the answer.", s.Attempt, s.Decode)
+		}
 		text := fmt.Sprintf("Attempt %d: %s was told to take the KV cache from %s.", s.Attempt, s.Decode, s.Prefill)
 		if s.Reason != outcome.OK {
 			text += fmt.Sprintf(" This is a move, because %s.", s.Reason.Sentence())
 		}
 		return text
 	case StepRerun:
-		return fmt.Sprintf("Attempt %d: %s was told to run it again without a KV cache to fetch, because it may still have the prompt in its cache. Its connection had been lost: %s.",
-			s.Attempt, s.Decode, s.Reason.Sentence())
+		why := "Its connection had been lost"
+		if s.Reason == outcome.TransferStalled {
+			why = "It had not begun to answer in time"
+		}
+		return fmt.Sprintf("Attempt %d: %s was told to run it again without a KV cache to fetch, because it may still have the prompt in its cache. %s: %s.",
+			s.Attempt, s.Decode, why, s.Reason.Sentence())
 	case StepNoRerun:
 		return fmt.Sprintf("It was not run again on %s, which may still have the prompt in its cache: %s.", s.Decode, s.Text)
 	case StepFirstToken:
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -34,7 +34,7 @@
 // callPrefill reserves memory at the decode engine. It then has the prefill engine prefill the prompt.
 func (f *flight) callPrefill(ctx context.Context, a decide.StartPrefill) {
 	x := f.x
-	reserved, ok := f.reserveKV(ctx, a.Attempt, a.Decode)
+	reserved, ok := f.reserveKV(ctx, a.Attempt, a.Decode, 0)
 	if !ok || !f.send(flightEvent{attempt: a.Attempt, reserved: &reserved}) {
 		return
 	}
@@ -88,8 +88,9 @@
 }
 
 // callCombined reserves memory at a decode engine. It then has that engine prefill the prompt and generate the answer.
-func (f *flight) callCombined(ctx context.Context, a decide.StartDecode, lastEvent string) {
-	reserved, ok := f.reserveKV(ctx, a.Attempt, a.Decode)
+// lost is the memory, in tokens, that a lost run used, if the engine runs the request again; otherwise it is 0.
+func (f *flight) callCombined(ctx context.Context, a decide.StartDecode, lastEvent string, lost int) {
+	reserved, ok := f.reserveKV(ctx, a.Attempt, a.Decode, lost)
 	if !ok || !f.send(flightEvent{attempt: a.Attempt, reserved: &reserved}) {
 		return
 	}
@@ -99,9 +100,9 @@
 // reserveKV reserves memory at a decode engine, so that no prompt is prefilled without memory for its result. The owner
 // of the engine, a box, is asked for the memory first. ok is false if the owner denies the memory, or if the engine
 // reserves none in time. reserveKV then reports noRoom to the loop, unless the attempt has ended.
-func (f *flight) reserveKV(ctx context.Context, a decide.Attempt, engine string) (res reservation, ok bool) {
+func (f *flight) reserveKV(ctx context.Context, a decide.Attempt, engine string, lost int) (res reservation, ok bool) {
 	x := f.x
-	granted, owner := x.r.askRoom(ctx, engine, x)
+	granted, owner := x.r.askRoom(ctx, engine, x, lost)
 	if !granted {
 		f.send(flightEvent{attempt: a, noRoom: &noRoom{owner}})
 		return res, false
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -39,15 +39,18 @@
 	f.x.r.publish(overlay.Message{Placed: p})
 }
 
-// publishStreamEnded tells the other boxes and the decision core that an engine no longer runs the stream. If the
-// stream has not begun, it does nothing.
-func (f *flight) publishStreamEnded(engine string) {
-	if f.firstEventAt.IsZero() || engine == "" {
+// publishStreamEnded tells the other boxes that runningEngine no longer runs the stream, and the decision core if it does
+// not know. If no run has begun since the last such message, it does nothing.
+func (f *flight) publishStreamEnded(coreKnows bool) {
+	if f.runningEngine == "" {
 		return
 	}
-	e := &overlay.StreamEnded{Engine: engine, Tokens: f.x.meta.PromptTokens + f.tokensSent()}
+	e := &overlay.StreamEnded{Engine: f.runningEngine, Tokens: f.tokensHeld()}
+	f.runningEngine = ""
 	f.x.r.publish(overlay.Message{Ended: e})
-	f.x.r.disp.Step(decide.StreamEnded{Engine: e.Engine, At: clock.Now(), Tokens: e.Tokens})
+	if !coreKnows {
+		f.x.r.disp.Step(decide.StreamEnded{Engine: e.Engine, At: clock.Now(), Tokens: e.Tokens})
+	}
 }
 
 // Receive handles a message from another box.
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -354,7 +354,7 @@
 		return
 	}
 	f.x.r.m.CompletedMigrations.Inc()
-	f.publishStreamEnded(m.sourceEngine)
+	f.publishStreamEnded(false)
 	f.x.trace.Step(record.Step{Kind: record.StepMigrated, Decode: f.decodeEngine})
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -57,9 +57,9 @@
 	source      Source
 	// prefillCalls and decodeCalls are the numbers of prefill and decode calls sent to engines.
 	prefillCalls, decodeCalls int
-	// rerunAttempt is the attempt number of the last decode call to an engine that lost the connection of an earlier one;
-	// 0 if there is none.
-	rerunAttempt decide.Attempt
+	// runningEngine is the engine whose run of the stream has begun; empty if there is none, or if its end has been
+	// published.
+	runningEngine string
 	// migration is the migration in progress; nil if there is none.
 	migration *migration
 	// stopDecode cancels the current decode call; nil before the first decode call.
@@ -200,7 +200,7 @@
 	// emits its last actions when the request is removed, and drainSteps then records them. The calls are canceled
 	// last.
 	defer func() {
-		f.publishStreamEnded(f.decodeEngine)
+		f.publishStreamEnded(false)
 		x.r.disp.Remove(f.id)
 		f.drainSteps()
 		f.shutdown(cancel)
@@ -367,19 +367,25 @@
 		ctx := f.call.AttemptContext(f.ctx, a.Attempt)
 		f.calls.Go(func() { f.callPrefill(ctx, a) })
 	case decide.StartDecode:
+		if a.Rerun == outcome.TransferStalled {
+			f.x.ran = true // The engine did not answer in time, but may have run the request.
+			if f.x.suspected() {
+				f.x.r.disp.Step(decide.RerunForbidden{ID: f.id, Attempt: a.Attempt})
+				break
+			}
+		}
 		if a.Moved != outcome.OK { // The decision core has replaced the decode engine that it chose first.
 			f.x.r.m.Moves.Inc()
 		}
 		f.decodeAttempt, f.decodeEngine, f.plannedDecode = a.Attempt, a.Decode, a.Decode
 		if a.Prefill == "" {
+			f.free() // Frees what engines store for an earlier attempt, also a handle that is not used.
+			lost := 0
 			if a.Rerun != outcome.OK {
-				f.rerunAttempt = a.Attempt
-				f.freeReservation()
-			} else {
-				f.free() // Frees what engines store for an earlier attempt.
+				lost = f.tokensHeld()
 			}
 			ctx, last := f.bindDecode(a.Attempt), f.lastID
-			f.calls.Go(func() { f.callCombined(ctx, a, last) })
+			f.calls.Go(func() { f.callCombined(ctx, a, last, lost) })
 			break
 		}
 		f.freeReservationElsewhere(a.Decode)
@@ -447,9 +453,6 @@
 		f.handleFailure(ev.attempt, *ev.err)
 	case ev.reserved != nil:
 		f.reservation = *ev.reserved
-		if ev.attempt == f.rerunAttempt {
-			f.freeSource() // The engine runs the request without the handle.
-		}
 		f.publishPlaced(ev.attempt)
 		f.countCall(ev.attempt) // Not counted earlier: until now the request was in no engine's queue.
 	case ev.noRoom != nil:
@@ -505,6 +508,9 @@
 	}
 	f.x.ran = f.x.ran || e.ran
 	f.recordFailure(a, engine, &e)
+	if a == f.decodeAttempt {
+		f.publishStreamEnded(f.runningEngine == engine)
+	}
 	if e.reason == outcome.EndpointRefused {
 		f.x.r.pollAfterRefusal(engine)
 		if a == f.prefillAttempt {
@@ -542,8 +548,10 @@
 	f.freeReservation()
 	if f.migration.is(ev.attempt) {
 		f.finishMigration()
+		f.runningEngine = f.decodeEngine
 		return f.passEvents(&ev.head.part)
 	}
+	f.runningEngine = f.decodeEngine
 	f.x.trace.Step(record.Step{Kind: record.StepFirstToken, Decode: f.decodeEngine})
 	if !f.x.begun {
 		f.x.copyHead(ev.head.header)
@@ -556,6 +564,9 @@
 // last event of an answer may lack.
 func (f *flight) tokensSent() int { return f.eventsSent * f.x.service.Engines.TokensPerEvent }
 
+// tokensHeld is the KV cache, in tokens, that a run of the stream uses at this point.
+func (f *flight) tokensHeld() int { return f.x.meta.PromptTokens + f.tokensSent() }
+
 // passEvents sends events to the caller, and releases the memory of this box that was reserved for the events. If the
 // events cannot be sent, it returns the outcome of the request and true.
 func (f *flight) passEvents(p *part) (outcome.Outcome, bool) {
