Test stalls, used handles, the room of reruns and the ends of lost runs

The gateway's TestStalledCallWritesNothing now completes a second prefill, since the engine of the stalled call may have fetched the KV cache.

--- a/internal/decide/grant_test.go
+++ b/internal/decide/grant_test.go
@@ -78,3 +78,50 @@
 		t.Error("expected no grant while the engine refuses reservations")
 	}
 }
+
+// fullGrantCore returns the core of the owner of engine w, which reports streams that use all of its memory. One of them
+// uses lost tokens. If listed is not set, that stream has not begun and is missing in the list of streams.
+func fullGrantCore(now time.Time, lost int, listed bool) *Core {
+	c := newGrantCore(now)
+	runs := []StreamLoad{{Tokens: 63000 - lost, Output: 6000}}
+	if listed {
+		runs = append(runs, StreamLoad{Tokens: lost, Output: lost - 5000})
+	}
+	c.Step(now, LoadReport{Engine: "w", At: now, FreeKV: 0, Streams: len(runs), Runs: runs})
+	return c
+}
+
+// A rerun asks for room before the owner knows that the lost run has ended. Past fault: the owner counted the lost run
+// beside its rerun, and denied room.
+func TestRerunIsGrantedTheRoomOfItsLostRun(t *testing.T) {
+	now := time.Now()
+	later := now.Add(10 * time.Millisecond)
+	for lost, listed := range map[int]bool{6000: true, 5600: false} {
+		c := fullGrantCore(now, lost, listed)
+		if c.Grant(later, "w", streamRequest(5000)) {
+			t.Errorf("listed %t: expected no room for another stream", listed)
+		}
+		if !c.GrantRerun(later, "w", streamRequest(5000), lost) {
+			t.Errorf("listed %t: expected the room of the lost run to be granted to its rerun", listed)
+		}
+	}
+
+	c := newGrantCore(now)
+	n := countGrants(c, later, 50)
+	if !c.GrantRerun(later, "w", streamRequest(5000), 5000) || len(c.engines["w"].placements) != n {
+		t.Errorf("expected the rerun to replace one of %d granted streams, got %d", n, len(c.engines["w"].placements))
+	}
+	if c.Grant(later, "w", streamRequest(5000)) {
+		t.Error("expected no room for another stream beside the rerun")
+	}
+}
+
+// Guards against granting a rerun memory that its lost run did not use.
+func TestRerunIsDeniedRoomOfOthers(t *testing.T) {
+	now := time.Now()
+	c := newGrantCore(now)
+	c.Step(now, LoadReport{Engine: "w", At: now, FreeKV: 0, Streams: 1, Runs: []StreamLoad{{Tokens: 63000, Output: 6000}}})
+	if c.GrantRerun(now.Add(10*time.Millisecond), "w", streamRequest(5000), 5000) {
+		t.Error("expected no room, since no stream on the engine is the lost one")
+	}
+}
--- a/internal/decide/rerun_test.go
+++ b/internal/decide/rerun_test.go
@@ -289,3 +289,123 @@
 	}
 	s.expectResults(RerunFailed)
 }
+
+// knowDelays lets the core know first-event delays of the pool.
+func (s *fixture) knowDelays(delays ...time.Duration) {
+	for n := range 2 * minTimings {
+		s.step(RemoteTiming{Pool: "p", Timing: Timing{FirstEventDelay: delays[n%len(delays)]}})
+	}
+}
+
+// tickUntilGivenUp sends ticks until the stream is called again, and returns how long that took.
+func (s *rerunFixture) tickUntilGivenUp(limit time.Duration) time.Duration {
+	s.t.Helper()
+	from, last := s.now, s.lastCall()
+	for s.lastCall() == last {
+		if s.now = s.now.Add(tickInterval); s.now.Sub(from) > limit {
+			s.t.Fatalf("expected the call to be given up within %s", limit)
+		}
+		s.step(Tick{})
+	}
+	return s.now.Sub(from)
+}
+
+// waitWithDelays lets the decode call begin now, with the given first-event delays known.
+func (s *rerunFixture) waitWithDelays(delays ...time.Duration) {
+	s.knowDelays(delays...)
+	s.c.setDecodeStage(s.c.flights[1], 2*time.Millisecond)
+	s.step(Tick{})
+}
+
+// A decode call does not begin its answer. Past fault: it was given up after three times the predicted time and half of the
+// target.
+func TestSilentDecodeIsRunAgainSoon(t *testing.T) {
+	for _, c := range []struct {
+		delays      []time.Duration
+		least, most time.Duration
+	}{
+		{[]time.Duration{10 * time.Millisecond}, 100 * time.Millisecond, 120 * time.Millisecond},
+		{[]time.Duration{200 * time.Millisecond}, 200 * time.Millisecond, 240 * time.Millisecond},
+		{[]time.Duration{20 * time.Millisecond, 100 * time.Millisecond}, 180 * time.Millisecond, 280 * time.Millisecond},
+		{[]time.Duration{3 * time.Second}, time.Second, 1040 * time.Millisecond}, // At most half of the target.
+	} {
+		s := newRerunFixture(t, false, func(r *Request) { r.FirstToken = 2 * time.Second })
+		s.waitWithDelays(c.delays...)
+		first := s.decodes[1]
+		took := s.tickUntilGivenUp(2 * time.Second)
+		if took < c.least || took > c.most {
+			t.Errorf("delays %v: expected the call to be given up after %s to %s, got %s", c.delays, c.least, c.most, took)
+		}
+		s.expectRerun(true)
+		if len(s.aborts) != 1 || s.aborts[0].Attempt != first.Attempt || s.decodes[1].Rerun != outcome.TransferStalled {
+			t.Errorf("delays %v: expected the first call to be aborted before the second, got %+v, %+v", c.delays, s.aborts, s.decodes[1])
+		}
+	}
+}
+
+// Guards against giving up calls after a pause of the box that is shorter than their margin.
+func TestShortPauseIsNoStall(t *testing.T) {
+	s := newRerunFixture(t, false, func(*Request) {})
+	s.waitWithDelays(10 * time.Millisecond)
+	first := s.lastCall()
+	s.now = s.now.Add(tickInterval)
+	s.step(Tick{})
+	s.now = s.now.Add(95 * time.Millisecond) // The call would have stalled 13 ms ago.
+	if s.step(Tick{}); s.lastCall() != first {
+		t.Error("expected the call to be kept")
+	}
+}
+
+// Guards against giving up a call whose request could neither be run again nor be tried again in time.
+func TestSilentDecodeIsKeptWithoutAlternative(t *testing.T) {
+	s := newRerunFixture(t, false, func(*Request) {})
+	s.waitWithDelays(10 * time.Millisecond)
+	s.c.budget.SetFixed(0, 0, time.Minute)
+	first := s.lastCall()
+	for range 50 {
+		s.now = s.now.Add(tickInterval)
+		s.step(Tick{})
+	}
+	if _, ended := s.outcomes[1]; ended || s.lastCall() != first {
+		t.Errorf("expected the call to be kept, got %+v, %+v", s.outcomes[1], s.decodes[1])
+	}
+}
+
+// A decode call is lost after it had the time to fetch the KV cache. Past fault: other engines were called with its handle,
+// and refused. An engine that refuses without having run the request leaves the handle to others.
+func TestUsedHandleIsOfferedToNoOtherEngine(t *testing.T) {
+	s := newRerunFixture(t, false, func(*Request) {})
+	first := s.decodes[1]
+	s.step(Failed{ID: 1, Attempt: first.Attempt, Reason: outcome.WrongAnswer, Ran: true})
+	if s.decodes[1] != first || s.prefills[1].Attempt <= first.Attempt {
+		t.Errorf("expected the prompt to be prefilled again, got %+v, %+v", s.decodes[1], s.prefills[1])
+	}
+	s = newRerunFixture(t, false, func(*Request) {})
+	first = s.decodes[1]
+	s.step(Failed{ID: 1, Attempt: first.Attempt, Reason: outcome.EndpointRefused})
+	if d := s.decodes[1]; d.Attempt == first.Attempt || d.Prefill == "" || d.Decode == first.Decode {
+		t.Errorf("expected another engine to fetch the KV cache, got %+v", d)
+	}
+}
+
+// A rerun that a stall caused is forbidden, because the request is suspected of crashing engines. The retry is given back.
+func TestForbiddenRerun(t *testing.T) {
+	s := newRerunFixture(t, false, func(*Request) {})
+	s.waitWithDelays(10 * time.Millisecond)
+	retries := retriesLeft(s.c)
+	s.tickUntilGivenUp(time.Second)
+	s.step(RerunForbidden{ID: 1, Attempt: s.decodes[1].Attempt})
+	s.expectResults(RerunDeclined)
+	if s.prefills[1].Attempt <= s.decodes[1].Attempt || retriesLeft(s.c) != retries-2 {
+		t.Errorf("expected the prompt to be prefilled again with two of %d retries, got %+v, %d left", retries, s.prefills[1], retriesLeft(s.c))
+	}
+}
+
+// A rerun would be late if the engine had dropped the cached prompt, and a new prefill would be late too. Past fault: the
+// request ended, although the engine usually still has the prompt.
+func TestRerunIsBetterThanNone(t *testing.T) {
+	s := newRerunFixture(t, false, func(*Request) {})
+	s.now = s.now.Add(700 * time.Millisecond) // Prefilling 2,000 tokens again takes 200 ms elsewhere and 400 ms here.
+	s.lose()
+	s.expectRerun(true)
+}
--- a/internal/gateway/begin_test.go
+++ b/internal/gateway/begin_test.go
@@ -65,6 +65,8 @@
 	g.disp.Step(decide.PrefillDone{ID: f.id, Attempt: 1, Expires: time.Now().Add(time.Minute)})
 	stalled := startedDecode(f)
 	g.disp.Step(decide.Failed{ID: f.id, Attempt: stalled, Reason: outcome.TransferStalled, Ran: true})
+	// The engine may have fetched the KV cache, so the prompt is prefilled again.
+	g.disp.Step(decide.PrefillDone{ID: f.id, Attempt: stalled + 1, Expires: time.Now().Add(time.Minute)})
 
 	late := flightEvent{attempt: stalled, chunk: &engine.Chunk{Data: "late", HasChoices: true}}
 	f.handleEvent(late)
--- a/internal/overlay/owner_test.go
+++ b/internal/overlay/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,6 +75,20 @@
 	}
 }
 
+// Guards against losing what a rerun says about its lost run on the way to the owner.
+func TestRoomOfRerunReachesOwner(t *testing.T) {
+	s := newStore()
+	all := s.fleet(t)
+	var got atomic.Int64
+	for _, b := range all {
+		b.o.Room = func(r Room) bool { got.Store(int64(r.Rerun)); return true }
+	}
+	want := Room{Engine: "engine-1", PromptTokens: 50, Rerun: 70}
+	if granted, by := all[0].AskRoom(context.Background(), "h2", want); !granted || by == "" || got.Load() != 70 {
+		t.Errorf("expected the owner to be told of a lost run of 70 tokens, got %d, %t of %q", got.Load(), granted, by)
+	}
+}
+
 // A box refuses a request for room at an engine if the shared key is missing or the sizes are out of bounds.
 func TestRoomStrangers(t *testing.T) {
 	s := newStore()
@@ -88,6 +103,11 @@
 			t.Errorf("expected %v, got %v", want, err)
 		}
 	}
+	req := connect.NewRequest(&v1.RoomRequest{Engine: "e", Rerun: -1})
+	authorize(req.Header(), all[0].members.sharedKey())
+	if _, err := client.Room(context.Background(), req); connect.CodeOf(err) != connect.CodeInvalidArgument {
+		t.Errorf("expected a size below 0 to be refused, got %v", err)
+	}
 	expect("guess", 1, connect.CodeUnauthenticated)
 	expect(all[0].members.sharedKey(), -1, connect.CodeInvalidArgument)
 	expect(all[0].members.sharedKey(), maxTokens, connect.CodeInvalidArgument)
--- a/internal/record/explain_test.go
+++ b/internal/record/explain_test.go
@@ -31,10 +31,17 @@
 func TestRerunText(t *testing.T) {
 	expectStepSentence(t, Step{Kind: StepRerun, Attempt: 3, Decode: "decode-3", Reason: outcome.EndpointLost},
 		"Attempt 3: decode-3 was told to run it again without a KV cache to fetch, because it may still have the prompt in its cache. Its connection had been lost: the endpoint went away")
+	expectStepSentence(t, Step{Kind: StepRerun, Attempt: 3, Decode: "decode-3", Reason: outcome.TransferStalled}, "It had not begun to answer in time: ")
 	expectStepSentence(t, Step{Kind: StepNoRerun, Decode: "decode-3", Text: "the engine has no room"},
 		"It was not run again on decode-3, which may still have the prompt in its cache: the engine has no room.")
 }
 
+// Past fault: for a decode engine that prefills the prompt itself, the sentence was "was told to take the KV cache from ."
+func TestSelfPrefillText(t *testing.T) {
+	expectStepSentence(t, Step{Kind: StepDecode, Attempt: 1, Decode: "decode-3"}, "Attempt 1: engine decode-3 was chosen to read the prompt itself and write the answer.")
+	expectStepSentence(t, Step{Kind: StepDecode, Attempt: 2, Prefill: "prefill-1", Decode: "decode-3"}, "Attempt 2: decode-3 was told to take the KV cache from prefill-1.")
+}
+
 // An engine's owner is the box that grants the engine's memory to the other boxes. The sentence says who refused to
 // reserve memory: the engine itself or the engine's owner.
 func TestNoRoomText(t *testing.T) {
--- a/internal/relay/begin_test.go
+++ b/internal/relay/begin_test.go
@@ -11,6 +11,7 @@
 	"github.com/stoatramp/stoatramp/internal/account"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/outcome"
+	"github.com/stoatramp/stoatramp/internal/overlay"
 	"github.com/stoatramp/stoatramp/internal/record"
 	"github.com/stoatramp/stoatramp/internal/telemetry"
 )
@@ -109,3 +110,53 @@
 		t.Errorf("expected 16 tokens of four events, got %d", f.x.rec.Output)
 	}
 }
+
+// endedPeers records the published ends of streams.
+type endedPeers struct {
+	fakePeers
+	ended *[]overlay.StreamEnded
+}
+
+func (p endedPeers) Publish(msg overlay.Message) {
+	if msg.Ended != nil {
+		*p.ended = append(*p.ended, *msg.Ended)
+	}
+}
+
+// A stream loses its engine and is resumed on another one. Past fault: the end of the lost run was not published, so that
+// the owner and the other boxes counted it until the engine's next report.
+func TestEndOfLostRunIsPublished(t *testing.T) {
+	r, f, _ := arrivedFlight(t, context.Background(), decide.Request{Resumable: true}, "writer-1", "writer-2")
+	var ended []overlay.StreamEnded
+	r.o.Peers = endedPeers{ended: &ended}
+	f.x.meta.PromptTokens = 10
+	startDecode := func() {
+		for {
+			for _, a := range f.call.TakeActions() {
+				switch a := a.(type) {
+				case decide.StartPrefill:
+					r.disp.Step(decide.PrefillDone{ID: f.id, Attempt: a.Attempt, Expires: time.Now().Add(time.Minute)})
+				case decide.StartDecode:
+					f.decodeAttempt, f.decodeEngine = a.Attempt, a.Decode
+					return
+				}
+			}
+		}
+	}
+	startDecode()
+	f.handleEvent(headEvent(f.decodeAttempt, "w0 "))
+	lost := f.decodeEngine
+	f.handleFailure(f.decodeAttempt, callError{reason: outcome.Truncated, ran: true})
+	want := overlay.StreamEnded{Engine: lost, Tokens: 11}
+	if len(ended) != 1 || ended[0] != want {
+		t.Fatalf("expected the end of the lost run to be published, got %+v", ended)
+	}
+	startDecode()
+	if f.publishStreamEnded(false); len(ended) != 1 {
+		t.Errorf("expected no end of a run that has not begun, got %+v", ended[1:])
+	}
+	f.handleEvent(headEvent(f.decodeAttempt, "w1 "))
+	if f.publishStreamEnded(false); len(ended) != 2 || ended[1].Engine != f.decodeEngine || ended[1].Engine == lost || ended[1].Tokens != 12 {
+		t.Errorf("expected the end of the second run to be published, got %+v", ended)
+	}
+}
