Tell the core of the end of a run whose next call was refused

Cause: the core records a lost run only if the failed call may have run. After a migration whose call back to the source engine was refused, the relay assumed that the core knew.

Change: the relay passes the end to the core in this case.

--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -25,7 +25,7 @@
 	// A stage of a request (prefill or transfer) counts as stalled after stallFactor times its predicted
 	// duration plus a margin. The margin is half the first-token target, but at least minStallMargin and
 	// at most maxStallMargin. A decode call that fetches the KV cache, or is a rerun, stalls sooner (see
-	// decodeDeadline). A stalled request is moved if another engine can take it or its decode engine can
+	// setDecodeStage). A stalled request is moved if another engine can take it or its decode engine can
 	// run it again. Otherwise it is left alone, because a slow call is not a lost call. If many calls were
 	// given up at the same time, they would only load the other engines.
 	stallFactor    = 3
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -509,7 +509,7 @@
 	f.x.ran = f.x.ran || e.ran
 	f.recordFailure(a, engine, &e)
 	if a == f.decodeAttempt {
-		f.publishStreamEnded(f.runningEngine == engine)
+		f.publishStreamEnded(e.ran && f.runningEngine == engine)
 	}
 	if e.reason == outcome.EndpointRefused {
 		f.x.r.pollAfterRefusal(engine)
