--- a/internal/decide/grant.go
+++ b/internal/decide/grant.go
@@ -33,10 +33,15 @@
 		return false, true
 	}
 	e.denied.granted(o.Stream)
+	e.addGrant(now, f)
+	return true, false
+}
+
+// addGrant adds a request of another box to the load of the engine.
+func (e *engine) addGrant(now time.Time, f *flight) {
 	if !e.hasReport || now.After(e.report.At) {
 		e.addPlacement(placement{at: now, streams: 1, reservation: f.expectedReservation()})
 	}
-	return true, false
 }
 
 // expectedReservation is the memory that the request is expected to use. Without an OutputReserve, the longest answer must
--- a/internal/overlay/owner.go
+++ b/internal/overlay/owner.go
@@ -33,6 +33,9 @@
 	MaxTokens      int
 	// OutputReserve is the room that must be free in addition to the prompt before the answer can begin.
 	OutputReserve int
+	// Rerun is the room that a lost run of the stream used, if the engine runs the stream again; otherwise it is 0. The
+	// lost run has ended, which the owner may not know yet.
+	Rerun int
 	// Stream identifies the stream among the streams of all boxes. It is 0 in a request from a box of an older release,
 	// which sends none of the following fields. They say whether the stream goes before others that need the same room.
 	Stream uint64
@@ -159,7 +162,7 @@
 func (r *Room) encode() *v1.RoomRequest {
 	m := &v1.RoomRequest{
 		Engine: r.Engine, PromptTokens: int32(r.PromptTokens), ExpectedTokens: int32(r.ExpectedTokens), MostTokens: int32(r.MaxTokens),
-		AheadTokens: int32(r.OutputReserve),
+		AheadTokens: int32(r.OutputReserve), Rerun: int32(r.Rerun),
 	}
 	if r.Stream == 0 {
 		return m
@@ -175,12 +178,12 @@
 }
 
 func decodeRoom(m *v1.RoomRequest) (r Room, ok bool) {
-	ok = m.Engine != "" && validTokens(m.PromptTokens) && validTokens(m.ExpectedTokens) && validTokens(m.MostTokens) && validTokens(m.AheadTokens)
+	ok = m.Engine != "" && validTokens(m.PromptTokens) && validTokens(m.ExpectedTokens) && validTokens(m.MostTokens) && validTokens(m.AheadTokens) && validTokens(m.Rerun)
 	inTime := func(ms int64) bool { return ms >= -maxRoomTime.Milliseconds() && ms <= maxRoomTime.Milliseconds() }
 	ok = ok && validRank(m.Rank) && validText(m.Account) && validWeight(m.Weight) && validStreams(m.AccountStreams) && inTime(m.OrderMs) && inTime(m.LeftMs)
 	r = Room{
 		Engine: m.Engine, PromptTokens: int(m.PromptTokens), ExpectedTokens: int(m.ExpectedTokens), MaxTokens: int(m.MostTokens),
-		OutputReserve: int(m.AheadTokens), Stream: m.Stream, Rank: int(m.Rank), Account: m.Account, Weight: m.Weight, AccountStreams: int(m.AccountStreams),
+		OutputReserve: int(m.AheadTokens), Rerun: int(m.Rerun), Stream: m.Stream, Rank: int(m.Rank), Account: m.Account, Weight: m.Weight, AccountStreams: int(m.AccountStreams),
 		Order: time.Duration(m.OrderMs) * time.Millisecond, Left: time.Duration(m.LeftMs) * time.Millisecond,
 	}
 	return r, ok
--- a/internal/relay/room.go
+++ b/internal/relay/room.go
@@ -16,14 +16,15 @@
 
 // askRoom asks the owner of a decode engine whether the engine has room for the stream. owner is the other box that
 // answered. It is empty if this box owns the engine, or if the owner did not answer. Without connected boxes, the room
-// counts as granted.
-func (f *flight) askRoom(ctx context.Context, engine string) (answer overlay.RoomAnswer, owner string) {
+// counts as granted. lost is the room that a lost run used, if the engine runs the request again; otherwise it is 0.
+func (f *flight) askRoom(ctx context.Context, engine string, lost int) (answer overlay.RoomAnswer, owner string) {
 	x, r := f.x, f.x.r
 	if !r.connected() {
 		return overlay.RoomAnswer{Granted: true}, ""
 	}
 	room := overlay.Room{
 		Engine: engine, PromptTokens: x.meta.PromptTokens, ExpectedTokens: x.expected(), MaxTokens: x.reservedOutput(), OutputReserve: x.outputReserve(),
+		Rerun: lost,
 	}
 	if o, ok := r.disp.Precedence(f.id); ok {
 		now := clock.Now()
@@ -47,10 +48,14 @@
 func (r *Relay) HasRoom(room overlay.Room) overlay.RoomAnswer {
 	r.adopt(clock.Now(), room.Engine)
 	r.pollIfStale(room.Engine)
-	now := clock.Now()
-	granted, yields := r.disp.Grant(room.Engine, decide.Request{
+	req := decide.Request{
 		PromptTokens: max(1, room.PromptTokens), MaxTokens: room.MaxTokens, ExpectedTokens: room.ExpectedTokens, OutputReserve: room.OutputReserve,
-	}, decide.Precedence{
+	}
+	if room.Rerun > 0 {
+		return overlay.RoomAnswer{Granted: r.disp.GrantRerun(room.Engine, req, room.Rerun)}
+	}
+	now := clock.Now()
+	granted, yields := r.disp.Grant(room.Engine, req, decide.Precedence{
 		Stream: room.Stream, Rank: room.Rank, Account: room.Account, Weight: room.Weight, Streams: room.AccountStreams,
 		Order: now.Add(room.Order), Deadline: now.Add(room.Left),
 	})
