Let a test's slot server ignore a second release

The asking box's release can arrive before the owner's own check for withdrawn requests, which then releases the slot a second time. SlotServer.Release does nothing for an unknown ID, but the test's server recorded it, and the check asks for exactly one result. Change: the test's server ignores a release of an ID that has its result. The check is the same. TestWaitingMessagesAreBounded counts 200 s in place of 20, since one message in 20 s is the bound of 986 boxes.

--- a/internal/overlay/slots_test.go
+++ b/internal/overlay/slots_test.go
@@ -99,6 +99,9 @@
 		<-gate
 	}
 	f.update(func() {
+		if !f.held[id] && len(f.results[id]) > 0 {
+			return // Like SlotServer.Release for an ID that it no longer knows.
+		}
 		delete(f.held, id)
 		f.results[id] = append(f.results[id], res)
 	})
--- a/internal/relay/queues_test.go
+++ b/internal/relay/queues_test.go
@@ -47,7 +47,7 @@
 	for _, boxes := range []int{4, 83, 986} {
 		s, now := waitingPublisher{}, time.Now()
 		messages, withAccounts := 0, 0
-		const seconds = 20
+		const seconds = 200
 		for i := range int(seconds * time.Second / waitingPublishInterval) {
 			now = now.Add(waitingPublishInterval)
 			msg, send := s.next(now, boxes, 5, 3+i%2, i, []decide.AccountQueue{{Pool: "p", Client: "a", Waiting: 3 + i%2, Running: i}})
