--- a/internal/relay/queues.go
+++ b/internal/relay/queues.go
@@ -138,17 +138,25 @@
 // core the number of streams that wait on other boxes. It pauses while this box has no requests: no stream waits here
 // then, and there is nothing to decide.
 func (r *Relay) PublishWaiting(ctx context.Context) {
+	var s waitingPublisher
+	r.runWhileBusy(ctx, waitingPublishInterval, func() (pending bool) {
+		s.step(r, clock.Now())
+		return s.published.Streams > 0
+	})
+}
+
+// runWhileBusy calls step at an interval until ctx ends. It pauses while this box has no requests and the last step left
+// nothing pending.
+func (r *Relay) runWhileBusy(ctx context.Context, interval time.Duration, step func() (pending bool)) {
 	busy := r.NotifyBusy()
-	t := time.NewTicker(waitingPublishInterval)
+	t := time.NewTicker(interval)
 	defer t.Stop()
-	var s waitingPublisher
 	for {
-		s.step(r, clock.Now())
-		if r.Running() == 0 && s.published.Streams == 0 {
+		if pending := step(); !pending && r.Running() == 0 {
 			t.Stop()
 			select {
 			case <-busy:
-				t.Reset(waitingPublishInterval)
+				t.Reset(interval)
 				continue
 			case <-ctx.Done():
 				return
--- a/internal/relay/retries.go
+++ b/internal/relay/retries.go
@@ -34,27 +34,10 @@
 	if r.o.RetryLenders == nil {
 		return
 	}
-	busy := r.NotifyBusy()
-	t := time.NewTicker(borrowCheckInterval)
-	defer t.Stop()
-	for {
+	r.runWhileBusy(ctx, borrowCheckInterval, func() (pending bool) {
 		r.borrowOnce(ctx)
-		if r.Running() == 0 && !r.hasLoans() {
-			t.Stop()
-			select {
-			case <-busy:
-				t.Reset(borrowCheckInterval)
-				continue
-			case <-ctx.Done():
-				return
-			}
-		}
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+		return r.hasLoans()
+	})
 }
 
 // borrowOnce borrows the calls that are wanted now, and returns those that were not made.
