Rerun lost calls only after half of the usual delay of the first event

Change: a call counts as having fetched the cache only after the transfer and half of the delay that first events usually have.

--- a/internal/decide/rerun.go
+++ b/internal/decide/rerun.go
@@ -98,10 +98,16 @@
 }
 
 // hadTimeToFetch reports whether the current decode call may have fetched the KV cache, or prefilled the prompt itself. A
-// call cannot have fetched the cache sooner than the transfer takes on free links. Before that, another engine can still
-// fetch it. Once the decode engine is released, tryRerun has found that there was time.
+// call does not count as having fetched the cache sooner than the transfer takes on free links and half of the usual delay of
+// the first event. Before that, another engine can probably still fetch it. Once the decode engine is released, tryRerun has found that there was time.
 func (c *Core) hadTimeToFetch(f *flight) bool {
-	return f.prefill == nil || f.decode == nil || c.now.Sub(f.stageStart) >= transferTime(f.pool, f, f.prefill, f.decode)
+	if f.prefill == nil || f.decode == nil {
+		return true
+	}
+	// Calls that are reset before the engine fetches anything were seen up to 8 ms after they were sent, where first events
+	// come after 19 ms. Their prompts would be prefilled again at half the pace, although the handle can still be fetched.
+	least := transferTime(f.pool, f, f.prefill, f.decode) + f.pool.speed.FirstEventDelay/2
+	return c.now.Sub(f.stageStart) >= least
 }
 
 // canRerun reports whether the decode engine of a call that has not begun its answer could run the request again.
