Restore the reason for the bound on the delay of refused streams

The comment of refusalDelay had a reason for the bound, which was dropped when the bound stayed for connected boxes too.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -174,7 +174,8 @@
 }
 
 // refusalDelay returns the delay that the caller of a refused stream is told. The decision core computes it from the callers
-// that all boxes told to retry, as far as this box knows them. It is at least streamRetryAfter.
+// that all boxes told to retry, as far as this box knows them. It is at least streamRetryAfter: shorter delays brought 410 callers
+// that were refused again in place of 264, and no more answers.
 func refusalDelay(o outcome.Outcome) time.Duration {
 	if o.RetryAfter == 0 {
 		return 0
