Log which box finds an engine silent, and count failed connects by cause

In the incident with boxes that reach no endpoint, 'endpoint silent' read the same on the boxes that were cut off and on those that only heard of it from them. The line now has observed_by, the box whose probe got no answer. The metric stoatramp_connects_failed_total{cause} tells refused connections from unanswered ones.

--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -388,7 +388,7 @@
 	case ProbeFailed:
 		if e := c.engines[ev.Engine]; e != nil && !e.probeFailed {
 			e.probeFailed = true
-			c.emit(StateChange{Engine: e.Name, State: Unresponsive})
+			c.emit(StateChange{Engine: e.Name, State: Unresponsive, Box: ev.Box})
 		}
 	case Evicted:
 		if e := c.engines[ev.Engine]; e != nil {
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -324,7 +324,11 @@
 type RemotePrefillRefused struct{ Engine string }
 
 // ProbeFailed reports that an engine did not answer a load probe.
-type ProbeFailed struct{ Engine string }
+type ProbeFailed struct {
+	Engine string
+	// Box is the box that probed the engine.
+	Box string
+}
 
 // Evicted reports that a prefill engine dropped cached blocks.
 type Evicted struct {
@@ -424,6 +428,8 @@
 	State  State
 	// Until is set if the engine was set aside. It is when the engine is tried again.
 	Until time.Time
+	// Box is set if the engine is unresponsive. It is the box whose probe got no answer.
+	Box string
 }
 
 // State is the observed state of an engine.
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -109,6 +109,9 @@
 	dialer net.Dialer
 	// OnDial is called for each new connection; it may be nil.
 	OnDial func()
+	// OnDialFailed is called for each connection that could not be established, unless its request was cancelled. It may
+	// be nil.
+	OnDialFailed func(addr string, err error)
 	// OnSurplus is called for each surplus response. Such a response does not belong to the request that was sent on
 	// its connection. OnSurplus may be nil.
 	OnSurplus func()
@@ -418,6 +421,9 @@
 	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.closed(addr)
+		if p.OnDialFailed != nil && !errors.Is(ctx.Err(), context.Canceled) {
+			p.OnDialFailed(addr, err)
+		}
 		return nil, err
 	}
 	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, bufferBytes), dialTime: time.Since(began), fresh: true}, nil
--- a/internal/relay/changelog.go
+++ b/internal/relay/changelog.go
@@ -17,8 +17,12 @@
 // logStateChange logs that an endpoint gets no requests for a while, does not answer, or is usable again.
 func (r *Relay) logStateChange(b decide.StateChange) {
 	fields := []zap.Field{zap.String("endpoint", b.Engine)}
-	if b.State == decide.SetAside {
+	switch b.State {
+	case decide.SetAside:
 		fields = append(fields, zap.Duration("for", clock.Until(b.Until)))
+	case decide.Unresponsive:
+		fields = append(fields, zap.String("observed_by", b.Box))
+	case decide.Usable:
 	}
 	r.o.Recorder.Log.StateChange("endpoint "+b.State.String(), fields...)
 }
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -55,7 +55,7 @@
 func (r *Relay) Receive(msg overlay.Message) {
 	switch {
 	case msg.Load != nil:
-		r.receiveLoad(msg.At, msg.Load)
+		r.receiveLoad(msg.Box, msg.At, msg.Load)
 	case msg.Refused != nil:
 		r.disp.Step(decide.RemotePrefillRefused{Engine: msg.Refused.Engine})
 	case msg.Placed != nil:
@@ -91,9 +91,9 @@
 }
 
 // receiveLoad applies the load of an engine. Another box has polled the engine and published the load.
-func (r *Relay) receiveLoad(at time.Time, l *overlay.Load) {
+func (r *Relay) receiveLoad(box string, at time.Time, l *overlay.Load) {
 	if l.Unresponsive {
-		r.applySilence(l.Engine)
+		r.applySilence(l.Engine, box)
 		return
 	}
 	load := Load{
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -152,7 +152,7 @@
 		return
 	}
 	if err != nil || resp.StatusCode != http.StatusOK {
-		r.applySilence(e.ID)
+		r.applySilence(e.ID, r.o.Box)
 		r.publishLoad(e.ID, now, nil)
 		return
 	}
@@ -175,12 +175,12 @@
 // accepted there. Each box would then poll all engines by itself (112,422 polls in a simulated day).
 func (l *Load) matchesStart(e *Endpoint) bool { return l.Started == 0 || l.Started == e.Started }
 
-// applySilence records that an engine did not answer a poll. The poll came from this box or from another box.
-func (r *Relay) applySilence(engine string) {
+// applySilence records that an engine did not answer a poll of a box, which may be this box or another.
+func (r *Relay) applySilence(engine, box string) {
 	r.fleet.mu.Lock()
 	r.fleet.recordReport(engine, clock.Now())
 	r.fleet.mu.Unlock()
-	r.disp.Step(decide.ProbeFailed{Engine: engine})
+	r.disp.Step(decide.ProbeFailed{Engine: engine, Box: box})
 }
 
 // applyLoad applies the load that an engine had at a time.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -171,6 +171,7 @@
 	r.revoked.Store(&revoked{})
 	r.callerPool.OnSurplus = r.m.ForeignChunks.Inc
 	r.callerPool.OnUnconfirmed = r.m.UnconfirmedConns.Inc
+	r.callerPool.OnDialFailed, r.controlPool.OnDialFailed = r.countConnectFailure, r.countConnectFailure
 	r.callerPool.OnResponse, r.controlPool.OnResponse = r.observeRun, r.observeControl
 	r.disp.OnStateChange = r.logStateChange
 	r.disp.OnEstimatesChanged = r.logEstimates
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -70,12 +70,22 @@
 	SlotsInUse     *metrics.Gauge
 	// UnconfirmedConns counts new connections that an endpoint closed before a request was sent.
 	UnconfirmedConns *metrics.Counter
+	// ConnectsFailed counts the connections to endpoints that could not be established: "refused", "unanswered" (no
+	// answer in time), or "other".
+	ConnectsFailed map[string]*metrics.Counter
 	// LimitCheckTime is the time that a check of a client account's limits took.
 	LimitCheckTime *metrics.Histogram
 
 	routes routeHistograms
 }
 
+// The keys of Metrics.ConnectsFailed.
+const (
+	ConnectRefused    = "refused"
+	ConnectUnanswered = "unanswered"
+	ConnectOther      = "other"
+)
+
 // The keys of Metrics.SlotsGranted.
 const (
 	SlotByOwner = "owner"
@@ -149,6 +159,11 @@
 		SlotsWaiting:     s.NewGauge("stoatramp_slots_waiting", nil),
 		SlotsInUse:       s.NewGauge("stoatramp_slots_in_use", nil),
 		UnconfirmedConns: s.NewCounter("stoatramp_connections_unconfirmed_total"),
+		ConnectsFailed: map[string]*metrics.Counter{
+			ConnectRefused:    s.NewCounter(`stoatramp_connects_failed_total{cause="refused"}`),
+			ConnectUnanswered: s.NewCounter(`stoatramp_connects_failed_total{cause="unanswered"}`),
+			ConnectOther:      s.NewCounter(`stoatramp_connects_failed_total{cause="other"}`),
+		},
 	}
 	for _, by := range []string{SlotByOwner, SlotBySelf, SlotByPart} {
 		m.SlotsGranted[by] = s.NewCounter(fmt.Sprintf("stoatramp_slots_granted_total{by=%q}", by))
