Open connections to endpoints by a package of their own, also through a proxy

Until now the connection pool dialed by itself, so nothing could choose a path. Three packages: reach decides by which path to connect (pure, no clock), tunnel carries a connection by the CONNECT method, paths runs the attempts. Boxes don't use each other yet: the relay sets no peers, so all connections are direct as before. The pool asks before it uses an idle connection, and reports endpoints that leave a request unanswered.

New setting [endpoints] proxy: an HTTP proxy for all connections to endpoints.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -176,7 +176,7 @@
 		Core: core, Recorder: b.recorder, Peers: peers, RetryLenders: lenders, ListFreshness: &b.listFreshness,
 		Memory:      int64(requestMemoryShare * cfg.MemoryMB * (1 << 20)),
 		ColdLimits:  pacing.ColdLimits{Factor: cfg.ColdRateFactor, Slack: cfg.ColdRateSlack},
-		SharedSlots: cfg.SharedSlots,
+		SharedSlots: cfg.SharedSlots, EndpointProxy: cfg.EndpointProxy,
 		Limits:      b.quotaGrants, Crashes: b.crashes, Keys: relay.KeyPolicy{Strict: cfg.StrictRevocation, Within: cfg.RevokedWithin, Age: b.configFreshness.Age},
 	})
 	b.recorder.Conditions = b.Relay.Conditions
--- a/internal/config/relay.go
+++ b/internal/config/relay.go
@@ -90,6 +90,10 @@
 	RevokedWithin    time.Duration
 	StrictRevocation bool
 
+	// EndpointProxy is the address, "ip:port", of an HTTP proxy through which the box opens its connections to endpoints
+	// (method CONNECT). If it is empty, the box connects directly.
+	EndpointProxy string
+
 	// SharedSlots lets the boxes share the slots of endpoints without engines while calls compete for them: before a
 	// call, a box asks the box that grants the slots. If it is not set, each box decides by its own calls alone.
 	SharedSlots bool
@@ -186,6 +190,11 @@
 		r.RetryWindow = time.Duration(s.numberOrBlank("retry_window_s", defaultRetryWindowSeconds, 0, 1<<20) * float64(time.Second))
 		r.ColdRateFactor = s.numberOrBlank("cold_over", 1, 0, 1<<20)
 		r.ColdRateSlack = s.numberOrBlank("cold_slack", 0, 0, 1<<20)
+	case "endpoints":
+		r.EndpointProxy = s.str("proxy", "")
+		if _, err := netip.ParseAddrPort(r.EndpointProxy); r.EndpointProxy != "" && err != nil {
+			s.addProblem("proxy", "expected ip:port, found %q", r.EndpointProxy)
+		}
 	case "plain":
 		r.SharedSlots = s.booleanOrBlank("shared_slots", true)
 	case "accounts":
@@ -195,7 +204,7 @@
 		r.RevokedWithin = time.Duration(s.numberOrBlank("revoked_within_ms", defaultRevokedWithinMS, 0, 1<<40) * float64(time.Millisecond))
 		r.StrictRevocation = s.booleanOrBlank("strict_revocation", false)
 	default:
-		s.addProblem("", "is not a known section; expected box, callers, readiness, operators, peers, store, engines, plain or accounts")
+		s.addProblem("", "is not a known section; expected box, callers, readiness, operators, peers, store, endpoints, engines, plain or accounts")
 	}
 }
 
--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -31,6 +31,23 @@
 	return n, err
 }
 
+// endsWithConn reports whether the end of the connection is the end of the body.
+func endsWithConn(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
+// unendingBody is a body that ends with its connection, which another box carries. The end does not show whether the
+// endpoint or the other box closed the connection. So the body never counts as whole.
+type unendingBody struct{ io.ReadCloser }
+
+func (b unendingBody) Read(buf []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buf)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // restWriteTimeout applies to an endpoint that answers before it has received the whole request. It bounds the time for
 // sending the rest of the request.
 const restWriteTimeout = 200 * time.Millisecond
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -21,16 +21,13 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/tcpopt"
 )
 
 const (
-	// dialTimeout bounds establishing a connection.
+	// dialTimeout bounds establishing a connection, unless the pool's user dials itself (Pool.Dial).
 	dialTimeout = 700 * time.Millisecond
-	// tcpUserTimeout is how long sent bytes may remain unacknowledged.
-	tcpUserTimeout = 2500 * time.Millisecond
 	// defaultIdleTimeout is how long an idle connection is kept if the endpoint announces no keep-alive time.
 	defaultIdleTimeout = 4 * time.Second
 	// idleTimeoutFraction is a fraction of the keep-alive time that the endpoint announced. After that fraction an idle
@@ -78,6 +75,8 @@
 	// Matches receives the headers of a response, and reports whether the response belongs to this request. If Matches
 	// is nil, the first response counts as the request's own.
 	Matches func(http.Header) bool
+	// Via is set by Do: the box that carried the request's connection. It is empty for a direct connection.
+	Via string
 }
 
 // ErrUnconfirmed means that a new connection was closed by the endpoint before the request was sent (ConfirmOpen).
@@ -104,9 +103,16 @@
 func (e *Error) Error() string { return e.Err.Error() }
 func (e *Error) Unwrap() error { return e.Err }
 
-// Pool is a pool of connections to endpoints.
+// Pool is a pool of connections to endpoints. Its exported fields must be set before its first request.
 type Pool struct {
-	dialer net.Dialer
+	// Dial opens a connection. via is the box that carries the connection, or empty for a direct one.
+	Dial func(ctx context.Context, addr string) (c net.Conn, via string, err error)
+	// Usable reports whether an idle connection may be used for another request; nil if all may.
+	Usable func(addr, via string) bool
+	// OnSlow is called when an endpoint has left a request unanswered for SlowAfter on a direct connection, or until the
+	// request's deadline. It must not block. It may be nil.
+	OnSlow    func(addr string)
+	SlowAfter time.Duration
 	// OnDial is called for each new connection; it may be nil.
 	OnDial func()
 	// OnDialFailed is called for each connection that could not be established, unless its request was cancelled. It may
@@ -145,26 +151,18 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	p := &Pool{hosts: map[string]*host{}}
-	p.dialer = net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
-		},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			return c.Control(func(fd uintptr) {
-				// If the option cannot be set, the timeouts of each request still apply.
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-			})
-		},
-	}
-	return p
+	dialer := tcpopt.Dialer(dialTimeout)
+	return &Pool{hosts: map[string]*host{}, Dial: func(ctx context.Context, addr string) (net.Conn, string, error) {
+		c, err := dialer.DialContext(ctx, "tcp", addr)
+		return c, "", err
+	}}
 }
 
 // conn is one connection to an endpoint, used by a single request at a time.
 type conn struct {
 	net.Conn
 	addr string
+	via  string // The box that carries the connection; empty for a direct one.
 	r    *bufio.Reader
 	// reuseDeadline is the time after which the connection must not be reused.
 	reuseDeadline time.Time
@@ -191,6 +189,7 @@
 // exchange sends the request on a connection and returns its response.
 func (p *Pool) exchange(ctx context.Context, r *Request, c *conn) (*http.Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	r.Via = c.via
 	fresh := c.fresh
 	if fresh && r.ConfirmOpen {
 		if err := c.confirm(); err != nil {
@@ -212,7 +211,9 @@
 	}
 	sendResult, sentAt := make(chan error, 1), clock.Now()
 	p.write(c, r, sendResult)
+	answered := p.watchSlow(ctx, c)
 	resp, err := c.readResponse(r, p.reportSurplus)
+	answered()
 	if err != nil {
 		stop()
 		p.discard(c)
@@ -238,6 +239,19 @@
 	return resp, nil
 }
 
+// watchSlow calls OnSlow unless the returned function is called in time.
+func (p *Pool) watchSlow(ctx context.Context, c *conn) (answered func()) {
+	if p.OnSlow == nil || c.via != "" {
+		return func() {}
+	}
+	slow := time.AfterFunc(p.SlowAfter, func() { p.OnSlow(c.addr) })
+	return func() {
+		if slow.Stop() && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			p.OnSlow(c.addr)
+		}
+	}
+}
+
 // errNothingSent means that the operating system accepted no byte of a request, because the connection was reset or closed
 // before.
 var errNothingSent = errors.New("no byte of the request was sent")
@@ -323,6 +337,9 @@
 			continue
 		}
 		if r.Matches == nil || r.Matches(resp.Header) {
+			if c.via != "" && endsWithConn(resp) {
+				resp.Body = unendingBody{resp.Body}
+			}
 			return resp, nil
 		}
 		surplus()
@@ -356,13 +373,15 @@
 		if c == nil {
 			return p.open(ctx, r.Address)
 		}
-		if clock.Now().Before(c.reuseDeadline) && c.isQuiet() {
+		if clock.Now().Before(c.reuseDeadline) && p.usable(c) && c.isQuiet() {
 			return c, nil
 		}
 		p.discard(c)
 	}
 }
 
+func (p *Pool) usable(c *conn) bool { return p.Usable == nil || p.Usable(c.addr, c.via) }
+
 // take returns an idle connection, or a waiter if the address has MaxConns connections. If it returns neither, the
 // request may open a connection, which is counted already.
 func (p *Pool) take(r *Request) (*conn, *waiter) {
@@ -418,7 +437,7 @@
 		p.OnDial()
 	}
 	began := time.Now()
-	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
+	nc, via, err := p.Dial(ctx, addr)
 	if err != nil {
 		p.closed(addr)
 		if p.OnDialFailed != nil && !errors.Is(ctx.Err(), context.Canceled) {
@@ -426,7 +445,7 @@
 		}
 		return nil, err
 	}
-	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, bufferBytes), dialTime: time.Since(began), fresh: true}, nil
+	return &conn{Conn: nc, addr: addr, via: via, r: bufio.NewReaderSize(nc, bufferBytes), dialTime: time.Since(began), fresh: true}, nil
 }
 
 // discard closes a connection. It is called once for each connection.
@@ -486,7 +505,7 @@
 // waits. If the connection cannot be used again, release closes it.
 func (p *Pool) release(c *conn, resp *http.Response) {
 	idle := idleTimeout(resp.Header)
-	if resp.Close || idle <= 0 || c.r.Buffered() > 0 {
+	if resp.Close || idle <= 0 || c.r.Buffered() > 0 || !p.usable(c) {
 		p.discard(c)
 		return
 	}
@@ -552,7 +571,7 @@
 	for addr, h := range p.hosts {
 		remaining := h.idle[:0]
 		for _, c := range h.idle {
-			if keep[addr] && now.Before(c.reuseDeadline) {
+			if keep[addr] && now.Before(c.reuseDeadline) && p.usable(c) {
 				remaining = append(remaining, c)
 				continue
 			}
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -36,6 +36,8 @@
 	endpoints []Endpoint
 	// index maps the ID of each endpoint to its position in endpoints.
 	index map[string]int
+	// byAddress maps the address of each endpoint to a position in endpoints.
+	byAddress map[string]int
 	// cellCounts is the number of cells of each service and region. A cell is a group of endpoints whose slots one box
 	// grants.
 	cellCounts map[serviceRegion]int
@@ -111,9 +113,9 @@
 func (f *fleet) replaceEndpoints(list []Endpoint) {
 	before, beforeIndex := f.endpoints, f.index
 	f.endpoints = list
-	f.index = make(map[string]int, len(list))
+	f.index, f.byAddress = make(map[string]int, len(list)), make(map[string]int, len(list))
 	for i, e := range list {
-		f.index[e.ID] = i
+		f.index[e.ID], f.byAddress[e.Address] = i, i
 	}
 	f.countCells()
 	now := clock.Now()
@@ -164,7 +166,8 @@
 func (f *fleet) hasAddress(address string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.ContainsFunc(f.endpoints, func(e Endpoint) bool { return e.Address == address })
+	_, listed := f.byAddress[address]
+	return listed
 }
 
 // applyListedRoles applies the roles of a new list. If the list shows another role of an engine than before, that role
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,6 +26,7 @@
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/overlay"
 	"github.com/stoatramp/stoatramp/internal/pacing"
+	"github.com/stoatramp/stoatramp/internal/paths"
 	"github.com/stoatramp/stoatramp/internal/quarantine"
 	"github.com/stoatramp/stoatramp/internal/record"
 	"github.com/stoatramp/stoatramp/internal/retry"
@@ -62,6 +63,8 @@
 	ColdLimits pacing.ColdLimits
 	// SharedSlots lets the box ask for a slot before each plain call, while calls compete for the endpoints' slots.
 	SharedSlots bool
+	// EndpointProxy is the address of an HTTP proxy for this box's connections to endpoints; empty if there is none.
+	EndpointProxy string
 }
 
 // Peers is the connection to the other boxes.
@@ -99,6 +102,7 @@
 	// calls.
 	callerPool  *h1.Pool
 	controlPool *h1.Pool
+	paths       *paths.Dialer
 	plain       *plainTable
 	// contentions says for which plain services the box asks for slots.
 	contentions contentions
@@ -171,7 +175,9 @@
 	r.revoked.Store(&revoked{})
 	r.callerPool.OnSurplus = r.m.ForeignChunks.Inc
 	r.callerPool.OnUnconfirmed = r.m.UnconfirmedConns.Inc
-	r.callerPool.OnDialFailed, r.controlPool.OnDialFailed = r.countConnectFailure, r.countConnectFailure
+	r.paths = paths.New(paths.Options{Hall: o.Hall, Proxy: o.EndpointProxy, HallOf: r.fleet.hallOf})
+	r.usePaths(r.callerPool)
+	r.usePaths(r.controlPool)
 	r.callerPool.OnResponse, r.controlPool.OnResponse = r.observeRun, r.observeControl
 	r.disp.OnStateChange = r.logStateChange
 	r.disp.OnEstimatesChanged = r.logEstimates
--- /dev/null
+++ b/internal/tunnel/server.go
@@ -0,0 +1,253 @@
+package tunnel
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/tcpopt"
+)
+
+const (
+	// serverDialTimeout bounds the server's connect to an endpoint.
+	serverDialTimeout = 400 * time.Millisecond
+	// MaxTunnels bounds the tunnels that a server carries. maxPerCaller bounds those of one box, so that a box that was
+	// cut off leaves room for the others.
+	MaxTunnels   = 512
+	maxPerCaller = 192
+	bearer       = "Bearer "
+)
+
+// Results of connects, in the order of events: a server learns from tunnels which endpoints it reaches itself.
+type Results interface {
+	// NoPath reports whether this box has no path of its own to the address.
+	NoPath(address string) bool
+	// Connected and ConnectFailed record the result of a direct connect.
+	Connected(address string)
+	ConnectFailed(address string, err error)
+}
+
+// Server opens tunnels for other boxes. Its fields must be set before the first request.
+type Server struct {
+	// Dial opens the connection to an endpoint, always directly.
+	Dial DialFunc
+	// Key returns the key that callers must have; an empty key admits nobody.
+	Key func() string
+	// Listed reports whether an address belongs to an endpoint on this box's list.
+	Listed  func(address string) bool
+	Results Results
+	// OnEnd is called when a tunnel was refused or has ended; it may be nil. The cause is empty for a tunnel that was
+	// opened.
+	OnEnd func(caller, target string, cause Cause, toEndpoint, toCaller int64)
+
+	mu       sync.Mutex
+	stopping bool
+	open     map[*carried]struct{}
+	callers  map[string]int // The open tunnels by the caller's IP address.
+}
+
+// carried is a tunnel that a server carries.
+type carried struct{ caller, endpoint net.Conn }
+
+// Open returns the number of open tunnels.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// Handles reports whether a request asks for a tunnel.
+func Handles(r *http.Request) bool { return r.Method == http.MethodConnect }
+
+// ServeHTTP opens the tunnel that the request asks for, and carries it until one side ends it.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	target, from := r.Host, callerIP(r)
+	if !s.authorized(r.Header) {
+		s.reject(w, from, target, Unauthorized)
+		return
+	}
+	if !s.Listed(target) {
+		s.reject(w, from, target, Unlisted)
+		return
+	}
+	if s.Results.NoPath(target) {
+		s.reject(w, from, target, NoPath)
+		return
+	}
+	if cause, ok := s.admit(from); !ok {
+		s.reject(w, from, target, cause)
+		return
+	}
+	defer s.leave(from)
+	endpoint, err := s.dial(r.Context(), target)
+	if err != nil {
+		s.reject(w, from, target, dialCause(err))
+		return
+	}
+	caller, err := accept(w)
+	if err != nil {
+		_ = endpoint.Close()
+		s.reject(w, from, target, Failed)
+		return
+	}
+	t := &carried{caller, endpoint}
+	s.add(t)
+	defer s.remove(t)
+	toEndpoint, toCaller := splice(caller, endpoint)
+	s.ended(from, target, "", toEndpoint, toCaller)
+}
+
+func (s *Server) authorized(h http.Header) bool {
+	key := s.Key()
+	return key != "" && subtle.ConstantTimeCompare([]byte(h.Get("Proxy-Authorization")), []byte(bearer+key)) == 1
+}
+
+func (s *Server) reject(w http.ResponseWriter, from, target string, cause Cause) {
+	w.Header().Set(causeHeader, string(cause))
+	status, known := statuses[cause]
+	if !known {
+		status = http.StatusInternalServerError
+	}
+	w.WriteHeader(status)
+	s.ended(from, target, cause, 0, 0)
+}
+
+func (s *Server) ended(from, target string, cause Cause, toEndpoint, toCaller int64) {
+	if s.OnEnd != nil {
+		s.OnEnd(from, target, cause, toEndpoint, toCaller)
+	}
+}
+
+// admit counts a tunnel of a caller, unless there are too many or the server stops.
+func (s *Server) admit(from string) (Cause, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.callers == nil {
+		s.callers, s.open = map[string]int{}, map[*carried]struct{}{}
+	}
+	total := 0
+	for _, n := range s.callers {
+		total += n
+	}
+	switch {
+	case s.stopping:
+		return Stopping, false
+	case total >= MaxTunnels || s.callers[from] >= maxPerCaller:
+		return Busy, false
+	}
+	s.callers[from]++
+	return "", true
+}
+
+func (s *Server) leave(from string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.callers[from]--; s.callers[from] == 0 {
+		delete(s.callers, from)
+	}
+}
+
+func (s *Server) add(t *carried) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[t] = struct{}{}
+}
+
+func (s *Server) remove(t *carried) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, t)
+}
+
+func (s *Server) dial(ctx context.Context, target string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, serverDialTimeout)
+	defer cancel()
+	c, err := s.Dial(ctx, "tcp", target)
+	switch {
+	case err == nil:
+		s.Results.Connected(target)
+	case !errors.Is(ctx.Err(), context.Canceled):
+		s.Results.ConnectFailed(target, err)
+	}
+	return c, err
+}
+
+func dialCause(err error) Cause {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return Refused
+	}
+	var t interface{ Timeout() bool }
+	if errors.As(err, &t) && t.Timeout() {
+		return Unanswered
+	}
+	return Failed
+}
+
+// accept takes over the caller's connection and answers the CONNECT.
+func accept(w http.ResponseWriter) (net.Conn, error) {
+	c, rw, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return nil, err
+	}
+	if err := tcpopt.Watch(c); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	// The timeouts of the HTTP server must not end the tunnel.
+	if err := c.SetDeadline(time.Time{}); err != nil || rw.Reader.Buffered() > 0 {
+		_ = c.Close()
+		return nil, errors.Join(err, errEarlyBytes)
+	}
+	if _, err := c.Write([]byte("HTTP/1.1 200 Connection established\r\n\r\n")); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func callerIP(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return strings.Clone(host)
+}
+
+// drainCheckInterval is the pause between two checks whether all tunnels have ended.
+const drainCheckInterval = 20 * time.Millisecond
+
+// Stop lets no more tunnels open.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+}
+
+// Drain waits until all tunnels have ended. When ctx ends it resets those that are left, and returns their number.
+func (s *Server) Drain(ctx context.Context) (cutOff int) {
+	s.Stop()
+	for s.Open() > 0 {
+		select {
+		case <-ctx.Done():
+			return s.resetAll()
+		case <-time.After(drainCheckInterval):
+		}
+	}
+	return 0
+}
+
+func (s *Server) resetAll() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t := range s.open {
+		reset(t.caller)
+		reset(t.endpoint)
+	}
+	return len(s.open)
+}
