--- a/cmd/stoatrampd/quarantine_test.go
+++ b/cmd/stoatrampd/quarantine_test.go
@@ -149,6 +149,8 @@
 	workers  crashingWorkers
 	requests int // The number of requests sent so far.
 	logs     []*logBuffer
+	// storeAddress is the address of the store.
+	storeAddress string
 }
 
 // logObservedCrashes writes what the boxes logged about crashes to the test's log.
@@ -181,7 +183,7 @@
 	go func() { _ = srv.Serve(lis) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	store.Put("op", "config", []byte(quarantineConfig), 0)
-	s := &quarantineSite{t: t}
+	s := &quarantineSite{t: t, storeAddress: lis.Addr().String()}
 	for i, stage := range []string{"", "", "", "prefill", "decode", "decode", "decode", "decode"} {
 		o := standin.WorkerOptions{
 			ID: fmt.Sprintf("i-%d", i), Service: "desk", Zone: "h", Stage: stage, Slots: 32, KVTokens: 90000,
@@ -208,7 +210,9 @@
 		}
 		return true
 	})
-	time.Sleep(stateSyncTime)
+	if boxes > 0 {
+		time.Sleep(stateSyncTime)
+	}
 	return s
 }
 
