Publish an engine's silence only if it is the engine's

What one box could not poll, it published as silent, and all others took it for their own finding: in the incident the three sound boxes logged seven engines as silent within 0.24 s. A box now publishes it if it reached the engine directly, or if another box whose path works connected in vain too. If no box can judge, the finding stays with this box.

--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/decide"
+	"github.com/stoatramp/stoatramp/internal/paths"
 )
 
 const (
@@ -152,8 +154,7 @@
 		return
 	}
 	if err != nil || resp.StatusCode != http.StatusOK {
-		r.applySilence(e.ID, r.o.Box)
-		r.publishLoad(e.ID, now, nil)
+		r.handleSilence(ctx, e, now, err)
 		return
 	}
 	l, err := r.protocol.ParseLoad(body)
@@ -169,6 +170,35 @@
 	r.publishLoad(e.ID, at, &l)
 }
 
+// handleSilence handles an engine that did not answer a poll of this box, or answered with an error if err is nil. It
+// publishes only what is the state of the engine: other boxes can't tell whether this box has lost its path.
+func (r *Relay) handleSilence(ctx context.Context, e Endpoint, polled time.Time, err error) {
+	reached, confirmed := false, true
+	if err != nil && r.o.TunnelPeers != nil {
+		reached, confirmed = r.verifySilence(ctx, e, err)
+	}
+	if reached {
+		return
+	}
+	r.applySilence(e.ID, r.o.Box)
+	if confirmed {
+		r.publishLoad(e.ID, polled, nil)
+	}
+}
+
+// verifySilence finds out why an engine did not answer a poll. reached means that this box reaches the engine through
+// another box. confirmed means that the engine is silent, whoever asks it.
+func (r *Relay) verifySilence(ctx context.Context, e Endpoint, err error) (reached, confirmed bool) {
+	if dial := (*paths.Error)(nil); errors.As(err, &dial) {
+		return false, paths.Confirmed(err)
+	}
+	via, err := r.paths.Verify(ctx, e.Address)
+	if err != nil {
+		return false, paths.Confirmed(err)
+	}
+	return via != "", via == ""
+}
+
 // matchesStart reports whether the load belongs to this start of the endpoint. An earlier or later process at the same
 // address has other memory, another role and other orders. A load without a start time is accepted, because some
 // platforms have start times in the list and none in the loads. If such loads were rejected, no load would ever be
