--- a/internal/relay/paths_test.go
+++ b/internal/relay/paths_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -156,3 +157,26 @@
 		t.Error("expected the silence that another box confirms")
 	}
 }
+
+// Guards against a request that counts as deadly because this box has lost its path to the endpoint.
+func TestLostPathIsNoCrash(t *testing.T) {
+	f := newPathFixture(t)
+	f.lost.Store(true)
+	if found, evidence := f.probe(f.engine, true); found != alive {
+		t.Errorf("expected an engine that another box reaches to be alive, got %d %q", found, evidence)
+	}
+	f.hangs.Store(true)
+	f.SetEndpoints(nil)
+	if found, evidence := f.probe(f.engine, true); found == crashed {
+		t.Errorf("expected no crash on the evidence of a lost path, got %q", evidence)
+	}
+}
+
+func TestRefusedPortIsACrashOnceAnotherBoxAgrees(t *testing.T) {
+	f := newPathFixture(t)
+	f.lost.Store(true)
+	f.denies.Store(true)
+	if found, evidence := f.probe(f.engine, true); found != crashed || !strings.Contains(evidence, "refuses") {
+		t.Errorf("expected a crash that another box confirms, got %d %q", found, evidence)
+	}
+}
