Send orders to engines only on a direct path

An engine takes the box that an order comes from for its holder, so an order through another box would look like a second holder. A box without a direct path to the engine recommends no change of role, and leaves the lease to a box that can send the order.

TestOrdersTakeNoOtherBox fails without the change.

--- a/internal/relay/orders.go
+++ b/internal/relay/orders.go
@@ -9,10 +9,18 @@
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/lease"
+	"github.com/stoatramp/stoatramp/internal/reach"
 )
 
 // RecommendRoleChange returns the engine that should change its role. If no engine should, it returns false.
-func (r *Relay) RecommendRoleChange() (decide.RoleChange, bool) { return r.disp.RecommendRoleChange() }
+// A box without a direct path to the engine recommends nothing, because it could not send the order.
+func (r *Relay) RecommendRoleChange() (decide.RoleChange, bool) {
+	c, ok := r.disp.RecommendRoleChange()
+	for _, engine := range c.Engines {
+		ok = ok && r.paths.Table.State(r.disp.Address(engine)) == reach.Direct
+	}
+	return c, ok
+}
 
 var (
 	errBusy         = errors.New("the engine is carrying out another order")
@@ -33,7 +41,9 @@
 		return errPaused
 	}
 	address := e.Address
-	resp, body, err := r.controlPool.DoShort(ctx, loadTimeout, controlRequest(engine, address, r.protocol.LoadCall()), maxControlAnswer)
+	query := controlRequest(engine, address, r.protocol.LoadCall())
+	query.Direct = true
+	resp, body, err := r.controlPool.DoShort(ctx, loadTimeout, query, maxControlAnswer)
 	if err != nil {
 		return fmt.Errorf("query engine load: %w", err)
 	}
@@ -51,6 +61,7 @@
 	}
 	c, h := r.protocol.SetRole(engine, role, r.o.Box, l.Fence, load.Orders)
 	q := controlRequest(engine, address, c)
+	q.Direct = true // An engine takes the box that an order comes from for the order's holder.
 	for k, v := range h {
 		q.Header[k] = v
 	}
--- a/internal/relay/paths_test.go
+++ b/internal/relay/paths_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -11,7 +12,9 @@
 	"testing"
 	"time"
 
+	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/decide"
+	"github.com/stoatramp/stoatramp/internal/lease"
 	"github.com/stoatramp/stoatramp/internal/overlay"
 	"github.com/stoatramp/stoatramp/internal/reach"
 	"github.com/stoatramp/stoatramp/internal/tunnel"
@@ -180,3 +183,15 @@
 		t.Errorf("expected a crash that another box confirms, got %d %q", found, evidence)
 	}
 }
+// Guards against orders that an engine takes for those of another box.
+func TestOrdersTakeNoOtherBox(t *testing.T) {
+	f := newPathFixture(t)
+	f.lost.Store(true)
+	f.pollLoad(context.Background(), f.engine) // Leaves an idle tunnel.
+	before := f.asked.Load()
+	now := clock.Now()
+	err := f.SetRole(context.Background(), "e", decide.Decode, lease.Lease{Fence: 1, Until: now.Add(time.Minute)})
+	if err == nil || errors.Is(err, errRestarted) || f.asked.Load() != before {
+		t.Errorf("expected no order without a direct path, got %v, %d calls", err, f.asked.Load()-before)
+	}
+}
