--- a/internal/relay/paths_test.go
+++ b/internal/relay/paths_test.go
@@ -183,6 +183,7 @@
 		t.Errorf("expected a crash that another box confirms, got %d %q", found, evidence)
 	}
 }
+
 // Guards against orders that an engine takes for those of another box.
 func TestOrdersTakeNoOtherBox(t *testing.T) {
 	f := newPathFixture(t)
