--- a/cmd/stoatrampd/paths_test.go
+++ b/cmd/stoatrampd/paths_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -125,3 +126,105 @@
 		})
 	}
 }
+
+// carrier returns a box that carries tunnels of box 0.
+func (s *pathSite) carrier() int {
+	for name, n := range s.boxes[0].Relay.Paths().Tunnels() {
+		if n > 0 {
+			var box int
+			if _, err := fmt.Sscanf(name, "box-%d", &box); err == nil {
+				return box
+			}
+		}
+	}
+	return -1
+}
+
+// Guards against a planned stop that cuts off the streams of another box.
+func TestPlannedStopOfTheCarryingBoxCutsOffNothing(t *testing.T) {
+	s := newPathSite(t, 3)
+	s.networks[0].SetFault(standin.EgressFault{RefuseNew: true, ResetOpen: true})
+	s.until("box 0 to serve through others", func() bool { return s.serves(0, "/stream/a") })
+	answers := make(chan string, 8)
+	for i := range cap(answers) {
+		go func() { answers <- s.sendLong(fmt.Sprintf("long-%d", i)) }()
+	}
+	s.until("a box to carry the streams", func() bool { return s.carrier() >= 0 })
+	stopped := s.carrier()
+	if err := s.boxes[stopped].Stop(); err != nil {
+		t.Errorf("stop of box %d: %v", stopped, err)
+	}
+	for range cap(answers) {
+		if a := <-answers; a != "" {
+			t.Error(a)
+		}
+	}
+	s.until("box 0 to serve through the box that is left", func() bool { return s.serves(0, "/once/a") && s.serves(0, "/stream/a") })
+	if got := s.logged(stopped, "connections of other boxes are cut off"); got > 0 {
+		t.Error("expected the box to wait for the connections that it carries")
+	}
+}
+
+// sendLong sends a stream of some hundred events to box 0, and returns what is wrong with the answer.
+func (s *pathSite) sendLong(id string) string {
+	r, err := http.NewRequest(http.MethodPost, "http://"+s.boxes[0].Callers+"/stream/a", strings.NewReader("innocent"))
+	if err != nil {
+		return err.Error()
+	}
+	r.Host = "h.example"
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Token-Usage", "100,4000")
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return fmt.Sprintf("%s: %d, %v", id, resp.StatusCode, err)
+	}
+	if n := strings.Count(string(body), "data: "); n != standin.EventsOf(4000) {
+		return fmt.Sprintf("%s: %d events", id, n)
+	}
+	return ""
+}
+
+// Guards against a lost path to one service that is taken for one to all.
+func TestLostPathToOneServiceLeavesTheOthersDirect(t *testing.T) {
+	s := newPathSite(t, 2)
+	engines := map[string]bool{}
+	for _, w := range s.workers {
+		if w.options.Service == "llm" {
+			engines[w.options.Address] = true
+		}
+	}
+	s.networks[0].SetFault(standin.EgressFault{RefuseNew: true, ResetOpen: true, Affects: func(address string) bool { return engines[address] }})
+	s.until("streams through the other box", func() bool { return s.serves(0, "/stream/a") && len(s.boxes[0].Relay.Paths().Tunnels()) > 0 })
+	s.expectServed(0, "/once/a")
+	s.expectServed(0, "/stream/a")
+	for _, e := range s.boxes[0].Relay.Paths().Table.Entries() {
+		if !engines[e.Address] {
+			t.Errorf("expected no lost path to a worker of the other service, got %+v", e)
+		}
+	}
+	s.networks[0].SetFault(standin.EgressFault{})
+	s.until("all paths to be direct again", func() bool { return len(s.boxes[0].Relay.Paths().Table.Entries()) == 0 })
+	s.expectServed(0, "/stream/a")
+}
+
+// Guards against callers that wait while no path is left, and are not told when to come back.
+func TestNoPathLeftRefusesAtOnce(t *testing.T) {
+	s := newPathSite(t, 2)
+	for _, n := range s.networks {
+		n.SetFault(standin.EgressFault{HangNew: true, ResetOpen: true})
+	}
+	s.until("a refusal at once", func() bool {
+		began := time.Now()
+		status, _ := s.send(0, "/once/a", "innocent")
+		return status == http.StatusServiceUnavailable && time.Since(began) < 200*time.Millisecond
+	})
+	for _, n := range s.networks {
+		n.SetFault(standin.EgressFault{})
+	}
+	s.until("box 0 to serve again", func() bool { return s.serves(0, "/once/a") && s.serves(0, "/stream/a") })
+}
