Show lost paths and the boxes that carry connections in status

status lists the endpoints without a direct path, since when, the result of the last direct connect and the box that reaches them, and the connections through each box. A request's record already names the box that carried a call. Test: TestOperatorsSeeLostPaths.

--- a/cmd/stoatrampd/paths_test.go
+++ b/cmd/stoatrampd/paths_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -8,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/stoatramp/stoatramp/internal/cli"
 	"github.com/stoatramp/stoatramp/platform/standin"
 )
 
@@ -228,3 +230,25 @@
 	}
 	s.until("box 0 to serve again", func() bool { return s.serves(0, "/once/a") && s.serves(0, "/stream/a") })
 }
+
+// Guards against an operator who can't tell a lost path from an endpoint that is gone: status names the paths and the box
+// that carries, and why names the box for the request.
+func TestOperatorsSeeLostPaths(t *testing.T) {
+	s := newPathSite(t, 2)
+	s.networks[0].SetFault(standin.EgressFault{RefuseNew: true, ResetOpen: true})
+	s.until("box 0 to serve through box 1", func() bool { return s.serves(0, "/once/a") && len(s.boxes[0].Relay.Paths().Tunnels()) > 0 })
+	id := fmt.Sprintf("id-%d", s.requests)
+	tool := func(args ...string) string {
+		var out bytes.Buffer
+		if code := cli.Main(append([]string{"--box", "http://" + s.boxes[0].Operators, "--key", operatorKey}, args...), &out, &out); code != 0 {
+			t.Errorf("stoatramp %v: exit code %d: %s", args, code, out.String())
+		}
+		return out.String()
+	}
+	if out := tool("status"); !strings.Contains(out, "NO DIRECT PATH TO") || !strings.Contains(out, "refused") || !strings.Contains(out, "CONNECTIONS THROUGH") || !strings.Contains(out, "box-1") {
+		t.Errorf("expected the lost paths, got:\n%s", out)
+	}
+	if out := tool("why", id); !strings.Contains(out, "went through box box-1") {
+		t.Errorf("expected the box that carried the call, got:\n%s", out)
+	}
+}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -29,12 +29,35 @@
 	if err != nil {
 		return err
 	}
+	if err := printPaths(w, s); err != nil {
+		return err
+	}
 	if err := printSlots(w, s); err != nil {
 		return err
 	}
 	return printRetryBudgets(w, s)
 }
 
+// printPaths prints the endpoints that the box does not reach directly, and the connections that boxes carry for each
+// other. It prints nothing if all paths are direct.
+func printPaths(w io.Writer, s *v1.StatusResponse) error {
+	if s.CarriedTunnels > 0 {
+		fmt.Fprintf(w, "carries %d connections of other boxes\n", s.CarriedTunnels)
+	}
+	var err error
+	if len(s.Paths) > 0 {
+		err = printTable(w, "NO DIRECT PATH TO\tSERVICE\tHALL\tSTATE\tFOR\tDIRECT CONNECT\tREACHED THROUGH", s.Paths, func(p *v1.PathStatus) string {
+			return fmt.Sprintf("%s\t%s\t%s\t%s\t%d ms\t%s\t%s", p.Address, p.Service, p.Hall, p.State, p.SinceMs, p.Direct, cmp.Or(p.Via, "none"))
+		})
+	}
+	if err == nil && len(s.Tunnels) > 0 {
+		err = printTable(w, "CONNECTIONS THROUGH\tOPEN", s.Tunnels, func(t *v1.TunnelStatus) string {
+			return fmt.Sprintf("%s\t%d", t.Box, t.Connections)
+		})
+	}
+	return err
+}
+
 // printRetryBudgets prints the retry budgets of the box. A box of an older release sends none.
 func printRetryBudgets(w io.Writer, s *v1.StatusResponse) error {
 	if len(s.RetryBudgets) == 0 {
--- a/internal/ops/relay.go
+++ b/internal/ops/relay.go
@@ -42,6 +42,8 @@
 	NearLimit func() map[string]float64
 	// SlotOwner returns the box that this box asks first for a slot of a cell; an empty string if there is none.
 	SlotOwner func(slots.Cell) string
+	// CarriedTunnels returns the number of connections that this box carries for other boxes.
+	CarriedTunnels func() int
 }
 
 // RelayState is the state that operators can read of a relay box.
@@ -57,6 +59,10 @@
 	PlainEndpoints() []relay.PlainEndpoint
 	// RetryBudgets are the box's retry budgets.
 	RetryBudgets() []relay.RetryBudget
+	// LostPaths are the endpoints that the box does not reach directly, and Tunnels the number of its connections
+	// through each other box.
+	LostPaths() []relay.LostPath
+	Tunnels() map[string]int
 }
 
 var _ stoatrampv1connect.OperatorHandler = (*RelayServer)(nil)
@@ -88,6 +94,10 @@
 	out.Cells = cellStatus(s.Relay.ContendedCells(), s.SlotOwner)
 	out.PlainEndpoints = plainEndpointStatus(s.Relay.PlainEndpoints())
 	out.RetryBudgets = retryBudgetStatus(s.Relay.RetryBudgets())
+	out.Paths, out.Tunnels = pathStatus(s.Relay.LostPaths()), tunnelStatus(s.Relay.Tunnels())
+	if s.CarriedTunnels != nil {
+		out.CarriedTunnels = int32(s.CarriedTunnels())
+	}
 	return connect.NewResponse(out), nil
 }
 
@@ -169,6 +179,25 @@
 	return out
 }
 
+// pathStatus lists the endpoints that the box does not reach directly.
+func pathStatus(list []relay.LostPath) (out []*v1.PathStatus) {
+	for _, p := range list {
+		out = append(out, &v1.PathStatus{
+			Address: p.Address, Service: p.Service, Hall: p.Hall, State: p.State.String(), SinceMs: p.Lasts.Milliseconds(),
+			Direct: p.Failure.String(), Via: p.Via,
+		})
+	}
+	return out
+}
+
+// tunnelStatus lists the boxes that carry connections of this box.
+func tunnelStatus(open map[string]int) (out []*v1.TunnelStatus) {
+	for _, box := range slices.Sorted(maps.Keys(open)) {
+		out = append(out, &v1.TunnelStatus{Box: box, Connections: int32(open[box])})
+	}
+	return out
+}
+
 // maxNearLimitNotes is the maximum number of accounts near their limit that a status names.
 const maxNearLimitNotes = 10
 
--- a/internal/relay/views.go
+++ b/internal/relay/views.go
@@ -7,6 +7,7 @@
 
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/h1"
+	"github.com/stoatramp/stoatramp/internal/reach"
 	"github.com/stoatramp/stoatramp/internal/slots"
 )
 
@@ -98,3 +99,22 @@
 	}
 	return out
 }
+
+// LostPath is an endpoint that this box does not reach directly. Lasts is how long the state has lasted.
+type LostPath struct {
+	reach.Entry
+	Service, Hall string
+	Lasts         time.Duration
+}
+
+// LostPaths returns the endpoints that this box does not reach directly, ordered by address.
+func (r *Relay) LostPaths() (out []LostPath) {
+	for _, e := range r.paths.Table.Entries() {
+		at, _ := r.fleet.at(e.Address)
+		out = append(out, LostPath{e, at.service, at.hall, clock.Since(e.Since)})
+	}
+	return out
+}
+
+// Tunnels returns the number of this box's connections through each other box.
+func (r *Relay) Tunnels() map[string]int { return r.paths.Tunnels() }
