Split the packages reach and paths by what each part does

Races, carried connections, errors, groups and probes have files of their own. pathBroke takes the box that carried instead of a request.

--- /dev/null
+++ b/internal/paths/carried.go
@@ -0,0 +1,41 @@
+package paths
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// carriedConn is a connection through another box. It is counted until it is closed.
+type carriedConn struct {
+	c    net.Conn
+	d    *Dialer
+	box  string
+	once sync.Once
+}
+
+var errNoDescriptor = errors.New("the connection has no descriptor")
+
+func (c *carriedConn) Read(b []byte) (int, error)         { return c.c.Read(b) }
+func (c *carriedConn) Write(b []byte) (int, error)        { return c.c.Write(b) }
+func (c *carriedConn) LocalAddr() net.Addr                { return c.c.LocalAddr() }
+func (c *carriedConn) RemoteAddr() net.Addr               { return c.c.RemoteAddr() }
+func (c *carriedConn) SetDeadline(t time.Time) error      { return c.c.SetDeadline(t) }
+func (c *carriedConn) SetReadDeadline(t time.Time) error  { return c.c.SetReadDeadline(t) }
+func (c *carriedConn) SetWriteDeadline(t time.Time) error { return c.c.SetWriteDeadline(t) }
+
+// SyscallConn gives access to the descriptor of the connection to the other box.
+func (c *carriedConn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.c.(syscall.Conn)
+	if !ok {
+		return nil, errNoDescriptor
+	}
+	return sc.SyscallConn()
+}
+
+func (c *carriedConn) Close() error {
+	c.once.Do(func() { c.d.boxes.Closed(c.box) })
+	return c.c.Close()
+}
--- a/internal/paths/carry_test.go
+++ b/internal/paths/carry_test.go
@@ -111,17 +111,7 @@
 func expectCutAnswer(t *testing.T, path string) {
 	t.Helper()
 	s := newCarrySite(t, 1)
-	carriers := make(chan net.Conn, 4)
-	dial := s.d.toBox
-	s.d.toBox = func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		near, far := relayConn(c)
-		carriers <- far
-		return near, nil
-	}
+	carriers := s.interceptTunnels()
 	resp, _, err := s.do(path)
 	if err != nil {
 		t.Fatal(err)
@@ -140,6 +130,22 @@
 	}
 }
 
+// interceptTunnels returns the far ends of the connections to other boxes that are opened from now on.
+func (s *carrySite) interceptTunnels() <-chan net.Conn {
+	carriers := make(chan net.Conn, 4)
+	dial := s.d.toBox
+	s.d.toBox = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		near, far := relayConn(c)
+		carriers <- far
+		return near, nil
+	}
+	return carriers
+}
+
 // relayConn puts a TCP connection before c. Closing far closes the connection regularly.
 func relayConn(c net.Conn) (near, far net.Conn) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -174,17 +180,7 @@
 // Guards against "not run" for a request whose connection ended in the box between.
 func TestRequestLostWithTheCarrierMayHaveRun(t *testing.T) {
 	s := newCarrySite(t, 2)
-	carriers := make(chan net.Conn, 4)
-	dial := s.d.toBox
-	s.d.toBox = func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		near, far := relayConn(c)
-		carriers <- far
-		return near, nil
-	}
+	carriers := s.interceptTunnels()
 	go func() {
 		for s.runs.Load() == 0 {
 			time.Sleep(time.Millisecond)
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -11,12 +11,9 @@
 	"fmt"
 	"net"
 	"os"
-	"sync"
 	"syscall"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/reach"
 	"github.com/stoatramp/stoatramp/internal/tcpopt"
@@ -117,48 +114,6 @@
 	return d.direct(ctx, network, addr)
 }
 
-// Error means that no path reached an endpoint. No byte was sent.
-type Error struct {
-	Address string
-	// Direct is the error of the direct path; nil if that path is known to be lost and was not tried.
-	Direct error
-	// Asked is the number of other boxes that were tried, and Denied how many of them connected in vain themselves.
-	Asked, Denied int
-	// Known means that nothing was tried, because the endpoint was found to be unreachable a moment ago.
-	Known bool
-	// confirmed means that Direct is the state of the endpoint, and not only of this box's path.
-	confirmed bool
-}
-
-func (e *Error) Error() string {
-	if e.Known {
-		return fmt.Sprintf("%s is unreachable on all paths", e.Address)
-	}
-	return fmt.Sprintf("%s is unreachable: direct: %v; %d of %d other boxes connected in vain", e.Address, e.Direct, e.Denied, e.Asked)
-}
-
-// Unwrap returns the error of the direct path if it says something about the endpoint: another box found the same, or
-// there is no other box.
-func (e *Error) Unwrap() error {
-	if e.confirmed {
-		return e.Direct
-	}
-	return nil
-}
-
-// Confirmed reports whether an error of Dial says something about the endpoint, and not only about this box's path.
-func Confirmed(err error) bool {
-	var e *Error
-	return errors.As(err, &e) && e.confirmed
-}
-
-// attempt is the result of one attempt to connect.
-type attempt struct {
-	conn net.Conn
-	box  string // Empty for the direct path.
-	err  error
-}
-
 // Dial opens a connection to an endpoint. via is the box that carries it; it is empty for a direct connection.
 func (d *Dialer) Dial(ctx context.Context, addr string) (c net.Conn, via string, err error) {
 	plan := d.Table.Plan(addr, clock.Now())
@@ -168,127 +123,6 @@
 	return d.race(ctx, addr, plan)
 }
 
-// race tries the paths of a plan until one of them connects.
-func (d *Dialer) race(ctx context.Context, addr string, plan reach.Plan) (net.Conn, string, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	r := race{d: d, ctx: ctx, addr: addr}
-	if plan.Others && d.o.Peers != nil {
-		r.others = d.boxes.Rank(d.o.Peers.Others(), d.o.HallOf(addr), clock.Now())
-	}
-	r.results = make(chan attempt, 1+len(r.others))
-	if plan.Direct {
-		r.startDirect()
-	}
-	return r.run(plan)
-}
-
-// race is the state of one race. Only its own goroutine uses it, but for results.
-type race struct {
-	d       *Dialer
-	ctx     context.Context
-	addr    string
-	results chan attempt
-	others  []reach.Box // Not tried yet.
-	// running counts the attempts that are under way; directRunning is set if the direct one is.
-	running       int
-	directRunning bool
-	failure       Error
-}
-
-func (r *race) run(plan reach.Plan) (net.Conn, string, error) {
-	wait := plan.HeadStart
-	if !plan.Direct {
-		wait = 0
-	}
-	next := time.NewTimer(wait)
-	defer next.Stop()
-	for {
-		select {
-		case a := <-r.results:
-			r.running--
-			if a.err == nil {
-				r.settle()
-				return a.conn, a.box, nil
-			}
-			r.record(a)
-			next.Reset(0)
-		case <-next.C:
-			if r.directRunning {
-				r.d.Table.DirectSlow(r.addr, clock.Now())
-			}
-			r.startNext()
-			next.Reset(reach.Stagger)
-		case <-r.ctx.Done():
-			r.settle()
-			return nil, "", r.ctx.Err()
-		}
-		if r.running == 0 && len(r.others) == 0 {
-			return nil, "", r.fail()
-		}
-	}
-}
-
-// startDirect starts the direct attempt. It goes on when a tunnel was opened first, because its result shows whether the
-// direct path is lost or only slow.
-func (r *race) startDirect() {
-	r.running++
-	r.directRunning = true
-	go func() {
-		c, err := r.d.dialDirect(r.ctx, r.addr)
-		r.results <- attempt{conn: c, err: err}
-	}()
-}
-
-// startNext starts an attempt through the next box, if there is one.
-func (r *race) startNext() {
-	if len(r.others) == 0 {
-		return
-	}
-	box := r.others[0]
-	r.others = r.others[1:]
-	r.running++
-	go func() {
-		c, err := r.d.openTunnel(r.ctx, box, r.addr)
-		r.results <- attempt{c, box.Name, err}
-	}()
-}
-
-// record takes note of an attempt that failed.
-func (r *race) record(a attempt) {
-	if a.box == "" {
-		r.directRunning, r.failure.Direct = false, a.err
-		return
-	}
-	r.failure.Asked++
-	if tunnel.CauseOf(a.err).AboutEndpoint() {
-		r.failure.Denied++
-	}
-}
-
-// settle closes the connections of attempts that succeed after the first one.
-func (r *race) settle() {
-	n, results := r.running, r.results
-	go func() {
-		for range n {
-			if a := <-results; a.conn != nil {
-				_ = a.conn.Close()
-			}
-		}
-	}()
-}
-
-// fail returns the error of a race that no path won.
-func (r *race) fail() error {
-	e := r.failure
-	e.Address = r.addr
-	e.confirmed = r.d.o.Peers == nil || e.Denied > 0 || r.d.Table.Denied(r.addr)
-	if e.Asked > 0 {
-		r.d.Table.AllFailed(r.addr, clock.Now())
-	}
-	return &e
-}
-
 // dialDirect opens a direct connection and records the result. It takes up to dialTimeout even if ctx ends before,
 // unless that is because the caller is gone.
 func (d *Dialer) dialDirect(ctx context.Context, addr string) (net.Conn, error) {
@@ -351,38 +185,6 @@
 	}
 }
 
-// carriedConn is a connection through another box. It is counted until it is closed.
-type carriedConn struct {
-	c    net.Conn
-	d    *Dialer
-	box  string
-	once sync.Once
-}
-
-var errNoDescriptor = errors.New("the connection has no descriptor")
-
-func (c *carriedConn) Read(b []byte) (int, error)         { return c.c.Read(b) }
-func (c *carriedConn) Write(b []byte) (int, error)        { return c.c.Write(b) }
-func (c *carriedConn) LocalAddr() net.Addr                { return c.c.LocalAddr() }
-func (c *carriedConn) RemoteAddr() net.Addr               { return c.c.RemoteAddr() }
-func (c *carriedConn) SetDeadline(t time.Time) error      { return c.c.SetDeadline(t) }
-func (c *carriedConn) SetReadDeadline(t time.Time) error  { return c.c.SetReadDeadline(t) }
-func (c *carriedConn) SetWriteDeadline(t time.Time) error { return c.c.SetWriteDeadline(t) }
-
-// SyscallConn gives access to the descriptor of the connection to the other box.
-func (c *carriedConn) SyscallConn() (syscall.RawConn, error) {
-	sc, ok := c.c.(syscall.Conn)
-	if !ok {
-		return nil, errNoDescriptor
-	}
-	return sc.SyscallConn()
-}
-
-func (c *carriedConn) Close() error {
-	c.once.Do(func() { c.d.boxes.Closed(c.box) })
-	return c.c.Close()
-}
-
 // Usable reports whether an idle connection may be used for another request. One through another box may not once that
 // box leaves, or the direct path works again.
 func (d *Dialer) Usable(addr, via string) bool {
@@ -481,17 +283,3 @@
 	d.Table.DirectFailed(addr, f, now)
 	return d.Table.Credible(addr, f, began, now)
 }
-
-// LogFields describes a change of an address's state for the log.
-func LogFields(c reach.Change) []zap.Field {
-	f := []zap.Field{zap.String("address", c.Address), zap.Stringer("direct", c.Failure)}
-	switch c.To {
-	case reach.Lost:
-		f = append(f, zap.String("reached_through", c.Via))
-	case reach.Unreachable:
-		f = append(f, zap.Int("boxes_that_denied", c.Denied))
-	case reach.Direct:
-		f = append(f, zap.Stringer("was", c.From), zap.Duration("after", c.Lasted))
-	}
-	return f
-}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -142,23 +142,6 @@
 	lastCheck  time.Time
 }
 
-// group is what is known of the direct paths to a group of addresses.
-type group struct {
-	// latest and earlier are the last answers of two different addresses.
-	latest, earlier answer
-	// lost is the number of addresses in the state Lost. lastLost is when one last became lost.
-	lost     int
-	lastLost time.Time
-	// reset are the addresses with an open connection that was reset since the latest answer.
-	reset map[string]bool
-}
-
-// answer is an answer of an address on a direct connection.
-type answer struct {
-	addr string
-	at   time.Time
-}
-
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{entries: map[string]*entry{}, groups: map[string]*group{}, answeredAt: map[string]time.Time{}, checkedAt: map[string]time.Time{}}
@@ -198,62 +181,6 @@
 	return Plan{Direct: true, Others: true, HeadStart: t.headStart(addr)}
 }
 
-// group returns the group of an address. t.mu is held.
-func (t *Table) group(addr string) *group {
-	name := ""
-	if t.GroupOf != nil {
-		name = t.GroupOf(addr)
-	}
-	g := t.groups[name]
-	if g == nil {
-		g = &group{}
-		t.groups[name] = g
-	}
-	return g
-}
-
-// headStart returns the head start of a direct connect. There is none while the path to the address is suspected to be
-// lost. t.mu is held.
-func (t *Table) headStart(addr string) time.Duration {
-	if t.suspected(t.group(addr)) {
-		return 0
-	}
-	return headStart
-}
-
-// suspected reports whether this box seems to have lost the paths to a whole group: several addresses are lost, or their
-// open connections were reset, and none has answered directly since. t.mu is held.
-func (t *Table) suspected(g *group) bool {
-	if len(g.reset) >= manyLost {
-		return true
-	}
-	return g.lost >= manyLost && !g.latest.at.After(g.lastLost)
-}
-
-// Usable reports whether an open direct connection may be used for another request. While new connections are refused,
-// open ones may live on. If the address does not answer, or resets open connections, requests would be lost on them.
-func (t *Table) Usable(addr string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	g, e := t.group(addr), t.entries[addr]
-	if e == nil || e.state == Direct {
-		return !t.suspected(g)
-	}
-	return e.failure == Refused && len(g.reset) == 0 && !e.connLostAt.After(t.answeredAt[addr])
-}
-
-// ConnLost records that an open direct connection was reset when a request was sent on it.
-func (t *Table) ConnLost(addr string, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.get(addr, now).connLostAt = now
-	g := t.group(addr)
-	if g.reset == nil {
-		g.reset = map[string]bool{}
-	}
-	g.reset[addr] = true
-}
-
 // get returns the entry of an address, and adds one if there is none. t.mu is held.
 func (t *Table) get(addr string, now time.Time) *entry {
 	e := t.entries[addr]
@@ -366,33 +293,6 @@
 	t.noteAnswer(addr, now)
 }
 
-// noteAnswer records an answer. t.mu is held.
-func (t *Table) noteAnswer(addr string, now time.Time) {
-	t.answeredAt[addr] = now
-	g := t.group(addr)
-	if g.latest.addr != addr {
-		g.earlier = g.latest
-	}
-	g.latest = answer{addr, now}
-	clear(g.reset)
-}
-
-// Credible reports whether a failed connect to an address, begun at a time, says something about the endpoint: another
-// address of its group has answered this box directly since then, or just before.
-func (t *Table) Credible(addr string, f Failure, began, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	g := t.group(addr)
-	last := g.latest
-	if last.addr == addr {
-		last = g.earlier
-	}
-	if f == Unanswered {
-		return last.at.After(began)
-	}
-	return now.Sub(last.at) < credibleLife
-}
-
 // ClaimCheck reports whether the path to an address should be checked, because the address is slow to answer on an open
 // connection. It claims the check.
 func (t *Table) ClaimCheck(addr string, now time.Time, silentFor time.Duration) bool {
@@ -438,39 +338,6 @@
 	return e != nil && e.denied > 0
 }
 
-// Probe is a due probe of an address.
-type Probe struct {
-	Address string
-	// Others means that other boxes are tried too, since none is known to reach the address.
-	Others bool
-}
-
-// DueProbes returns the addresses whose direct path must be probed now, the longest overdue first, and claims the probes.
-// It forgets addresses that were not used lately.
-func (t *Table) DueProbes(now time.Time) (out []Probe) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var due []string
-	for addr, e := range t.entries {
-		switch {
-		case now.Sub(e.usedAt) >= unusedLife, e.state == Direct && now.Sub(e.since) >= unusedLife:
-			t.setState(addr, e, Direct, now)
-			delete(t.entries, addr)
-		case e.state != Direct && !now.Before(e.probeAt):
-			due = append(due, addr)
-		}
-	}
-	slices.SortFunc(due, func(a, b string) int {
-		return cmp.Or(t.entries[a].probeAt.Compare(t.entries[b].probeAt), cmp.Compare(a, b))
-	})
-	for _, addr := range due[:min(len(due), maxProbes)] {
-		e := t.entries[addr]
-		e.probeAt = now.Add(probeInterval)
-		out = append(out, Probe{addr, e.state == Unreachable})
-	}
-	return out
-}
-
 // Keep forgets addresses that are not in keep.
 func (t *Table) Keep(keep func(addr string) bool) {
 	t.mu.Lock()
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -46,7 +46,7 @@
 	resp, err := x.r.callerPool.Do(ctx, q)
 	f.sendVia(a.Attempt, a.Prefill, q)
 	if err != nil {
-		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), connLoss: connLossFrom(err), pathBroke: x.r.pathBroke(address, q, err), detail: err.Error()}})
+		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), connLoss: connLossFrom(err), pathBroke: x.r.pathBroke(address, q.Via, err), detail: err.Error()}})
 		return
 	}
 	body, err := h1.ReadLimited(resp, maxControlAnswer)
@@ -237,7 +237,7 @@
 	if err != nil {
 		var e *h1.Error
 		ran := !errors.As(err, &e) || e.Sent
-		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), ran: ran, connLoss: connLossFrom(err), dropped: isConnDropped(err), pathBroke: x.r.pathBroke(q.Address, q, err), detail: err.Error()}})
+		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), ran: ran, connLoss: connLossFrom(err), dropped: isConnDropped(err), pathBroke: x.r.pathBroke(q.Address, q.Via, err), detail: err.Error()}})
 		return
 	}
 	defer resp.Body.Close()
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -148,7 +148,7 @@
 	switch {
 	case errors.Is(err, errRestarted):
 		return crashed, "another instance answers at its address"
-	case err != nil && r.pathBroke(e.Address, &h1.Request{}, err):
+	case err != nil && r.pathBroke(e.Address, "", err):
 		return undecided, ""
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return crashed, "its port refuses connections"
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -60,10 +60,24 @@
 // logPathChange logs that this box has lost its path to an endpoint, or has it back.
 func (r *Relay) logPathChange(c reach.Change) {
 	e, _ := r.fleet.at(c.Address)
-	fields := append([]zap.Field{zap.String("endpoint", e.id), zap.String("service", e.service)}, paths.LogFields(c)...)
+	fields := append([]zap.Field{zap.String("endpoint", e.id), zap.String("service", e.service)}, pathFields(c)...)
 	r.o.Recorder.Log.StateChange("path to endpoint "+c.To.String(), fields...)
 }
 
+// pathFields describes a change of an address's state for the log.
+func pathFields(c reach.Change) []zap.Field {
+	f := []zap.Field{zap.String("address", c.Address), zap.Stringer("direct", c.Failure)}
+	switch c.To {
+	case reach.Lost:
+		f = append(f, zap.String("reached_through", c.Via))
+	case reach.Unreachable:
+		f = append(f, zap.Int("boxes_that_denied", c.Denied))
+	case reach.Direct:
+		f = append(f, zap.Stringer("was", c.From), zap.Duration("after", c.Lasted))
+	}
+	return f
+}
+
 // recordVia adds to the request's trace that another box carried the connection of a call.
 func (x *exchange) recordVia(endpoint string, q *h1.Request) {
 	if q.Via != "" {
@@ -84,13 +98,13 @@
 type carried struct{ endpoint, box string }
 
 // pathBroke reports whether a call that got no answer says nothing about its endpoint: this box has lost its path to the
-// endpoint, the path was never tried, or the connection went through another box.
-func (r *Relay) pathBroke(address string, q *h1.Request, err error) bool {
+// endpoint, no path was tried, or the box via carried the connection; via is empty for a direct connection.
+func (r *Relay) pathBroke(address, via string, err error) bool {
 	var dial *paths.Error
 	if errors.As(err, &dial) {
 		return !paths.Confirmed(err)
 	}
-	return err != nil && (q.Via != "" || r.paths.PathLost(address))
+	return err != nil && (via != "" || r.paths.PathLost(address))
 }
 
 // HasEndpointAt reports whether an endpoint is listed at an address.
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -293,7 +293,7 @@
 	resp, err := x.r.callerPool.Do(ctx, q)
 	x.recordVia(e.ID, q)
 	if err != nil {
-		a.pathBroke = x.r.pathBroke(e.Address, q, err)
+		a.pathBroke = x.r.pathBroke(e.Address, q.Via, err)
 		a.reset, a.connsBusy = wasReset(err), errors.Is(err, h1.ErrConnsBusy)
 		a.notAllowed = errors.Is(err, h1.ErrNotAllowed)
 		var failed *h1.Error
@@ -324,7 +324,7 @@
 	buffered, err := io.ReadAll(io.LimitReader(resp.Body, bufferedAnswerBytes))
 	if err != nil || !reply.Signed || resp.Header.Get("Content-Encoding") != "" {
 		_ = resp.Body.Close()
-		a.reason, a.pathBroke = outcome.Truncated, x.r.pathBroke(e.Address, q, err)
+		a.reason, a.pathBroke = outcome.Truncated, x.r.pathBroke(e.Address, q.Via, err)
 		if err != nil && ctx.Err() == nil {
 			a.connLoss = connLoss{sent: start}
 		}
