Judge endpoints by a control connect, and probe less what stays unreachable

A box that was asked whether an endpoint is gone could say so only if another endpoint of the service had just answered it: an idle box, or a service with one endpoint, confirmed nothing. It now connects to the endpoint that last answered. Probes of unreachable addresses back off to 3.2 s, a path that is not used any more is logged as such and not as healed, idle tunnels count as use, and a stopping box carries new connections until its grace period ends, as it takes new requests.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -384,9 +384,9 @@
 	defer cancel()
 	defer flushWithin(finalFlushTimeout, b.archive.Flush)
 	b.Relay.BeginStop(clock.Now().Add(time.Until(requestDeadline)))
-	b.tunnels.Stop()
 	go flushWithin(finalFlushTimeout, b.node.Leave)
 	time.Sleep(cfg.GracePeriod)
+	b.tunnels.Stop() // Not earlier: other boxes learn like callers that this one leaves.
 	err := b.Relay.Drain(ctx)
 	if n := b.tunnels.Drain(ctx); n > 0 {
 		b.log.Error("stop timed out; connections of other boxes are cut off", zap.Int("tunnels", n))
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -583,13 +583,14 @@
 	return out
 }
 
-// CloseUnusable closes the idle connections that Usable rejects.
+// CloseUnusable closes the idle connections that Usable rejects, or that are too old to be used.
 func (p *Pool) CloseUnusable() {
+	now := clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, h := range p.hosts {
 		h.idle = slices.DeleteFunc(h.idle, func(c *conn) bool {
-			if p.usable(c) {
+			if p.usable(c) && now.Before(c.reuseDeadline) {
 				return false
 			}
 			_ = c.Close()
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -30,6 +30,9 @@
 	stallSlack = 150 * time.Millisecond
 	// maxTunnelDials bounds the attempts to open tunnels that are under way.
 	maxTunnelDials = 48
+	// controlTimeout bounds the connect that shows whether this box's own path works. At most maxControls are under way.
+	controlTimeout = 150 * time.Millisecond
+	maxControls    = 4
 	// probeTick is the pause between two looks for due probes.
 	probeTick = 100 * time.Millisecond
 	// slowAnswer is how long an endpoint may leave a request unanswered until the path to it is checked.
@@ -71,6 +74,7 @@
 	// toBox connects to another box.
 	toBox       tunnel.DialFunc
 	tunnelDials chan struct{} // Has an element for each attempt that is under way.
+	controls    chan struct{} // The same for the connects of ownPathWorks.
 }
 
 // New returns a dialer that knows no endpoint yet.
@@ -78,7 +82,7 @@
 	toEndpoint, toBox := tcpopt.Dialer(dialTimeout), tcpopt.Dialer(tunnelTimeout)
 	d := &Dialer{
 		o: o, Table: reach.NewTable(), boxes: reach.Boxes{Hall: o.Hall}, toBox: toBox.DialContext,
-		tunnelDials: make(chan struct{}, maxTunnelDials),
+		tunnelDials: make(chan struct{}, maxTunnelDials), controls: make(chan struct{}, maxControls),
 	}
 	d.Table.OnChange, d.Table.GroupOf = o.OnChange, o.ServiceOf
 	d.direct = toEndpoint.DialContext
@@ -123,8 +127,8 @@
 	return d.race(ctx, addr, plan)
 }
 
-// dialDirect opens a direct connection and records the result. It takes up to dialTimeout even if ctx ends before,
-// unless that is because the caller is gone.
+// dialDirect opens a direct connection and records the result. It goes on when ctx ends, for up to dialTimeout, because
+// its result shows whether the path is lost.
 func (d *Dialer) dialDirect(ctx context.Context, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout)
 	defer cancel()
@@ -191,6 +195,7 @@
 	if via == "" {
 		return d.Table.Usable(addr)
 	}
+	d.Table.Use(addr, clock.Now())
 	return d.Table.State(addr) != reach.Direct && d.listed(via)
 }
 
@@ -281,5 +286,29 @@
 func (d *Dialer) ConnectFailed(addr string, began time.Time, err error) (credible bool) {
 	now, f := clock.Now(), failureOf(err)
 	d.Table.DirectFailed(addr, f, now)
-	return d.Table.Credible(addr, f, began, now)
+	return d.Table.Credible(addr, f, began, now) || d.ownPathWorks(addr)
+}
+
+// ownPathWorks finds out whether this box reaches another endpoint directly, after a connect to addr has failed and no
+// other endpoint has answered meanwhile.
+func (d *Dialer) ownPathWorks(addr string) bool {
+	control := d.Table.Control(addr)
+	if control == "" {
+		return false
+	}
+	select {
+	case d.controls <- struct{}{}:
+		defer func() { <-d.controls }()
+	default:
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	c, err := d.direct(ctx, "tcp", control)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	d.Table.DirectConnected(control, clock.Now())
+	return true
 }
--- a/internal/paths/paths_test.go
+++ b/internal/paths/paths_test.go
@@ -317,3 +317,17 @@
 		t.Errorf("expected the caller's cancellation, got %v", err)
 	}
 }
+
+// Guards against a box that can't judge while nothing else is asked of it.
+func TestIdleBoxFindsOutWhetherItsOwnPathWorks(t *testing.T) {
+	s := newSite(t, 0)
+	s.d.Table.Answered(s.target, time.Now().Add(-time.Minute))
+	if !s.d.ConnectFailed("127.0.0.1:1", time.Now(), syscall.ECONNREFUSED) {
+		t.Error("expected a finding that counts, since another endpoint can be reached")
+	}
+	s.own.set(refuse)
+	time.Sleep(400 * time.Millisecond) // The answer of a moment ago counts for 300 ms.
+	if s.d.ConnectFailed("127.0.0.1:2", time.Now(), syscall.ECONNREFUSED) {
+		t.Error("expected no finding of a box without a path")
+	}
+}
--- a/internal/reach/group.go
+++ b/internal/reach/group.go
@@ -92,12 +92,35 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	g := t.group(addr)
-	last := g.latest
-	if last.addr == addr {
-		last = g.earlier
-	}
+	last := g.latestExcept(addr)
 	if f == Unanswered {
 		return last.at.After(began)
 	}
 	return now.Sub(last.at) < credibleLife
 }
+
+// Control returns an address whose direct connect shows whether this box's own path works, when a connect to addr has
+// failed: the last one of its group that answered, else the last one of any group. It is empty if none has answered.
+func (t *Table) Control(addr string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := t.group(addr)
+	if c := own.latestExcept(addr); c.addr != "" {
+		return c.addr
+	}
+	var last answer
+	for _, g := range t.groups {
+		if c := g.latestExcept(addr); c.at.After(last.at) {
+			last = c
+		}
+	}
+	return last.addr
+}
+
+// latestExcept returns the latest answer of another address than addr.
+func (g *group) latestExcept(addr string) answer {
+	if g.latest.addr == addr {
+		return g.earlier
+	}
+	return g.latest
+}
--- a/internal/reach/probe.go
+++ b/internal/reach/probe.go
@@ -22,7 +22,7 @@
 	for addr, e := range t.entries {
 		switch {
 		case now.Sub(e.usedAt) >= unusedLife, e.state == Direct && now.Sub(e.since) >= unusedLife:
-			t.setState(addr, e, Direct, now)
+			t.change(e, Change{Address: addr, From: e.state, Failure: e.failure, Via: e.via, Lasted: now.Sub(e.since), Forgotten: true}, now)
 			delete(t.entries, addr)
 		case e.state != Direct && !now.Before(e.probeAt):
 			due = append(due, addr)
@@ -33,8 +33,17 @@
 	})
 	for _, addr := range due[:min(len(due), maxProbes)] {
 		e := t.entries[addr]
-		e.probeAt = now.Add(probeInterval)
+		e.probeAt = now.Add(e.probeInterval())
+		e.probes++
 		out = append(out, Probe{addr, e.state == Unreachable})
 	}
 	return out
 }
+
+// probeInterval returns the time until the next probe of an entry.
+func (e *entry) probeInterval() time.Duration {
+	if e.state == Lost {
+		return probeInterval
+	}
+	return min(probeInterval<<min(e.probes, 8), maxProbeInterval)
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -77,10 +77,11 @@
 	// manyLost is the number of addresses of a group that were lost, or whose open connections were reset, from which on
 	// the paths to the others of the group are suspected too.
 	manyLost = 2
-	// probeInterval is the time between two direct probes of a lost or unreachable address. Together there are at most
-	// maxProbes at a time.
-	probeInterval = 400 * time.Millisecond
-	maxProbes     = 4
+	// probeInterval is the time between two probes of a lost or unreachable address. For an unreachable one it doubles
+	// with each probe in vain, up to maxProbeInterval. At most maxProbes are due at a time.
+	probeInterval    = 400 * time.Millisecond
+	maxProbeInterval = 8 * probeInterval
+	maxProbes        = 4
 	// unusedLife is how long an address is probed after its last use.
 	unusedLife = 15 * time.Second
 	// maxEntries bounds the entries. Without an entry, an address is dialed directly first.
@@ -111,6 +112,7 @@
 	group     *group // Set while the entry is in the table.
 	usedAt    time.Time
 	probeAt   time.Time // When the next probe is due.
+	probes    int       // The probes since the state began.
 }
 
 // Change is a change of an address's state.
@@ -123,6 +125,8 @@
 	Via     string
 	Denied  int
 	Lasted  time.Duration
+	// Forgotten means that the address was not used lately, so its path is not known any more. To is then Direct.
+	Forgotten bool
 }
 
 // Table records which addresses are reached by which path.
@@ -196,10 +200,15 @@
 
 // setState changes the state of an entry. t.mu is held.
 func (t *Table) setState(addr string, e *entry, s State, now time.Time) {
+	t.change(e, Change{Address: addr, From: e.state, To: s, Failure: e.failure, Via: e.via, Denied: e.denied, Lasted: now.Sub(e.since)}, now)
+}
+
+// change applies a change of an entry's state. t.mu is held.
+func (t *Table) change(e *entry, c Change, now time.Time) {
+	s := c.To
 	if e.state == s {
 		return
 	}
-	c := Change{Address: addr, From: e.state, To: s, Failure: e.failure, Via: e.via, Denied: e.denied, Lasted: now.Sub(e.since)}
 	switch {
 	case s == Lost:
 		e.group.lost++
@@ -207,12 +216,21 @@
 	case e.state == Lost:
 		e.group.lost--
 	}
-	e.state, e.since, e.probeAt = s, now, now.Add(probeInterval)
+	e.state, e.since, e.probeAt, e.probes = s, now, now.Add(probeInterval), 0
 	if t.OnChange != nil {
 		t.OnChange(c)
 	}
 }
 
+// Use records that an open connection to an address is kept for requests.
+func (t *Table) Use(addr string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[addr]; e != nil {
+		e.usedAt = now
+	}
+}
+
 // DirectConnected records that a direct connect succeeded.
 func (t *Table) DirectConnected(addr string, now time.Time) {
 	t.mu.Lock()
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -238,6 +238,55 @@
 	})
 }
 
+// Guards against a flood of probes of endpoints that are gone.
+func TestProbesOfUnreachableAddressBackOff(t *testing.T) {
+	tab := NewTable()
+	tab.DirectFailed("a", Unanswered, after(0))
+	tab.OtherFailed("a", after(0))
+	tab.AllFailed("a", after(0))
+	probes := 0
+	for ms := 0; ms < 14_000; ms += 100 {
+		probes += len(tab.DueProbes(after(ms)))
+	}
+	if probes < 5 || probes > 8 {
+		t.Errorf("expected 5 to 8 probes in 14 s, got %d", probes)
+	}
+}
+
+// Guards against a log that says that a path works again, although it was only not used.
+func TestUnusedPathIsForgotten(t *testing.T) {
+	tab := NewTable()
+	var last Change
+	tab.OnChange = func(c Change) { last = c }
+	tab.DirectFailed("a", Refused, after(0))
+	tab.OtherConnected("a", "box", after(0))
+	tab.Use("a", after(10_000))
+	tab.DueProbes(after(20_000))
+	expectState(t, tab, "a", Lost)
+	tab.DueProbes(after(25_000))
+	if !last.Forgotten || tab.State("a") != Direct {
+		t.Errorf("expected the path to be forgotten, got %+v", last)
+	}
+}
+
+func TestControlIsAnotherAddress(t *testing.T) {
+	tab := NewTable()
+	tab.GroupOf = func(addr string) string { return addr[:1] }
+	if c := tab.Control("a1"); c != "" {
+		t.Errorf("expected none, got %q", c)
+	}
+	tab.Answered("b1", after(0))
+	tab.Answered("a1", after(1))
+	if c := tab.Control("a1"); c != "b1" {
+		t.Errorf("expected the address of another group, got %q", c)
+	}
+	tab.Answered("a2", after(2))
+	tab.Answered("a1", after(3))
+	if c := tab.Control("a1"); c != "a2" {
+		t.Errorf("expected the other address of the group, got %q", c)
+	}
+}
+
 func expectOrder(t *testing.T, b *Boxes, all []Box, hall string, now time.Time, want ...string) {
 	t.Helper()
 	got := b.Rank(all, hall, now)
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -61,7 +61,11 @@
 func (r *Relay) logPathChange(c reach.Change) {
 	e, _ := r.fleet.at(c.Address)
 	fields := append([]zap.Field{zap.String("endpoint", e.id), zap.String("service", e.service)}, pathFields(c)...)
-	r.o.Recorder.Log.StateChange("path to endpoint "+c.To.String(), fields...)
+	what := "path to endpoint " + c.To.String()
+	if c.Forgotten {
+		what = "path to endpoint not used any more"
+	}
+	r.o.Recorder.Log.StateChange(what, fields...)
 }
 
 // pathFields describes a change of an address's state for the log.
