--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -236,6 +236,7 @@
 	b.Metrics.Set.NewGauge("stoatramp_requests_held", func() float64 { _, n := b.crashes.Sizes(); return float64(n) })
 	b.Metrics.Set.NewGauge("stoatramp_held_bytes", func() float64 { return float64(b.Relay.ReservedBytes()) })
 	b.Metrics.Set.NewGauge("stoatramp_endpoints_limited", func() float64 { return float64(b.Relay.Limited()) })
+	b.Metrics.Set.NewGauge("stoatramp_paths_lost", func() float64 { return float64(len(b.Relay.LostPaths())) })
 	b.Metrics.Set.NewGauge("stoatramp_running", func() float64 { return float64(b.Relay.Running()) })
 }
 
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -32,7 +32,6 @@
 		p.OnSlow, p.SlowAfter = r.paths.CheckSlow, r.paths.SlowAfter()
 		p.OnDialFailed = r.countConnectFailure
 	}
-	r.m.Set.NewGauge("stoatramp_paths_lost", func() float64 { return float64(len(r.paths.Table.Entries())) })
 }
 
 // Paths returns the dialer of this box's connections to endpoints.
