Classify failed connects in one place, and drop what paths and tunnels don't need

Three copies of the same classification (refused, unanswered) are now tunnel.ConnectCause; the two loops that close idle connections are one; a body without a length is recognized by h1.EndsWithConn in both places. Gone: a wrapper of a dial, parameters that nobody read, a wait that the plan states already, an unused method of Boxes, whose expired results are now dropped as paths run.

make check; tests of all touched packages, box, overlay, platform and cmd/stoatrampd pass, the first five with the race detector; guards' patterns match.

--- a/internal/box/relay_tunnels.go
+++ b/internal/box/relay_tunnels.go
@@ -11,9 +11,7 @@
 func (b *RelayBox) newTunnelServer() *tunnel.Server {
 	s := &tunnel.Server{
 		Dial: b.Relay.Paths().Direct, Key: b.node.Key, Listed: b.Relay.HasEndpointAt, Results: b.Relay.Paths(),
-		OnEnd: func(_, _ string, cause tunnel.Cause, toEndpoint, toCaller int64) {
-			b.Metrics.CountCarried(string(cause), toEndpoint+toCaller)
-		},
+		OnEnd: func(cause tunnel.Cause, bytes int64) { b.Metrics.CountCarried(string(cause), bytes) },
 	}
 	b.Metrics.Set.NewGauge("stoatramp_tunnels_open", func() float64 { return float64(s.Open()) })
 	return s
--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -31,8 +31,9 @@
 	return n, err
 }
 
-// endsWithConn reports whether the end of the connection is the end of the body.
-func endsWithConn(resp *http.Response) bool {
+// EndsWithConn reports whether a response has neither a length nor an end marker: the end of the connection is the end of
+// its body.
+func EndsWithConn(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 }
 
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -347,7 +347,7 @@
 			continue
 		}
 		if r.Matches == nil || r.Matches(resp.Header) {
-			if c.via != "" && endsWithConn(resp) {
+			if c.via != "" && EndsWithConn(resp) {
 				resp.Body = unendingBody{resp.Body}
 			}
 			return resp, nil
@@ -584,13 +584,19 @@
 }
 
 // CloseUnusable closes the idle connections that Usable rejects, or that are too old to be used.
-func (p *Pool) CloseUnusable() {
-	now := clock.Now()
+func (p *Pool) CloseUnusable() { p.closeIdle(clock.Now(), func(string) bool { return true }) }
+
+// Prune closes the idle connections of CloseUnusable, and those to addresses that are not in keep.
+func (p *Pool) Prune(now time.Time, keep map[string]bool) {
+	p.closeIdle(now, func(addr string) bool { return keep[addr] })
+}
+
+func (p *Pool) closeIdle(now time.Time, keep func(addr string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, h := range p.hosts {
 		h.idle = slices.DeleteFunc(h.idle, func(c *conn) bool {
-			if p.usable(c) && now.Before(c.reuseDeadline) {
+			if keep(addr) && now.Before(c.reuseDeadline) && p.usable(c) {
 				return false
 			}
 			_ = c.Close()
@@ -600,23 +606,3 @@
 		p.forgetUnused(addr, h)
 	}
 }
-
-// Prune closes idle connections that are too old to be used. It also closes idle connections to addresses that are not
-// in keep.
-func (p *Pool) Prune(now time.Time, keep map[string]bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for addr, h := range p.hosts {
-		remaining := h.idle[:0]
-		for _, c := range h.idle {
-			if keep[addr] && now.Before(c.reuseDeadline) && p.usable(c) {
-				remaining = append(remaining, c)
-				continue
-			}
-			_ = c.Close()
-			h.open-- // No request waits while a connection is idle.
-		}
-		h.idle = remaining
-		p.forgetUnused(addr, h)
-	}
-}
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -62,7 +62,7 @@
 	// OnChange is called when an address becomes lost, unreachable or direct. It must not block. It may be nil.
 	OnChange func(reach.Change)
 	// OnTunnel is called when an attempt to open a tunnel has ended; the cause is empty if it was opened. It may be nil.
-	OnTunnel func(box string, cause tunnel.Cause)
+	OnTunnel func(cause tunnel.Cause)
 }
 
 // Dialer connects this box to endpoints.
@@ -108,11 +108,6 @@
 	}
 }
 
-// DialDirect opens a direct connection to an endpoint.
-func (d *Dialer) DialDirect(ctx context.Context, addr string) (net.Conn, error) {
-	return d.dialDirect(ctx, addr)
-}
-
 // Direct opens a direct connection, like net.Dialer.DialContext. It records nothing.
 func (d *Dialer) Direct(ctx context.Context, network, addr string) (net.Conn, error) {
 	return d.direct(ctx, network, addr)
@@ -127,9 +122,9 @@
 	return d.race(ctx, addr, plan)
 }
 
-// dialDirect opens a direct connection and records the result. It goes on when ctx ends, for up to dialTimeout, because
+// DialDirect opens a direct connection to an endpoint and records the result. It goes on when ctx ends, for up to dialTimeout, because
 // its result shows whether the path is lost.
-func (d *Dialer) dialDirect(ctx context.Context, addr string) (net.Conn, error) {
+func (d *Dialer) DialDirect(ctx context.Context, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout)
 	defer cancel()
 	began := clock.Now()
@@ -145,8 +140,7 @@
 }
 
 func failureOf(err error) reach.Failure {
-	var t interface{ Timeout() bool }
-	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) || errors.As(err, &t) && t.Timeout() {
+	if tunnel.ConnectCause(err) == tunnel.Unanswered {
 		return reach.Unanswered
 	}
 	return reach.Refused
@@ -167,7 +161,7 @@
 	if err == nil {
 		d.Table.OtherConnected(addr, box.Name, now)
 		d.boxes.Opened(box.Name, now)
-		d.report(box.Name, "")
+		d.report("")
 		return &carriedConn{c: c, d: d, box: box.Name}, nil
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
@@ -179,13 +173,13 @@
 	} else {
 		d.boxes.Failed(box.Name, cause == tunnel.Unauthorized, now)
 	}
-	d.report(box.Name, cause)
+	d.report(cause)
 	return nil, err
 }
 
-func (d *Dialer) report(box string, cause tunnel.Cause) {
+func (d *Dialer) report(cause tunnel.Cause) {
 	if d.o.OnTunnel != nil {
-		d.o.OnTunnel(box, cause)
+		d.o.OnTunnel(cause)
 	}
 }
 
@@ -255,6 +249,7 @@
 			return
 		}
 		d.Table.Keep(listed)
+		d.boxes.Forget(clock.Now())
 		for _, p := range d.Table.DueProbes(clock.Now()) {
 			go d.probe(ctx, p)
 		}
@@ -266,7 +261,7 @@
 		_, _ = d.Verify(ctx, p.Address) // The table has the result.
 		return
 	}
-	if c, err := d.dialDirect(ctx, p.Address); err == nil {
+	if c, err := d.DialDirect(ctx, p.Address); err == nil {
 		_ = c.Close()
 	}
 }
@@ -276,7 +271,8 @@
 
 // NoPath, Connected and ConnectFailed let a tunnel.Server share what this box knows of its own paths.
 func (d *Dialer) NoPath(addr string) bool {
-	return d.Table.State(addr) == reach.Lost || d.Table.State(addr) == reach.Unreachable && d.Table.Failure(addr) == reach.Unanswered
+	state := d.Table.State(addr)
+	return state == reach.Lost || state == reach.Unreachable && d.Table.Failure(addr) == reach.Unanswered
 }
 
 // Connected records a direct connect for another box.
--- a/internal/paths/race.go
+++ b/internal/paths/race.go
@@ -46,11 +46,7 @@
 }
 
 func (r *race) run(plan reach.Plan) (net.Conn, string, error) {
-	wait := plan.HeadStart
-	if !plan.Direct {
-		wait = 0
-	}
-	next := time.NewTimer(wait)
+	next := time.NewTimer(plan.HeadStart)
 	defer next.Stop()
 	for {
 		select {
@@ -84,7 +80,7 @@
 	r.running++
 	r.directRunning = true
 	go func() {
-		c, err := r.d.dialDirect(r.ctx, r.addr)
+		c, err := r.d.DialDirect(r.ctx, r.addr)
 		r.results <- attempt{conn: c, err: err}
 	}()
 }
--- a/internal/reach/boxes.go
+++ b/internal/reach/boxes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,10 +22,10 @@
 	sampleSize = 48
 	// Stagger is the time after which the next box is tried while the one before has not answered.
 	Stagger = 80 * time.Millisecond
-	// failureLife is how long a box that opened no tunnel is tried after the others. unsupportedLife applies to a box
-	// that does not know tunnels, or whose key differs.
-	failureLife     = time.Second
-	unsupportedLife = 20 * time.Second
+	// failureLife is how long a box that opened no tunnel is tried after the others. unauthorizedLife applies to a
+	// box whose key differs.
+	failureLife      = time.Second
+	unauthorizedLife = 20 * time.Second
 )
 
 // Boxes ranks other boxes as ways to an endpoint, by the results of earlier attempts.
@@ -100,9 +101,7 @@
 func (b *Boxes) Opened(box string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.open == nil {
-		b.open, b.goodAt, b.badUntil = map[string]int{}, map[string]time.Time{}, map[string]time.Time{}
-	}
+	b.makeMaps()
 	b.open[box]++
 	b.goodAt[box] = now
 	delete(b.badUntil, box)
@@ -117,16 +116,14 @@
 	}
 }
 
-// Failed records that a box opened no tunnel. Unsupported means that it will not open any soon.
-func (b *Boxes) Failed(box string, unsupported bool, now time.Time) {
+// Failed records that a box opened no tunnel. Unauthorized means that the boxes' keys differ.
+func (b *Boxes) Failed(box string, unauthorized bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.badUntil == nil {
-		b.open, b.goodAt, b.badUntil = map[string]int{}, map[string]time.Time{}, map[string]time.Time{}
-	}
+	b.makeMaps()
 	life := failureLife
-	if unsupported {
-		life = unsupportedLife
+	if unauthorized {
+		life = unauthorizedLife
 	}
 	delete(b.goodAt, box)
 	b.badUntil[box] = now.Add(life)
@@ -136,22 +133,20 @@
 func (b *Boxes) Open() map[string]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make(map[string]int, len(b.open))
-	for name, n := range b.open {
-		out[name] = n
-	}
-	return out
+	return maps.Clone(b.open)
 }
 
-// Keep forgets boxes that are not in keep.
-func (b *Boxes) Keep(keep map[string]bool) {
+// Forget drops results that no longer count.
+func (b *Boxes) Forget(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, m := range []map[string]time.Time{b.badUntil, b.goodAt} {
-		for name := range m {
-			if !keep[name] {
-				delete(m, name)
-			}
-		}
+	maps.DeleteFunc(b.badUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(b.goodAt, func(_ string, at time.Time) bool { return now.Sub(at) >= evidenceLife })
+}
+
+// makeMaps makes the maps of the zero value. b.mu is held.
+func (b *Boxes) makeMaps() {
+	if b.open == nil {
+		b.open, b.goodAt, b.badUntil = map[string]int{}, map[string]time.Time{}, map[string]time.Time{}
 	}
 }
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -274,7 +274,7 @@
 // caller may have received the last event before. An empty answer is then complete.
 func (f *flight) reportStream(a decide.Attempt, resp *http.Response, sent time.Time, resumed bool) {
 	var s splitter
-	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	unframed := h1.EndsWithConn(resp)
 	buf := make([]byte, 4<<10)
 	begun := false
 	for {
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -19,8 +19,8 @@
 
 // This file finds out whether an endpoint crashed while it ran requests. A lost connection alone is no proof, because a
 // healthy endpoint may also close a connection. So the endpoint is probed a few times. A probe shows a crash if the
-// endpoint's port refuses connections, or if another process has taken its place. An answer is a sign of life. The
-// probes end with the first such result.
+// endpoint's port refuses connections, which another box must find too, or if another process has taken its place. An
+// answer is a sign of life, also one through another box. The probes end with the first such result.
 
 // connLoss describes a call whose connection the endpoint closed. The zero value means that the endpoint did not close
 // the connection.
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -142,7 +142,7 @@
 }
 
 // pollLoad polls an engine for its load. It applies the load on this box, and publishes it to the other boxes. If the
-// engine does not answer, that is applied and published too.
+// engine does not answer, handleSilence finds out whether the engine or this box's path to it is the reason.
 func (r *Relay) pollLoad(ctx context.Context, e Endpoint) {
 	now := clock.Now()
 	if r.notices.ThrottledFor(e.ID, now) > 0 {
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"os"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,7 +22,7 @@
 func (r *Relay) makePaths() {
 	r.paths = paths.New(paths.Options{
 		Hall: r.o.Hall, Peers: r.o.TunnelPeers, Proxy: r.o.EndpointProxy, HallOf: r.fleet.hallOf, ServiceOf: r.fleet.serviceAt,
-		OnChange: r.logPathChange, OnTunnel: func(_ string, cause tunnel.Cause) { r.m.CountTunnel(string(cause)) },
+		OnChange: r.logPathChange, OnTunnel: func(cause tunnel.Cause) { r.m.CountTunnel(string(cause)) },
 	})
 	for _, p := range []*h1.Pool{r.callerPool, r.controlPool} {
 		p.Dial, p.DialDirect, p.Usable = r.paths.Dial, r.paths.DialDirect, r.paths.Usable
@@ -141,17 +139,11 @@
 // countConnectFailure counts a connection to an endpoint that could not be established.
 func (r *Relay) countConnectFailure(_ string, err error) {
 	cause := telemetry.ConnectOther
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
+	switch tunnel.ConnectCause(err) {
+	case tunnel.Refused:
 		cause = telemetry.ConnectRefused
-	case errors.Is(err, os.ErrDeadlineExceeded) || isTimeout(err):
+	case tunnel.Unanswered:
 		cause = telemetry.ConnectUnanswered
 	}
 	r.m.ConnectsFailed[cause].Inc()
 }
-
-// isTimeout reports whether an error of package net is a timeout.
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
@@ -18,14 +17,14 @@
 const (
 	// serverDialTimeout bounds the server's connect to an endpoint.
 	serverDialTimeout = 400 * time.Millisecond
-	// MaxTunnels bounds the tunnels that a server carries. maxPerCaller bounds those of one box, so that a box that was
+	// maxTunnels bounds the tunnels that a server carries. maxPerCaller bounds those of one box, so that a box that was
 	// cut off leaves room for the others.
-	MaxTunnels   = 512
+	maxTunnels   = 512
 	maxPerCaller = 192
 	bearer       = "Bearer "
 )
 
-// Results of connects, in the order of events: a server learns from tunnels which endpoints it reaches itself.
+// Results takes the results of a server's connects, and knows from earlier ones which addresses the box reaches itself.
 type Results interface {
 	// NoPath reports whether this box has no path of its own to the address.
 	NoPath(address string) bool
@@ -45,8 +44,8 @@
 	Listed  func(address string) bool
 	Results Results
 	// OnEnd is called when a tunnel was refused or has ended; it may be nil. The cause is empty for a tunnel that was
-	// opened.
-	OnEnd func(caller, target string, cause Cause, toEndpoint, toCaller int64)
+	// opened; bytes counts both directions.
+	OnEnd func(cause Cause, bytes int64)
 
 	mu       sync.Mutex
 	stopping bool
@@ -71,38 +70,37 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	target, from := r.Host, callerIP(r)
 	if !s.authorized(r.Header) {
-		s.reject(w, from, target, Unauthorized)
+		s.reject(w, Unauthorized)
 		return
 	}
 	if !s.Listed(target) {
-		s.reject(w, from, target, Unlisted)
+		s.reject(w, Unlisted)
 		return
 	}
 	if s.Results.NoPath(target) {
-		s.reject(w, from, target, NoPath)
+		s.reject(w, NoPath)
 		return
 	}
 	if cause, ok := s.admit(from); !ok {
-		s.reject(w, from, target, cause)
+		s.reject(w, cause)
 		return
 	}
 	defer s.leave(from)
 	endpoint, cause := s.dial(r.Context(), target)
 	if cause != "" {
-		s.reject(w, from, target, cause)
+		s.reject(w, cause)
 		return
 	}
 	caller, err := accept(w)
 	if err != nil {
 		_ = endpoint.Close()
-		s.reject(w, from, target, Failed)
+		s.reject(w, Failed)
 		return
 	}
 	t := &carried{caller, endpoint}
 	s.add(t)
 	defer s.remove(t)
-	toEndpoint, toCaller := splice(caller, endpoint)
-	s.ended(from, target, "", toEndpoint, toCaller)
+	s.ended("", splice(caller, endpoint))
 }
 
 func (s *Server) authorized(h http.Header) bool {
@@ -110,19 +108,19 @@
 	return key != "" && subtle.ConstantTimeCompare([]byte(h.Get("Proxy-Authorization")), []byte(bearer+key)) == 1
 }
 
-func (s *Server) reject(w http.ResponseWriter, from, target string, cause Cause) {
+func (s *Server) reject(w http.ResponseWriter, cause Cause) {
 	w.Header().Set(causeHeader, string(cause))
 	status, known := statuses[cause]
 	if !known {
 		status = http.StatusInternalServerError
 	}
 	w.WriteHeader(status)
-	s.ended(from, target, cause, 0, 0)
+	s.ended(cause, 0)
 }
 
-func (s *Server) ended(from, target string, cause Cause, toEndpoint, toCaller int64) {
+func (s *Server) ended(cause Cause, bytes int64) {
 	if s.OnEnd != nil {
-		s.OnEnd(from, target, cause, toEndpoint, toCaller)
+		s.OnEnd(cause, bytes)
 	}
 }
 
@@ -140,7 +138,7 @@
 	switch {
 	case s.stopping:
 		return Stopping, false
-	case total >= MaxTunnels || s.callers[from] >= maxPerCaller:
+	case total >= maxTunnels || s.callers[from] >= maxPerCaller:
 		return Busy, false
 	}
 	s.callers[from]++
@@ -181,18 +179,7 @@
 	case !s.Results.ConnectFailed(target, began, err):
 		return nil, NoPath
 	}
-	return nil, dialCause(err)
-}
-
-func dialCause(err error) Cause {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return Refused
-	}
-	var t interface{ Timeout() bool }
-	if errors.As(err, &t) && t.Timeout() {
-		return Unanswered
-	}
-	return Failed
+	return nil, ConnectCause(err)
 }
 
 // accept takes over the caller's connection and answers the CONNECT.
--- a/internal/tunnel/splice.go
+++ b/internal/tunnel/splice.go
@@ -18,7 +18,9 @@
 
 // splice copies bytes between a caller and an endpoint until one of them ends the connection. A reset on one side becomes
 // a reset on the other: the end of an answer that has no length must not look like its regular end.
-func splice(caller, endpoint net.Conn) (toEndpoint, toCaller int64) {
+// It returns the number of bytes in both directions.
+func splice(caller, endpoint net.Conn) int64 {
+	var toEndpoint, toCaller int64
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		n, err := copyBytes(endpoint, caller)
@@ -43,7 +45,7 @@
 		_ = caller.SetReadDeadline(time.Now().Add(endpointCloseGrace))
 	})
 	wg.Wait()
-	return toEndpoint, toCaller
+	return toEndpoint + toCaller
 }
 
 // copyBytes copies until the end of src. It hides the methods of the connections by which io.Copy would move bytes inside
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -6,9 +6,12 @@
 package tunnel
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
+	"syscall"
 	"time"
 )
 
@@ -64,5 +67,17 @@
 	return Failed
 }
 
+// ConnectCause returns the cause that the error of a TCP connect stands for: Refused, Unanswered or Failed.
+func ConnectCause(err error) Cause {
+	var t interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded), errors.As(err, &t) && t.Timeout():
+		return Unanswered
+	}
+	return Failed
+}
+
 // answerTimeout bounds reading the answer to a CONNECT. It is longer than serverDialTimeout.
 const answerTimeout = 600 * time.Millisecond
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -34,7 +34,7 @@
 var dialer net.Dialer
 
 // newServer returns a server with the key "k" that lists all addresses, and its address.
-func newServer(t *testing.T) (*Server, string) {
+func newServer(t testing.TB) (*Server, string) {
 	t.Helper()
 	s := &Server{Dial: dialer.DialContext, Key: func() string { return "k" }, Listed: func(string) bool { return true }, Results: &fakeResults{}}
 	srv := httptest.NewServer(s)
@@ -42,8 +42,14 @@
 	return s, srv.Listener.Addr().String()
 }
 
+// echo answers with what it receives.
+func echo(c net.Conn) {
+	_, _ = io.Copy(c, c)
+	c.Close()
+}
+
 // newEndpoint serves each connection with a function and returns its address.
-func newEndpoint(t *testing.T, serve func(c net.Conn)) string {
+func newEndpoint(t testing.TB, serve func(c net.Conn)) string {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -95,7 +101,7 @@
 }
 
 func TestBytesPassBothWays(t *testing.T) {
-	target := newEndpoint(t, func(c net.Conn) { _, _ = io.Copy(c, c) })
+	target := newEndpoint(t, echo)
 	_, server := newServer(t)
 	c := expectOpen(t, server, target)
 	text := strings.Repeat("0123456789", 10_000)
@@ -133,7 +139,7 @@
 }
 
 func TestStoppingServerFinishesTunnels(t *testing.T) {
-	target := newEndpoint(t, func(c net.Conn) { _, _ = io.Copy(c, c) })
+	target := newEndpoint(t, echo)
 	s, server := newServer(t)
 	c := expectOpen(t, server, target)
 	s.Stop()
@@ -153,7 +159,7 @@
 }
 
 func TestDrainResetsWhatIsLeft(t *testing.T) {
-	target := newEndpoint(t, func(c net.Conn) { _, _ = io.Copy(c, c) })
+	target := newEndpoint(t, echo)
 	s, server := newServer(t)
 	c := expectOpen(t, server, target)
 	ctx, cancel := context.WithCancel(context.Background())
