Record and count how endpoints delimit their answers

The incident's hypotheses can't be told apart by logs: answered and ok are logged for an end that the endpoint vouched for and for a connection that just closed. The record, the line of a request and a counter now name the framing.

--- a/internal/account/log.go
+++ b/internal/account/log.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/stoatramp/stoatramp/internal/decide"
+	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/record"
 )
@@ -149,6 +150,9 @@
 	if r.Detail != "" {
 		fields = append(fields, zap.String("detail", r.Detail))
 	}
+	if r.Framing == h1.CloseDelimited {
+		fields = append(fields, zap.String("framing", string(r.Framing)))
+	}
 	if r.Kind != outcome.Answered {
 		fields = append(fields, zap.Bool("begun", r.HeaderSent), zap.String("endpoint", r.LastEndpoint()))
 	}
--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -31,10 +31,34 @@
 	return n, err
 }
 
-// EndsWithConn reports whether a response has neither a length nor an end marker: the end of the connection is the end of
-// its body.
-func EndsWithConn(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+// Framing is how the body of a response is delimited (RFC 9112, 6.3).
+type Framing string
+
+// The framings.
+const (
+	// FramedByLength bodies have a Content-Length, or no body is allowed.
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunked"
+	// CloseDelimited bodies end with their connection. Such an end does not show whether the body is complete.
+	CloseDelimited Framing = "close"
+)
+
+// Framings calls f for each framing.
+func Framings(f func(Framing)) {
+	for _, v := range []Framing{FramedByLength, FramedByChunks, CloseDelimited} {
+		f(v)
+	}
+}
+
+// FramingOf returns how the body of a response is delimited.
+func FramingOf(resp *http.Response) Framing {
+	switch {
+	case resp.Body == http.NoBody || resp.ContentLength >= 0:
+		return FramedByLength
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return CloseDelimited
 }
 
 // unendingBody is a body that ends with its connection, which another box carries. The end does not show whether the
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -347,7 +347,7 @@
 			continue
 		}
 		if r.Matches == nil || r.Matches(resp.Header) {
-			if c.via != "" && EndsWithConn(resp) {
+			if c.via != "" && FramingOf(resp) == CloseDelimited {
 				resp.Body = unendingBody{resp.Body}
 			}
 			return resp, nil
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/decide"
+	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 )
 
@@ -163,6 +164,8 @@
 	FirstToken    time.Duration  `json:"first_token_ns,omitempty"`
 	LongestGap    time.Duration  `json:"longest_gap_ns,omitempty"`
 	Output        int            `json:"output_tokens,omitempty"`
+	// Framing is how the endpoint whose answer was passed on last delimited it. It is empty if there was no such answer.
+	Framing h1.Framing `json:"framing,omitempty"`
 	// HeaderSent says that the header of a response was sent to the caller.
 	HeaderSent bool          `json:"begun,omitempty"`
 	Duration   time.Duration `json:"took_ns"`
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -274,7 +274,8 @@
 // caller may have received the last event before. An empty answer is then complete.
 func (f *flight) reportStream(a decide.Attempt, resp *http.Response, sent time.Time, resumed bool) {
 	var s splitter
-	unframed := h1.EndsWithConn(resp)
+	framing := h1.FramingOf(resp)
+	unframed := framing == h1.CloseDelimited
 	buf := make([]byte, 4<<10)
 	begun := false
 	for {
@@ -289,7 +290,7 @@
 			}
 			ev := flightEvent{attempt: a, part: &p}
 			if !begun {
-				ev = flightEvent{attempt: a, head: &headPart{header: resp.Header, part: p}}
+				ev = flightEvent{attempt: a, head: &headPart{header: resp.Header, framing: framing, part: p}}
 			}
 			begun = true
 			if !f.send(ev) {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -379,6 +379,12 @@
 	h.Del("Content-Length") // Set again if the length is known.
 }
 
+// recordFraming records how an endpoint delimited an answer whose beginning is passed on.
+func (x *exchange) recordFraming(f h1.Framing) {
+	x.rec.Framing = f
+	x.r.m.CountFraming(f)
+}
+
 // writeStatus begins the answer to the caller with the status of an endpoint that ran the request. Callers take some
 // statuses to mean that the request did not run. Such a status is replaced, and the endpoint's signature is removed.
 func (x *exchange) writeStatus(status int) {
@@ -394,6 +400,7 @@
 // passAnswer sends an endpoint's answer to the caller.
 func (x *exchange) passAnswer(a plainAnswer) {
 	defer a.drop()
+	x.recordFraming(h1.FramingOf(a.resp))
 	x.copyHead(a.resp.Header)
 	if a.whole && x.req.Method != http.MethodHead {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(a.buffered)))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -12,6 +12,7 @@
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/dispatch"
+	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/overlay"
 	"github.com/stoatramp/stoatramp/internal/record"
@@ -112,8 +113,9 @@
 
 // headPart is the header of an answer with the first part of its body.
 type headPart struct {
-	header http.Header
-	part   part
+	header  http.Header
+	framing h1.Framing
+	part    part
 }
 
 // part is a piece of a stream. It holds complete events. Only the last part of a stream can end with an incomplete event.
@@ -558,6 +560,7 @@
 		f.x.rec.FirstToken = f.firstEventAt.Sub(f.x.arrived)
 		f.x.r.m.FirstToken.Update(f.x.rec.FirstToken.Seconds())
 	}
+	f.x.recordFraming(ev.head.framing)
 	f.source = Source{} // The engine that answers has consumed the result of the prefill, so nothing is left to free.
 	f.freeReservation()
 	if f.migration.is(ev.attempt) {
@@ -616,6 +619,7 @@
 	if f.x.begun {
 		return outcome.Outcome{Kind: outcome.CutOff, Reason: outcome.EndpointLost, Detail: "the engine answered " + p.resp.Status}
 	}
+	f.x.recordFraming(h1.FramingOf(p.resp))
 	f.x.copyHead(p.resp.Header)
 	f.x.writeStatus(p.resp.StatusCode)
 	_, _ = f.x.w.Write(p.body)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/stoatramp/stoatramp/internal/decide"
+	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/slots"
 )
@@ -27,6 +28,8 @@
 	reruns   map[decide.RerunResult]*metrics.Counter
 	// incomplete counts the answers that callers did not receive whole, by reason.
 	incomplete map[outcome.Reason]*metrics.Counter
+	// framings counts the endpoints' answers that were passed on, by how they were delimited.
+	framings map[h1.Framing]*metrics.Counter
 
 	Moves               *metrics.Counter
 	CompletedMigrations *metrics.Counter
@@ -135,6 +138,7 @@
 		wasted:              map[outcome.Reason]*metrics.Counter{},
 		reruns:              map[decide.RerunResult]*metrics.Counter{},
 		incomplete:          map[outcome.Reason]*metrics.Counter{},
+		framings:            map[h1.Framing]*metrics.Counter{},
 		Moves:               s.NewCounter("stoatramp_moves_total"),
 		CompletedMigrations: s.NewCounter(`stoatramp_migrations_total{outcome="moved"}`),
 		AbortedMigrations:   s.NewCounter(`stoatramp_migrations_total{outcome="stayed"}`),
@@ -189,6 +193,9 @@
 	decide.RerunResults(func(r decide.RerunResult) {
 		m.reruns[r] = s.NewCounter(fmt.Sprintf("stoatramp_reruns_total{result=%q}", r))
 	})
+	h1.Framings(func(f h1.Framing) {
+		m.framings[f] = s.NewCounter(fmt.Sprintf("stoatramp_endpoint_answers_total{framing=%q}", f))
+	})
 	outcome.Kinds(func(k outcome.Kind) {
 		m.outcomes[k] = s.NewCounter(fmt.Sprintf("stoatramp_requests_total{outcome=%q}", k))
 	})
@@ -222,6 +229,13 @@
 	}
 }
 
+// CountFraming counts an endpoint's answer that is passed on, by how it is delimited.
+func (m *Metrics) CountFraming(f h1.Framing) {
+	if c := m.framings[f]; c != nil {
+		c.Inc()
+	}
+}
+
 // CountRetry counts a retry or a migration (moving a running request to another engine) by its reason.
 func (m *Metrics) CountRetry(r outcome.Reason) {
 	if c := m.retries[r]; c != nil {
