Reset the connection of a cut-off answer that ends with it

Callers over HTTP/1.0 get answers without a frame. The box cut a broken stream off by closing the connection, which is how such an answer ends, so that the caller took it for complete. It is reset now. TestCutOffOfUnframedAnswerIsReset failed before.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -356,7 +356,7 @@
 		o.Kind = outcome.CutOff
 		x.trace.Close(o)
 	}
-	panic(http.ErrAbortHandler)
+	h1.Abort(x.w, x.req)
 }
 
 // drainRetryAfter is the retry delay of a refusal by a box that is stopping or not ready yet. It is short, so that the
@@ -598,5 +598,5 @@
 		_ = http.NewResponseController(x.w).Flush() // The caller gets the bytes received so far.
 	}
 	x.trace.Close(o)
-	panic(http.ErrAbortHandler)
+	h1.Abort(x.w, x.req)
 }
