Pass on an answer that ends with its connection as one that does

Callers saw answers framed as complete that weren't. An endpoint's answer with neither a length nor chunks, broken off by the close of its connection, got a length (up to 64 KiB of a plain answer, the bodies of error answers, short streams) or an end marker from the box or the HTTP server. Now the caller's connection ends it too, so that the caller knows as little as the box. If a stream began at an engine with a frame and was resumed at one without, the end counts as lost.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -220,6 +220,9 @@
 	id := x.w.Header().Get(HeaderRequestID)
 	h1.CopyHeaders(x.w.Header(), resp.Header)
 	x.w.Header().Set(HeaderRequestID, id)
+	if h1.FramingOf(resp) == h1.CloseDelimited {
+		h1.CloseDelimit(x.w.Header())
+	}
 	x.responseStarted = true
 	x.w.WriteHeader(resp.StatusCode)
 	if err := x.copyBody(resp.Body); err != nil {
@@ -229,7 +232,7 @@
 			return
 		}
 		x.finish(outcome.Outcome{Kind: outcome.CutOff, Reason: outcome.Truncated})
-		panic(http.ErrAbortHandler)
+		h1.Abort(x.w, x.r)
 	}
 	x.finish(outcome.Outcome{Kind: outcome.Answered})
 }
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -204,7 +204,7 @@
 			reason: outcome.Truncated, ran: true, detail: "the answer had no length, and the run may have been stopped",
 		}})
 	case m.sourceEnd.reason == outcome.OK:
-		f.requeue(flightEvent{attempt: f.decodeAttempt, ended: true})
+		f.requeue(flightEvent{attempt: f.decodeAttempt, ended: true, unframed: m.unframed})
 	default:
 		f.requeue(flightEvent{attempt: f.decodeAttempt, err: m.sourceEnd})
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -379,8 +379,17 @@
 	h.Del("Content-Length") // Set again if the length is known.
 }
 
-// recordFraming records how an endpoint delimited an answer whose beginning is passed on.
-func (x *exchange) recordFraming(f h1.Framing) {
+// setFraming records how an endpoint delimited the answer whose header is about to be passed on. An answer that ends with
+// its connection stays one: this box knows no more than the caller about whether the answer is complete.
+func (x *exchange) setFraming(f h1.Framing) {
+	x.countFraming(f)
+	if f == h1.CloseDelimited {
+		h1.CloseDelimit(x.w.Header())
+	}
+}
+
+// countFraming counts and records how an endpoint delimited an answer that is passed on.
+func (x *exchange) countFraming(f h1.Framing) {
 	x.rec.Framing = f
 	x.r.m.CountFraming(f)
 }
@@ -400,9 +409,10 @@
 // passAnswer sends an endpoint's answer to the caller.
 func (x *exchange) passAnswer(a plainAnswer) {
 	defer a.drop()
-	x.recordFraming(h1.FramingOf(a.resp))
+	framing := h1.FramingOf(a.resp)
 	x.copyHead(a.resp.Header)
-	if a.whole && x.req.Method != http.MethodHead {
+	x.setFraming(framing)
+	if a.whole && framing != h1.CloseDelimited && x.req.Method != http.MethodHead {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(a.buffered)))
 	}
 	x.writeStatus(a.resp.StatusCode)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -92,7 +92,7 @@
 	part          *part        // More of the answer was received.
 	ended         bool         // The answer is complete.
 	// unframed is set if the answer had neither a length nor an end marker. Only the close of the connection showed
-	// that the answer was over.
+	// that the answer was over. The end must not be passed on as one that the engine vouched for.
 	unframed    bool
 	errorAnswer *errorAnswer     // The engine ran the request and answered with an error.
 	err         *callError       // The call failed.
@@ -118,7 +118,7 @@
 	part    part
 }
 
-// part is a piece of a stream. It holds complete events. Only the last part of a stream can end with an incomplete event.
+// part is a piece of a stream. It holds complete events.
 type part struct {
 	bytes []byte
 	// events is the number of events in the part that have an id. lastID is the id of the last of these events; empty
@@ -171,7 +171,7 @@
 		if o.Kind != outcome.Cancelled {
 			o.Kind = outcome.CutOff // The decision core does not know that part of the answer has been sent.
 		}
-		x.cutOff(o) // The connection is closed. A plain return would make the incomplete answer look complete.
+		x.cutOff(o) // A plain return would make the incomplete answer look complete.
 	default:
 		o.RetryAfter = refusalDelay(o)
 		x.refuse(o)
@@ -486,6 +486,10 @@
 		return f.passEvents(ev.part)
 	case ev.errorAnswer != nil:
 		return f.passErrorAnswer(ev.errorAnswer), true
+	case ev.ended && ev.unframed && !h1.EndsWithConn(f.x.req, f.x.w.Header()):
+		f.handleFailure(ev.attempt, callError{
+			reason: outcome.Truncated, ran: true, dropped: true, detail: "the answer had no length, and the caller's answer has a frame",
+		})
 	case ev.ended:
 		f.x.recordServed()
 		f.x.r.disp.Step(decide.Done{ID: f.id, Attempt: ev.attempt, Output: f.tokensSent()})
@@ -560,18 +564,21 @@
 		f.x.rec.FirstToken = f.firstEventAt.Sub(f.x.arrived)
 		f.x.r.m.FirstToken.Update(f.x.rec.FirstToken.Seconds())
 	}
-	f.x.recordFraming(ev.head.framing)
 	f.source = Source{} // The engine that answers has consumed the result of the prefill, so nothing is left to free.
 	f.freeReservation()
 	if f.migration.is(ev.attempt) {
 		f.finishMigration()
 		f.runningEngine = f.decodeEngine
+		f.x.countFraming(ev.head.framing)
 		return f.passEvents(&ev.head.part)
 	}
 	f.runningEngine = f.decodeEngine
 	f.x.trace.Step(record.Step{Kind: record.StepFirstToken, Decode: f.decodeEngine})
-	if !f.x.begun {
+	if f.x.begun {
+		f.x.countFraming(ev.head.framing)
+	} else {
 		f.x.copyHead(ev.head.header)
+		f.x.setFraming(ev.head.framing)
 		f.x.writeStatus(http.StatusOK)
 	}
 	return f.passEvents(&ev.head.part)
@@ -619,8 +626,8 @@
 	if f.x.begun {
 		return outcome.Outcome{Kind: outcome.CutOff, Reason: outcome.EndpointLost, Detail: "the engine answered " + p.resp.Status}
 	}
-	f.x.recordFraming(h1.FramingOf(p.resp))
 	f.x.copyHead(p.resp.Header)
+	f.x.setFraming(h1.FramingOf(p.resp))
 	f.x.writeStatus(p.resp.StatusCode)
 	_, _ = f.x.w.Write(p.body)
 	return outcome.Outcome{Kind: outcome.Answered}
