Treat a stream that ends inside an event as broken off

Callers got half of an event and the end of the stream after it. What was left in the splitter at the end was passed on, whatever it was. A stream that ends inside an event is now resumed where its route allows it, and cut off otherwise. Lines end with LF, CRLF or CR, also mixed; only comments may follow the last event.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -269,9 +269,13 @@
 	f.send(flightEvent{attempt: a, errorAnswer: &errorAnswer{resp: resp, body: body}})
 }
 
+// errInsideEvent means that an engine ended a stream in the middle of an event.
+var errInsideEvent = errors.New("the stream ended inside an event")
+
 // reportStream reads a stream to its end, and reports only complete events. An engine may stop in the middle of an
 // event. The stream is then resumed at another engine after the last complete event. If the stream was resumed, the
-// caller may have received the last event before. An empty answer is then complete.
+// caller may have received the last event before. An empty answer is then complete, unless only the close of the
+// connection ended it.
 func (f *flight) reportStream(a decide.Attempt, resp *http.Response, sent time.Time, resumed bool) {
 	var s splitter
 	framing := h1.FramingOf(resp)
@@ -281,10 +285,15 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		p := s.add(buf[:n])
-		if errors.Is(err, io.EOF) {
-			p.bytes = append(p.bytes, s.rest...)
+		ended := errors.Is(err, io.EOF)
+		if ended {
+			last, inside := s.finish()
+			p.join(last)
+			if inside {
+				err, ended = errInsideEvent, false
+			}
 		}
-		if len(p.bytes) > 0 || !begun && resumed && !unframed && errors.Is(err, io.EOF) {
+		if len(p.bytes) > 0 || !begun && resumed && !unframed && ended {
 			if p.reservedBytes = int64(len(p.bytes)); !f.x.r.memory.waitReserve(f.ctx, p.reservedBytes) {
 				return
 			}
@@ -298,16 +307,25 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && begun:
+		case ended && begun:
 			_ = resp.Body.Close() // So that the connection can be used for other requests.
 			f.send(flightEvent{attempt: a, ended: true, unframed: unframed})
 			return
 		case err != nil:
 			_ = resp.Body.Close() // So that the run has ended before another call is made.
 			f.send(flightEvent{attempt: a, err: &callError{
-				reason: outcome.Truncated, ran: true, connLoss: connLoss{sent: sent}, dropped: isConnDropped(err) || unframed && errors.Is(err, io.EOF), detail: err.Error(),
+				reason: outcome.Truncated, ran: true, connLoss: connLoss{sent: sent}, dropped: isConnDropped(err) || unframed && (ended || errors.Is(err, errInsideEvent)), detail: err.Error(),
 			}})
 			return
 		}
 	}
 }
+
+// join appends a later part of the same stream.
+func (p *part) join(last part) {
+	p.bytes = append(p.bytes, last.bytes...)
+	p.events += last.events
+	if last.lastID != "" {
+		p.lastID = last.lastID
+	}
+}
--- a/internal/relay/split.go
+++ b/internal/relay/split.go
@@ -1,12 +1,16 @@
 package relay
 
-import "bytes"
+import (
+	"bytes"
+)
 
-// splitter splits a stream of bytes into complete events.
-type splitter struct{ rest []byte } // The bytes after the last complete event.
-
-// eventEnd ends an event. A carriage return may precede each line feed (see add).
-var eventEnd = []byte("\n\n")
+// splitter divides the text of a stream into complete events, at whatever bytes the stream was divided into reads. A line
+// ends with LF, CRLF or CR, and an empty line ends an event.
+type splitter struct {
+	rest      []byte // The bytes after the last complete event.
+	scanned   int    // The number of bytes of rest that add has looked at.
+	lineStart int    // Where the last line of rest begins.
+}
 
 // add appends received bytes to the buffered bytes. It returns the complete events in the buffer, and keeps the bytes
 // after the last complete event.
@@ -15,23 +19,59 @@
 // next call.
 func (s *splitter) add(b []byte) part {
 	s.rest = append(s.rest, b...)
-	end := bytes.LastIndex(s.rest, eventEnd)
-	if crlf := bytes.LastIndex(s.rest, []byte("\r\n\r\n")); crlf >= 0 && crlf+2 > end {
-		end = crlf + 2
+	return s.split(false)
+}
+
+// finish is called at the end of the stream. It returns what is left, unless the stream has ended inside an event.
+func (s *splitter) finish() (p part, inside bool) {
+	p = s.split(true)
+	for line := range bytes.FieldsFuncSeq(s.rest, func(r rune) bool { return r == '\n' || r == '\r' }) {
+		if line[0] != ':' { // Not a comment.
+			return p, true
+		}
+	}
+	p.bytes = append(p.bytes, s.rest...)
+	return p, false
+}
+
+func (s *splitter) split(ended bool) part {
+	end, i := 0, s.scanned
+	for ; i < len(s.rest); i++ {
+		c, at := s.rest[i], i
+		switch {
+		case c == '\r' && i+1 == len(s.rest) && !ended: // A line feed of the same line end may follow.
+			s.scanned = i
+			return s.take(end)
+		case c == '\r' && i+1 < len(s.rest) && s.rest[i+1] == '\n':
+			i++
+		case c != '\n' && c != '\r':
+			continue
+		}
+		if at == s.lineStart {
+			end = i + 1
+		}
+		s.lineStart = i + 1
 	}
-	if end < 0 {
+	s.scanned = i
+	return s.take(end)
+}
+
+// take removes the first n bytes, which are complete events.
+func (s *splitter) take(n int) part {
+	if n == 0 {
 		return part{}
 	}
-	end += len(eventEnd)
-	whole := bytes.Clone(s.rest[:end])
-	s.rest = append(s.rest[:0], s.rest[end:]...)
-	id, n := lastID(whole)
-	return part{bytes: whole, lastID: id, events: n}
+	whole := bytes.Clone(s.rest[:n])
+	s.rest = append(s.rest[:0], s.rest[n:]...)
+	s.scanned -= n
+	s.lineStart -= n
+	id, events := lastID(whole)
+	return part{bytes: whole, lastID: id, events: events}
 }
 
 // lastID returns the id of the last event that has an id, and the number n of events that have an id.
 func lastID(events []byte) (id string, n int) {
-	for line := range bytes.Lines(events) {
+	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(v))
 			n++
