Don't take a crash for the end of an answer without a length

The connections of a process that died are closed like those of one that is done. When a direct connection ends an answer without a length, the box now looks whether the endpoint still has an idle connection open, and otherwise whether its port accepts one. If it refuses, and the endpoint did not say that it leaves, the answer counts as broken off: resumed or run again where the route allows it, else cut off, and watched as a possible crash.

--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -61,18 +62,48 @@
 	return CloseDelimited
 }
 
-// unendingBody is a body that ends with its connection, which another box carries. The end does not show whether the
-// endpoint or the other box closed the connection. So the body never counts as whole.
-type unendingBody struct{ io.ReadCloser }
+// closeDelimited is a body that ends with its connection. The connections of an endpoint that has crashed, or of a box
+// between that has died, are closed too. The body then ends with io.ErrUnexpectedEOF.
+type closeDelimited struct {
+	io.ReadCloser
+	confirmed func() bool
+	end       error // The error of the body's end, once it was read.
+}
 
-func (b unendingBody) Read(buf []byte) (int, error) {
+func (b *closeDelimited) Read(buf []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
 	n, err := b.ReadCloser.Read(buf)
-	if errors.Is(err, io.EOF) {
-		err = io.ErrUnexpectedEOF
+	if errors.Is(err, io.EOF) && !b.confirmed() {
+		err = fmt.Errorf("the connection was closed, and not by an endpoint that still runs: %w", io.ErrUnexpectedEOF)
 	}
+	b.end = err
 	return n, err
 }
 
+// endConfirmer is a connection that can tell whether the endpoint has closed it.
+type endConfirmer interface {
+	EndConfirmed(ctx context.Context) bool
+}
+
+// endConfirmed reports whether the close of a connection may be the regular end of a body that has no length.
+func (p *Pool) endConfirmed(ctx context.Context, c *conn) bool {
+	if c.via != "" {
+		e, ok := c.Conn.(endConfirmer)
+		return ok && e.EndConfirmed(ctx)
+	}
+	return p.Alive == nil || p.hasOpenIdle(c.addr) || p.Alive(ctx, c.addr)
+}
+
+// hasOpenIdle reports whether there is an idle connection that the endpoint has left open.
+func (p *Pool) hasOpenIdle(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[addr]
+	return h != nil && slices.ContainsFunc(h.idle, (*conn).isQuiet)
+}
+
 // restWriteTimeout applies to an endpoint that answers before it has received the whole request. It bounds the time for
 // sending the rest of the request.
 const restWriteTimeout = 200 * time.Millisecond
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -113,6 +113,9 @@
 	DialDirect func(ctx context.Context, addr string) (net.Conn, error)
 	// Usable reports whether an idle connection may be used for another request; nil if all may.
 	Usable func(addr, via string) bool
+	// Alive reports whether an endpoint may still run. It is called when the endpoint has closed a direct connection, which
+	// ends an answer without a length. It may be nil.
+	Alive func(ctx context.Context, addr string) bool
 	// OnConnLost is called when a direct connection that had carried a request was reset before the next request got an
 	// answer. It must not block. It may be nil.
 	OnConnLost func(addr string)
@@ -245,6 +248,9 @@
 	if p.OnResponse != nil {
 		p.OnResponse(r, resp, sentAt)
 	}
+	if FramingOf(resp) == CloseDelimited {
+		resp.Body = &closeDelimited{ReadCloser: resp.Body, confirmed: func() bool { return p.endConfirmed(ctx, c) }}
+	}
 	resp.Body = &body{ReadCloser: resp.Body, p: p, c: c, resp: resp, cancelClose: stop, sendResult: sendResult}
 	return resp, nil
 }
@@ -347,9 +353,6 @@
 			continue
 		}
 		if r.Matches == nil || r.Matches(resp.Header) {
-			if c.via != "" && FramingOf(resp) == CloseDelimited {
-				resp.Body = unendingBody{resp.Body}
-			}
 			return resp, nil
 		}
 		surplus()
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,12 +27,28 @@
 	})
 	for _, p := range []*h1.Pool{r.callerPool, r.controlPool} {
 		p.Dial, p.DialDirect, p.Usable = r.paths.Dial, r.paths.DialDirect, r.paths.Usable
-		p.OnConnLost = r.paths.ConnLost
+		p.OnConnLost, p.Alive = r.paths.ConnLost, r.endpointAlive
 		p.OnSlow, p.SlowAfter = r.paths.CheckSlow, r.paths.SlowAfter()
 		p.OnDialFailed = r.countConnectFailure
 	}
 }
 
+// endpointAlive reports whether the endpoint at an address may still run. It does not if its port refuses connections. An
+// endpoint that leaves may stop right after its last answer, so its closed port says nothing.
+func (r *Relay) endpointAlive(ctx context.Context, addr string) bool {
+	e, listed := r.fleet.at(addr)
+	if !listed || !r.fleet.isOpen(e.id) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	_, err := r.paths.Verify(ctx, addr)
+	return !errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// aliveTimeout bounds endpointAlive. The end of an answer waits for it.
+const aliveTimeout = 200 * time.Millisecond
+
 // Paths returns the dialer of this box's connections to endpoints.
 func (r *Relay) Paths() *paths.Dialer { return r.paths }
 
