Tell whether the endpoint closed a connection through another box

Sound answers without a length were all lost while another box carried their connection, since its death looks the same. No answer, a reset, or a box of an earlier build counts as broken off, as before. TestCloseDelimitedAnswerThroughOtherBoxIsWhole failed before.

--- a/internal/paths/carried.go
+++ b/internal/paths/carried.go
@@ -1,18 +1,23 @@
 package paths
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/stoatramp/stoatramp/internal/reach"
+	"github.com/stoatramp/stoatramp/internal/tunnel"
 )
 
 // carriedConn is a connection through another box. It is counted until it is closed.
 type carriedConn struct {
 	c    net.Conn
 	d    *Dialer
-	box  string
+	box  reach.Box
+	id   string // The tunnel's name at the box.
 	once sync.Once
 }
 
@@ -35,7 +40,17 @@
 	return sc.SyscallConn()
 }
 
+// EndConfirmed reports whether it was the endpoint that closed the connection, and not the box between.
+func (c *carriedConn) EndConfirmed(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	return tunnel.Ended(ctx, c.d.toBox, c.box.Address, c.id, c.d.o.Peers.Key()) == nil
+}
+
+// endTimeout bounds the question how a tunnel ended.
+const endTimeout = 300 * time.Millisecond
+
 func (c *carriedConn) Close() error {
-	c.once.Do(func() { c.d.boxes.Closed(c.box) })
+	c.once.Do(func() { c.d.boxes.Closed(c.box.Name) })
 	return c.c.Close()
 }
--- a/internal/paths/carry_test.go
+++ b/internal/paths/carry_test.go
@@ -236,3 +236,44 @@
 		s.expectServed(t)
 	}
 }
+
+// Guards against sound answers without a length that are lost because another box carries them: the box between tells that
+// the endpoint closed the connection.
+func TestCloseDelimitedAnswerThroughOtherBoxIsWhole(t *testing.T) {
+	s := newCarrySite(t, 1)
+	resp, q, err := s.do("/close")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	s.proceed <- struct{}{}
+	if b, err := io.ReadAll(resp.Body); err != nil || string(b) != "whole" || q.Via == "" {
+		t.Errorf("expected the whole answer through another box, got %q, %v, via %q", b, err, q.Via)
+	}
+}
+
+// Guards against an answer without a length that counts as whole although the box between can't tell.
+func TestCloseDelimitedAnswerThroughBoxOfEarlierBuildIsNotWhole(t *testing.T) {
+	s := newCarrySite(t, 1)
+	s.boxes[0].Config.Handler = connectOnly{s.boxes[0].Config.Handler}
+	resp, _, err := s.do("/close")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	s.proceed <- struct{}{}
+	if b, err := io.ReadAll(resp.Body); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("expected an answer that is not known to be whole, got %q, %v", b, err)
+	}
+}
+
+// connectOnly serves tunnels and nothing else, as earlier builds do.
+type connectOnly struct{ http.Handler }
+
+func (h connectOnly) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodConnect {
+		http.NotFound(w, r)
+		return
+	}
+	h.Handler.ServeHTTP(w, r)
+}
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"net"
@@ -95,7 +96,7 @@
 // throughProxy returns a function that connects through an HTTP proxy. Its errors are those of a direct connect.
 func throughProxy(dial tunnel.DialFunc, proxy string) tunnel.DialFunc {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
-		c, err := tunnel.Open(ctx, dial, proxy, address, "")
+		c, err := tunnel.Open(ctx, dial, proxy, address, "", "")
 		switch {
 		case err == nil:
 			return c, nil
@@ -156,13 +157,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
 	defer cancel()
-	c, err := tunnel.Open(ctx, d.toBox, box.Address, addr, d.o.Peers.Key())
+	id := rand.Text()
+	c, err := tunnel.Open(ctx, d.toBox, box.Address, addr, d.o.Peers.Key(), id)
 	now := clock.Now()
 	if err == nil {
 		d.Table.OtherConnected(addr, box.Name, now)
 		d.boxes.Opened(box.Name, now)
 		d.report("")
-		return &carriedConn{c: c, d: d, box: box.Name}, nil
+		return &carriedConn{c: c, d: d, box: box, id: id}, nil
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return nil, err // Another attempt was faster, or the caller is gone.
--- a/internal/tunnel/bench_test.go
+++ b/internal/tunnel/bench_test.go
@@ -10,7 +10,7 @@
 	_, server := newServer(b)
 	target := newEndpoint(b, echo)
 	for range b.N {
-		c, err := Open(context.Background(), dialer.DialContext, server, target, "k")
+		c, err := Open(context.Background(), dialer.DialContext, server, target, "k", "")
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -30,7 +30,7 @@
 		b.Run(name, func(b *testing.B) {
 			c, err := dialer.Dial("tcp", target)
 			if through {
-				c, err = Open(context.Background(), dialer.DialContext, server, target, "k")
+				c, err = Open(context.Background(), dialer.DialContext, server, target, "k", "")
 			}
 			if err != nil {
 				b.Fatal(err)
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -19,16 +19,16 @@
 
 var errEarlyBytes = errors.New("bytes arrived before the tunnel was used")
 
-// Open opens a tunnel to target (ip:port) through the server at address (ip:port). Key authenticates the caller; it may
-// be empty. The returned connection is that to the server, so its descriptor shows whether the tunnel is open. An error is
+// Open opens a tunnel to target (ip:port) through the server at address (ip:port). Key authenticates the caller, and id
+// names the tunnel for Ended; each may be empty. The returned connection is that to the server, so its descriptor shows whether the tunnel is open. An error is
 // an *Error.
-func Open(ctx context.Context, dial DialFunc, address, target, key string) (net.Conn, error) {
+func Open(ctx context.Context, dial DialFunc, address, target, key, id string) (net.Conn, error) {
 	c, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, &Error{Failed, err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	err = connect(c, target, key)
+	err = connect(c, target, key, id)
 	if !stop() && err == nil {
 		err = &Error{Failed, ctx.Err()}
 	}
@@ -39,14 +39,17 @@
 	return c, nil
 }
 
-func connect(c net.Conn, target, key string) error {
+func connect(c net.Conn, target, key, id string) error {
 	if err := c.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
 		return &Error{Failed, err}
 	}
 	var head strings.Builder
 	fmt.Fprintf(&head, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n", target, target)
 	if key != "" {
-		fmt.Fprintf(&head, "Proxy-Authorization: Bearer %s\r\n", key)
+		fmt.Fprintf(&head, "Proxy-Authorization: %s%s\r\n", bearer, key)
+	}
+	if id != "" {
+		fmt.Fprintf(&head, "%s: %s\r\n", idHeader, id)
 	}
 	head.WriteString("\r\n")
 	if _, err := c.Write([]byte(head.String())); err != nil {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -51,6 +51,7 @@
 	stopping bool
 	open     map[*carried]struct{}
 	callers  map[string]int // The open tunnels by the caller's IP address.
+	ends     endLog
 }
 
 // carried is a tunnel that a server carries.
@@ -63,11 +64,16 @@
 	return len(s.open)
 }
 
-// Handles reports whether a request asks for a tunnel.
-func Handles(r *http.Request) bool { return r.Method == http.MethodConnect }
+// Handles reports whether a request asks for a tunnel, or how one ended.
+func Handles(r *http.Request) bool { return r.Method == http.MethodConnect || r.URL.Path == endPath }
 
-// ServeHTTP opens the tunnel that the request asks for, and carries it until one side ends it.
+// ServeHTTP opens the tunnel that the request asks for, and carries it until one side ends it. It also answers how a
+// tunnel ended.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodConnect {
+		s.serveEnd(w, r)
+		return
+	}
 	target, from := r.Host, callerIP(r)
 	if !s.authorized(r.Header) {
 		s.reject(w, Unauthorized)
@@ -100,7 +106,8 @@
 	t := &carried{caller, endpoint}
 	s.add(t)
 	defer s.remove(t)
-	s.ended("", splice(caller, endpoint))
+	name := tunnelName(from, r.Header.Get(idHeader))
+	s.ended("", splice(caller, endpoint, func() { s.ends.add(name) }))
 }
 
 func (s *Server) authorized(h http.Header) bool {
--- a/internal/tunnel/splice.go
+++ b/internal/tunnel/splice.go
@@ -18,15 +18,16 @@
 
 // splice copies bytes between a caller and an endpoint until one of them ends the connection. A reset on one side becomes
 // a reset on the other: the end of an answer that has no length must not look like its regular end.
-// It returns the number of bytes in both directions.
-func splice(caller, endpoint net.Conn) int64 {
+// It calls endpointClosed when the endpoint has closed its connection regularly, before the caller learns of it. It returns
+// the number of bytes in both directions.
+func splice(caller, endpoint net.Conn, endpointClosed func()) int64 {
 	var toEndpoint, toCaller int64
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		n, err := copyBytes(endpoint, caller)
 		toEndpoint = n
 		// A caller never closes only one direction. So its end means that nobody reads the answer.
-		if err != nil {
+		if err != nil && !errors.Is(err, net.ErrClosed) {
 			reset(endpoint)
 		}
 		_ = endpoint.Close()
@@ -35,6 +36,12 @@
 	wg.Go(func() {
 		n, err := copyBytes(caller, endpoint)
 		toCaller = n
+		switch {
+		case errors.Is(err, net.ErrClosed): // The other direction has ended the tunnel.
+			err = nil
+		case err == nil:
+			endpointClosed()
+		}
 		half, ok := caller.(interface{ CloseWrite() error })
 		if err != nil || !ok || half.CloseWrite() != nil {
 			reset(caller)
@@ -53,11 +60,7 @@
 func copyBytes(dst, src net.Conn) (int64, error) {
 	buf, _ := buffers.Get().(*[copyBufferBytes]byte)
 	defer buffers.Put(buf)
-	n, err := io.CopyBuffer(struct{ io.Writer }{dst}, struct{ io.Reader }{src}, buf[:])
-	if errors.Is(err, net.ErrClosed) {
-		err = nil // The other direction has ended the tunnel.
-	}
-	return n, err
+	return io.CopyBuffer(struct{ io.Writer }{dst}, struct{ io.Reader }{src}, buf[:])
 }
 
 // reset closes a connection with a TCP reset.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -80,7 +80,7 @@
 
 func expectOpen(t *testing.T, server, target string) net.Conn {
 	t.Helper()
-	c, err := Open(context.Background(), dialer.DialContext, server, target, "k")
+	c, err := Open(context.Background(), dialer.DialContext, server, target, "k", "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,7 +90,7 @@
 
 func expectCause(t *testing.T, server, target, key string, want Cause) {
 	t.Helper()
-	c, err := Open(context.Background(), dialer.DialContext, server, target, key)
+	c, err := Open(context.Background(), dialer.DialContext, server, target, key, "")
 	if err == nil {
 		c.Close()
 		t.Fatalf("expected no tunnel because of %q", want)
@@ -261,7 +261,7 @@
 		}()
 		defer near.Close()
 		defer far.Close()
-		if err := connect(near, "127.0.0.1:1", "k"); err == nil && !strings.HasPrefix(answer, "HTTP/1.") {
+		if err := connect(near, "127.0.0.1:1", "k", ""); err == nil && !strings.HasPrefix(answer, "HTTP/1.") {
 			t.Errorf("expected %q to be no tunnel", answer)
 		}
 	})
