Ignore empty ids of events, and fuzz how streams are divided

After an event with an empty id, the ids before it in the same read were forgotten, so that a stream would have been resumed too early and its events come twice. Found by FuzzSplitter, which fails on the code before; streams are also cut at each of their bytes, with three kinds of line ends, comments and events without an id.

--- a/internal/relay/split.go
+++ b/internal/relay/split.go
@@ -69,10 +69,11 @@
 	return part{bytes: whole, lastID: id, events: events}
 }
 
-// lastID returns the id of the last event that has an id, and the number n of events that have an id.
+// lastID returns the id of the last event that has an id, and the number n of events that have an id. An empty id is none:
+// a stream can't be resumed after it.
 func lastID(events []byte) (id string, n int) {
 	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
-		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok && len(bytes.TrimSpace(v)) > 0 {
 			id = string(bytes.TrimSpace(v))
 			n++
 		}
--- a/internal/relay/split_test.go
+++ b/internal/relay/split_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"flag"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,7 +27,7 @@
 // TestSplitter checks that events are returned complete, in order and once, however the stream is cut into reads.
 func TestSplitter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		end := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "end")
+		end := rapid.SampledFrom([]string{"\n", "\r\n", "\r"}).Draw(t, "end")
 		events := rapid.IntRange(0, 6).Draw(t, "events")
 		var all []byte
 		for n := range events {
@@ -54,6 +56,80 @@
 	})
 }
 
+// expectCut feeds the first n bytes of a stream to a splitter, step bytes at a time. It expects the events that are complete
+// by then, and whether the stream ended inside an event.
+func expectCut(t *testing.T, stream string, n, step int, events string, inside bool) {
+	t.Helper()
+	var s splitter
+	var got []byte
+	for b := []byte(stream[:n]); len(b) > 0; b = b[min(step, len(b)):] {
+		got = append(got, s.add(b[:min(step, len(b))]).bytes...)
+	}
+	last, in := s.finish()
+	if got = append(got, last.bytes...); string(got) != events || in != inside {
+		t.Errorf("%q in steps of %d: expected %q, inside %t, got %q, %t", stream[:n], step, events, inside, got, in)
+	}
+}
+
+// A stream is cut at each of its bytes, with each kind of line end, comments, and an event without an id.
+func TestStreamCutAtEachByte(t *testing.T) {
+	for _, end := range []string{"\n", "\r\n", "\r"} {
+		items := []string{
+			"id: 1" + end + "data: a" + end + end, "data: no id" + end + end, ": ping" + end + end, "id:2" + end + "data: b" + end + "data:" + end + end,
+		}
+		all := strings.Join(items, "")
+		for n := range len(all) + 1 {
+			complete, left := "", all[:n]
+			for _, item := range items {
+				// The first byte of a CRLF line end may be a line end of its own.
+				if rest, ok := strings.CutPrefix(left, item); ok {
+					complete, left = complete+item, rest
+				} else if head := strings.TrimSuffix(item, "\n"); end == "\r\n" && left == head {
+					complete, left = complete+head, ""
+				}
+			}
+			inside := strings.Trim(left, "\r\n") != "" && left[0] != ':'
+			if !inside {
+				complete, left = complete+left, ""
+			}
+			for _, step := range []int{1, 2, 3, len(all)} {
+				expectCut(t, all, n, step, complete, inside)
+			}
+		}
+	}
+}
+
+// FuzzSplitter checks that a splitter neither adds, loses nor reorders bytes, and finds the same events however the stream is
+// divided into reads.
+func FuzzSplitter(f *testing.F) {
+	for _, text := range []string{"id: 1\ndata: a\n\n", "data\r\n\r\n: c\r\n", "\r\r\n\n\r", "id: 1\n\r\nid: 2\r\rid", "id:0\n\nid: \r\r0"} {
+		f.Add(text, 1)
+	}
+	f.Fuzz(func(t *testing.T, text string, step int) {
+		if step < 1 || step > len(text) {
+			return
+		}
+		split := func(step int) (events, rest string, last string, inside bool) {
+			var s splitter
+			for b := []byte(text); len(b) > 0; b = b[min(step, len(b)):] {
+				p := s.add(b[:min(step, len(b))])
+				events, last = events+string(p.bytes), cmp.Or(p.lastID, last)
+			}
+			p, inside := s.finish()
+			events, last = events+string(p.bytes), cmp.Or(p.lastID, last)
+			if inside {
+				rest = string(s.rest)
+			}
+			return events, rest, last, inside
+		}
+		events, rest, last, inside := split(step)
+		wantEvents, wantRest, wantLast, wantInside := split(len(text))
+		if events+rest != text || events != wantEvents || rest != wantRest || last != wantLast || inside != wantInside {
+			t.Errorf("%q in steps of %d: got %q, %q, %q, %t, at once %q, %q, %q, %t", text, step, events, rest, last, inside, wantEvents, wantRest, wantLast, wantInside)
+		}
+	})
+}
+
 // TestPick checks that each service of a route gets requests in proportion to its weight.
 func TestPick(t *testing.T) {
 	r := Route{Targets: []Target{{"a", 90}, {"b", 10}}}
