--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/decide"
+	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 )
 
@@ -212,10 +213,17 @@
 	}
 	switch r.Kind {
 	case outcome.Answered:
-		s := fmt.Sprintf("Answered whole after %s", roundDuration(r.Duration))
+		whole := " whole"
+		if r.Framing == h1.CloseDelimited {
+			whole = ""
+		}
+		s := fmt.Sprintf("Answered%s after %s", whole, roundDuration(r.Duration))
 		if r.Output > 0 {
 			s += fmt.Sprintf(": %d tokens, the first after %s, the longest gap %s", r.Output, roundDuration(r.FirstToken), roundDuration(r.LongestGap))
 		}
+		if r.Framing == h1.CloseDelimited {
+			s += "; the endpoint gave it no length and ended it with its connection, and so did the box, so nothing shows that it is whole"
+		}
 		return s + "."
 	case outcome.NotRun:
 		return fmt.Sprintf("Refused after %s, and it did not run: %s.", roundDuration(r.Duration), because)
--- a/internal/record/explain_test.go
+++ b/internal/record/explain_test.go
@@ -3,7 +3,9 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 )
 
@@ -49,3 +51,15 @@
 	expectStepSentence(t, Step{Kind: StepNoRoom, Decode: "decode-3", Text: "box7"}, "Box box7, the home of decode-3, said that it has no room")
 	expectStepSentence(t, Step{Kind: StepYielded, Decode: "decode-3", Text: "box7"}, "Box box7, the owner of decode-3, left its room to a request of a higher rank")
 }
+
+// An answer that ended with its connection is not called whole.
+func TestUnframedAnswerText(t *testing.T) {
+	r := Record{Kind: outcome.Answered, Duration: 20 * time.Millisecond, Framing: h1.CloseDelimited}
+	if got := closingSentence(&r); strings.Contains(got, "Answered whole") || !strings.Contains(got, "gave it no length and ended it with its connection") {
+		t.Errorf("expected an answer that is not known to be whole, got %q", got)
+	}
+	r.Framing = h1.FramedByChunks
+	if got := closingSentence(&r); got != "Answered whole after 20ms." {
+		t.Errorf("expected a whole answer, got %q", got)
+	}
+}
