Show which build engines have, and which earlier try a stream goes on with

Hypotheses on streams that went on at another software version can't be told apart: a worker's version was checked and thrown away, and nobody read Resumes.

--- a/internal/account/log.go
+++ b/internal/account/log.go
@@ -101,6 +101,7 @@
 	add(s.Decode != "", zap.String("endpoint", s.Decode))
 	add(s.Reason != outcome.OK, zap.Stringer("reason", s.Reason))
 	add(s.Text != "", zap.String("text", s.Text))
+	add(s.Build != "", zap.String("build", s.Build))
 	add(s.Tokens > 0, zap.Int("tokens", s.Tokens))
 	add(s.Choice != nil, zap.Object("inputs", (*choiceLine)(s.Choice)))
 	add(s.EndpointState != nil, zap.Object("inputs", (*seenLine)(s.EndpointState)))
@@ -150,6 +151,9 @@
 	if r.Detail != "" {
 		fields = append(fields, zap.String("detail", r.Detail))
 	}
+	if r.Resumes != "" {
+		fields = append(fields, zap.String("resumes", r.Resumes))
+	}
 	if r.Framing == h1.CloseDelimited {
 		fields = append(fields, zap.String("framing", string(r.Framing)))
 	}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -22,9 +22,9 @@
 	for _, n := range s.Notes {
 		fmt.Fprintf(w, "note: %s\n", n)
 	}
-	err := printTable(w, "ENGINE\tPOOL\tROLE\tHALL\tSTATE\tQUEUE\tSTREAMS\tFREE KV\tHELD BY THIS BOX", s.Engines, func(e *v1.EngineStatus) string {
-		return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%d ms\t%d\t%d\t%d",
-			e.Name, e.Pool, e.Role, e.Hall, e.State, e.QueueMs, e.Streams, e.FreeKvTokens, e.HeldKvTokens)
+	err := printTable(w, "ENGINE\tPOOL\tROLE\tHALL\tBUILD\tSTATE\tQUEUE\tSTREAMS\tFREE KV\tHELD BY THIS BOX", s.Engines, func(e *v1.EngineStatus) string {
+		return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%d ms\t%d\t%d\t%d",
+			e.Name, e.Pool, e.Role, e.Hall, cmp.Or(e.Build, "-"), e.State, e.QueueMs, e.Streams, e.FreeKvTokens, e.HeldKvTokens)
 	})
 	if err != nil {
 		return err
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -146,11 +146,14 @@
 
 // Engine describes one engine, as configured.
 type Engine struct {
-	Name    string
-	Pool    string
-	Region  string
-	Hall    string
-	Role    EngineRole
+	Name   string
+	Pool   string
+	Region string
+	Hall   string
+	Role   EngineRole
+	// Build is the version of the engine's software; empty if it is not known. A stream is never continued by an engine
+	// of another build than the one that began it.
+	Build   string
 	Leaving bool
 	// Evacuated engines are in a data hall that is being evacuated. They finish the requests that they have and get
 	// no new requests. They keep running, so their streams are not moved. Engines with Leaving set will stop, so
--- a/internal/ops/inspect.go
+++ b/internal/ops/inspect.go
@@ -28,7 +28,7 @@
 	for _, e := range engines {
 		out.Engines = append(out.Engines, &v1.EngineStatus{
 			Name: e.Name, Pool: e.Pool, Role: e.Role.String(), Hall: e.Hall, State: e.State,
-			QueueMs: e.Queue.Milliseconds(), FreeKvTokens: int64(e.FreeKV), Streams: int64(e.Streams), HeldKvTokens: int64(e.ReservedKV),
+			QueueMs: e.Queue.Milliseconds(), FreeKvTokens: int64(e.FreeKV), Streams: int64(e.Streams), HeldKvTokens: int64(e.ReservedKV), Build: e.Build,
 		})
 	}
 	return out
--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -54,6 +54,9 @@
 	if !r.Repeatable {
 		s += "; it may run at most once"
 	}
+	if r.Resumes != "" {
+		s += "; it was to go on with the stream that began as " + r.Resumes
+	}
 	return s + "."
 }
 
@@ -87,7 +90,7 @@
 	case StepNoRerun:
 		return fmt.Sprintf("It was not run again on %s, which may still have the prompt in its cache: %s.", s.Decode, s.Text)
 	case StepFirstToken:
-		return fmt.Sprintf("%s sent the first token.", s.Decode)
+		return fmt.Sprintf("%s sent the first token.", s.Decode+buildText(s.Build))
 	case StepRetry:
 		return fmt.Sprintf("The attempt on %s failed: %s. It was tried again.", s.Decode, s.Reason.Sentence())
 	case StepResume:
@@ -110,7 +113,7 @@
 	case StepMigrate:
 		return fmt.Sprintf("Attempt %d: the stream was to be moved to %s, because %s.", s.Attempt, s.Decode, s.Text)
 	case StepMigrated:
-		return fmt.Sprintf("It went on at %s.", s.Decode)
+		return fmt.Sprintf("It went on at %s.", s.Decode+buildText(s.Build))
 	case StepMigrationAborted:
 		return fmt.Sprintf("It was not moved: %s.", s.Text)
 	case StepNoRoom:
@@ -124,6 +127,14 @@
 	return string(s.Kind)
 }
 
+// buildText names an engine's build behind the engine's name.
+func buildText(build string) string {
+	if build == "" {
+		return ""
+	}
+	return " (build " + build + ")"
+}
+
 func slotText(s *Step) string {
 	if s.Slot == nil {
 		return "A slot of the service's endpoints was asked for."
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -56,8 +56,10 @@
 	Decode  string         `json:"decode,omitempty"`
 	Reason  outcome.Reason `json:"reason"`
 	Text    string         `json:"text,omitempty"`
-	Tokens  int            `json:"tokens,omitempty"`
-	Choice  *decide.Choice `json:"choice,omitempty"`
+	// Build is the version of the software of the engine Decode. It is set where the engine begins or continues an answer.
+	Build  string         `json:"build,omitempty"`
+	Tokens int            `json:"tokens,omitempty"`
+	Choice *decide.Choice `json:"choice,omitempty"`
 	// EndpointState is the state of a plain service's endpoint when it was selected.
 	EndpointState *EndpointState `json:"seen,omitempty"`
 	// Slot is the decision on a request for a slot of a plain service's endpoints.
@@ -164,6 +166,8 @@
 	FirstToken    time.Duration  `json:"first_token_ns,omitempty"`
 	LongestGap    time.Duration  `json:"longest_gap_ns,omitempty"`
 	Output        int            `json:"output_tokens,omitempty"`
+	// Resumes is the ID of the caller's earlier attempt whose stream the request continues, as the caller named it.
+	Resumes string `json:"resumes,omitempty"`
 	// Framing is how the endpoint whose answer was passed on last delimited it. It is empty if there was no such answer.
 	Framing h1.Framing `json:"framing,omitempty"`
 	// HeaderSent says that the header of a response was sent to the caller.
--- a/internal/relay/changelog.go
+++ b/internal/relay/changelog.go
@@ -42,7 +42,7 @@
 	logLine := func(what string, e Endpoint) {
 		if lines++; lines <= maxChangeLines {
 			r.o.Recorder.Log.StateChange("endpoint "+what, zap.String("endpoint", e.ID), zap.String("service", e.Service),
-				zap.String("address", e.Address), zap.String("hall", e.Hall), zap.Duration("list_age", r.listAge()))
+				zap.String("address", e.Address), zap.String("hall", e.Hall), zap.String("build", e.Build), zap.Duration("list_age", r.listAge()))
 		}
 	}
 	for _, e := range list {
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -156,6 +156,12 @@
 	return g.Endpoint, known
 }
 
+// buildOf returns the build of an endpoint that a request was sent to; empty if it is not known.
+func (f *fleet) buildOf(id string) string {
+	e, _ := f.findCalled(id)
+	return e.Build
+}
+
 // endpoint finds an endpoint by its ID.
 func (f *fleet) endpoint(id string) (e Endpoint, listed bool) {
 	f.mu.Lock()
@@ -290,7 +296,7 @@
 			f.engineCounts[e.Service]++
 		}
 		out.Engines = append(out.Engines, decide.Engine{
-			Name: e.ID, Pool: e.Service, Region: e.Region, Hall: e.Hall, Role: e.Role, Leaving: e.Leaving, Evacuated: e.Evacuated, Cold: e.Cold,
+			Name: e.ID, Pool: e.Service, Region: e.Region, Hall: e.Hall, Role: e.Role, Build: e.Build, Leaving: e.Leaving, Evacuated: e.Evacuated, Cold: e.Cold,
 			PrefillRate: assumedPrefillRate, KVTokens: s.Engines.KVTokens, Slots: s.Engines.Slots,
 			Step: assumedStep, StepPerStream: assumedStepPerStream, LinkRate: s.Engines.LinkRate,
 		})
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -356,7 +356,7 @@
 	}
 	f.x.r.m.CompletedMigrations.Inc()
 	f.publishStreamEnded(false)
-	f.x.trace.Step(record.Step{Kind: record.StepMigrated, Decode: f.decodeEngine})
+	f.x.trace.Step(record.Step{Kind: record.StepMigrated, Decode: f.decodeEngine, Build: f.x.r.fleet.buildOf(f.decodeEngine)})
 }
 
 // freeMigration starts to free the memory that the source engine stores for an unfinished migration, if there is any.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -406,7 +406,7 @@
 	x := &exchange{r: r, w: w, req: req, cfg: r.cfg.Load(), arrived: clock.Now(), meta: r.protocol.ParseRequest(req)}
 	x.rec = &record.Record{
 		ID: x.meta.ID, Box: r.o.Box, Path: req.URL.Path, At: time.Now(),
-		PromptTokens: x.meta.PromptTokens, MaxTokens: x.meta.MaxOutput, Model: x.meta.Model,
+		PromptTokens: x.meta.PromptTokens, MaxTokens: x.meta.MaxOutput, Model: x.meta.Model, Resumes: x.meta.Resumes,
 	}
 	x.trace = r.o.Recorder.Open(x.rec)
 	return x
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -573,7 +573,7 @@
 		return f.passEvents(&ev.head.part)
 	}
 	f.runningEngine = f.decodeEngine
-	f.x.trace.Step(record.Step{Kind: record.StepFirstToken, Decode: f.decodeEngine})
+	f.x.trace.Step(record.Step{Kind: record.StepFirstToken, Decode: f.decodeEngine, Build: f.x.r.fleet.buildOf(f.decodeEngine)})
 	if f.x.begun {
 		f.x.countFraming(ev.head.framing)
 	} else {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -146,6 +146,9 @@
 	ColdLeft time.Duration
 	// Slots is the number of requests that the endpoint runs at the same time; 0 if not known.
 	Slots int
+	// Build is the version of the endpoint's software; empty if the platform does not publish it. Builds have no order.
+	// What two builds write does not fit together.
+	Build string
 }
 
 // RequestMeta is what the headers of a caller's request say.
@@ -163,6 +166,9 @@
 	PrefixHashes []uint64
 	// LastEvent is the id of the event after which the stream is to be resumed; empty for a new stream.
 	LastEvent string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream to be resumed; empty if the
+	// headers do not say.
+	Resumes string
 	// Key is the hash of the caller's key. It is valid only if KeyState is OneKey.
 	Key      KeyHash
 	KeyState KeyState
