Keep a stream at the build of the engine that began it

Callers saw events of two software versions in one answer: after a loss, by a rerun or by a migration a stream went on at any engine with room. The first event binds a request to its engine's build, and canRunOn, which every list of decode engines passes through, lets only that build go on. A stream whose build has no engine left that takes work ends at once. While a build shrinks, new streams keep a tenth of its engines' memory free for the streams it has begun.

--- a/internal/decide/arrive.go
+++ b/internal/decide/arrive.go
@@ -19,12 +19,15 @@
 		c.end(f, outcome.UnknownModel, "")
 		return
 	}
-	if !c.checkCapacity(f) {
+	if !c.checkCapacity(f) || c.endWithoutBuild(f) {
 		return
 	}
 	c.estimateWork(f)
 	f.pool.observe(c.now, f.PromptTokens, f.uncachedTokens, f.expectedOutput(), f.BetweenTokens)
 	f.order = f.latestStart.Add(time.Duration(f.Priority) * time.Second)
+	if f.Continues {
+		f.resumeLate(c.now)
+	}
 	if f.Policy != nil && !c.admit(f) {
 		return
 	}
@@ -201,6 +204,9 @@
 		copy(rest[1:], rest[:i]) // Requests that were passed over stay in order.
 		rest = rest[1:]
 		f.lastChoice, f.missesTarget = nil, false
+		if c.endWithoutBuild(f) {
+			continue
+		}
 		if c.expired(f) {
 			c.endWithRetryAfter(f, outcome.WaitExpired, c.retryAfter())
 			continue
--- a/internal/decide/attempt.go
+++ b/internal/decide/attempt.go
@@ -244,6 +244,7 @@
 		return
 	}
 	f.stage, f.streamStart = streaming, c.now
+	f.bindBuild()
 	f.cancelTransfer()
 	c.releaseSelfPrefill(f)
 	if f.prefill != nil && f.rerun == nil {
--- a/internal/decide/core.go
+++ b/internal/decide/core.go
@@ -209,10 +209,10 @@
 	actions []Action
 
 	// The following slices are working memory of choose, which reuses them to avoid allocations.
-	sampledPrefills, sampledDecodes []*engine
-	prefillOptions                  []prefillOption
-	decodeOptions                   []decodeOption
-	bestPairs                       []pair
+	sampledPrefills, sampledDecodes, ofBuild []*engine
+	prefillOptions                           []prefillOption
+	decodeOptions                            []decodeOption
+	bestPairs                                []pair
 	// toPlace is working memory of drainQueue.
 	toPlace []*flight
 }
--- a/internal/decide/place.go
+++ b/internal/decide/place.go
@@ -116,6 +116,8 @@
 	// only memory bounds the number of streams.
 	maxKV    int
 	maxSlots int
+	// builds counts the decode engines by build.
+	builds []buildCount
 }
 
 // regionNamed returns the region with the given name, for reading. If the pool has no engine in the region, the result is
@@ -238,6 +240,9 @@
 		reg.maxKV = max(reg.maxKV, e.KVTokens)
 		reg.maxSlots = max(reg.maxSlots, e.Slots)
 	}
+	for _, reg := range p.regions {
+		reg.countBuilds()
+	}
 }
 
 // preferredPrefill is the first of the prefill engines that the hash of the prompt's first block maps
@@ -477,12 +482,13 @@
 // engines have enough free memory and, unless the request may be late, are fast enough.
 func (c *Core) findDecodeOptions(p *pool, f *flight, now time.Time, excluded *Exclusions) {
 	c.decodeOptions = c.decodeOptions[:0]
-	c.sampledDecodes = c.appendSample(c.sampledDecodes[:0], p.regionNamed(f.Region).decode)
+	reg := p.regionNamed(f.Region)
+	c.sampledDecodes = c.appendSample(c.sampledDecodes[:0], c.decodesFor(reg, f))
 	for _, e := range c.sampledDecodes {
 		if !c.usable(e, now, excluded) || !f.canRunOn(e) {
 			continue
 		}
-		if !e.hasRoom(p, f, now) || e.denial.holds(now, f) {
+		if !e.hasRoom(p, f, now) || !f.keepsBuildReserve(reg, e) || e.denial.holds(now, f) {
 			excluded.NoRoom++
 			continue
 		}
--- a/internal/decide/rerun.go
+++ b/internal/decide/rerun.go
@@ -198,6 +198,8 @@
 	switch {
 	case !c.usable(e, c.now, &excluded):
 		return "the engine takes no new requests"
+	case !f.fitsBuild(e):
+		return "the engine now runs another build"
 	case c.isPaused(e):
 		return "the engine asked for a pause"
 	case !e.hasRoomAgain(f.pool, f, c.now) || e.denial.holds(c.now, f):
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -72,6 +72,12 @@
 	// Resumable reports whether a stream that loses its decode engine may continue on another decode engine. The
 	// stream continues after the last token that the caller received. A Resumable request is Repeatable too.
 	Resumable bool
+	// Build is the build of the engine that began the stream, if the caller takes a stream up. Only engines of this build
+	// may go on with it. If Build is empty, the first engine that answers binds the request to its build.
+	Build string
+	// Continues reports that the caller has received a part of the answer and waits for more. The request may then be
+	// late, like a stream that lost its connection.
+	Continues bool
 	// MaxEngines bounds the number of decode engines that may run any part of the request. 0 means no such bound;
 	// only Repeatable then limits further tries.
 	MaxEngines int
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -57,6 +57,8 @@
 	NoRegion
 	NoPrefill
 	NoDecode
+	BuildUnknown
+	BuildGone
 	PromptTooLong
 	TooLate
 	QueueFull
@@ -114,6 +116,8 @@
 	NoRegion:           {"no_region", 503, "no endpoint of a region in which the request may be served takes requests"},
 	NoPrefill:          {"no_prefill", 503, "no prefill engine in the region can take the prompt"},
 	NoDecode:           {"no_decode", 503, "no decode engine in the region has room for the answer"},
+	BuildUnknown:       {"build_unknown", 503, "engines of several software versions serve, and no box knows which one began the stream"},
+	BuildGone:          {"build_gone", 503, "no engine of the software version that began the stream is left"},
 	PromptTooLong:      {"prompt_too_long", 400, "prompt and answer are longer than any decode engine can hold"},
 	TooLate:            {"too_late", 503, "the first token could not have come within the route's target"},
 	QueueFull:          {"queue_full", 503, "too many requests are waiting on this box"},
