Let a stream that its caller takes up go on only at the build that began it

Callers whose stream broke off came back to another box, which knew nothing of the stream and sent it on to any build. A directory of origins now says which build of which service began a stream, by the account and the ID of the attempt that the caller names in Resumes. The box that begins a stream keeps its origin and has two others keep it, by rendezvous hashing; a box that is to go on with one asks three of them, then three more; a box that stops hands all over. What nobody knows is refused as not run while several builds serve, and at once if the build has gone. Each build has its own part in a box's subset of engines.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -181,7 +181,7 @@
 		Core: core, Recorder: b.recorder, Peers: peers, RetryLenders: lenders, ListFreshness: &b.listFreshness,
 		Memory:      int64(requestMemoryShare * cfg.MemoryMB * (1 << 20)),
 		ColdLimits:  pacing.ColdLimits{Factor: cfg.ColdRateFactor, Slack: cfg.ColdRateSlack},
-		SharedSlots: cfg.SharedSlots, EndpointProxy: cfg.EndpointProxy, TunnelPeers: tunnelPeers,
+		SharedSlots: cfg.SharedSlots, EndpointProxy: cfg.EndpointProxy, TunnelPeers: tunnelPeers, Origins: b.node,
 		Limits: b.quotaGrants, Crashes: b.crashes, Keys: relay.KeyPolicy{Strict: cfg.StrictRevocation, Within: cfg.RevokedWithin, Age: b.configFreshness.Age},
 	})
 	b.recorder.Conditions = b.Relay.Conditions
@@ -387,7 +387,8 @@
 	b.Relay.BeginStop(clock.Now().Add(time.Until(requestDeadline)))
 	go flushWithin(finalFlushTimeout, b.node.Leave)
 	time.Sleep(cfg.GracePeriod)
-	b.tunnels.Stop() // Not earlier: other boxes learn like callers that this one leaves.
+	go b.node.HandOverOrigins(ctx) // Not earlier: the others must know that this box is no holder any more.
+	b.tunnels.Stop()               // Not earlier: other boxes learn like callers that this one leaves.
 	err := b.Relay.Drain(ctx)
 	if n := b.tunnels.Drain(ctx); n > 0 {
 		b.log.Error("stop timed out; connections of other boxes are cut off", zap.Int("tunnels", n))
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -153,6 +153,7 @@
 	slots        slotState
 	retryLenders retry.Lenders
 	borrowers    borrowers
+	origins      originState
 	// interests holds the engines that this box has a use for messages about, and those that its upstream knows.
 	interests interestState
 	packer    packer
@@ -205,6 +206,7 @@
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
 	n.httpClient = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true}}
 	n.slots = newSlotState(dialer.DialContext)
+	n.origins.count = newOriginCounters(o.Metrics)
 	n.count = counters{
 		published:       o.Metrics.NewCounter("stoatramp_overlay_facts_told_total"),
 		received:        o.Metrics.NewCounter("stoatramp_overlay_facts_heard_total"),
@@ -232,6 +234,7 @@
 		retriesUnanswered: o.Metrics.NewCounter(`stoatramp_overlay_retry_requests_total{answer="none"}`),
 	}
 	o.Metrics.NewGauge("stoatramp_overlay_members", func() float64 { return float64(n.members.size()) })
+	o.Metrics.NewGauge("stoatramp_origins", func() float64 { return float64(n.OriginCount()) })
 	o.Metrics.NewGauge("stoatramp_overlay_followers", func() float64 { return float64(n.Followers()) })
 	return n
 }
--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -103,6 +103,12 @@
 		return fmt.Sprintf("Endpoint %s was called%s.", s.Decode, seenText(s.EndpointState))
 	case StepTunnel:
 		return fmt.Sprintf("The call to %s went through box %s, because this box has no path of its own to it.", s.Decode, s.Text)
+	case StepOrigin:
+		by := "this box"
+		if s.Text != "" {
+			by = "box " + s.Text
+		}
+		return fmt.Sprintf("The stream began at build %s, as %s knew; only engines of that build may go on with it.", s.Build, by)
 	case StepSlot:
 		return slotText(s)
 	case StepFailed:
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -40,6 +40,9 @@
 	StepYielded StepKind = "yielded"
 	// StepTunnel means that the box Text carried the connection of the call to the endpoint Decode.
 	StepTunnel StepKind = "tunnel"
+	// StepOrigin means that the stream that the caller takes up began at the build Build. Text is the box that knew; it is
+	// empty if this box did.
+	StepOrigin StepKind = "origin"
 	// StepSlot means that a slot of a plain service's endpoints was granted or refused. Slot has the details. Decode is
 	// the endpoint of a granted slot. Text is the reason of a refusal.
 	StepSlot StepKind = "slot"
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -74,6 +74,10 @@
 	// lastReports has, by engine ID, when this box last polled the engine's load or last got it from another box. An
 	// engine whose load is not known yet has an entry with listedOnly.
 	lastReports map[string]lastReport
+	// buildSeenAt has when the builds of each service and region were last on a list, and listedAt when the present list was
+	// set.
+	buildSeenAt map[buildKey]time.Time
+	listedAt    time.Time
 	// rounds counts, for each service, the rounds of load polls (pollSchedule).
 	rounds map[string]roundCount
 }
@@ -134,6 +138,7 @@
 		}
 	}
 	f.updateCold(now, before, beforeIndex)
+	f.noteBuilds(now)
 }
 
 // removedEndpoint is an endpoint with the time at which it was removed from the list.
@@ -282,7 +287,7 @@
 		if s := f.cfg.Services[name]; s.Engines != nil {
 			out.Pools = append(out.Pools, decide.Pool{Name: name, KVBytesPerToken: s.Engines.KVBytesPerToken, PrefillExpiry: s.Engines.HandleTTL,
 				SelfPrefillRatio: assumedSelfPrefillShare, ForecastsMemory: true, Migrates: s.Engines.Migratable, EstimatesSpeed: true,
-				UnlistedEngines: [2]int{f.omitted[group{name, f.region, decide.Prefill}], f.omitted[group{name, f.region, decide.Decode}]}})
+				UnlistedEngines: [2]int{f.omittedEngines(name, decide.Prefill), f.omittedEngines(name, decide.Decode)}})
 		}
 	}
 	for _, e := range known {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/stoatramp/stoatramp/internal/gate"
 	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/notice"
+	"github.com/stoatramp/stoatramp/internal/origins"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/overlay"
 	"github.com/stoatramp/stoatramp/internal/pacing"
@@ -65,6 +66,8 @@
 	SharedSlots bool
 	// TunnelPeers are the boxes through which this box reaches endpoints when its own path is lost; nil if there are none.
 	TunnelPeers paths.Peers
+	// Origins is the directory of the builds at which streams began. If it is nil, New makes one for this box alone.
+	Origins Origins
 	// EndpointProxy is the address of an HTTP proxy for this box's connections to endpoints; empty if there is none.
 	EndpointProxy string
 }
@@ -155,6 +158,9 @@
 	if o.Crashes == nil {
 		o.Crashes = quarantine.NewList()
 	}
+	if o.Origins == nil {
+		o.Origins = &origins.Directory{}
+	}
 	r := &Relay{
 		o:           o,
 		protocol:    o.Protocol,
@@ -398,6 +404,9 @@
 	deadline time.Time
 	// cachedFingerprint is the request's fingerprint; nil until it is needed.
 	cachedFingerprint *quarantine.Fingerprint
+	// origin says at which build the stream began that the caller takes up; its Build is empty if that is not known, and for
+	// other requests.
+	origin origins.Origin
 	// begun is set once any byte of an answer was written. From then on the request can no longer be refused.
 	begun bool
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -70,6 +70,8 @@
 	lastEventAt  time.Time // When the last event was sent to the caller; zero before the first.
 	lastID       string    // The id of the last event sent to the caller.
 	eventsSent   int       // The number of events sent to the caller.
+	// publishedBuild is the build at which the stream was last said to begin.
+	publishedBuild string
 }
 
 // reservation is memory that an engine has reserved for a flight. If there is no such memory, id is empty.
@@ -162,6 +164,10 @@
 	if !x.r.connected() {
 		x.r.sampleLoads(ctx, x.service.Name, x.region)
 	}
+	if o, ok := x.findOrigin(ctx); !ok {
+		x.refuse(o)
+		return
+	}
 	o := x.runStream(ctx)
 	switch {
 	case o.Kind == outcome.Answered:
@@ -251,6 +257,8 @@
 		BetweenTokens:  x.route.EventGapTarget / time.Duration(x.service.Engines.TokensPerEvent),
 		Repeatable:     x.route.repeats(),
 		Resumable:      x.route.Resumable,
+		Build:          x.origin.Build,
+		Continues:      x.meta.LastEvent != "",
 		MaxEngines:     x.route.MaxEndpoints,
 		PrefillNotRun:  true,
 		CallerRetry:    x.isReturning(),
@@ -374,6 +382,7 @@
 	case decide.StartPrefill:
 		f.free() // Frees what engines store for an earlier attempt.
 		f.prefillAttempt, f.prefillEngine, f.plannedDecode = a.Attempt, a.Prefill, a.Decode
+		f.publishOrigin(a.Decode, a.Attempt)
 		ctx := f.call.AttemptContext(f.ctx, a.Attempt)
 		f.calls.Go(func() { f.callPrefill(ctx, a) })
 	case decide.StartDecode:
@@ -388,6 +397,7 @@
 			f.x.r.m.Moves.Inc()
 		}
 		f.decodeAttempt, f.decodeEngine, f.plannedDecode = a.Attempt, a.Decode, a.Decode
+		f.publishOrigin(a.Decode, a.Attempt)
 		if a.Prefill == "" {
 			f.free() // Frees what engines store for an earlier attempt, also a handle that is not used.
 			lost := 0
@@ -564,6 +574,7 @@
 		f.x.rec.FirstToken = f.firstEventAt.Sub(f.x.arrived)
 		f.x.r.m.FirstToken.Update(f.x.rec.FirstToken.Seconds())
 	}
+	f.publishOrigin(f.decodeEngine, ev.attempt)
 	f.source = Source{} // The engine that answers has consumed the result of the prefill, so nothing is left to free.
 	f.freeReservation()
 	if f.migration.is(ev.attempt) {
--- a/internal/relay/subset.go
+++ b/internal/relay/subset.go
@@ -38,10 +38,12 @@
 	subsetShrinkAfter  = 30 * time.Second
 )
 
-// group identifies endpoints that can take each other's place.
+// group identifies endpoints that can take each other's place. A stream that has begun can go on only at an endpoint of its
+// build, so each build is a group of its own.
 type group struct {
 	service, region string
 	role            decide.EngineRole // The role of engines.
+	build           string
 }
 
 // subsetScale is the size of a service's subset, as a multiple of the normal size.
@@ -104,7 +106,7 @@
 	return out
 }
 
-func (e *knownEndpoint) group() group { return group{e.Service, e.Region, e.Role} }
+func (e *knownEndpoint) group() group { return group{e.Service, e.Region, e.Role, e.Build} }
 
 // retain records that an endpoint is in use now, so that it stays in the subset. f.mu is held.
 func (f *fleet) retain(id string, now time.Time) {
@@ -174,11 +176,22 @@
 	kept := f.engineCounts[service]
 	all = kept
 	for _, role := range []decide.EngineRole{decide.Prefill, decide.Decode} {
-		all += f.omitted[group{service, f.region, role}]
+		all += f.omittedEngines(service, role)
 	}
 	return all, float64(kept) / float64(max(1, all))
 }
 
+// omittedEngines returns the number of a service's engines of a role that accept requests in this box's region and are not in
+// its subset. f.mu is held.
+func (f *fleet) omittedEngines(service string, role decide.EngineRole) (n int) {
+	for g, k := range f.omitted {
+		if g.service == service && g.region == f.region && g.role == role {
+			n += k
+		}
+	}
+	return n
+}
+
 // isPartial reports whether some endpoints of a service accept requests but are not in the box's subset. f.mu is held.
 func (f *fleet) isPartial(service string) bool {
 	for g, n := range f.omitted {
@@ -252,7 +265,7 @@
 // isCapacityRefusal reports whether a larger subset might have avoided a refusal with this reason.
 func isCapacityRefusal(r outcome.Reason) bool {
 	switch r {
-	case outcome.NoPrefill, outcome.NoDecode, outcome.TooLate, outcome.WaitExpired, outcome.QueueFull, outcome.ConnectFailed, outcome.EndpointsThrottled, outcome.EndpointRefused:
+	case outcome.NoPrefill, outcome.NoDecode, outcome.BuildGone, outcome.TooLate, outcome.WaitExpired, outcome.QueueFull, outcome.ConnectFailed, outcome.EndpointsThrottled, outcome.EndpointRefused:
 		return true
 	}
 	return false
--- a/internal/rpc/stoatrampv1/stoatrampv1connect/overlay.connect.go
+++ b/internal/rpc/stoatrampv1/stoatrampv1connect/overlay.connect.go
@@ -51,6 +51,10 @@
 	OverlayReleaseSlotProcedure = "/stoatramp.v1.Overlay/ReleaseSlot"
 	// OverlayBorrowRetriesProcedure is the fully-qualified name of the Overlay's BorrowRetries RPC.
 	OverlayBorrowRetriesProcedure = "/stoatramp.v1.Overlay/BorrowRetries"
+	// OverlayStoreOriginsProcedure is the fully-qualified name of the Overlay's StoreOrigins RPC.
+	OverlayStoreOriginsProcedure = "/stoatramp.v1.Overlay/StoreOrigins"
+	// OverlayFindOriginProcedure is the fully-qualified name of the Overlay's FindOrigin RPC.
+	OverlayFindOriginProcedure = "/stoatramp.v1.Overlay/FindOrigin"
 )
 
 // OverlayClient is a client for the stoatramp.v1.Overlay service.
@@ -77,6 +81,10 @@
 	ReleaseSlot(context.Context, *connect.Request[stoatrampv1.ReleaseSlotRequest]) (*connect.Response[stoatrampv1.ReleaseSlotResponse], error)
 	// BorrowRetries asks a box to lend calls of its retry budget, and returns lent calls that were not made.
 	BorrowRetries(context.Context, *connect.Request[stoatrampv1.BorrowRetriesRequest]) (*connect.Response[stoatrampv1.BorrowRetriesResponse], error)
+	// StoreOrigins has the box remember at which builds streams began.
+	StoreOrigins(context.Context, *connect.Request[stoatrampv1.StoreOriginsRequest]) (*connect.Response[stoatrampv1.StoreOriginsResponse], error)
+	// FindOrigin asks at which build a stream began.
+	FindOrigin(context.Context, *connect.Request[stoatrampv1.FindOriginRequest]) (*connect.Response[stoatrampv1.FindOriginResponse], error)
 }
 
 // NewOverlayClient constructs a client for the stoatramp.v1.Overlay service. By default, it uses
@@ -144,6 +152,18 @@
 			connect.WithSchema(overlayMethods.ByName("BorrowRetries")),
 			connect.WithClientOptions(opts...),
 		),
+		storeOrigins: connect.NewClient[stoatrampv1.StoreOriginsRequest, stoatrampv1.StoreOriginsResponse](
+			httpClient,
+			baseURL+OverlayStoreOriginsProcedure,
+			connect.WithSchema(overlayMethods.ByName("StoreOrigins")),
+			connect.WithClientOptions(opts...),
+		),
+		findOrigin: connect.NewClient[stoatrampv1.FindOriginRequest, stoatrampv1.FindOriginResponse](
+			httpClient,
+			baseURL+OverlayFindOriginProcedure,
+			connect.WithSchema(overlayMethods.ByName("FindOrigin")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -158,6 +178,8 @@
 	acquireSlot   *connect.Client[stoatrampv1.AcquireSlotRequest, stoatrampv1.AcquireSlotResponse]
 	releaseSlot   *connect.Client[stoatrampv1.ReleaseSlotRequest, stoatrampv1.ReleaseSlotResponse]
 	borrowRetries *connect.Client[stoatrampv1.BorrowRetriesRequest, stoatrampv1.BorrowRetriesResponse]
+	storeOrigins  *connect.Client[stoatrampv1.StoreOriginsRequest, stoatrampv1.StoreOriginsResponse]
+	findOrigin    *connect.Client[stoatrampv1.FindOriginRequest, stoatrampv1.FindOriginResponse]
 }
 
 // Follow calls stoatramp.v1.Overlay.Follow.
@@ -205,6 +227,16 @@
 	return c.borrowRetries.CallUnary(ctx, req)
 }
 
+// StoreOrigins calls stoatramp.v1.Overlay.StoreOrigins.
+func (c *overlayClient) StoreOrigins(ctx context.Context, req *connect.Request[stoatrampv1.StoreOriginsRequest]) (*connect.Response[stoatrampv1.StoreOriginsResponse], error) {
+	return c.storeOrigins.CallUnary(ctx, req)
+}
+
+// FindOrigin calls stoatramp.v1.Overlay.FindOrigin.
+func (c *overlayClient) FindOrigin(ctx context.Context, req *connect.Request[stoatrampv1.FindOriginRequest]) (*connect.Response[stoatrampv1.FindOriginResponse], error) {
+	return c.findOrigin.CallUnary(ctx, req)
+}
+
 // OverlayHandler is an implementation of the stoatramp.v1.Overlay service.
 type OverlayHandler interface {
 	// Follow streams table changes and gossip messages to a follower until either side ends the stream.
@@ -229,6 +261,10 @@
 	ReleaseSlot(context.Context, *connect.Request[stoatrampv1.ReleaseSlotRequest]) (*connect.Response[stoatrampv1.ReleaseSlotResponse], error)
 	// BorrowRetries asks a box to lend calls of its retry budget, and returns lent calls that were not made.
 	BorrowRetries(context.Context, *connect.Request[stoatrampv1.BorrowRetriesRequest]) (*connect.Response[stoatrampv1.BorrowRetriesResponse], error)
+	// StoreOrigins has the box remember at which builds streams began.
+	StoreOrigins(context.Context, *connect.Request[stoatrampv1.StoreOriginsRequest]) (*connect.Response[stoatrampv1.StoreOriginsResponse], error)
+	// FindOrigin asks at which build a stream began.
+	FindOrigin(context.Context, *connect.Request[stoatrampv1.FindOriginRequest]) (*connect.Response[stoatrampv1.FindOriginResponse], error)
 }
 
 // NewOverlayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -292,6 +328,18 @@
 		connect.WithSchema(overlayMethods.ByName("BorrowRetries")),
 		connect.WithHandlerOptions(opts...),
 	)
+	overlayStoreOriginsHandler := connect.NewUnaryHandler(
+		OverlayStoreOriginsProcedure,
+		svc.StoreOrigins,
+		connect.WithSchema(overlayMethods.ByName("StoreOrigins")),
+		connect.WithHandlerOptions(opts...),
+	)
+	overlayFindOriginHandler := connect.NewUnaryHandler(
+		OverlayFindOriginProcedure,
+		svc.FindOrigin,
+		connect.WithSchema(overlayMethods.ByName("FindOrigin")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/stoatramp.v1.Overlay/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OverlayFollowProcedure:
@@ -312,6 +360,10 @@
 			overlayReleaseSlotHandler.ServeHTTP(w, r)
 		case OverlayBorrowRetriesProcedure:
 			overlayBorrowRetriesHandler.ServeHTTP(w, r)
+		case OverlayStoreOriginsProcedure:
+			overlayStoreOriginsHandler.ServeHTTP(w, r)
+		case OverlayFindOriginProcedure:
+			overlayFindOriginHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -356,3 +408,11 @@
 func (UnimplementedOverlayHandler) BorrowRetries(context.Context, *connect.Request[stoatrampv1.BorrowRetriesRequest]) (*connect.Response[stoatrampv1.BorrowRetriesResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Overlay.BorrowRetries is not implemented"))
 }
+
+func (UnimplementedOverlayHandler) StoreOrigins(context.Context, *connect.Request[stoatrampv1.StoreOriginsRequest]) (*connect.Response[stoatrampv1.StoreOriginsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Overlay.StoreOrigins is not implemented"))
+}
+
+func (UnimplementedOverlayHandler) FindOrigin(context.Context, *connect.Request[stoatrampv1.FindOriginRequest]) (*connect.Response[stoatrampv1.FindOriginResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Overlay.FindOrigin is not implemented"))
+}
