Look for a stream's origin only where its route may be resumed, and note builds cheaply

A list of 10,000 endpoints wrote as many map entries at each change for some twenty services, halls and builds.

--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
@@ -38,11 +39,14 @@
 	if f.buildSeenAt == nil {
 		f.buildSeenAt = map[buildKey]time.Time{}
 	}
+	var seen []*Endpoint // One of each service, hall and build: few, where a list can have thousands of endpoints.
 	for i := range f.endpoints {
 		e := &f.endpoints[i]
-		if e.Build == "" {
-			continue // Not known, which binds no stream.
+		same := func(o *Endpoint) bool { return o.Build == e.Build && o.Service == e.Service && o.Hall == e.Hall }
+		if e.Build == "" || slices.ContainsFunc(seen, same) { // An unknown build binds no stream.
+			continue
 		}
+		seen = append(seen, e)
 		f.buildSeenAt[buildKey{e.Service, f.regionOf(e.Hall), e.Build}] = now
 	}
 	for k, at := range f.buildSeenAt {
@@ -73,7 +77,7 @@
 // findOrigin finds out at which build a stream began that the caller takes up. It returns false if the stream must be refused:
 // several builds serve and nobody knows which one began it, or that build serves no more.
 func (x *exchange) findOrigin(ctx context.Context) (outcome.Outcome, bool) {
-	if x.meta.LastEvent == "" {
+	if !x.continues() {
 		return outcome.Outcome{}, true
 	}
 	now := clock.Now()
@@ -97,6 +101,9 @@
 	return outcome.Outcome{}, true
 }
 
+// continues reports whether the caller takes a stream up of which it has a part.
+func (x *exchange) continues() bool { return x.meta.LastEvent != "" && x.route.Resumable }
+
 // extendOrigin keeps the origin of a stream that was taken up for as long as the caller may come back once more.
 func (x *exchange) extendOrigin(now time.Time) {
 	if until := x.callerReturnsUntil(); until.After(x.origin.Expires) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -258,7 +258,7 @@
 		Repeatable:     x.route.repeats(),
 		Resumable:      x.route.Resumable,
 		Build:          x.origin.Build,
-		Continues:      x.meta.LastEvent != "",
+		Continues:      x.continues(),
 		MaxEngines:     x.route.MaxEndpoints,
 		PrefillNotRun:  true,
 		CallerRetry:    x.isReturning(),
