--- a/internal/decide/build.go
+++ b/internal/decide/build.go
@@ -9,8 +9,8 @@
 // This file keeps a stream at the build that began it. A build is a version of the engines' software. Engines of several
 // builds can serve a pool at the same time, and what two builds write does not fit together.
 //
-// The rule has one place: canRunOn, which every list of decode engines passes through. A stream without its build has
-// nowhere to go. It is ended as soon as that is known.
+// Every list of decode engines for a request comes from decodesFor, which leaves out other builds. A stream without its
+// build has nowhere to go. It is ended as soon as that is known.
 
 // fitsBuild reports whether an engine is of the build that the request is bound to. A request is bound once it has an event.
 // Engines whose build is not known bind nothing.
@@ -88,8 +88,8 @@
 	return float64(e.freeKV()-f.kvNeedAtStart()) >= shrinkingBuildReserve*float64(e.KVTokens)
 }
 
-// decodesFor returns the decode engines that a decision about the request may sample. If the request is bound to a build,
-// these are the engines of the build: a sample of all engines could have none.
+// decodesFor returns the decode engines that a decision about the request may sample: those of the build that the request is
+// bound to.
 func (c *Core) decodesFor(r *region, f *flight) []*engine {
 	if f.Build == "" {
 		return r.decode
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -119,11 +119,10 @@
 	}
 }
 
-// canRunOn reports whether the decode engine may run the request. It must be of the build that the request is bound to. At
-// most MaxEngines engines may run a part of the
+// canRunOn reports whether the decode engine may run the request. At most MaxEngines engines may run a part of the
 // request. Once that many may have run a part, only these engines may run the request again.
 func (f *flight) canRunOn(e *engine) bool {
-	return f.fitsBuild(e) && (f.MaxEngines <= 0 || len(f.enginesRun) < f.MaxEngines || slices.Contains(f.enginesRun, e))
+	return f.MaxEngines <= 0 || len(f.enginesRun) < f.MaxEngines || slices.Contains(f.enginesRun, e)
 }
 
 // canUseAnotherEngine reports whether MaxEngines allows one more decode engine. The present decode engine counts as
