--- a/internal/box/fault_test.go
+++ b/internal/box/fault_test.go
@@ -18,6 +18,7 @@
 	"github.com/stoatramp/stoatramp/internal/control"
 	"github.com/stoatramp/stoatramp/internal/demo"
 	"github.com/stoatramp/stoatramp/internal/engine"
+	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/standin"
 )
@@ -392,6 +393,29 @@
 	}
 }
 
+// Guards against a response that ends with its connection and gets a length or chunks on its way.
+func TestServiceResponseWithoutLengthGetsNone(t *testing.T) {
+	t.Parallel()
+	g := newRig(t, smallSite())
+	for unframed, want := range map[bool]h1.Framing{true: h1.CloseDelimited, false: h1.FramedByLength} {
+		g.site.Service.SetUnframed(unframed)
+		req, err := http.NewRequest(http.MethodGet, "http://"+g.box.Callers+"/bookings/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+demo.ClientKey)
+		resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if got := h1.FramingOf(resp); got != want {
+			t.Errorf("without a length %t: expected framing %q, got %q", unframed, want, got)
+		}
+	}
+}
+
 func (g *rig) callService(method, path, body, key string) reply {
 	g.t.Helper()
 	req, err := http.NewRequest(method, "http://"+g.box.Callers+path, strings.NewReader(body))
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -13,6 +13,14 @@
 	mu        sync.Mutex
 	calls     []string // Method and path of each call, oldest first.
 	dropsLeft int      // The number of coming calls to read and then drop without a response.
+	unframed  bool     // Whether responses have neither a length nor chunks.
+}
+
+// SetUnframed makes responses end with their connections, without a length or chunks.
+func (s *Service) SetUnframed(yes bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unframed = yes
 }
 
 // DropNext makes the service read the next n calls and then drop their connections without a response.
@@ -33,7 +41,7 @@
 	b, err := io.ReadAll(r.Body)
 	s.mu.Lock()
 	s.calls = append(s.calls, r.Method+" "+r.URL.Path)
-	drop := s.dropsLeft > 0
+	drop, unframed := s.dropsLeft > 0, s.unframed
 	if drop {
 		s.dropsLeft--
 	}
@@ -42,5 +50,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("X-Stand-In", "service")
+	if unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	fmt.Fprintf(w, "%s %s %d bytes\n%s", r.Method, r.URL.RequestURI(), len(b), b)
 }
