--- a/internal/record/explain_test.go
+++ b/internal/record/explain_test.go
@@ -63,3 +63,15 @@
 		t.Errorf("expected a whole answer, got %q", got)
 	}
 }
+
+// The sentences name the builds of engines, and who knew at which build a stream began.
+func TestBuildText(t *testing.T) {
+	expectStepSentence(t, Step{Kind: StepFirstToken, Decode: "i-1", Build: "v1.1"}, "i-1 (build v1.1) sent the first token.")
+	expectStepSentence(t, Step{Kind: StepFirstToken, Decode: "i-1"}, "i-1 sent the first token.")
+	expectStepSentence(t, Step{Kind: StepMigrated, Decode: "i-1", Build: "v1.1"}, "It went on at i-1 (build v1.1).")
+	expectStepSentence(t, Step{Kind: StepOrigin, Build: "v1.1", Text: "box-3"}, "The stream began at build v1.1, as box box-3 knew;")
+	expectStepSentence(t, Step{Kind: StepOrigin, Build: "v1.1"}, "as this box knew;")
+	if got := openingSentence(&Record{Route: "r", Resumes: "id-1"}); !strings.Contains(got, "go on with the stream that began as id-1") {
+		t.Errorf("expected the earlier attempt, got %q", got)
+	}
+}
