Rank the holders of an origin by rankMembers

originOrder ranked the boxes by a copy of rankMembers, with the same hash and the same order of equals. It calls rankMembers now. Its comment names its parameter, and a line that was too long is wrapped.

Behaviour is unchanged.

--- a/internal/overlay/origins.go
+++ b/internal/overlay/origins.go
@@ -1,7 +1,6 @@
 package overlay
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -79,26 +78,11 @@
 	}
 }
 
-// originOrder lists the other boxes of the region in the order in which they hold the origin of a stream, at most n.
+// originOrder lists the other boxes of the region in the order in which they hold the origin of a stream, at most limit.
 func (n *Node) originOrder(k origins.Key, limit int) []Member {
 	list := slices.DeleteFunc(n.members.list(n.o.Self.Region), func(m Member) bool { return m.Name == n.o.Self.Name })
-	type ranked struct {
-		m     Member
-		score uint64
-	}
-	key := "origin " + strconv.FormatUint(uint64(k), 36)
-	order := make([]ranked, len(list))
-	for i, m := range list {
-		order[i] = ranked{m, rendezvousScore(m, key)}
-	}
-	slices.SortFunc(order, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.m.Name, b.m.Name))
-	})
-	out := list[:0]
-	for _, r := range order[:min(limit, len(order))] {
-		out = append(out, r.m)
-	}
-	return out
+	order := rankMembers(list, "origin "+strconv.FormatUint(uint64(k), 36))
+	return order[:min(limit, len(order))]
 }
 
 // PublishOrigin keeps the origin of a stream that this box begins, and has other boxes keep it. It does not wait for them.
@@ -176,8 +160,8 @@
 	return err
 }
 
-// FindOrigin returns the origin of a stream, and the box that knew it; by is empty if this box did. It asks the boxes that hold it, and
-// waits for them at most originRounds times findOriginTimeout.
+// FindOrigin returns the origin of a stream, and the box that knew it; by is empty if this box did. It asks the boxes that
+// hold it, and waits for them at most originRounds times findOriginTimeout.
 func (n *Node) FindOrigin(ctx context.Context, k origins.Key) (o origins.Origin, by string, ok bool) {
 	if o, ok = n.origins.directory.Get(clock.Now(), k); ok {
 		n.origins.count.foundHere.Inc()
