Name the line ends of a stream once

Two loops of the splitter had the same function literal for line ends. Both use isLineEnd now. Behaviour is unchanged: the tests and the seeds of the fuzz test pass with the race detector.

--- a/internal/relay/split.go
+++ b/internal/relay/split.go
@@ -1,8 +1,6 @@
 package relay
 
-import (
-	"bytes"
-)
+import "bytes"
 
 // splitter divides the text of a stream into complete events, at whatever bytes the stream was divided into reads. A line
 // ends with LF, CRLF or CR, and an empty line ends an event.
@@ -25,7 +23,7 @@
 // finish is called at the end of the stream. It returns what is left, unless the stream has ended inside an event.
 func (s *splitter) finish() (p part, inside bool) {
 	p = s.split(true)
-	for line := range bytes.FieldsFuncSeq(s.rest, func(r rune) bool { return r == '\n' || r == '\r' }) {
+	for line := range bytes.FieldsFuncSeq(s.rest, isLineEnd) {
 		if line[0] != ':' { // Not a comment.
 			return p, true
 		}
@@ -69,10 +67,12 @@
 	return part{bytes: whole, lastID: id, events: events}
 }
 
+func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
+
 // lastID returns the id of the last event that has an id, and the number n of events that have an id. An empty id is none:
 // a stream can't be resumed after it.
 func lastID(events []byte) (id string, n int) {
-	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
+	for line := range bytes.FieldsFuncSeq(events, isLineEnd) {
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok && len(bytes.TrimSpace(v)) > 0 {
 			id = string(bytes.TrimSpace(v))
 			n++
