Count tunnels that are being opened when a box drains

Cause: Server.Drain waited for the tunnels in its table, but a tunnel entered the table only after the caller had read the 200 of its CONNECT. A box that stopped in between took such a tunnel for none, and one that was still being dialed went on after the drain.

Change: Drain counts every admitted tunnel, and a connection that is made after it has ended is reset. Both tests bound their reads.

Result: TestDrainCountsTunnelsBeingOpened fails on the code before (0 cut off, nothing reset within 10 s). Six processes beside each other, 25 plays of the package each: 3 hung in TestDrainResetsWhatIsLeft before. TestDrain* 200 plays passed after.

--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -49,14 +49,20 @@
 
 	mu       sync.Mutex
 	stopping bool
+	drained  bool // Drain has ended: no further connection is carried.
 	open     map[*carried]struct{}
-	callers  map[string]int // The open tunnels by the caller's IP address.
+	callers  map[string]int // The open tunnels, and those that are being opened, by the caller's IP address.
 	ends     endLog
 }
 
 // carried is a tunnel that a server carries.
 type carried struct{ caller, endpoint net.Conn }
 
+func (t *carried) reset() {
+	reset(t.caller)
+	reset(t.endpoint)
+}
+
 // Open returns the number of open tunnels.
 func (s *Server) Open() int {
 	s.mu.Lock()
@@ -104,7 +110,11 @@
 		return
 	}
 	t := &carried{caller, endpoint}
-	s.add(t)
+	if !s.add(t) {
+		t.reset()
+		s.ended(Stopping, 0)
+		return
+	}
 	defer s.remove(t)
 	name := tunnelName(from, r.Header.Get(idHeader))
 	s.ended("", splice(caller, endpoint, func() { s.ends.add(name) }))
@@ -138,20 +148,25 @@
 	if s.callers == nil {
 		s.callers, s.open = map[string]int{}, map[*carried]struct{}{}
 	}
-	total := 0
-	for _, n := range s.callers {
-		total += n
-	}
 	switch {
 	case s.stopping:
 		return Stopping, false
-	case total >= maxTunnels || s.callers[from] >= maxPerCaller:
+	case s.admitted() >= maxTunnels || s.callers[from] >= maxPerCaller:
 		return Busy, false
 	}
 	s.callers[from]++
 	return "", true
 }
 
+// admitted returns the number of tunnels that are open or being opened. The caller holds s.mu.
+func (s *Server) admitted() int {
+	total := 0
+	for _, n := range s.callers {
+		total += n
+	}
+	return total
+}
+
 func (s *Server) leave(from string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -160,10 +175,15 @@
 	}
 }
 
-func (s *Server) add(t *carried) {
+// add records an open tunnel. It reports false when the server no longer carries tunnels.
+func (s *Server) add(t *carried) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.drained {
+		return false
+	}
 	s.open[t] = struct{}{}
+	return true
 }
 
 func (s *Server) remove(t *carried) {
@@ -229,25 +249,31 @@
 	s.stopping = true
 }
 
-// Drain waits until all tunnels have ended. When ctx ends it resets those that are left, and returns their number.
+// Drain waits until all tunnels have ended, also those that are still being opened. When ctx ends it resets those that
+// are left, and returns their number.
 func (s *Server) Drain(ctx context.Context) (cutOff int) {
 	s.Stop()
-	for s.Open() > 0 {
+	for {
+		s.mu.Lock()
+		left := s.admitted()
+		s.mu.Unlock()
+		if left == 0 {
+			return 0
+		}
 		select {
 		case <-ctx.Done():
 			return s.resetAll()
 		case <-time.After(drainCheckInterval):
 		}
 	}
-	return 0
 }
 
 func (s *Server) resetAll() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.drained = true
 	for t := range s.open {
-		reset(t.caller)
-		reset(t.endpoint)
+		t.reset()
 	}
-	return len(s.open)
+	return s.admitted()
 }
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -167,7 +168,41 @@
 	if n := s.Drain(ctx); n != 1 {
 		t.Errorf("expected one tunnel to be cut off, got %d", n)
 	}
-	if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, io.EOF) {
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, io.EOF) || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("expected a reset, got %v", err)
+	}
+}
+
+// Guards against a tunnel that the caller may use already, or soon, and that Drain does not see.
+func TestDrainCountsTunnelsBeingOpened(t *testing.T) {
+	target := newEndpoint(t, echo)
+	s, server := newServer(t)
+	dialing, proceed := make(chan struct{}), make(chan struct{})
+	s.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		close(dialing)
+		<-proceed
+		return dialer.DialContext(ctx, network, address)
+	}
+	opened := make(chan net.Conn, 1)
+	go func() {
+		c, _ := Open(context.Background(), dialer.DialContext, server, target, "k", "")
+		opened <- c
+	}()
+	<-dialing
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if n := s.Drain(ctx); n != 1 {
+		t.Errorf("expected one tunnel to be cut off, got %d", n)
+	}
+	close(proceed)
+	c := <-opened
+	if c == nil {
+		return // The reset came before the answer was read.
+	}
+	defer c.Close()
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, io.EOF) || errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("expected a reset, got %v", err)
 	}
 }
