Let the endpoint of a test reset an open tunnel, not its connect

Cause: the endpoint of TestEndOfTunnelThatTheEndpointReset reset its connection as soon as it was accepted, at times before the server's connect had ended. Then no tunnel was opened (500), once in 150 plays beside five others.

Change: the endpoint resets after the first byte, and the test expects that the caller sees the reset. The expectation about the end is unchanged.

--- a/internal/tunnel/end_test.go
+++ b/internal/tunnel/end_test.go
@@ -38,8 +38,17 @@
 
 func TestEndOfTunnelThatTheEndpointReset(t *testing.T) {
 	_, server := newServer(t)
-	target := newEndpoint(t, func(c net.Conn) { reset(c) })
-	_, _ = io.ReadAll(openNamed(t, server, target, "a"))
+	target := newEndpoint(t, func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 1))
+		reset(c)
+	})
+	c := openNamed(t, server, target, "a")
+	if _, err := io.WriteString(c, "x"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(c); err == nil {
+		t.Error("expected a reset, got the regular end of the data")
+	}
 	expectEnded(t, server, "a", "k", false)
 }
 
