Keep the port of a refusing address in tests of tunnels

Cause: closedAddress returned the port of a closed listener, and another process could listen on it at once; TestServerStatesCause then got a tunnel where it expects a refusal (once of 300 plays, twelve processes beside each other).

Change: the address is that of a connected client, which refuses connections and holds its port until the test ends.

--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -69,14 +69,15 @@
 	return lis.Addr().String()
 }
 
+// closedAddress returns an address that refuses connections: that of a client, whose port nobody else can listen on.
 func closedAddress(t *testing.T) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	c, err := net.Dial("tcp", newEndpoint(t, echo))
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer lis.Close()
-	return lis.Addr().String()
+	t.Cleanup(func() { c.Close() })
+	return c.LocalAddr().String()
 }
 
 func expectOpen(t *testing.T, server, target string) net.Conn {
