Wait for a late owner of slots by how late it answered before

Cause: a box took its owner for silent after 40 ms. On a machine that is short of processor time sound owners answer later than that, and the calls of the box's own part came on top of those that the owner had granted: "i-few-... had 8 calls at once, allowed are 7".

Change: a box waits for twice the longest recent time to a first answer of that owner, at least 40 ms and at most 150 ms. The longest time halves in 5 s.

--- a/internal/overlay/slots.go
+++ b/internal/overlay/slots.go
@@ -29,8 +29,9 @@
 // both owners lower their limits.
 
 const (
-	// slotFirstTimeout bounds the time until an owner's first answer. A call between halls takes 4 ms, and that includes
-	// connecting. A box that is short of processor time answers some tens of milliseconds late; see silenceTimer.
+	// slotFirstTimeout is the shortest time-out for an owner's first answer. A call between halls takes 4 ms, and that
+	// includes connecting. A box that is short of processor time answers some tens of milliseconds late; see firstTimeout
+	// and silenceTimer.
 	slotFirstTimeout = 40 * time.Millisecond
 	// An owner repeats its answer to a queued request every slotQueuedInterval. A box that hears nothing for
 	// slotQueuedTimeout takes the owner for gone. The expected wait is no bound: requests that can still be on time go
@@ -176,7 +177,7 @@
 // returned with ReleaseSlot.
 //
 // If the connection to an owner fails or the owner stops, the next box in rendezvous order is asked, but not more than
-// maxOwnersAsked boxes. An owner that accepts the call and does not answer in time costs one request slotFirstTimeout
+// maxOwnersAsked boxes. An owner that accepts the call and does not answer in time costs one request firstTimeout
 // per slotRetryInterval. No box is asked by the others until the owner has not answered for slotLostTimeout.
 // A request whose values are out of bounds is not sent.
 func (n *Node) AcquireSlot(ctx context.Context, cell slots.Cell, r slots.Request) (d slots.Decision, owner string, busy bool) {
@@ -339,7 +340,8 @@
 	// Once the request is decided, the end of ctx must not end the stream: the owner would take it as withdrawn.
 	streamCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	keep := context.AfterFunc(ctx, func() { cancel(ctx.Err()) })
-	timer := newSilenceTimer(slotFirstTimeout, func(since time.Time) bool { return n.slots.owners.answeredSince(m, since) }, func() { cancel(errOwnerSilent) })
+	now := clock.Now()
+	timer := newSilenceTimer(n.slots.owners.firstTimeout(m, now), func(since time.Time) bool { return n.slots.owners.answeredSince(m, since) }, func() { cancel(errOwnerSilent) })
 	defer timer.stop()
 	fail := func(err error) (slots.Decision, *v1.AcquireSlotResponse, error) {
 		keep()
@@ -349,7 +351,6 @@
 		cancel(nil)
 		return slots.Decision{}, nil, err
 	}
-	now := clock.Now()
 	req := connect.NewRequest(encodeSlotRequest(cell, r))
 	encodeGrantor(req.Msg, n.lastGrantor(cell, now), now)
 	authorize(req.Header(), n.members.sharedKey())
@@ -357,7 +358,12 @@
 	if err != nil {
 		return fail(err)
 	}
+	first := true
 	for stream.Receive() {
+		if first {
+			n.slots.owners.answerTook(m, clock.Since(now), clock.Now())
+			first = false
+		}
 		d, ok := decodeDecision(stream.Msg())
 		if !ok {
 			_ = stream.Close()
--- a/internal/overlay/slots_owners.go
+++ b/internal/overlay/slots_owners.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/peak"
 	"github.com/stoatramp/stoatramp/internal/slots"
 )
 
@@ -20,6 +21,8 @@
 	slotRetryInterval      = 250 * time.Millisecond
 	// slotStallSlack is by how much a time-out must be late for the time to count as one in which this box stood still.
 	slotStallSlack = 10 * time.Millisecond
+	// slotAnswerHalfLife is the half-life of the longest recent time to an owner's first answer.
+	slotAnswerHalfLife = 5 * time.Second
 	// slotLostTimeout is how long an owner must not have answered before the next box in rendezvous order is asked.
 	// Until then the asking box uses its own part.
 	slotLostTimeout = 500 * time.Millisecond
@@ -52,8 +55,9 @@
 	// which it is asked again.
 	silentSince, retryAt time.Time
 	retryInterval        time.Duration
-	// answeredAt is when the box answered last.
-	answeredAt time.Time
+	// answeredAt is when the box answered last. longestAnswer is the longest recent time to its first answer to a request.
+	answeredAt    time.Time
+	longestAnswer peak.Duration
 }
 
 // slotChoice says what to do with a possible owner.
@@ -117,6 +121,7 @@
 		if st.answeredAt.After(sent) {
 			return
 		}
+		st.longestAnswer.Record(now.Sub(sent), now, slotAnswerHalfLife)
 		if st.silentSince.IsZero() {
 			st.silentSince, st.retryInterval = now, firstSlotRetryInterval/2
 			st.delayRetry(now)
@@ -124,6 +129,23 @@
 	})
 }
 
+// answerTook records the time to the first answer to a request.
+func (s *slotOwnerStates) answerTook(m Member, took time.Duration, now time.Time) {
+	s.update(m, func(st *slotOwnerState) { st.longestAnswer.Record(took, now, slotAnswerHalfLife) })
+}
+
+// firstTimeout returns how long to wait for the first answer of a box: twice its longest recent one, within bounds. An
+// owner that is short of processor time is waited for, since calls by the own part come on top of those that it grants.
+func (s *slotOwnerStates) firstTimeout(m Member, now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.byName[m.Name]
+	if st.incarnation != m.Incarnation {
+		return slotFirstTimeout
+	}
+	return min(max(2*st.longestAnswer.At(now, slotAnswerHalfLife), slotFirstTimeout), slotQueuedTimeout)
+}
+
 // delayRetry sets the time from which the box is asked again.
 func (st *slotOwnerState) delayRetry(now time.Time) {
 	st.retryInterval = min(2*st.retryInterval, slotRetryInterval)
--- a/internal/overlay/slots_owners_test.go
+++ b/internal/overlay/slots_owners_test.go
@@ -304,3 +304,27 @@
 		t.Errorf("expected old grants to be dropped, got %d", len(g.byCell))
 	}
 }
+
+// Guards against calls by the own part on top of those of an owner that is short of processor time and answers late.
+func TestSlotTimeoutFollowsAnswers(t *testing.T) {
+	var s slotOwnerStates
+	m, start := Member{Name: "d", Incarnation: 1}, time.Now()
+	expect := func(m Member, after, want time.Duration) {
+		t.Helper()
+		if got := s.firstTimeout(m, start.Add(after)); got != want {
+			t.Errorf("after %s: expected %s, got %s", after, want, got)
+		}
+	}
+	expect(m, 0, slotFirstTimeout)
+	s.answerTook(m, 4*time.Millisecond, start)
+	expect(m, 0, slotFirstTimeout)
+	s.answerTook(m, 35*time.Millisecond, start)
+	expect(m, 0, 70*time.Millisecond)
+	expect(Member{Name: "d", Incarnation: 2}, 0, slotFirstTimeout)
+	expect(Member{Name: "e", Incarnation: 1}, 0, slotFirstTimeout)
+	s.silent(m, start, start.Add(70*time.Millisecond))
+	expect(m, 70*time.Millisecond, 140*time.Millisecond)
+	s.silent(m, start, start.Add(140*time.Millisecond))
+	expect(m, 140*time.Millisecond, slotQueuedTimeout)
+	expect(m, 15*time.Second, slotFirstTimeout)
+}
