Have a new connection answer before it carries a call that may run once

Cause: while a service is contended, a new connection was watched for the time that connecting took and 5 ms. On a loaded machine an endpoint at its connection cap resets 7 to 16 ms after it was chosen. The call was written by then, so the box had to answer 502 ("may have run"), though no endpoint had read it.

Change: before a call that may run only once, a new connection carries "OPTIONS *" without an ID. The call is written when that has been answered, with whatever status, and is "not sent" otherwise. Repeatable calls and connections that have carried a call are as before.

Result: TestProbeFindsLateResets (resets 50 ms late) fails without the probe.

--- a/internal/h1/conns_test.go
+++ b/internal/h1/conns_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -254,6 +256,79 @@
 	}
 }
 
+// Guards against a reset that comes later than ConfirmOpen waits, so that a call that may run only once can't be retried.
+func TestProbeFindsLateResets(t *testing.T) {
+	l, p := newSlowListener(t, 4, 20*time.Millisecond, 10*confirmMargin), NewPool()
+	var unconfirmed atomic.Int32
+	p.OnUnconfirmed = func() { unconfirmed.Add(1) }
+	request := func() *Request {
+		r := l.request(0, true)
+		r.Probe = true
+		return r
+	}
+	failed := callAll(p, 16, request)
+	for _, err := range failed {
+		if e, ok := errors.AsType[*Error](err); !ok || e.Sent || !e.Reset {
+			t.Errorf("expected a reset of a call that was not sent, got %v", err)
+		}
+	}
+	requests, resets, _ := l.counts()
+	if len(failed) == 0 || len(failed) != resets || requests != 2*(16-resets) || int(unconfirmed.Load()) != resets {
+		t.Errorf("expected one probe for each call on a new connection, got %d requests, %d resets, %d calls failed", requests, resets, len(failed))
+	}
+	if failed := callAll(p, 1, request); len(failed) != 0 {
+		t.Errorf("expected a call on an open connection, got %v", failed)
+	}
+	if again, _, _ := l.counts(); again != requests+1 {
+		t.Errorf("expected no probe on a connection that has carried a call, got %d requests", again-requests)
+	}
+}
+
+// A connection that answers the probe and is closed, or does not answer it, carries no call.
+func TestProbeWithoutUsableAnswer(t *testing.T) {
+	for name, answer := range map[string]string{
+		"closes": "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		"long":   "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 100_000),
+		"broken": "nothing\r\n\r\n",
+		"silent": "",
+	} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		methods := make(chan string, 2)
+		go func() {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			r := bufio.NewReader(c)
+			for range 2 {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					break
+				}
+				methods <- req.Method
+				_, _ = io.WriteString(c, answer)
+			}
+			close(methods)
+		}()
+		_, _, err = NewPool().DoShort(context.Background(), 5*time.Second, &Request{
+			Address: ln.Addr().String(), Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, ConfirmOpen: true, Probe: true,
+		}, 100)
+		if e, ok := errors.AsType[*Error](err); !ok || e.Sent {
+			t.Errorf("%s: expected a call that was not sent, got %v", name, err)
+		}
+		for method := range methods {
+			if method != http.MethodOptions {
+				t.Errorf("%s: expected only the probe to be sent, got %s", name, method)
+			}
+		}
+	}
+}
+
 // Guards against reporting a request as sent although the connection was reset before its first byte was written, in the
 // moment after the connection was found to be open.
 func TestResetBeforeWrite(t *testing.T) {
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -39,6 +39,9 @@
 	// that time the endpoint's process has accepted the connection, and a reset by the process has arrived. On a loaded
 	// machine some of the resets come 3 to 13 ms after the connection was opened.
 	confirmMargin = 5 * time.Millisecond
+	// probeTimeout bounds the answer to a probe, beside the time that connecting took, and maxProbeBytes its body.
+	probeTimeout  = 200 * time.Millisecond
+	maxProbeBytes = 4 << 10
 	// maxSurplusResponses bounds how many responses are read until one belongs to the request.
 	maxSurplusResponses = 3
 	bufferBytes         = 4 << 10
@@ -68,6 +71,10 @@
 	// the endpoint has not read the request: the endpoint's operating system acknowledges bytes before the process accepts
 	// the connection, and an acknowledgement of bytes that the process has read can be lost.
 	ConfirmOpen bool
+	// Probe sends an OPTIONS * request first on a new connection, in place of the delay of ConfirmOpen, and sends the
+	// request only once the endpoint's process has answered. A connection that the endpoint resets before, however late,
+	// is reported as with ConfirmOpen. Probe has no effect without ConfirmOpen.
+	Probe bool
 	// StillAllowed is called before the first byte is sent if the request waited for a connection or opened one. If it
 	// returns false, Do returns ErrNotAllowed with Sent = false. It may change Header. If StillAllowed is nil, the request
 	// is sent.
@@ -81,7 +88,8 @@
 	Via string
 }
 
-// ErrUnconfirmed means that a new connection was closed by the endpoint before the request was sent (ConfirmOpen).
+// ErrUnconfirmed means that a new connection was closed by the endpoint before the request was sent (ConfirmOpen), or did
+// not answer the probe in time.
 var ErrUnconfirmed = errors.New("the endpoint closed the new connection before the request was sent")
 
 // ErrNotAllowed means that StillAllowed returned false.
@@ -202,14 +210,19 @@
 	r.Via = c.via
 	fresh := c.fresh
 	if fresh && r.ConfirmOpen {
-		if err := c.confirm(); err != nil {
+		confirm := c.confirm
+		if r.Probe {
+			confirm = func() error { return c.probe(r.Host) }
+		}
+		if err := confirm(); err != nil {
 			stop()
 			p.discard(c)
 			if ctx.Err() != nil {
 				return nil, &Error{Err: ctx.Err()}
 			}
 			p.reportUnconfirmed()
-			return nil, &Error{Reset: true, Err: fmt.Errorf("%w: %w", ErrUnconfirmed, err)}
+			reset := !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errProbeClosed)
+			return nil, &Error{Reset: reset, Err: fmt.Errorf("%w: %w", ErrUnconfirmed, err)}
 		}
 	}
 	waited := fresh || c.awaited
@@ -310,6 +323,30 @@
 	return nil
 }
 
+var errProbeClosed = errors.New("the endpoint closes the connection after the probe")
+
+// probe sends an OPTIONS * request on a new connection and reads the answer. The answer's status does not matter. It
+// returns an error if the connection can't carry another request.
+func (c *conn) probe(host string) error {
+	if err := c.SetDeadline(time.Now().Add(c.dialTime + probeTimeout)); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(c, "OPTIONS * HTTP/1.1\r\nHost: %s\r\n\r\n", host); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodOptions})
+	if err != nil {
+		return err
+	}
+	if _, err := ReadLimited(resp, maxProbeBytes); err != nil {
+		return err
+	}
+	if resp.Close {
+		return errProbeClosed
+	}
+	return c.SetDeadline(time.Time{})
+}
+
 // write sends the request. An endpoint may respond before it has read the whole body. So write sends a request longer
 // than bufferBytes in the background.
 func (p *Pool) write(c *conn, r *Request, sendResult chan<- error) {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -285,7 +285,7 @@
 	}()
 	run := Run{Instance: e.ID}
 	q := x.request(e.Address, run)
-	q.MaxConns, q.ConfirmOpen = x.r.maxConns(x.service, x.region), x.contended()
+	q.MaxConns, q.ConfirmOpen, q.Probe = x.r.maxConns(x.service, x.region), x.contended(), !x.route.repeats()
 	q.StillAllowed = func() bool {
 		q.Header = x.request(e.Address, run).Header // Less time is left than before the wait.
 		return x.r.fleet.isOpen(e.ID)
