Keep a service contended over a standstill of the box

Cause: contention ends 3 s after its last sign.

Change: the 3 s count only while the box runs, as told by the tick of runShare.

Result: TestContentionOutlastsStandstill fails on the code before.

--- a/internal/relay/contention.go
+++ b/internal/relay/contention.go
@@ -15,6 +15,9 @@
 const (
 	// contendedFor is how long a service stays contended after the last sign of contention.
 	contendedFor = 3 * time.Second
+	// maxTickGap is the longest time between two calls of tick, which come each second, that does not count as a
+	// standstill of this box.
+	maxTickGap = 1500 * time.Millisecond
 	// contendedPublishInterval is the minimum time between two messages that a service is contended.
 	contendedPublishInterval = time.Second
 	// A service is contended if the mean latency of this box's calls is over contendedLatencyFactor times its slow
@@ -44,6 +47,8 @@
 
 	mu    sync.Mutex
 	state map[serviceRegion]*contention
+	// tickedAt is the time of the latest call of tick; zero before the first one.
+	tickedAt time.Time
 }
 
 // contention is the state of contention of a service in a region.
@@ -59,8 +64,38 @@
 	shown                 bool // The metric of the service exists.
 }
 
-func (c *contention) isContended(now time.Time) bool {
-	return !c.signAt.IsZero() && now.Sub(c.signAt) < contendedFor
+// tick tells that this box runs, each second. Time in which it stood still does not end the contention of a service: the
+// box could not hear of it, and the calls that waited meanwhile would all be sent at once.
+func (c *contentions) tick(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if stood := now.Sub(c.running(now)); stood > 0 {
+		for _, s := range c.state {
+			if s.signAt.IsZero() {
+				continue
+			}
+			if s.signAt = s.signAt.Add(stood); s.signAt.After(now) {
+				s.signAt = now
+			}
+		}
+	}
+	c.tickedAt = now
+}
+
+// running returns the time until which this box has run: now, or if it stood still, the time at which that began. c.mu is
+// held.
+func (c *contentions) running(now time.Time) time.Time {
+	if last := c.tickedAt.Add(maxTickGap); !c.tickedAt.IsZero() && now.After(last) {
+		return last
+	}
+	return now
+}
+
+// age returns how long this box has run since the latest sign of contention of a service, and whether the service is
+// contended. c.mu is held.
+func (c *contentions) age(s *contention, now time.Time) (age time.Duration, contended bool) {
+	age = max(c.running(now).Sub(s.signAt), 0)
+	return age, !s.signAt.IsZero() && age < contendedFor
 }
 
 // get returns the state of a service and region. c.mu is held.
@@ -118,10 +153,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.state[k]
-	if s == nil || !s.isContended(now) {
+	if s == nil {
 		return false, 0
 	}
-	return true, now.Sub(s.signAt)
+	if age, yes = c.age(s, now); !yes {
+		return false, 0
+	}
+	return true, age
 }
 
 // isContended reports whether a service is contended in any region.
@@ -129,7 +167,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for k, s := range c.state {
-		if k.service == service && s.isContended(now) {
+		if k.service != service {
+			continue
+		}
+		if _, contended := c.age(s, now); contended {
 			return true
 		}
 	}
--- a/internal/relay/contention_test.go
+++ b/internal/relay/contention_test.go
@@ -163,6 +163,44 @@
 	expect("")
 }
 
+// Guards against a box that was frozen and then sends all calls that have waited at once, since no message of the other
+// boxes reached it meanwhile.
+func TestContentionOutlastsStandstill(t *testing.T) {
+	c, k, start := contentions{enabled: true}, serviceRegion{"s", "r"}, time.Now()
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	expect := func(s float64, want bool) {
+		t.Helper()
+		if got, _ := c.contended(k, at(s)); got != want {
+			t.Errorf("after %v s: expected contended %t, got %t", s, want, got)
+		}
+	}
+	c.tick(at(0))
+	c.sign(k, at(0.5), false)
+	c.tick(at(1))
+	expect(1.9, true)
+	expect(11, true) // The box stood still from 1.9 s on.
+	c.tick(at(11))
+	expect(11, true)
+	expect(11.9, true)
+	c.tick(at(12))
+	expect(12.1, false)
+	c.tick(at(13))
+	c.sign(k, at(13.4), false)
+	expect(16, true)
+	c.tick(at(14))
+	c.tick(at(15))
+	c.tick(at(16))
+	expect(16.3, true)
+	expect(16.5, false)
+	c.tick(at(17))
+	c.sign(k, at(30), false) // The first event after a standstill.
+	c.tick(at(30))
+	expect(30, true)
+	if _, age := c.contended(k, at(30)); age < 0 || age > time.Second {
+		t.Errorf("expected a sign that has just been seen, got %s", age)
+	}
+}
+
 // unheardPeers stands for the node of a box that has not heard the list of boxes since its start.
 type unheardPeers struct{ boxesPeers }
 
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -156,10 +156,11 @@
 
 // UpdatePeers tells the decision core whether this box receives messages from other boxes. It sets this box's part of
 // the retry limits, given the number of boxes and the time at which this box started. It also recomputes the paces of
-// cold endpoints.
+// cold endpoints, and notes that this box runs. It is called each second.
 func (r *Relay) UpdatePeers(l retry.Limits, boxes int, started time.Time) {
 	r.disp.SetGossipConnected(r.connected())
 	r.disp.SetRetryLimits(l, boxes, started)
 	r.refreshColdPaces()
+	r.contentions.tick(clock.Now())
 	r.plain.setRetryBudgets(func(b *retry.Budget) { b.SetBound(l, boxes, started) })
 }
--- a/internal/relay/views.go
+++ b/internal/relay/views.go
@@ -42,8 +42,8 @@
 	defer c.mu.Unlock()
 	out := map[serviceRegion]time.Duration{}
 	for k, s := range c.state {
-		if s.isContended(now) {
-			out[k] = now.Sub(s.signAt)
+		if age, contended := c.age(s, now); contended {
+			out[k] = age
 		}
 	}
 	return out
