Count units granted in advance as units of the bucket

Cause: an owner granted boxes up to half of an account's bucket in advance and then refilled the bucket in their place. An account whose calls were refused for other reasons, and whose units were given back, had the cached units of all boxes beside a full bucket; units given back after their time also got a new one.

Change: the owner counts what a box got in advance until that box asks again, or for 1.1 s, and does not refill the bucket in their place. The asking box names itself in a header. Units given back keep the end of their time.

--- a/internal/overlay/accounts.go
+++ b/internal/overlay/accounts.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"maps"
+	"net/http"
 	"slices"
 	"strconv"
 	"sync"
@@ -378,7 +379,7 @@
 		}
 		sleep(ctx, moveRetryDelay)
 	}
-	return n.o.Limits.Grant(clock.Now(), account, units, ahead)
+	return n.o.Limits.Grant(clock.Now(), n.o.Self.Name, account, units, ahead)
 }
 
 // sharesMove reports whether the shares of a group are moving to another owner: this box's share has moved a short time
@@ -395,7 +396,7 @@
 // allowFrom asks a box for units. The box can be this box.
 func (n *Node) allowFrom(ctx context.Context, m Member, account string, units, ahead float64) (a quota.Answer, ok bool) {
 	if m.Name == n.o.Self.Name {
-		return n.o.Limits.Grant(clock.Now(), account, units, ahead)
+		return n.o.Limits.Grant(clock.Now(), n.o.Self.Name, account, units, ahead)
 	}
 	return n.askOwner(ctx, m, account, units, ahead)
 }
@@ -438,6 +439,7 @@
 	defer cancel()
 	req := connect.NewRequest(&v1.AllowRequest{Account: account, Units: units, AheadUnits: ahead})
 	authorize(req.Header(), n.members.sharedKey())
+	req.Header().Set(boxHeader, n.o.Self.Name)
 	resp, err := n.client(m.Address).Allow(limited, req)
 	if err != nil {
 		n.count.allowUnanswered.Inc()
@@ -477,6 +479,18 @@
 	return connect.NewResponse(&v1.LendResponse{Levels: encodeLevels(returned.Levels), OthersFull: returned.OthersFull}), nil
 }
 
+// boxHeader names the box that asks for units. Boxes of an earlier release don't set it.
+const boxHeader = "Stoatramp-Box"
+
+// asker returns the listed box that a call names as its sender; empty if it names none.
+func (s *server) asker(h http.Header) string {
+	name := h.Get(boxHeader)
+	if _, listed := s.n.members.get(name); !listed {
+		return ""
+	}
+	return name
+}
+
 // Allow serves another box's request for units of an account that this box owns.
 func (s *server) Allow(_ context.Context, r *connect.Request[v1.AllowRequest]) (*connect.Response[v1.AllowResponse], error) {
 	if err := s.n.authenticate(r.Header()); err != nil {
@@ -486,7 +500,7 @@
 		s.n.count.refused.Inc()
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("the units are out of bounds"))
 	}
-	a, known := s.n.o.Limits.Grant(clock.Now(), r.Msg.Account, r.Msg.Units, r.Msg.AheadUnits)
+	a, known := s.n.o.Limits.Grant(clock.Now(), s.asker(r.Header()), r.Msg.Account, r.Msg.Units, r.Msg.AheadUnits)
 	if !known {
 		return nil, connect.NewError(connect.CodeNotFound, errors.New("no limit is known for the account"))
 	}
--- a/internal/overlay/accounts_test.go
+++ b/internal/overlay/accounts_test.go
@@ -101,7 +101,7 @@
 	take(next, 40)
 	owner.Leave(context.Background())
 	moved := func() bool {
-		a, _ := next.o.Limits.Grant(time.Now(), account, 0, 0)
+		a, _ := next.o.Limits.Grant(time.Now(), "", account, 0, 0)
 		return a.LentShare == 1 && next.MemberCount() == 4
 	}
 	for i := 0; !moved(); i++ {
--- a/internal/pacing/share_test.go
+++ b/internal/pacing/share_test.go
@@ -137,7 +137,7 @@
 }
 
 func (s *shareSim) takeFromOwner(b *simBox) bool {
-	a, _ := s.owner(b).pool.Grant(s.time(), simEndpoint, 1, 0)
+	a, _ := s.owner(b).pool.Grant(s.time(), "", simEndpoint, 1, 0)
 	return a.Granted >= 1
 }
 
--- a/internal/quota/burst_test.go
+++ b/internal/quota/burst_test.go
@@ -32,7 +32,7 @@
 			}
 			asked++
 			used = append(used, now)
-			if a, _ := p.Grant(now, simAccount, units, 0); a.Granted < units {
+			if a, _ := p.Grant(now, "", simAccount, units, 0); a.Granted < units {
 				refused++
 			}
 		}
@@ -80,7 +80,7 @@
 		p.SetLimits(start, map[string]Limit{simAccount: limit})
 		for at := time.Duration(0); at < simBounds.Window; at += 10 * time.Millisecond {
 			for {
-				if a, _ := p.Grant(start.Add(at), simAccount, 20, 0); a.Granted == 0 {
+				if a, _ := p.Grant(start.Add(at), "", simAccount, 20, 0); a.Granted == 0 {
 					break
 				}
 				granted += 20
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -241,7 +241,7 @@
 		owners := b.ownersToAsk()
 		a, known = AskOwners(len(owners), units, ahead, func(k int, units, ahead float64) (Answer, bool) {
 			if i := owners[k]; b.canReach(i) {
-				return b.fleet.boxes[i].pool.Grant(time.Now(), account, units, ahead)
+				return b.fleet.boxes[i].pool.Grant(time.Now(), fmt.Sprint(b.index), account, units, ahead)
 			}
 			b.unreachableUntil[owners[k]] = time.Now().Add(2 * time.Second)
 			return Answer{}, false
@@ -250,7 +250,7 @@
 	if known {
 		return a, true
 	}
-	return b.pool.Grant(time.Now(), account, units, ahead)
+	return b.pool.Grant(time.Now(), fmt.Sprint(b.index), account, units, ahead)
 }
 
 // ownersToAsk returns the boxes to ask for units: the one that this box's share is lent to, the one before it, and
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -44,6 +44,7 @@
 	// account's rate.
 	promised   float64
 	promisedAt time.Time
+	ahead      aheadGrants
 }
 
 // maxPromised bounds the time for which the rate of an account is promised to callers that were told to retry.
@@ -167,10 +168,11 @@
 	return returned
 }
 
-// Grant grants units of an account, or none if the bucket has fewer. If it grants them, it also grants up to ahead
-// units in advance. Units in advance come only from the part of the bucket above half of its capacity. An account whose
-// limit has a rate of 0 gets all units. Known is false if this box knows no limit of the account.
-func (p *Pool) Grant(now time.Time, account string, units, ahead float64) (a Answer, known bool) {
+// Grant grants units of an account to a box, or none if the bucket has fewer. If it grants them, it also grants up to
+// ahead units in advance. Units in advance come only from the part of the bucket above half of its capacity. Until the
+// box asks again, or they have expired, the bucket is not refilled in their place; if box is empty, it is. An account
+// whose limit has a rate of 0 gets all units. Known is false if this box knows no limit of the account.
+func (p *Pool) Grant(now time.Time, box, account string, units, ahead float64) (a Answer, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.unlimited[account] {
@@ -182,13 +184,16 @@
 	}
 	p.expire(now, b.groupIndex)
 	p.refill(b, now)
+	b.ahead.asked(now, box)
 	a.LentShare = p.lentShare(b.groupIndex)
 	if units > b.level {
 		a.Wait = p.waitFor(now, b, units)
 		return a, true
 	}
 	if spare := b.level - units - p.capacity(b)/2; spare > 0 {
-		units += min(spare, max(0, ahead))
+		extra := min(spare, max(0, ahead))
+		b.ahead.add(now, box, extra)
+		units += extra
 	}
 	b.level -= units
 	a.Granted = units
@@ -282,12 +287,13 @@
 
 // refill adds the units to a bucket that have accrued since its last refill. p.mu must be held.
 func (p *Pool) refill(b *bucket, now time.Time) {
+	b.ahead.expire(now)
 	burst, rate := p.currentBurstAndRate(b)
 	if elapsed := now.Sub(b.updatedAt).Seconds(); elapsed > 0 {
 		b.level += elapsed * rate
 		b.updatedAt = now
 	}
-	b.level = min(b.level, burst)
+	b.level = min(b.level, max(0, burst-b.ahead.sum))
 }
 
 // refillGroup refills the buckets of a group. It must be called before the capacity or rate of the buckets changes.
--- a/internal/quota/pool_test.go
+++ b/internal/quota/pool_test.go
@@ -31,12 +31,12 @@
 	p.SetPlace(now, GroupOf("a"), Place{Boxes: 1})
 	p.Lend(now, "box", []int{GroupOf("a")}, false, time.Second)
 	p.SetLimits(now, limits)
-	if a, _ := p.Grant(now, "a", 1, 0); a.Granted != 0 {
+	if a, _ := p.Grant(now, "", "a", 1, 0); a.Granted != 0 {
 		t.Errorf("expected an empty bucket after a start, got %g units", a.Granted)
 	}
 	p.SetLimits(now, nil)
 	p.SetLimits(now, limits)
-	if a, _ := p.Grant(now, "a", 100, 0); a.Granted != 100 {
+	if a, _ := p.Grant(now, "", "a", 100, 0); a.Granted != 100 {
 		t.Errorf("expected the burst of 100 after the limits were set again, got %g", a.Granted)
 	}
 }
@@ -46,7 +46,7 @@
 	now := time.Now()
 	p := poolWithShares(now, 1, 1, map[string]Limit{"free": {}, "other": {Burst: 10}})
 	for _, account := range []string{"free", "other"} {
-		if a, known := p.Grant(now, account, 1e6, 0); !known || a.Granted != 1e6 || a.Uncertain(1e6) {
+		if a, known := p.Grant(now, "", account, 1e6, 0); !known || a.Granted != 1e6 || a.Uncertain(1e6) {
 			t.Errorf("expected all units for the account %q, got %+v, known %t", account, a, known)
 		}
 	}
@@ -54,10 +54,10 @@
 		t.Errorf("expected no limits and no account near one, got %v", p.LowAccounts(now, 2))
 	}
 	p.SetLimits(now, map[string]Limit{"free": {Rate: 1, Burst: 10}})
-	if a, _ := p.Grant(now, "free", 11, 0); a.Granted != 0 {
+	if a, _ := p.Grant(now, "", "free", 11, 0); a.Granted != 0 {
 		t.Errorf("expected a limit of 10 at once after it was set, got %g", a.Granted)
 	}
-	if a, _ := p.Grant(now, "free", 10, 0); a.Granted != 10 {
+	if a, _ := p.Grant(now, "", "free", 10, 0); a.Granted != 10 {
 		t.Errorf("expected a full bucket of a new limit, got %g", a.Granted)
 	}
 }
@@ -70,7 +70,7 @@
 	p.SetBounds(now, Bounds{Overage: 0.1, Slack: 20})
 	granted := 0.0
 	for end := now.Add(900 * time.Millisecond); now.Before(end); now = now.Add(time.Millisecond) {
-		if a, _ := p.Grant(now, "a", 1, 0); a.Granted > 0 {
+		if a, _ := p.Grant(now, "", "a", 1, 0); a.Granted > 0 {
 			granted += a.Granted
 		}
 	}
@@ -90,14 +90,14 @@
 	p.Lend(now, "self", []int{g}, false, MaxLoan)
 	now = now.Add(5 * time.Second)
 	for { // Empties the bucket.
-		if a, _ := p.Grant(now, "a", 10, 0); a.Granted == 0 {
+		if a, _ := p.Grant(now, "", "a", 10, 0); a.Granted == 0 {
 			break
 		}
 	}
 	type retry struct{ at time.Time }
 	var due []retry
 	for range 20 {
-		a, _ := p.Grant(now, "a", 50, 0)
+		a, _ := p.Grant(now, "", "a", 50, 0)
 		if a.Granted > 0 {
 			t.Fatal("expected a refusal")
 		}
@@ -106,7 +106,7 @@
 	slices.SortFunc(due, func(a, b retry) int { return a.at.Compare(b.at) })
 	again := 0
 	for _, r := range due {
-		if a, _ := p.Grant(r.at, "a", 50, 0); a.Granted == 0 {
+		if a, _ := p.Grant(r.at, "", "a", 50, 0); a.Granted == 0 {
 			again++
 		}
 	}
--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -30,6 +30,8 @@
 	LentShare float64
 	// Owner is the owner that decided. It is empty if this box decided itself or had enough cached units.
 	Owner string
+	// RefundUntil is until when the units can be given back and used by other requests of this box.
+	RefundUntil time.Time
 }
 
 const (
@@ -74,23 +76,25 @@
 // cache. If the owner refuses, the cached units go back into the cache and the request is not within the limit. The same
 // holds for units of a part of the request.
 func (p *GrantCache) Take(ctx context.Context, account string, units float64) Verdict {
-	fromCache, ahead := p.takeCached(clock.Now(), account, units)
+	fromCache, until, ahead := p.takeCached(clock.Now(), account, units)
 	if fromCache >= units {
-		return Verdict{OK: true}
+		return Verdict{OK: true, RefundUntil: until}
 	}
 	a, known := p.owners.Allow(ctx, account, units-fromCache, ahead)
 	if a.Granted >= units-fromCache {
-		p.storeGrant(clock.Now(), account, a.Granted-(units-fromCache))
-		return Verdict{OK: true, LentShare: a.LentShare, Owner: a.Owner}
+		now := clock.Now()
+		p.storeGrant(now, account, a.Granted-(units-fromCache))
+		return Verdict{OK: true, LentShare: a.LentShare, Owner: a.Owner, RefundUntil: now.Add(grantTTL)}
 	}
-	p.Refund(account, fromCache+a.Granted)
+	p.Refund(account, fromCache, until)
+	p.Refund(account, a.Granted, clock.Now().Add(grantTTL))
 	return Verdict{Uncertain: a.Wait >= 0 && (!known || a.LentShare < minLentShare), Wait: a.Wait, LentShare: a.LentShare, Owner: a.Owner}
 }
 
-// takeCached removes up to the given units from the cache and counts the request in the averages of the usage. Ahead
-// is how many units to request in advance if the owner must be asked. It is the expected usage within grantTTL. It is
+// takeCached removes up to the given units from the cache and counts the request in the averages of the usage. Until is
+// when the cached units expire. Ahead is how many units to request in advance if the owner must be asked. It is the expected usage within grantTTL. It is
 // 0 if fewer than minPrefetchRequests requests are expected in that time.
-func (p *GrantCache) takeCached(now time.Time, account string, units float64) (fromCache, ahead float64) {
+func (p *GrantCache) takeCached(now time.Time, account string, units float64) (fromCache float64, until time.Time, ahead float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	grant := p.cached[account]
@@ -111,9 +115,9 @@
 		grant.units -= fromCache
 	}
 	if grant.requestsPerSecond*grantTTL.Seconds() < minPrefetchRequests {
-		return fromCache, 0
+		return fromCache, grant.expires, 0
 	}
-	return fromCache, grant.unitsPerSecond * grantTTL.Seconds()
+	return fromCache, grant.expires, grant.unitsPerSecond * grantTTL.Seconds()
 }
 
 // storeGrant replaces the cached units of an account by units that were just granted in advance. It does nothing if
@@ -126,18 +130,18 @@
 	}
 }
 
-// Refund puts the units of a request that was not run back into the cache. If cached units are still valid, the time
-// at which they expire does not change. If they have expired, they are dropped, and the units put back are valid for
-// grantTTL.
-func (p *GrantCache) Refund(account string, units float64) {
+// Refund puts the units of a request that was not run back into the cache, until the given time; see
+// Verdict.RefundUntil. It drops units whose time is over. Their time is not extended: the owner counts the cached units
+// of a box for no longer, and refills its bucket then.
+func (p *GrantCache) Refund(account string, units float64, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	grant := p.cached[account]
-	if grant == nil || units <= 0 {
+	grant, now := p.cached[account], clock.Now()
+	if grant == nil || units <= 0 || !now.Before(until) {
 		return
 	}
-	if now := clock.Now(); !now.Before(grant.expires) {
-		grant.units, grant.expires = 0, now.Add(grantTTL)
+	if !now.Before(grant.expires) {
+		grant.units, grant.expires = 0, until
 	}
 	grant.units += units
 }
--- a/internal/quota/suspended_test.go
+++ b/internal/quota/suspended_test.go
@@ -44,9 +44,9 @@
 	p.SetLimits(clock.Now(), map[string]Limit{"a": {Rate: 100, Burst: 100}})
 	p.SetPlace(clock.Now(), GroupOf("a"), Place{Boxes: 2})
 	p.Lend(clock.Now(), "other", []int{GroupOf("a")}, false, 3*time.Second)
-	before, _ := p.Grant(clock.Now(), "a", 1, 0)
+	before, _ := p.Grant(clock.Now(), "", "a", 1, 0)
 	suspended = 4 * time.Second
-	after, _ := p.Grant(clock.Now(), "a", 1, 0)
+	after, _ := p.Grant(clock.Now(), "", "a", 1, 0)
 	if before.LentShare != 0.5 || after.LentShare != 0 {
 		t.Errorf("expected a lent share of 0.5 before the suspension and 0 after it, got %g, then %g", before.LentShare, after.LentShare)
 	}
--- a/internal/quota/units_test.go
+++ b/internal/quota/units_test.go
@@ -36,7 +36,7 @@
 	used, unused := names[0], names[1]
 	limits := limitsOf(Limit{Rate: 1e-9, Burst: 100}, names...)
 	before, after := poolWithShares(now, 4, 4, limits), poolWithShares(now, 4, 0, limits)
-	before.Grant(now, used, 60, 0)
+	before.Grant(now, "", used, 60, 0)
 	for i := range 4 {
 		box := fmt.Sprint(i)
 		u := before.Lend(now, box, []int{0}, true, 0)
@@ -77,7 +77,7 @@
 		owners[i] = p
 	}
 	const full = 100 + lentOverageShare*1000
-	owners[0].Grant(now, used, 250, 0)
+	owners[0].Grant(now, "", used, 250, 0)
 	for i := range 4 {
 		box := fmt.Sprint(i)
 		u := owners[0].Lend(now, box, []int{0}, true, 0)
@@ -119,7 +119,7 @@
 	for _, notFull := range []int{MaxLevels, MaxLevels + 1} {
 		p := poolWithShares(now, 2, 2, limitsOf(Limit{Rate: 1e-9, Burst: 100}, names...))
 		for i, name := range names[:notFull] {
-			p.Grant(now, name, 1+float64(i)/10, 0)
+			p.Grant(now, "", name, 1+float64(i)/10, 0)
 		}
 		u := p.Lend(now, "0", []int{0}, true, 0)
 		if len(u.Levels) != MaxLevels || u.OthersFull != (notFull <= MaxLevels) {
@@ -207,7 +207,7 @@
 	owners := []*Pool{poolWithShares(now, 2, 1, limits), poolWithShares(now, 2, 0, limits)}
 	owners[1].Lend(now, "1", []int{0}, false, time.Second)
 	owners[1].AddUnits(now, []int{0}, Units{OthersFull: true})
-	ask := func(i int, units, ahead float64) (Answer, bool) { return owners[i].Grant(now, name, units, ahead) }
+	ask := func(i int, units, ahead float64) (Answer, bool) { return owners[i].Grant(now, "", name, units, ahead) }
 	if a, known := AskOwners(2, 80, 0, ask); !known || a.Granted != 80 {
 		t.Errorf("expected 80 units from two owners with 50 each, got %+v", a)
 	}
--- a/internal/relay/accounts.go
+++ b/internal/relay/accounts.go
@@ -74,10 +74,11 @@
 	return float64(a.DefaultTokens)
 }
 
-// Quota enforces the limits of client accounts over all boxes. Take charges units on a limit. Refund gives units back.
+// Quota enforces the limits of client accounts over all boxes. Take charges units on a limit. Refund gives units
+// back, unless the time in Verdict.RefundUntil is over.
 type Quota interface {
 	Take(ctx context.Context, account string, units float64) quota.Verdict
-	Refund(account string, units float64)
+	Refund(account string, units float64, until time.Time)
 }
 
 // KeyPolicy says how keys are checked while the box receives no configurations.
@@ -172,7 +173,7 @@
 	x.r.m.LimitCheckTime.UpdateDuration(began)
 	switch {
 	case v.OK:
-		x.units = units
+		x.units, x.refundUntil = units, v.RefundUntil
 		return outcome.Outcome{}, true
 	case v.Uncertain:
 		return outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.LimitUnknown, RetryAfter: jitter(retryAfter),
@@ -202,7 +203,7 @@
 // refundLimit gives the request's units back to the limit, if no request to an endpoint was built.
 func (x *exchange) refundLimit() {
 	if x.units > 0 && !x.dispatched {
-		x.r.o.Limits.Refund(x.account.Name, x.units)
+		x.r.o.Limits.Refund(x.account.Name, x.units, x.refundUntil)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -380,9 +380,10 @@
 	// region is the region that serves the request.
 	region string
 	// account is the client account of the request; nil if the request has none. units is the number of requests or
-	// tokens that the request was charged on the account's limit.
-	account *Account
-	units   float64
+	// tokens that the request was charged on the account's limit, and refundUntil until when they can be given back.
+	account     *Account
+	units       float64
+	refundUntil time.Time
 	// callers has what was learned of the route's callers; nil if the route is not configured any more. spentBefore is the
 	// time that the caller has spent at least on attempts that were refused; 0 for a first attempt.
 	callers     *retry.CallerTimes
