Read the calls outside once for each decision about slots

Cause: a box's own part of the slots counts the calls that owners granted to it, and other goroutines change that number. The dispatcher found a free slot for a request that waited, read the number again, found none, and dereferenced nil. The request whose call had just ended was answered 502 (internal) although no endpoint had read it, and the waiting one was forgotten until its deadline.

Change: the numbers are read when a decision begins.

--- a/internal/slots/bounds_test.go
+++ b/internal/slots/bounds_test.go
@@ -120,3 +120,21 @@
 		t.Errorf("expected the request that waits to get the slot once the calls outside have ended, got %v", got)
 	}
 }
+
+// Guards against a decision that reads the calls outside twice: other goroutines change their number meanwhile. A box found
+// a free slot for a request that waited, found none when it granted the slot, and panicked.
+func TestCallsOutsideChangeDuringDecision(t *testing.T) {
+	for reads := range 12 {
+		left := 1 << 20 // How often no calls outside are reported.
+		d := NewDispatcher(Options{Outside: func(string) int {
+			left--
+			return max(0, -left) * 100
+		}})
+		d.SetEndpoints(epoch, []Endpoint{{ID: "e", Slots: 2, Usable: true}})
+		for _, id := range []string{"1", "2", "3", "4"} {
+			d.Acquire(epoch, request(id))
+		}
+		left = reads
+		d.Release(epoch.Add(30*time.Millisecond), "1", Result{Outcome: Answered})
+	}
+}
--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -259,7 +259,15 @@
 }
 
 // free reports whether an endpoint has a free slot.
-func (d *Dispatcher) free(e *endpoint) bool { return e.inUse+d.outside(e.ID) < e.limit }
+func (d *Dispatcher) free(e *endpoint) bool { return e.inUse+e.outside < e.limit }
+
+// countOutside reads the calls outside. Their number changes at any time, so each decision uses the values that were read
+// before it.
+func (d *Dispatcher) countOutside() {
+	for _, e := range d.list {
+		e.outside = d.outside(e.ID)
+	}
+}
 
 func (d *Dispatcher) extra(r *Request, e *endpoint) time.Duration {
 	if r.Hall == e.Hall || r.Hall == "" || e.Hall == "" {
--- a/internal/slots/endpoint.go
+++ b/internal/slots/endpoint.go
@@ -57,6 +57,7 @@
 	// limit is the number of grants that may be in use, between 1 and maxLimit.
 	limit, maxLimit int
 	inUse           int
+	outside         int       // The calls that this Dispatcher has not granted; see Options.Outside.
 	answers         int       // The answers since the limit last changed.
 	nextCut         time.Time // Rejections before this time don't cut the limit again.
 
--- a/internal/slots/step.go
+++ b/internal/slots/step.go
@@ -89,6 +89,7 @@
 		return
 	}
 	d.current, d.advancedTo = true, now
+	d.countOutside()
 	d.noteBusy(now)
 	for len(d.expiring) > 0 && !d.expiring[0].expires.After(now) {
 		g := d.expiring.pop()
