Count the calls of the own part against what a box grants as owner

Change: the calls of the own part are calls outside for the cells that the box owns, as the calls by owners are for the own part.

Result: TestOwnerCountsItsOwnPart gets a slot at once on the code before, and waits for the end of a call now.

--- a/internal/relay/cells.go
+++ b/internal/relay/cells.go
@@ -89,14 +89,13 @@
 	return e, e.open() && !f.isCold(now, &e.Endpoint)
 }
 
-// ownerGrants counts the calls of this box with slots that owners of cells granted. They count against this box's own
-// part: without that, a box whose owner was late sent as many calls again as it had in progress.
-type ownerGrants struct {
+// endpointCalls counts calls of this box by endpoint.
+type endpointCalls struct {
 	mu         sync.Mutex
 	byEndpoint map[string]int
 }
 
-func (g *ownerGrants) add(endpoint string, n int) {
+func (g *endpointCalls) add(endpoint string, n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.byEndpoint == nil {
@@ -107,7 +106,7 @@
 	}
 }
 
-func (g *ownerGrants) count(endpoint string) int {
+func (g *endpointCalls) count(endpoint string) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.byEndpoint[endpoint]
--- a/internal/relay/contention_test.go
+++ b/internal/relay/contention_test.go
@@ -298,3 +298,42 @@
 		t.Errorf("expected no calls with slots of an owner, got %v", r.ownerGrants.byEndpoint)
 	}
 }
+
+// Guards against a box that becomes the owner of a cell and grants all slots while calls of its own part are in progress.
+func TestOwnerCountsItsOwnPart(t *testing.T) {
+	peers := &ownerOf{silent: true}
+	r := cellRelay(1)
+	r.o.Peers = peers
+	cell := slots.Cell{Service: "s-0", Region: "r"}
+	r.SetEndpoints([]Endpoint{{ID: "e", Service: "s-0", Hall: "h", Slots: 6}})
+	request := func(id string) slots.Request {
+		return slots.Request{ID: id, Box: "a", OnTime: time.Second, Left: time.Second}
+	}
+	var ends []func(slots.Result)
+	for i := range 3 {
+		d, owner, _, end := r.requestSlot(context.Background(), cell, func() slots.Request { return request(fmt.Sprint("part-", i)) })
+		if d.State != slots.Granted || owner != "" {
+			t.Fatalf("expected a slot of the own part, got %+v of %q", d, owner)
+		}
+		ends = append(ends, end)
+	}
+	granted := make(chan slots.Decision, 1)
+	go func() {
+		d, _ := r.SlotServer().Acquire(context.Background(), cell, request("owned"), nil)
+		granted <- d
+	}()
+	select {
+	case d := <-granted:
+		t.Fatalf("expected no slot beside three calls, of a limit that begins at three, got %+v", d)
+	case <-time.After(50 * time.Millisecond):
+	}
+	for _, end := range ends {
+		end(slots.Result{Outcome: slots.Unused})
+	}
+	if d := <-granted; d.State != slots.Granted {
+		t.Errorf("expected a slot once the calls have ended, got %+v", d)
+	}
+	if len(r.partGrants.byEndpoint) != 0 {
+		t.Errorf("expected no calls of the own part, got %v", r.partGrants.byEndpoint)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -114,7 +114,10 @@
 	// ownedCells grants the slots of the cells that this box owns. partCells grants this box its own part of the slots of
 	// a cell whose owner does not answer.
 	ownedCells, partCells *slotCells
-	ownerGrants           ownerGrants
+	// ownerGrants counts the calls of this box with slots that owners of cells granted, partGrants those by its own part.
+	// The first count against its own part: without that, a box whose owner was late sent as many calls again as it had in
+	// progress. The second count against what it grants as owner.
+	ownerGrants, partGrants endpointCalls
 	// slotIDs is the prefix of the IDs of this box's requests for slots, and lastSlotID the number in the latest ID.
 	slotIDs    string
 	lastSlotID atomic.Uint64
@@ -172,7 +175,7 @@
 	}
 	r.contentions.enabled = o.SharedSlots
 	r.slotIDs = o.Box + "-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"
-	r.ownedCells = &slotCells{r: r, part: r.ownerPart, cells: map[slots.Cell]*slotCell{}}
+	r.ownedCells = &slotCells{r: r, part: r.ownerPart, outside: r.partGrants.count, cells: map[slots.Cell]*slotCell{}}
 	r.partCells = &slotCells{r: r, part: r.slotPart, outside: r.ownerGrants.count, cells: map[slots.Cell]*slotCell{}}
 	r.notices = notice.NewTable(o.Box, r.boxes)
 	r.plain.notices = r.notices
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -222,7 +222,15 @@
 	}
 	q := request()
 	d, _ = r.partCells.Acquire(ctx, cell, q, nil)
-	return d, "", telemetry.SlotByPart, func(res slots.Result) { r.partCells.Release(cell, q.ID, res) }
+	if d.State != slots.Granted {
+		return d, "", telemetry.SlotByPart, nil
+	}
+	r.partGrants.add(d.Endpoint, 1)
+	return d, "", telemetry.SlotByPart, func(res slots.Result) {
+		r.partGrants.add(d.Endpoint, -1)
+		r.partCells.Release(cell, q.ID, res)
+		r.ownedCells.Release(cell, "", slots.Result{}) // A request may wait for a slot that this box grants as owner.
+	}
 }
 
 // requestOwnersSlot asks the owner of a cell for a slot. owner is empty if no owner answered. Without other boxes this
