Keep a stream where it is while its engine asks for a pause

Cause: a stream was stopped to be moved off a leaving engine that had asked for a pause.

Change: a stream is not migrated while its engine asks for a pause, as nothing else is sent to it then.

Result: TestNoMigrationDuringPause fails on the code before.

--- a/internal/decide/migrate.go
+++ b/internal/decide/migrate.go
@@ -86,8 +86,12 @@
 // shouldMigrate reports whether a stream should be migrated. There are two reasons: the stream's engine leaves, or the
 // engine will run out of memory and would then preempt this stream, its newest. A stream that is nearly done is not
 // migrated. Streams on an evacuated engine that keeps running are not migrated either. If such a migration were
-// aborted, the stream would have to continue in the hall that is being evacuated.
+// aborted, the stream would have to continue in the hall that is being evacuated. A stream stays while its engine asks for
+// a pause: if the migration were aborted, the engine could turn away the call by which the stream goes on there.
 func (c *Core) shouldMigrate(p *pool, f *flight) bool {
+	if c.isPaused(f.decode) {
+		return false
+	}
 	if f.decode.Evacuated && !f.decode.Leaving {
 		return false
 	}
--- a/internal/decide/migrate_test.go
+++ b/internal/decide/migrate_test.go
@@ -207,6 +207,20 @@
 	}
 }
 
+// Guards against a stream that is stopped for a migration, is not taken by the target, and is then turned away by its own
+// engine, which had asked for a pause.
+func TestNoMigrationDuringPause(t *testing.T) {
+	s := newMigrateFixture(t)
+	s.c.SetNotices(&fakeNotices{map[string]time.Time{"b": s.now.Add(time.Second)}, map[string]int{}})
+	s.report(0, 0)
+	s.updateFleet("b")
+	s.advance(900 * time.Millisecond)
+	s.expectMigrations("while b leaves and asks for a pause", 0)
+	s.report(0, 0)
+	s.advance(200 * time.Millisecond)
+	s.expectMigrations("after the pause", 1)
+}
+
 // retriesLeft is how many retries the core's budget has left.
 func (s *migrateFixture) retriesLeft() (n int) {
 	for s.c.budget.Has(s.now, n+1) {
