Don't send a call whose slot may be granted again soon

Change: a call that is not sent 75 ms after its slot was granted returns the slot unused and asks for another one; the endpoint may get the call then.

Result: TestNoCallWithExpiredSlot.

--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -141,7 +141,7 @@
 		p.tried[e.ID] = true
 		e.snapshot.ListAge = x.r.listAge()
 		x.trace.Step(record.Step{Kind: record.StepEndpoint, Decode: e.ID, EndpointState: &e.snapshot})
-		a := x.callPlain(ctx, e)
+		a := x.callPlain(ctx, e, g)
 		result := slots.Result{Outcome: x.slotOutcome(ctx, &a), Took: a.took}
 		if a.resp == nil || a.whole {
 			g.release(result)
@@ -149,6 +149,9 @@
 			defer g.release(result) // The endpoint still sends its answer.
 		}
 		x.observeContention(&a)
+		if a.slotExpired {
+			delete(p.tried, e.ID) // With another slot, the endpoint may get the call.
+		}
 		if a.reason != outcome.OK {
 			x.trace.Step(record.Step{Kind: record.StepFailed, Decode: e.ID, Reason: a.reason})
 		}
@@ -254,6 +257,8 @@
 	connsBusy bool
 	// notAllowed is set if the endpoint began to leave, or its hall was evacuated, while the call waited for a connection.
 	notAllowed bool
+	// slotExpired is set if the connection took so long that the owner may soon grant the call's slot to another one.
+	slotExpired bool
 	reset      bool          // The endpoint reset a new connection before it sent the header of an answer.
 	took       time.Duration // How long the call took, with connecting and waiting for a connection.
 	// lostAfter is the time from when the request was sent until the call failed without an answer.
@@ -273,11 +278,11 @@
 
 // callPlain sends the request to an endpoint and checks the answer. It rejects an answer that lacks the endpoint's
 // signature, is cut short, or has an encoded body.
-func (x *exchange) callPlain(ctx context.Context, e *chosenEndpoint) (a plainAnswer) {
+func (x *exchange) callPlain(ctx context.Context, e *chosenEndpoint, g *slotGrant) (a plainAnswer) {
 	start := clock.Now()
 	defer func() {
 		a.took = clock.Since(start)
-		if a.full || a.reset && !a.sent || a.connsBusy || a.notAllowed || a.pathBroke {
+		if a.full || a.reset && !a.sent || a.connsBusy || a.notAllowed || a.slotExpired || a.pathBroke {
 			x.r.plain.release(e) // The endpoint did not fail.
 			return
 		}
@@ -288,14 +293,15 @@
 	q.MaxConns, q.ConfirmOpen, q.Probe = x.r.maxConns(x.service, x.region), x.contended(), !x.route.repeats()
 	q.StillAllowed = func() bool {
 		q.Header = x.request(e.Address, run).Header // Less time is left than before the wait.
-		return x.r.fleet.isOpen(e.ID)
+		a.slotExpired = g.isExpired(clock.Now())
+		return !a.slotExpired && x.r.fleet.isOpen(e.ID)
 	}
 	resp, err := x.r.callerPool.Do(ctx, q)
 	x.recordVia(e.ID, q)
 	if err != nil {
 		a.pathBroke = x.r.pathBroke(e.Address, q.Via, err)
 		a.reset, a.connsBusy = wasReset(err), errors.Is(err, h1.ErrConnsBusy)
-		a.notAllowed = errors.Is(err, h1.ErrNotAllowed)
+		a.notAllowed = errors.Is(err, h1.ErrNotAllowed) && !a.slotExpired
 		var failed *h1.Error
 		sent := !errors.As(err, &failed) || failed.Sent
 		if failed != nil && failed.Sent {
--- a/internal/relay/plain_wait_test.go
+++ b/internal/relay/plain_wait_test.go
@@ -39,7 +39,7 @@
 			defer cancel()
 			x := &exchange{r: r, req: httptest.NewRequest(http.MethodGet, "/", nil), service: service, region: "r", route: &Route{}, deadline: clock.Now().Add(20 * time.Second)}
 			e, _ := r.plain.choose("s-0", "r", clock.Now(), nil)
-			a := x.callPlain(ctx, e)
+			a := x.callPlain(ctx, e, nil)
 			return a, x.slotOutcome(ctx, &a)
 		}
 		var wg sync.WaitGroup
@@ -99,7 +99,7 @@
 		wg.Go(func() {
 			x := &exchange{r: r, req: httptest.NewRequest(http.MethodGet, "/", nil), service: &Service{Name: "s-0", MaxConnections: minConnections}, region: "r", route: &Route{}, deadline: deadline}
 			e, _ := r.plain.choose("s-0", "r", clock.Now(), nil)
-			if a := x.callPlain(context.Background(), e); !a.good {
+			if a := x.callPlain(context.Background(), e, nil); !a.good {
 				t.Errorf("expected an answer, got %+v", a)
 			}
 		})
@@ -109,3 +109,29 @@
 		t.Errorf("expected %d calls, the last one with at most %v left, got %d and %v", minConnections+1, 20*time.Second-wait, arrived, last)
 	}
 }
+
+// Guards against a call that is sent so long after its slot was granted that the owner has given the slot to another one:
+// connecting took 250 ms, since the box's own path to the endpoint was lost. It must not count as a failure.
+func TestNoCallWithExpiredSlot(t *testing.T) {
+	var arrived atomic.Int32
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived.Add(1) }))
+	defer srv.Close()
+	r := cellRelay(1)
+	r.protocol = timeProtocol{}
+	r.SetEndpoints([]Endpoint{{ID: "e", Service: "s-0", Hall: "h", Address: srv.Listener.Addr().String()}})
+	call := func(g *slotGrant) (plainAnswer, slots.Outcome) {
+		x := &exchange{r: r, req: httptest.NewRequest(http.MethodGet, "/", nil), service: &Service{Name: "s-0"}, region: "r", route: &Route{}, deadline: clock.Now().Add(20 * time.Second)}
+		e, _ := r.plain.choose("s-0", "r", clock.Now(), nil)
+		a := x.callPlain(context.Background(), e, g)
+		return a, x.slotOutcome(context.Background(), &a)
+	}
+	if a, o := call(&slotGrant{r: r, sendBy: clock.Now()}); !a.slotExpired || a.sent || a.ran || o != slots.Unused || arrived.Load() != 0 {
+		t.Errorf("expected a call that was not sent and an unused slot, got %+v, outcome %d, %d calls", a, o, arrived.Load())
+	}
+	if a, o := call(&slotGrant{r: r, sendBy: clock.Now().Add(20 * time.Second)}); !a.good || o != slots.Answered || arrived.Load() != 1 {
+		t.Errorf("expected an answer, got %+v, outcome %d, %d calls", a, o, arrived.Load())
+	}
+	if failures := r.plain.service("s-0").byID["e"].failures; failures != 0 {
+		t.Errorf("expected no failure, got %v", failures)
+	}
+}
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -29,6 +29,9 @@
 	// are not listed yet.
 	minConnections    = 2
 	usableConnections = 0.9
+	// maxUnsentGrant is how long a call with a granted slot may wait for its connection. The owner gives the slot to
+	// another call once it is overdue, so the call must be sent and answered before.
+	maxUnsentGrant = slots.MinOverdue / 2
 )
 
 // slotGrant is a granted slot. A nil slotGrant stands for a call without one.
@@ -36,8 +39,13 @@
 	r        *Relay
 	end      func(slots.Result)
 	released bool
+	// sendBy is until when the call may be sent; see maxUnsentGrant.
+	sendBy time.Time
 }
 
+// isExpired reports whether it is too late to send the call.
+func (g *slotGrant) isExpired(now time.Time) bool { return g != nil && !now.Before(g.sendBy) }
+
 // release ends the grant. Only the first call has an effect.
 func (g *slotGrant) release(res slots.Result) {
 	if g == nil || g.released {
@@ -190,7 +198,7 @@
 	x.trace.Step(s)
 	r.m.SlotsGranted[by].Inc()
 	r.m.SlotsInUse.Inc()
-	return d, &slotGrant{r: r, end: end}
+	return d, &slotGrant{r: r, end: end, sendBy: clock.Now().Add(maxUnsentGrant)}
 }
 
 // slotRequest describes the request to the owner of a cell.
@@ -287,7 +295,7 @@
 	case a.reset && (!a.sent || a.lostAfter < immediateLossLimit):
 		// A connection that is lost later was probably lost while the request ran.
 		return slots.Reset
-	case errors.Is(ctx.Err(), context.Canceled), a.connsBusy, a.notAllowed, a.pathBroke:
+	case errors.Is(ctx.Err(), context.Canceled), a.connsBusy, a.notAllowed, a.slotExpired, a.pathBroke:
 		return slots.Unused
 	case a.good:
 		return slots.Answered
--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -17,9 +17,10 @@
 	grantGrace = 200 * time.Millisecond
 	// A grant counts as in use for at most overdueFactor mean service times. An endpoint that lost an answer, or runs the
 	// call no more, would otherwise hold a slot until the caller gives up: with one lost answer in 200 calls and callers
-	// that wait 1.1 s, a quarter of the slots was held for nothing. minOverdue leaves room for the first estimates.
+	// that wait 1.1 s, a quarter of the slots was held for nothing. MinOverdue is the least such time, and leaves room for
+	// the first estimates.
 	overdueFactor = 6
-	minOverdue    = 150 * time.Millisecond
+	MinOverdue    = 150 * time.Millisecond
 	// maxOverdue bounds the grants that are overdue. Beyond it, a grant is forgotten when it becomes overdue, and its result
 	// is not counted. Otherwise the number of grants would depend on how long the boxes say that callers wait.
 	maxOverdue = 4096
@@ -245,7 +246,7 @@
 func (d *Dispatcher) grant(now time.Time, w *waiter, e *endpoint) Decision {
 	g := &grant{id: w.ID, account: w.Account, endpoint: e, at: now, extra: d.extra(&w.Request, e)}
 	g.ends = w.arrived.Add(w.Left + grantGrace)
-	g.expires = now.Add(max(minOverdue, seconds(overdueFactor*e.slow)) + g.extra)
+	g.expires = now.Add(max(MinOverdue, seconds(overdueFactor*e.slow)) + g.extra)
 	if g.ends.Before(g.expires) {
 		g.expires = g.ends
 	}
