Let a new owner of slots grant half until the others have asked it

Cause: a box that restarted within 5 s of the others' start heard the list 8.6 s later.

Change: a box that has just heard the list grants half for 250 ms, in which the others ask it again.

The late confirmation of the list itself is unchanged.

--- a/internal/overlay/slots.go
+++ b/internal/overlay/slots.go
@@ -95,10 +95,11 @@
 	owners slotOwnerStates
 	// granted has the boxes that granted slots to this box, reported those that granted slots to boxes that ask this box.
 	granted, reported slotGrantors
-	listHeard         atomic.Bool
-	releases          releaseQueues
-	peers             slotPeers
-	withdrawn         withdrawnSlots
+	// heardAt is when this box had heard the list of boxes; nil before. See mayOwnSlots.
+	heardAt   atomic.Pointer[time.Time]
+	releases  releaseQueues
+	peers     slotPeers
+	withdrawn withdrawnSlots
 	// serving limits the requests of other boxes that are served at the same time to maxSlotCalls.
 	serving chan struct{}
 }
--- a/internal/overlay/slots_owners_test.go
+++ b/internal/overlay/slots_owners_test.go
@@ -160,6 +160,24 @@
 	}
 }
 
+// Guards against two boxes that grant all slots: one has just heard the list and is the first owner, and others still ask
+// the next one.
+func TestNewOwnerGrantsHalfAtFirst(t *testing.T) {
+	self := Member{Name: "a", Region: "r", Hall: "h", Address: "10.0.0.1:1", Incarnation: int64(time.Hour)}
+	n := New(Options{Self: self, Metrics: metrics.NewSet(), Tables: map[string]Table{"members": lostTable{}}, MembersAge: func() time.Duration { return 0 }})
+	n.startedAt = time.Now().Add(-time.Minute)
+	n.SetMembers(map[string][]byte{"a": self.encode()})
+	cell := slots.Cell{Service: "s", Region: "r"}
+	if got := n.SlotOwnerPart(cell); got != notFirstPart {
+		t.Errorf("expected the part %g at first, got %g", notFirstPart, got)
+	}
+	earlier := time.Now().Add(-slotRetryInterval)
+	n.slots.heardAt.Store(&earlier)
+	if got := n.SlotOwnerPart(cell); got != 1 {
+		t.Errorf("expected all slots after %s, got %g", slotRetryInterval, got)
+	}
+}
+
 // lostTable is a table that the store does not confirm.
 type lostTable struct{ Table }
 
@@ -179,7 +197,8 @@
 	if got := d.SlotOwner(cell); got != "" {
 		t.Errorf("expected no owner to be displayed, got %q", got)
 	}
-	d.slots.listHeard.Store(true)
+	now := time.Now()
+	d.slots.heardAt.Store(&now)
 	began := time.Now()
 	eventually(t, "the first owner is asked again", func() bool {
 		r := slotRequest()
