--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -259,8 +259,8 @@
 	notAllowed bool
 	// slotExpired is set if the connection took so long that the owner may soon grant the call's slot to another one.
 	slotExpired bool
-	reset      bool          // The endpoint reset a new connection before it sent the header of an answer.
-	took       time.Duration // How long the call took, with connecting and waiting for a connection.
+	reset       bool          // The endpoint reset a new connection before it sent the header of an answer.
+	took        time.Duration // How long the call took, with connecting and waiting for a connection.
 	// lostAfter is the time from when the request was sent until the call failed without an answer.
 	lostAfter time.Duration
 	// pathBroke is set if the failure says nothing about the endpoint, because this box's path to it failed.
