--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -92,8 +92,8 @@
 }
 
 // takeCached removes up to the given units from the cache and counts the request in the averages of the usage. Until is
-// when the cached units expire. Ahead is how many units to request in advance if the owner must be asked. It is the expected usage within grantTTL. It is
-// 0 if fewer than minPrefetchRequests requests are expected in that time.
+// when the cached units expire. Ahead is how many units to request in advance if the owner must be asked: the expected
+// usage within grantTTL. It is 0 if fewer than minPrefetchRequests requests are expected in that time.
 func (p *GrantCache) takeCached(now time.Time, account string, units float64) (fromCache float64, until time.Time, ahead float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
