Queue origins and releases of slots by one type

Cause: the origins that wait for a box and the releases that wait for an owner were queued by the same code twice: a bounded list by destination, the oldest dropped, one goroutine that sends in batches.

Change: sendQueues holds both. A test of releases names the bound that it passes.

--- a/internal/overlay/origins.go
+++ b/internal/overlay/origins.go
@@ -48,14 +48,9 @@
 
 // originState is the overlay's part of the directory of origins.
 type originState struct {
-	directory origins.Directory
-
-	mu sync.Mutex
-	// pending has the origins that wait to be sent to a box, by its name. An element exists for as long as a goroutine sends
-	// them.
-	pending map[string][]pendingOrigin
-
-	count originCounters
+	directory                         origins.Directory
+	sendQueues[string, pendingOrigin] // By the name of the box.
+	count                             originCounters
 }
 
 type originCounters struct{ stored, lost, foundHere, foundElsewhere, unknown, unanswered *metrics.Counter }
@@ -95,41 +90,18 @@
 
 // sendOrigin queues an origin for a box.
 func (n *Node) sendOrigin(m Member, p pendingOrigin) {
-	s := &n.origins
-	s.mu.Lock()
-	if s.pending == nil {
-		s.pending = map[string][]pendingOrigin{}
-	}
-	list, sending := s.pending[m.Name]
-	if len(list) >= maxPendingOrigins {
-		list = list[1:]
-		s.count.lost.Inc()
-	}
-	s.pending[m.Name] = append(list, p)
-	s.mu.Unlock()
-	if !sending {
+	dropped, start := n.origins.add(m.Name, p, maxPendingOrigins)
+	n.origins.count.lost.Add(dropped)
+	if start {
 		go n.sendOrigins(m)
 	}
 }
 
-// takeOrigins removes the origins of the next call to a box. If there are none, it removes the box's element.
-func (s *originState) takeOrigins(name string) []pendingOrigin {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := s.pending[name]
-	if len(list) == 0 {
-		delete(s.pending, name)
-		return nil
-	}
-	k := min(len(list), maxOriginsPerCall)
-	s.pending[name] = slices.Clone(list[k:])
-	return list[:k]
-}
-
 // sendOrigins sends the origins that wait for a box until none are left. Those that the box does not take go to the box that
 // is originHolders further in the order, so that no box gets an origin twice.
 func (n *Node) sendOrigins(m Member) {
-	for list := n.origins.takeOrigins(m.Name); list != nil; list = n.origins.takeOrigins(m.Name) {
+	take := func() []pendingOrigin { return n.origins.take(m.Name, maxOriginsPerCall) }
+	for list := take(); list != nil; list = take() {
 		if n.storeOrigins(context.Background(), m, list) == nil {
 			n.origins.count.stored.Add(len(list))
 			continue
@@ -289,7 +261,7 @@
 	return connect.NewResponse(&v1.StoreOriginsResponse{}), nil
 }
 
-// FindOrigin tells another box what this box knows of the beginning of a stream.
+// FindOrigin answers another box with what this box knows of the beginning of a stream.
 func (s *server) FindOrigin(_ context.Context, r *connect.Request[v1.FindOriginRequest]) (*connect.Response[v1.FindOriginResponse], error) {
 	if err := s.n.authenticate(r.Header()); err != nil {
 		return nil, err
--- a/internal/overlay/slots_message_test.go
+++ b/internal/overlay/slots_message_test.go
@@ -103,7 +103,7 @@
 	var q releaseQueues
 	dropped := 0
 	for range maxPendingReleases + 7 {
-		n, _ := q.add(releaseKey{}, &v1.SlotRelease{})
+		n, _ := q.add(releaseKey{}, &v1.SlotRelease{}, maxPendingReleases)
 		dropped += n
 	}
 	if got := len(q.pending[releaseKey{}]); got != maxPendingReleases || dropped != 7 {
--- a/internal/overlay/slots_release.go
+++ b/internal/overlay/slots_release.go
@@ -24,7 +24,7 @@
 		return
 	}
 	key := releaseKey{owner, cell}
-	dropped, start := n.slots.releases.add(key, encodeRelease(id, res))
+	dropped, start := n.slots.releases.add(key, encodeRelease(id, res), maxPendingReleases)
 	n.count.slotReleasesLost.Add(dropped)
 	if start {
 		go n.sendReleases(key)
@@ -36,46 +36,13 @@
 	cell  slots.Cell
 }
 
-// releaseQueues holds the releases that wait to be sent to owners. An element of pending exists for as long as a
-// goroutine sends the releases of this owner and cell.
-type releaseQueues struct {
-	mu      sync.Mutex
-	pending map[releaseKey][]*v1.SlotRelease
-}
-
-// add queues a release. Dropped is how many of the oldest releases were dropped for it. Start means that the caller must
-// start sendReleases.
-func (q *releaseQueues) add(key releaseKey, r *v1.SlotRelease) (dropped int, start bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.pending == nil {
-		q.pending = map[releaseKey][]*v1.SlotRelease{}
-	}
-	list, sending := q.pending[key]
-	if len(list) >= maxPendingReleases {
-		list, dropped = list[1:], 1
-	}
-	q.pending[key] = append(list, r)
-	return dropped, !sending
-}
-
-// take removes the releases of the next call. If there are none, it removes the element of the key.
-func (q *releaseQueues) take(key releaseKey) []*v1.SlotRelease {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	list := q.pending[key]
-	if len(list) == 0 {
-		delete(q.pending, key)
-		return nil
-	}
-	k := min(len(list), maxReleases)
-	q.pending[key] = list[k:]
-	return list[:k]
-}
+// releaseQueues holds the releases that wait to be sent to owners.
+type releaseQueues = sendQueues[releaseKey, *v1.SlotRelease]
 
 // sendReleases sends the releases of one owner and cell until none are left.
 func (n *Node) sendReleases(key releaseKey) {
-	for list := n.slots.releases.take(key); list != nil; list = n.slots.releases.take(key) {
+	take := func() []*v1.SlotRelease { return n.slots.releases.take(key, maxReleases) }
+	for list := take(); list != nil; list = take() {
 		if n.sendReleaseBatch(key, list) {
 			n.count.slotReleaseCalls.Inc()
 		} else {
