--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -210,11 +210,7 @@
 	r.Via = c.via
 	fresh := c.fresh
 	if fresh && r.ConfirmOpen {
-		confirm := c.confirm
-		if r.Probe {
-			confirm = func() error { return c.probe(r.Host) }
-		}
-		if err := confirm(); err != nil {
+		if err := c.checkOpen(r); err != nil {
 			stop()
 			p.discard(c)
 			if ctx.Err() != nil {
@@ -300,6 +296,14 @@
 // errEarlyBytes means that an endpoint sent bytes on a connection before any request.
 var errEarlyBytes = errors.New("the endpoint sent bytes before the request")
 
+// checkOpen returns an error if the endpoint does not keep the new connection; see Request.ConfirmOpen.
+func (c *conn) checkOpen(r *Request) error {
+	if r.Probe {
+		return c.probe(r.Host)
+	}
+	return c.confirm()
+}
+
 // confirm waits for the time that connecting took plus confirmMargin. It returns an error if the endpoint closes or
 // resets the new connection in that time, or sends bytes on it.
 func (c *conn) confirm() error {
--- a/internal/overlay/slots.go
+++ b/internal/overlay/slots.go
@@ -95,11 +95,11 @@
 	owners slotOwnerStates
 	// granted has the boxes that granted slots to this box, reported those that granted slots to boxes that ask this box.
 	granted, reported slotGrantors
-	// heardAt is when this box had heard the list of boxes; nil before. See mayOwnSlots.
-	heardAt   atomic.Pointer[time.Time]
-	releases  releaseQueues
-	peers     slotPeers
-	withdrawn withdrawnSlots
+	// listKnownAt is when this box first had a list of boxes that counts as complete; nil before. See mayOwnSlots.
+	listKnownAt atomic.Pointer[time.Time]
+	releases    releaseQueues
+	peers       slotPeers
+	withdrawn   withdrawnSlots
 	// serving limits the requests of other boxes that are served at the same time to maxSlotCalls.
 	serving chan struct{}
 }
@@ -362,7 +362,8 @@
 	first := true
 	for stream.Receive() {
 		if first {
-			n.slots.owners.answerTook(m, clock.Since(now), clock.Now())
+			answered := clock.Now()
+			n.slots.owners.answerTook(m, answered.Sub(now), answered)
 			first = false
 		}
 		d, ok := decodeDecision(stream.Msg())
--- a/internal/overlay/slots_owners.go
+++ b/internal/overlay/slots_owners.go
@@ -35,7 +35,7 @@
 	// The clocks of boxes agree only roughly.
 	slotUpstreamAge = 5 * time.Second
 	// notFirstPart is the part of the slots that an owner grants that is not the first box in its own rendezvous order, or
-	// has heard the list for less than slotRetryInterval. Another owner may still serve others.
+	// has had a complete list for less than slotRetryInterval. Another owner may still serve others.
 	notFirstPart = 0.5
 )
 
@@ -339,7 +339,7 @@
 	if names, _ := n.Boxes(n.o.Self.Region); len(names) <= 1 && n.knowsOthers() {
 		return false
 	}
-	if n.slots.heardAt.Load() != nil {
+	if n.slots.listKnownAt.Load() != nil {
 		return true
 	}
 	m, listed := n.members.get(n.o.Self.Name)
@@ -353,7 +353,7 @@
 	settled := n.startedAt.Add(slotSettleTime)
 	heard := now.Add(-n.o.MembersAge()).After(settled) || upstream != nil && n.o.Self.Incarnation-upstream.member.Incarnation > int64(slotUpstreamAge)
 	if heard {
-		n.slots.heardAt.CompareAndSwap(nil, &now)
+		n.slots.listKnownAt.CompareAndSwap(nil, &now)
 	}
 	return heard
 }
@@ -377,7 +377,7 @@
 	if ranked := n.slotOwners(cell); len(ranked) > 0 && ranked[0].Name != n.o.Self.Name {
 		return notFirstPart
 	}
-	if at := n.slots.heardAt.Load(); at != nil && clock.Since(*at) < slotRetryInterval {
+	if at := n.slots.listKnownAt.Load(); at != nil && clock.Since(*at) < slotRetryInterval {
 		return notFirstPart
 	}
 	return 1
--- a/internal/overlay/slots_owners_test.go
+++ b/internal/overlay/slots_owners_test.go
@@ -160,7 +160,7 @@
 	}
 }
 
-// Guards against two boxes that grant all slots: one has just heard the list and is the first owner, and others still ask
+// Guards against two boxes that grant all slots: one has just got the list and is the first owner, and others still ask
 // the next one.
 func TestNewOwnerGrantsHalfAtFirst(t *testing.T) {
 	self := Member{Name: "a", Region: "r", Hall: "h", Address: "10.0.0.1:1", Incarnation: int64(time.Hour)}
@@ -172,7 +172,7 @@
 		t.Errorf("expected the part %g at first, got %g", notFirstPart, got)
 	}
 	earlier := time.Now().Add(-slotRetryInterval)
-	n.slots.heardAt.Store(&earlier)
+	n.slots.listKnownAt.Store(&earlier)
 	if got := n.SlotOwnerPart(cell); got != 1 {
 		t.Errorf("expected all slots after %s, got %g", slotRetryInterval, got)
 	}
@@ -198,7 +198,7 @@
 		t.Errorf("expected no owner to be displayed, got %q", got)
 	}
 	now := time.Now()
-	d.slots.heardAt.Store(&now)
+	d.slots.listKnownAt.Store(&now)
 	began := time.Now()
 	eventually(t, "the first owner is asked again", func() bool {
 		r := slotRequest()
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -123,8 +123,8 @@
 	return d.race(ctx, addr, plan)
 }
 
-// DialDirect opens a direct connection to an endpoint and records the result. It goes on when ctx ends, for up to dialTimeout, because
-// its result shows whether the path is lost.
+// DialDirect opens a direct connection to an endpoint and records the result. It goes on when ctx ends, for up to
+// dialTimeout, because its result shows whether the path is lost.
 func (d *Dialer) DialDirect(ctx context.Context, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout)
 	defer cancel()
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -78,8 +78,7 @@
 	// the paths to the others of the group are suspected too.
 	manyLost = 2
 	// probeInterval is the time between two probes of a lost or unreachable address. For an unreachable one it doubles
-	// with each probe in vain, up to maxProbeInterval. At most maxProbes
-	// begin at each call of DueProbes.
+	// with each probe in vain, up to maxProbeInterval. At most maxProbes begin at each call of DueProbes.
 	probeInterval    = 400 * time.Millisecond
 	maxProbeInterval = 8 * probeInterval
 	maxProbes        = 4
--- a/internal/relay/contention.go
+++ b/internal/relay/contention.go
@@ -64,8 +64,8 @@
 	shown                 bool // The metric of the service exists.
 }
 
-// tick tells that this box runs, each second. Time in which it stood still does not end the contention of a service: the
-// box could not hear of it, and the calls that waited meanwhile would all be sent at once.
+// tick records, each second, that this box runs. Time in which it stood still does not end the contention of a service: the
+// box received no messages about it, and the calls that waited meanwhile would all be sent at once.
 func (c *contentions) tick(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -74,10 +74,10 @@
 	// lastReports has, by engine ID, when this box last polled the engine's load or last got it from another box. An
 	// engine whose load is not known yet has an entry with listedOnly.
 	lastReports map[string]lastReport
-	// buildSeenAt has when the builds of each service and region were last on a list, and listedAt when the present list was
-	// set.
+	// buildSeenAt has when the builds of each service and region were last on a list, and listSetAt when the present list
+	// was set.
 	buildSeenAt map[buildKey]time.Time
-	listedAt    time.Time
+	listSetAt   time.Time
 	// rounds counts, for each service, the rounds of load polls (pollSchedule).
 	rounds map[string]roundCount
 }
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -54,7 +54,7 @@
 			delete(f.buildSeenAt, k)
 		}
 	}
-	f.listedAt = now
+	f.listSetAt = now
 }
 
 // severalBuilds reports whether streams of a service may have begun at several builds. known reports whether a build is on
@@ -65,11 +65,11 @@
 	n := 0
 	for k, at := range f.buildSeenAt {
 		// The list is set only when it changes.
-		if k.service != service || k.region != region || at.Before(f.listedAt) && now.Sub(at) > buildRetention {
+		if k.service != service || k.region != region || at.Before(f.listSetAt) && now.Sub(at) > buildRetention {
 			continue
 		}
 		n++
-		known = known || k.build == build && !at.Before(f.listedAt)
+		known = known || k.build == build && !at.Before(f.listSetAt)
 	}
 	return n > 1, known
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -255,12 +255,12 @@
 	full   bool // The endpoint rejected the request because it is full.
 	// connsBusy is set if this box's connections to the endpoint stayed in use until the request's time was over.
 	connsBusy bool
-	// notAllowed is set if the endpoint began to leave, or its hall was evacuated, while the call waited for a connection.
-	notAllowed bool
-	// slotExpired is set if the connection took so long that the owner may soon grant the call's slot to another one.
-	slotExpired bool
-	reset       bool          // The endpoint reset a new connection before it sent the header of an answer.
-	took        time.Duration // How long the call took, with connecting and waiting for a connection.
+	// notAllowed is set if the call must not be sent any more after it waited for a connection: the endpoint began to leave,
+	// its hall was evacuated, or the slot expired. slotExpired is set for the last reason: the owner may soon grant the slot
+	// to another call.
+	notAllowed, slotExpired bool
+	reset                   bool          // The endpoint reset a new connection before it sent the header of an answer.
+	took                    time.Duration // How long the call took, with connecting and waiting for a connection.
 	// lostAfter is the time from when the request was sent until the call failed without an answer.
 	lostAfter time.Duration
 	// pathBroke is set if the failure says nothing about the endpoint, because this box's path to it failed.
@@ -282,7 +282,7 @@
 	start := clock.Now()
 	defer func() {
 		a.took = clock.Since(start)
-		if a.full || a.reset && !a.sent || a.connsBusy || a.notAllowed || a.slotExpired || a.pathBroke {
+		if a.full || a.reset && !a.sent || a.connsBusy || a.notAllowed || a.pathBroke {
 			x.r.plain.release(e) // The endpoint did not fail.
 			return
 		}
@@ -301,7 +301,7 @@
 	if err != nil {
 		a.pathBroke = x.r.pathBroke(e.Address, q.Via, err)
 		a.reset, a.connsBusy = wasReset(err), errors.Is(err, h1.ErrConnsBusy)
-		a.notAllowed = errors.Is(err, h1.ErrNotAllowed) && !a.slotExpired
+		a.notAllowed = errors.Is(err, h1.ErrNotAllowed)
 		var failed *h1.Error
 		sent := !errors.As(err, &failed) || failed.Sent
 		if failed != nil && failed.Sent {
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -295,7 +295,7 @@
 	case a.reset && (!a.sent || a.lostAfter < immediateLossLimit):
 		// A connection that is lost later was probably lost while the request ran.
 		return slots.Reset
-	case errors.Is(ctx.Err(), context.Canceled), a.connsBusy, a.notAllowed, a.slotExpired, a.pathBroke:
+	case errors.Is(ctx.Err(), context.Canceled), a.connsBusy, a.notAllowed, a.pathBroke:
 		return slots.Unused
 	case a.good:
 		return slots.Answered
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -20,8 +20,8 @@
 var errEarlyBytes = errors.New("bytes arrived before the tunnel was used")
 
 // Open opens a tunnel to target (ip:port) through the server at address (ip:port). Key authenticates the caller, and id
-// names the tunnel for Ended; each may be empty. The returned connection is that to the server, so its descriptor shows whether the tunnel is open. An error is
-// an *Error.
+// names the tunnel for Ended; each may be empty. The returned connection is that to the server, so its descriptor shows
+// whether the tunnel is open. An error is an *Error.
 func Open(ctx context.Context, dial DialFunc, address, target, key, id string) (net.Conn, error) {
 	c, err := dial(ctx, "tcp", address)
 	if err != nil {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -82,12 +82,7 @@
 
 func expectOpen(t *testing.T, server, target string) net.Conn {
 	t.Helper()
-	c, err := Open(context.Background(), dialer.DialContext, server, target, "k", "")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	return c
+	return openNamed(t, server, target, "")
 }
 
 func expectCause(t *testing.T, server, target, key string, want Cause) {
