Let a stopped run wait for a retry while its memory is kept

Callers lost a stream amid planned work: the migration took the box's last retry, the engine refused the call by which the stopped run was to go on, and the box, without a retry for another offer, cut the stream off although the engine kept its memory for 0.5 s more.

The run now waits for a retry, checked each 100 ms, until its memory expires: the share of new requests and loans of other boxes come in that time. A reserve of one call for each migration was ruled out: at 986 boxes a box has one free call, and could not migrate at all.

--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -46,6 +46,8 @@
 	resumed, atSource, bound bool
 	// pauseRetries counts the calls made to the source engine after it had asked for a pause in requests.
 	pauseRetries int
+	// refusal is the source engine's refusal of the stopped run while the run waits to be sent again.
+	refusal *callError
 }
 
 // is reports whether an attempt is the attempt that resumes the stream. If there is no migration (m is nil), it is
@@ -78,7 +80,8 @@
 	// stopTimeout is how long the call of a stopped run may take to end, before the box closes its connection.
 	stopTimeout = 250 * time.Millisecond
 	// reofferDelay is the pause before a stopped run is sent again to the engines that store its memory and have
-	// refused the run. The engines may soon accept it: on a busy engine, streams end several times a second.
+	// refused the run, and between two checks for a retry left. The engines may soon accept it: on a busy engine,
+	// streams end several times a second.
 	reofferDelay = 100 * time.Millisecond
 	// maxPauseRetries is how often a stopped run is sent to its source engine although the engine has asked for a pause
 	// in requests. No other engine can resume the run. The engine accepted the stream's request before it asked for
@@ -164,6 +167,8 @@
 		}
 	case ev.unanswered:
 		f.resumeElsewhere()
+	case ev.reoffer:
+		f.reoffer()
 	case ev.err != nil && m.is(ev.attempt):
 		f.handleResumeFailure(*ev.err)
 	case ev.err != nil:
@@ -266,7 +271,7 @@
 		return
 	}
 	m.resumed = true
-	f.callResume(f.mustResumeAtSource(), 0)
+	f.callResume(f.mustResumeAtSource())
 }
 
 // mustResumeAtSource reports whether the stream cannot be resumed at the target engine. There are three reasons: the
@@ -276,9 +281,8 @@
 	return quarantined || !f.migration.copied || f.x.r.notices.IsPaused(f.migration.targetEngine, clock.Now())
 }
 
-// callResume has the stream resumed after a delay. If atSource is set, the source engine resumes it, and otherwise the
-// target engine.
-func (f *flight) callResume(atSource bool, delay time.Duration) {
+// callResume has the stream resumed. If atSource is set, the source engine resumes it, and otherwise the target engine.
+func (f *flight) callResume(atSource bool) {
 	m := f.migration
 	m.atSource = atSource
 	engine := m.targetEngine
@@ -294,10 +298,7 @@
 	}
 	a := decide.StartDecode{ID: f.id, Attempt: m.attempt, Decode: engine}
 	run := Run{Instance: engine, Source: m.source, LastEvent: f.lastID}
-	f.calls.Go(func() {
-		sleepCtx(ctx, delay)
-		f.callDecode(ctx, a, run)
-	})
+	f.calls.Go(func() { f.callDecode(ctx, a, run) })
 }
 
 // handleResumeFailure handles the failure of a call that resumes the stream. If the target engine is not known to have
@@ -309,15 +310,22 @@
 	if !m.atSource && (!e.ran || e.connLoss.unanswered) {
 		f.recordFailure(m.attempt, m.targetEngine, &e)
 		f.stopDecode()
-		f.callResume(true, 0)
+		f.callResume(true)
 		return
 	}
 	if m.atSource && e.reason == outcome.EndpointRefused && f.canReoffer() {
 		f.recordFailure(m.attempt, m.sourceEngine, &e)
 		f.stopDecode()
-		f.callResume(f.mustResumeAtSource(), reofferDelay)
+		m.refusal = &e
+		f.awaitReoffer()
 		return
 	}
+	f.failMigration(e)
+}
+
+// failMigration ends a migration whose stream no engine has resumed.
+func (f *flight) failMigration(e callError) {
+	m := f.migration
 	f.x.r.m.AbortedMigrations.Inc()
 	f.x.r.disp.Step(decide.Migrated{ID: f.id, Attempt: m.attempt, Aborted: m.atSource})
 	f.freeMigration()
@@ -325,22 +333,45 @@
 	f.handleFailure(f.decodeAttempt, e)
 }
 
-// canReoffer reports whether a stopped run that the source engine has refused may be sent again. The run's memory must
-// still be stored, and the limits for pauses and retries must allow it. canReoffer uses up the retries that it allows.
+// canReoffer reports whether a stopped run that the source engine has refused may be sent again after reofferDelay. The
+// run's memory must still be stored then, and the limit for pauses must allow it.
 func (f *flight) canReoffer() bool {
 	m, now := f.migration, clock.Now()
 	if f.ctx.Err() != nil || now.Add(reofferDelay).After(m.keptUntil) {
 		return false
 	}
-	if !f.mustResumeAtSource() {
-		return f.x.r.disp.TakeRetries(2) // One retry for the target engine, and one for the source engine after it.
+	return !f.mustResumeAtSource() || !f.x.r.notices.IsPaused(m.sourceEngine, now) || m.pauseRetries < maxPauseRetries
+}
+
+// awaitReoffer sends the loop a reoffer event after reofferDelay.
+func (f *flight) awaitReoffer() {
+	attempt := f.migration.attempt
+	f.calls.Go(func() {
+		sleepCtx(f.ctx, reofferDelay)
+		f.send(flightEvent{attempt: attempt, reoffer: true})
+	})
+}
+
+// reoffer sends a stopped run again to the engines that store its memory. While the box has no retry left, reoffer is
+// repeated until the memory expires: other boxes may lend retries, and used ones stop counting.
+func (f *flight) reoffer() {
+	m := f.migration
+	atSource, retries := f.mustResumeAtSource(), 1
+	if !atSource {
+		retries = 2 // One for the target engine, and one for the source engine after it.
 	}
-	if f.x.r.notices.IsPaused(m.sourceEngine, now) {
-		if m.pauseRetries++; m.pauseRetries > maxPauseRetries {
-			return false
+	switch {
+	case !f.canReoffer():
+		f.failMigration(*m.refusal)
+	case !f.x.r.disp.TakeRetries(retries):
+		m.refusal.detail = "the box had no retry left for another call"
+		f.awaitReoffer()
+	default:
+		if atSource && f.x.r.notices.IsPaused(m.sourceEngine, clock.Now()) {
+			m.pauseRetries++
 		}
+		f.callResume(atSource)
 	}
-	return f.x.r.disp.TakeRetries(1)
 }
 
 // finishMigration ends a migration when the call that resumes the stream has begun to answer. If the source engine
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -103,6 +103,7 @@
 	overdue     bool             // A run was stopped for a migration, but its call has not ended in time.
 	// unanswered is set if the engine did not answer a migration request in time, and the stream's run has ended.
 	unanswered bool
+	reoffer    bool // A stopped run that its engine has refused may be sent again.
 }
 
 // noRoom reports that no memory was reserved. owner is the box that denied the memory, as the owner of the engine.
