Probe each new connection before a call that may run once

Callers got 502 ("may have run") for calls that no endpoint had read: a box that messages of the others did not reach for 2 s did not know that the service was contended, wrote calls to new connections at once, and the endpoint reset those beyond its cap. The state of contention that a box knows is not enough to decide whether a call may be written unconfirmed.

A new connection now answers OPTIONS * before it carries a call that may run once, whether the service is known to be contended or not. That costs a round trip on new connections; open ones are used as before.

--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -290,7 +290,9 @@
 	}()
 	run := Run{Instance: e.ID}
 	q := x.request(e.Address, run)
-	q.MaxConns, q.ConfirmOpen, q.Probe = x.r.maxConns(x.service, x.region), x.contended(), !x.route.repeats()
+	// A box may not know that others fill the endpoint's connections, so a call that may run once always probes.
+	once := !x.route.repeats()
+	q.MaxConns, q.ConfirmOpen, q.Probe = x.r.maxConns(x.service, x.region), once || x.contended(), once
 	q.StillAllowed = func() bool {
 		q.Header = x.request(e.Address, run).Header // Less time is left than before the wait.
 		a.slotExpired = g.isExpired(clock.Now())
