End and repeat requests that hang on a lost path

Callers of a box whose connections to the endpoints hang waited until the operating system gave the connection up (2.5 s), or behind a proxy until their deadline: only new connections took the way through other boxes. A stream that hung in the middle of its answer did not even start the check of its path.

A request without a byte for 500 ms is now ended and sent again if the direct path is known to be lost without an answer, the request may be repeated (plain calls of repeatable routes, prefill calls, streams that can be resumed) and a retry is left. It says nothing about the endpoint: no failure, no crash. Ended are at most eight each 200 ms, so that the retries of the first are counted. Requests that may run once go on as before.

TestEndSilent, TestOpenConnectionsAreLostWhileConnectsStayUnanswered.

--- a/cmd/stoatrampd/paths_test.go
+++ b/cmd/stoatrampd/paths_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/cli"
+	"github.com/stoatramp/stoatramp/internal/relay"
 	"github.com/stoatramp/stoatramp/platform/standin"
 )
 
@@ -149,7 +151,7 @@
 	s.until("box 0 to serve through others", func() bool { return s.serves(0, "/stream/a") })
 	answers := make(chan string, 8)
 	for i := range cap(answers) {
-		go func() { answers <- s.sendLong(fmt.Sprintf("long-%d", i)) }()
+		go func() { answers <- s.sendLong("/stream/a", fmt.Sprintf("long-%d", i)) }()
 	}
 	s.until("a box to carry the streams", func() bool { return s.carrier() >= 0 })
 	stopped := s.carrier()
@@ -168,8 +170,8 @@
 }
 
 // sendLong sends a stream of some hundred events to box 0, and returns what is wrong with the answer.
-func (s *pathSite) sendLong(id string) string {
-	r, err := http.NewRequest(http.MethodPost, "http://"+s.boxes[0].Callers+"/stream/a", strings.NewReader("innocent"))
+func (s *pathSite) sendLong(path, id string) string {
+	r, err := http.NewRequest(http.MethodPost, "http://"+s.boxes[0].Callers+path, strings.NewReader("innocent"))
 	if err != nil {
 		return err.Error()
 	}
@@ -191,6 +193,53 @@
 	return ""
 }
 
+func (s *pathSite) logLines(n int, parts ...string) {
+	l := s.logs[n]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for line := range strings.Lines(l.text.String()) {
+		for _, p := range parts {
+			if strings.Contains(line, p) {
+				s.t.Log(line)
+			}
+		}
+	}
+}
+
+// Guards against streams that hang with the path of their box for as long as the path is lost, although another engine can
+// go on with them.
+func TestStreamsOnAHangingPathGoOnThroughOthers(t *testing.T) {
+	for name, fault := range map[string]standin.EgressFault{
+		"both directions":       {HangNew: true, StallToWorkers: true, StallToBox: true},
+		"bytes from the worker": {HangNew: true, StallToBox: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newPathSite(t, 3)
+			s.until("box 0 to have retries", func() bool { // Once the window after its start is over.
+				return slices.ContainsFunc(s.boxes[0].Relay.RetryBudgets(), func(b relay.RetryBudget) bool { return b.Name == relay.StreamsBudget && b.Left >= 8 })
+			})
+			answers := make(chan string, 4)
+			for i := range cap(answers) {
+				go func() { answers <- s.sendLong("/resumed/a", fmt.Sprintf("long-%d", i)) }()
+			}
+			time.Sleep(300 * time.Millisecond) // All have begun, and none has ended.
+			s.networks[0].SetFault(fault)
+			for range cap(answers) {
+				select {
+				case wrong := <-answers:
+					if wrong != "" {
+						t.Error(wrong)
+						s.logLines(0, wrong[:6], "path to endpoint")
+					}
+				case <-time.After(5 * time.Second):
+					t.Fatal("a stream still hangs")
+				}
+			}
+		})
+	}
+}
+
 // Guards against a lost path to one service that is taken for one to all.
 func TestLostPathToOneServiceLeavesTheOthersDirect(t *testing.T) {
 	s := newPathSite(t, 2)
--- a/internal/decide/failure.go
+++ b/internal/decide/failure.go
@@ -168,6 +168,12 @@
 	return f != nil && f.stage == streaming && f.Resumable && f.tries < maxTries && f.canUseAnotherEngine() && c.budget.Has(now, f.retriesForNextTry())
 }
 
+// CanRepeatPrefill reports whether the prompt would be prefilled again if its prefill call were lost now.
+func (c *Core) CanRepeatPrefill(now time.Time, id ID) bool {
+	f := c.flights[id]
+	return f != nil && f.stage == prefilling && f.tries < maxTries && (f.mayBeLate || !now.After(f.latestStart)) && c.budget.Has(now, f.retriesForNextTry())
+}
+
 // TakeRetries takes n retries from the budget, and reports whether the budget had n. If it had fewer, none is taken.
 func (c *Core) TakeRetries(now time.Time, n int) bool { return c.budget.Take(now, n) }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -96,6 +96,13 @@
 	return d.core.CanResume(clock.Now(), id)
 }
 
+// CanRepeatPrefill reports whether the request's prompt would be prefilled again if its prefill call were lost now.
+func (d *Dispatcher) CanRepeatPrefill(id decide.ID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.CanRepeatPrefill(clock.Now(), id)
+}
+
 // TakeRetries takes n retries from the retry budget, which limits the retries of this box. If fewer than n are left,
 // TakeRetries takes none and returns false.
 func (d *Dispatcher) TakeRetries(n int) bool {
--- a/internal/h1/conns_test.go
+++ b/internal/h1/conns_test.go
@@ -417,3 +417,50 @@
 		t.Errorf("expected %+v, got %+v", want, got)
 	}
 }
+
+// Guards against a request that waits on a connection of a lost path although it can be sent again, and against the end of one
+// that can't.
+func TestEndSilent(t *testing.T) {
+	l, p := newCappedListener(t, 8, time.Minute), NewPool()
+	slow := 0
+	p.OnSlow, p.SlowAfter = func(string) { slow++ }, time.Minute
+	errs := make(chan error, 4)
+	send := func(mayEnd func() bool) {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		t.Cleanup(cancel)
+		r := l.request(0, false)
+		r.EndIfSilent = mayEnd
+		go func() {
+			_, err := p.Do(ctx, r)
+			errs <- err
+		}()
+	}
+	yes := func() bool { return true }
+	send(yes)
+	send(yes)
+	send(yes)
+	send(func() bool { return false })
+	send(nil)
+	for requests := 0; requests < 5; requests, _, _ = l.counts() {
+		time.Sleep(time.Millisecond)
+	}
+	end := func(silentFor time.Duration, lost bool, want int) {
+		t.Helper()
+		if n := p.EndSilent(silentFor, 2, func(string) bool { return lost }); n != want {
+			t.Errorf("expected %d requests to be ended, got %d", want, n)
+		}
+		for range want {
+			if err := <-errs; !errors.Is(err, ErrSilent) {
+				t.Errorf("expected %v, got %v", ErrSilent, err)
+			}
+		}
+	}
+	end(time.Minute, true, 0)
+	end(0, false, 0)
+	if slow != 4 {
+		t.Errorf("expected the path to be checked for four requests, got %d", slow)
+	}
+	end(0, true, 2) // The most at once.
+	end(0, true, 1)
+	end(0, true, 0)
+}
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -84,6 +85,9 @@
 	Matches func(http.Header) bool
 	// Direct means that no other box may carry the request's connection.
 	Direct bool
+	// EndIfSilent reports whether the request should be ended now if the direct path to the endpoint is lost, so that it
+	// can be sent again. It is called by Pool.EndSilent. If it is nil, the request goes on.
+	EndIfSilent func() bool
 	// Via is set by Do: the box that carried the request's connection. It is empty for a direct connection.
 	Via string
 }
@@ -98,6 +102,9 @@
 // ErrConnsBusy means that all MaxConns connections stayed in use until the request's context ended.
 var ErrConnsBusy = errors.New("all connections to the endpoint are in use")
 
+// ErrSilent means that Pool.EndSilent ended the request.
+var ErrSilent = errors.New("no byte arrived, and the direct path to the endpoint is lost")
+
 // Error is the failure of a request that received no response.
 type Error struct {
 	// Sent is false only if no byte of the request was sent to the endpoint.
@@ -128,7 +135,7 @@
 	// answer. It must not block. It may be nil.
 	OnConnLost func(addr string)
 	// OnSlow is called when an endpoint has left a request unanswered for SlowAfter on a direct connection, or until the
-	// request's deadline. It must not block. It may be nil.
+	// request's deadline, and by EndSilent. It must not block. It may be nil.
 	OnSlow    func(addr string)
 	SlowAfter time.Duration
 	// OnDial is called for each new connection; it may be nil.
@@ -157,6 +164,8 @@
 	open int
 	// waiting are the requests that wait for a connection, the oldest first.
 	waiting []*waiter
+	// endable are the direct connections in use by requests that EndSilent may end.
+	endable map[*conn]func() bool
 }
 
 // waiter is a request that waits because its host has MaxConns connections.
@@ -188,6 +197,22 @@
 	dialTime time.Duration
 	fresh    bool
 	awaited  bool // The request that uses the connection waited for it.
+	// heardAt is when bytes last arrived or a request was sent, in nanoseconds since 1970.
+	heardAt atomic.Int64
+	// ended is set once EndSilent has closed the connection.
+	ended atomic.Bool
+}
+
+// Read reads from the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.heardAt.Store(clock.Now().UnixNano())
+	}
+	if err != nil && c.ended.Load() {
+		err = ErrSilent
+	}
+	return n, err
 }
 
 // Do sends the request and returns its response as soon as the headers have arrived. The caller must close the response
@@ -229,6 +254,8 @@
 		return nil, &Error{Err: ErrNotAllowed}
 	}
 	sendResult, sentAt := make(chan error, 1), clock.Now()
+	c.heardAt.Store(sentAt.UnixNano())
+	p.setEndable(c, r.EndIfSilent)
 	p.write(c, r, sendResult)
 	answered := p.watchSlow(ctx, c)
 	resp, err := c.readResponse(r, p.reportSurplus)
@@ -501,7 +528,9 @@
 		}
 		return nil, err
 	}
-	return &conn{Conn: nc, addr: addr, via: via, r: bufio.NewReaderSize(nc, bufferBytes), dialTime: time.Since(began), fresh: true}, nil
+	c := &conn{Conn: nc, addr: addr, via: via, dialTime: time.Since(began), fresh: true}
+	c.r = bufio.NewReaderSize(c, bufferBytes)
+	return c, nil
 }
 
 func (p *Pool) dial(ctx context.Context, r *Request) (c net.Conn, via string, err error) {
@@ -515,6 +544,7 @@
 // discard closes a connection. It is called once for each connection.
 func (p *Pool) discard(c *conn) {
 	_ = c.Close()
+	p.setEndable(c, nil)
 	p.closed(c.addr)
 }
 
@@ -574,6 +604,7 @@
 		return
 	}
 	c.reuseDeadline = clock.Now().Add(idle)
+	p.setEndable(c, nil)
 	if surplus := p.putIdle(c); surplus != nil {
 		p.discard(surplus)
 	}
@@ -627,6 +658,58 @@
 	return out
 }
 
+// setEndable sets whether EndSilent may end the request that uses a connection.
+func (p *Pool) setEndable(c *conn, ask func() bool) {
+	if c.via != "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[c.addr]
+	switch {
+	case ask == nil:
+		delete(h.endable, c)
+	case h.endable == nil:
+		h.endable = map[*conn]func() bool{c: ask}
+	default:
+		h.endable[c] = ask
+	}
+}
+
+// EndSilent ends requests with EndIfSilent on direct connections on which nothing was sent or received for silentFor, to
+// endpoints for which lost reports true. It ends at most n requests, so that the retries of those that it ends are taken
+// before it asks the next ones, and returns how many it has ended. For the other endpoints it calls OnSlow.
+func (p *Pool) EndSilent(silentFor time.Duration, n int, lost func(addr string) bool) (ended int) {
+	type silent struct {
+		c   *conn
+		ask func() bool
+	}
+	var list []silent
+	latest := clock.Now().Add(-silentFor).UnixNano()
+	p.mu.Lock()
+	for _, h := range p.hosts {
+		for c, ask := range h.endable {
+			if c.heardAt.Load() < latest {
+				list = append(list, silent{c, ask})
+			}
+		}
+	}
+	p.mu.Unlock()
+	for _, s := range list {
+		switch {
+		case !lost(s.c.addr):
+			if p.OnSlow != nil {
+				p.OnSlow(s.c.addr)
+			}
+		case ended < n && s.ask():
+			ended++
+			s.c.ended.Store(true)
+			_ = s.c.Close()
+		}
+	}
+	return ended
+}
+
 // CloseUnusable closes the idle connections that Usable rejects, or that are too old to be used.
 func (p *Pool) CloseUnusable() { p.closeIdle(clock.Now(), func(string) bool { return true }) }
 
--- a/internal/paths/paths.go
+++ b/internal/paths/paths.go
@@ -195,6 +195,10 @@
 	return d.Table.State(addr) != reach.Direct && d.listed(via)
 }
 
+// OpenLost reports whether requests in progress on direct connections to an endpoint get no answer any more. What the
+// endpoint sends in answer to other requests shows that they do.
+func (d *Dialer) OpenLost(addr string) bool { return d.Table.OpenLost(addr, clock.Now(), slowAnswer) }
+
 // ConnLost records that an endpoint reset an open direct connection when a request was sent on it.
 func (d *Dialer) ConnLost(addr string) { d.Table.ConnLost(addr, clock.Now()) }
 
--- a/internal/reach/group.go
+++ b/internal/reach/group.go
@@ -63,6 +63,33 @@
 	return e.failure == Refused && len(g.reset) == 0 && !e.connLostAt.After(t.answeredAt[addr])
 }
 
+// OpenLost reports whether requests in progress on direct connections to an address get no answer any more: connects to the
+// address, or to several of its group, stay unanswered while other boxes reach them, and the address has not answered for
+// the given time.
+func (t *Table) OpenLost(addr string, now time.Time, silentFor time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.answeredAt[addr]) < silentFor {
+		return false
+	}
+	if e := t.entries[addr]; e != nil && e.state != Direct {
+		return e.isUnanswered()
+	}
+	g, n := t.group(addr), 0
+	if !t.suspected(g) {
+		return false
+	}
+	for _, e := range t.entries {
+		if e.group == g && e.isUnanswered() {
+			n++
+		}
+	}
+	return n >= manyLost
+}
+
+// isUnanswered reports whether the direct path is lost, and connects on it get no answer.
+func (e *entry) isUnanswered() bool { return e.state == Lost && e.failure == Unanswered }
+
 // ConnLost records that an open direct connection was reset when a request was sent on it.
 func (t *Table) ConnLost(addr string, now time.Time) {
 	t.mu.Lock()
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -370,3 +370,34 @@
 		t.Error("expected no use of open connections to an address that does not answer")
 	}
 }
+
+// Guards against requests that go on to wait on connections of a lost path, and against the end of requests whose endpoint
+// still answers on open connections.
+func TestOpenConnectionsAreLostWhileConnectsStayUnanswered(t *testing.T) {
+	table, now := NewTable(), start
+	lose := func(addr string, f Failure) {
+		table.DirectFailed(addr, f, now)
+		table.OtherConnected(addr, "box", now)
+	}
+	expect := func(what, addr string, want bool) {
+		t.Helper()
+		if got := table.OpenLost(addr, now, time.Second); got != want {
+			t.Errorf("%s: expected %t, got %t", what, want, got)
+		}
+	}
+	expect("a direct path", "a", false)
+	lose("a", Refused)
+	expect("only new connections are refused", "a", false)
+	lose("b", Unanswered)
+	expect("a lost path", "b", true)
+	table.Answered("b", now)
+	expect("an answer on an open connection", "b", false)
+	now = now.Add(time.Second)
+	expect("an old answer", "b", true)
+	expect("one lost path of the group", "d", false)
+	lose("c", Unanswered)
+	expect("two lost paths of the group", "d", true)
+	now = now.Add(time.Millisecond)
+	table.Answered("e", now)
+	expect("an answer of the group", "d", false)
+}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -43,6 +43,7 @@
 	defer cancel()
 	sent := clock.Now()
 	q := x.request(address, Run{Instance: a.Prefill, PrefillOnly: true})
+	q.EndIfSilent = func() bool { return x.r.disp.CanRepeatPrefill(f.id) }
 	resp, err := x.r.callerPool.Do(ctx, q)
 	f.sendVia(a.Attempt, a.Prefill, q)
 	if err != nil {
@@ -52,7 +53,7 @@
 	body, err := h1.ReadLimited(resp, maxControlAnswer)
 	switch {
 	case err != nil:
-		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: outcome.Truncated, connLoss: connLoss{sent: sent}, detail: err.Error()}})
+		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: outcome.Truncated, connLoss: lossInAnswer(sent, err), pathBroke: errors.Is(err, h1.ErrSilent), detail: err.Error()}})
 	case resp.StatusCode != http.StatusOK:
 		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: outcome.EndpointRefused}})
 	default:
@@ -229,6 +230,7 @@
 	x := f.x
 	sent := clock.Now()
 	q := x.request(x.r.disp.Address(a.Decode), run)
+	q.EndIfSilent = func() bool { return x.r.disp.CanResume(f.id) }
 	resp, err := x.r.callerPool.Do(ctx, q)
 	f.sendVia(a.Attempt, a.Decode, q)
 	if ctx.Err() != nil {
@@ -314,7 +316,7 @@
 		case err != nil:
 			_ = resp.Body.Close() // So that the run has ended before another call is made.
 			f.send(flightEvent{attempt: a, err: &callError{
-				reason: outcome.Truncated, ran: true, connLoss: connLoss{sent: sent}, dropped: isConnDropped(err) || unframed && (ended || errors.Is(err, errInsideEvent)), detail: err.Error(),
+				reason: outcome.Truncated, ran: true, connLoss: lossInAnswer(sent, err), pathBroke: errors.Is(err, h1.ErrSilent), dropped: isConnDropped(err) || unframed && (ended || errors.Is(err, errInsideEvent)), detail: err.Error(),
 			}})
 			return
 		}
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -33,12 +33,20 @@
 // connLossFrom returns the connLoss of a call that got no answer. err is the error of the call.
 func connLossFrom(err error) connLoss {
 	var failed *h1.Error
-	if reasonOf(err) != outcome.EndpointLost || !errors.As(err, &failed) {
+	if reasonOf(err) != outcome.EndpointLost || !errors.As(err, &failed) || errors.Is(err, h1.ErrSilent) {
 		return connLoss{}
 	}
 	return connLoss{failed.SentAt, true}
 }
 
+// lossInAnswer returns the loss of a connection while the answer was read.
+func lossInAnswer(sent time.Time, err error) connLoss {
+	if errors.Is(err, h1.ErrSilent) {
+		return connLoss{} // The box has ended the call.
+	}
+	return connLoss{sent: sent}
+}
+
 // immediateLossLimit is the time within which a call fails if its endpoint had crashed before the call was sent. Such a
 // failure needs one round trip. The close of the connection was then not received yet, or a proxy stands in front of
 // the endpoint.
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -62,14 +62,19 @@
 		case <-tick.C:
 			r.callerPool.CloseUnusable()
 			r.controlPool.CloseUnusable()
+			r.m.SilentCalls.Add(r.callerPool.EndSilent(r.paths.SlowAfter(), maxEndedAtOnce, r.paths.OpenLost))
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// connCheckInterval is how soon an idle connection through a box that stops is closed.
-const connCheckInterval = 200 * time.Millisecond
+const (
+	// connCheckInterval is how soon an idle connection through a box that stops is closed.
+	connCheckInterval = 200 * time.Millisecond
+	// maxEndedAtOnce is the number of requests on connections without an answer that are ended each connCheckInterval.
+	maxEndedAtOnce = 8
+)
 
 // logPathChange logs that this box has lost its path to an endpoint, or has it back.
 func (r *Relay) logPathChange(c reach.Change) {
@@ -122,7 +127,7 @@
 	if errors.As(err, &dial) {
 		return !paths.Confirmed(err)
 	}
-	return err != nil && (via != "" || r.paths.PathLost(address))
+	return err != nil && (via != "" || errors.Is(err, h1.ErrSilent) || r.paths.PathLost(address))
 }
 
 // HasEndpointAt reports whether an endpoint is listed at an address.
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -69,6 +69,17 @@
 	return hasRetry(budget)
 }
 
+// mayRepeat returns a function that reports whether another call could follow if the one to an endpoint were lost now. It
+// may be called while that call is in progress. mayRepeat returns nil if the request may run only once.
+func (x *exchange) mayRepeat(p *plainRuns, endpoint string, budget *retry.Budget) func() bool {
+	if !x.route.repeats() {
+		return nil
+	}
+	after := plainRuns{tried: maps.Clone(p.tried), ranAt: maps.Clone(p.ranAt), failedAt: maps.Clone(p.failedAt), runs: p.runs + 1}
+	after.ranAt[endpoint] = true
+	return func() bool { return x.mayCallAgain(&after, budget) }
+}
+
 // noRetryLeft is the detail of the outcome of a request whose next call the budget did not allow.
 const noRetryLeft = "the box had no retry left for another call"
 
@@ -141,7 +152,7 @@
 		p.tried[e.ID] = true
 		e.snapshot.ListAge = x.r.listAge()
 		x.trace.Step(record.Step{Kind: record.StepEndpoint, Decode: e.ID, EndpointState: &e.snapshot})
-		a := x.callPlain(ctx, e, g)
+		a := x.callPlain(ctx, e, g, x.mayRepeat(&p, e.ID, budget))
 		result := slots.Result{Outcome: x.slotOutcome(ctx, &a), Took: a.took}
 		if a.resp == nil || a.whole {
 			g.release(result)
@@ -277,8 +288,9 @@
 }
 
 // callPlain sends the request to an endpoint and checks the answer. It rejects an answer that lacks the endpoint's
-// signature, is cut short, or has an encoded body.
-func (x *exchange) callPlain(ctx context.Context, e *chosenEndpoint, g *slotGrant) (a plainAnswer) {
+// signature, is cut short, or has an encoded body. mayRepeat reports whether another call could follow if this one were lost;
+// it is nil for a request that may run only once.
+func (x *exchange) callPlain(ctx context.Context, e *chosenEndpoint, g *slotGrant, mayRepeat func() bool) (a plainAnswer) {
 	start := clock.Now()
 	defer func() {
 		a.took = clock.Since(start)
@@ -293,6 +305,7 @@
 	// A box may not know that others fill the endpoint's connections, so a call that may run once always probes.
 	once := !x.route.repeats()
 	q.MaxConns, q.ConfirmOpen, q.Probe = x.r.maxConns(x.service, x.region), once || x.contended(), once
+	q.EndIfSilent = mayRepeat
 	q.StillAllowed = func() bool {
 		q.Header = x.request(e.Address, run).Header // Less time is left than before the wait.
 		a.slotExpired = g.isExpired(clock.Now())
@@ -334,7 +347,7 @@
 		_ = resp.Body.Close()
 		a.reason, a.pathBroke = outcome.Truncated, x.r.pathBroke(e.Address, q.Via, err)
 		if err != nil && ctx.Err() == nil {
-			a.connLoss = connLoss{sent: start}
+			a.connLoss = lossInAnswer(start, err)
 		}
 		return a
 	}
--- a/internal/relay/plain_wait_test.go
+++ b/internal/relay/plain_wait_test.go
@@ -39,7 +39,7 @@
 			defer cancel()
 			x := &exchange{r: r, req: httptest.NewRequest(http.MethodGet, "/", nil), service: service, region: "r", route: &Route{}, deadline: clock.Now().Add(20 * time.Second)}
 			e, _ := r.plain.choose("s-0", "r", clock.Now(), nil)
-			a := x.callPlain(ctx, e, nil)
+			a := x.callPlain(ctx, e, nil, nil)
 			return a, x.slotOutcome(ctx, &a)
 		}
 		var wg sync.WaitGroup
@@ -99,7 +99,7 @@
 		wg.Go(func() {
 			x := &exchange{r: r, req: httptest.NewRequest(http.MethodGet, "/", nil), service: &Service{Name: "s-0", MaxConnections: minConnections}, region: "r", route: &Route{}, deadline: deadline}
 			e, _ := r.plain.choose("s-0", "r", clock.Now(), nil)
-			if a := x.callPlain(context.Background(), e, nil); !a.good {
+			if a := x.callPlain(context.Background(), e, nil, nil); !a.good {
 				t.Errorf("expected an answer, got %+v", a)
 			}
 		})
@@ -122,7 +122,7 @@
 	call := func(g *slotGrant) (plainAnswer, slots.Outcome) {
 		x := &exchange{r: r, req: httptest.NewRequest(http.MethodGet, "/", nil), service: &Service{Name: "s-0"}, region: "r", route: &Route{}, deadline: clock.Now().Add(20 * time.Second)}
 		e, _ := r.plain.choose("s-0", "r", clock.Now(), nil)
-		a := x.callPlain(context.Background(), e, g)
+		a := x.callPlain(context.Background(), e, g, nil)
 		return a, x.slotOutcome(context.Background(), &a)
 	}
 	if a, o := call(&slotGrant{r: r, sendBy: clock.Now()}); !a.slotExpired || a.sent || a.ran || o != slots.Unused || arrived.Load() != 0 {
--- a/internal/relay/reset_outcome_test.go
+++ b/internal/relay/reset_outcome_test.go
@@ -54,7 +54,7 @@
 		r.SetEndpoints([]Endpoint{{ID: "e", Service: "s-0", Hall: "h", Address: srv.Listener.Addr().String()}})
 		x := &exchange{r: r, req: httptest.NewRequest(http.MethodGet, "/", nil), service: &Service{Name: "s-0"}, region: "r", route: &Route{}, deadline: clock.Now().Add(20 * time.Second)}
 		e, _ := r.plain.choose("s-0", "r", clock.Now(), nil)
-		a := x.callPlain(context.Background(), e, nil)
+		a := x.callPlain(context.Background(), e, nil, nil)
 		if o := x.slotOutcome(context.Background(), &a); !a.reset || !a.sent || headers != 2 || o != c.want {
 			t.Errorf("%s: expected a sent call that was reset, with outcome %d, got %d, %+v", name, c.want, o, a)
 		}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -74,6 +74,8 @@
 	SlotsInUse     *metrics.Gauge
 	// UnconfirmedConns counts new connections that an endpoint closed before a request was sent.
 	UnconfirmedConns *metrics.Counter
+	// SilentCalls counts calls that were ended because the box has lost its direct path to their endpoint.
+	SilentCalls *metrics.Counter
 	// ConnectsFailed counts the connections to endpoints that could not be established: "refused", "unanswered" (no
 	// answer in time), or "other".
 	ConnectsFailed map[string]*metrics.Counter
@@ -177,6 +179,7 @@
 		SlotsWaiting:     s.NewGauge("stoatramp_slots_waiting", nil),
 		SlotsInUse:       s.NewGauge("stoatramp_slots_in_use", nil),
 		UnconfirmedConns: s.NewCounter("stoatramp_connections_unconfirmed_total"),
+		SilentCalls:      s.NewCounter("stoatramp_silent_calls_total"),
 		TunneledCalls:    s.NewCounter("stoatramp_tunneled_calls_total"),
 		ConnectsFailed: map[string]*metrics.Counter{
 			ConnectRefused:    s.NewCounter(`stoatramp_connects_failed_total{cause="refused"}`),
