Don't end an answer of which a part has been passed on

A plain call of a repeatable route could be ended for a lost path also while the rest of a long answer was passed on, and can't be sent again then: the caller would have lost an answer that the path might still have brought.

TestAnswerOnItsWayIsNotEnded fails without the change.

--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
@@ -305,7 +306,12 @@
 	// A box may not know that others fill the endpoint's connections, so a call that may run once always probes.
 	once := !x.route.repeats()
 	q.MaxConns, q.ConfirmOpen, q.Probe = x.r.maxConns(x.service, x.region), once || x.contended(), once
-	q.EndIfSilent = mayRepeat
+	var buffering atomic.Bool // Nothing of the answer has been passed on.
+	buffering.Store(true)
+	defer buffering.Store(false)
+	if mayRepeat != nil {
+		q.EndIfSilent = func() bool { return buffering.Load() && mayRepeat() }
+	}
 	q.StillAllowed = func() bool {
 		q.Header = x.request(e.Address, run).Header // Less time is left than before the wait.
 		a.slotExpired = g.isExpired(clock.Now())
--- a/internal/relay/reset_outcome_test.go
+++ b/internal/relay/reset_outcome_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -65,3 +66,31 @@
 		restore()
 	}
 }
+
+// signedProtocol takes each answer for the endpoint's own.
+type signedProtocol struct{ fakeProtocol }
+
+func (signedProtocol) ParseReply(*http.Response) Reply { return Reply{Signed: true} }
+
+// Guards against an answer that is cut off on its way to the caller, because its request could have been repeated before.
+func TestAnswerOnItsWayIsNotEnded(t *testing.T) {
+	done := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(2*bufferedAnswerBytes))
+		_, _ = w.Write(make([]byte, bufferedAnswerBytes))
+		w.(http.Flusher).Flush()
+		<-done
+	}))
+	defer srv.Close()
+	defer close(done)
+	r := cellRelay(1)
+	r.protocol = signedProtocol{}
+	r.SetEndpoints([]Endpoint{{ID: "e", Service: "s-0", Hall: "h", Address: srv.Listener.Addr().String()}})
+	x := &exchange{r: r, req: httptest.NewRequest(http.MethodGet, "/", nil), service: &Service{Name: "s-0"}, region: "r", route: &Route{}, deadline: clock.Now().Add(20 * time.Second)}
+	e, _ := r.plain.choose("s-0", "r", clock.Now(), nil)
+	a := x.callPlain(context.Background(), e, nil, func() bool { return true })
+	defer a.drop()
+	if n := r.callerPool.EndSilent(0, 1, func(string) bool { return true }); a.resp == nil || n != 0 {
+		t.Errorf("expected an answer of which a part was read, and no end of its call, got %+v, %d calls ended", a, n)
+	}
+}
