Offer a stopped run until its memory expires

Since a stopped run waits for a retry it was offered for the last time 100 ms before its memory expires, because the time for the pause before an offer was counted twice.

--- a/cmd/stoatrampd/paths_test.go
+++ b/cmd/stoatrampd/paths_test.go
@@ -193,6 +193,7 @@
 	return ""
 }
 
+// logLines writes the lines of a box's log that have one of the parts to the test's log.
 func (s *pathSite) logLines(n int, parts ...string) {
 	l := s.logs[n]
 	l.mu.Lock()
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -313,7 +313,7 @@
 		f.callResume(true)
 		return
 	}
-	if m.atSource && e.reason == outcome.EndpointRefused && f.canReoffer() {
+	if m.atSource && e.reason == outcome.EndpointRefused && f.canReoffer(reofferDelay) {
 		f.recordFailure(m.attempt, m.sourceEngine, &e)
 		f.stopDecode()
 		m.refusal = &e
@@ -333,11 +333,11 @@
 	f.handleFailure(f.decodeAttempt, e)
 }
 
-// canReoffer reports whether a stopped run that the source engine has refused may be sent again after reofferDelay. The
-// run's memory must still be stored then, and the limit for pauses must allow it.
-func (f *flight) canReoffer() bool {
+// canReoffer reports whether a stopped run that the source engine has refused may be sent again after a delay. The run's
+// memory must still be stored then, and the limit for pauses must allow it.
+func (f *flight) canReoffer(delay time.Duration) bool {
 	m, now := f.migration, clock.Now()
-	if f.ctx.Err() != nil || now.Add(reofferDelay).After(m.keptUntil) {
+	if f.ctx.Err() != nil || now.Add(delay).After(m.keptUntil) {
 		return false
 	}
 	return !f.mustResumeAtSource() || !f.x.r.notices.IsPaused(m.sourceEngine, now) || m.pauseRetries < maxPauseRetries
@@ -361,7 +361,7 @@
 		retries = 2 // One for the target engine, and one for the source engine after it.
 	}
 	switch {
-	case !f.canReoffer():
+	case !f.canReoffer(0):
 		f.failMigration(*m.refusal)
 	case !f.x.r.disp.TakeRetries(retries):
 		m.refusal.detail = "the box had no retry left for another call"
