Evict an origin from a full directory whatever has been renewed

A full directory of origins looked only at the keys of the next second to expire. If all of those had been renewed since, it removed none and grew past its bound by one for each such second. It now goes on to the next second, and stoatramp_origins_evicted_total counts what callers may miss.

--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -106,27 +108,20 @@
 
 // evictOne removes an origin of those that expire first. d.mu is held.
 func (d *Directory) evictOne() {
-	first := int64(-1)
-	for second := range d.due {
-		if first < 0 || second < first {
-			first = second
-		}
-	}
-	keys := d.due[first]
-	for len(keys) > 0 {
-		k := keys[0]
-		keys = keys[1:]
-		if o, ok := d.byKey[k]; ok && o.Expires.Unix() == first {
-			delete(d.byKey, k)
-			d.evicted++
-			break
+	for _, first := range slices.Sorted(maps.Keys(d.due)) {
+		keys := d.due[first]
+		for len(keys) > 0 {
+			k := keys[0]
+			keys = keys[1:]
+			if o, ok := d.byKey[k]; ok && o.Expires.Unix() == first {
+				delete(d.byKey, k)
+				d.evicted++
+				d.due[first] = keys
+				return
+			}
 		}
+		delete(d.due, first) // All of them expire later by now.
 	}
-	if len(keys) == 0 {
-		delete(d.due, first)
-		return
-	}
-	d.due[first] = keys
 }
 
 // Get returns the origin of a stream.
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -58,6 +58,20 @@
 	expectBuild(t, &d, start, MaxOrigins+50, "a")
 }
 
+// Guards against a full directory that grows because all origins of the next second expire later by now.
+func TestRenewedOriginsAreBounded(t *testing.T) {
+	var d Directory
+	for s := range 5 {
+		for i := range MaxOrigins {
+			d.Put(start, Origin{Key: Key(i + 1), Build: "a", Expires: start.Add(time.Duration(60+s) * time.Second)})
+		}
+	}
+	d.Put(start, Origin{Key: MaxOrigins + 1, Build: "a", Expires: start.Add(time.Minute)})
+	if n, evicted := d.Sizes(); n != MaxOrigins || evicted != 1 {
+		t.Errorf("expected %d origins and one that gave way, got %d and %d", MaxOrigins, n, evicted)
+	}
+}
+
 // A directory agrees with a plain map, whatever order origins come in.
 func TestDirectoryModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -235,6 +235,10 @@
 	}
 	o.Metrics.NewGauge("stoatramp_overlay_members", func() float64 { return float64(n.members.size()) })
 	o.Metrics.NewGauge("stoatramp_origins", func() float64 { return float64(n.OriginCount()) })
+	o.Metrics.NewGauge("stoatramp_origins_evicted_total", func() float64 {
+		_, evicted := n.origins.directory.Sizes()
+		return float64(evicted)
+	})
 	o.Metrics.NewGauge("stoatramp_overlay_followers", func() float64 { return float64(n.Followers()) })
 	return n
 }
