Take a CONNECT without an answer in time for unanswered

A connect through an HTTP proxy that was ended by the caller's time limit failed with "use of closed network connection". That counted as a refused connect: a box whose path through its proxy hangs went on to use open connections, and a box that carries for others said "failed" in place of "unanswered".

TestOpenWithoutAnswerInTimeIsUnanswered: failed before. Tests of paths and the daemon pass.

--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -29,7 +29,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	err = connect(c, target, key, id)
-	if !stop() && err == nil {
+	if !stop() { // The end of ctx has closed the connection.
 		err = &Error{Failed, ctx.Err()}
 	}
 	if err != nil {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -297,3 +297,19 @@
 		}
 	})
 }
+
+// Guards against a server that leaves a CONNECT unanswered and counts as one that refuses it, because the caller's time was
+// over first.
+func TestOpenWithoutAnswerInTimeIsUnanswered(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err = Open(ctx, (&net.Dialer{}).DialContext, ln.Addr().String(), "127.0.0.1:1", "", "")
+	if got := ConnectCause(err); got != Unanswered {
+		t.Errorf("expected the cause %s, got %s: %v", Unanswered, got, err)
+	}
+}
