--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -36,13 +36,6 @@
 	idleTimeoutFraction = 0.6
 	// maxIdlePerAddress bounds the idle connections to one address.
 	maxIdlePerAddress = 16
-	// confirmMargin is how much longer than the time that connecting took a new connection is watched (ConfirmOpen). In
-	// that time the endpoint's process has accepted the connection, and a reset by the process has arrived. On a loaded
-	// machine some of the resets come 3 to 13 ms after the connection was opened.
-	confirmMargin = 5 * time.Millisecond
-	// probeTimeout bounds the answer to a probe, beside the time that connecting took, and maxProbeBytes its body.
-	probeTimeout  = 200 * time.Millisecond
-	maxProbeBytes = 4 << 10
 	// maxSurplusResponses bounds how many responses are read until one belongs to the request.
 	maxSurplusResponses = 3
 	bufferBytes         = 4 << 10
@@ -102,9 +95,6 @@
 // ErrConnsBusy means that all MaxConns connections stayed in use until the request's context ended.
 var ErrConnsBusy = errors.New("all connections to the endpoint are in use")
 
-// ErrSilent means that Pool.EndSilent ended the request.
-var ErrSilent = errors.New("no byte arrived, and the direct path to the endpoint is lost")
-
 // Error is the failure of a request that received no response.
 type Error struct {
 	// Sent is false only if no byte of the request was sent to the endpoint.
@@ -291,19 +281,6 @@
 	return resp, nil
 }
 
-// watchSlow calls OnSlow unless the returned function is called in time.
-func (p *Pool) watchSlow(ctx context.Context, c *conn) (answered func()) {
-	if p.OnSlow == nil || c.via != "" {
-		return func() {}
-	}
-	slow := time.AfterFunc(p.SlowAfter, func() { p.OnSlow(c.addr) })
-	return func() {
-		if slow.Stop() && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			p.OnSlow(c.addr)
-		}
-	}
-}
-
 // errNothingSent means that the operating system accepted no byte of a request, because the connection was reset or closed
 // before.
 var errNothingSent = errors.New("no byte of the request was sent")
@@ -320,64 +297,6 @@
 	}
 }
 
-// errEarlyBytes means that an endpoint sent bytes on a connection before any request.
-var errEarlyBytes = errors.New("the endpoint sent bytes before the request")
-
-// checkOpen returns an error if the endpoint does not keep the new connection; see Request.ConfirmOpen.
-func (c *conn) checkOpen(r *Request) error {
-	if r.Probe {
-		return c.probe(r.Host)
-	}
-	return c.confirm()
-}
-
-// confirm waits for the time that connecting took plus confirmMargin. It returns an error if the endpoint closes or
-// resets the new connection in that time, or sends bytes on it.
-func (c *conn) confirm() error {
-	if err := c.SetReadDeadline(time.Now().Add(c.dialTime + confirmMargin)); err != nil {
-		return err
-	}
-	_, err := c.r.Peek(1)
-	switch {
-	case err == nil:
-		return errEarlyBytes
-	case !errors.Is(err, os.ErrDeadlineExceeded):
-		return err
-	}
-	if err := c.SetReadDeadline(time.Time{}); err != nil {
-		return err
-	}
-	// The process may have got no processor time until after the deadline, and the read was then not tried.
-	if !c.isQuiet() {
-		return net.ErrClosed
-	}
-	return nil
-}
-
-var errProbeClosed = errors.New("the endpoint closes the connection after the probe")
-
-// probe sends an OPTIONS * request on a new connection and reads the answer. The answer's status does not matter. It
-// returns an error if the connection can't carry another request.
-func (c *conn) probe(host string) error {
-	if err := c.SetDeadline(time.Now().Add(c.dialTime + probeTimeout)); err != nil {
-		return err
-	}
-	if _, err := fmt.Fprintf(c, "OPTIONS * HTTP/1.1\r\nHost: %s\r\n\r\n", host); err != nil {
-		return err
-	}
-	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodOptions})
-	if err != nil {
-		return err
-	}
-	if _, err := ReadLimited(resp, maxProbeBytes); err != nil {
-		return err
-	}
-	if resp.Close {
-		return errProbeClosed
-	}
-	return c.SetDeadline(time.Time{})
-}
-
 // write sends the request. An endpoint may respond before it has read the whole body. So write sends a request longer
 // than bufferBytes in the background.
 func (p *Pool) write(c *conn, r *Request, sendResult chan<- error) {
@@ -658,58 +577,6 @@
 	return out
 }
 
-// setEndable sets whether EndSilent may end the request that uses a connection.
-func (p *Pool) setEndable(c *conn, ask func() bool) {
-	if c.via != "" {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	h := p.hosts[c.addr]
-	switch {
-	case ask == nil:
-		delete(h.endable, c)
-	case h.endable == nil:
-		h.endable = map[*conn]func() bool{c: ask}
-	default:
-		h.endable[c] = ask
-	}
-}
-
-// EndSilent ends requests with EndIfSilent on direct connections on which nothing was sent or received for silentFor, to
-// endpoints for which lost reports true. It ends at most n requests, so that the retries of those that it ends are taken
-// before it asks the next ones, and returns how many it has ended. For the other endpoints it calls OnSlow.
-func (p *Pool) EndSilent(silentFor time.Duration, n int, lost func(addr string) bool) (ended int) {
-	type silent struct {
-		c   *conn
-		ask func() bool
-	}
-	var list []silent
-	latest := clock.Now().Add(-silentFor).UnixNano()
-	p.mu.Lock()
-	for _, h := range p.hosts {
-		for c, ask := range h.endable {
-			if c.heardAt.Load() < latest {
-				list = append(list, silent{c, ask})
-			}
-		}
-	}
-	p.mu.Unlock()
-	for _, s := range list {
-		switch {
-		case !lost(s.c.addr):
-			if p.OnSlow != nil {
-				p.OnSlow(s.c.addr)
-			}
-		case ended < n && s.ask():
-			ended++
-			s.c.ended.Store(true)
-			_ = s.c.Close()
-		}
-	}
-	return ended
-}
-
 // CloseUnusable closes the idle connections that Usable rejects, or that are too old to be used.
 func (p *Pool) CloseUnusable() { p.closeIdle(clock.Now(), func(string) bool { return true }) }
 
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -194,8 +194,7 @@
 		m.source, m.copied = result.source, result.copied
 		m.keptUntil = clock.Now().Add(f.x.service.Engines.HandleTTL)
 		if m.sourceEnd == nil {
-			attempt := m.attempt // The migration may be over when the goroutine starts.
-			f.calls.Go(func() { f.awaitStop(attempt) })
+			f.sendAfter(stopTimeout, flightEvent{attempt: m.attempt, overdue: true}) // Then the loop ends the call.
 		}
 		f.resumeWhenStopped()
 		return
@@ -224,11 +223,7 @@
 	if !f.x.route.Resumable || f.migration.source.Handle != "" {
 		return
 	}
-	attempt := f.migration.attempt
-	f.calls.Go(func() {
-		sleepCtx(f.ctx, migrateAnswerTimeout)
-		f.send(flightEvent{attempt: attempt, unanswered: true})
-	})
+	f.sendAfter(migrateAnswerTimeout, flightEvent{attempt: f.migration.attempt, unanswered: true})
 }
 
 // resumeElsewhere aborts a migration whose run has ended without an answer to the migration request. The stream is then
@@ -248,11 +243,12 @@
 	f.handleFailure(f.decodeAttempt, *m.sourceEnd)
 }
 
-// awaitStop sends the loop an overdue event after stopTimeout. If the call of the stopped run still runs then, the loop
-// ends the call.
-func (f *flight) awaitStop(attempt decide.Attempt) {
-	sleepCtx(f.ctx, stopTimeout)
-	f.send(flightEvent{attempt: attempt, overdue: true})
+// sendAfter sends the loop an event after a delay.
+func (f *flight) sendAfter(delay time.Duration, ev flightEvent) {
+	f.calls.Go(func() {
+		sleepCtx(f.ctx, delay)
+		f.send(ev)
+	})
 }
 
 // abortMigration ends a migration before any call that resumes the stream was made. It adds the reason to the request's
@@ -345,11 +341,7 @@
 
 // awaitReoffer sends the loop a reoffer event after reofferDelay.
 func (f *flight) awaitReoffer() {
-	attempt := f.migration.attempt
-	f.calls.Go(func() {
-		sleepCtx(f.ctx, reofferDelay)
-		f.send(flightEvent{attempt: attempt, reoffer: true})
-	})
+	f.sendAfter(reofferDelay, flightEvent{attempt: f.migration.attempt, reoffer: true})
 }
 
 // reoffer sends a stopped run again to the engines that store its memory. While the box has no retry left, reoffer is
