Log the shared parts of prompts with the crash of an endpoint

A line "endpoint crashed under a request" named the whole request only, so that no log could show whether crashed calls had a part of their prompts in common.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -57,9 +57,10 @@
 	request     string // The id of the request.
 	caller      string // The client account or host of the caller.
 	fingerprint quarantine.Fingerprint
-	runTime     time.Duration // From the sending of the call until the connection was lost.
-	sent        time.Time     // When the call was sent.
-	doubtful    bool          // The endpoint may have crashed before the call was sent.
+	parts       []quarantine.Part // The parts of the prompt that other prompts may share.
+	runTime     time.Duration     // From the sending of the call until the connection was lost.
+	sent        time.Time         // When the call was sent.
+	doubtful    bool              // The endpoint may have crashed before the call was sent.
 }
 
 // probeTimes are the delays of the probes after the first lost call. The first probe comes late enough for the same
@@ -107,7 +108,7 @@
 	if !known || e.Leaving || loss.sent.IsZero() {
 		return // An endpoint that is leaving stops as planned.
 	}
-	c := lostCall{request: x.meta.ID, caller: x.caller(), fingerprint: x.fingerprint(), runTime: clock.Since(loss.sent), sent: loss.sent}
+	c := lostCall{request: x.meta.ID, caller: x.caller(), fingerprint: x.fingerprint(), parts: x.meta.Parts, runTime: clock.Since(loss.sent), sent: loss.sent}
 	c.doubtful = loss.unanswered && c.runTime < immediateLossLimit
 	if x.r.crashWatch.add(endpoint, c) {
 		go x.r.watchCrash(e)
@@ -204,7 +205,7 @@
 	for _, c := range calls {
 		r.o.Crashes.RecordCrash(quarantine.Crash{Request: c.fingerprint, Endpoint: e.ID, Caller: quarantine.Tag(c.caller), RunTime: c.runTime, SentAt: c.sent, Doubtful: c.doubtful, Try: quarantine.Tag(c.request)})
 		r.o.Recorder.Log.StateChange("endpoint crashed under a request", zap.String("endpoint", e.ID), zap.String("service", e.Service),
-			zap.String("id", c.request), zap.Stringer("fingerprint", c.fingerprint), zap.String("caller", quarantine.Tag(c.caller)),
+			zap.String("id", c.request), zap.Stringer("fingerprint", c.fingerprint), zap.Stringers("parts", c.parts), zap.String("caller", quarantine.Tag(c.caller)),
 			zap.Duration("ran", c.runTime), zap.Bool("doubt", c.doubtful), zap.String("known_by", evidence))
 	}
 }
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -24,6 +24,7 @@
 
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/notice"
+	"github.com/stoatramp/stoatramp/internal/quarantine"
 )
 
 // Kind is the kind of a route's requests. It says whether the requests may run again, and whether they are streamed.
@@ -164,6 +165,9 @@
 	// PrefixHashes are the hashes of the prompt's blocks. Each hash also covers all earlier blocks. Prompts that begin
 	// with the same blocks have the same first hashes.
 	PrefixHashes []uint64
+	// Parts are the parts of the prompt that other prompts may share, in order. Each part is identified by itself, whatever
+	// stands before it.
+	Parts []quarantine.Part
 	// LastEvent is the id of the event after which the stream is to be resumed; empty for a new stream.
 	LastEvent string
 	// Resumes is the ID of the caller's attempt that brought the first event of the stream to be resumed; empty if the
