--- a/cmd/stoatrampd/paths_test.go
+++ b/cmd/stoatrampd/paths_test.go
@@ -287,7 +287,7 @@
 	s := newPathSite(t, 2)
 	s.networks[0].SetFault(standin.EgressFault{RefuseNew: true, ResetOpen: true})
 	s.until("box 0 to serve through box 1", func() bool { return s.serves(0, "/once/a") && len(s.boxes[0].Relay.Paths().Tunnels()) > 0 })
-	id := fmt.Sprintf("id-%d", s.requests)
+	id := fmt.Sprintf("id-%d", s.requests.Load())
 	tool := func(args ...string) string {
 		var out bytes.Buffer
 		if code := cli.Main(append([]string{"--box", "http://" + s.boxes[0].Operators, "--key", operatorKey}, args...), &out, &out); code != 0 {
--- a/cmd/stoatrampd/quarantine_test.go
+++ b/cmd/stoatrampd/quarantine_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,9 @@
 	"github.com/stoatramp/stoatramp/platform/standin"
 )
 
+// poisonPart is the ID of the part of prompts that crashes every engine that begins to write an answer on it.
+const poisonPart = "dead0000"
+
 // poisonBody is the body of the poison request, which crashes every worker that runs it.
 const poisonBody = "what no engine survives"
 
@@ -34,6 +38,8 @@
 	crashes     int
 	// poisonCalls counts the calls for the poison request, including those that only prefill its prompt.
 	poisonCalls int
+	// partCalls has the times of the calls for requests with the poison part, and crashTimes those of the crashes.
+	partCalls, crashTimes []time.Time
 }
 
 // restartDelay is how long a crashed worker is down. Its row in the store expires sooner.
@@ -59,7 +65,9 @@
 		o.ID = fmt.Sprintf("%s-%d", m.options.ID, m.incarnation)
 	}
 	w := standin.NewWorker(o)
-	w.CrashesOn = func(_ *http.Request, body []byte) bool { return string(body) == poisonBody }
+	w.CrashesOn = func(r *http.Request, body []byte) bool {
+		return string(body) == poisonBody || strings.Contains(r.Header.Get("X-Prompt-Prefix"), poisonPart+":")
+	}
 	w.Crash = m.crash
 	m.srv = &http.Server{Handler: m.countPoisonCalls(w)}
 	m.stop, m.up = make(chan struct{}), true
@@ -75,6 +83,11 @@
 			m.poisonCalls++
 			m.mu.Unlock()
 		}
+		if strings.Contains(r.Header.Get("X-Prompt-Prefix"), poisonPart+":") {
+			m.mu.Lock()
+			m.partCalls = append(m.partCalls, time.Now())
+			m.mu.Unlock()
+		}
 		next.ServeHTTP(rw, r)
 	})
 }
@@ -88,6 +101,7 @@
 	}
 	m.up = false
 	m.crashes++
+	m.crashTimes = append(m.crashTimes, time.Now())
 	close(m.stop)
 	go func(srv *http.Server) { _ = srv.Close() }(m.srv)
 	time.AfterFunc(restartDelay, m.start)
@@ -147,7 +161,7 @@
 	t        *testing.T
 	boxes    []*box.RelayBox
 	workers  crashingWorkers
-	requests int // The number of requests sent so far.
+	requests atomic.Int64 // The number of requests sent so far.
 	logs     []*logBuffer
 	// storeAddress is the address of the store.
 	storeAddress string
@@ -256,16 +270,24 @@
 // off.
 func (s *quarantineSite) send(n int, path, body string) (status int, text string) {
 	s.t.Helper()
-	s.requests++
+	return s.sendPrompt(n, path, body, "")
+}
+
+// sendPrompt is like send, for a prompt of given parts. It may be called by several goroutines.
+func (s *quarantineSite) sendPrompt(n int, path, body, parts string) (status int, text string) {
+	id := s.requests.Add(1)
 	r, err := http.NewRequest(http.MethodPost, "http://"+s.boxes[n].Callers+path, strings.NewReader(body))
 	if err != nil {
-		s.t.Fatal(err)
+		return 0, err.Error()
 	}
 	r.Host = "h.example"
-	r.Header.Set("X-Request-Id", fmt.Sprintf("id-%d", s.requests))
+	r.Header.Set("X-Request-Id", fmt.Sprintf("id-%d", id))
 	r.Header.Set("X-Token-Usage", "100,50")
+	if parts != "" {
+		r.Header.Set("X-Prompt-Prefix", parts)
+	}
 	// Each request comes from another address, as it does behind a load balancer or after a reconnect.
-	callerAddress := &net.TCPAddr{IP: net.IPv4(127, 0, 1, byte(s.requests))}
+	callerAddress := &net.TCPAddr{IP: net.IPv4(127, 0, 1, byte(id))}
 	transport := &http.Transport{DialContext: (&net.Dialer{LocalAddr: callerAddress}).DialContext, DisableKeepAlives: true}
 	resp, err := (&http.Client{Transport: transport}).Do(r)
 	if err != nil {
