Count crashes against parts of prompts, at all boxes together

Callers of one route lost streams for as long as requests with one part in their prompts came: each crashed the engine that began to write on it, and with it up to six other streams.

Cause: crashes were counted under the fingerprint of the whole request. No two of these requests were alike, so each had one crash, and a quarantine needs three. The class: harm counted under one identity that is finer than what does the harm.

Change: a crash counts against each shared part of the prompts that ran there, under a request's fingerprint only once in full. A run that wrote for a second, or a whole answer that its engine outlived by half a second, clears its parts; a box whose runs cleared a part that the table speaks against writes one row that says so. Of the parts that remain the fewest are blamed that explain the crashes, the later ones in prompts first. A part is suspected for a second, in which requests with it wait, and then quarantined: nothing more is sent, and what waits is refused at once. Requests beside crashes that a part explains are not blamed for them.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -165,7 +165,7 @@
 	core := decide.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), cfg.Queue)
 	b.quotaPool = quota.NewPool()
 	b.crashes = quarantine.NewList()
-	b.crashes.OnQuarantine = b.logQuarantined
+	b.crashes.OnQuarantine, b.crashes.OnPart = b.logQuarantined, b.logPart
 	b.setQuotaBounds(cfg)
 	b.watchEras()
 	b.makeTables()
@@ -234,6 +234,8 @@
 	b.Metrics.Set.NewGauge("stoatramp_policies_version", func() float64 { return float64(b.Relay.PolicyVersion()) })
 	b.Metrics.Set.NewGauge("stoatramp_ends_known", func() float64 { n, _ := b.crashes.Sizes(); return float64(n) })
 	b.Metrics.Set.NewGauge("stoatramp_requests_held", func() float64 { _, n := b.crashes.Sizes(); return float64(n) })
+	b.Metrics.Set.NewGauge("stoatramp_parts_suspected", func() float64 { return b.countParts(quarantine.Suspected) })
+	b.Metrics.Set.NewGauge("stoatramp_parts_quarantined", func() float64 { return b.countParts(quarantine.Quarantined) })
 	b.Metrics.Set.NewGauge("stoatramp_held_bytes", func() float64 { return float64(b.Relay.ReservedBytes()) })
 	b.Metrics.Set.NewGauge("stoatramp_endpoints_limited", func() float64 { return float64(b.Relay.Limited()) })
 	b.Metrics.Set.NewGauge("stoatramp_paths_lost", func() float64 { return float64(len(b.Relay.LostPaths())) })
@@ -340,6 +342,22 @@
 	b.recorder.Log.StateChange("request quarantined", zap.Stringer("fingerprint", f), zap.Float64("bits", v.Bits), zap.Stringer("because", v))
 }
 
+// logPart logs that the state of a part of prompts has changed.
+func (b *RelayBox) logPart(v quarantine.PartVerdict) {
+	b.recorder.Log.StateChange("part of prompts "+v.State.String(), zap.Stringer("part", v.Part), zap.String("account", v.Account),
+		zap.Float64("bits", v.Bits), zap.Stringer("because", &v))
+}
+
+// countParts returns the number of parts in a state.
+func (b *RelayBox) countParts(s quarantine.PartState) (n float64) {
+	for _, v := range b.crashes.Parts() {
+		if v.State == s {
+			n++
+		}
+	}
+	return n
+}
+
 // shareInterval is the time between two checks of how many boxes there are.
 const shareInterval = time.Second
 
@@ -353,6 +371,7 @@
 		if cfg.Peers == "" {
 			boxes = 1
 		}
+		b.crashes.SetBoxes(boxes)
 		b.Relay.UpdatePeers(retry.Limits{Share: cfg.RetryShare, FreeCalls: cfg.RetrySlack, Window: cfg.RetryWindow}, boxes, b.startedAt)
 		select {
 		case <-time.After(shareInterval):
--- /dev/null
+++ b/internal/quarantine/cover.go
@@ -0,0 +1,136 @@
+package quarantine
+
+import (
+	"bytes"
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// This file decides which parts crash endpoints. A crash makes all parts that ran there suspects, also those of the
+// harmless streams beside the request that caused the crash. A harmless part has runs that lasted, and these clear it.
+// Where several parts remain, the fewest parts are looked for that explain the crashes. A harmless part that was always
+// beside a part that crashes endpoints explains nothing by itself, and is not blamed.
+
+// minPartBits is the least evidence of one crash against a part. Five crashes then suffice, however long the requests
+// had waited at the endpoints before they began.
+const minPartBits = ThresholdBits / 5.0
+
+// minPartRequests is the least number of different requests under which endpoints must have crashed. One request that is
+// sent again and again is quarantined by itself.
+const minPartRequests = 2
+
+// exposure is the evidence of one crash against a part that ran there.
+type exposure struct {
+	request string // Tells requests apart.
+	account string // The Tag of the client account.
+	bits    float64
+	// position is the number of parts that stand before this part in the prompt.
+	position int
+}
+
+// suspects are the parts that may have caused one crash.
+type suspects map[Part]exposure
+
+// tally is the evidence against one part.
+type tally struct {
+	bits     float64
+	requests int
+	position int
+	account  string // Empty if requests of several accounts, or of none, are part of the evidence.
+	crashes  []string
+}
+
+// sufficient reports whether the evidence is enough to quarantine the part.
+func (t *tally) sufficient() bool { return t.bits >= ThresholdBits && t.requests >= minPartRequests }
+
+// indexParts returns the crashes of each part that has several.
+func indexParts(crashes map[string]suspects) map[Part][]string {
+	index := map[Part][]string{}
+	for endpoint, s := range crashes {
+		for p := range s {
+			index[p] = append(index[p], endpoint)
+		}
+	}
+	maps.DeleteFunc(index, func(_ Part, list []string) bool { return len(list) < minPartRequests })
+	return index
+}
+
+// tallyPart adds up the evidence of crashes against a part. The crashes of one request count in full only once.
+func tallyPart(p Part, crashes map[string]suspects, endpoints []string) (t tally) {
+	t.crashes = slices.Sorted(slices.Values(endpoints))
+	list := make([]exposure, 0, len(endpoints))
+	for _, endpoint := range t.crashes {
+		list = append(list, crashes[endpoint][p])
+	}
+	slices.SortStableFunc(list, func(a, b exposure) int { return cmp.Compare(b.bits, a.bits) })
+	seen := map[string]bool{}
+	for i, e := range list {
+		if !seen[e.request] {
+			seen[e.request] = true
+			t.bits += e.bits
+		} else {
+			t.bits += minCrashBits
+		}
+		t.position = max(t.position, e.position)
+		if i == 0 {
+			t.account = e.account
+		} else if t.account != e.account {
+			t.account = ""
+		}
+	}
+	t.requests = len(seen)
+	return t
+}
+
+// findParts returns the parts that explain the crashes, with the evidence against each of them. Of the parts with enough
+// evidence, it first takes the one that stands furthest back in prompts, because the fewest requests share it. If an
+// earlier part is the cause, crashes remain that only the earlier part explains. The later one is then dropped again.
+func findParts(crashes map[string]suspects) map[Part]tally {
+	found := map[Part]tally{}
+	all := indexParts(crashes)
+	remaining := maps.Clone(crashes)
+	for {
+		var best Part
+		var bestTally tally
+		for p, endpoints := range indexParts(remaining) {
+			t := tallyPart(p, remaining, endpoints)
+			if !t.sufficient() {
+				continue
+			}
+			c := cmp.Or(cmp.Compare(t.position, bestTally.position), cmp.Compare(t.bits, bestTally.bits), bytes.Compare(p[:], best[:]))
+			if bestTally.requests == 0 || c > 0 {
+				best, bestTally = p, t
+			}
+		}
+		if bestTally.requests == 0 {
+			break
+		}
+		found[best] = tallyPart(best, crashes, all[best])
+		for _, endpoint := range bestTally.crashes {
+			delete(remaining, endpoint)
+		}
+	}
+	dropRedundant(found)
+	return found
+}
+
+// dropRedundant removes parts whose crashes other parts explain, those with the least evidence first.
+func dropRedundant(found map[Part]tally) {
+	order := slices.SortedFunc(maps.Keys(found), func(a, b Part) int {
+		return cmp.Or(cmp.Compare(found[a].bits, found[b].bits), bytes.Compare(a[:], b[:]))
+	})
+	for _, p := range order {
+		explained := map[string]bool{}
+		for other, t := range found {
+			if other != p {
+				for _, c := range t.crashes {
+					explained[c] = true
+				}
+			}
+		}
+		if !slices.ContainsFunc(found[p].crashes, func(c string) bool { return !explained[c] }) {
+			delete(found, p)
+		}
+	}
+}
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -4,8 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"time"
-
-	"github.com/stoatramp/stoatramp/internal/clock"
 )
 
 // Table is the table of crashes in the platform's store, which all boxes share.
@@ -86,39 +84,3 @@
 		failures++
 	}
 }
-
-// nextBatch returns the rows that the next call to the store writes, and the keys of the rows that it removes.
-func (l *List) nextBatch() (put map[string][]byte, remove []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	put = map[string][]byte{}
-	now := clock.Now()
-	for key, record := range l.crashes {
-		if !record.writeAcked && !now.Before(record.writeAfter) && len(put) < MaxRowsPerWrite {
-			record.writeAttempted = true
-			put[key] = record.row()
-		}
-	}
-	for key, removed := range l.removing {
-		if !removed && len(put)+len(remove) < MaxRowsPerWrite {
-			remove = append(remove, key)
-		}
-	}
-	return put, remove
-}
-
-// markWritten records that the store has accepted a batch of changes.
-func (l *List) markWritten(put map[string][]byte, remove []string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for key := range put {
-		if record := l.crashes[key]; record != nil {
-			record.writeAcked = true
-		}
-	}
-	for _, key := range remove {
-		if _, pending := l.removing[key]; pending {
-			l.removing[key] = true
-		}
-	}
-}
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -30,6 +30,10 @@
 	failureRate      float64
 	lostReplyRate    float64
 	propagationDelay time.Duration
+	// version counts the changes of the table. delivered has the version that each box has, guarded by deliveries.
+	version    int
+	deliveries sync.Mutex
+	delivered  map[int]int
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -50,9 +54,10 @@
 	for _, key := range remove {
 		delete(s.rows, key)
 	}
-	rows := maps.Clone(s.rows)
-	for _, l := range s.boxes {
-		time.AfterFunc(s.propagationDelay, func() { l.SetRows(rows) })
+	s.version++
+	version, rows := s.version, maps.Clone(s.rows)
+	for n := range s.boxes {
+		time.AfterFunc(s.propagationDelay, func() { s.deliver(n, version, rows) })
 	}
 	if roll < s.failureRate+s.lostReplyRate {
 		return errNoAnswer
@@ -60,9 +65,20 @@
 	return nil
 }
 
+// deliver passes a version of the table to a box, unless the box has a later one.
+func (s *fakeTable) deliver(box, version int, rows map[string][]byte) {
+	s.deliveries.Lock()
+	defer s.deliveries.Unlock()
+	if version < s.delivered[box] {
+		return
+	}
+	s.delivered[box] = version
+	s.boxes[box].SetRows(rows)
+}
+
 // newFleet starts boxes that share a table.
 func newFleet(ctx context.Context, boxes int, seed uint64) *fakeTable {
-	s := &fakeTable{rng: newRNG(seed), rows: map[string][]byte{}, propagationDelay: 300 * time.Millisecond}
+	s := &fakeTable{rng: newRNG(seed), rows: map[string][]byte{}, delivered: map[int]int{}, propagationDelay: 300 * time.Millisecond}
 	for range boxes {
 		l := NewList()
 		s.boxes = append(s.boxes, l)
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -43,6 +42,12 @@
 	Doubtful bool
 	// Try is the Tag of the try of the request, which tells its tries apart.
 	Try string
+	// Parts are the parts of the prompt that may have crashed the endpoint; none if the run has shown that they do not.
+	Parts []Part
+	// Account is the Tag of the client account; empty for a request without an account.
+	Account string
+	// RunEnded means that the run had ended shortly before the crash. Then only its parts are suspected.
+	RunEnded bool
 }
 
 // Verdict is the evidence against a request, and whether it suffices to quarantine the request.
@@ -62,27 +67,26 @@
 	return fmt.Sprintf("%d endpoints ended under it: %s", len(v.Crashes), strings.Join(parts, ", "))
 }
 
-// crashRecord is a crash that this box knows, and the state of the crash's row in the table.
+// crashRecord is a crash that this box knows.
 type crashRecord struct {
 	Crash
 	observedAt time.Time
-	// writeAttempted means that this box has tried to write the row. writeAcked means that the store has accepted the
-	// row. seenInTable means that this box has read the row from the table. All three are set when the row is read.
-	writeAttempted, writeAcked, seenInTable bool
-	// writeAfter is the earliest time at which this box may write the row. If it is zero, the box may write
-	// immediately.
-	writeAfter time.Time
 }
 
 // List holds the crashes that one box knows: the crashes that the box observed and the crashes in the shared table. It
-// is safe for concurrent use. NewList must be used to create it.
+// counts them against whole requests and against parts of prompts. It is safe for concurrent use. NewList must be used
+// to create it.
 type List struct {
 	// OnQuarantine is called once when a request becomes quarantined. It must not block, and may be nil.
 	OnQuarantine func(Fingerprint, Verdict)
+	// OnPart is called when the state of a part changes. It must not block, and may be nil.
+	OnPart func(PartVerdict)
 
 	// count is the number of crashes. It can be read without the lock. While it is 0, no fingerprint of a request needs
 	// to be computed.
 	count atomic.Int64
+	// boxes is the number of boxes that share the table; 0 if it is not known.
+	boxes atomic.Int64
 
 	mu        sync.Mutex
 	crashes   map[string]*crashRecord // By the keys of their rows.
@@ -93,9 +97,12 @@
 	// accepted the removal.
 	removing       map[string]bool
 	quarantined    map[Fingerprint]bool
-	recentlyServed servedSet
+	recentlyServed recentSet[Fingerprint]
+	parts          partLedger
+	// rows has the state of the rows of the table by their keys.
+	rows map[string]*sharedRow
 	// restorePending means that the next call of SetRows brings a table that was restored from an older copy. The boxes
-	// then write the crashes that this table lacks to it again. They spread these writes over rewriteSpread.
+	// then write the rows that this table lacks to it again. They spread these writes over rewriteSpread.
 	restorePending bool
 	rewriteSpread  time.Duration
 	// pendingWrites wakes the TableWriter. It has an element when there are new changes to write.
@@ -107,6 +114,7 @@
 	return &List{
 		crashes: map[string]*crashRecord{}, byRequest: map[Fingerprint]map[string]*crashRecord{}, perCaller: map[string]int{},
 		removing: map[string]bool{}, quarantined: map[Fingerprint]bool{}, pendingWrites: make(chan struct{}, 1),
+		rows: map[string]*sharedRow{}, recentlyServed: recentSet[Fingerprint]{max: maxServed}, parts: newPartLedger(),
 	}
 }
 
@@ -146,6 +154,9 @@
 	return b
 }
 
+// SetBoxes sets the number of boxes that share the table.
+func (l *List) SetBoxes(n int) { l.boxes.Store(int64(n)) }
+
 // Empty reports whether no crash is recorded for any request.
 func (l *List) Empty() bool { return l.count.Load() == 0 }
 
@@ -156,10 +167,13 @@
 	return l.verdict(f)
 }
 
-// verdict adds up the evidence of the crashes of a request. l.mu must be held.
+// verdict adds up the evidence of the crashes of a request. A crash that a quarantined part explains is no evidence
+// against the requests beside it. l.mu must be held.
 func (l *List) verdict(f Fingerprint) (v Verdict) {
 	for _, record := range l.byRequest[f] {
-		v.Crashes = append(v.Crashes, record.Crash)
+		if !l.parts.explained[record.Endpoint] {
+			v.Crashes = append(v.Crashes, record.Crash)
+		}
 	}
 	v.Bits = totalBits(v.Crashes)
 	slices.SortFunc(v.Crashes, func(a, b Crash) int {
@@ -176,10 +190,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := clock.Now()
-	if crashBits(&e) < minCrashBits || l.recentlyServed.contains(e.Request, now) || !l.isNew(&e) {
+	l.recordParts(&e, now)
+	if e.RunEnded || crashBits(&e) < minCrashBits || l.recentlyServed.contains(e.Request, now) || !l.isNew(&e) {
 		return
 	}
-	l.add(&crashRecord{Crash: e, observedAt: now})
+	l.add(&crashRecord{Crash: e, observedAt: now}, &sharedRow{value: e.row(), own: true})
 	l.wakeWriter()
 }
 
@@ -210,90 +225,22 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.recentlyServed.add(f, clock.Now())
-	for key, record := range l.byRequest[f] {
-		l.drop(key, record.writeAttempted)
-	}
+	l.dropRequest(f)
 }
 
-// SetRows reads all rows of the shared table into the list. A crash whose row has gone from the table is forgotten
-// here. The crash is kept if its row has not been seen in the table yet, or if a restored table lacks the row.
-func (l *List) SetRows(rows map[string][]byte) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := clock.Now()
-	restored := l.restorePending
-	if l.restorePending = false; restored {
-		l.scheduleRewrites(rows, now)
-	}
-	for key, record := range l.crashes {
-		if _, exists := rows[key]; !exists && record.seenInTable {
-			l.drop(key, false)
-		}
-	}
-	for key, removed := range l.removing {
-		if _, exists := rows[key]; !exists && removed {
-			delete(l.removing, key)
-		}
-	}
-	for key, text := range rows {
-		if record := l.crashes[key]; record != nil {
-			record.writeAttempted, record.writeAcked, record.seenInTable = true, true, true
-			continue
-		}
-		if e, ok := parseRow(key, text); ok && !l.isRemoving(key) {
-			l.add(&crashRecord{Crash: e, observedAt: now, writeAttempted: true, writeAcked: true, seenInTable: true})
-			if restored && l.recentlyServed.contains(e.Request, now) {
-				l.drop(key, true)
-			}
-		}
+// dropRequest drops all crashes of a request, also from the table. l.mu must be held.
+func (l *List) dropRequest(f Fingerprint) {
+	for key := range l.byRequest[f] {
+		l.drop(key, l.rows[key].writeAttempted)
 	}
 }
 
-// observerHeadStart applies after the table was restored from an older copy that lacks a crash. For this long, only the
-// box that observed the crash writes it to the table again. The other boxes wait for at least this long.
-const observerHeadStart = 2 * time.Second
-
-// ExpectRestoredRows announces that the next call of SetRows brings a table that was restored from an older copy.
-// Crashes that this table lacks still count. Their rows are written to the table again. The box that observed a crash
-// writes first. Another box writes the row only if it is still missing after observerHeadStart and a random part of
-// spread.
-func (l *List) ExpectRestoredRows(spread time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.restorePending, l.rewriteSpread = true, spread
-}
-
-// scheduleRewrites has two kinds of changes written to a restored table. Crashes whose rows the table lacks are written
-// again. Rows that are to be removed are removed again. l.mu must be held.
-func (l *List) scheduleRewrites(rows map[string][]byte, now time.Time) {
-	rewriteDelay := observerHeadStart + rand.N(l.rewriteSpread+1)
-	for key, record := range l.crashes {
-		if _, exists := rows[key]; exists || !record.writeAcked {
-			continue
-		}
-		record.writeAcked, record.seenInTable = false, false
-		if record.SentAt.IsZero() { // Another box observed the crash.
-			record.writeAfter = now.Add(rewriteDelay)
-		}
-	}
-	time.AfterFunc(rewriteDelay, l.wakeWriter)
-	for key := range l.removing {
-		l.removing[key] = false
-	}
-	l.wakeWriter()
-}
-
-func (l *List) isRemoving(key string) bool {
-	_, ok := l.removing[key]
-	return ok
-}
-
 // add records a crash. If a bound is reached, it first drops another crash. It calls OnQuarantine if the request
 // becomes quarantined. l.mu must be held.
-func (l *List) add(record *crashRecord) {
+func (l *List) add(record *crashRecord, row *sharedRow) {
 	l.evictIfFull(record.Caller)
 	key := record.key()
-	l.crashes[key] = record
+	l.crashes[key], l.rows[key] = record, row
 	if l.byRequest[record.Request] == nil {
 		l.byRequest[record.Request] = map[string]*crashRecord{}
 	}
@@ -329,7 +276,7 @@
 		}
 	}
 	if oldest != nil {
-		l.drop(oldest.key(), oldest.writeAttempted)
+		l.drop(oldest.key(), l.rows[oldest.key()].writeAttempted)
 	}
 }
 
@@ -348,10 +295,7 @@
 	if !l.verdict(record.Request).Quarantined {
 		delete(l.quarantined, record.Request)
 	}
-	if removeFromTable {
-		l.removing[key] = false
-		l.wakeWriter()
-	}
+	l.dropRow(key, removeFromTable)
 }
 
 // expire drops the crashes that are older than ttl, also from the table.
@@ -361,9 +305,10 @@
 	now := clock.Now()
 	for key, record := range l.crashes {
 		if now.Sub(record.observedAt) > ttl {
-			l.drop(key, record.writeAttempted)
+			l.drop(key, l.rows[key].writeAttempted)
 		}
 	}
+	l.expireParts(ttl, now)
 }
 
 // Sizes returns the number of recorded crashes and the number of quarantined requests.
@@ -372,10 +317,3 @@
 	defer l.mu.Unlock()
 	return len(l.crashes), len(l.quarantined)
 }
-
-func (l *List) wakeWriter() {
-	select {
-	case l.pendingWrites <- struct{}{}:
-	default:
-	}
-}
--- /dev/null
+++ b/internal/quarantine/rows.go
@@ -0,0 +1,215 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/clock"
+)
+
+// This file has the state of the rows of the shared table, whatever they say. The keys of the rows tell their kinds
+// apart. A box ignores rows whose kind it does not know, and neither changes nor removes them.
+
+// Prefixes of the keys of rows. The key of a row about a whole request begins with the request's fingerprint instead.
+const (
+	partRowPrefix  = "part."
+	clearRowPrefix = "clear."
+)
+
+// sharedRow is a row of the shared table as this box knows it.
+type sharedRow struct {
+	value []byte
+	// own means that this box observed what the row says.
+	own bool
+	// writeAttempted means that this box has tried to write the row. writeAcked means that the store has accepted the
+	// value. seenInTable means that this box has read the row from the table. All three are set when the row is read.
+	writeAttempted, writeAcked, seenInTable bool
+	// writeAfter is the earliest time at which this box may write the row. If it is zero, the box may write
+	// immediately.
+	writeAfter time.Time
+}
+
+// readRow returns the state of a row that was read from the table.
+func readRow(value []byte) *sharedRow {
+	return &sharedRow{value: value, writeAttempted: true, writeAcked: true, seenInTable: true}
+}
+
+// setOwn sets the value of a row that this box observed, and has the row written. l.mu must be held.
+func (l *List) setOwn(key string, value []byte) {
+	row := l.rows[key]
+	if row == nil {
+		row = &sharedRow{own: true}
+		l.rows[key] = row
+	}
+	row.value, row.writeAcked = value, false
+	delete(l.removing, key)
+	l.wakeWriter()
+}
+
+// dropRow forgets a row. If remove is set, it also has the row removed from the table. l.mu must be held.
+func (l *List) dropRow(key string, remove bool) {
+	delete(l.rows, key)
+	if remove {
+		l.removing[key] = false
+		l.wakeWriter()
+	}
+}
+
+// nextBatch returns the rows that the next call to the store writes, and the keys of the rows that it removes. Rows about
+// parts come first, because one of them stands for all streams of an endpoint.
+func (l *List) nextBatch() (put map[string][]byte, remove []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	put = map[string][]byte{}
+	now := clock.Now()
+	l.prepareClears(now)
+	for _, aboutParts := range []bool{true, false} {
+		for key, row := range l.rows {
+			if isPartRow(key) == aboutParts && !row.writeAcked && !now.Before(row.writeAfter) && len(put) < MaxRowsPerWrite {
+				row.writeAttempted = true
+				put[key] = row.value
+			}
+		}
+	}
+	for key, removed := range l.removing {
+		if !removed && len(put)+len(remove) < MaxRowsPerWrite {
+			remove = append(remove, key)
+		}
+	}
+	return put, remove
+}
+
+func isPartRow(key string) bool {
+	return strings.HasPrefix(key, partRowPrefix) || strings.HasPrefix(key, clearRowPrefix)
+}
+
+// markWritten records that the store has accepted a batch of changes.
+func (l *List) markWritten(put map[string][]byte, remove []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, value := range put {
+		if row := l.rows[key]; row != nil {
+			row.writeAcked = string(row.value) == string(value) // It may have changed during the call.
+		}
+	}
+	for _, key := range remove {
+		if _, pending := l.removing[key]; pending {
+			l.removing[key] = true
+		}
+	}
+}
+
+// SetRows reads all rows of the shared table into the list. What a row says is forgotten when the row has gone from the
+// table. It is kept if the row has not been seen in the table yet, or if a restored table lacks the row.
+func (l *List) SetRows(rows map[string][]byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := clock.Now()
+	restored := l.restorePending
+	if l.restorePending = false; restored {
+		l.scheduleRewrites(rows, now)
+	}
+	for key, row := range l.rows {
+		if _, exists := rows[key]; !exists && row.seenInTable {
+			l.forget(key)
+		}
+	}
+	for key, removed := range l.removing {
+		if _, exists := rows[key]; !exists && removed {
+			delete(l.removing, key)
+		}
+	}
+	for key, value := range rows {
+		l.readKey(key, value, now, restored)
+	}
+	l.parts.verified = !l.parts.tableRead
+	l.updateParts(now)
+	l.parts.verified, l.parts.tableRead = false, true
+}
+
+// readKey reads a row of the table. l.mu must be held.
+func (l *List) readKey(key string, value []byte, now time.Time, restored bool) {
+	row := l.rows[key]
+	switch {
+	case row != nil && string(row.value) == string(value):
+		row.writeAttempted, row.writeAcked, row.seenInTable = true, true, true
+	case row == nil && l.isRemoving(key):
+	case strings.HasPrefix(key, clearRowPrefix):
+		l.readClearRow(key, value)
+	case row != nil && !isPartRow(key):
+		row.writeAttempted, row.writeAcked, row.seenInTable = true, true, true // All boxes write the same.
+	case row != nil && row.own:
+		row.writeAttempted, row.seenInTable = true, true // The table still has an earlier value.
+	case strings.HasPrefix(key, partRowPrefix):
+		l.readPartRow(key, value, now)
+	default:
+		e, ok := parseRow(key, value)
+		if !ok {
+			return
+		}
+		l.add(&crashRecord{Crash: e, observedAt: now}, readRow(value))
+		if restored && l.recentlyServed.contains(e.Request, now) {
+			l.drop(key, true)
+		}
+	}
+}
+
+// forget forgets what a row of the table said that has gone. l.mu must be held.
+func (l *List) forget(key string) {
+	if isPartRow(key) {
+		l.forgetPartRow(key)
+		return
+	}
+	l.drop(key, false)
+}
+
+// observerHeadStart applies after the table was restored from an older copy that lacks a row. For this long, only the
+// box that observed what the row says writes it to the table again. The other boxes wait for at least this long.
+const observerHeadStart = 2 * time.Second
+
+// ExpectRestoredRows announces that the next call of SetRows brings a table that was restored from an older copy. What
+// this table lacks still counts. Its rows are written to the table again. The box that observed a crash writes first.
+// Another box writes the row only if it is still missing after observerHeadStart and a random part of spread.
+func (l *List) ExpectRestoredRows(spread time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.restorePending, l.rewriteSpread = true, spread
+}
+
+// scheduleRewrites has two kinds of changes written to a restored table. Rows that the table lacks, or has with an
+// earlier value, are written again. Rows that are to be removed are removed again. l.mu must be held.
+func (l *List) scheduleRewrites(rows map[string][]byte, now time.Time) {
+	rewriteDelay := observerHeadStart + rand.N(l.rewriteSpread+1)
+	for key, row := range l.rows {
+		value, exists := rows[key]
+		if exists && (!isPartRow(key) || string(value) == string(row.value)) || !row.writeAcked {
+			continue
+		}
+		if exists && !row.own {
+			continue // Another box has the newer value.
+		}
+		row.writeAcked, row.seenInTable = false, false
+		if !row.own {
+			row.writeAfter = now.Add(rewriteDelay)
+		}
+	}
+	l.keepClears(rows)
+	time.AfterFunc(rewriteDelay, l.wakeWriter)
+	for key := range l.removing {
+		l.removing[key] = false
+	}
+	l.wakeWriter()
+}
+
+func (l *List) isRemoving(key string) bool {
+	_, ok := l.removing[key]
+	return ok
+}
+
+func (l *List) wakeWriter() {
+	select {
+	case l.pendingWrites <- struct{}{}:
+	default:
+	}
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -46,6 +46,9 @@
 	// StepSlot means that a slot of a plain service's endpoints was granted or refused. Slot has the details. Decode is
 	// the endpoint of a granted slot. Text is the reason of a refusal.
 	StepSlot StepKind = "slot"
+	// StepSuspected means that the request waited, because a part of its prompt was suspected to crash endpoints. Text names
+	// the part and the crashes.
+	StepSuspected StepKind = "suspected"
 )
 
 // Step is one event in the processing of a request. Which fields are set depends on Kind. Decode names the decode
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -61,6 +62,10 @@
 	runTime     time.Duration     // From the sending of the call until the connection was lost.
 	sent        time.Time         // When the call was sent.
 	doubtful    bool              // The endpoint may have crashed before the call was sent.
+	// runEnded means that the run had ended shortly before a call was lost. The call itself was not lost.
+	runEnded bool
+	// account is the Tag of the client account; empty if the request has none.
+	account string
 }
 
 // probeTimes are the delays of the probes after the first lost call. The first probe comes late enough for the same
@@ -75,6 +80,8 @@
 	mu sync.Mutex
 	// lostCalls are the lost calls of each endpoint that is being probed.
 	lostCalls map[string][]lostCall
+	// ended are the runs that ended at an endpoint within outliveTime.
+	ended map[string][]lostCall
 }
 
 // add records a lost call. If the endpoint is not being probed yet, first is set. The caller of add must then probe the
@@ -86,12 +93,46 @@
 		w.lostCalls = map[string][]lostCall{}
 	}
 	_, watched := w.lostCalls[endpoint]
+	if !watched {
+		w.lostCalls[endpoint] = w.ended[endpoint]
+		delete(w.ended, endpoint)
+	}
 	if len(w.lostCalls[endpoint]) < maxLostCalls {
 		w.lostCalls[endpoint] = append(w.lostCalls[endpoint], c)
 	}
 	return !watched
 }
 
+// addEnded records a run that has ended without a lost connection. It returns false if the endpoint is being probed, or if
+// too many runs have ended there.
+func (w *crashWatch) addEnded(endpoint string, c lostCall) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, watched := w.lostCalls[endpoint]; watched || len(w.ended[endpoint]) >= maxLostCalls {
+		return false
+	}
+	if w.ended == nil {
+		w.ended = map[string][]lostCall{}
+	}
+	w.ended[endpoint] = append(w.ended[endpoint], c)
+	return true
+}
+
+// removeEnded forgets a run that has ended at an endpoint. It returns false if a call was lost there meanwhile.
+func (w *crashWatch) removeEnded(endpoint, request string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := w.ended[endpoint]
+	n := slices.IndexFunc(list, func(c lostCall) bool { return c.request == request })
+	if n < 0 {
+		return false
+	}
+	if w.ended[endpoint] = slices.Delete(list, n, n+1); len(list) == 1 {
+		delete(w.ended, endpoint)
+	}
+	return true
+}
+
 // close ends the probing of an endpoint, and returns the lost calls that were recorded for the endpoint.
 func (w *crashWatch) close(endpoint string) []lostCall {
 	w.mu.Lock()
@@ -108,13 +149,24 @@
 	if !known || e.Leaving || loss.sent.IsZero() {
 		return // An endpoint that is leaving stops as planned.
 	}
-	c := lostCall{request: x.meta.ID, caller: x.caller(), fingerprint: x.fingerprint(), parts: x.meta.Parts, runTime: clock.Since(loss.sent), sent: loss.sent}
+	c := x.lostCall(loss.sent)
+	if x.runLasted {
+		c.parts = nil
+	}
 	c.doubtful = loss.unanswered && c.runTime < immediateLossLimit
 	if x.r.crashWatch.add(endpoint, c) {
 		go x.r.watchCrash(e)
 	}
 }
 
+// lostCall returns a lost call of the request that was sent at a time.
+func (x *exchange) lostCall(sent time.Time) lostCall {
+	return lostCall{
+		request: x.meta.ID, caller: x.caller(), account: x.accountTag(), fingerprint: x.fingerprint(), parts: x.meta.Parts,
+		runTime: clock.Since(sent), sent: sent,
+	}
+}
+
 // watchCrash probes an endpoint until a probe shows whether the endpoint crashed, or until the last probe. It reports a
 // crash.
 func (r *Relay) watchCrash(e Endpoint) {
@@ -201,12 +253,17 @@
 
 // reportCrash records and logs that an endpoint crashed while it ran the requests of calls.
 func (r *Relay) reportCrash(e Endpoint, evidence string, calls []lostCall) {
-	r.m.SuspectedCrashes.Add(len(calls))
 	for _, c := range calls {
-		r.o.Crashes.RecordCrash(quarantine.Crash{Request: c.fingerprint, Endpoint: e.ID, Caller: quarantine.Tag(c.caller), RunTime: c.runTime, SentAt: c.sent, Doubtful: c.doubtful, Try: quarantine.Tag(c.request)})
+		r.o.Crashes.RecordCrash(quarantine.Crash{
+			Request: c.fingerprint, Endpoint: e.ID, Caller: quarantine.Tag(c.caller), RunTime: c.runTime, SentAt: c.sent, Doubtful: c.doubtful,
+			Try: quarantine.Tag(c.request), Parts: c.parts, Account: c.account, RunEnded: c.runEnded,
+		})
+		if !c.runEnded {
+			r.m.SuspectedCrashes.Inc()
+		}
 		r.o.Recorder.Log.StateChange("endpoint crashed under a request", zap.String("endpoint", e.ID), zap.String("service", e.Service),
 			zap.String("id", c.request), zap.Stringer("fingerprint", c.fingerprint), zap.Stringers("parts", c.parts), zap.String("caller", quarantine.Tag(c.caller)),
-			zap.Duration("ran", c.runTime), zap.Bool("doubt", c.doubtful), zap.String("known_by", evidence))
+			zap.Duration("ran", c.runTime), zap.Bool("doubt", c.doubtful), zap.Bool("run_ended", c.runEnded), zap.String("known_by", evidence))
 	}
 }
 
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -286,6 +286,7 @@
 		engine = m.sourceEngine
 	}
 	f.decodeAttempt, f.decodeEngine = m.attempt, engine
+	f.startRun(engine)
 	var ctx context.Context
 	if atSource || m.bound { // The attempt is already bound to a context.
 		ctx, f.stopDecode = context.WithCancel(f.ctx)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -120,7 +120,7 @@
 			o.Detail = noRetryLeft
 			break
 		}
-		if refused, yes := x.quarantined(); yes {
+		if refused, yes := x.awaitVerdict(ctx); yes {
 			o, failed = refused, nil
 			break
 		}
@@ -187,6 +187,9 @@
 		// can follow.
 		if a.resp != nil && (a.good || !x.mayCallAgain(&p, budget)) {
 			x.passAnswer(a)
+			if a.good && a.whole {
+				x.recordRunEnd(e.ID, clock.Now().Add(-a.took), true)
+			}
 			return
 		}
 		if a.resp != nil && a.whole {
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -1,26 +1,37 @@
 package relay
 
 import (
+	"context"
 	"strings"
+	"time"
 
+	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/quarantine"
+	"github.com/stoatramp/stoatramp/internal/record"
 )
 
-// This file quarantines requests: a request is not sent to any endpoint if requests with the same fingerprint have
-// crashed endpoints. The fingerprint is a hash of what an endpoint would run (package quarantine).
+// This file quarantines requests: a request is not sent to any endpoint if equal requests, or requests with the same part
+// in their prompts, have crashed endpoints (package quarantine).
 
-// quarantined reports whether the request must not be sent to an endpoint, because equal requests have crashed
-// endpoints. The outcome is then that of the request. quarantined must be called before each call to an endpoint.
+const (
+	// lastingRun is how long a run must have written to show that no part of its prompt crashes endpoints. Such a part
+	// crashes an endpoint when a run begins to write.
+	lastingRun = time.Second
+	// outliveTime is how long an endpoint must go on after a complete answer to show the same. A short answer may be
+	// complete just before its endpoint crashes.
+	outliveTime = 500 * time.Millisecond
+)
+
+// quarantined reports whether the request must not be sent to an endpoint, because equal requests, or requests with the
+// same part, have crashed endpoints. The outcome is then that of the request. quarantined or awaitVerdict must be called
+// before each call to an endpoint.
 func (x *exchange) quarantined() (o outcome.Outcome, quarantined bool) {
-	if x.r.o.Crashes.Empty() {
-		return o, false
-	}
-	v := x.r.o.Crashes.Check(x.fingerprint())
-	if !v.Quarantined {
+	detail, quarantined := x.quarantineDetail()
+	if !quarantined {
 		return o, false
 	}
-	o = outcome.Refuse(outcome.CrashesEndpoints, "fingerprint "+x.fingerprint().String()+", "+v.String())
+	o = outcome.Refuse(outcome.CrashesEndpoints, detail)
 	if x.ran {
 		o.Kind = outcome.MayHaveRun
 	}
@@ -30,6 +41,111 @@
 	return o, true
 }
 
+// quarantineDetail returns what the request is quarantined for.
+func (x *exchange) quarantineDetail() (detail string, quarantined bool) {
+	if v := x.r.o.Crashes.CheckParts(x.meta.Parts, x.accountTag); v != nil && v.State == quarantine.Quarantined {
+		return "part " + v.Part.String() + " of its prompt, " + v.String(), true
+	}
+	if x.r.o.Crashes.Empty() {
+		return "", false
+	}
+	v := x.r.o.Crashes.Check(x.fingerprint())
+	return "fingerprint " + x.fingerprint().String() + ", " + v.String(), v.Quarantined
+}
+
+// awaitVerdict is like quarantined. If a part of the prompt is suspected, it waits first until the part is quarantined or
+// released, or until ctx ends.
+func (x *exchange) awaitVerdict(ctx context.Context) (o outcome.Outcome, quarantined bool) {
+	waited := false
+	for {
+		changed := x.r.o.Crashes.PartsChanged()
+		v := x.r.o.Crashes.CheckParts(x.meta.Parts, x.accountTag)
+		if v == nil || v.State != quarantine.Suspected {
+			return x.quarantined()
+		}
+		if !waited {
+			waited = true
+			x.r.m.SuspectedParts.Inc()
+			x.trace.Step(record.Step{Kind: record.StepSuspected, Text: "part " + v.Part.String() + ", " + v.String()})
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return o, false
+		}
+	}
+}
+
+// accountTag identifies the client account in the table of crashes. It is empty for a request without an account.
+func (x *exchange) accountTag() string {
+	if x.account == nil {
+		return ""
+	}
+	return quarantine.Tag(x.account.Name)
+}
+
+// recordRunEnd records the end of a run whose connection was not lost. If the answer was complete and the endpoint goes on
+// for outliveTime, the parts of the prompt are cleared. If the endpoint crashes in that time, they are suspected.
+func (x *exchange) recordRunEnd(endpoint string, sent time.Time, complete bool) {
+	if len(x.meta.Parts) == 0 || x.runLasted {
+		return
+	}
+	c := x.lostCall(sent)
+	c.runEnded = true
+	if !x.r.crashWatch.addEnded(endpoint, c) {
+		return
+	}
+	time.AfterFunc(outliveTime, func() {
+		if x.r.crashWatch.removeEnded(endpoint, c.request) && complete {
+			x.r.o.Crashes.RecordLasted(c.parts)
+		}
+	})
+}
+
+// openRun is a run of a flight's stream that an engine may be executing.
+type openRun struct {
+	engine string // Empty if there is no such run.
+	sent   time.Time
+	began  time.Time // When the run began to write; zero before that.
+}
+
+// observeRun records that the open run goes on writing. After lastingRun, the parts of the prompt are cleared.
+func (f *flight) observeRun(now time.Time) {
+	switch {
+	case f.x.runLasted || f.run.engine == "":
+	case f.run.began.IsZero():
+		f.run.began = now
+	case now.Sub(f.run.began) >= lastingRun:
+		f.x.runLasted = true
+		f.x.r.o.Crashes.RecordLasted(f.x.meta.Parts)
+	}
+}
+
+// startRun records that the stream is sent to an engine.
+func (f *flight) startRun(engine string) {
+	f.run, f.x.runLasted = openRun{engine: engine, sent: clock.Now()}, false
+}
+
+// endRun records that the open run has ended, but not because its connection was lost.
+func (f *flight) endRun(complete bool) {
+	if f.run.engine != "" {
+		f.x.recordRunEnd(f.run.engine, f.run.sent, complete)
+		f.run = openRun{}
+	}
+}
+
+// endIfQuarantined returns the outcome of a stream that was quarantined before its answer began. A running answer goes on:
+// its engine has got the request already.
+func (f *flight) endIfQuarantined() (o outcome.Outcome, end bool) {
+	if f.x.begun || f.migration != nil {
+		return o, false
+	}
+	if o, end = f.x.quarantined(); end && f.decodeAttempt != 0 {
+		o.Kind = outcome.MayHaveRun
+	}
+	return o, end
+}
+
 // suspected reports whether an equal request is known to have crashed an endpoint. The evidence may not suffice for a
 // quarantine.
 func (x *exchange) suspected() bool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -413,6 +413,8 @@
 	origin origins.Origin
 	// begun is set once any byte of an answer was written. From then on the request can no longer be refused.
 	begun bool
+	// runLasted is set once the current run has shown that no part of the prompt crashes endpoints.
+	runLasted bool
 }
 
 func (r *Relay) newExchange(w http.ResponseWriter, req *http.Request) *exchange {
@@ -467,12 +469,12 @@
 		x.refuse(o)
 		return
 	}
-	if o, quarantined := x.quarantined(); quarantined {
+	ctx, cancel := context.WithTimeout(x.req.Context(), clock.Until(x.deadline))
+	defer cancel()
+	if o, quarantined := x.awaitVerdict(ctx); quarantined {
 		x.refuse(o)
 		return
 	}
-	ctx, cancel := context.WithTimeout(x.req.Context(), clock.Until(x.deadline))
-	defer cancel()
 	if o, ok := x.chargeLimit(ctx); !ok {
 		x.refuse(o)
 		return
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -61,8 +61,12 @@
 	// runningEngine is the engine whose run of the stream has begun; empty if there is none, or if its end has been
 	// published.
 	runningEngine string
+	// run is the decode call in progress.
+	run openRun
 	// migration is the migration in progress; nil if there is none.
 	migration *migration
+	// partsChanged is closed when the verdict on a part of any prompt changes.
+	partsChanged <-chan struct{}
 	// stopDecode cancels the current decode call; nil before the first decode call.
 	stopDecode context.CancelFunc
 
@@ -211,12 +215,13 @@
 // that engines and this box hold for the stream. The calls that free the memory may still run after the return.
 func (x *exchange) runStream(ctx context.Context) outcome.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
-	f := &flight{x: x, ctx: ctx, events: make(chan flightEvent, eventBuffer)}
+	f := &flight{x: x, ctx: ctx, events: make(chan flightEvent, eventBuffer), partsChanged: x.r.o.Crashes.PartsChanged()}
 	f.id, f.call = x.r.disp.Submit(x.meta.ID, f.request())
 	// The end is deferred, so that engine memory is freed even if the loop panics. The order matters: the decision core
 	// emits its last actions when the request is removed, and drainSteps then records them. The calls are canceled
 	// last.
 	defer func() {
+		f.endRun(false)
 		f.publishStreamEnded(false)
 		x.r.disp.Remove(f.id)
 		f.drainSteps()
@@ -284,6 +289,11 @@
 					return o
 				}
 			}
+		case <-f.partsChanged:
+			f.partsChanged = f.x.r.o.Crashes.PartsChanged()
+			if o, end := f.endIfQuarantined(); end {
+				return o
+			}
 		case ev := <-f.events:
 			if f.ctx.Err() != nil {
 				return f.finishExpired(ev) // ev may be the error of a call that was canceled at the request's end.
@@ -370,7 +380,7 @@
 	f.recordStep(a)
 	switch a.(type) {
 	case decide.StartPrefill, decide.StartDecode:
-		if o, yes := f.x.quarantined(); yes {
+		if o, yes := f.x.awaitVerdict(f.ctx); yes {
 			return o, true
 		}
 	}
@@ -398,6 +408,7 @@
 			f.x.r.m.Moves.Inc()
 		}
 		f.decodeAttempt, f.decodeEngine, f.plannedDecode = a.Attempt, a.Decode, a.Decode
+		f.startRun(a.Decode)
 		f.publishOrigin(a.Decode, a.Attempt)
 		if a.Prefill == "" {
 			f.free() // Frees what engines store for an earlier attempt, also a handle that is not used.
@@ -503,6 +514,7 @@
 		})
 	case ev.ended:
 		f.x.recordServed()
+		f.endRun(true)
 		f.x.r.disp.Step(decide.Done{ID: f.id, Attempt: ev.attempt, Output: f.tokensSent()})
 		return outcome.Outcome{Kind: outcome.Answered}, true
 	}
@@ -557,6 +569,9 @@
 func (f *flight) recordFailure(a decide.Attempt, engine string, e *callError) {
 	f.x.trace.Step(record.Step{Kind: record.StepFailed, Attempt: int(a), Decode: engine, Reason: e.reason, Text: e.detail})
 	f.x.recordConnLoss(engine, e.connLoss)
+	if a == f.decodeAttempt {
+		f.run = openRun{}
+	}
 }
 
 // beginAnswer handles the beginning of the answer to a call. If the decision core has given the call up, nothing of
@@ -616,6 +631,7 @@
 		f.x.rec.LongestGap = max(f.x.rec.LongestGap, gap)
 	}
 	f.lastEventAt = now
+	f.observeRun(now)
 	if p.lastID != "" {
 		f.lastID = p.lastID
 	}
