Show and lift what is quarantined: stoatramp quarantine list, lift

Operators could see a quarantined request in logs only, and had to wait ten minutes. The status names what is quarantined, 'quarantine list' gives the evidence, 'why' names the part, and 'quarantine lift ID' has all boxes send it on again; it is quarantined again by new crashes. TestOperatorsSeeAndLiftQuarantinedPart, two boxes.

--- a/cmd/stoatrampd/quarantine_part_test.go
+++ b/cmd/stoatrampd/quarantine_part_test.go
@@ -1,13 +1,18 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/stoatramp/stoatramp/internal/cli"
+	"github.com/stoatramp/stoatramp/internal/quarantine"
 )
 
 const (
@@ -139,3 +144,44 @@
 		t.Errorf("expected no request to be quarantined, got %d of %d", n, calls.sent.Load())
 	}
 }
+
+// Operators see which part is quarantined and why, and can lift it at one box for all.
+func TestOperatorsSeeAndLiftQuarantinedPart(t *testing.T) {
+	t.Parallel()
+	s := newQuarantineSite(t, 2, peerSettings, false)
+	tool := func(wantCode int, args ...string) string {
+		var out bytes.Buffer
+		if code := cli.Main(append([]string{"--box", "http://" + s.boxes[0].Operators, "--key", operatorKey}, args...), &out, &out); code != wantCode {
+			t.Errorf("stoatramp %v: expected exit code %d, got %d: %s", args, wantCode, code, out.String())
+		}
+		return out.String()
+	}
+	if out := tool(0, "quarantine", "list"); !strings.Contains(out, "Nothing is quarantined") {
+		t.Errorf("expected an empty list, got %s", out)
+	}
+	s.runPoison("/stream/part", "5c:40,"+poisonPart+":30,%x:30", 4*time.Second)
+	part := quarantine.NewPart("", poisonPart)
+	isQuarantined := func(n int) bool {
+		for _, v := range s.boxes[n].Quarantine().Parts() {
+			if v.Part == part && v.State == quarantine.Quarantined {
+				return true
+			}
+		}
+		return false
+	}
+	s.until("both boxes to quarantine the part", func() bool { return isQuarantined(0) && isQuarantined(1) })
+	if out := tool(0, "quarantine", "list"); !strings.Contains(out, part.String()) || !strings.Contains(out, "quarantined") || !strings.Contains(out, "i-") {
+		t.Errorf("expected the part with its crashes, got:\n%s", out)
+	}
+	if out := tool(0, "status"); !strings.Contains(out, "part "+part.String()+" is quarantined") {
+		t.Errorf("expected a note about the part, got:\n%s", out)
+	}
+	s.sendPrompt(0, "/stream/why", "why", poisonPart+":40,1:30")
+	if out := tool(0, "why", fmt.Sprintf("id-%d", s.requests.Load())); !strings.Contains(out, part.String()) {
+		t.Errorf("expected the part in the explanation, got:\n%s", out)
+	}
+	tool(2, "quarantine", "lift", "no-id")
+	tool(5, "quarantine", "lift", strings.Repeat("0", 16))
+	tool(0, "quarantine", "lift", part.String())
+	s.until("both boxes to lift the part", func() bool { return !isQuarantined(0) && !isQuarantined(1) })
+}
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -329,6 +329,9 @@
 	}
 }
 
+// Quarantine returns what the box knows of requests, and of parts of prompts, that crash endpoints.
+func (b *RelayBox) Quarantine() *quarantine.List { return b.crashes }
+
 // crashWriter returns the writer that stores the suspected crashes that this box saw.
 func (b *RelayBox) crashWriter() *quarantine.TableWriter {
 	return &quarantine.TableWriter{
@@ -433,7 +436,7 @@
 		Relay: b.Relay, Records: b.recorder.Records, Archive: b.archive, Metrics: b.Metrics,
 		Operator:  b.isOperator,
 		Stop:      func() { go func() { _ = b.Stop() }() },
-		SlotOwner: b.slotOwner, CarriedTunnels: b.tunnels.Open,
+		SlotOwner: b.slotOwner, CarriedTunnels: b.tunnels.Open, Quarantined: b.crashes,
 		NearLimit: func() map[string]float64 { return b.quotaPool.LowAccounts(clock.Now(), nearLimitShare) },
 	}
 	operators.Versions = ops.Versions{Store: b.store, Check: checkRules, AwaitRollout: operators.AwaitLocalRollout}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -45,12 +45,13 @@
 	Key  string   `help:"The operator key." env:"STOATRAMP_KEY"`
 	JSON bool     `name:"json" help:"Print JSON."`
 
-	Status statusCmd `cmd:"" help:"Show the state of a box."`
-	Why    whyCmd    `cmd:"" help:"Explain how a request was routed and how it ended."`
-	Config configCmd `cmd:"" help:"Read and change the shared configuration."`
-	Policy policyCmd `cmd:"" help:"Check, test and benchmark policy programs, which needs no box; read and change the policies of the platform."`
-	Keys   keyCmd    `cmd:"" name:"key" help:"Issue, list and revoke operators' keys on the platform."`
-	Drain  drainCmd  `cmd:"" help:"Make a box finish its running requests and exit."`
+	Status     statusCmd     `cmd:"" help:"Show the state of a box."`
+	Why        whyCmd        `cmd:"" help:"Explain how a request was routed and how it ended."`
+	Config     configCmd     `cmd:"" help:"Read and change the shared configuration."`
+	Policy     policyCmd     `cmd:"" help:"Check, test and benchmark policy programs, which needs no box; read and change the policies of the platform."`
+	Keys       keyCmd        `cmd:"" name:"key" help:"Issue, list and revoke operators' keys on the platform."`
+	Quarantine quarantineCmd `cmd:"" help:"Show and lift what is sent to no endpoint because it crashes endpoints."`
+	Drain      drainCmd      `cmd:"" help:"Make a box finish its running requests and exit."`
 
 	out io.Writer
 	err io.Writer
--- a/internal/ops/relay.go
+++ b/internal/ops/relay.go
@@ -42,6 +42,8 @@
 	NearLimit func() map[string]float64
 	// SlotOwner returns the box that this box asks first for a slot of a cell; an empty string if there is none.
 	SlotOwner func(slots.Cell) string
+	// Quarantined is what the box sends to no endpoint because it crashes endpoints.
+	Quarantined Quarantine
 	// CarriedTunnels returns the number of connections that this box carries for other boxes.
 	CarriedTunnels func() int
 }
@@ -89,6 +91,9 @@
 	if s.NearLimit != nil {
 		out.Notes = append(out.Notes, nearLimitNotes(s.NearLimit())...)
 	}
+	if s.Quarantined != nil {
+		out.Notes = append(out.Notes, quarantineNotes(s.Quarantined)...)
+	}
 	cells := s.Relay.OwnedCells()
 	out.Slots, out.SlotAccounts = slotStatus(cells), slotAccountStatus(cells)
 	out.Cells = cellStatus(s.Relay.ContendedCells(), s.SlotOwner)
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -16,6 +16,16 @@
 
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// ParseFingerprint parses the text that String returns.
+func ParseFingerprint(text string) (f Fingerprint, ok bool) {
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != len(f) {
+		return f, false
+	}
+	copy(f[:], b)
+	return f, true
+}
+
 // Identity is the part of a request that its fingerprint covers. If two bodies differ in one byte, the requests are
 // different. The same body from another client account is another request too.
 type Identity struct {
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -139,12 +139,12 @@
 // parseRow decodes a row of the table; ok is false for a row that no box can have written.
 func parseRow(key string, text []byte) (e Crash, ok bool) {
 	fingerprint, _, found := strings.Cut(key, ".")
-	raw, err := hex.DecodeString(fingerprint)
+	request, valid := ParseFingerprint(fingerprint)
 	var doc rowDoc
-	if !found || err != nil || len(raw) != len(e.Request) || json.Unmarshal(text, &doc) != nil {
+	if !found || !valid || json.Unmarshal(text, &doc) != nil {
 		return e, false
 	}
-	copy(e.Request[:], raw)
+	e.Request = request
 	e.Endpoint, e.Caller, e.RunTime, e.Doubtful, e.Try = doc.Endpoint, doc.Caller, time.Duration(doc.RanMS)*time.Millisecond, doc.Doubtful, doc.Try
 	return e, e.Endpoint != "" && e.RunTime >= 0 && e.RunTime <= maxRunTime && e.key() == key
 }
--- a/internal/rpc/stoatrampv1/stoatrampv1connect/operator.connect.go
+++ b/internal/rpc/stoatrampv1/stoatrampv1connect/operator.connect.go
@@ -47,6 +47,10 @@
 	OperatorApplyConfigProcedure = "/stoatramp.v1.Operator/ApplyConfig"
 	// OperatorConfigHistoryProcedure is the fully-qualified name of the Operator's ConfigHistory RPC.
 	OperatorConfigHistoryProcedure = "/stoatramp.v1.Operator/ConfigHistory"
+	// OperatorQuarantineProcedure is the fully-qualified name of the Operator's Quarantine RPC.
+	OperatorQuarantineProcedure = "/stoatramp.v1.Operator/Quarantine"
+	// OperatorLiftQuarantineProcedure is the fully-qualified name of the Operator's LiftQuarantine RPC.
+	OperatorLiftQuarantineProcedure = "/stoatramp.v1.Operator/LiftQuarantine"
 	// OperatorDrainProcedure is the fully-qualified name of the Operator's Drain RPC.
 	OperatorDrainProcedure = "/stoatramp.v1.Operator/Drain"
 )
@@ -66,6 +70,11 @@
 	ApplyConfig(context.Context, *connect.Request[stoatrampv1.ApplyConfigRequest]) (*connect.Response[stoatrampv1.ApplyConfigResponse], error)
 	// ConfigHistory lists the latest accepted versions, newest first.
 	ConfigHistory(context.Context, *connect.Request[stoatrampv1.ConfigHistoryRequest]) (*connect.Response[stoatrampv1.ConfigHistoryResponse], error)
+	// Quarantine lists what the box sends to no endpoint because it crashes endpoints.
+	Quarantine(context.Context, *connect.Request[stoatrampv1.QuarantineRequest]) (*connect.Response[stoatrampv1.QuarantineResponse], error)
+	// LiftQuarantine has all boxes send to endpoints again what was quarantined. It is quarantined again if it crashes
+	// endpoints again.
+	LiftQuarantine(context.Context, *connect.Request[stoatrampv1.LiftQuarantineRequest]) (*connect.Response[stoatrampv1.LiftQuarantineResponse], error)
 	// Drain starts a graceful shutdown: the box accepts no new requests, finishes the running ones and
 	// exits.
 	Drain(context.Context, *connect.Request[stoatrampv1.DrainRequest]) (*connect.Response[stoatrampv1.DrainResponse], error)
@@ -118,6 +127,18 @@
 			connect.WithSchema(operatorMethods.ByName("ConfigHistory")),
 			connect.WithClientOptions(opts...),
 		),
+		quarantine: connect.NewClient[stoatrampv1.QuarantineRequest, stoatrampv1.QuarantineResponse](
+			httpClient,
+			baseURL+OperatorQuarantineProcedure,
+			connect.WithSchema(operatorMethods.ByName("Quarantine")),
+			connect.WithClientOptions(opts...),
+		),
+		liftQuarantine: connect.NewClient[stoatrampv1.LiftQuarantineRequest, stoatrampv1.LiftQuarantineResponse](
+			httpClient,
+			baseURL+OperatorLiftQuarantineProcedure,
+			connect.WithSchema(operatorMethods.ByName("LiftQuarantine")),
+			connect.WithClientOptions(opts...),
+		),
 		drain: connect.NewClient[stoatrampv1.DrainRequest, stoatrampv1.DrainResponse](
 			httpClient,
 			baseURL+OperatorDrainProcedure,
@@ -129,13 +150,15 @@
 
 // operatorClient implements OperatorClient.
 type operatorClient struct {
-	status        *connect.Client[stoatrampv1.StatusRequest, stoatrampv1.StatusResponse]
-	why           *connect.Client[stoatrampv1.WhyRequest, stoatrampv1.WhyResponse]
-	getConfig     *connect.Client[stoatrampv1.GetConfigRequest, stoatrampv1.GetConfigResponse]
-	checkConfig   *connect.Client[stoatrampv1.CheckConfigRequest, stoatrampv1.CheckConfigResponse]
-	applyConfig   *connect.Client[stoatrampv1.ApplyConfigRequest, stoatrampv1.ApplyConfigResponse]
-	configHistory *connect.Client[stoatrampv1.ConfigHistoryRequest, stoatrampv1.ConfigHistoryResponse]
-	drain         *connect.Client[stoatrampv1.DrainRequest, stoatrampv1.DrainResponse]
+	status         *connect.Client[stoatrampv1.StatusRequest, stoatrampv1.StatusResponse]
+	why            *connect.Client[stoatrampv1.WhyRequest, stoatrampv1.WhyResponse]
+	getConfig      *connect.Client[stoatrampv1.GetConfigRequest, stoatrampv1.GetConfigResponse]
+	checkConfig    *connect.Client[stoatrampv1.CheckConfigRequest, stoatrampv1.CheckConfigResponse]
+	applyConfig    *connect.Client[stoatrampv1.ApplyConfigRequest, stoatrampv1.ApplyConfigResponse]
+	configHistory  *connect.Client[stoatrampv1.ConfigHistoryRequest, stoatrampv1.ConfigHistoryResponse]
+	quarantine     *connect.Client[stoatrampv1.QuarantineRequest, stoatrampv1.QuarantineResponse]
+	liftQuarantine *connect.Client[stoatrampv1.LiftQuarantineRequest, stoatrampv1.LiftQuarantineResponse]
+	drain          *connect.Client[stoatrampv1.DrainRequest, stoatrampv1.DrainResponse]
 }
 
 // Status calls stoatramp.v1.Operator.Status.
@@ -168,6 +191,16 @@
 	return c.configHistory.CallUnary(ctx, req)
 }
 
+// Quarantine calls stoatramp.v1.Operator.Quarantine.
+func (c *operatorClient) Quarantine(ctx context.Context, req *connect.Request[stoatrampv1.QuarantineRequest]) (*connect.Response[stoatrampv1.QuarantineResponse], error) {
+	return c.quarantine.CallUnary(ctx, req)
+}
+
+// LiftQuarantine calls stoatramp.v1.Operator.LiftQuarantine.
+func (c *operatorClient) LiftQuarantine(ctx context.Context, req *connect.Request[stoatrampv1.LiftQuarantineRequest]) (*connect.Response[stoatrampv1.LiftQuarantineResponse], error) {
+	return c.liftQuarantine.CallUnary(ctx, req)
+}
+
 // Drain calls stoatramp.v1.Operator.Drain.
 func (c *operatorClient) Drain(ctx context.Context, req *connect.Request[stoatrampv1.DrainRequest]) (*connect.Response[stoatrampv1.DrainResponse], error) {
 	return c.drain.CallUnary(ctx, req)
@@ -188,6 +221,11 @@
 	ApplyConfig(context.Context, *connect.Request[stoatrampv1.ApplyConfigRequest]) (*connect.Response[stoatrampv1.ApplyConfigResponse], error)
 	// ConfigHistory lists the latest accepted versions, newest first.
 	ConfigHistory(context.Context, *connect.Request[stoatrampv1.ConfigHistoryRequest]) (*connect.Response[stoatrampv1.ConfigHistoryResponse], error)
+	// Quarantine lists what the box sends to no endpoint because it crashes endpoints.
+	Quarantine(context.Context, *connect.Request[stoatrampv1.QuarantineRequest]) (*connect.Response[stoatrampv1.QuarantineResponse], error)
+	// LiftQuarantine has all boxes send to endpoints again what was quarantined. It is quarantined again if it crashes
+	// endpoints again.
+	LiftQuarantine(context.Context, *connect.Request[stoatrampv1.LiftQuarantineRequest]) (*connect.Response[stoatrampv1.LiftQuarantineResponse], error)
 	// Drain starts a graceful shutdown: the box accepts no new requests, finishes the running ones and
 	// exits.
 	Drain(context.Context, *connect.Request[stoatrampv1.DrainRequest]) (*connect.Response[stoatrampv1.DrainResponse], error)
@@ -236,6 +274,18 @@
 		connect.WithSchema(operatorMethods.ByName("ConfigHistory")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorQuarantineHandler := connect.NewUnaryHandler(
+		OperatorQuarantineProcedure,
+		svc.Quarantine,
+		connect.WithSchema(operatorMethods.ByName("Quarantine")),
+		connect.WithHandlerOptions(opts...),
+	)
+	operatorLiftQuarantineHandler := connect.NewUnaryHandler(
+		OperatorLiftQuarantineProcedure,
+		svc.LiftQuarantine,
+		connect.WithSchema(operatorMethods.ByName("LiftQuarantine")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorDrainHandler := connect.NewUnaryHandler(
 		OperatorDrainProcedure,
 		svc.Drain,
@@ -256,6 +306,10 @@
 			operatorApplyConfigHandler.ServeHTTP(w, r)
 		case OperatorConfigHistoryProcedure:
 			operatorConfigHistoryHandler.ServeHTTP(w, r)
+		case OperatorQuarantineProcedure:
+			operatorQuarantineHandler.ServeHTTP(w, r)
+		case OperatorLiftQuarantineProcedure:
+			operatorLiftQuarantineHandler.ServeHTTP(w, r)
 		case OperatorDrainProcedure:
 			operatorDrainHandler.ServeHTTP(w, r)
 		default:
@@ -291,6 +345,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Operator.ConfigHistory is not implemented"))
 }
 
+func (UnimplementedOperatorHandler) Quarantine(context.Context, *connect.Request[stoatrampv1.QuarantineRequest]) (*connect.Response[stoatrampv1.QuarantineResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Operator.Quarantine is not implemented"))
+}
+
+func (UnimplementedOperatorHandler) LiftQuarantine(context.Context, *connect.Request[stoatrampv1.LiftQuarantineRequest]) (*connect.Response[stoatrampv1.LiftQuarantineResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Operator.LiftQuarantine is not implemented"))
+}
+
 func (UnimplementedOperatorHandler) Drain(context.Context, *connect.Request[stoatrampv1.DrainRequest]) (*connect.Response[stoatrampv1.DrainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Operator.Drain is not implemented"))
 }
