Try a quarantined part again with single requests

A part that all requests of a route share could be blamed wrongly when the boxes knew nothing and each of its few runs was beside a crash.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -115,7 +115,7 @@
 	}
 	for i := range r.Steps {
 		switch r.Steps[i].Kind {
-		case record.StepRetry, record.StepRerun, record.StepResume, record.StepWastedPrefill, record.StepFailed, record.StepNoRoom, record.StepYielded, record.StepPolicy, record.StepSuspected:
+		case record.StepRetry, record.StepRerun, record.StepResume, record.StepWastedPrefill, record.StepFailed, record.StepNoRoom, record.StepYielded, record.StepPolicy, record.StepSuspected, record.StepTrial:
 			return true
 		}
 	}
--- a/internal/pacing/cold.go
+++ b/internal/pacing/cold.go
@@ -66,7 +66,7 @@
 	bound := l.maxPerSecond(rate)
 	usable := max(coldUsableShare*bound, min(bound, requestsPerSender))
 	senders := min(max(1, int(usable/requestsPerSender)), len(boxes))
-	if senders == 0 || !selected(box, boxes, endpoint, senders) {
+	if senders == 0 || !Selected(box, boxes, endpoint, senders) {
 		return 0
 	}
 	// At any moment a box may send one request. So in any second it can send one request more than its sustained
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -10,8 +10,8 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// selected reports whether a box is on the list boxes, and is one of the n highest-ranked boxes for an endpoint.
-func selected(box string, boxes []string, endpoint string, n int) bool {
+// Selected reports whether a box is on the list boxes, and is one of the n highest-ranked boxes for an endpoint.
+func Selected(box string, boxes []string, endpoint string, n int) bool {
 	ownRank, listed, higherRanked := rank(box, endpoint), false, 0
 	for _, other := range boxes {
 		if other == box {
--- a/internal/pacing/share.go
+++ b/internal/pacing/share.go
@@ -65,7 +65,7 @@
 		return Share{Selected: true, Rate: limit / float64(len(boxes)), Burst: math.Floor(burst / float64(len(boxes)))}
 	}
 	rate := limit / float64(n+1)
-	if selected(box, boxes, endpoint, n) {
+	if Selected(box, boxes, endpoint, n) {
 		return Share{Selected: true, Rate: rate, Burst: 1}
 	}
 	period := time.Duration(float64(max(1, len(boxes)-n)) / rate * float64(time.Second))
--- a/internal/quarantine/cover.go
+++ b/internal/quarantine/cover.go
@@ -27,6 +27,18 @@
 	bits    float64
 	// position is the number of parts that stand before this part in the prompt.
 	position int
+	// runs is the number of requests with the part that ran at the endpoint.
+	runs int
+}
+
+// join adds the evidence of other runs at the same crash. A part that crashes endpoints does so as soon as a run begins to
+// write. So the run that had gone on for longest counts.
+func (e exposure) join(other exposure) exposure {
+	if other.bits < e.bits {
+		e.bits, e.request, e.account = other.bits, other.request, other.account
+	}
+	e.position, e.runs = max(e.position, other.position), e.runs+other.runs
+	return e
 }
 
 // suspects are the parts that may have caused one crash.
@@ -37,6 +49,7 @@
 	bits     float64
 	requests int
 	position int
+	shared   int    // The crashes in which several requests with the part ran.
 	account  string // Empty if requests of several accounts, or of none, are part of the evidence.
 	crashes  []string
 }
@@ -73,6 +86,9 @@
 			t.bits += minCrashBits
 		}
 		t.position = max(t.position, e.position)
+		if e.runs > 1 {
+			t.shared++
+		}
 		if i == 0 {
 			t.account = e.account
 		} else if t.account != e.account {
@@ -85,10 +101,10 @@
 
 // coveredShare is the share of the crashes of a part that parts further back in prompts must explain, for the part not to
 // be blamed. A first part that all requests share runs at each crash, whatever causes it.
-const coveredShare = 0.9
+const coveredShare = 0.5
 
 // findParts returns the parts that explain the crashes, with the evidence against each of them. It blames the part with
-// the most evidence first, unless others explain its crashes that stand further back in prompts, and that fewer requests
+// the most evidence first, unless others explain half of its crashes that stand further back in prompts, and that fewer requests
 // share. What a part explains counts against no other part any more.
 func findParts(crashes map[string]suspects) map[Part]tally {
 	found := map[Part]tally{}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -35,6 +35,8 @@
 	maxRowParts    = 16
 	// maxPosition bounds the position of a part in a row of another box.
 	maxPosition = 1 << 10
+	// maxRowRuns bounds the runs of a part in a row of another box.
+	maxRowRuns = 1 << 16
 )
 
 // PartState says what happens to requests with a part.
@@ -60,8 +62,10 @@
 	State PartState
 	// Account is the Tag of the client account whose requests crashed the endpoints. The verdict concerns its requests
 	// only. If the requests were of several accounts, or of none, Account is empty, and the verdict concerns all requests.
-	Account  string
-	Bits     float64
+	Account string
+	Bits    float64
+	// Shared means that several requests with the part ran in some crash. The first trial then comes sooner.
+	Shared   bool
 	Requests int      // The number of different requests under which endpoints crashed.
 	Crashes  []string // The endpoints that crashed.
 	// Since is when the evidence became sufficient.
@@ -83,15 +87,18 @@
 	cleared, clearedInTable map[Part]bool
 }
 
-// uncleared returns the parts that may have caused the crash. Where several rows name a part, the strongest evidence
-// counts.
+// uncleared returns the parts that may have caused the crash.
 func (c *partCrash) uncleared() suspects {
 	out := suspects{}
 	for _, row := range c.rows {
 		for p, e := range row {
-			if known, ok := out[p]; !c.cleared[p] && (!ok || known.bits < e.bits) {
-				out[p] = e
+			if c.cleared[p] {
+				continue
 			}
+			if known, ok := out[p]; ok {
+				e = known.join(e)
+			}
+			out[p] = e
 		}
 	}
 	return out
@@ -117,6 +124,8 @@
 	// there are none.
 	verdicts map[Part]*PartVerdict
 	current  atomic.Pointer[map[Part]*PartVerdict]
+	// trials has the parts that had a trial since they were quarantined.
+	trials map[Part]trialState
 	// explained are the endpoints whose crashes the parts in verdicts explain.
 	explained map[string]bool
 	// changed is closed when verdicts changes.
@@ -131,7 +140,7 @@
 	_, _ = rand.Read(instance[:]) // Does not fail.
 	return partLedger{
 		instance: hex.EncodeToString(instance[:]), crashes: map[string]*partCrash{}, survived: recentSet[Part]{max: maxSurvived},
-		clears: map[Part]time.Time{}, verdicts: map[Part]*PartVerdict{}, explained: map[string]bool{}, changed: make(chan struct{}),
+		clears: map[Part]time.Time{}, verdicts: map[Part]*PartVerdict{}, trials: map[Part]trialState{}, explained: map[string]bool{}, changed: make(chan struct{}),
 	}
 }
 
@@ -202,6 +211,7 @@
 			changed = append(changed, c)
 		}
 	}
+	delete(l.parts.trials, p)
 	return changed
 }
 
@@ -210,7 +220,7 @@
 	own := suspects{}
 	for i, p := range e.Parts {
 		if !l.parts.survived.contains(p, now) {
-			own[p] = exposure{request: e.Request.String()[:8], account: e.Account, bits: partBits(e), position: i}
+			own[p] = exposure{request: e.Request.String()[:8], account: e.Account, bits: partBits(e), position: i, runs: 1}
 		}
 	}
 	if len(own) == 0 {
@@ -225,9 +235,10 @@
 		c.rows[key] = row
 	}
 	for p, x := range own {
-		if known, ok := row[p]; !ok || known.bits < x.bits {
-			row[p] = x
+		if known, ok := row[p]; ok {
+			x = known.join(x)
 		}
+		row[p] = x
 	}
 	l.setOwn(key, encodePartRow(endpoint, row))
 	l.updateParts(now)
@@ -305,8 +316,11 @@
 // updateParts finds the parts that the crashes speak against, after a change of the crashes or of what is cleared. It
 // plans the rows that clear parts. l.mu must be held.
 func (l *List) updateParts(now time.Time) {
-	if len(l.parts.crashes) == 0 && len(l.parts.verdicts) == 0 {
-		return
+	if len(l.parts.crashes) == 0 {
+		clear(l.parts.trials)
+		if len(l.parts.verdicts) == 0 {
+			return
+		}
 	}
 	crashes := make(map[string]suspects, len(l.parts.crashes))
 	for endpoint, c := range l.parts.crashes {
@@ -327,7 +341,7 @@
 	}
 	clear(l.parts.explained)
 	for p, t := range found {
-		v := &PartVerdict{Part: p, State: Suspected, Account: t.account, Bits: t.bits, Requests: t.requests, Crashes: t.crashes, Since: now}
+		v := &PartVerdict{Part: p, State: Suspected, Account: t.account, Bits: t.bits, Requests: t.requests, Crashes: t.crashes, Since: now, Shared: t.shared > 0}
 		old := l.parts.verdicts[p]
 		if old != nil {
 			v.Since = old.Since
@@ -337,6 +351,9 @@
 		if now.Sub(v.Since) >= verifyTime || l.parts.verified || old != nil && old.State == Quarantined {
 			v.State = Quarantined
 		}
+		if old != nil && old.State == Quarantined && len(v.Crashes) > len(old.Crashes) && now.Sub(v.Since) > verifyTime+l.firstTrialDelay(p) {
+			l.delayTrial(p, now)
+		}
 		if old == nil || old.State != v.State {
 			changes = append(changes, *v)
 		}
@@ -480,12 +497,13 @@
 	Account  string  `json:"account,omitempty"`
 	Bits     float64 `json:"bits"`
 	Position int     `json:"position,omitempty"`
+	Runs     int     `json:"runs"`
 }
 
 func encodePartRow(endpoint string, s suspects) []byte {
 	doc := partRowDoc{Endpoint: endpoint}
 	for p, e := range s {
-		doc.Parts = append(doc.Parts, exposureDoc{p.String(), e.request, e.account, math.Round(e.bits*100) / 100, e.position})
+		doc.Parts = append(doc.Parts, exposureDoc{p.String(), e.request, e.account, math.Round(e.bits*100) / 100, e.position, e.runs})
 	}
 	slices.SortFunc(doc.Parts, func(a, b exposureDoc) int {
 		return cmp.Or(cmp.Compare(b.Bits, a.Bits), cmp.Compare(b.Position, a.Position), cmp.Compare(a.Part, b.Part))
@@ -507,10 +525,10 @@
 	s = suspects{}
 	for _, d := range doc.Parts {
 		p, valid := ParsePart(d.Part)
-		if !valid || d.Bits < minCrashBits || d.Bits > maxCrashBits || d.Position < 0 || d.Position > maxPosition {
+		if !valid || d.Bits < minCrashBits || d.Bits > maxCrashBits || d.Position < 0 || d.Position > maxPosition || d.Runs < 1 || d.Runs > maxRowRuns {
 			return "", nil, false
 		}
-		s[p] = exposure{request: d.Request, account: d.Account, bits: d.Bits, position: d.Position}
+		s[p] = exposure{request: d.Request, account: d.Account, bits: d.Bits, position: d.Position, runs: d.Runs}
 	}
 	return doc.Endpoint, s, true
 }
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -416,6 +416,44 @@
 	expectQuarantined(t, l, "deadly", false)
 }
 
+// A part that all requests share is blamed wrongly. One request with it runs as a trial and clears it. A part that crashes
+// engines has its first trial much later, and the next ones later still.
+func TestTrialClearsPartThatWasBlamedWrongly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewList()
+		for n := range 3 {
+			crashUnder(l, fmt.Sprint("e", n), fmt.Sprint("r", n), "shared")
+			crashUnder(l, fmt.Sprint("e", n), fmt.Sprint("s", n), "shared")
+			crashUnder(l, fmt.Sprint("f", n), fmt.Sprint("t", n), "bad")
+		}
+		expectTrial := func(id string, want bool, others ...string) {
+			t.Helper()
+			parts := append(partsOf(id), partsOf(others...)...)
+			if n := l.TrialBoxes(partOf(id), parts); n > 0 != want {
+				t.Errorf("part %s: expected a trial to be due: %t, got %d boxes", id, want, n)
+			}
+		}
+		expectTrial("shared", false)
+		time.Sleep(verifyTime + sharedTrialDelay)
+		expectTrial("shared", true)
+		expectTrial("shared", false, "bad")
+		expectTrial("bad", false)
+		if !l.StartTrial(partOf("shared")) || l.StartTrial(partOf("shared")) {
+			t.Error("expected one trial at a time")
+		}
+		expectTrial("shared", false)
+		l.RecordLasted(partsOf("shared"))
+		expectPart(t, l, "shared", Released)
+		expectPart(t, l, "bad", Quarantined)
+		time.Sleep(trialDelay)
+		expectTrial("bad", true)
+		crashUnder(l, "f9", "t9", "bad") // Another box's trial.
+		expectTrial("bad", false)
+		time.Sleep(trialFactor * trialDelay)
+		expectTrial("bad", true)
+	})
+}
+
 // The worker is back under its ID before the list shows its new start. Its second crash counts as another one.
 func TestPartCrashOfStartNotYetListed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/quarantine/storm_test.go
+++ b/internal/quarantine/storm_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -91,12 +92,19 @@
 }
 
 // admit reports whether a box sends a request with parts to an engine. It waits while a part is suspected.
-func admit(l *List, parts []Part) (ok, waited bool) {
+func (p *stormPlay) admit(l *List, parts []Part) (ok, waited bool) {
 	for {
 		changed := l.PartsChanged()
 		v := l.CheckParts(parts, noAccount)
-		if v == nil || v.State != Suspected {
-			return v == nil, waited
+		if v == nil {
+			return true, waited
+		}
+		if v.State == Quarantined {
+			n := l.TrialBoxes(v.Part, parts)
+			p.table.mu.Lock()
+			rank := slices.Index(p.table.boxes, l)
+			p.table.mu.Unlock()
+			return rank < n && l.StartTrial(v.Part), waited
 		}
 		waited = true
 		<-changed
@@ -181,7 +189,7 @@
 	for i := 0; time.Since(p.began) < p.length; {
 		l := p.box()
 		parts := partsOf("shared", fmt.Sprint("doc", n%50), fmt.Sprint("session", n))
-		ok, waited := admit(l, parts)
+		ok, waited := p.admit(l, parts)
 		p.mu.Lock()
 		p.res.sound++
 		if !ok {
@@ -206,7 +214,7 @@
 		go func() {
 			l := p.box()
 			parts := partsOf("shared", fmt.Sprint("bad", part))
-			if ok, _ := admit(l, parts); !ok {
+			if ok, _ := p.admit(l, parts); !ok {
 				return
 			}
 			p.mu.Lock()
@@ -357,7 +365,7 @@
 		"all boxes start anew":   func(s *storm) { s.restartAll = 4500 * time.Millisecond },
 		"from the start":         func(s *storm) { s.calm = 0 },
 		"from the start, few":    func(s *storm) { s.calm, s.streamsPerEngine, s.badRate = 0, 1, 10 },
-		"from the start, long":   func(s *storm) { s.calm, s.streamTime, s.badRate = 0, 8 * time.Second, 10 },
+		"from the start, long":   func(s *storm) { s.calm, s.streamTime, s.badRate = 0, 8*time.Second, 10 },
 		"engines crash":          func(s *storm) { s.crashRate = 0.05 },
 		"no part, engines crash": func(s *storm) { s.badParts, s.crashRate = 0, 0.1 },
 	} {
@@ -369,6 +377,19 @@
 	}
 }
 
+// The boxes know nothing, engines crash by themselves, and the few streams are all beside crashes, so that a part of all requests
+// may be blamed. Its trials release it again.
+func TestStormsReleaseWhatWasBlamedWrongly(t *testing.T) {
+	for seed := range uint64(6) {
+		s := storm{boxes: 8, engines: 9, streamsPerEngine: 2, badParts: 2, badRate: 3, crashRate: 0.1, streamTime: 2 * time.Second, length: 40 * time.Second}
+		r := s.play(t, 130+seed)
+		t.Log(r)
+		if r.late > 3 || 2*r.held > r.sound {
+			t.Errorf("expected at most 3 late requests and most sound requests to be sent, got %d, and %d of %d refused", r.late, r.held, r.sound)
+		}
+	}
+}
+
 // The same at fleets of up to 986 boxes with one bad part, and with 20 bad parts where there are engines enough: with 20 parts
 // at three a second each, 9 engines have no time to come back between crashes.
 func TestStormsAtScale(t *testing.T) {
--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -111,6 +111,8 @@
 		return fmt.Sprintf("The stream began at build %s, as %s knew; only engines of that build may go on with it.", s.Build, by)
 	case StepSlot:
 		return slotText(s)
+	case StepTrial:
+		return fmt.Sprintf("It was sent on to find out whether a part of its prompt is quarantined wrongly: %s.", s.Text)
 	case StepSuspected:
 		return fmt.Sprintf("It waited for the verdict on a part of its prompt that may crash endpoints: %s.", s.Text)
 	case StepFailed:
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -49,6 +49,9 @@
 	// StepSuspected means that the request waited, because a part of its prompt was suspected to crash endpoints. Text names
 	// the part and the crashes.
 	StepSuspected StepKind = "suspected"
+	// StepTrial means that the request was sent on although a part of its prompt is quarantined. Text names the part and the
+	// crashes.
+	StepTrial StepKind = "trial"
 )
 
 // Step is one event in the processing of a request. Which fields are set depends on Kind. Decode names the decode
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -149,6 +149,7 @@
 	if !known || e.Leaving || loss.sent.IsZero() {
 		return // An endpoint that is leaving stops as planned.
 	}
+	x.trialPart = quarantine.Part{}
 	c := x.lostCall(loss.sent)
 	if x.runLasted {
 		c.parts = nil
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -7,6 +7,7 @@
 
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/outcome"
+	"github.com/stoatramp/stoatramp/internal/pacing"
 	"github.com/stoatramp/stoatramp/internal/quarantine"
 	"github.com/stoatramp/stoatramp/internal/record"
 )
@@ -43,7 +44,7 @@
 
 // quarantineDetail returns what the request is quarantined for.
 func (x *exchange) quarantineDetail() (detail string, quarantined bool) {
-	if v := x.r.o.Crashes.CheckParts(x.meta.Parts, x.accountTag); v != nil && v.State == quarantine.Quarantined {
+	if v := x.r.o.Crashes.CheckParts(x.meta.Parts, x.accountTag); v != nil && v.State == quarantine.Quarantined && !x.isTrial(v) {
 		return "part " + v.Part.String() + " of its prompt, " + v.String(), true
 	}
 	if x.r.o.Crashes.Empty() {
@@ -53,6 +54,26 @@
 	return "fingerprint " + x.fingerprint().String() + ", " + v.String(), v.Quarantined
 }
 
+// isTrial reports whether the request is sent to an endpoint although a part of its prompt is quarantined, to find out whether
+// the part was blamed wrongly. It starts such a trial if one is due and this box is to make it.
+func (x *exchange) isTrial(v *quarantine.PartVerdict) bool {
+	if x.trialPart == v.Part {
+		return true
+	}
+	n := x.r.o.Crashes.TrialBoxes(v.Part, x.meta.Parts)
+	if n == 0 {
+		return false
+	}
+	boxes, _ := x.r.boxes(x.region)
+	if !pacing.Selected(x.r.o.Box, boxes, v.Part.String(), n) || !x.r.o.Crashes.StartTrial(v.Part) {
+		return false
+	}
+	x.trialPart = v.Part
+	x.r.m.PartTrials.Inc()
+	x.trace.Step(record.Step{Kind: record.StepTrial, Text: "part " + v.Part.String() + ", " + v.String()})
+	return true
+}
+
 // awaitVerdict is like quarantined. If a part of the prompt is suspected, it waits first until the part is quarantined or
 // released, or until ctx ends.
 func (x *exchange) awaitVerdict(ctx context.Context) (o outcome.Outcome, quarantined bool) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -413,6 +413,8 @@
 	origin origins.Origin
 	// begun is set once any byte of an answer was written. From then on the request can no longer be refused.
 	begun bool
+	// trialPart is a quarantined part of the prompt with which the request runs all the same, until a call is lost.
+	trialPart quarantine.Part
 	// runLasted is set once the current run has shown that no part of the prompt crashes endpoints.
 	runLasted bool
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -42,7 +42,9 @@
 	SuspectedCrashes *metrics.Counter
 	// SuspectedParts counts waits of requests with a part that is suspected to crash endpoints.
 	SuspectedParts *metrics.Counter
-	Aborts         *metrics.Counter
+	// PartTrials counts requests that were sent on although a part of their prompt is quarantined.
+	PartTrials *metrics.Counter
+	Aborts     *metrics.Counter
 	// LimitNotices counts new or changed limits that endpoints announced. LimitLiftedNotices counts limits that no
 	// longer apply. LeavingNotices counts notices that an endpoint is leaving. PauseNotices counts notices in which
 	// an endpoint asks for a pause. MalformedNotices counts notices that cannot be parsed.
@@ -149,6 +151,7 @@
 		Resumes:             s.NewCounter("stoatramp_resumes_total"),
 		RepeatedCalls:       s.NewCounter("stoatramp_calls_again_total"),
 		SuspectedCrashes:    s.NewCounter("stoatramp_ended_under_total"),
+		PartTrials:          s.NewCounter("stoatramp_part_trials_total"),
 		SuspectedParts:      s.NewCounter("stoatramp_suspected_part_waits_total"),
 		Aborts:              s.NewCounter("stoatramp_aborts_total"),
 		LimitNotices:        s.NewCounter(`stoatramp_endpoint_notices_total{notice="limit"}`),
