--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -33,6 +33,10 @@
 	// is reached. maxRowParts bounds the parts in a row; the parts of the shortest runs are kept.
 	maxPartCrashes = 256
 	maxRowParts    = 16
+	// smallUpdate is the number of crashes up to which each change is judged at once. With more, as when a rack of engines is
+	// lost, the changes of updateInterval are judged together.
+	smallUpdate    = 32
+	updateInterval = 200 * time.Millisecond
 	// maxPosition bounds the position of a part in a row of another box.
 	maxPosition = 1 << 10
 	// maxRowRuns bounds the runs of a part in a row of another box.
@@ -85,10 +89,19 @@
 	rows map[string]suspects
 	// cleared are the parts that runs have cleared of this crash. clearedInTable are those that the table says so of.
 	cleared, clearedInTable map[Part]bool
+	// suspected are the parts that may have caused the crash; nil if they must be computed again after a change of rows or
+	// cleared.
+	suspected suspects
 }
 
+// clear clears a part of the crash.
+func (c *partCrash) clear(p Part) { c.cleared[p], c.suspected = true, nil }
+
 // uncleared returns the parts that may have caused the crash.
 func (c *partCrash) uncleared() suspects {
+	if c.suspected != nil {
+		return c.suspected
+	}
 	out := suspects{}
 	for _, row := range c.rows {
 		for p, e := range row {
@@ -101,6 +114,7 @@
 			out[p] = e
 		}
 	}
+	c.suspected = out
 	return out
 }
 
@@ -117,7 +131,12 @@
 type partLedger struct {
 	instance string                // Tells the rows of this process from those of all others.
 	crashes  map[string]*partCrash // By endpoint.
-	survived recentSet[Part]
+	// named has all parts that the crashes name, and perhaps some that they named earlier.
+	named map[Part]bool
+	// updatedAt is when the verdicts were found last. updatePlanned is set while the next search waits; see updateParts.
+	updatedAt     time.Time
+	updatePlanned bool
+	survived      recentSet[Part]
 	// clears has the parts that this box has cleared and the table has not, with the times at which to say so.
 	clears map[Part]time.Time
 	// verdicts has the parts that are suspected or quarantined. current is the same for reading without the lock; nil if
@@ -139,7 +158,7 @@
 	var instance [8]byte
 	_, _ = rand.Read(instance[:]) // Does not fail.
 	return partLedger{
-		instance: hex.EncodeToString(instance[:]), crashes: map[string]*partCrash{}, survived: recentSet[Part]{max: maxSurvived},
+		instance: hex.EncodeToString(instance[:]), crashes: map[string]*partCrash{}, named: map[Part]bool{}, survived: recentSet[Part]{max: maxSurvived},
 		clears: map[Part]time.Time{}, verdicts: map[Part]*PartVerdict{}, trials: map[Part]trialState{}, explained: map[string]bool{}, changed: make(chan struct{}),
 	}
 }
@@ -195,7 +214,9 @@
 	changed := false
 	for _, p := range parts {
 		l.parts.survived.add(p, now)
-		changed = len(l.clearPart(p)) > 0 || changed
+		if l.parts.named[p] {
+			changed = len(l.clearPart(p)) > 0 || changed
+		}
 	}
 	if changed {
 		l.updateParts(now)
@@ -207,7 +228,7 @@
 func (l *List) clearPart(p Part) (changed []*partCrash) {
 	for _, c := range l.parts.crashes {
 		if c.names(p) && !c.cleared[p] {
-			c.cleared[p] = true
+			c.clear(p)
 			changed = append(changed, c)
 		}
 	}
@@ -239,7 +260,9 @@
 			x = known.join(x)
 		}
 		row[p] = x
+		l.parts.named[p] = true
 	}
+	c.suspected = nil
 	l.setOwn(key, encodePartRow(endpoint, row))
 	l.updateParts(now)
 }
@@ -316,7 +339,16 @@
 // updateParts finds the parts that the crashes speak against, after a change of the crashes or of what is cleared. It
 // plans the rows that clear parts. l.mu must be held.
 func (l *List) updateParts(now time.Time) {
+	if len(l.parts.crashes) > smallUpdate && now.Sub(l.parts.updatedAt) < updateInterval {
+		if !l.parts.updatePlanned {
+			l.parts.updatePlanned = true
+			time.AfterFunc(updateInterval, l.verifyParts)
+		}
+		return
+	}
+	l.parts.updatedAt, l.parts.updatePlanned = now, false
 	if len(l.parts.crashes) == 0 {
+		clear(l.parts.named)
 		clear(l.parts.trials)
 		if len(l.parts.verdicts) == 0 {
 			return
@@ -369,6 +401,7 @@
 func (l *List) verifyParts() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.parts.updatedAt = time.Time{}
 	l.updateParts(clock.Now())
 }
 
@@ -403,6 +436,9 @@
 func (l *List) planClears(now time.Time) {
 	open := map[string]suspects{}
 	for endpoint, c := range l.parts.crashes {
+		if len(c.cleared) == 0 {
+			continue
+		}
 		for _, row := range c.rows {
 			for p, e := range row {
 				if c.cleared[p] && !c.clearedInTable[p] {
@@ -540,10 +576,11 @@
 		return
 	}
 	c := l.crashOf(endpoint, now)
-	c.rows[key] = s
+	c.rows[key], c.suspected = s, nil
 	for p := range s {
+		l.parts.named[p] = true
 		if l.parts.survived.contains(p, now) {
-			c.cleared[p] = true
+			c.clear(p)
 		}
 	}
 	l.rows[key] = readRow(value)
@@ -570,6 +607,7 @@
 		if _, ok := c.rows[key]; !ok {
 			continue
 		}
+		c.suspected = nil
 		if delete(c.rows, key); len(c.rows) == 0 {
 			delete(l.parts.crashes, endpoint)
 		}
@@ -624,7 +662,8 @@
 	}
 	for endpoint, c := range l.parts.crashes {
 		if slices.Contains(hashes, endpointHash(endpoint)) {
-			c.cleared[p], c.clearedInTable[p] = true, true
+			c.clear(p)
+			c.clearedInTable[p] = true
 		}
 	}
 	return true
--- a/internal/quarantine/storm_test.go
+++ b/internal/quarantine/storm_test.go
@@ -39,6 +39,7 @@
 	calls, rows   int
 	bytes         int
 	soundSuspects int // Sound parts that were suspected on some box.
+	sharedHeld    int // The boxes that quarantine the part of all requests when the play ends.
 }
 
 // stormEngine is an engine of a play.
@@ -111,14 +112,14 @@
 	}
 }
 
-// run sends a request to an engine. A bad one crashes the engine soon after it begins to write; done says whether the run was
-// whole.
-func (p *stormPlay) run(l *List, id string, parts []Part, bad bool) (done bool) {
+// run sends a request to an engine. A bad one crashes the engine soon after it begins to write. done says whether the run was
+// whole, and reached whether the request reached an engine that was up.
+func (p *stormPlay) run(l *List, id string, parts []Part, bad bool) (done, reached bool) {
 	e := p.engines[p.intN(len(p.engines))]
 	e.mu.Lock()
 	if !e.up {
 		e.mu.Unlock()
-		return false
+		return false, false
 	}
 	n := 0
 	for i := range p.engines {
@@ -134,7 +135,7 @@
 	if bad {
 		time.Sleep(20*time.Millisecond + 40*time.Millisecond + p.duration(90*time.Millisecond))
 		p.crash(e)
-		return false
+		return false, true
 	}
 	total := p.streamTime/2 + p.duration(p.streamTime)
 	lasting := time.NewTimer(20*time.Millisecond + time.Second)
@@ -149,13 +150,13 @@
 			r.crash.Parts = nil
 			e.mu.Unlock()
 		case <-r.crashed:
-			return false
+			return false, true
 		case <-end.C:
 			e.mu.Lock()
 			delete(e.runs, r)
 			e.mu.Unlock()
 			time.AfterFunc(500*time.Millisecond, func() { l.RecordLasted(parts) })
-			return true
+			return true, true
 		}
 	}
 }
@@ -199,9 +200,11 @@
 			p.res.waited++
 		}
 		p.mu.Unlock()
-		if ok && p.run(l, fmt.Sprintf("s%d-%d", n, i), parts, false) {
-			i++ // Until then the caller sends the same request again.
-			continue
+		if ok {
+			if done, _ := p.run(l, fmt.Sprintf("s%d-%d", n, i), parts, false); done {
+				i++ // Until then the caller sends the same request again.
+				continue
+			}
 		}
 		time.Sleep(200*time.Millisecond + p.duration(time.Second))
 	}
@@ -217,14 +220,16 @@
 			if ok, _ := p.admit(l, parts); !ok {
 				return
 			}
+			sent := time.Now()
+			_, reached := p.run(l, fmt.Sprintf("b%d-%d", part, i), parts, true)
+			if !reached {
+				return
+			}
 			p.mu.Lock()
 			b := &p.perPart[part]
-			if !b.fifth.IsZero() && time.Since(b.fifth) > 3*time.Second {
+			if !b.fifth.IsZero() && sent.Sub(b.fifth) > 3*time.Second {
 				b.late++
 			}
-			p.mu.Unlock()
-			p.run(l, fmt.Sprintf("b%d-%d", part, i), parts, true)
-			p.mu.Lock()
 			if b.crashes++; b.crashes == 5 {
 				b.fifth = time.Now()
 			}
@@ -237,6 +242,8 @@
 // restart replaces all boxes by new ones, which read the table.
 func (p *stormPlay) restart(ctx context.Context) {
 	time.Sleep(p.restartAll)
+	p.table.deliveries.Lock()
+	defer p.table.deliveries.Unlock()
 	p.table.mu.Lock()
 	defer p.table.mu.Unlock()
 	rows := maps.Clone(p.table.rows)
@@ -312,6 +319,11 @@
 		}
 		senders.Wait()
 		time.Sleep(5 * time.Second)
+		for _, l := range p.table.boxes {
+			if v := l.CheckParts(partsOf("shared"), noAccount); v != nil && v.State == Quarantined {
+				p.res.sharedHeld++
+			}
+		}
 		cancel()
 		synctest.Wait()
 	})
@@ -384,8 +396,8 @@
 		s := storm{boxes: 8, engines: 9, streamsPerEngine: 2, badParts: 2, badRate: 3, crashRate: 0.1, streamTime: 2 * time.Second, length: 40 * time.Second}
 		r := s.play(t, 130+seed)
 		t.Log(r)
-		if r.late > 3 || 2*r.held > r.sound {
-			t.Errorf("expected at most 3 late requests and most sound requests to be sent, got %d, and %d of %d refused", r.late, r.held, r.sound)
+		if r.late > 3 || r.sharedHeld > 0 {
+			t.Errorf("expected at most 3 late requests, and the part of all requests to be released, got %d, and %d boxes that quarantine it", r.late, r.sharedHeld)
 		}
 	}
 }
