Have requests take no lock while no part is suspected; test the wait for a verdict

Each request took the lock of the list of crashes once before each call. The channel of changes is taken only while a part is suspected now. TestRequestWaitsForVerdictOnItsPart: a request with a suspected part is refused as not run, without having reached a worker, or served once its part is cleared.

--- a/cmd/stoatrampd/quarantine_part_test.go
+++ b/cmd/stoatrampd/quarantine_part_test.go
@@ -185,3 +185,33 @@
 	tool(0, "quarantine", "lift", part.String())
 	s.until("both boxes to lift the part", func() bool { return !isQuarantined(0) && !isQuarantined(1) })
 }
+
+// A request with a suspected part waits for the verdict. It is then refused without having reached a worker, or served.
+func TestRequestWaitsForVerdictOnItsPart(t *testing.T) {
+	t.Parallel()
+	s := newQuarantineSite(t, 1, peerSettings, false)
+	crashes := s.boxes[0].Quarantine()
+	suspect := func(part string) {
+		for n := range 3 {
+			crashes.RecordCrash(quarantine.Crash{
+				Request: (&quarantine.Identity{Target: fmt.Sprint(part, n)}).Fingerprint(), Endpoint: fmt.Sprint(part, n), RunTime: 80 * time.Millisecond,
+				Parts: []quarantine.Part{quarantine.NewPart("", part)},
+			})
+		}
+	}
+	for _, path := range []string{"/stream/a", "/resumed/a"} {
+		suspect(poisonPart)
+		_, before := s.workers.times()
+		if status, text := s.sendPrompt(0, path, "bad", poisonPart+":40,1:30"); status != http.StatusInternalServerError || !strings.Contains(text, "not_run") {
+			t.Errorf("%s: expected the request to be refused as not run, got %d %s", path, status, text)
+		}
+		if _, after := s.workers.times(); len(after) != len(before) {
+			t.Errorf("%s: expected the request to reach no worker", path)
+		}
+		suspect("ab")
+		time.AfterFunc(300*time.Millisecond, func() { crashes.RecordLasted([]quarantine.Part{quarantine.NewPart("", "ab")}) })
+		if status, text := s.sendPrompt(0, path, "sound", "ab:40,1:30"); status != http.StatusOK {
+			t.Errorf("%s: expected the request to be served once its part is cleared, got %d %s", path, status, text)
+		}
+	}
+}
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -77,18 +77,19 @@
 // awaitVerdict is like quarantined. If a part of the prompt is suspected, it waits first until the part is quarantined or
 // released, or until ctx ends.
 func (x *exchange) awaitVerdict(ctx context.Context) (o outcome.Outcome, quarantined bool) {
-	waited := false
-	for {
-		changed := x.r.o.Crashes.PartsChanged()
+	for waited := false; ; waited = true {
 		v := x.r.o.Crashes.CheckParts(x.meta.Parts, x.accountTag)
 		if v == nil || v.State != quarantine.Suspected {
 			return x.quarantined()
 		}
 		if !waited {
-			waited = true
 			x.r.m.SuspectedParts.Inc()
 			x.trace.Step(record.Step{Kind: record.StepSuspected, Text: "part " + v.Part.String() + ", " + v.String()})
 		}
+		changed := x.r.o.Crashes.PartsChanged()
+		if x.r.o.Crashes.CheckParts(x.meta.Parts, x.accountTag) != v {
+			continue // The verdict changed before changed was taken.
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
