Have only the writer of a row remove it when crashes are evicted

With more than 256 crashes, as when racks of a large fleet are lost, each box removed the rows that it had no room for, all boxes the same ones at once, and read them again at the next change of the table if they were still there. A box now ignores them, and the box that wrote them removes them.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -3,13 +3,9 @@
 import (
 	"cmp"
 	"crypto/rand"
-	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"maps"
-	"math"
-	mathrand "math/rand/v2"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -131,6 +127,8 @@
 type partLedger struct {
 	instance string                // Tells the rows of this process from those of all others.
 	crashes  map[string]*partCrash // By endpoint.
+	// ignored has the keys of rows of other boxes about crashes that were evicted, with the times of that.
+	ignored map[string]time.Time
 	// named has all parts that the crashes name, and perhaps some that they named earlier.
 	named map[Part]bool
 	// updatedAt is when the verdicts were found last. updatePlanned is set while the next search waits; see updateParts.
@@ -158,7 +156,7 @@
 	var instance [8]byte
 	_, _ = rand.Read(instance[:]) // Does not fail.
 	return partLedger{
-		instance: hex.EncodeToString(instance[:]), crashes: map[string]*partCrash{}, named: map[Part]bool{}, survived: recentSet[Part]{max: maxSurvived},
+		instance: hex.EncodeToString(instance[:]), crashes: map[string]*partCrash{}, ignored: map[string]time.Time{}, named: map[Part]bool{}, survived: recentSet[Part]{max: maxSurvived},
 		clears: map[Part]time.Time{}, verdicts: map[Part]*PartVerdict{}, trials: map[Part]trialState{}, explained: map[string]bool{}, changed: make(chan struct{}),
 	}
 }
@@ -290,7 +288,7 @@
 		return c
 	}
 	if len(l.parts.crashes) >= maxPartCrashes {
-		l.dropPartCrash(slices.MinFunc(slices.Collect(maps.Values(l.parts.crashes)), func(a, b *partCrash) int {
+		l.evictPartCrash(now, slices.MinFunc(slices.Collect(maps.Values(l.parts.crashes)), func(a, b *partCrash) int {
 			if aKept, bKept := l.parts.explained[a.endpoint], l.parts.explained[b.endpoint]; aKept != bKept {
 				return map[bool]int{true: 1, false: -1}[aKept]
 			}
@@ -310,6 +308,19 @@
 	}
 }
 
+// evictPartCrash forgets a crash for want of room. It leaves the rows of other boxes in the table, because all boxes would
+// otherwise remove the same rows at once, and ignores them from now on. l.mu must be held.
+func (l *List) evictPartCrash(now time.Time, c *partCrash) {
+	delete(l.parts.crashes, c.endpoint)
+	for key := range c.rows {
+		own := l.rows[key].own
+		l.dropRow(key, own && l.rows[key].writeAttempted)
+		if !own {
+			l.parts.ignored[key] = now
+		}
+	}
+}
+
 // expireParts drops the crashes that are older than ttl, and the rows that clear parts of no known crash. l.mu must be
 // held.
 func (l *List) expireParts(ttl time.Duration, now time.Time) {
@@ -318,6 +329,12 @@
 			l.dropPartCrash(c)
 		}
 	}
+	for key, since := range l.parts.ignored {
+		if now.Sub(since) > ttl {
+			delete(l.parts.ignored, key)
+			l.dropRow(key, true)
+		}
+	}
 	for key, row := range l.rows {
 		if strings.HasPrefix(key, clearRowPrefix) && !slices.ContainsFunc(decodeClearRow(row.value), l.knowsCrash) {
 			l.dropRow(key, true)
@@ -335,336 +352,3 @@
 	}
 	return false
 }
-
-// updateParts finds the parts that the crashes speak against, after a change of the crashes or of what is cleared. It
-// plans the rows that clear parts. l.mu must be held.
-func (l *List) updateParts(now time.Time) {
-	if len(l.parts.crashes) > smallUpdate && now.Sub(l.parts.updatedAt) < updateInterval {
-		if !l.parts.updatePlanned {
-			l.parts.updatePlanned = true
-			time.AfterFunc(updateInterval, l.verifyParts)
-		}
-		return
-	}
-	l.parts.updatedAt, l.parts.updatePlanned = now, false
-	if len(l.parts.crashes) == 0 {
-		clear(l.parts.named)
-		clear(l.parts.trials)
-		if len(l.parts.verdicts) == 0 {
-			return
-		}
-	}
-	crashes := make(map[string]suspects, len(l.parts.crashes))
-	for endpoint, c := range l.parts.crashes {
-		if s := c.uncleared(); len(s) > 0 {
-			crashes[endpoint] = s
-		}
-	}
-	l.planClears(now)
-	found := findParts(crashes)
-	changes := []PartVerdict{}
-	for p, old := range l.parts.verdicts {
-		if _, still := found[p]; !still {
-			v := *old
-			v.State = Released
-			changes = append(changes, v)
-			delete(l.parts.verdicts, p)
-		}
-	}
-	clear(l.parts.explained)
-	for p, t := range found {
-		v := &PartVerdict{Part: p, State: Suspected, Account: t.account, Bits: t.bits, Requests: t.requests, Crashes: t.crashes, Since: now, Shared: t.shared > 0}
-		old := l.parts.verdicts[p]
-		if old != nil {
-			v.Since = old.Since
-		} else {
-			time.AfterFunc(verifyTime, l.verifyParts)
-		}
-		if now.Sub(v.Since) >= verifyTime || l.parts.verified || old != nil && old.State == Quarantined {
-			v.State = Quarantined
-		}
-		if old != nil && old.State == Quarantined && len(v.Crashes) > len(old.Crashes) && now.Sub(v.Since) > verifyTime+l.firstTrialDelay(p) {
-			l.delayTrial(p, now)
-		}
-		if old == nil || old.State != v.State {
-			changes = append(changes, *v)
-		}
-		l.parts.verdicts[p] = v
-		for _, c := range t.crashes {
-			l.parts.explained[c] = true
-		}
-	}
-	l.publishVerdicts(changes)
-}
-
-// verifyParts quarantines the parts against which the evidence has stood for long enough.
-func (l *List) verifyParts() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.parts.updatedAt = time.Time{}
-	l.updateParts(clock.Now())
-}
-
-// publishVerdicts makes the verdicts visible to requests, and reports their changes. l.mu must be held.
-func (l *List) publishVerdicts(changes []PartVerdict) {
-	if len(l.parts.verdicts) == 0 {
-		l.parts.current.Store(nil)
-	} else {
-		verdicts := maps.Clone(l.parts.verdicts)
-		l.parts.current.Store(&verdicts)
-	}
-	if len(changes) == 0 {
-		return
-	}
-	close(l.parts.changed)
-	l.parts.changed = make(chan struct{})
-	for f := range l.quarantined {
-		if !l.verdict(f).Quarantined {
-			delete(l.quarantined, f)
-		}
-	}
-	if l.OnPart != nil {
-		for _, v := range changes {
-			l.OnPart(v)
-		}
-	}
-}
-
-// planClears plans a row for each part that this box has cleared, if the table speaks against the part with half of the
-// evidence that is needed, or more. A box that does not run the part itself would otherwise quarantine it. l.mu must be
-// held.
-func (l *List) planClears(now time.Time) {
-	open := map[string]suspects{}
-	for endpoint, c := range l.parts.crashes {
-		if len(c.cleared) == 0 {
-			continue
-		}
-		for _, row := range c.rows {
-			for p, e := range row {
-				if c.cleared[p] && !c.clearedInTable[p] {
-					if open[endpoint] == nil {
-						open[endpoint] = suspects{}
-					}
-					open[endpoint][p] = e
-				}
-			}
-		}
-	}
-	for p, endpoints := range indexParts(open) {
-		if _, planned := l.parts.clears[p]; planned || !l.parts.survived.contains(p, now) || tallyPart(p, open, endpoints).bits < ThresholdBits/2 {
-			continue
-		}
-		delay := clearDelay(int(l.boxes.Load()))
-		l.parts.clears[p] = now.Add(delay)
-		time.AfterFunc(delay, l.wakeWriter)
-	}
-}
-
-// clearDelay returns a random delay whose density grows exponentially, so that of any number of boxes only few have
-// decided before they learn of the first.
-func clearDelay(boxes int) time.Duration {
-	if boxes <= 1 {
-		return 0
-	}
-	return time.Duration(max(0, 1+math.Log(1-mathrand.Float64())/math.Log(float64(boxes))) * float64(maxClearDelay))
-}
-
-// prepareClears has the planned rows written that are due and that the table still lacks. l.mu must be held.
-func (l *List) prepareClears(now time.Time) {
-	for p, due := range l.parts.clears {
-		if now.Before(due) {
-			continue
-		}
-		delete(l.parts.clears, p)
-		l.writeClear(p)
-	}
-}
-
-// writeClear has a row written that clears a part of the crashes that this box has cleared it of. It does nothing if the
-// table says so already. l.mu must be held.
-func (l *List) writeClear(p Part) {
-	var list []*partCrash
-	missing := false
-	for _, c := range l.parts.crashes {
-		if c.cleared[p] {
-			list = append(list, c)
-			missing = missing || !c.clearedInTable[p]
-		}
-	}
-	if !missing {
-		return
-	}
-	slices.SortFunc(list, func(a, b *partCrash) int { return b.observedAt.Compare(a.observedAt) })
-	var hashes []string
-	for _, c := range list[:min(len(list), maxPartCrashes)] {
-		c.clearedInTable[p] = true
-		hashes = append(hashes, endpointHash(c.endpoint))
-	}
-	l.setOwn(clearRowPrefix+p.String(), encodeClearRow(hashes))
-}
-
-// keepClears keeps what is known to be cleared when a restored table lacks it. l.mu must be held.
-func (l *List) keepClears(restored map[string][]byte) {
-	for _, c := range l.parts.crashes {
-		clear(c.clearedInTable)
-	}
-	for key, value := range restored {
-		if strings.HasPrefix(key, clearRowPrefix) {
-			l.applyClearRow(key, value)
-		}
-	}
-}
-
-// endpointHash identifies a crashed endpoint in rows.
-func endpointHash(endpoint string) string {
-	h := sha256.Sum256([]byte(endpoint))
-	return hex.EncodeToString(h[:8])
-}
-
-// partRowDoc is the JSON value of a row about the parts of one crash.
-type partRowDoc struct {
-	Endpoint string        `json:"endpoint"`
-	Parts    []exposureDoc `json:"parts"`
-}
-
-type exposureDoc struct {
-	Part     string  `json:"part"`
-	Request  string  `json:"request"`
-	Account  string  `json:"account,omitempty"`
-	Bits     float64 `json:"bits"`
-	Position int     `json:"position,omitempty"`
-	Runs     int     `json:"runs"`
-}
-
-func encodePartRow(endpoint string, s suspects) []byte {
-	doc := partRowDoc{Endpoint: endpoint}
-	for p, e := range s {
-		doc.Parts = append(doc.Parts, exposureDoc{p.String(), e.request, e.account, math.Round(e.bits*100) / 100, e.position, e.runs})
-	}
-	slices.SortFunc(doc.Parts, func(a, b exposureDoc) int {
-		return cmp.Or(cmp.Compare(b.Bits, a.Bits), cmp.Compare(b.Position, a.Position), cmp.Compare(a.Part, b.Part))
-	})
-	doc.Parts = doc.Parts[:min(len(doc.Parts), maxRowParts)]
-	b, _ := json.Marshal(doc) // Strings and finite numbers always encode.
-	return b
-}
-
-// parsePartRow decodes a row; ok is false for a row that no box can have written.
-func parsePartRow(key string, value []byte) (endpoint string, s suspects, ok bool) {
-	var doc partRowDoc
-	if json.Unmarshal(value, &doc) != nil || doc.Endpoint == "" || len(doc.Parts) == 0 || len(doc.Parts) > maxRowParts {
-		return "", nil, false
-	}
-	if !strings.HasPrefix(key, partRowPrefix+endpointHash(doc.Endpoint)+".") {
-		return "", nil, false
-	}
-	s = suspects{}
-	for _, d := range doc.Parts {
-		p, valid := ParsePart(d.Part)
-		if !valid || d.Bits < minCrashBits || d.Bits > maxCrashBits || d.Position < 0 || d.Position > maxPosition || d.Runs < 1 || d.Runs > maxRowRuns {
-			return "", nil, false
-		}
-		s[p] = exposure{request: d.Request, account: d.Account, bits: d.Bits, position: d.Position, runs: d.Runs}
-	}
-	return doc.Endpoint, s, true
-}
-
-// readPartRow reads a row of another box about the parts of a crash. l.mu must be held.
-func (l *List) readPartRow(key string, value []byte, now time.Time) {
-	endpoint, s, ok := parsePartRow(key, value)
-	if !ok {
-		return
-	}
-	c := l.crashOf(endpoint, now)
-	c.rows[key], c.suspected = s, nil
-	for p := range s {
-		l.parts.named[p] = true
-		if l.parts.survived.contains(p, now) {
-			c.clear(p)
-		}
-	}
-	l.rows[key] = readRow(value)
-	for _, row := range l.rowsWith(clearRowPrefix) {
-		l.applyClearRow(row, l.rows[row].value)
-	}
-}
-
-// rowsWith returns the keys of the known rows with a prefix. l.mu must be held.
-func (l *List) rowsWith(prefix string) (keys []string) {
-	for key := range l.rows {
-		if strings.HasPrefix(key, prefix) {
-			keys = append(keys, key)
-		}
-	}
-	return keys
-}
-
-// forgetPartRow forgets a row about parts that has gone from the table. What a row cleared stays cleared. l.mu must be
-// held.
-func (l *List) forgetPartRow(key string) {
-	l.dropRow(key, false)
-	for endpoint, c := range l.parts.crashes {
-		if _, ok := c.rows[key]; !ok {
-			continue
-		}
-		c.suspected = nil
-		if delete(c.rows, key); len(c.rows) == 0 {
-			delete(l.parts.crashes, endpoint)
-		}
-	}
-}
-
-type clearRowDoc struct {
-	Crashes []string `json:"crashes"`
-}
-
-func encodeClearRow(hashes []string) []byte {
-	b, _ := json.Marshal(clearRowDoc{hashes}) // Strings always encode.
-	return b
-}
-
-// decodeClearRow returns the hashes of the crashed endpoints in a row; none for a row that no box can have written.
-func decodeClearRow(value []byte) []string {
-	var doc clearRowDoc
-	if json.Unmarshal(value, &doc) != nil || len(doc.Crashes) > maxPartCrashes {
-		return nil
-	}
-	return doc.Crashes
-}
-
-// readClearRow reads a row that clears a part. Any box may have replaced it, also by one that clears the part of fewer
-// crashes. What the table lacks then is written again. l.mu must be held.
-func (l *List) readClearRow(key string, value []byte) {
-	p, ok := ParsePart(strings.TrimPrefix(key, clearRowPrefix))
-	if !ok {
-		return
-	}
-	for _, c := range l.parts.crashes {
-		delete(c.clearedInTable, p)
-	}
-	if !l.applyClearRow(key, value) {
-		return
-	}
-	if row := l.rows[key]; row != nil && !row.writeAcked {
-		row.seenInTable = true // This box is about to replace the row.
-		return
-	}
-	l.rows[key] = readRow(value)
-}
-
-// applyClearRow clears a part of the crashes that a row names. ok is false for a row that no box can have written. l.mu
-// must be held.
-func (l *List) applyClearRow(key string, value []byte) (ok bool) {
-	p, ok := ParsePart(strings.TrimPrefix(key, clearRowPrefix))
-	hashes := decodeClearRow(value)
-	if !ok || len(hashes) == 0 {
-		return false
-	}
-	for endpoint, c := range l.parts.crashes {
-		if slices.Contains(hashes, endpointHash(endpoint)) {
-			c.clear(p)
-			c.clearedInTable[p] = true
-		}
-	}
-	return true
-}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -368,6 +368,43 @@
 	}
 }
 
+// More crashes than a box records come from many boxes, as when racks of engines are lost. Not every box removes the same rows,
+// and the rows that it has no room for don't displace others again at each change of the table.
+func TestEvictedCrashesAreRemovedByTheirOwnBox(t *testing.T) {
+	writer, l := NewList(), NewList()
+	rows := map[string][]byte{}
+	for n := range maxPartCrashes + 50 {
+		crashUnder(writer, fmt.Sprint("f", n), fmt.Sprint("r", n), fmt.Sprint("p", n))
+		for key, row := range writer.rows {
+			if strings.HasPrefix(key, partRowPrefix) {
+				rows[key] = row.value
+			}
+		}
+	}
+	for range 2 {
+		l.SetRows(rows)
+		if _, remove := l.nextBatch(); len(remove) > 0 || len(l.parts.crashes) != maxPartCrashes {
+			t.Errorf("expected the rows of another box to stay, got %d removed and %d crashes", len(remove), len(l.parts.crashes))
+		}
+	}
+	if len(l.parts.ignored) != 50 {
+		t.Errorf("expected 50 rows to be ignored, got %d", len(l.parts.ignored))
+	}
+	for put, _ := writer.nextBatch(); len(put) > 0; put, _ = writer.nextBatch() {
+		writer.markWritten(put, nil)
+	}
+	for n := range 10 {
+		crashUnder(writer, fmt.Sprint("g", n), fmt.Sprint("r", n), fmt.Sprint("p", n))
+	}
+	if _, remove := writer.nextBatch(); len(remove) == 0 {
+		t.Error("expected the box that wrote the rows to remove them")
+	}
+	l.SetRows(nil)
+	if len(l.parts.ignored) != 0 {
+		t.Error("expected rows that are gone not to be remembered")
+	}
+}
+
 // An operator lets requests with a part go on. All boxes follow, the requests beside the crashes are not blamed for them,
 // and the part is quarantined again if it crashes engines again.
 func TestLiftedPart(t *testing.T) {
--- a/internal/quarantine/rows.go
+++ b/internal/quarantine/rows.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -120,6 +121,10 @@
 			delete(l.removing, key)
 		}
 	}
+	maps.DeleteFunc(l.parts.ignored, func(key string, _ time.Time) bool {
+		_, exists := rows[key]
+		return !exists
+	})
 	for key, value := range rows {
 		l.readKey(key, value, now, restored)
 	}
@@ -134,7 +139,7 @@
 	switch {
 	case row != nil && string(row.value) == string(value):
 		row.writeAttempted, row.writeAcked, row.seenInTable = true, true, true
-	case row == nil && l.isRemoving(key):
+	case row == nil && (l.isRemoving(key) || l.isIgnored(key)):
 	case strings.HasPrefix(key, clearRowPrefix):
 		l.readClearRow(key, value)
 	case row != nil && !isPartRow(key):
@@ -202,6 +207,11 @@
 	l.wakeWriter()
 }
 
+func (l *List) isIgnored(key string) bool {
+	_, ok := l.parts.ignored[key]
+	return ok
+}
+
 func (l *List) isRemoving(key string) bool {
 	_, ok := l.removing[key]
 	return ok
