--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -14,10 +14,9 @@
 	"github.com/stoatramp/stoatramp/internal/clock"
 )
 
-// This file counts crashes against parts of prompts. The table has two kinds of rows for it. A box writes one row for each
-// crash with the parts of its own calls on that endpoint; it leaves out the parts that its own runs have cleared. A box
-// whose runs cleared a part that the rows of other boxes name writes one row that says so. Both kinds only add to what is
-// known, so that their order does not matter.
+// This file counts crashes against parts of prompts, and clears parts whose runs lasted. The table has two kinds of rows for
+// it (partrows.go, clears.go). Both only add to what is known, so that their order does not matter. The verdicts are found
+// in verdicts.go and cover.go.
 
 const (
 	// verifyTime is how long the evidence against a part must stand before the part is quarantined. In this time a box
--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -46,20 +46,8 @@
 	}
 	clear(l.parts.explained)
 	for p, t := range found {
-		v := &PartVerdict{Part: p, State: Suspected, Account: t.account, Bits: t.bits, Requests: t.requests, Crashes: t.crashes, Since: now, Shared: t.shared > 0}
-		old := l.parts.verdicts[p]
-		if old != nil {
-			v.Since = old.Since
-		} else {
-			time.AfterFunc(verifyTime, l.verifyParts)
-		}
-		if now.Sub(v.Since) >= verifyTime || l.parts.verified || old != nil && old.State == Quarantined {
-			v.State = Quarantined
-		}
-		if old != nil && old.State == Quarantined && len(v.Crashes) > len(old.Crashes) && now.Sub(v.Since) > verifyTime+l.firstTrialDelay(p) {
-			l.delayTrial(p, now)
-		}
-		if old == nil || old.State != v.State {
+		v, changed := l.judge(p, t, now)
+		if changed {
 			changes = append(changes, *v)
 		}
 		l.parts.verdicts[p] = v
@@ -70,6 +58,28 @@
 	l.publishVerdicts(changes)
 }
 
+// judge returns the verdict on a part that explains crashes, and whether its state has changed. l.mu must be held.
+func (l *List) judge(p Part, t tally, now time.Time) (v *PartVerdict, changed bool) {
+	v = &PartVerdict{Part: p, State: Suspected, Account: t.account, Bits: t.bits, Requests: t.requests, Crashes: t.crashes, Since: now, Shared: t.shared > 0}
+	old := l.parts.verdicts[p]
+	if old == nil {
+		if l.parts.verified {
+			v.State = Quarantined
+		} else {
+			time.AfterFunc(verifyTime, l.verifyParts)
+		}
+		return v, true
+	}
+	v.Since = old.Since
+	if old.State == Quarantined || now.Sub(v.Since) >= verifyTime || l.parts.verified {
+		v.State = Quarantined
+	}
+	if old.State == Quarantined && len(v.Crashes) > len(old.Crashes) && now.Sub(v.Since) > verifyTime+l.firstTrialDelay(p) {
+		l.delayTrial(p, now)
+	}
+	return v, old.State != v.State
+}
+
 // verifyParts quarantines the parts against which the evidence has stood for long enough.
 func (l *List) verifyParts() {
 	l.mu.Lock()
