Compute the hash of a crashed endpoint once, and share what was written twice

Cause: a last reading of the change. Ruled out: one call for both kinds of ids in the tool and the box, which would change their interface. No change in behavior, and no assertion changed. Run: make check, tests of quarantine, relay, ops, cli, platform without the race detector; no figures were taken.

--- a/internal/quarantine/clears.go
+++ b/internal/quarantine/clears.go
@@ -80,9 +80,9 @@
 	var hashes []string
 	for _, c := range list[:min(len(list), maxPartCrashes)] {
 		c.clearedInTable[p] = true
-		hashes = append(hashes, endpointHash(c.endpoint))
+		hashes = append(hashes, c.hash)
 	}
-	l.setOwn(clearRowPrefix+p.String(), encodeClearRow(hashes))
+	l.setOwn(clearRowKey(p), encodeClearRow(hashes))
 }
 
 // keepClears keeps what is known to be cleared when a restored table lacks it. l.mu must be held.
@@ -91,12 +91,24 @@
 		clear(c.clearedInTable)
 	}
 	for key, value := range restored {
-		if strings.HasPrefix(key, clearRowPrefix) {
-			l.applyClearRow(key, value)
+		if p, ok := parseClearRowKey(key); ok {
+			l.applyClearRow(p, value)
 		}
 	}
 }
 
+// clearRowKey returns the key of the row that clears a part.
+func clearRowKey(p Part) string { return clearRowPrefix + p.String() }
+
+// parseClearRowKey returns the part that the row with a key clears.
+func parseClearRowKey(key string) (p Part, ok bool) {
+	text, ok := strings.CutPrefix(key, clearRowPrefix)
+	if !ok {
+		return p, false
+	}
+	return ParsePart(text)
+}
+
 type clearRowDoc struct {
 	Crashes []string `json:"crashes"`
 }
@@ -118,14 +130,14 @@
 // readClearRow reads a row that clears a part. Any box may have replaced it, also by one that clears the part of fewer
 // crashes. What the table lacks then is written again. l.mu must be held.
 func (l *List) readClearRow(key string, value []byte) {
-	p, ok := ParsePart(strings.TrimPrefix(key, clearRowPrefix))
+	p, ok := parseClearRowKey(key)
 	if !ok {
 		return
 	}
 	for _, c := range l.parts.crashes {
 		delete(c.clearedInTable, p)
 	}
-	if !l.applyClearRow(key, value) {
+	if !l.applyClearRow(p, value) {
 		return
 	}
 	if row := l.rows[key]; row != nil && !row.writeAcked {
@@ -137,14 +149,13 @@
 
 // applyClearRow clears a part of the crashes that a row names. ok is false for a row that no box can have written. l.mu
 // must be held.
-func (l *List) applyClearRow(key string, value []byte) (ok bool) {
-	p, ok := ParsePart(strings.TrimPrefix(key, clearRowPrefix))
+func (l *List) applyClearRow(p Part, value []byte) (ok bool) {
 	hashes := decodeClearRow(value)
-	if !ok || len(hashes) == 0 {
+	if len(hashes) == 0 {
 		return false
 	}
-	for endpoint, c := range l.parts.crashes {
-		if slices.Contains(hashes, endpointHash(endpoint)) {
+	for _, c := range l.parts.crashes {
+		if slices.Contains(hashes, c.hash) {
 			c.clear(p)
 			c.clearedInTable[p] = true
 		}
--- a/internal/quarantine/cover.go
+++ b/internal/quarantine/cover.go
@@ -104,8 +104,8 @@
 const coveredShare = 0.5
 
 // findParts returns the parts that explain the crashes, with the evidence against each of them. It blames the part with
-// the most evidence first, unless others explain half of its crashes that stand further back in prompts, and that fewer requests
-// share. What a part explains counts against no other part any more.
+// the most evidence first, unless others explain half of its crashes that stand further back in prompts, and that fewer
+// requests share. What a part explains counts against no other part any more.
 func findParts(crashes map[string]suspects) map[Part]tally {
 	found := map[Part]tally{}
 	all := indexParts(crashes)
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -18,12 +18,19 @@
 
 // ParseFingerprint parses the text that String returns.
 func ParseFingerprint(text string) (f Fingerprint, ok bool) {
+	ok = decodeHex(f[:], text)
+	return f, ok
+}
+
+// decodeHex decodes hexadecimal digits into dst. It returns false, and leaves dst as it is, if the text does not fill dst
+// exactly.
+func decodeHex(dst []byte, text string) bool {
 	b, err := hex.DecodeString(text)
-	if err != nil || len(b) != len(f) {
-		return f, false
+	if err != nil || len(b) != len(dst) {
+		return false
 	}
-	copy(f[:], b)
-	return f, true
+	copy(dst, b)
+	return true
 }
 
 // Identity is the part of a request that its fingerprint covers. If two bodies differ in one byte, the requests are
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -87,6 +87,15 @@
 	return s
 }
 
+// lateBox returns a list that has just read the table.
+func (s *fakeTable) lateBox() *List {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := NewList()
+	l.SetRows(s.rows)
+	return l
+}
+
 // counts returns the number of calls to the table and the number of its rows.
 func (s *fakeTable) counts() (calls, rows int) {
 	s.mu.Lock()
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -120,8 +118,7 @@
 
 // key returns the key of the crash's row: the same on every box, and different for each start of an endpoint.
 func (e *Crash) key() string {
-	h := sha256.Sum256([]byte(e.Endpoint))
-	return e.Request.String() + "." + hex.EncodeToString(h[:8])
+	return e.Request.String() + "." + endpointHash(e.Endpoint)
 }
 
 // rowDoc is the JSON value of a crash's row.
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -23,10 +23,6 @@
 
 // ParsePart parses the text that String returns.
 func ParsePart(text string) (p Part, ok bool) {
-	b, err := hex.DecodeString(text)
-	if err != nil || len(b) != len(p) {
-		return p, false
-	}
-	copy(p[:], b)
-	return p, true
+	ok = decodeHex(p[:], text)
+	return p, ok
 }
--- a/internal/quarantine/partrows.go
+++ b/internal/quarantine/partrows.go
@@ -83,19 +83,11 @@
 		}
 	}
 	l.rows[key] = readRow(value)
-	for _, row := range l.rowsWith(clearRowPrefix) {
-		l.applyClearRow(row, l.rows[row].value)
-	}
-}
-
-// rowsWith returns the keys of the known rows with a prefix. l.mu must be held.
-func (l *List) rowsWith(prefix string) (keys []string) {
-	for key := range l.rows {
-		if strings.HasPrefix(key, prefix) {
-			keys = append(keys, key)
+	for p := range s {
+		if row := l.rows[clearRowKey(p)]; row != nil {
+			l.applyClearRow(p, row.value)
 		}
 	}
-	return keys
 }
 
 // forgetPartRow forgets a row about parts that has gone from the table. What a row cleared stays cleared. l.mu must be
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -79,6 +79,7 @@
 // partCrash is a crash of an endpoint with the parts that ran there.
 type partCrash struct {
 	endpoint   string
+	hash       string // The endpointHash of endpoint.
 	observedAt time.Time
 	// rows has the parts in each row about the crash, by the row's key.
 	rows map[string]suspects
@@ -246,7 +247,7 @@
 	}
 	endpoint := l.startName(e)
 	c := l.crashOf(endpoint, now)
-	key := partRowPrefix + endpointHash(endpoint) + "." + l.parts.instance
+	key := partRowPrefix + c.hash + "." + l.parts.instance
 	row := c.rows[key]
 	if row == nil {
 		row = suspects{}
@@ -288,13 +289,16 @@
 	}
 	if len(l.parts.crashes) >= maxPartCrashes {
 		l.evictPartCrash(now, slices.MinFunc(slices.Collect(maps.Values(l.parts.crashes)), func(a, b *partCrash) int {
-			if aKept, bKept := l.parts.explained[a.endpoint], l.parts.explained[b.endpoint]; aKept != bKept {
-				return map[bool]int{true: 1, false: -1}[aKept]
+			switch aKept, bKept := l.parts.explained[a.endpoint], l.parts.explained[b.endpoint]; {
+			case aKept && !bKept:
+				return 1
+			case bKept && !aKept:
+				return -1
 			}
 			return a.observedAt.Compare(b.observedAt)
 		}))
 	}
-	c = &partCrash{endpoint: endpoint, observedAt: now, rows: map[string]suspects{}, cleared: map[Part]bool{}, clearedInTable: map[Part]bool{}}
+	c = &partCrash{endpoint: endpoint, hash: endpointHash(endpoint), observedAt: now, rows: map[string]suspects{}, cleared: map[Part]bool{}, clearedInTable: map[Part]bool{}}
 	l.parts.crashes[endpoint] = c
 	return c
 }
@@ -344,8 +348,8 @@
 
 // knowsCrash reports whether a crash of the endpoint with a hash is recorded. l.mu must be held.
 func (l *List) knowsCrash(hash string) bool {
-	for endpoint := range l.parts.crashes {
-		if endpointHash(endpoint) == hash {
+	for _, c := range l.parts.crashes {
+		if c.hash == hash {
 			return true
 		}
 	}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// rowsWith returns the keys of the rows with a prefix that a list knows.
+func (l *List) rowsWith(prefix string) (keys []string) {
+	for key := range l.rows {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // rowsOf returns the table after a box has written all that it knows.
 func rowsOf(l *List) map[string][]byte {
 	rows := map[string][]byte{}
@@ -238,10 +248,7 @@
 		time.Sleep(2 * time.Second)
 		_ = s.Write(ctx, map[string][]byte{clearRowPrefix + partOf("shared").String(): encodeClearRow([]string{endpointHash("e0")})}, nil)
 		time.Sleep(3 * time.Second)
-		s.mu.Lock()
-		late := NewList()
-		late.SetRows(s.rows)
-		s.mu.Unlock()
+		late := s.lateBox()
 		expectPart(t, late, "shared", Released)
 		cancel()
 		synctest.Wait()
@@ -293,10 +300,7 @@
 			expectPart(t, l, "shared", Released)
 		}
 		time.Sleep(10 * time.Second)
-		s.mu.Lock()
-		late := NewList()
-		late.SetRows(s.rows)
-		s.mu.Unlock()
+		late := s.lateBox()
 		expectPart(t, late, "bad", Quarantined)
 		expectPart(t, late, "shared", Released)
 		cancel()
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -54,8 +54,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := clock.Now()
-	next, ok := l.nextTrial(p)
-	if !ok || now.Before(next) {
+	if next, ok := l.nextTrial(p); !ok || now.Before(next) {
 		return false
 	}
 	l.delayTrial(p, now)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -65,7 +65,7 @@
 	run openRun
 	// migration is the migration in progress; nil if there is none.
 	migration *migration
-	// partsChanged is closed when the verdict on a part of any prompt changes.
+	// partsChanged is closed when the verdict on a part of any prompt changes; nil for a prompt without shared parts.
 	partsChanged <-chan struct{}
 	// stopDecode cancels the current decode call; nil before the first decode call.
 	stopDecode context.CancelFunc
@@ -215,7 +215,10 @@
 // that engines and this box hold for the stream. The calls that free the memory may still run after the return.
 func (x *exchange) runStream(ctx context.Context) outcome.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
-	f := &flight{x: x, ctx: ctx, events: make(chan flightEvent, eventBuffer), partsChanged: x.r.o.Crashes.PartsChanged()}
+	f := &flight{x: x, ctx: ctx, events: make(chan flightEvent, eventBuffer)}
+	if len(x.meta.Parts) > 0 {
+		f.partsChanged = x.r.o.Crashes.PartsChanged()
+	}
 	f.id, f.call = x.r.disp.Submit(x.meta.ID, f.request())
 	// The end is deferred, so that engine memory is freed even if the loop panics. The order matters: the decision core
 	// emits its last actions when the request is removed, and drainSteps then records them. The calls are canceled
