Review scripts: take ports that are free on the addresses in use

The ports came from the range of outgoing connections, were tried on 127.0.0.1 alone and could repeat. They are distinct now, outside that range, and tried on each address; a box that ends at its start is reported with the end of its log.

--- a/review/standins/world_test.go
+++ b/review/standins/world_test.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -31,8 +32,9 @@
 	mu    sync.Mutex
 	procs []*proc
 
-	store string
-	ports struct{ callers, readiness, operators, peers, worker int }
+	store     string
+	usedPorts map[int]bool
+	ports     struct{ callers, readiness, operators, peers, worker int }
 	boxes []*box
 	// started is when the traffic began.
 	started time.Time
@@ -158,23 +160,48 @@
 var halls = []string{"hall-a", "hall-b", "hall-c"}
 
 // boxIP is the address of a box's machine. The ports are alike on all machines.
-func boxIP(n int) string { return fmt.Sprintf("127.0.1.%d", n+1) }
+func boxIP(n int) string { return fmt.Sprintf("127.0.%d.%d", boxNet, n+1) }
 
 func (w *world) callers(n int) string { return fmt.Sprintf("%s:%d", boxIP(n), w.ports.callers) }
 
-// freePort returns a port that is free on the first loopback address, and most likely on the others.
-func freePort() int {
-	l := must(net.Listen("tcp4", "127.0.0.1:0"))
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+// The loopback addresses of boxes, workers and the store: 127.0.NET.1 and on.
+const (
+	boxNet, workerNet, storeNet = 1, 2, 3
+	maxMachines                 = 16
+)
+
+// freePort returns a port that is free on all addresses of a net, and that was not returned before. It is outside the range
+// from which the operating system takes the ports of outgoing connections.
+func (w *world) freePort(network int) int {
+	for range 1000 {
+		port := 20000 + rand.IntN(12000)
+		if !w.usedPorts[port] && isFree(network, port) {
+			w.usedPorts[port] = true
+			return port
+		}
+	}
+	panic("no free port")
+}
+
+func isFree(network, port int) bool {
+	for n := range maxMachines {
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.%d.%d:%d", network, n+1, port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
 }
 
 // begin starts the store, and writes the configuration.
 func (w *world) begin(config map[string]any) {
-	for _, p := range []*int{&w.ports.callers, &w.ports.readiness, &w.ports.operators, &w.ports.peers, &w.ports.worker} {
-		*p = freePort()
+	w.usedPorts = map[int]bool{}
+	for _, p := range []*int{&w.ports.callers, &w.ports.readiness, &w.ports.operators, &w.ports.peers} {
+		*p = w.freePort(boxNet)
 	}
-	w.store = fmt.Sprintf("127.0.3.1:%d", freePort())
+	w.ports.worker = w.freePort(workerNet)
+	w.store = fmt.Sprintf("127.0.%d.1:%d", storeNet, w.freePort(storeNet))
 	w.start(true, nil, os.Args[0], "store", w.store)
 	w.await("the store", func() bool { return w.post("/standin/fault", struct{}{}) == nil })
 	w.putConfig(config)
@@ -216,7 +243,7 @@
 
 // startWorker starts worker number n on a machine of its own.
 func (w *world) startWorker(n int, o workerOptions) (*proc, workerOptions) {
-	o.Address = fmt.Sprintf("127.0.2.%d:%d", n+1, w.ports.worker)
+	o.Address = fmt.Sprintf("127.0.%d.%d:%d", workerNet, n+1, w.ports.worker)
 	o.Store, o.HeartbeatMS = w.store, 1200
 	if o.Zone == "" {
 		o.Zone = halls[n%len(halls)]
@@ -286,7 +313,17 @@
 	return get(fmt.Sprintf("http://%s:%d/stoatramp/ready", b.ip, w.ports.readiness)) == nil
 }
 
-func (w *world) awaitReady(b *box) { w.await("ready box", func() bool { return w.isReady(b) }) }
+func (w *world) awaitReady(b *box) {
+	w.await("ready box", func() bool {
+		select {
+		case <-b.done:
+			log := must(os.ReadFile(filepath.Join(w.dir, "log")))
+			panic(fmt.Sprintf("box %d ended at its start: %s", b.n+1, log[max(0, len(log)-600):]))
+		default:
+			return w.isReady(b)
+		}
+	})
+}
 
 // stream is what a client has seen of an attempt of a stream.
 type stream struct {
