--- a/review/standins/world_test.go
+++ b/review/standins/world_test.go
@@ -35,7 +35,7 @@
 	store     string
 	usedPorts map[int]bool
 	ports     struct{ callers, readiness, operators, peers, worker int }
-	boxes []*box
+	boxes     []*box
 	// started is when the traffic began.
 	started time.Time
 }
