Log how long calls wait for connections, and how much a box itself delays

Cause: slots_full read the same whether endpoints are full or this box's part of their connections is, and no figure told a full link or processor of this box from slow endpoints. Change: decision connection_wait with a sentence in why, a histogram, and stoatramp_own_delay_seconds: of the link by what the connects to all addresses have in common beyond the usual, of the processor by the lateness of ticks.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -264,7 +264,8 @@
 	Running() int64
 	// NotifyBusy returns a channel that receives a value when a request starts while no other runs.
 	NotifyBusy() <-chan struct{}
-	Tick()
+	// Tick lets timeouts fire. late is by how much the tick came too late.
+	Tick(late time.Duration)
 }
 
 // minLoggedStall is the least delay of a tick that is reported as a stall of this process. During a stall all
@@ -292,11 +293,12 @@
 		}
 		select {
 		case <-t.C:
-			if late := time.Since(last) - decide.TickEvery(); late > minLoggedStall {
+			late := max(0, time.Since(last)-decide.TickEvery())
+			if late > minLoggedStall {
 				onStall(late)
 			}
 			last = time.Now()
-			target.Tick()
+			target.Tick(late)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -239,6 +239,8 @@
 	b.Metrics.Set.NewGauge("stoatramp_held_bytes", func() float64 { return float64(b.Relay.ReservedBytes()) })
 	b.Metrics.Set.NewGauge("stoatramp_endpoints_limited", func() float64 { return float64(b.Relay.Limited()) })
 	b.Metrics.Set.NewGauge("stoatramp_paths_lost", func() float64 { return float64(len(b.Relay.LostPaths())) })
+	b.Metrics.Set.NewGauge(`stoatramp_own_delay_seconds{of="link"}`, func() float64 { return b.Relay.Delays().Link(clock.Now()).Seconds() })
+	b.Metrics.Set.NewGauge(`stoatramp_own_delay_seconds{of="processor"}`, func() float64 { return b.Relay.Delays().Processor(clock.Now()).Seconds() })
 	b.Metrics.Set.NewGauge("stoatramp_running", func() float64 { return float64(b.Relay.Running()) })
 }
 
--- a/internal/box/tick_test.go
+++ b/internal/box/tick_test.go
@@ -15,13 +15,13 @@
 	n atomic.Int64
 }
 
-func (c *tickCounter) Tick() { c.n.Add(1) }
+func (c *tickCounter) Tick(time.Duration) { c.n.Add(1) }
 
 // stuckTicker blocks in its first tick for longer than minLoggedStall, as if the process had stalled.
 type stuckTicker struct{ tickCounter }
 
-func (c *stuckTicker) Tick() {
-	c.tickCounter.Tick()
+func (c *stuckTicker) Tick(late time.Duration) {
+	c.tickCounter.Tick(late)
 	if c.n.Load() == 1 {
 		time.Sleep(minLoggedStall + 100*time.Millisecond)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,7 +156,7 @@
 func (g *Gateway) NotifyBusy() <-chan struct{} { return g.gate.NotifyBusy() }
 
 // Tick lets the decision core handle the time limits that have passed. It must be called regularly.
-func (g *Gateway) Tick() { g.disp.Step(decide.Tick{}) }
+func (g *Gateway) Tick(time.Duration) { g.disp.Step(decide.Tick{}) }
 
 // Running returns the number of requests in progress.
 func (g *Gateway) Running() int64 { return g.gate.Running() }
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -83,6 +83,8 @@
 	EndIfSilent func() bool
 	// Via is set by Do: the box that carried the request's connection. It is empty for a direct connection.
 	Via string
+	// ConnWait is set by Do: how long the request waited because Address had MaxConns connections.
+	ConnWait time.Duration
 }
 
 // ErrUnconfirmed means that a new connection was closed by the endpoint before the request was sent (ConfirmOpen), or did
@@ -130,6 +132,8 @@
 	SlowAfter time.Duration
 	// OnDial is called for each new connection; it may be nil.
 	OnDial func()
+	// OnConnected is called when a direct connection is established, with the time that this took. It may be nil.
+	OnConnected func(addr string, took time.Duration)
 	// OnDialFailed is called for each connection that could not be established, unless its request was cancelled. It may
 	// be nil.
 	OnDialFailed func(addr string, err error)
@@ -363,7 +367,10 @@
 		c, w := p.take(r)
 		if w != nil {
 			var err error
-			if c, err = p.await(ctx, r.Address, w); err != nil {
+			began := clock.Now()
+			c, err = p.await(ctx, r.Address, w)
+			r.ConnWait += clock.Since(began)
+			if err != nil {
 				return nil, err
 			}
 			if c != nil {
@@ -448,6 +455,9 @@
 		return nil, err
 	}
 	c := &conn{Conn: nc, addr: addr, via: via, dialTime: time.Since(began), fresh: true}
+	if via == "" && p.OnConnected != nil {
+		p.OnConnected(addr, c.dialTime)
+	}
 	c.r = bufio.NewReaderSize(c, bufferBytes)
 	return c, nil
 }
--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -109,6 +109,8 @@
 			by = "box " + s.Text
 		}
 		return fmt.Sprintf("The stream began at build %s, as %s knew; only engines of that build may go on with it.", s.Build, by)
+	case StepConnWait:
+		return fmt.Sprintf("The call to %s waited %s that this box may open to it.", s.Decode, s.Text)
 	case StepSlot:
 		return slotText(s)
 	case StepTrial:
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -46,6 +46,9 @@
 	// StepSlot means that a slot of a plain service's endpoints was granted or refused. Slot has the details. Decode is
 	// the endpoint of a granted slot. Text is the reason of a refusal.
 	StepSlot StepKind = "slot"
+	// StepConnWait means that the call to the endpoint Decode waited, because this box has all the connections to the endpoint
+	// that it may open. Text says how long and how many.
+	StepConnWait StepKind = "connection_wait"
 	// StepSuspected means that the request waited, because a part of its prompt was suspected to crash endpoints. Text names
 	// the part and the crashes.
 	StepSuspected StepKind = "suspected"
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/paths"
@@ -30,6 +31,7 @@
 		p.OnConnLost, p.Alive = r.paths.ConnLost, r.endpointAlive
 		p.OnSlow, p.SlowAfter = r.paths.CheckSlow, r.paths.SlowAfter()
 		p.OnDialFailed = r.countConnectFailure
+		p.OnConnected = func(addr string, took time.Duration) { r.delays.Connected(clock.Now(), addr, took) }
 	}
 }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -322,6 +322,7 @@
 	}
 	resp, err := x.r.callerPool.Do(ctx, q)
 	x.recordVia(e.ID, q)
+	x.recordConnWait(e.ID, q)
 	if err != nil {
 		a.pathBroke = x.r.pathBroke(e.Address, q.Via, err)
 		a.reset, a.connsBusy = wasReset(err), errors.Is(err, h1.ErrConnsBusy)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/stoatramp/stoatramp/internal/follow"
 	"github.com/stoatramp/stoatramp/internal/gate"
 	"github.com/stoatramp/stoatramp/internal/h1"
+	"github.com/stoatramp/stoatramp/internal/intake"
 	"github.com/stoatramp/stoatramp/internal/notice"
 	"github.com/stoatramp/stoatramp/internal/origins"
 	"github.com/stoatramp/stoatramp/internal/outcome"
@@ -145,6 +146,8 @@
 	crashWatch   crashWatch
 
 	memory memory
+	// delays has by how much this box itself delays what it sends and receives.
+	delays intake.Delays
 
 	gate gate.Gate
 	// stopDeadline is the deadline of a planned stop, in Unix nanoseconds; 0 if no stop has begun. Once stopDeadline is
@@ -280,8 +283,9 @@
 // NotifyBusy returns a channel. The channel receives a value when a request starts while no other request runs.
 func (r *Relay) NotifyBusy() <-chan struct{} { return r.gate.NotifyBusy() }
 
-// Tick lets the decision core's timeouts fire.
-func (r *Relay) Tick() {
+// Tick lets the decision core's timeouts fire. late is by how much the tick came too late.
+func (r *Relay) Tick(late time.Duration) {
+	r.delays.Ticked(clock.Now(), late)
 	r.disp.Step(decide.Tick{})
 	r.refreshCells(false)
 }
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -97,6 +98,17 @@
 	return max(minConnections, int(float64(s.MaxConnections)*usableConnections*part))
 }
 
+// recordConnWait records that a call waited for one of this box's connections to the endpoint.
+func (x *exchange) recordConnWait(endpoint string, q *h1.Request) {
+	if q.ConnWait == 0 {
+		return
+	}
+	x.r.m.ConnectionWait.Update(q.ConnWait.Seconds())
+	x.trace.Step(record.Step{
+		Kind: record.StepConnWait, Decode: endpoint, Text: fmt.Sprintf("%d ms for one of %d connections", q.ConnWait.Milliseconds(), q.MaxConns),
+	})
+}
+
 // newSlotID returns an ID for a request for a slot. It differs from the IDs of other boxes, and from those before a
 // restart of this box.
 func (r *Relay) newSlotID() string {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -85,6 +85,12 @@
 	ConnectsFailed map[string]*metrics.Counter
 	// TunneledCalls counts the calls of requests whose connection another box carried.
 	TunneledCalls *metrics.Counter
+	// ConnectionWait is the time that calls waited because this box had all the connections to their endpoint that it may
+	// open. Calls that did not wait are not counted.
+	ConnectionWait *metrics.Histogram
+	// ReadConns counts the new connections of callers whose requests this box reads, and UnreadConns those that it closed
+	// before that.
+	ReadConns, UnreadConns *metrics.Counter
 	// LimitCheckTime is the time that a check of a client account's limits took.
 	LimitCheckTime *metrics.Histogram
 
@@ -176,6 +182,9 @@
 		FirstToken:          s.NewHistogram("stoatramp_first_token_seconds"),
 		BetweenTokens:       s.NewHistogram("stoatramp_between_tokens_seconds"),
 		LimitCheckTime:      s.NewHistogram("stoatramp_limit_seconds"),
+		ConnectionWait:      s.NewHistogram("stoatramp_connection_wait_seconds"),
+		ReadConns:           s.NewCounter(`stoatramp_caller_connections_total{result="read"}`),
+		UnreadConns:         s.NewCounter(`stoatramp_caller_connections_total{result="unread"}`),
 		SlotsGranted:        map[string]*metrics.Counter{},
 		SlotsRefused:        map[slots.Reason]*metrics.Counter{},
 		SlotsReturning: map[bool]*metrics.Counter{
