Let granted slots permit connections beyond a box's part

Cause: a box's part of an endpoint's connections is one over the number of boxes (2 of 60 at 24 boxes). The owner granted slots of idle endpoints, and the granted calls waited 60 to 126 ms for a connection (662 waits in 14 s); the owner took the time for the endpoint's and refused what came after. Change: a slot that an owner granted permits a connection beyond the part, closed after the call; the owner grants no more slots than the endpoint has to all boxes, so the sum holds whoever fails. A box whose connections are all in use asks for a slot instead of waiting. Parts leave room for the grants, are 1 where 2 a box would be more than the endpoint accepts, and what is below one connection is not kept.

--- a/internal/h1/conns_test.go
+++ b/internal/h1/conns_test.go
@@ -464,3 +464,40 @@
 	end(0, true, 1)
 	end(0, true, 0)
 }
+
+// Guards against connections that a box opened for calls with granted slots and keeps after them, so that other boxes find
+// the endpoint's connections in use.
+func TestExtraConnsAreNotKept(t *testing.T) {
+	l, p := newCappedListener(t, 100, 5*time.Millisecond), NewPool()
+	request := func() *Request {
+		r := l.request(8, false)
+		r.ExtraConns = 6
+		return r
+	}
+	if failed := callAll(p, 24, request); len(failed) > 0 {
+		t.Errorf("expected all calls to be answered, got %v", failed[0])
+	}
+	if n := p.Conns()[l.ln.Addr().String()].Open; n > 2 {
+		t.Errorf("expected at most 2 connections after the calls, got %d", n)
+	}
+	if p.MustWait(l.ln.Addr().String(), 2) {
+		t.Error("expected an idle connection to be free")
+	}
+}
+
+// Guards against a call that takes a box for free although it would wait for a connection.
+func TestMustWait(t *testing.T) {
+	l, p := newCappedListener(t, 100, 50*time.Millisecond), NewPool()
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() { _ = callAll(p, 1, func() *Request { return l.request(2, false) }) })
+	}
+	address := l.ln.Addr().String()
+	for p.Conns()[address].Open < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	if !p.MustWait(address, 2) || p.MustWait(address, 3) || p.MustWait(address, 0) {
+		t.Errorf("expected a wait with 2 connections at most only, got %+v", p.Conns()[address])
+	}
+	wg.Wait()
+}
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -58,6 +58,9 @@
 	// MaxConns bounds the connections of the pool to Address; 0 means no bound. If there are as many, the request waits
 	// until a connection comes free.
 	MaxConns int
+	// ExtraConns of the MaxConns connections are not kept for later requests. Each of them is closed when it comes free,
+	// unless a request waits for it.
+	ExtraConns int
 	// ConfirmOpen delays the first byte on a new connection, by the time that connecting took plus confirmMargin. An
 	// endpoint that has too many connections accepts a new one and resets it immediately. If the connection was reset
 	// or closed by the end of the delay, Do returns an Error that wraps ErrUnconfirmed, with Sent = false. A reset that
@@ -87,6 +90,15 @@
 	ConnWait time.Duration
 }
 
+// keepConns returns how many connections to the address are kept for later requests, or a negative number if there is no
+// bound.
+func (r *Request) keepConns() int {
+	if r.MaxConns == 0 {
+		return -1
+	}
+	return max(0, r.MaxConns-r.ExtraConns)
+}
+
 // ErrUnconfirmed means that a new connection was closed by the endpoint before the request was sent (ConfirmOpen), or did
 // not answer the probe in time.
 var ErrUnconfirmed = errors.New("the endpoint closed the new connection before the request was sent")
@@ -191,6 +203,8 @@
 	dialTime time.Duration
 	fresh    bool
 	awaited  bool // The request that uses the connection waited for it.
+	// keep is how many connections to the address are kept for later requests; negative if there is no bound.
+	keep int
 	// heardAt is when bytes last arrived or a request was sent, in nanoseconds since 1970.
 	heardAt atomic.Int64
 	// ended is set once EndSilent has closed the connection.
@@ -381,6 +395,7 @@
 			return p.open(ctx, r)
 		}
 		if clock.Now().Before(c.reuseDeadline) && p.usable(c) && c.isQuiet() {
+			c.keep = r.keepConns()
 			return c, nil
 		}
 		p.discard(c)
@@ -454,7 +469,7 @@
 		}
 		return nil, err
 	}
-	c := &conn{Conn: nc, addr: addr, via: via, dialTime: time.Since(began), fresh: true}
+	c := &conn{Conn: nc, addr: addr, via: via, dialTime: time.Since(began), fresh: true, keep: r.keepConns()}
 	if via == "" && p.OnConnected != nil {
 		p.OnConnected(addr, c.dialTime)
 	}
@@ -540,7 +555,7 @@
 }
 
 // putIdle passes a connection to a request that waits, or adds it to the idle connections. It returns a connection that
-// must be closed because there are too many idle connections, if any.
+// must be closed because there are too many connections, if any.
 func (p *Pool) putIdle(c *conn) (surplus *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -550,6 +565,9 @@
 		h.waiting = h.waiting[1:]
 		return nil
 	}
+	if c.keep >= 0 && h.open > c.keep {
+		return c
+	}
 	if len(h.idle) >= maxIdlePerAddress {
 		surplus = h.idle[0]
 		h.idle = h.idle[1:]
@@ -576,6 +594,14 @@
 // established. Waiting is the number of requests that wait for a connection.
 type ConnCounts struct{ Open, Idle, Waiting int }
 
+// MustWait reports whether a request with so many MaxConns would have to wait for a connection now.
+func (p *Pool) MustWait(addr string, maxConns int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[addr]
+	return maxConns > 0 && h != nil && len(h.idle) == 0 && h.open >= maxConns
+}
+
 // Conns returns the connections by address. Addresses without connections and waiting requests are left out.
 func (p *Pool) Conns() map[string]ConnCounts {
 	p.mu.Lock()
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -154,6 +154,7 @@
 		e.snapshot.ListAge = x.r.listAge()
 		x.trace.Step(record.Step{Kind: record.StepEndpoint, Decode: e.ID, EndpointState: &e.snapshot})
 		a := x.callPlain(ctx, e, g, x.mayRepeat(&p, e.ID, budget))
+		x.recordConnWait(e.ID, &a)
 		result := slots.Result{Outcome: x.slotOutcome(ctx, &a), Took: a.took}
 		if a.resp == nil || a.whole {
 			g.release(result)
@@ -268,6 +269,9 @@
 	good   bool // The answer is a success.
 	reason outcome.Reason
 	full   bool // The endpoint rejected the request because it is full.
+	// connWait is how long the call waited for one of maxConns connections of this box to the endpoint.
+	connWait time.Duration
+	maxConns int
 	// connsBusy is set if this box's connections to the endpoint stayed in use until the request's time was over.
 	connsBusy bool
 	// notAllowed is set if the call must not be sent any more after it waited for a connection: the endpoint began to leave,
@@ -308,7 +312,8 @@
 	q := x.request(e.Address, run)
 	// A box may not know that others fill the endpoint's connections, so a call that may run once always probes.
 	once := !x.route.repeats()
-	q.MaxConns, q.ConfirmOpen, q.Probe = x.r.maxConns(x.service, x.region), once || x.contended(), once
+	q.ConfirmOpen, q.Probe = once || x.contended(), once
+	x.limitConns(q, e, g)
 	var buffering atomic.Bool // Nothing of the answer has been passed on.
 	buffering.Store(true)
 	defer buffering.Store(false)
@@ -321,8 +326,8 @@
 		return !a.slotExpired && x.r.fleet.isOpen(e.ID)
 	}
 	resp, err := x.r.callerPool.Do(ctx, q)
+	a.connWait, a.maxConns = q.ConnWait, q.MaxConns
 	x.recordVia(e.ID, q)
-	x.recordConnWait(e.ID, q)
 	if err != nil {
 		a.pathBroke = x.r.pathBroke(e.Address, q.Via, err)
 		a.reset, a.connsBusy = wasReset(err), errors.Is(err, h1.ErrConnsBusy)
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -25,11 +25,12 @@
 	// maxSlotRequests bounds how often one call asks for a slot. A second request follows if the granted endpoint may
 	// not be used, or if the cell has no endpoint for the call.
 	maxSlotRequests = 2
-	// minConnections is the smallest bound on this box's connections to an endpoint. usableConnections is the part of
-	// the connections that an endpoint accepts that all boxes together open. The other connections are for boxes that
-	// are not listed yet.
-	minConnections    = 2
+	// usableConnections is the part of the connections that an endpoint accepts that all boxes together open. The other
+	// connections are for boxes that are not listed yet.
 	usableConnections = 0.9
+	// minUnsharedConns is the smallest bound on this box's connections to an endpoint if it asks for no slots, so that no
+	// owner can permit more.
+	minUnsharedConns = 2
 	// maxUnsentGrant is how long a call with a granted slot may wait for its connection. The owner gives the slot to
 	// another call once it is overdue, so the call must be sent and answered before.
 	maxUnsentGrant = slots.MinOverdue / 2
@@ -40,6 +41,8 @@
 	r        *Relay
 	end      func(slots.Result)
 	released bool
+	// byOwner means that an owner of the cell granted the slot, not this box by its own part.
+	byOwner bool
 	// sendBy is until when the call may be sent; see maxUnsentGrant.
 	sendBy time.Time
 }
@@ -89,23 +92,61 @@
 // whole, each of several boxes that start during an outage of the store could use all slots.
 const unknownPart = 0.01
 
-// maxConns returns this box's part of the connections that an endpoint of a service accepts; 0 means no bound.
-func (r *Relay) maxConns(s *Service, region string) int {
+// connLimits bound this box's connections to an endpoint. The zero value has no bound.
+type connLimits struct {
+	// fixed is the bound without granted slots. It needs no message. The sum over all boxes and the slots that an owner may
+	// grant are within what the endpoint accepts, unless there are more boxes than connections.
+	fixed int
+	// kept is how many connections may stay open between calls.
+	kept int
+}
+
+// connLimits returns the bounds of this box's connections to an endpoint with a number of slots.
+func (r *Relay) connLimits(s *Service, region string, slotCount int) connLimits {
 	if s.MaxConnections == 0 {
-		return 0
+		return connLimits{}
 	}
 	part, _ := r.part(region)
-	return max(minConnections, int(float64(s.MaxConnections)*usableConnections*part))
+	usable := usableConnections * float64(s.MaxConnections)
+	if r.contentions.enabled && part < 1 {
+		usable = min(usable, float64(s.MaxConnections-slots.MaxGrants(slotCount)))
+	}
+	share := max(0, int(usable*part))
+	if !r.contentions.enabled {
+		return connLimits{fixed: max(minUnsharedConns, share), kept: max(minUnsharedConns, share)}
+	}
+	return connLimits{fixed: max(1, share), kept: share}
+}
+
+// limitConns sets the bounds of a call's connections. A slot that an owner granted permits one connection beyond the fixed
+// bound. The owner grants no more slots than the endpoint has, to all boxes together, so a box with most of the calls gets the
+// connections for them, and the sum stays bounded whoever fails.
+func (x *exchange) limitConns(q *h1.Request, e *chosenEndpoint, g *slotGrant) {
+	l := x.r.connLimits(x.service, x.region, e.Slots)
+	if l.fixed == 0 {
+		return
+	}
+	q.MaxConns = l.fixed
+	if g != nil && g.byOwner {
+		q.MaxConns += x.r.ownerGrants.count(e.ID)
+	}
+	q.ExtraConns = q.MaxConns - l.kept
+}
+
+// needsOwnersSlot reports whether a call to an endpoint would wait for a connection of this box, although other boxes may
+// leave connections unused. Only the owner of the slots knows.
+func (x *exchange) needsOwnersSlot(e *chosenEndpoint) bool {
+	return x.r.contentions.enabled && x.asksForSlots() && x.r.callerPool.MustWait(e.Address, x.r.connLimits(x.service, x.region, e.Slots).fixed)
 }
 
 // recordConnWait records that a call waited for one of this box's connections to the endpoint.
-func (x *exchange) recordConnWait(endpoint string, q *h1.Request) {
-	if q.ConnWait == 0 {
+func (x *exchange) recordConnWait(endpoint string, a *plainAnswer) {
+	if a.connWait == 0 {
 		return
 	}
-	x.r.m.ConnectionWait.Update(q.ConnWait.Seconds())
+	x.r.m.ConnectionWait.Update(a.connWait.Seconds())
 	x.trace.Step(record.Step{
-		Kind: record.StepConnWait, Decode: endpoint, Text: fmt.Sprintf("%d ms for one of %d connections", q.ConnWait.Milliseconds(), q.MaxConns),
+		Kind: record.StepConnWait, Decode: endpoint, Text: fmt.Sprintf("%d ms for one of %d connections", a.connWait.Milliseconds(), a.maxConns),
 	})
 }
 
@@ -119,12 +160,22 @@
 // granted slot. If e is nil, the call must not be made. o is then the reason if there is a special one, and wait is the
 // time until the first endpoint that asked for fewer requests accepts one.
 func (x *exchange) chooseEndpoint(ctx context.Context, exclude map[string]bool) (e *chosenEndpoint, g *slotGrant, o *outcome.Outcome, wait time.Duration) {
-	if x.contended() && x.asksForSlots() {
+	contended := x.contended() && x.asksForSlots()
+	if contended {
 		if e, g, o = x.chooseWithSlot(ctx, exclude); e != nil || o != nil {
 			return e, g, o, 0
 		}
 	}
 	e, wait = x.r.plain.choose(x.service.Name, x.region, clock.Now(), exclude)
+	if e == nil || contended || !x.needsOwnersSlot(e) {
+		return e, nil, nil, wait
+	}
+	x.r.plain.release(e)
+	x.r.signContention(x.place(), false)
+	if e, g, o = x.chooseWithSlot(ctx, exclude); e != nil || o != nil {
+		return e, g, o, 0
+	}
+	e, wait = x.r.plain.choose(x.service.Name, x.region, clock.Now(), exclude)
 	return e, nil, nil, wait
 }
 
@@ -210,7 +261,7 @@
 	x.trace.Step(s)
 	r.m.SlotsGranted[by].Inc()
 	r.m.SlotsInUse.Inc()
-	return d, &slotGrant{r: r, end: end, sendBy: clock.Now().Add(maxUnsentGrant)}
+	return d, &slotGrant{r: r, end: end, byOwner: owner != "", sendBy: clock.Now().Add(maxUnsentGrant)}
 }
 
 // slotRequest describes the request to the owner of a cell.
--- a/internal/relay/views.go
+++ b/internal/relay/views.go
@@ -58,9 +58,11 @@
 	// Open is false while the endpoint is leaving or its hall is evacuated. SetAside is set while this box avoids the
 	// endpoint after failures.
 	Open, SetAside bool
-	// Conns are this box's connections, and MaxConns this box's part of those that the endpoint accepts; 0 if unbounded.
+	// Conns are this box's connections, and MaxConns how many it may open without granted slots; 0 if unbounded.
 	Conns    h1.ConnCounts
 	MaxConns int
+	// Slots is how many requests the endpoint runs at once; 0 if unknown.
+	Slots int
 }
 
 // PlainEndpoints returns the endpoints of plain services that have calls or connections of this box, ordered by service
@@ -70,7 +72,7 @@
 	out := r.plain.inUse(clock.Now(), conns)
 	for i := range out {
 		if cfg != nil && cfg.Services[out[i].Service] != nil {
-			out[i].MaxConns = r.maxConns(cfg.Services[out[i].Service], out[i].Region)
+			out[i].MaxConns = r.connLimits(cfg.Services[out[i].Service], out[i].Region, out[i].Slots).fixed
 		}
 	}
 	slices.SortFunc(out, func(a, b PlainEndpoint) int {
@@ -92,7 +94,7 @@
 				}
 				out = append(out, PlainEndpoint{
 					Service: e.Service, Region: e.Region, ID: e.ID, Calls: e.inFlight, Mean: time.Duration(e.meanLatency * float64(time.Second)),
-					Open: e.open(), SetAside: now.Before(e.setAsideUntil), Conns: c,
+					Open: e.open(), SetAside: now.Before(e.setAsideUntil), Conns: c, Slots: e.Slots,
 				})
 			}
 		}
--- a/internal/slots/endpoint.go
+++ b/internal/slots/endpoint.go
@@ -75,6 +75,14 @@
 	failureRateAt        time.Time
 }
 
+// MaxGrants returns how many grants of an endpoint with a number of slots may be in use; 0 stands for an unknown number.
+func MaxGrants(slotCount int) int {
+	if slotCount <= 0 {
+		slotCount = defaultSlots
+	}
+	return slotCount + max(1, slotCount/slotsPerSpare)
+}
+
 func newEndpoint(e Endpoint, part float64) *endpoint {
 	n := &endpoint{fast: initialService, slow: initialService, held: initialService}
 	n.set(e, part)
@@ -97,7 +105,7 @@
 	if part < 1 {
 		e.maxLimit = max(1, int(float64(e.Slots)*part))
 	} else {
-		e.maxLimit = e.Slots + max(1, e.Slots/slotsPerSpare)
+		e.maxLimit = MaxGrants(e.Slots)
 	}
 	e.limit = min(e.limit, e.maxLimit)
 }
