Leave unread what a hot box can't carry

Cause: a box read all connections, whatever its link and its processor carried, and took its own delay for that of endpoints: the service counted as contended, owners of slots took the call times for service times, and when no owner was heard the box fell back to one part in 62. Change: package intake estimates the box's own delay (what connects to all addresses have in common beyond the usual, the lateness of ticks), how many connections a second it carries, and whether it gets twice the mean of all boxes. Only then, and on no more than half of the boxes, connections beyond the bound are reset before anything is read, and kept ones are ended by Connection: close. A box that delays what it measures signs no contention and publishes no speed of engines, and its calls are reported to owners without its own delay. While no owner answers, a box keeps half of the slots that owners had granted it within a second. status, log and metrics show all of it.

--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -448,7 +448,7 @@
 		handler       http.Handler
 		boundAddr     *string
 	}{
-		{"callers", cfg.Callers, relay.ListenCallers, b.Relay, &b.Callers},
+		{"callers", cfg.Callers, b.Relay.ListenCallers, b.Relay, &b.Callers},
 		{"readiness", cfg.Readiness, net.Listen, ready, &b.Readiness},
 		{"operators", cfg.Operators, net.Listen, operators.Handler(), &b.Operators},
 		{"peers", cfg.Peers, net.Listen, peerHandler{b.tunnels, b.node.Handler()}, &b.Peers},
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -22,6 +22,7 @@
 	for _, n := range s.Notes {
 		fmt.Fprintf(w, "note: %s\n", n)
 	}
+	printIntake(w, s.Intake)
 	err := printTable(w, "ENGINE\tPOOL\tROLE\tHALL\tBUILD\tSTATE\tQUEUE\tSTREAMS\tFREE KV\tHELD BY THIS BOX", s.Engines, func(e *v1.EngineStatus) string {
 		return fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%d ms\t%d\t%d\t%d",
 			e.Name, e.Pool, e.Role, e.Hall, cmp.Or(e.Build, "-"), e.State, e.QueueMs, e.Streams, e.FreeKvTokens, e.HeldKvTokens)
@@ -38,6 +39,23 @@
 	return printRetryBudgets(w, s)
 }
 
+// printIntake prints what the box gets from callers, if it is hot or has left connections unread. A box of an older release
+// sends nothing.
+func printIntake(w io.Writer, i *v1.IntakeStatus) {
+	if i == nil || !i.Hot && i.LimitPerS == 0 && i.Unread == 0 {
+		return
+	}
+	hot, reads := "", "reads all"
+	if i.Hot {
+		hot = "HOT: "
+	}
+	if i.LimitPerS > 0 {
+		reads = fmt.Sprintf("reads at most %.0f/s", i.LimitPerS)
+	}
+	fmt.Fprintf(w, "%s%.0f new connections/s (at most %.0f/s on the mean of all boxes), %s; own delay: link %s, processor %s; %d closed unread since the start\n",
+		hot, i.OfferedPerS, i.MeanPerS, reads, micros(i.LinkDelayUs), micros(i.ProcessorDelayUs), i.Unread)
+}
+
 // printPaths prints the endpoints that the box does not reach directly, and the connections that boxes carry for each
 // other. It prints nothing if all paths are direct.
 func printPaths(w io.Writer, s *v1.StatusResponse) error {
--- a/internal/intake/delay.go
+++ b/internal/intake/delay.go
@@ -44,8 +44,10 @@
 	// usual is the slow minimum of the connect times, in seconds, at usualAt.
 	usual   float64
 	usualAt time.Time
-	// least has the shortest connect time of the present and the previous half of delayWindow, which began at halfAt.
-	least  [2]float64
+	// sum and n are of the connect times in the present and the previous half of delayWindow. The present one began at
+	// halfAt.
+	sum    [2]float64
+	n      [2]int
 	halfAt time.Time
 }
 
@@ -64,11 +66,12 @@
 		if len(d.byAddress) >= maxAddresses {
 			return
 		}
-		c = &connects{usual: s, usualAt: now, least: [2]float64{math.Inf(1), math.Inf(1)}, halfAt: now}
+		c = &connects{usual: s, usualAt: now, halfAt: now}
 		d.byAddress[address] = c
 	}
 	c.advance(now)
-	c.least[0] = min(c.least[0], s)
+	c.sum[0] += s
+	c.n[0]++
 	if s < c.usual {
 		c.usual = s
 	} else {
@@ -81,11 +84,9 @@
 func (c *connects) advance(now time.Time) {
 	switch age := now.Sub(c.halfAt); {
 	case age >= delayWindow:
-		c.least = [2]float64{math.Inf(1), math.Inf(1)}
-		c.halfAt = now
+		c.sum, c.n, c.halfAt = [2]float64{}, [2]int{}, now
 	case age >= delayWindow/2:
-		c.least = [2]float64{math.Inf(1), c.least[0]}
-		c.halfAt = now
+		c.sum, c.n, c.halfAt = [2]float64{0, c.sum[0]}, [2]int{0, c.n[0]}, now
 	}
 }
 
@@ -101,7 +102,7 @@
 	d.lateAt = now
 }
 
-// Link returns the delay of the link: the smallest excess of the recent connect times over the usual ones, among all
+// Link returns the delay of the link: the smallest excess of the recent mean connect time over the usual one, among all
 // addresses. It is 0 if fewer than minAddresses were connected to.
 func (d *Delays) Link(now time.Time) time.Duration {
 	d.mu.Lock()
@@ -109,9 +110,9 @@
 	least, n := math.Inf(1), 0
 	for _, c := range d.byAddress {
 		c.advance(now)
-		if s := min(c.least[0], c.least[1]); !math.IsInf(s, 1) {
+		if samples := c.n[0] + c.n[1]; samples > 0 {
 			n++
-			least = min(least, max(0, s-c.usual))
+			least = min(least, max(0, (c.sum[0]+c.sum[1])/float64(samples)-c.usual))
 		}
 	}
 	if n < minAddresses {
--- a/internal/ops/relay.go
+++ b/internal/ops/relay.go
@@ -65,6 +65,8 @@
 	// through each other box.
 	LostPaths() []relay.LostPath
 	Tunnels() map[string]int
+	// Intake is what the box gets from callers beside the other boxes.
+	Intake() relay.Intake
 }
 
 var _ stoatrampv1connect.OperatorHandler = (*RelayServer)(nil)
@@ -100,6 +102,7 @@
 	out.PlainEndpoints = plainEndpointStatus(s.Relay.PlainEndpoints())
 	out.RetryBudgets = retryBudgetStatus(s.Relay.RetryBudgets())
 	out.Paths, out.Tunnels = pathStatus(s.Relay.LostPaths()), tunnelStatus(s.Relay.Tunnels())
+	out.Intake = intakeStatus(s.Relay.Intake())
 	if s.CarriedTunnels != nil {
 		out.CarriedTunnels = int32(s.CarriedTunnels())
 	}
@@ -195,6 +198,14 @@
 	return out
 }
 
+// intakeStatus describes what the box gets from callers.
+func intakeStatus(i relay.Intake) *v1.IntakeStatus {
+	return &v1.IntakeStatus{
+		OfferedPerS: i.Offered, ReadPerS: i.Read, LimitPerS: i.Limit, MeanPerS: i.Mean, Hot: i.Hot,
+		LinkDelayUs: i.Link.Microseconds(), ProcessorDelayUs: i.Processor.Microseconds(), Unread: i.Unread,
+	}
+}
+
 // tunnelStatus lists the boxes that carry connections of this box.
 func tunnelStatus(open map[string]int) (out []*v1.TunnelStatus) {
 	for _, box := range slices.Sorted(maps.Keys(open)) {
--- a/internal/overlay/fact.go
+++ b/internal/overlay/fact.go
@@ -28,6 +28,8 @@
 	Waiting *StreamsWaiting
 	// Contended is sent by a box whose own calls compete for the slots of a service's endpoints.
 	Contended *ServiceContended
+	// CallerLoad is how many new connections of callers the box that sends the message gets.
+	CallerLoad *CallerLoad
 	// Omitted is set only in received messages. It stands for messages that the sender left out.
 	Omitted *OmittedStreams
 }
@@ -74,6 +76,9 @@
 // it ask the owners of these slots before they send a call.
 type ServiceContended struct{ Service, Region string }
 
+// CallerLoad reports how many new connections of callers a box gets a second, whether it reads them or not.
+type CallerLoad struct{ PerSecond float64 }
+
 // StreamsWaiting reports how many streams wait for engines on a box.
 type StreamsWaiting struct {
 	Streams int
@@ -215,6 +220,8 @@
 		out.Kind = &v1.Fact_Waiting{Waiting: msg.Waiting.encode()}
 	case msg.Contended != nil:
 		out.Kind = &v1.Fact_Contended{Contended: &v1.ServiceContended{Service: msg.Contended.Service, Region: msg.Contended.Region}}
+	case msg.CallerLoad != nil:
+		out.Kind = &v1.Fact_CallerLoad{CallerLoad: &v1.CallerLoad{ConnectionsPerS: float32(msg.CallerLoad.PerSecond)}}
 	}
 	return out
 }
@@ -254,7 +261,7 @@
 	// message outside of StreamsWaiting, for a box whose name has at most 64 bytes.
 	maxStreamMessageBytes = 400
 	messageHeaderBytes    = 100
-	// maxRequestRate bounds an endpoint's limit, in requests a second.
+	// maxRequestRate bounds an endpoint's limit, in requests a second, and a box's new connections a second.
 	maxRequestRate = 1e6
 	// maxDurationUs bounds the durations of StreamTiming, in microseconds.
 	maxDurationUs = int64(time.Minute / time.Microsecond)
@@ -290,6 +297,9 @@
 	case *v1.Fact_Contended:
 		msg.Contended = &ServiceContended{Service: k.Contended.GetService(), Region: k.Contended.GetRegion()}
 		ok = validName(msg.Contended.Service) && validText(msg.Contended.Region)
+	case *v1.Fact_CallerLoad:
+		n := float64(k.CallerLoad.GetConnectionsPerS())
+		msg.CallerLoad, ok = &CallerLoad{PerSecond: n}, n >= 0 && n <= maxRequestRate // NaN fails both comparisons.
 	}
 	return msg, ok
 }
--- a/internal/relay/callerconn.go
+++ b/internal/relay/callerconn.go
@@ -18,25 +18,36 @@
 // maxStallRetries limits how often one write is retried because its deadline had passed before the write was tried.
 const maxStallRetries = 8
 
-// callerListener accepts callers' connections and makes them callerConns.
-type callerListener struct{ *net.TCPListener }
+// callerListener accepts callers' connections and makes them callerConns. It resets connections for which admit returns
+// false, before anything is read on them, so that their callers can try another box at once.
+type callerListener struct {
+	*net.TCPListener
+	admit func() bool
+}
 
 // ListenCallers is net.Listen for the connections of callers. A write to such a connection succeeds as long as the
-// caller reads. This holds even if the process got no processor time until after the write's deadline.
-func ListenCallers(network, address string) (net.Listener, error) {
+// caller reads. This holds even if the process got no processor time until after the write's deadline. Connections beyond
+// what this box can carry are reset unread.
+func (r *Relay) ListenCallers(network, address string) (net.Listener, error) {
 	l, err := net.Listen(network, address)
 	if err != nil {
 		return nil, err
 	}
-	return callerListener{l.(*net.TCPListener)}, nil
+	return callerListener{l.(*net.TCPListener), r.admitCaller}, nil
 }
 
 func (l callerListener) Accept() (net.Conn, error) {
-	c, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		if l.admit() {
+			return &callerConn{TCPConn: c}, nil
+		}
+		_ = c.SetLinger(0)
+		_ = c.Close()
 	}
-	return &callerConn{TCPConn: c}, nil
 }
 
 // callerConn is a caller's connection. Its writes do not fail because the process got no processor time for a while.
--- a/internal/relay/callerconn_test.go
+++ b/internal/relay/callerconn_test.go
@@ -13,7 +13,7 @@
 // callerPair returns the box's end and the caller's end of a connection.
 func callerPair(t *testing.T) (box, caller net.Conn) {
 	t.Helper()
-	lis, err := ListenCallers("tcp", "127.0.0.1:0")
+	lis, err := cellRelay(1).ListenCallers("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relay/cells.go
+++ b/internal/relay/cells.go
@@ -93,19 +93,48 @@
 type endpointCalls struct {
 	mu         sync.Mutex
 	byEndpoint map[string]int
+	// peaks has the most calls at once that an endpoint had in the last peakMemory or a little longer.
+	peaks map[string]peakCalls
 }
 
+type peakCalls struct {
+	calls int
+	at    time.Time
+}
+
+// peakMemory is how long the most calls at once are remembered.
+const peakMemory = time.Second
+
 func (g *endpointCalls) add(endpoint string, n int) {
+	now := clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.byEndpoint == nil {
-		g.byEndpoint = map[string]int{}
+		g.byEndpoint, g.peaks = map[string]int{}, map[string]peakCalls{}
 	}
-	if g.byEndpoint[endpoint] += n; g.byEndpoint[endpoint] == 0 {
+	g.byEndpoint[endpoint] += n
+	calls := g.byEndpoint[endpoint]
+	if p, known := g.peaks[endpoint]; !known || calls >= p.calls || now.Sub(p.at) >= peakMemory {
+		g.peaks[endpoint] = peakCalls{max(calls, calls-n), now}
+	}
+	if calls == 0 {
 		delete(g.byEndpoint, endpoint)
 	}
 }
 
+// recent calls f with the most calls at once that each endpoint had within peakMemory.
+func (g *endpointCalls) recent(now time.Time, f func(endpoint string, calls int)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for endpoint, p := range g.peaks {
+		if calls := g.byEndpoint[endpoint]; now.Sub(p.at) >= peakMemory && calls == 0 {
+			delete(g.peaks, endpoint)
+		} else {
+			f(endpoint, max(calls, p.calls))
+		}
+	}
+}
+
 func (g *endpointCalls) count(endpoint string) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/relay/cells_test.go
+++ b/internal/relay/cells_test.go
@@ -210,3 +210,30 @@
 		t.Errorf("expected no failures, got %+v", c.snapshot)
 	}
 }
+
+// Guards against a box with all the callers that falls back to one part in many, when the owner of the slots is silent.
+func TestHotBoxKeepsHalfOfItsSlotsWithoutOwner(t *testing.T) {
+	r := cellRelay(1)
+	r.o.Peers = newListedBoxes(60)
+	r.SetEndpoints([]Endpoint{{ID: "e", Service: "s-0", Hall: "h", Slots: 6}})
+	cell := slots.Cell{Service: "s-0", Region: "r"}
+	if got := r.slotPart(cell); got != 1.0/60 {
+		t.Errorf("expected an even part before, got %g", got)
+	}
+	for range 7 {
+		r.ownerGrants.add("e", 1)
+	}
+	for range 7 {
+		r.ownerGrants.add("e", -1)
+	}
+	if got := r.slotPart(cell); got != keptShare {
+		t.Errorf("expected half of the slots, got %g", got)
+	}
+	if got := r.slotPart(slots.Cell{Service: "s-0", Region: "elsewhere"}); got > 1.0/60 {
+		t.Errorf("expected an even part in another region, got %g", got)
+	}
+	time.Sleep(peakMemory + 50*time.Millisecond)
+	if got := r.slotPart(cell); got != 1.0/60 {
+		t.Errorf("expected an even part after %s, got %g", peakMemory, got)
+	}
+}
--- a/internal/relay/gossip.go
+++ b/internal/relay/gossip.go
@@ -79,6 +79,8 @@
 		r.remoteQueues.receive(msg.Box, *msg.Waiting, msg.At)
 	case msg.Contended != nil:
 		r.receiveContended(msg.Contended)
+	case msg.CallerLoad != nil:
+		r.callerShares.Receive(clock.Now(), msg.Box, msg.CallerLoad.PerSecond)
 	}
 }
 
@@ -129,7 +131,7 @@
 // publishTiming publishes how long the engines of a pool needed for a stream. If this box published a timing recently,
 // publishTiming does nothing.
 func (r *Relay) publishTiming(pool string, t decide.Timing) {
-	if !r.connected() {
+	if !r.connected() || r.delaysOthers() {
 		return
 	}
 	now, pause := clock.Now(), time.Duration(r.o.Peers.RegionSize())*timingPublishInterval
@@ -162,5 +164,6 @@
 	r.disp.SetRetryLimits(l, boxes, started)
 	r.refreshColdPaces()
 	r.contentions.tick(clock.Now())
+	r.forgetCallerShares()
 	r.plain.setRetryBudgets(func(b *retry.Budget) { b.SetBound(l, boxes, started) })
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -146,8 +146,13 @@
 	crashWatch   crashWatch
 
 	memory memory
-	// delays has by how much this box itself delays what it sends and receives.
-	delays intake.Delays
+	// delays has by how much this box itself delays what it sends and receives. callerGate decides which new connections of
+	// callers are read, and callerShares how many this box gets beside the others.
+	delays       intake.Delays
+	callerGate   intake.Gate
+	callerShares intake.Shares
+	// intakeSteppedAt is when callerGate was last adapted, in Unix nanoseconds.
+	intakeSteppedAt atomic.Int64
 
 	gate gate.Gate
 	// stopDeadline is the deadline of a planned stop, in Unix nanoseconds; 0 if no stop has begun. Once stopDeadline is
@@ -286,6 +291,7 @@
 // Tick lets the decision core's timeouts fire. late is by how much the tick came too late.
 func (r *Relay) Tick(late time.Duration) {
 	r.delays.Ticked(clock.Now(), late)
+	r.stepIntake(clock.Now())
 	r.disp.Step(decide.Tick{})
 	r.refreshCells(false)
 }
@@ -340,7 +346,7 @@
 	x := r.newExchange(w, req)
 	defer x.recoverPanic()
 	x.unwatchUndelivered()
-	if r.stopDeadline.Load() != 0 {
+	if r.stopDeadline.Load() != 0 || r.callerGate.Limited() {
 		w.Header().Set("Connection", "close")
 	}
 	if !r.gate.Enter() {
--- a/internal/relay/slots.go
+++ b/internal/relay/slots.go
@@ -71,13 +71,34 @@
 }
 
 // slotPart returns this box's part of the slots of a cell. While the list of boxes may lack others, a list with only
-// this box does not count.
+// this box does not count. A box with most of the calls keeps half of the slots that an owner has granted it within
+// peakMemory: an even part would serve hardly any of its calls. Together the boxes use about half of the slots.
 func (r *Relay) slotPart(c slots.Cell) float64 {
 	part, known := r.part(c.Region)
 	if !known || part == 1 && r.ownerPart(c) == 0 {
-		return unknownPart
+		part = unknownPart
 	}
-	return part
+	return max(part, keptShare*r.grantedShare(c))
+}
+
+// keptShare is the share of its granted slots that a box keeps while no owner answers.
+const keptShare = 0.5
+
+// grantedShare returns the share of a cell's slots that owners have granted this box at once within peakMemory, of the
+// endpoints where it had any.
+func (r *Relay) grantedShare(c slots.Cell) float64 {
+	calls, most := 0, 0
+	cells := r.fleet.cellCount(serviceRegion{c.Service, c.Region})
+	r.ownerGrants.recent(clock.Now(), func(endpoint string, n int) {
+		e, listed := r.fleet.endpoint(endpoint)
+		if listed && cells > 0 && e.Service == c.Service && slots.CellIndex(endpoint, cells) == c.Index {
+			calls, most = calls+n, most+slots.MaxGrants(e.Slots)
+		}
+	})
+	if most == 0 {
+		return 0
+	}
+	return min(1, float64(calls)/float64(most))
 }
 
 // ownerPart returns the part of a cell's slots that this box may grant as their owner; 0 if it must not act as owner.
@@ -371,7 +392,7 @@
 	switch {
 	case a.full, a.reset:
 		x.r.signContention(x.place(), true)
-	case a.good && x.r.contentions.observe(x.place(), clock.Now(), a.took):
+	case a.good && !x.r.delaysOthers() && x.r.contentions.observe(x.place(), clock.Now(), a.took-a.connWait):
 		// A long latency is a weak sign: this box asks for slots, and the owner's answer shows whether others must too.
 		x.r.signContention(x.place(), false)
 	}
