--- a/cmd/stoatrampd/hotbox_test.go
+++ b/cmd/stoatrampd/hotbox_test.go
@@ -99,8 +99,12 @@
 	logs     []*logBuffer
 	desk     []*countedWorker
 	requests atomic.Int64
+	// storeSilent makes the store leave all calls unanswered.
+	storeSilent atomic.Bool
 	// hot is the box that gets most new connections; -1 while the balancer spreads them evenly.
 	hot atomic.Int64
+	// stopped are the boxes that the test has stopped.
+	stopped sync.Map
 	// out are the boxes that say that they take no connections.
 	out sync.Map
 
@@ -126,11 +130,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := &http.Server{Handler: store}
+	s := &hotSite{t: t}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.storeSilent.Load() {
+			<-r.Context().Done()
+			return
+		}
+		store.ServeHTTP(w, r)
+	})}
 	go func() { _ = srv.Serve(lis) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	store.Put("op", "config", []byte(hotConfig), 0)
-	s := &hotSite{t: t}
 	s.hot.Store(-1)
 	for i, stage := range []string{"", "", "", "prefill", "prefill", "decode", "decode", "decode"} {
 		s.startWorker(i, stage, lis.Addr().String())
@@ -344,6 +354,59 @@
 	return float64(good) / float64(max(1, read)), read, results
 }
 
+// hotPhaseOf is a time in which the balancer handed most connections to one box, or to none.
+type hotPhaseOf struct {
+	name     string
+	from, to time.Time
+}
+
+// play sends requests while the balancer spreads them evenly, and then hands most of them to box 0 and to box 1. turned is
+// called with each hot box, when it has been hot for a second.
+func (s *hotSite) play(plain, streams float64, turned func(hot int)) (phases []hotPhaseOf) {
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	go s.watchReadiness(stop)
+	wg.Go(func() { s.load("plain", "/once/a", plain, stop, &wg) })
+	wg.Go(func() { s.load("stream", "/stream/a", streams, stop, &wg) })
+	time.Sleep(2 * time.Second) // The boxes have just started.
+	began := time.Now()
+	time.Sleep(4 * time.Second)
+	phases = append(phases, hotPhaseOf{"even", began, time.Now()})
+	for hot := range 2 {
+		s.hot.Store(int64(hot))
+		began := time.Now()
+		time.Sleep(time.Second)
+		turned(hot)
+		time.Sleep(time.Until(began.Add(hotPhase)))
+		phases = append(phases, hotPhaseOf{fmt.Sprint("box ", hot), began.Add(hotSettleTime), time.Now()})
+	}
+	close(stop)
+	wg.Wait()
+	s.writeLogs()
+	return phases
+}
+
+// expectServed checks that in each phase the requests that were read are served as often as before, and that no worker had
+// more connections than it accepts.
+func (s *hotSite) expectServed(phases []hotPhaseOf) {
+	s.t.Helper()
+	for _, kind := range []string{"plain", "stream"} {
+		before, _, _ := s.served(kind, phases[0].from, phases[0].to)
+		for _, p := range phases {
+			share, read, results := s.served(kind, p.from, p.to)
+			s.t.Logf("%s, %s: %.3f of %d, others %v", p.name, kind, share, read, results)
+			if share < hotServed*before {
+				s.t.Errorf("%s: expected %s at %.2f of %.3f at least, got %.3f of %d; others %v", p.name, kind, hotServed, before, share, read, results)
+			}
+		}
+	}
+	for i, w := range s.desk {
+		if n := w.most.Load(); n > deskConns {
+			s.t.Errorf("worker %d: expected at most %d connections, got %d", i, deskConns, n)
+		}
+	}
+}
+
 // Guards against a box that refuses or delays what it has read while the balancer hands it most new connections, although
 // the endpoints are half idle.
 func TestHotBoxServesWhatItReads(t *testing.T) {
@@ -364,48 +427,41 @@
 		}
 		t.Run(fmt.Sprintf("%d boxes", c.boxes), func(t *testing.T) {
 			s := newHotSite(t, c.boxes)
-			stop := make(chan struct{})
-			var wg sync.WaitGroup
-			go s.watchReadiness(stop)
-			wg.Go(func() { s.load("plain", "/once/a", c.plain, stop, &wg) })
-			wg.Go(func() { s.load("stream", "/stream/a", c.streams, stop, &wg) })
-			time.Sleep(2 * time.Second) // The boxes have just started.
-			type phase struct {
-				name     string
-				from, to time.Time
-			}
-			var phases []phase
-			play := func(name string, hot int64, settle, length time.Duration) {
-				s.hot.Store(hot)
-				began := time.Now()
-				time.Sleep(length)
-				phases = append(phases, phase{name, began.Add(settle), time.Now()})
-			}
-			play("even", -1, 0, 4*time.Second)
-			play("box 0", 0, hotSettleTime, hotPhase)
-			play("box 1", 1, hotSettleTime, hotPhase)
-			close(stop)
-			wg.Wait()
-			s.writeLogs()
-			for _, kind := range []string{"plain", "stream"} {
-				before, _, _ := s.served(kind, phases[0].from, phases[0].to)
-				for _, p := range phases {
-					share, read, results := s.served(kind, p.from, p.to)
-					t.Logf("%s, %s: %.3f of %d, others %v", p.name, kind, share, read, results)
-					if share < hotServed*before {
-						t.Errorf("%s: expected %s at %.2f of %.3f at least, got %.3f of %d; others %v", p.name, kind, hotServed, before, share, read, results)
-					}
-				}
-			}
-			for i, w := range s.desk {
-				if n := w.most.Load(); n > deskConns {
-					t.Errorf("worker %d: expected at most %d connections, got %d", i, deskConns, n)
-				}
-			}
+			s.expectServed(s.play(c.plain, c.streams, func(int) {}))
 		})
 	}
 }
 
+// slotOwner returns a running box that grants slots of the service "desk"; -1 if there is none.
+func (s *hotSite) slotOwner() int {
+	for n, b := range s.boxes {
+		if _, stopped := s.stopped.Load(n); !stopped && len(b.Relay.OwnedCells()) > 0 {
+			return n
+		}
+	}
+	return -1
+}
+
+// Guards against a hot box that depends on the owner of its endpoints' slots, or on the store, to serve what it reads.
+func TestHotBoxServesWhileOwnerOrStoreFails(t *testing.T) {
+	t.Run("owner stops", func(t *testing.T) {
+		s := newHotSite(t, 24)
+		s.expectServed(s.play(160, 8, func(hot int) {
+			owner := s.slotOwner()
+			t.Logf("box %d is hot, and box %d owns the slots", hot, owner)
+			if owner < 0 || owner == hot {
+				return
+			}
+			s.stopped.Store(owner, true)
+			go func() { _ = s.boxes[owner].Stop() }()
+		}))
+	})
+	t.Run("store is silent", func(t *testing.T) {
+		s := newHotSite(t, 24)
+		s.expectServed(s.play(160, 8, func(int) { s.storeSilent.Store(true) }))
+	})
+}
+
 // writeLogs writes the log of each box to the folder of the flag hot.logs.
 func (s *hotSite) writeLogs() {
 	if *hotLogs == "" {
