--- a/cmd/stoatrampd/hotbox_test.go
+++ b/cmd/stoatrampd/hotbox_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"io"
@@ -17,6 +18,7 @@
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/box"
+	"github.com/stoatramp/stoatramp/internal/cli"
 	"github.com/stoatramp/stoatramp/internal/config"
 	"github.com/stoatramp/stoatramp/internal/telemetry"
 	"github.com/stoatramp/stoatramp/platform/standin"
@@ -427,11 +429,27 @@
 		}
 		t.Run(fmt.Sprintf("%d boxes", c.boxes), func(t *testing.T) {
 			s := newHotSite(t, c.boxes)
-			s.expectServed(s.play(c.plain, c.streams, func(int) {}))
+			s.expectServed(s.play(c.plain, c.streams, s.expectShownAsHot))
 		})
 	}
 }
 
+// expectShownAsHot checks that operators see which box is hot, and that one that never was isn't.
+func (s *hotSite) expectShownAsHot(hot int) {
+	for _, n := range []int{hot, 2} {
+		var out bytes.Buffer
+		if code := cli.Main([]string{"--box", "http://" + s.boxes[n].Operators, "--key", operatorKey, "status"}, &out, &out); code != 0 {
+			s.t.Errorf("status: exit code %d: %s", code, out.String())
+		}
+		if n == hot {
+			s.t.Logf("status of box %d:\n%.400s", n, out.String())
+		}
+		if shown := strings.Contains(out.String(), "HOT: "); shown != (n == hot) {
+			s.t.Errorf("box %d of hot box %d: expected it to be shown as hot: %t, got\n%s", n, hot, n == hot, out.String())
+		}
+	}
+}
+
 // slotOwner returns a running box that grants slots of the service "desk"; -1 if there is none.
 func (s *hotSite) slotOwner() int {
 	for n, b := range s.boxes {
