Reset answers without a length that the end of a box cuts off

Cause: a regular close is all that ends such an answer, and the operating system closes the sockets of an ended process regularly. What the box knew (not over) was in no state that outlives its code. Ruled out: that the planned stop alone is at fault (SIGKILL does the same); chunks for HTTP/1.1 (no help for 1.0, and they vouch for ends that the box can't know). Change: from the head of such an answer on any close resets the connection (SO_LINGER 0); the handler's return allows a regular one. A planned stop closes what is left at its deadline and names plain calls too.

--- a/Makefile
+++ b/Makefile
@@ -48,13 +48,14 @@
 	go test ./platform/soak -run 'TestSoak$$' -count=1 -v -timeout 60m -args -soak.dir=$(CURDIR)/bin/soak \
 		$(if $(SEED),-soak.seed=$(SEED),$(if $(FILE),-soak.file=$(abspath $(FILE)),-soak.seeds=$(SEEDS))) $(ARGS)
 
-soak-ci: ## A short soak with the same seeds each time and no bounds in time; the last four with lost paths, with builds, with parts of prompts that crash workers, and with a crowd at one box.
+soak-ci: ## A short soak with the same seeds each time and no bounds in time; the last five with lost paths, with builds, with parts of prompts that crash workers, with a crowd at one box, and with boxes that end in the midst of answers.
 	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=11 -soak.length=6s -soak.untimed
 	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=12 -soak.length=6s -soak.untimed
 	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=14 -soak.length=6s -soak.untimed -soak.paths
 	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=15 -soak.length=8s -soak.untimed -soak.unframed -soak.builds
 	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=16 -soak.length=10s -soak.untimed -soak.parts || echo "Known red, passed over: soak-ci seed 16"
 	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=17 -soak.length=8s -soak.untimed -soak.crowd
+	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=18 -soak.length=10s -soak.untimed -soak.ends
 
 soak-kinds: ## Each kind of fault alone: how long nobody was served.
 	go test ./platform/soak -run TestSoakKinds -count=1 -v -timeout 60m -args -soak.kinds -soak.atonce=4
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -35,6 +35,7 @@
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/engine"
 	"github.com/stoatramp/stoatramp/internal/gateway"
+	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/limit"
 	"github.com/stoatramp/stoatramp/internal/ops"
 	"github.com/stoatramp/stoatramp/internal/peer"
@@ -158,11 +159,12 @@
 		khttp.Listener(lis),
 		khttp.Address(*addr),
 		khttp.Timeout(0),
-		khttp.Filter(func(http.Handler) http.Handler { return h }),
+		khttp.Filter(func(http.Handler) http.Handler { return h1.GuardEnds(h) }),
 	}, extra...)
 	srv := khttp.NewServer(opts...)
 	srv.MaxHeaderBytes = maxHeaderBytes
 	srv.IdleTimeout = idleTimeout
+	srv.ConnContext = h1.ConnContext
 	srv.ErrorLog, _ = zap.NewStdLogAt(log, zap.WarnLevel)
 	return srv
 }
@@ -178,7 +180,7 @@
 		}
 		opts = append(opts, khttp.TLSConfig(&tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}))
 	}
-	lis, err := net.Listen("tcp", address)
+	lis, err := h1.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -24,6 +24,7 @@
 	"github.com/stoatramp/stoatramp/internal/control"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/follow"
+	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/learned"
 	"github.com/stoatramp/stoatramp/internal/lease"
 	"github.com/stoatramp/stoatramp/internal/ops"
@@ -449,8 +450,8 @@
 		boundAddr     *string
 	}{
 		{"callers", cfg.Callers, b.Relay.ListenCallers, b.Relay, &b.Callers},
-		{"readiness", cfg.Readiness, net.Listen, ready, &b.Readiness},
-		{"operators", cfg.Operators, net.Listen, operators.Handler(), &b.Operators},
+		{"readiness", cfg.Readiness, h1.Listen, ready, &b.Readiness},
+		{"operators", cfg.Operators, h1.Listen, operators.Handler(), &b.Operators},
 		{"peers", cfg.Peers, net.Listen, peerHandler{b.tunnels, b.node.Handler()}, &b.Peers},
 	}
 	var out []kratosServer
--- a/internal/box/stop.go
+++ b/internal/box/stop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync/atomic"
 	"time"
 )
@@ -48,8 +50,13 @@
 	plan *stopPlan
 }
 
+// Stop ends the connections that are still in use at the deadline. An answer on them is then visibly broken off.
 func (s plannedServer) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithDeadline(ctx, s.plan.closeDeadline(time.Now()))
 	defer cancel()
-	return s.kratosServer.Stop(ctx)
+	err := s.kratosServer.Stop(ctx)
+	if c, ok := s.kratosServer.(io.Closer); ok && err != nil {
+		return errors.Join(err, c.Close())
+	}
+	return err
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -221,7 +221,7 @@
 	h1.CopyHeaders(x.w.Header(), resp.Header)
 	x.w.Header().Set(HeaderRequestID, id)
 	if h1.FramingOf(resp) == h1.CloseDelimited {
-		h1.CloseDelimit(x.w.Header())
+		h1.CloseDelimit(x.w, x.r)
 	}
 	x.responseStarted = true
 	x.w.WriteHeader(resp.StatusCode)
--- a/internal/h1/answer.go
+++ b/internal/h1/answer.go
@@ -6,10 +6,14 @@
 )
 
 // CloseDelimit makes the answer to a caller end with its connection: the server adds neither a length nor chunks. It must
-// be called before the header is written.
-func CloseDelimit(h http.Header) {
+// be called before the header is written. Until the handler returns, any close resets a connection of Listen.
+func CloseDelimit(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
 	h.Del("Content-Length")
 	h.Set("Transfer-Encoding", "identity") // The server of net/http does not send this value.
+	if c := serverConnOf(r); c != nil {
+		c.guard()
+	}
 }
 
 // EndsWithConn reports whether the answer to a caller ends with the caller's connection. h is the answer's header.
--- a/internal/relay/callerconn.go
+++ b/internal/relay/callerconn.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/stoatramp/stoatramp/internal/h1"
 )
 
 // stalledWriteTimeout is the time that a caller has to take data after the deadline of a write has passed. The time
@@ -43,7 +45,7 @@
 			return nil, err
 		}
 		if l.admit() {
-			return &callerConn{TCPConn: c}, nil
+			return &callerConn{ServerConn: &h1.ServerConn{TCPConn: c}}, nil
 		}
 		_ = c.SetLinger(0)
 		_ = c.Close()
@@ -52,7 +54,7 @@
 
 // callerConn is a caller's connection. Its writes do not fail because the process got no processor time for a while.
 type callerConn struct {
-	*net.TCPConn
+	*h1.ServerConn
 	// undelivered is called when a write fails after the request's handler has returned. Only then does the server
 	// write the end of an answer, and it reports no error. undelivered is nil while a handler runs.
 	undelivered atomic.Pointer[func(error)]
@@ -64,6 +66,7 @@
 func (c *callerConn) Write(b []byte) (int, error) {
 	n, err := writeRetryingStalls(c.TCPConn, b)
 	if err != nil {
+		c.WriteFailed()
 		if f := c.undelivered.Swap(nil); f != nil {
 			(*f)(err)
 		}
@@ -104,6 +107,7 @@
 
 // WithCaller is the ConnContext function of the HTTP server for callers. With it a request can find its connection.
 func WithCaller(ctx context.Context, c net.Conn) context.Context {
+	ctx = h1.ConnContext(ctx, c)
 	if c, ok := c.(*callerConn); ok {
 		return context.WithValue(ctx, callerConnKey{}, c)
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -420,7 +420,7 @@
 func (x *exchange) setFraming(f h1.Framing) {
 	x.countFraming(f)
 	if f == h1.CloseDelimited {
-		h1.CloseDelimit(x.w.Header())
+		h1.CloseDelimit(x.w, x.req)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -156,6 +157,8 @@
 	intakeSteppedAt, ownDelay atomic.Int64
 
 	gate gate.Gate
+	// inFlight has the ids of the requests in progress, by their exchange.
+	inFlight sync.Map
 	// stopDeadline is the deadline of a planned stop, in Unix nanoseconds; 0 if no stop has begun. Once stopDeadline is
 	// set, answers ask callers to close their connections.
 	stopDeadline atomic.Int64
@@ -307,8 +310,15 @@
 // Running returns the number of requests in progress.
 func (r *Relay) Running() int64 { return r.gate.Running() }
 
-// RunningIDs lists the ids of the requests that run at engines.
-func (r *Relay) RunningIDs() []string { return r.disp.Running() }
+// RunningIDs lists the ids of the requests in progress.
+func (r *Relay) RunningIDs() (ids []string) {
+	r.inFlight.Range(func(_, id any) bool {
+		ids = append(ids, id.(string))
+		return true
+	})
+	slices.Sort(ids)
+	return ids
+}
 
 // Engines returns what the decision core knows of the engines.
 func (r *Relay) Engines() ([]decide.EngineState, int, []string) { return r.disp.Engines() }
@@ -355,6 +365,8 @@
 		return
 	}
 	defer r.gate.Leave()
+	r.inFlight.Store(x, x.meta.ID)
+	defer r.inFlight.Delete(x)
 	x.serve()
 	x.watchUndelivered()
 }
