Read pipelined requests before closing a complete answer without a length

Cause: their callers had sent requests ahead. The operating system resets a connection that is closed with unread bytes, and what the caller has not read is lost. Change: after a complete answer the box ends its direction and reads on until the caller closes, at most 0.5 s and 256 KB.

--- a/internal/h1/server.go
+++ b/internal/h1/server.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
 // This file keeps the end of the process from completing an answer that ends with its connection. The operating system
@@ -61,11 +63,28 @@
 // WriteFailed must be called after a failed write, which may have left out a part of the answer.
 func (c *ServerConn) WriteFailed() { c.state.CompareAndSwap(connAnswered, connGuarded) }
 
-// allowClose has the next close be a regular one if the answer is complete. The operating system then delivers what the
-// caller has not read yet, also after the end of the process.
-func (c *ServerConn) allowClose() {
-	if c.state.CompareAndSwap(connAnswered, connOpen) {
-		_ = c.SetLinger(-1) // If it fails, the caller takes a complete answer for a broken one.
+// allowClose has the next close be a regular one if the answer is complete, and reports whether it is. The operating system
+// then delivers what the caller has not read yet, also after the end of the process.
+func (c *ServerConn) allowClose() bool {
+	if !c.state.CompareAndSwap(connAnswered, connOpen) {
+		return false
+	}
+	_ = c.SetLinger(-1) // If it fails, the caller takes a complete answer for a broken one.
+	return true
+}
+
+const (
+	// closeLinger bounds the wait for the caller to close a connection whose answer is complete.
+	closeLinger = 500 * time.Millisecond
+	// maxPipelinedBytes bounds what is read meanwhile.
+	maxPipelinedBytes = 256 << 10
+)
+
+// closeAnswered ends a complete answer. It reads what the caller still sends, such as pipelined requests: the operating
+// system resets a connection that is closed with unread bytes, and the end of the answer would be lost.
+func (c *ServerConn) closeAnswered() {
+	if c.TCPConn.CloseWrite() == nil && c.SetReadDeadline(time.Now().Add(closeLinger)) == nil {
+		_, _ = io.CopyN(io.Discard, c.TCPConn, maxPipelinedBytes)
 	}
 }
 
@@ -86,7 +105,9 @@
 
 // Close resets the connection if its answer is not complete.
 func (c *ServerConn) Close() error {
-	c.allowClose()
+	if c.allowClose() {
+		c.closeAnswered()
+	}
 	return c.TCPConn.Close()
 }
 
--- a/internal/h1/server_test.go
+++ b/internal/h1/server_test.go
@@ -146,6 +146,34 @@
 	}
 }
 
+// Guards against a reset of a complete answer by requests that its caller sent ahead.
+func TestPipelinedRequestsDoNotResetACompleteAnswer(t *testing.T) {
+	const size = 100 << 10
+	addr := serveGuarded(t, func(w http.ResponseWriter, r *http.Request, _ *ServerConn) {
+		CloseDelimit(w, r)
+		_, _ = w.Write(make([]byte, size))
+	})
+	for range 20 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 100 { // More than the server's buffer of its connection holds.
+			fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h.example\r\nX-Long: %s\r\n\r\n", strings.Repeat("x", 200))
+		}
+		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Millisecond)
+		if b, err := io.ReadAll(resp.Body); err != nil || len(b) != size {
+			t.Errorf("expected %d bytes, got %d, %v", size, len(b), err)
+		}
+		c.Close()
+	}
+}
+
 // BenchmarkGuardedAnswer is what an answer that ends with its connection costs for not being completed by the end of the
 // process.
 func BenchmarkGuardedAnswer(b *testing.B) {
