--- a/cmd/stoatrampd/main.go
+++ b/cmd/stoatrampd/main.go
@@ -116,6 +116,9 @@
 		SuspectedCrashes:      store.SuspectedCrashes(),
 		SuspectedCrashChanges: store.SuspectedCrashChanges(),
 
+		BuildPlans: store.BuildPlans(),
+		OriginLog:  store.OriginLog(),
+
 		WatchEras: store.WatchEras,
 
 		ParseConfig:    platform.Config,
--- a/cmd/stoatrampd/process_test.go
+++ b/cmd/stoatrampd/process_test.go
@@ -51,13 +51,19 @@
 
 // launchBox starts a box and waits until it listens.
 func launchBox(t *testing.T, settings string) *boxProcess {
+	t.Helper()
+	return launch(t, settings, os.Args[0])
+}
+
+// launch starts a box with a program and its arguments, and waits until it listens.
+func launch(t *testing.T, settings, program string, args ...string) *boxProcess {
 	t.Helper()
 	file := t.TempDir() + "/box.ini"
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &boxProcess{t: t, cmd: exec.Command(os.Args[0]), done: make(chan struct{})}
-	p.cmd.Env = append(os.Environ(), boxFileEnv+"="+file)
+	p := &boxProcess{t: t, cmd: exec.Command(program, args...), done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), boxFileEnv+"="+file, "STOATRAMP_BOOT="+file)
 	p.cmd.Stderr = &p.log
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
--- a/internal/account/log.go
+++ b/internal/account/log.go
@@ -102,6 +102,7 @@
 	add(s.Reason != outcome.OK, zap.Stringer("reason", s.Reason))
 	add(s.Text != "", zap.String("text", s.Text))
 	add(s.Build != "", zap.String("build", s.Build))
+	add(s.Plan != 0, zap.Int64("plan", s.Plan))
 	add(s.Tokens > 0, zap.Int("tokens", s.Tokens))
 	add(s.Choice != nil, zap.Object("inputs", (*choiceLine)(s.Choice)))
 	add(s.EndpointState != nil, zap.Object("inputs", (*seenLine)(s.EndpointState)))
--- /dev/null
+++ b/internal/box/plans.go
@@ -0,0 +1,77 @@
+package box
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/stoatramp/stoatramp/internal/builds"
+	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/config"
+	"github.com/stoatramp/stoatramp/internal/origins"
+)
+
+// This file connects the plans of builds to the box.
+
+// planBoxes is what the planner knows of the other boxes.
+type planBoxes struct{ b *RelayBox }
+
+// Rank returns 0 for a box without peers: conditional writes decide between several such boxes.
+func (p planBoxes) Rank(region, key string) int {
+	if p.b.settings.Load().Peers == "" {
+		return 0
+	}
+	return p.b.node.PlanRank(region, key)
+}
+
+func (p planBoxes) Count(region string) int {
+	if p.b.settings.Load().Peers == "" {
+		return 1
+	}
+	return p.b.node.CountIn(region)
+}
+
+func (p planBoxes) AllPlan(region string) bool {
+	return p.b.settings.Load().Peers == "" || p.b.node.AllPlan(region)
+}
+
+func (b *RelayBox) newPlanner(site Site, cfg *config.Relay) *builds.Planner {
+	return builds.NewPlanner(builds.Options{
+		Box: cfg.Name, Region: cfg.Region, Table: site.BuildPlans, Log: site.OriginLog, Boxes: planBoxes{b},
+		Era: func() int64 {
+			if e := b.storeEra.Load(); e != nil {
+				return e.era
+			}
+			return 0
+		},
+		OnChange: b.logPlan,
+		Failed:   func(what string, err error) { b.recorder.Log.StateChange(what, zap.Error(err)) },
+	})
+}
+
+// logPlan logs a plan that comes in force.
+func (b *RelayBox) logPlan(before, after *builds.Plan) {
+	fields := []zap.Field{
+		zap.String("service", after.Service), zap.String("region", after.Region), zap.Int64("plan", after.Number),
+		zap.Any("shares", after.Shares), zap.Int("earlier", len(after.Earlier)),
+	}
+	if before != nil {
+		fields = append(fields, zap.Any("shares_before", before.Shares))
+	}
+	if after.UnplannedUntil > 0 {
+		fields = append(fields, zap.Int64("unplanned_until_ms", after.UnplannedUntil))
+	}
+	b.recorder.Log.StateChange("build plan in force", fields...)
+}
+
+// logForeignOrigin logs an origin that another box has this box keep. Boxes of earlier releases log none themselves.
+func (b *RelayBox) logForeignOrigin(o origins.Origin) {
+	g := builds.Group{Service: o.Service, Region: b.settings.Load().Region}
+	b.plans.LogForOthers(g, o.Key, o.Build, time.Now().Add(clock.Until(o.Expires)))
+}
+
+// applyCrashes reads the table that has the suspected crashes, and the plans of builds.
+func (b *RelayBox) applyCrashes(rows map[string][]byte) {
+	b.crashes.SetRows(rows)
+	b.plans.SetRows(rows)
+}
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -19,6 +19,7 @@
 
 	"github.com/stoatramp/stoatramp/internal/account"
 	"github.com/stoatramp/stoatramp/internal/archive"
+	"github.com/stoatramp/stoatramp/internal/builds"
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/config"
 	"github.com/stoatramp/stoatramp/internal/control"
@@ -71,6 +72,10 @@
 	// SuspectedCrashChanges follows the changes of this table.
 	SuspectedCrashes      quarantine.Table
 	SuspectedCrashChanges follow.Source
+	// BuildPlans has the plans that say at which build streams begin. Its rows are in the table of SuspectedCrashes.
+	BuildPlans builds.Table
+	// OriginLog has the origins of streams that the plans don't tell.
+	OriginLog builds.Log
 	// WatchEras follows the era of the store, a counter that rises each time the store is restored from an older
 	// snapshot. It calls rose with each new era. It calls unread when the store's answers no longer state the era.
 	// WatchEras may be nil.
@@ -110,6 +115,8 @@
 	tunnels *tunnel.Server
 	// crashes are the requests during which endpoints seem to have crashed.
 	crashes *quarantine.List
+	// plans say at which build each new stream begins.
+	plans *builds.Planner
 	// tables are the tables of the store that the box follows, by the names that messages between boxes use.
 	tables map[string]*follow.Table
 	// storeLink is the connection state of the store, shared by all tables.
@@ -167,6 +174,7 @@
 	b.quotaPool = quota.NewPool()
 	b.crashes = quarantine.NewList()
 	b.crashes.OnQuarantine, b.crashes.OnPart = b.logQuarantined, b.logPart
+	b.plans = b.newPlanner(site, cfg)
 	b.setQuotaBounds(cfg)
 	b.watchEras()
 	b.makeTables()
@@ -182,7 +190,7 @@
 		Core: core, Recorder: b.recorder, Peers: peers, RetryLenders: lenders, ListFreshness: &b.listFreshness,
 		Memory:      int64(requestMemoryShare * cfg.MemoryMB * (1 << 20)),
 		ColdLimits:  pacing.ColdLimits{Factor: cfg.ColdRateFactor, Slack: cfg.ColdRateSlack},
-		SharedSlots: cfg.SharedSlots, EndpointProxy: cfg.EndpointProxy, TunnelPeers: tunnelPeers, Origins: b.node,
+		SharedSlots: cfg.SharedSlots, EndpointProxy: cfg.EndpointProxy, TunnelPeers: tunnelPeers, Origins: b.node, Builds: b.plans,
 		Limits: b.quotaGrants, Crashes: b.crashes, Keys: relay.KeyPolicy{Strict: cfg.StrictRevocation, Within: cfg.RevokedWithin, Age: b.configFreshness.Age},
 	})
 	b.recorder.Conditions = b.Relay.Conditions
@@ -266,6 +274,7 @@
 	go b.roleManager().Run(b.ctx)
 	go b.estimatesSyncer().Run(b.ctx)
 	go b.crashWriter().Run(b.ctx)
+	go b.plans.Run(b.ctx)
 	go b.archive.Run(b.ctx)
 	go b.node.RunLimits(b.ctx, cfg.Peers == "")
 	if cfg.Peers != "" {
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -133,14 +133,14 @@
 		tableEndpoints: b.newTable(tableEndpoints, b.site.Endpoints, list, &b.listFreshness, b.applyList, func() { b.listRestored = true }),
 		tablePolicies:  b.newTable(tablePolicies, b.site.SharedChanges, manual, &b.rulesFreshness, b.applyRules, nil),
 		tableMembers:   b.newTable(tableMembers, b.site.Members, members, &b.membersFreshness, b.applyMembers, b.membersRestored),
-		tableCrashes:   b.newTable(tableCrashes, b.site.SuspectedCrashChanges, crashes, &b.crashesFreshness, b.crashes.SetRows, b.crashesRestored),
+		tableCrashes:   b.newTable(tableCrashes, b.site.SuspectedCrashChanges, crashes, &b.crashesFreshness, b.applyCrashes, b.crashesRestored),
 	}
 	shared := make(map[string]overlay.Table, len(b.tables))
 	for name, t := range b.tables {
 		shared[name] = t
 	}
 	b.node = overlay.New(overlay.Options{
-		Self:     overlay.Member{Name: cfg.Name, Region: cfg.Region, Hall: cfg.Hall, Incarnation: time.Now().UnixNano()},
+		Self:     overlay.Member{Name: cfg.Name, Region: cfg.Region, Hall: cfg.Hall, Incarnation: time.Now().UnixNano(), Plans: true},
 		Register: b.site.MemberTable,
 		Tables:   shared,
 		// A box that starts while the store is unavailable may fetch these tables from another box. It needs no key
@@ -155,6 +155,7 @@
 		Retries:       relayRetries{b},
 		MembersAge:    b.membersFreshness.Age,
 		OnMessage:     func(msg overlay.Message) { b.Relay.Receive(msg) },
+		OnOrigin:      b.logForeignOrigin,
 		OnStateChange: b.recorder.Log.StateChange,
 		Metrics:       b.Metrics.Set,
 	})
--- /dev/null
+++ b/internal/builds/plan.go
@@ -0,0 +1,219 @@
+// Package builds decides at which build of a service each new stream begins, so that any box can tell the origin of a stream
+// from the stream's ID alone. A build is a version of the endpoints' software. A stream may go on only at the build that began
+// it, and its caller takes it up at any box.
+//
+// The plan of a service and region divides new streams among the builds that serve, by a hash of each stream's key. It is a
+// row of the platform's store, so it outlives every box. While nothing is released, nothing is written. A plan that was
+// replaced stays a candidate for the origin of a stream until its callers can't come back any more.
+//
+// Where the plans don't tell the origin of a stream, the store has it before the caller has a byte of the stream
+// (originlog.go).
+package builds
+
+import (
+	"cmp"
+	"encoding/json"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/stoatramp/stoatramp/internal/origins"
+)
+
+// Group is a service in a region. Builds belong to a service, and streams stay in their region.
+type Group struct {
+	Service string `json:"service"`
+	Region  string `json:"region"`
+}
+
+// Share is a build with its weight among the builds of a plan.
+type Share struct {
+	Build  string `json:"build"`
+	Weight int    `json:"weight"` // Positive.
+}
+
+// Shares divide new streams among builds. They are sorted by build, and no build is listed twice.
+type Shares []Share
+
+// BuildOf returns the build at which a stream begins under these shares; empty if there are none. A change of a weight moves
+// only the streams that the change must move (weighted rendezvous hashing).
+func (s Shares) BuildOf(k origins.Key) string {
+	if len(s) == 1 {
+		return s[0].Build
+	}
+	best, lowest := "", math.Inf(1)
+	for _, share := range s {
+		h := xxhash.Sum64String(share.Build + "\x00" + strconv.FormatUint(uint64(k), 36))
+		u := (float64(h>>11) + 0.5) / (1 << 53) // In (0, 1).
+		if cost := -math.Log(u) / float64(share.Weight); cost < lowest {
+			best, lowest = share.Build, cost
+		}
+	}
+	return best
+}
+
+func (s Shares) has(build string) bool {
+	return slices.ContainsFunc(s, func(o Share) bool { return o.Build == build })
+}
+
+func (s Shares) total() (n int) {
+	for _, share := range s {
+		n += share.Weight
+	}
+	return n
+}
+
+// fraction returns the part of all streams that begin at a build.
+func (s Shares) fraction(build string) float64 {
+	for _, share := range s {
+		if share.Build == build {
+			return float64(share.Weight) / float64(s.total())
+		}
+	}
+	return 0
+}
+
+// normalize sorts shares, and leaves out those that are invalid or listed twice.
+func (s Shares) normalize() Shares {
+	out := slices.DeleteFunc(slices.Clone(s), func(o Share) bool { return o.Build == "" || o.Weight <= 0 })
+	slices.SortFunc(out, func(a, b Share) int { return cmp.Compare(a.Build, b.Build) })
+	return slices.CompactFunc(out, func(a, b Share) bool { return a.Build == b.Build })
+}
+
+// Earlier are the shares of a plan that was replaced. Streams that began under them may be taken up until Until.
+type Earlier struct {
+	Shares Shares `json:"shares"`
+	Until  int64  `json:"until_ms"` // Unix milliseconds.
+}
+
+// Plan says at which build each new stream of a group begins.
+type Plan struct {
+	Group
+	// Number rises with each change.
+	Number int64 `json:"number"`
+	// Era is the era of the store in which the plan was written. After a restore of the store from an older copy, the era is
+	// higher, and plans that were written in the meantime are lost.
+	Era    int64  `json:"era"`
+	Shares Shares `json:"shares"`
+	// Earlier are sorted by Until, which is the order in which they were replaced.
+	Earlier []Earlier `json:"earlier,omitempty"`
+	// UnplannedUntil is until when streams may be taken up that began at any build, because boxes of an earlier release began
+	// them. It is in Unix milliseconds, and 0 if there were no such boxes.
+	UnplannedUntil int64 `json:"unplanned_until_ms,omitempty"`
+	// LogLostUntil is until when the log may lack origins, because the store was restored from an older copy. It is in Unix
+	// milliseconds, and 0 if the store was not restored.
+	LogLostUntil int64 `json:"log_lost_until_ms,omitempty"`
+}
+
+// returnTime is for how long after a change of a plan callers may take up streams that began before it. A box that has not
+// learned of the change yet still begins some.
+const returnTime = time.Minute
+
+// maxEarlier bounds the earlier shares of a plan. They are replaced at most every minChangeInterval.
+const maxEarlier = 64
+
+// candidates returns all shares under which a stream may have begun that is taken up now, the oldest first.
+func (p *Plan) candidates(now time.Time) []Shares {
+	var out []Shares
+	for _, e := range p.Earlier {
+		if e.Until > now.UnixMilli() {
+			out = append(out, e.Shares)
+		}
+	}
+	return append(out, p.Shares)
+}
+
+// begin returns the build at which a new stream begins. log reports whether its origin must be logged, because a box with
+// another clock may still take an earlier plan into account that names another build.
+func (p *Plan) begin(k origins.Key, now time.Time) (build string, log bool) {
+	build = p.Shares.BuildOf(k)
+	return build, slices.ContainsFunc(p.candidates(now.Add(-clockSlack)), func(s Shares) bool { return s.BuildOf(k) != build })
+}
+
+// origin returns the build at which a stream began that is not logged. agreed is false if that is only so if the log has lost
+// nothing.
+func (p *Plan) origin(k origins.Key, now time.Time) (build string, agreed bool) {
+	list := p.candidates(now)
+	build = list[0].BuildOf(k)
+	return build, !slices.ContainsFunc(list, func(s Shares) bool { return s.BuildOf(k) != build })
+}
+
+// unplanned reports whether a stream that is taken up now may have begun without a plan.
+func (p *Plan) unplanned(now time.Time) bool { return p.UnplannedUntil > now.UnixMilli() }
+
+// newer reports whether a plan replaces another one.
+func (p *Plan) newer(other *Plan) bool {
+	return other == nil || cmp.Or(cmp.Compare(p.Number, other.Number), cmp.Compare(p.Era, other.Era)) > 0
+}
+
+// successor returns a plan with new shares. It follows all of the given plans, each of which may be nil: streams may have
+// begun under any of them.
+func successor(g Group, era int64, now time.Time, shares Shares, plans ...*Plan) *Plan {
+	out := &Plan{Group: g, Era: era, Shares: shares}
+	until := now.Add(returnTime).UnixMilli()
+	for _, p := range plans { // The order of Until is that of the plans, whatever the clocks of the boxes say.
+		if p != nil && len(p.Earlier) > 0 {
+			until = max(until, p.Earlier[len(p.Earlier)-1].Until+1)
+		}
+	}
+	add := func(e Earlier) {
+		same := func(o Earlier) bool { return o.Until == e.Until && slices.Equal(o.Shares, e.Shares) }
+		if e.Until > now.UnixMilli() && !slices.ContainsFunc(out.Earlier, same) {
+			out.Earlier = append(out.Earlier, e)
+		}
+	}
+	for _, p := range plans {
+		if p == nil {
+			continue
+		}
+		out.Number = max(out.Number, p.Number)
+		out.UnplannedUntil = max(out.UnplannedUntil, p.UnplannedUntil)
+		out.LogLostUntil = max(out.LogLostUntil, p.LogLostUntil)
+		if p.Era < era {
+			out.LogLostUntil = until
+		}
+		for _, e := range p.Earlier {
+			add(e)
+		}
+		add(Earlier{p.Shares, until})
+	}
+	out.Number++
+	slices.SortStableFunc(out.Earlier, func(a, b Earlier) int { return cmp.Compare(a.Until, b.Until) })
+	out.Earlier = out.Earlier[max(0, len(out.Earlier)-maxEarlier):]
+	if n := len(out.Earlier); n > 0 && slices.Equal(out.Earlier[n-1].Shares, shares) {
+		out.Earlier = out.Earlier[:n-1] // The shares stay.
+	}
+	return out
+}
+
+// planRowPrefix begins the keys of the rows of plans. Boxes of earlier releases ignore such rows, and leave them in the table.
+const planRowPrefix = "build."
+
+// rowKey returns the key of the row of a group's plan.
+func (g Group) rowKey() string {
+	return planRowPrefix + strconv.FormatUint(xxhash.Sum64String(g.Service+"\x00"+g.Region), 36)
+}
+
+func (p *Plan) encode() []byte {
+	b, _ := json.Marshal(p) // Strings and numbers always encode.
+	return b
+}
+
+// parsePlan decodes a row. ok is false for a row that no box can have written.
+func parsePlan(key string, value []byte) (p *Plan, ok bool) {
+	p = &Plan{}
+	if !strings.HasPrefix(key, planRowPrefix) || json.Unmarshal(value, p) != nil || p.rowKey() != key || p.Number <= 0 || len(p.Earlier) > maxEarlier {
+		return nil, false
+	}
+	valid := func(s Shares) bool { return len(s) > 0 && slices.Equal(s, s.normalize()) }
+	for _, e := range p.Earlier {
+		if !valid(e.Shares) {
+			return nil, false
+		}
+	}
+	return p, valid(p.Shares)
+}
--- /dev/null
+++ b/internal/builds/planner.go
@@ -0,0 +1,578 @@
+package builds
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/lease"
+	"github.com/stoatramp/stoatramp/internal/origins"
+)
+
+// Table is the table of the platform's store that has the plans.
+type Table interface {
+	lease.Rows
+	// List reads all rows whose keys begin with a prefix, as of one moment.
+	List(ctx context.Context, prefix string) (rows map[string][]byte, err error)
+}
+
+// Boxes is what a planner knows of the other boxes.
+type Boxes interface {
+	// Rank returns the position of this box among the boxes of a region in the order in which they write a row. It is
+	// negative if this box is in another region that has boxes.
+	Rank(region, key string) int
+	// AllPlan reports whether all boxes of a region begin streams as planned. Boxes of earlier releases don't.
+	AllPlan(region string) bool
+	// Count returns the number of boxes of a region.
+	Count(region string) int
+}
+
+// Options configure a Planner.
+type Options struct {
+	// Box and Region are this box's name and region.
+	Box, Region string
+	Table       Table
+	Log         Log
+	Boxes       Boxes
+	// Era returns the newest known era of the store.
+	Era func() int64
+	// Now returns the time of day. It may jump by seconds.
+	Now func() time.Time
+	// OnChange is called when a plan comes in force, and Failed with the error of a call to the store. before is nil for the
+	// first plan of a group.
+	OnChange func(before, after *Plan)
+	Failed   func(what string, err error)
+}
+
+// Planner has the plans of all groups.
+type Planner struct {
+	o Options
+
+	mu    sync.Mutex
+	plans map[Group]*Plan
+	// serving are the builds on the list of endpoints, weighted by their engines that begin streams.
+	serving map[Group]Shares
+	// listed are all builds on the list of endpoints, also those whose engines are leaving.
+	listed map[Group][]string
+	// settledAt is when the builds that serve in a group last changed.
+	settledAt map[Group]time.Time
+	// servedAt is when a build last served. A build that is only in a plan counts as serving when this box first saw the plan.
+	servedAt map[servedBuild]time.Time
+	// read is set once the table was read.
+	read bool
+	// pendingSince is since when a group's plan has differed from what serves, and changedAt when it last changed.
+	pendingSince, changedAt map[Group]time.Time
+	// confirmed is when the last read of the table began that the store answered.
+	confirmed time.Time
+	reading   *tableRead
+	log       originLog
+
+	wake chan struct{}
+}
+
+type servedBuild struct {
+	Group
+	build string
+}
+
+// tableRead is a read of the table in progress. done is closed at its end.
+type tableRead struct {
+	began time.Time
+	done  chan struct{}
+	err   error
+}
+
+const (
+	// readTimeout bounds a read of the table for which a caller waits.
+	readTimeout = 300 * time.Millisecond
+	// confirmedFor is how long a read of the table answers for callers that take streams up.
+	confirmedFor = 250 * time.Millisecond
+	// writeTimeout bounds a write of a plan.
+	writeTimeout = 700 * time.Millisecond
+	// A plan changes at most every minChangeInterval. If only weights differ, it changes at most every minWeightInterval.
+	minChangeInterval = time.Second
+	minWeightInterval = 5 * time.Second
+	// The first plan of a group waits until the list of endpoints has not changed for settleTime.
+	settleTime = time.Second
+	// missingTime is for how long a build that serves no more keeps its share.
+	missingTime = 2500 * time.Millisecond
+	// maxFractionError is by how much the part of the streams of a build may differ from the build's part of the engines.
+	maxFractionError = 0.15
+	// A box waits rankDelay for each box that goes before it to change a plan, at most maxRank times.
+	rankDelay = 300 * time.Millisecond
+	maxRank   = 12
+	// Of the boxes that start at once, those up to this rank read the table as soon as they know the endpoints.
+	maxFirstReaders = 1
+	// checkInterval is how often plans are compared with what serves.
+	checkInterval = 500 * time.Millisecond
+	// While boxes of earlier releases serve, a plan says so for unplannedTime, and again once half of that is over.
+	unplannedTime = 2 * returnTime
+)
+
+// NewPlanner returns a planner without plans.
+func NewPlanner(o Options) *Planner {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	p := &Planner{
+		o: o, plans: map[Group]*Plan{}, serving: map[Group]Shares{}, listed: map[Group][]string{},
+		pendingSince: map[Group]time.Time{}, servedAt: map[servedBuild]time.Time{}, settledAt: map[Group]time.Time{}, changedAt: map[Group]time.Time{}, wake: make(chan struct{}, 1),
+	}
+	p.log.init()
+	return p
+}
+
+// Serving is what the list of endpoints says of a group.
+type Serving struct {
+	// Counts has the number of engines that begin streams, by build.
+	Counts map[string]int
+	// Listed are all builds.
+	Listed []string
+}
+
+// SetServing sets what the list of endpoints says.
+func (p *Planner) SetServing(groups map[Group]Serving) {
+	serving, listed := make(map[Group]Shares, len(groups)), make(map[Group][]string, len(groups))
+	for g, s := range groups {
+		var shares Shares
+		for build, n := range s.Counts {
+			shares = append(shares, Share{build, n})
+		}
+		serving[g], listed[g] = shares.normalize(), s.Listed
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed := !maps.EqualFunc(p.serving, serving, slices.Equal)
+	p.noteServed(p.serving) // They served until now.
+	for g, shares := range serving {
+		if !slices.Equal(shares, p.serving[g]) {
+			p.settledAt[g] = clock.Now()
+		}
+	}
+	p.serving, p.listed = serving, listed
+	if changed {
+		p.wakeUp()
+	}
+}
+
+// noteServed records that builds serve now. p.mu is held.
+func (p *Planner) noteServed(groups map[Group]Shares) {
+	now := clock.Now()
+	for g, shares := range groups {
+		for _, s := range shares {
+			p.servedAt[servedBuild{g, s.Build}] = now
+		}
+	}
+	maps.DeleteFunc(p.servedAt, func(b servedBuild, at time.Time) bool {
+		plan := p.plans[b.Group]
+		return now.Sub(at) > missingTime && (plan == nil || !plan.Shares.has(b.build))
+	})
+}
+
+func (p *Planner) wakeUp() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// SetRows reads the rows of the table. Rows of other kinds are ignored. A plan that the table lacks, or has in an older form,
+// stays in force: the store was restored from an older copy.
+func (p *Planner) SetRows(rows map[string][]byte) {
+	changes := p.readRows(rows)
+	for _, c := range changes {
+		p.o.OnChange(c[0], c[1])
+	}
+}
+
+func (p *Planner) readRows(rows map[string][]byte) (changes [][2]*Plan) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.read = true
+	for key, value := range rows {
+		if plan, ok := parsePlan(key, value); ok {
+			if before, changed := p.adopt(plan); changed {
+				changes = append(changes, [2]*Plan{before, plan})
+			}
+		}
+	}
+	p.wakeUp()
+	return changes
+}
+
+// adopt puts a plan in force if it is newer. p.mu is held.
+func (p *Planner) adopt(plan *Plan) (before *Plan, changed bool) {
+	before = p.plans[plan.Group]
+	if !plan.newer(before) {
+		return before, false
+	}
+	p.plans[plan.Group] = plan
+	for _, s := range plan.Shares {
+		if b := (servedBuild{plan.Group, s.Build}); p.servedAt[b].IsZero() {
+			p.servedAt[b] = clock.Now()
+		}
+	}
+	p.changedAt[plan.Group] = clock.Now()
+	delete(p.pendingSince, plan.Group)
+	return before, true
+}
+
+// Plans returns the plans in force, sorted by their groups.
+func (p *Planner) Plans() []Plan {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]Plan, 0, len(p.plans))
+	for _, plan := range p.plans {
+		out = append(out, *plan)
+	}
+	slices.SortFunc(out, func(a, b Plan) int { return strings.Compare(a.Service+"\x00"+a.Region, b.Service+"\x00"+b.Region) })
+	return out
+}
+
+// Begin returns the build at which a new stream begins; empty if any will do. The caller may take the stream up until the given
+// time of day. Begin waits for the first read of the table. If the plans alone don't tell the origin, it also waits
+// until the origin is logged. If the store does not answer, only the boxes that keep the origin know it.
+func (p *Planner) Begin(ctx context.Context, g Group, k origins.Key, until time.Time) string {
+	p.mu.Lock()
+	read := p.read
+	p.mu.Unlock()
+	if !read {
+		_ = p.confirm(ctx) // Without an answer the stream begins as in the first plan.
+	}
+	p.mu.Lock()
+	plan, serving := p.plans[g], p.serving[g]
+	p.mu.Unlock()
+	if plan == nil {
+		return serving.BuildOf(k)
+	}
+	build, log := plan.begin(k, p.o.Now())
+	if log || p.mayBeUnplanned(plan) {
+		_ = p.logOrigin(ctx, g, k, build, until)
+	}
+	return build
+}
+
+// BeginElsewhere logs that a new stream begins at another build than Begin returned. After an error it must not begin there.
+func (p *Planner) BeginElsewhere(ctx context.Context, g Group, k origins.Key, build string, until time.Time) error {
+	return p.logOrigin(ctx, g, k, build, until)
+}
+
+// Elsewhere returns the build at which a stream may begin instead of the given one; empty if no other serves.
+func (p *Planner) Elsewhere(g Group, k origins.Key, build string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	others := slices.DeleteFunc(slices.Clone(p.serving[g]), func(s Share) bool { return s.Build == build })
+	return others.BuildOf(k)
+}
+
+// Gone reports whether a build has no engine left that begins streams.
+func (p *Planner) Gone(g Group, build string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.serving[g].has(build)
+}
+
+// Verdict is what is known of the origin of a stream.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Unknown streams may have begun at several builds.
+	Unknown Verdict = iota
+	// Planned streams have begun at the build that the plans name.
+	Planned
+	// Logged streams have begun at the build that the store keeps for them.
+	Logged
+	// Unplannable streams belong to a group for which there is no plan.
+	Unplannable
+)
+
+var verdictNames = [...]string{"unknown", "planned", "logged", "unplannable"}
+
+func (v Verdict) String() string { return verdictNames[v] }
+
+// Verdicts calls f for each verdict.
+func Verdicts(f func(Verdict)) {
+	for v := range verdictNames {
+		f(Verdict(v))
+	}
+}
+
+// Origin returns the build at which a stream began that a caller takes up, and the number of the plan that says so. The key is
+// 0 if the caller does not name the stream. The plan is confirmed with the store; if the store does not answer, the newest
+// known one holds.
+func (p *Planner) Origin(ctx context.Context, g Group, k origins.Key) (build string, number int64, v Verdict) {
+	_ = p.confirm(ctx)
+	p.mu.Lock()
+	plan, read := p.plans[g], p.read
+	p.mu.Unlock()
+	switch {
+	case plan == nil && read:
+		return "", 0, Unplannable
+	case plan == nil:
+		return "", 0, Unknown
+	}
+	var err error
+	if k != 0 {
+		var logged bool
+		if build, logged, err = p.loggedBuild(ctx, g, k); logged {
+			return build, plan.Number, Logged
+		}
+	}
+	known := true
+	if k == 0 || p.mayBeUnplanned(plan) {
+		build, known = p.onlyBuild(g, plan)
+	} else {
+		build, known = p.plannedBuild(g, plan, k, err == nil)
+	}
+	if !known {
+		return "", plan.Number, Unknown
+	}
+	return build, plan.Number, Planned
+}
+
+// mayBeUnplanned reports whether a stream that is taken up now may have begun at a box that knows no plans.
+func (p *Planner) mayBeUnplanned(plan *Plan) bool {
+	return plan.unplanned(p.o.Now()) || !p.o.Boxes.AllPlan(plan.Region)
+}
+
+// onlyBuild returns the only build that serves, or that served when a stream began that may be taken up now. ok is false if
+// there are several.
+func (p *Planner) onlyBuild(g Group, plan *Plan) (build string, ok bool) {
+	p.mu.Lock()
+	only := slices.Clone(p.listed[g])
+	p.mu.Unlock()
+	for _, shares := range plan.candidates(p.o.Now()) {
+		for _, s := range shares {
+			only = append(only, s.Build)
+		}
+	}
+	slices.Sort(only)
+	if only = slices.Compact(only); len(only) != 1 {
+		return "", false
+	}
+	return only[0], true
+}
+
+// plannedBuild returns the build at which a stream began. notLogged is set if the log has been read, and does not have the
+// stream. ok is false if the plans differ and the log does not tell.
+func (p *Planner) plannedBuild(g Group, plan *Plan, k origins.Key, notLogged bool) (build string, ok bool) {
+	now := p.o.Now()
+	build, agreed := plan.origin(k, now)
+	if plan.Era < p.o.Era() { // The restored store may lack a plan that this box has not seen.
+		p.mu.Lock()
+		serving := p.serving[g]
+		p.mu.Unlock()
+		return build, agreed && (len(serving) == 0 || serving.BuildOf(k) == build)
+	}
+	return build, agreed || notLogged && plan.LogLostUntil <= now.UnixMilli()
+}
+
+// confirm reads the table, unless a read that the store answered began a short time ago. Callers share a read.
+func (p *Planner) confirm(ctx context.Context) error {
+	p.mu.Lock()
+	if !p.confirmed.IsZero() && clock.Since(p.confirmed) < confirmedFor {
+		p.mu.Unlock()
+		return nil
+	}
+	r := p.reading
+	if r == nil {
+		r = &tableRead{began: clock.Now(), done: make(chan struct{})}
+		p.reading = r
+		go p.readTable(r)
+	}
+	p.mu.Unlock()
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *Planner) readTable(r *tableRead) {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	rows, err := p.o.Table.List(ctx, planRowPrefix)
+	if err == nil {
+		p.SetRows(rows)
+	} else {
+		p.o.Failed("build plans not read", err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil {
+		p.confirmed = r.began
+	}
+	r.err, p.reading = err, nil
+	close(r.done)
+}
+
+// Run changes plans as builds come and go, and writes the log, until ctx is done.
+func (p *Planner) Run(ctx context.Context) {
+	go p.runLog(ctx)
+	tick := time.NewTicker(checkInterval)
+	defer tick.Stop()
+	for {
+		for _, g := range p.due(ctx) {
+			p.replan(ctx, g)
+		}
+		select {
+		case <-p.wake:
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// due returns the groups whose plans this box has to change now.
+func (p *Planner) due(ctx context.Context) (out []Group) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := clock.Now()
+	for g, shares := range p.serving {
+		rank := p.o.Boxes.Rank(g.Region, g.rowKey())
+		if !p.read {
+			if rank >= 0 && rank <= maxFirstReaders {
+				go func() { _ = p.confirm(ctx) }() // The other boxes are sent the table.
+			}
+			return nil
+		}
+		if rank < 0 || !p.needsChange(g, shares, now) {
+			delete(p.pendingSince, g)
+			continue
+		}
+		if p.pendingSince[g].IsZero() {
+			p.pendingSince[g] = now
+		}
+		if now.Sub(p.pendingSince[g]) >= time.Duration(min(rank, maxRank))*rankDelay {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+// needsChange reports whether a group's plan does not fit the builds that serve. A plan is kept while no build serves. p.mu is
+// held.
+func (p *Planner) needsChange(g Group, serving Shares, now time.Time) bool {
+	plan := p.plans[g]
+	if len(serving) == 0 {
+		return false
+	}
+	if plan == nil {
+		return now.Sub(p.settledAt[g]) >= settleTime
+	}
+	if now.Sub(p.changedAt[g]) < minChangeInterval {
+		return false
+	}
+	return plan.Era < p.o.Era() || p.saysUnplannedLate(plan) || !slices.Equal(p.nextShares(g, plan, now), plan.Shares)
+}
+
+// nextShares returns the shares that a plan of a group should have: the plan's own, unless they don't fit the builds that
+// serve. A build that serves no more keeps its share for missingTime: its engines may be back after an outage of the store, or
+// a restart. p.mu is held.
+func (p *Planner) nextShares(g Group, plan *Plan, now time.Time) Shares {
+	serving := p.serving[g]
+	if plan == nil {
+		return serving
+	}
+	missing, differs := false, 0.0
+	for _, s := range plan.Shares {
+		missing = missing || !serving.has(s.Build)
+	}
+	for _, s := range serving {
+		if !plan.Shares.has(s.Build) {
+			return p.withMissing(g, plan, now)
+		}
+		differs = max(differs, math.Abs(plan.Shares.fraction(s.Build)-serving.fraction(s.Build)))
+	}
+	switch {
+	case missing:
+		return p.withMissing(g, plan, now)
+	case differs > maxFractionError && now.Sub(p.changedAt[g]) >= minWeightInterval:
+		return serving
+	}
+	return plan.Shares
+}
+
+// withMissing returns the builds that serve, and those of the plan that have been missing for less than missingTime. A build
+// that serves keeps the weight that it has in the plan as long as none is gone for good. p.mu is held.
+func (p *Planner) withMissing(g Group, plan *Plan, now time.Time) Shares {
+	out := slices.Clone(p.serving[g])
+	for _, s := range plan.Shares {
+		if !out.has(s.Build) && now.Sub(p.servedAt[servedBuild{g, s.Build}]) < missingTime {
+			out = append(out, s)
+		}
+	}
+	out = out.normalize()
+	if sameBuilds(out, plan.Shares) {
+		return plan.Shares
+	}
+	return out
+}
+
+func sameBuilds(a, b Shares) bool {
+	return slices.EqualFunc(a, b, func(x, y Share) bool { return x.Build == y.Build })
+}
+
+// saysUnplannedLate reports whether a plan must say, again, that boxes of earlier releases begin streams.
+func (p *Planner) saysUnplannedLate(plan *Plan) bool {
+	return !p.o.Boxes.AllPlan(plan.Region) && plan.UnplannedUntil < p.o.Now().Add(unplannedTime/2).UnixMilli()
+}
+
+// replan writes a new plan of a group. A box that writes at the same time wins: its plan is then read, and compared again.
+func (p *Planner) replan(ctx context.Context, g Group) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	row, _, err := p.o.Table.Get(ctx, g.rowKey())
+	if err != nil {
+		p.o.Failed("build plan not read", err)
+		p.postpone(g)
+		return
+	}
+	stored, _ := parsePlan(g.rowKey(), row.Value)
+	p.mu.Lock()
+	if stored != nil {
+		p.adopt(stored)
+	}
+	known, serving := p.plans[g], p.serving[g]
+	if len(serving) == 0 {
+		p.mu.Unlock()
+		return
+	}
+	next := successor(g, row.Era, p.o.Now(), p.nextShares(g, known, clock.Now()), known, stored)
+	if !p.o.Boxes.AllPlan(g.Region) {
+		next.UnplannedUntil = p.o.Now().Add(unplannedTime).UnixMilli()
+	}
+	p.mu.Unlock()
+	_, err = p.o.Table.Put(ctx, g.rowKey(), row, next.encode())
+	switch {
+	case errors.Is(err, lease.ErrConflict):
+		p.postpone(g)
+		return
+	case err != nil: // The write may have taken effect; the table will show it.
+		p.o.Failed("build plan not written", err)
+		p.postpone(g)
+		return
+	}
+	p.mu.Lock()
+	before, changed := p.adopt(next)
+	p.mu.Unlock()
+	if changed {
+		p.o.OnChange(before, next)
+	}
+}
+
+// postpone has a group's plan compared again after minChangeInterval.
+func (p *Planner) postpone(g Group) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pendingSince[g] = clock.Now().Add(minChangeInterval)
+}
--- a/internal/decide/build.go
+++ b/internal/decide/build.go
@@ -21,6 +21,7 @@
 	if f.Build == "" {
 		f.Build = f.decode.Build
 	}
+	f.Planned = false
 }
 
 // endWithoutBuild ends a request whose build has no decode engine left that takes new work. It reports whether it did.
@@ -29,9 +30,13 @@
 		return false
 	}
 	serves := func(e *engine) bool { return f.fitsBuild(e) && !e.leaving() }
-	if slices.ContainsFunc(f.pool.regionNamed(f.Region).decode, serves) {
+	reg := f.pool.regionNamed(f.Region)
+	if slices.ContainsFunc(reg.decode, serves) {
 		return false
 	}
+	if f.Planned && !slices.ContainsFunc(reg.decode, func(e *engine) bool { return !e.leaving() }) {
+		return false // No build serves: the stream waits like one that is bound to none.
+	}
 	c.endWithRetryAfter(f, outcome.BuildGone, maxRetryAfter)
 	return true
 }
@@ -82,7 +87,7 @@
 // keepsBuildReserve reports whether a request may take the room that it needs on an engine. A request that is bound to the
 // engine's build may; others must leave the reserve of a shrinking build free.
 func (f *flight) keepsBuildReserve(r *region, e *engine) bool {
-	if f.Build != "" || !r.shrinks(e.Build) {
+	if f.Build != "" && !f.Planned || !r.shrinks(e.Build) {
 		return true
 	}
 	return float64(e.freeKV()-f.kvNeedAtStart()) >= shrinkingBuildReserve*float64(e.KVTokens)
@@ -91,7 +96,7 @@
 // decodesFor returns the decode engines that a decision about the request may sample: those of the build that the request is
 // bound to.
 func (c *Core) decodesFor(r *region, f *flight) []*engine {
-	if f.Build == "" {
+	if f.Build == "" || len(r.builds) == 1 && r.builds[0].build == f.Build {
 		return r.decode
 	}
 	c.ofBuild = c.ofBuild[:0]
--- a/internal/decide/types.go
+++ b/internal/decide/types.go
@@ -75,6 +75,9 @@
 	// Build is the build of the engine that began the stream, if the caller takes a stream up. Only engines of this build
 	// may go on with it. If Build is empty, the first engine that answers binds the request to its build.
 	Build string
+	// Planned reports that no engine has begun the stream yet, and that it is to begin at Build. The stream then competes
+	// for room like other new ones.
+	Planned bool
 	// Continues reports that the caller has received a part of the answer and waits for more. The request may then be
 	// late, like a stream that lost its connection.
 	Continues bool
--- a/internal/overlay/members.go
+++ b/internal/overlay/members.go
@@ -23,6 +23,8 @@
 	// higher incarnation. Only the order of incarnations matters. So the clocks of the boxes need to agree only
 	// roughly.
 	Incarnation int64 `json:"incarnation"`
+	// Plans is set if the box begins streams at the builds that plans name. Boxes of earlier releases don't.
+	Plans bool `json:"plans,omitempty"`
 }
 
 // keyRow is the name of the row of the members table that holds the shared key. The shared key authenticates the
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -38,6 +38,7 @@
 
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/follow"
+	"github.com/stoatramp/stoatramp/internal/origins"
 	"github.com/stoatramp/stoatramp/internal/quota"
 	"github.com/stoatramp/stoatramp/internal/retry"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
@@ -127,6 +128,8 @@
 	// table to this box. If it is nil, the table counts as complete from the start.
 	MembersAge func() time.Duration
 	// OnMessage is called with each gossip message of another box, and must not block.
+	// OnOrigin receives the origins that other boxes have this box keep; nil if nobody does.
+	OnOrigin  func(o origins.Origin)
 	OnMessage func(Message)
 	// OnStateChange is called when this box observes a change in the state of another box, and must not block.
 	OnStateChange func(change string, fields ...zap.Field)
--- a/internal/overlay/origins.go
+++ b/internal/overlay/origins.go
@@ -257,6 +257,11 @@
 			return nil, errOriginsInvalid
 		}
 		s.n.origins.directory.Put(now, o)
+		if s.n.o.OnOrigin != nil {
+			if kept, ok := s.n.origins.directory.Get(now, o.Key); ok { // A later one of the stream may have come before.
+				s.n.o.OnOrigin(kept)
+			}
+		}
 	}
 	return connect.NewResponse(&v1.StoreOriginsResponse{}), nil
 }
--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -109,6 +109,14 @@
 			by = "box " + s.Text
 		}
 		return fmt.Sprintf("The stream began at build %s, as %s knew; only engines of that build may go on with it.", s.Build, by)
+	case StepPlannedOrigin:
+		how := "the store has kept its origin"
+		if s.Plan > 0 {
+			how = fmt.Sprintf("plan %d says so of its ID", s.Plan)
+		}
+		return fmt.Sprintf("No box knew where the stream began; %s: at build %s, and only engines of that build may go on with it.", how, s.Build)
+	case StepElsewhere:
+		return fmt.Sprintf("The planned build %s had no room for the stream, so it begins at build %s; the store keeps its origin.", s.Text, s.Build)
 	case StepConnWait:
 		return fmt.Sprintf("The call to %s waited %s that this box may open to it.", s.Decode, s.Text)
 	case StepSlot:
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -43,6 +43,11 @@
 	// StepOrigin means that the stream that the caller takes up began at the build Build. Text is the box that knew; it is
 	// empty if this box did.
 	StepOrigin StepKind = "origin"
+	// StepPlannedOrigin means that no box knew the origin of the stream that the caller takes up, and that plan Plan names the
+	// build Build. Plan is 0 if the store has the origin.
+	StepPlannedOrigin StepKind = "planned_origin"
+	// StepElsewhere means that a new stream begins at the build Build, because the planned build Text had no room for it.
+	StepElsewhere StepKind = "elsewhere"
 	// StepSlot means that a slot of a plain service's endpoints was granted or refused. Slot has the details. Decode is
 	// the endpoint of a granted slot. Text is the reason of a refusal.
 	StepSlot StepKind = "slot"
@@ -69,7 +74,9 @@
 	Reason  outcome.Reason `json:"reason"`
 	Text    string         `json:"text,omitempty"`
 	// Build is the version of the software of the engine Decode. It is set where the engine begins or continues an answer.
-	Build  string         `json:"build,omitempty"`
+	Build string `json:"build,omitempty"`
+	// Plan is the number of a plan for the builds at which streams begin.
+	Plan   int64          `json:"plan,omitempty"`
 	Tokens int            `json:"tokens,omitempty"`
 	Choice *decide.Choice `json:"choice,omitempty"`
 	// EndpointState is the state of a plain service's endpoint when it was selected.
--- /dev/null
+++ b/internal/relay/builds.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/stoatramp/stoatramp/internal/builds"
+	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/decide"
+	"github.com/stoatramp/stoatramp/internal/origins"
+	"github.com/stoatramp/stoatramp/internal/outcome"
+	"github.com/stoatramp/stoatramp/internal/record"
+)
+
+// This file has new streams begin at the build that the plan of their service names (package builds), so that any box knows
+// their origin.
+
+// BuildPlanner says at which build each new stream begins, and at which one began.
+type BuildPlanner interface {
+	SetServing(groups map[builds.Group]builds.Serving)
+	Begin(ctx context.Context, g builds.Group, k origins.Key, until time.Time) (build string)
+	Elsewhere(g builds.Group, k origins.Key, build string) string
+	Gone(g builds.Group, build string) bool
+	BeginElsewhere(ctx context.Context, g builds.Group, k origins.Key, build string, until time.Time) error
+	Origin(ctx context.Context, g builds.Group, k origins.Key) (build string, plan int64, v builds.Verdict)
+}
+
+// group returns the group whose plan holds for the request.
+func (x *exchange) group() builds.Group {
+	return builds.Group{Service: x.service.Name, Region: x.region}
+}
+
+// ownKey returns the key under which the stream is known that this request begins.
+func (x *exchange) ownKey() origins.Key { return origins.KeyOf(x.accountName(), x.meta.ID) }
+
+// returnsUntil is the time of day until which the caller may take the stream up.
+func (x *exchange) returnsUntil() time.Time {
+	return time.Now().Add(clock.Until(x.callerReturnsUntil()))
+}
+
+// publishServing passes the builds of the engines on the list to the planner.
+func (r *Relay) publishServing() {
+	if r.o.Builds == nil {
+		return
+	}
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	if r.fleet.cfg != nil {
+		r.o.Builds.SetServing(r.fleet.servingBuilds())
+	}
+}
+
+// servingBuilds counts the decode engines of each service and region that begin streams, by build. f.mu is held.
+func (f *fleet) servingBuilds() map[builds.Group]builds.Serving {
+	out := map[builds.Group]builds.Serving{}
+	for i := range f.endpoints {
+		if f.endpoints[i].Build == "" {
+			continue
+		}
+		e := f.describe(i)
+		if s := f.cfg.Services[e.Service]; s == nil || s.Engines == nil || e.Role != decide.Decode {
+			continue
+		}
+		g := builds.Group{Service: e.Service, Region: e.Region}
+		s, known := out[g]
+		if !known {
+			s.Counts = map[string]int{}
+		}
+		if _, listed := s.Counts[e.Build]; !listed {
+			s.Counts[e.Build] = 0
+			s.Listed = append(s.Listed, e.Build)
+		}
+		if e.open() {
+			s.Counts[e.Build]++
+		}
+		out[g] = s
+	}
+	return out
+}
+
+// planBuild chooses the build at which a new stream begins. Streams that may not be taken up begin at any.
+func (x *exchange) planBuild(ctx context.Context) {
+	if x.r.o.Builds != nil && x.route.Resumable && !x.continues() {
+		x.plannedBuild = x.r.o.Builds.Begin(ctx, x.group(), x.ownKey(), x.returnsUntil())
+	}
+}
+
+// beginElsewhere has a new stream begin at another build, if the planned one has no room for it. It returns false if the
+// stream must stay refused.
+func (x *exchange) beginElsewhere(ctx context.Context, o outcome.Outcome) bool {
+	if x.plannedBuild == "" || x.begun || o.Kind != outcome.NotRun || !isCapacityRefusal(o.Reason) {
+		return false
+	}
+	planned, g := x.plannedBuild, x.group()
+	other := x.r.o.Builds.Elsewhere(g, x.ownKey(), planned)
+	if other == "" {
+		return false
+	}
+	err := x.r.o.Builds.BeginElsewhere(ctx, g, x.ownKey(), other, x.returnsUntil())
+	if err != nil && !x.r.o.Builds.Gone(g, planned) {
+		x.r.o.Recorder.Log.Failed(x.meta.ID, "stream not begun at another build", zap.Error(err))
+		return false
+	}
+	// If the planned build is gone, its streams can't go on anyway, and the boxes that keep the origin suffice.
+	x.trace.Step(record.Step{Kind: record.StepElsewhere, Build: other, Text: planned})
+	x.r.m.StreamsElsewhere.Inc()
+	x.plannedBuild = other
+	return true
+}
+
+// plannedOrigin sets the origin of a stream that no box knows to the one that the plan names. known is false if there is no
+// plan.
+func (x *exchange) plannedOrigin(ctx context.Context) (known bool) {
+	if x.r.o.Builds == nil {
+		return false
+	}
+	build, plan, v := x.r.o.Builds.Origin(ctx, x.group(), x.origin.Key)
+	x.r.m.CountPlannedOrigin(v)
+	switch v {
+	case builds.Planned, builds.Logged:
+		x.origin.Service, x.origin.Build = x.service.Name, build
+		if v == builds.Logged {
+			plan = 0
+		}
+		x.trace.Step(record.Step{Kind: record.StepPlannedOrigin, Build: build, Plan: plan})
+		return true
+	case builds.Unplannable:
+		return false
+	}
+	return true
+}
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -230,6 +230,7 @@
 // also updates the endpoints of the cells for which this box grants slots.
 func (r *Relay) applyFleet() {
 	r.applySubset()
+	r.publishServing()
 	r.refreshCells(true)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,6 +70,8 @@
 	TunnelPeers paths.Peers
 	// Origins is the directory of the builds at which streams began. If it is nil, New makes one for this box alone.
 	Origins Origins
+	// Builds plans at which build each new stream begins; nil if streams begin at any.
+	Builds BuildPlanner
 	// EndpointProxy is the address of an HTTP proxy for this box's connections to endpoints; empty if there is none.
 	EndpointProxy string
 }
@@ -434,6 +436,8 @@
 	// origin says at which build the stream began that the caller takes up; its Build is empty if that is not known, and for
 	// other requests.
 	origin origins.Origin
+	// plannedBuild is the build at which a new stream begins; empty if any will do.
+	plannedBuild string
 	// begun is set once any byte of an answer was written. From then on the request can no longer be refused.
 	begun bool
 	// trialPart is a quarantined part of the prompt with which the request runs all the same, until a call is lost.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -173,7 +174,11 @@
 		x.refuse(o)
 		return
 	}
+	x.planBuild(ctx)
 	o := x.runStream(ctx)
+	if x.beginElsewhere(ctx, o) {
+		o = x.runStream(ctx)
+	}
 	switch {
 	case o.Kind == outcome.Answered:
 		x.extendWriteDeadline() // The server still has to write the answer's end, perhaps long after the last event.
@@ -266,7 +271,8 @@
 		BetweenTokens:  x.route.EventGapTarget / time.Duration(x.service.Engines.TokensPerEvent),
 		Repeatable:     x.route.repeats(),
 		Resumable:      x.route.Resumable,
-		Build:          x.origin.Build,
+		Build:          cmp.Or(x.origin.Build, x.plannedBuild),
+		Planned:        x.plannedBuild != "",
 		Continues:      x.continues(),
 		MaxEngines:     x.route.MaxEndpoints,
 		PrefillNotRun:  true,
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/stoatramp/stoatramp/internal/builds"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/outcome"
@@ -31,6 +32,10 @@
 	// framings counts the endpoints' answers that were passed on, by how they were delimited.
 	framings map[h1.Framing]*metrics.Counter
 
+	// plannedOrigins counts the streams whose origin no box knew, by what the plan says of them.
+	plannedOrigins map[builds.Verdict]*metrics.Counter
+	// StreamsElsewhere counts the streams that began at another build than planned.
+	StreamsElsewhere    *metrics.Counter
 	Moves               *metrics.Counter
 	CompletedMigrations *metrics.Counter
 	AbortedMigrations   *metrics.Counter
@@ -151,6 +156,8 @@
 		reruns:              map[decide.RerunResult]*metrics.Counter{},
 		incomplete:          map[outcome.Reason]*metrics.Counter{},
 		framings:            map[h1.Framing]*metrics.Counter{},
+		plannedOrigins:      map[builds.Verdict]*metrics.Counter{},
+		StreamsElsewhere:    s.NewCounter("stoatramp_streams_elsewhere_total"),
 		Moves:               s.NewCounter("stoatramp_moves_total"),
 		CompletedMigrations: s.NewCounter(`stoatramp_migrations_total{outcome="moved"}`),
 		AbortedMigrations:   s.NewCounter(`stoatramp_migrations_total{outcome="stayed"}`),
@@ -214,6 +221,9 @@
 	h1.Framings(func(f h1.Framing) {
 		m.framings[f] = s.NewCounter(fmt.Sprintf("stoatramp_endpoint_answers_total{framing=%q}", f))
 	})
+	builds.Verdicts(func(v builds.Verdict) {
+		m.plannedOrigins[v] = s.NewCounter(fmt.Sprintf("stoatramp_planned_origins_total{verdict=%q}", v.String()))
+	})
 	outcome.Kinds(func(k outcome.Kind) {
 		m.outcomes[k] = s.NewCounter(fmt.Sprintf("stoatramp_requests_total{outcome=%q}", k))
 	})
@@ -254,6 +264,9 @@
 	}
 }
 
+// CountPlannedOrigin counts a stream whose origin no box knew, by what the plan says of it.
+func (m *Metrics) CountPlannedOrigin(v builds.Verdict) { m.plannedOrigins[v].Inc() }
+
 // CountRetry counts a retry or a migration (moving a running request to another engine) by its reason.
 func (m *Metrics) CountRetry(r outcome.Reason) {
 	if c := m.retries[r]; c != nil {
