--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -448,7 +448,7 @@
 		Relay: b.Relay, Records: b.recorder.Records, Archive: b.archive, Metrics: b.Metrics,
 		Operator:  b.isOperator,
 		Stop:      func() { go func() { _ = b.Stop() }() },
-		SlotOwner: b.slotOwner, CarriedTunnels: b.tunnels.Open, Quarantined: b.crashes,
+		SlotOwner: b.slotOwner, CarriedTunnels: b.tunnels.Open, BuildPlans: b.plans.Plans, Quarantined: b.crashes,
 		NearLimit: func() map[string]float64 { return b.quotaPool.LowAccounts(clock.Now(), nearLimitShare) },
 	}
 	operators.Versions = ops.Versions{Store: b.store, Check: checkRules, AwaitRollout: operators.AwaitLocalRollout}
--- a/internal/builds/plan.go
+++ b/internal/builds/plan.go
@@ -67,8 +67,8 @@
 	return n
 }
 
-// fraction returns the part of all streams that begin at a build.
-func (s Shares) fraction(build string) float64 {
+// Fraction returns the part of all streams that begin at a build.
+func (s Shares) Fraction(build string) float64 {
 	for _, share := range s {
 		if share.Build == build {
 			return float64(share.Weight) / float64(s.total())
@@ -142,6 +142,9 @@
 	return build, !slices.ContainsFunc(list, func(s Shares) bool { return s.BuildOf(k) != build })
 }
 
+// CountEarlier returns the number of plans that this one replaced and under which streams may have begun that are taken up now.
+func (p *Plan) CountEarlier(now time.Time) int { return len(p.candidates(now)) - 1 }
+
 // unplanned reports whether a stream that is taken up now may have begun without a plan.
 func (p *Plan) unplanned(now time.Time) bool { return p.UnplannedUntil > now.UnixMilli() }
 
--- a/internal/builds/plan_test.go
+++ b/internal/builds/plan_test.go
@@ -38,8 +38,8 @@
 		}
 	}
 	for _, s := range before {
-		if part := float64(count[s.Build]) / keys; math.Abs(part-before.fraction(s.Build)) > 0.01 {
-			t.Errorf("build %s: expected %.2f of the streams, got %.3f", s.Build, before.fraction(s.Build), part)
+		if part := float64(count[s.Build]) / keys; math.Abs(part-before.Fraction(s.Build)) > 0.01 {
+			t.Errorf("build %s: expected %.2f of the streams, got %.3f", s.Build, before.Fraction(s.Build), part)
 		}
 	}
 }
--- a/internal/builds/planner.go
+++ b/internal/builds/planner.go
@@ -491,7 +491,7 @@
 		if !plan.Shares.has(s.Build) {
 			return p.withMissing(g, plan, now)
 		}
-		differs = max(differs, math.Abs(plan.Shares.fraction(s.Build)-serving.fraction(s.Build)))
+		differs = max(differs, math.Abs(plan.Shares.Fraction(s.Build)-serving.Fraction(s.Build)))
 	}
 	switch {
 	case missing:
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return err
 	}
+	printBuildPlans(w, s.BuildPlans)
 	if err := printPaths(w, s); err != nil {
 		return err
 	}
@@ -56,6 +57,30 @@
 		hot, i.OfferedPerS, i.MeanPerS, reads, micros(i.LinkDelayUs), micros(i.ProcessorDelayUs), i.Unread)
 }
 
+// printBuildPlans prints where new streams begin, for services with several builds, or for which an earlier plan still holds.
+func printBuildPlans(w io.Writer, plans []*v1.BuildPlanStatus) {
+	for _, p := range plans {
+		if len(p.Shares) < 2 && p.Earlier == 0 && p.UnplannedMs == 0 && p.LogLostMs == 0 {
+			continue
+		}
+		var shares []string
+		for _, s := range p.Shares {
+			shares = append(shares, fmt.Sprintf("%.0f%% at build %s", 100*s.Part, s.Build))
+		}
+		fmt.Fprintf(w, "plan %d of %s in %s: new streams begin %s", p.Number, p.Service, p.Region, strings.Join(shares, ", "))
+		if p.Earlier > 0 {
+			fmt.Fprintf(w, "; %d earlier plans still hold for streams that are taken up", p.Earlier)
+		}
+		if p.UnplannedMs > 0 {
+			fmt.Fprintf(w, "; boxes of an earlier release begin streams at any build, for %.0f s more", float64(p.UnplannedMs)/1000)
+		}
+		if p.LogLostMs > 0 {
+			fmt.Fprintf(w, "; the store was restored, and origins that it lost are unknown for %.0f s more", float64(p.LogLostMs)/1000)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
 // printPaths prints the endpoints that the box does not reach directly, and the connections that boxes carry for each
 // other. It prints nothing if all paths are direct.
 func printPaths(w io.Writer, s *v1.StatusResponse) error {
--- a/internal/cli/status_test.go
+++ b/internal/cli/status_test.go
@@ -9,6 +9,22 @@
 
 // The tables of slots must show who owns a cell, the limit of an endpoint, what each account got and why it was refused,
 // and the connections. Guards against columns that don't match their headings.
+func TestBuildPlansInStatus(t *testing.T) {
+	var out strings.Builder
+	plans := []*v1.BuildPlanStatus{
+		{Service: "calm", Region: "perth", Number: 1, Shares: []*v1.BuildShareStatus{{Build: "v1", Part: 1}}},
+		{Service: "llm", Region: "perth", Number: 7, Shares: []*v1.BuildShareStatus{{Build: "v1", Part: 0.75}, {Build: "v2", Part: 0.25}}, Earlier: 2, UnplannedMs: 3000, LogLostMs: 40000},
+	}
+	if err := printStatus(&out, &v1.StatusResponse{BuildPlans: plans}); err != nil {
+		t.Fatal(err)
+	}
+	want := "plan 7 of llm in perth: new streams begin 75% at build v1, 25% at build v2; 2 earlier plans still hold for streams that are taken up; " +
+		"boxes of an earlier release begin streams at any build, for 3 s more; the store was restored, and origins that it lost are unknown for 40 s more\n"
+	if !strings.Contains(out.String(), want) || strings.Contains(out.String(), "calm") {
+		t.Errorf("expected %q, got %q", want, out.String())
+	}
+}
+
 func TestPrintSlots(t *testing.T) {
 	var out strings.Builder
 	err := printStatus(&out, &v1.StatusResponse{
--- a/internal/ops/relay.go
+++ b/internal/ops/relay.go
@@ -9,10 +9,12 @@
 	"math"
 	"net/http"
 	"slices"
+	"time"
 
 	"connectrpc.com/connect"
 
 	"github.com/stoatramp/stoatramp/internal/archive"
+	"github.com/stoatramp/stoatramp/internal/builds"
 	"github.com/stoatramp/stoatramp/internal/record"
 	"github.com/stoatramp/stoatramp/internal/relay"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
@@ -44,6 +46,8 @@
 	SlotOwner func(slots.Cell) string
 	// Quarantined is what the box sends to no endpoint because it crashes endpoints.
 	Quarantined Quarantine
+	// BuildPlans returns the plans that say at which build each new stream begins; nil if there are none.
+	BuildPlans func() []builds.Plan
 	// CarriedTunnels returns the number of connections that this box carries for other boxes.
 	CarriedTunnels func() int
 }
@@ -103,12 +107,30 @@
 	out.RetryBudgets = retryBudgetStatus(s.Relay.RetryBudgets())
 	out.Paths, out.Tunnels = pathStatus(s.Relay.LostPaths()), tunnelStatus(s.Relay.Tunnels())
 	out.Intake = intakeStatus(s.Relay.Intake())
+	if s.BuildPlans != nil {
+		out.BuildPlans = buildPlanStatus(s.BuildPlans(), time.Now())
+	}
 	if s.CarriedTunnels != nil {
 		out.CarriedTunnels = int32(s.CarriedTunnels())
 	}
 	return connect.NewResponse(out), nil
 }
 
+// buildPlanStatus describes plans as of a time of day.
+func buildPlanStatus(plans []builds.Plan, now time.Time) (out []*v1.BuildPlanStatus) {
+	for _, p := range plans {
+		s := &v1.BuildPlanStatus{
+			Service: p.Service, Region: p.Region, Number: p.Number, Earlier: int32(p.CountEarlier(now)),
+			UnplannedMs: max(0, p.UnplannedUntil-now.UnixMilli()), LogLostMs: max(0, p.LogLostUntil-now.UnixMilli()),
+		}
+		for _, share := range p.Shares {
+			s.Shares = append(s.Shares, &v1.BuildShareStatus{Build: share.Build, Part: p.Shares.Fraction(share.Build)})
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
 // slotStatus lists the endpoints of cells.
 func slotStatus(cells []slots.CellSnapshot) (out []*v1.SlotStatus) {
 	for _, c := range cells {
