--- /dev/null
+++ b/internal/builds/replan.go
@@ -0,0 +1,180 @@
+package builds
+
+import (
+	"context"
+	"errors"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/lease"
+)
+
+// This file changes plans as builds come and go.
+
+// Run changes plans as builds come and go, and writes the log, until ctx is done.
+func (p *Planner) Run(ctx context.Context) {
+	go p.runLog(ctx)
+	tick := time.NewTicker(checkInterval)
+	defer tick.Stop()
+	for {
+		for _, g := range p.due(ctx) {
+			p.replan(ctx, g)
+		}
+		select {
+		case <-p.wake:
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// due returns the groups whose plans this box has to change now.
+func (p *Planner) due(ctx context.Context) (out []Group) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := clock.Now()
+	for g, shares := range p.serving {
+		if p.read && !p.needsChange(g, shares, now) {
+			delete(p.pendingSince, g)
+			continue
+		}
+		rank := p.o.Boxes.Rank(g.Region, g.rowKey())
+		if rank < 0 {
+			continue
+		}
+		if !p.read {
+			if rank <= maxFirstReaders {
+				go func() { _ = p.confirm(ctx) }() // The other boxes are sent the table.
+			}
+			return nil
+		}
+		if p.pendingSince[g].IsZero() {
+			p.pendingSince[g] = now
+		}
+		if now.Sub(p.pendingSince[g]) >= time.Duration(min(rank, maxRank))*rankDelay {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+// needsChange reports whether a group's plan does not fit the builds that serve. A plan is kept while no build serves. p.mu is
+// held.
+func (p *Planner) needsChange(g Group, serving Shares, now time.Time) bool {
+	plan := p.plans[g]
+	if len(serving) == 0 {
+		return false
+	}
+	if plan == nil {
+		return now.Sub(p.settledAt[g]) >= settleTime
+	}
+	if now.Sub(p.changedAt[g]) < minChangeInterval {
+		return false
+	}
+	return plan.Era < p.o.Era() || p.saysUnplannedLate(plan) || !slices.Equal(p.nextShares(g, plan, now), plan.Shares)
+}
+
+// nextShares returns the shares that a plan of a group should have: the plan's own, unless they don't fit the builds that
+// serve. A build that serves no more keeps its share for missingTime: its engines may be back after an outage of the store, or
+// a restart. p.mu is held.
+func (p *Planner) nextShares(g Group, plan *Plan, now time.Time) Shares {
+	serving := p.serving[g]
+	if plan == nil {
+		return serving
+	}
+	missing, differs := false, 0.0
+	for _, s := range plan.Shares {
+		missing = missing || !serving.has(s.Build)
+	}
+	for _, s := range serving {
+		if !plan.Shares.has(s.Build) {
+			return p.withMissing(g, plan, now)
+		}
+		differs = max(differs, math.Abs(plan.Shares.Fraction(s.Build)-serving.Fraction(s.Build)))
+	}
+	switch {
+	case missing:
+		return p.withMissing(g, plan, now)
+	case differs > maxFractionError && now.Sub(p.changedAt[g]) >= minWeightInterval:
+		return serving
+	}
+	return plan.Shares
+}
+
+// withMissing returns the builds that serve, and those of the plan that have been missing for less than missingTime. A build
+// that serves keeps the weight that it has in the plan as long as none is gone for good. p.mu is held.
+func (p *Planner) withMissing(g Group, plan *Plan, now time.Time) Shares {
+	out := slices.Clone(p.serving[g])
+	for _, s := range plan.Shares {
+		if !out.has(s.Build) && now.Sub(p.servedAt[servedBuild{g, s.Build}]) < missingTime {
+			out = append(out, s)
+		}
+	}
+	out = out.normalize()
+	if sameBuilds(out, plan.Shares) {
+		return plan.Shares
+	}
+	return out
+}
+
+func sameBuilds(a, b Shares) bool {
+	return slices.EqualFunc(a, b, func(x, y Share) bool { return x.Build == y.Build })
+}
+
+// saysUnplannedLate reports whether a plan must say, again, that boxes of earlier releases begin streams.
+func (p *Planner) saysUnplannedLate(plan *Plan) bool {
+	return !p.o.Boxes.AllPlan(plan.Region) && plan.UnplannedUntil < p.o.Now().Add(unplannedTime/2).UnixMilli()
+}
+
+// replan writes a new plan of a group. A box that writes at the same time wins: its plan is then read, and compared again.
+func (p *Planner) replan(ctx context.Context, g Group) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	row, _, err := p.o.Table.Get(ctx, g.rowKey())
+	if err != nil {
+		p.o.Failed("build plan not read", err)
+		p.postpone(g)
+		return
+	}
+	stored, _ := parsePlan(g.rowKey(), row.Value)
+	p.mu.Lock()
+	if stored != nil {
+		p.adopt(stored)
+	}
+	known, serving := p.plans[g], p.serving[g]
+	if len(serving) == 0 {
+		p.mu.Unlock()
+		return
+	}
+	next := successor(g, row.Era, p.o.Now(), p.nextShares(g, known, clock.Now()), known, stored)
+	if !p.o.Boxes.AllPlan(g.Region) {
+		next.UnplannedUntil = p.o.Now().Add(unplannedTime).UnixMilli()
+	}
+	p.mu.Unlock()
+	_, err = p.o.Table.Put(ctx, g.rowKey(), row, next.encode())
+	switch {
+	case errors.Is(err, lease.ErrConflict):
+		p.postpone(g)
+		return
+	case err != nil: // The write may have taken effect; the table will show it.
+		p.o.Failed("build plan not written", err)
+		p.postpone(g)
+		return
+	}
+	p.mu.Lock()
+	before, changed := p.adopt(next)
+	p.mu.Unlock()
+	if changed {
+		p.o.OnChange(before, next)
+	}
+}
+
+// postpone has a group's plan compared again after minChangeInterval.
+func (p *Planner) postpone(g Group) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pendingSince[g] = clock.Now().Add(minChangeInterval)
+}
--- a/internal/relay/builds.go
+++ b/internal/relay/builds.go
@@ -110,9 +110,9 @@
 	return true
 }
 
-// plannedOrigin sets the origin of a stream that no box knows to the one that the plan names. known is false if there is no
-// plan.
-func (x *exchange) plannedOrigin(ctx context.Context) (known bool) {
+// plannedOrigin sets the origin of a stream that no box knows, if the plans or the log tell it. hasPlan is false if there is no
+// plan for the service.
+func (x *exchange) plannedOrigin(ctx context.Context) (hasPlan bool) {
 	if x.r.o.Builds == nil {
 		return false
 	}
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -89,10 +89,10 @@
 			x.trace.Step(record.Step{Kind: record.StepOrigin, Build: o.Build, Text: by})
 		}
 	}
-	planned := x.origin.Build == "" && x.plannedOrigin(ctx)
+	hasPlan := x.origin.Build == "" && x.plannedOrigin(ctx)
 	several, known := x.r.fleet.severalBuilds(now, x.service.Name, x.region, x.origin.Build)
 	switch {
-	case x.origin.Build == "" && (several || planned):
+	case x.origin.Build == "" && (several || hasPlan):
 		return outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.BuildUnknown, RetryAfter: jitter(streamRetryAfter)}, false
 	case x.origin.Build != "" && !known:
 		return outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.BuildGone, RetryAfter: jitter(streamRetryAfter)}, false
