Begin no stream before the first plan of its service

Cause: until the first plan was written, after 1 to 3 s, boxes divided streams by their own lists, which were not complete. Shown by the log: the stream began 2.3 s before the line "build plan in force" of plan 1. Change: new streams wait for the first plan, 1 s at most, and are refused as not run then; the plan waits for 200 ms of an unchanged list in place of 1 s, since what a later change moves is logged. A box that can't write one for 5 s goes on.

--- a/internal/builds/originlog.go
+++ b/internal/builds/originlog.go
@@ -13,10 +13,10 @@
 
 // This file keeps the origins of streams that the plans don't tell. There are three kinds: a stream for which a plan that was
 // replaced lately names another build; a stream that begins elsewhere because the planned build has no room; and all streams
-// while boxes of an earlier release serve, which know no plans. The store has such an origin before the caller has a byte of
-// the stream. No box follows these rows: a box reads one when it is asked to go on with a stream that no box knows.
+// of several builds while some may have begun without a plan. The store has such an origin before the caller has a byte of the
+// stream. No box follows these rows: a box reads one when it is asked to go on with a stream that no box knows.
 //
-// So without boxes of an earlier release, a stream that is not in the log began at the build that the oldest plan names under
+// So if all streams began as planned, a stream that is not in the log began at the build that the oldest plan names under
 // which it may have begun: each later plan that names another build would have had it logged.
 
 // Log is the table of the platform's store that has the logged origins.
--- a/internal/builds/planner.go
+++ b/internal/builds/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -58,8 +59,8 @@
 	serving map[Group]Shares
 	// listed are all builds on the list of endpoints, also those whose engines are leaving.
 	listed map[Group][]string
-	// settledAt is when the builds that serve in a group last changed.
-	settledAt map[Group]time.Time
+	// settledAt is when the builds that serve in a group last changed, and learnedAt when this box learned of the group.
+	settledAt, learnedAt map[Group]time.Time
 	// servedAt is when a build last served. A build that is only in a plan counts as serving when this box first saw the plan.
 	servedAt map[servedBuild]time.Time
 	// read is set once the table was read.
@@ -96,8 +97,11 @@
 	// A plan changes at most every minChangeInterval. If only weights differ, it changes at most every minWeightInterval.
 	minChangeInterval = time.Second
 	minWeightInterval = 5 * time.Second
-	// The first plan of a group waits until the list of endpoints has not changed for settleTime.
-	settleTime = time.Second
+	// The first plan of a group waits until the list of endpoints has not changed for settleTime. New streams wait for it
+	// for firstPlanWait, and are refused then. A box that has known a group for firstPlanTime goes on without a plan.
+	settleTime    = 200 * time.Millisecond
+	firstPlanWait = time.Second
+	firstPlanTime = 5 * time.Second
 	// missingTime is for how long a build that serves no more keeps its share.
 	missingTime = 2500 * time.Millisecond
 	// maxFractionError is by how much the part of the streams of a build may differ from the build's part of the engines.
@@ -120,7 +124,7 @@
 	}
 	p := &Planner{
 		o: o, plans: map[Group]*Plan{}, serving: map[Group]Shares{}, listed: map[Group][]string{},
-		pendingSince: map[Group]time.Time{}, servedAt: map[servedBuild]time.Time{}, settledAt: map[Group]time.Time{}, changedAt: map[Group]time.Time{}, wake: make(chan struct{}, 1),
+		pendingSince: map[Group]time.Time{}, servedAt: map[servedBuild]time.Time{}, settledAt: map[Group]time.Time{}, learnedAt: map[Group]time.Time{}, changedAt: map[Group]time.Time{}, wake: make(chan struct{}, 1),
 	}
 	p.log.init()
 	return p
@@ -152,6 +156,9 @@
 		if !slices.Equal(shares, p.serving[g]) {
 			p.settledAt[g] = clock.Now()
 		}
+		if _, known := p.learnedAt[g]; !known {
+			p.learnedAt[g] = clock.Now()
+		}
 	}
 	p.serving, p.listed = serving, listed
 	if changed {
@@ -234,26 +241,48 @@
 }
 
 // Begin returns the build at which a new stream begins; empty if any will do. The caller may take the stream up until the given
-// time of day. Begin waits for the first read of the table. If the plans alone don't tell the origin, it also waits
-// until the origin is logged. If the store does not answer, only the boxes that keep the origin know it.
-func (p *Planner) Begin(ctx context.Context, g Group, k origins.Key, until time.Time) string {
+// time of day. Begin waits for the first read of the table, and for the first plan: before that no stream begins. If the plans
+// alone don't tell the origin, it also waits until the origin is logged. If the store does not answer, only the boxes that keep
+// the origin know it.
+func (p *Planner) Begin(ctx context.Context, g Group, k origins.Key, until time.Time) (build string, err error) {
 	p.mu.Lock()
 	read := p.read
 	p.mu.Unlock()
 	if !read {
-		_ = p.confirm(ctx) // Without an answer the stream begins as in the first plan.
+		_ = p.confirm(ctx)
 	}
-	p.mu.Lock()
-	plan, serving := p.plans[g], p.serving[g]
-	p.mu.Unlock()
+	plan, serving, err := p.awaitPlan(ctx, g)
 	if plan == nil {
-		return serving.BuildOf(k)
+		return serving.BuildOf(k), err
 	}
 	build, log := plan.begin(k, p.o.Now())
-	if log || p.mayBeUnplanned(plan) {
+	if !log && p.mayBeUnplanned(plan) {
+		_, only := p.onlyBuild(g, plan)
+		log = !only
+	}
+	if log {
 		_ = p.logOrigin(ctx, g, k, build, until)
 	}
-	return build
+	return build, nil
+}
+
+// ErrNoPlan means that the first plan of a group is not written yet.
+var ErrNoPlan = errors.New("there is no plan yet for the builds of the service")
+
+// awaitPlan returns the plan of a group. It waits for the first one. If none can be written for firstPlanTime, it returns the
+// builds that serve.
+func (p *Planner) awaitPlan(ctx context.Context, g Group) (*Plan, Shares, error) {
+	for end := clock.Now().Add(firstPlanWait); ; time.Sleep(firstPlanWait / 50) {
+		p.mu.Lock()
+		plan, serving, learned := p.plans[g], p.serving[g], p.learnedAt[g]
+		p.mu.Unlock()
+		switch now := clock.Now(); {
+		case plan != nil || len(serving) == 0 || now.Sub(learned) > firstPlanTime:
+			return plan, serving, nil
+		case now.After(end) || ctx.Err() != nil:
+			return nil, nil, ErrNoPlan
+		}
+	}
 }
 
 // BeginElsewhere logs that a new stream begins at another build than Begin returned. After an error it must not begin there.
--- a/internal/builds/planner_test.go
+++ b/internal/builds/planner_test.go
@@ -245,7 +245,7 @@
 			time.Sleep(time.Second)
 		}
 		for k := range origins.Key(100) {
-			if build := s.planners[1].Begin(t.Context(), testGroup, k+1, time.Now().Add(time.Minute)); build != "v1" {
+			if build, _ := s.planners[1].Begin(t.Context(), testGroup, k+1, time.Now().Add(time.Minute)); build != "v1" {
 				t.Fatalf("expected v1, got %s", build)
 			}
 		}
@@ -387,7 +387,7 @@
 		began := time.Now()
 		for k := range origins.Key(50) {
 			want := s.plan(t, 0).Shares.BuildOf(k + 1)
-			if build := p.Begin(t.Context(), testGroup, k+1, until); build != want {
+			if build, _ := p.Begin(t.Context(), testGroup, k+1, until); build != want {
 				t.Fatalf("expected %s, got %s", want, build)
 			}
 		}
@@ -417,7 +417,7 @@
 		s.loseNextAck()
 		for k := range origins.Key(200) {
 			wg.Go(func() {
-				build := s.planners[int(k)%4].Begin(t.Context(), testGroup, k+1, time.Now().Add(20*time.Second))
+				build, _ := s.planners[int(k)%4].Begin(t.Context(), testGroup, k+1, time.Now().Add(20*time.Second))
 				mu.Lock()
 				defer mu.Unlock()
 				began[k+1] = build
@@ -486,7 +486,7 @@
 		setSilent(true)
 		began := map[origins.Key]string{}
 		for k := range origins.Key(20) {
-			began[k+1] = s.planners[0].Begin(t.Context(), testGroup, k+1, time.Now().Add(30*time.Second))
+			began[k+1], _ = s.planners[0].Begin(t.Context(), testGroup, k+1, time.Now().Add(30*time.Second))
 		}
 		setSilent(false)
 		time.Sleep(5 * time.Second)
@@ -498,3 +498,37 @@
 		}
 	})
 }
+
+// Guards against streams that begin before the first plan, which may name another build for them.
+func TestNoStreamBeginsBeforeTheFirstPlan(t *testing.T) {
+	run(t, 3, func(t *testing.T, s *site) {
+		s.serve(map[string]int{"v1": 1}) // The list is not complete yet.
+		began := map[origins.Key]string{}
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		for k := range origins.Key(60) {
+			if k == 10 {
+				s.serve(map[string]int{"v1": 2, "v2": 2})
+			}
+			wg.Go(func() {
+				build, err := s.planners[int(k)%3].Begin(t.Context(), testGroup, k+1, time.Now().Add(30*time.Second))
+				if err == nil {
+					mu.Lock()
+					defer mu.Unlock()
+					began[k+1] = build
+				}
+			})
+			time.Sleep(15 * time.Millisecond)
+		}
+		wg.Wait()
+		if len(began) < 60 {
+			t.Errorf("expected that all streams begin, got %d", len(began))
+		}
+		fresh := s.newPlanner(0, 3)
+		for k, want := range began {
+			if build, _, v := fresh.Origin(t.Context(), testGroup, k); build != want {
+				t.Errorf("stream %d: expected %s, got %q (%s)", k, want, build, v)
+			}
+		}
+	})
+}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -72,7 +72,7 @@
 			fmt.Fprintf(w, "; %d earlier plans still hold for streams that are taken up", p.Earlier)
 		}
 		if p.UnplannedMs > 0 {
-			fmt.Fprintf(w, "; boxes of an earlier release begin streams at any build, for %.0f s more", float64(p.UnplannedMs)/1000)
+			fmt.Fprintf(w, "; streams may have begun without a plan, for %.0f s more", float64(p.UnplannedMs)/1000)
 		}
 		if p.LogLostMs > 0 {
 			fmt.Fprintf(w, "; the store was restored, and origins that it lost are unknown for %.0f s more", float64(p.LogLostMs)/1000)
--- a/internal/relay/builds.go
+++ b/internal/relay/builds.go
@@ -20,7 +20,7 @@
 // BuildPlanner says at which build each new stream begins, and at which one began.
 type BuildPlanner interface {
 	SetServing(groups map[builds.Group]builds.Serving)
-	Begin(ctx context.Context, g builds.Group, k origins.Key, until time.Time) (build string)
+	Begin(ctx context.Context, g builds.Group, k origins.Key, until time.Time) (build string, err error)
 	Elsewhere(g builds.Group, k origins.Key, build string) string
 	Gone(g builds.Group, build string) bool
 	BeginElsewhere(ctx context.Context, g builds.Group, k origins.Key, build string, until time.Time) error
@@ -80,11 +80,18 @@
 	return out
 }
 
-// planBuild chooses the build at which a new stream begins. Streams that may not be taken up begin at any.
-func (x *exchange) planBuild(ctx context.Context) {
-	if x.r.o.Builds != nil && x.route.Resumable && !x.continues() {
-		x.plannedBuild = x.r.o.Builds.Begin(ctx, x.group(), x.ownKey(), x.returnsUntil())
+// planBuild chooses the build at which a new stream begins. Streams that may not be taken up begin at any. It returns false if
+// the stream must be refused, because there is no plan yet.
+func (x *exchange) planBuild(ctx context.Context) (outcome.Outcome, bool) {
+	if x.r.o.Builds == nil || !x.route.Resumable || x.continues() {
+		return outcome.Outcome{}, true
 	}
+	build, err := x.r.o.Builds.Begin(ctx, x.group(), x.ownKey(), x.returnsUntil())
+	if err != nil {
+		return outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.NoEndpointsKnown, Detail: err.Error(), RetryAfter: retryAfter}, false
+	}
+	x.plannedBuild = build
+	return outcome.Outcome{}, true
 }
 
 // beginElsewhere has a new stream begin at another build, if the planned one has no room for it. It returns false if the
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -174,7 +174,10 @@
 		x.refuse(o)
 		return
 	}
-	x.planBuild(ctx)
+	if o, ok := x.planBuild(ctx); !ok {
+		x.refuse(o)
+		return
+	}
 	o := x.runStream(ctx)
 	if x.beginElsewhere(ctx, o) {
 		o = x.runStream(ctx)
