Refuse a stream of a full build in place of beginning it elsewhere

Callers saw: with the race detector, where boxes are slow, 3 or 4 of 48 streams hold events of two builds after 7 or 8 of 8 boxes were killed with the store silent or back from an older copy. Cause: a stream that its planned build had no room for began at the other build and was logged. With the log silent, or without its row, its origin was taken from the plan. Shown by the plans in the logs, which never changed in these cases. Change: a stream begins elsewhere only if its planned build is gone. One that has no room is refused; its caller's next attempt has another ID and another draw. The test counts the builds of attempts that brought events: one that was killed before its first event may be followed by a new stream.

--- a/cmd/stoatrampd/process_test.go
+++ b/cmd/stoatrampd/process_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -122,6 +123,20 @@
 	}
 }
 
+// serveHTTP serves a handler on a free port, and returns its address. At the end of the test it does not wait for handlers: one
+// that answers nothing may not notice that its caller has gone.
+func serveHTTP(t *testing.T, h http.Handler) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: h}
+	t.Cleanup(func() { _ = srv.Close() })
+	go func() { _ = srv.Serve(lis) }()
+	return lis.Addr().String()
+}
+
 func (p *boxProcess) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
 // kill ends the box by SIGKILL and waits for its end.
--- a/internal/builds/originlog.go
+++ b/internal/builds/originlog.go
@@ -12,7 +12,7 @@
 )
 
 // This file keeps the origins of streams that the plans don't tell. There are three kinds: a stream for which a plan that was
-// replaced lately names another build; a stream that begins elsewhere because the planned build has no room; and all streams
+// replaced lately names another build; a stream that begins elsewhere because the planned build is gone; and all streams
 // of several builds while some may have begun without a plan. The store has such an origin before the caller has a byte of the
 // stream. No box follows these rows: a box reads one when it is asked to go on with a stream that no box knows.
 //
--- a/internal/builds/planner.go
+++ b/internal/builds/planner.go
@@ -285,7 +285,7 @@
 	}
 }
 
-// BeginElsewhere logs that a new stream begins at another build than Begin returned. After an error it must not begin there.
+// BeginElsewhere logs that a new stream begins at another build than Begin returned. After an error only the boxes that keep the origin know it.
 func (p *Planner) BeginElsewhere(ctx context.Context, g Group, k origins.Key, build string, until time.Time) error {
 	return p.logOrigin(ctx, g, k, build, until)
 }
--- a/internal/relay/builds.go
+++ b/internal/relay/builds.go
@@ -94,23 +94,22 @@
 	return outcome.Outcome{}, true
 }
 
-// beginElsewhere has a new stream begin at another build, if the planned one has no room for it. It returns false if the
-// stream must stay refused.
+// beginElsewhere has a new stream begin at another build, if the planned one has no engine left that takes it. It returns false
+// if the stream must stay refused: one that only has no room begins nowhere else, since its origin would not follow from the
+// plan any more, and its caller comes back with another ID.
 func (x *exchange) beginElsewhere(ctx context.Context, o outcome.Outcome) bool {
 	if x.plannedBuild == "" || x.begun || o.Kind != outcome.NotRun || !isCapacityRefusal(o.Reason) {
 		return false
 	}
 	planned, g := x.plannedBuild, x.group()
 	other := x.r.o.Builds.Elsewhere(g, x.ownKey(), planned)
-	if other == "" {
+	if other == "" || !x.r.o.Builds.Gone(g, planned) {
 		return false
 	}
-	err := x.r.o.Builds.BeginElsewhere(ctx, g, x.ownKey(), other, x.returnsUntil())
-	if err != nil && !x.r.o.Builds.Gone(g, planned) {
-		x.r.o.Recorder.Log.Failed(x.meta.ID, "stream not begun at another build", zap.Error(err))
-		return false
+	if err := x.r.o.Builds.BeginElsewhere(ctx, g, x.ownKey(), other, x.returnsUntil()); err != nil {
+		// The boxes that keep the origin know it.
+		x.r.o.Recorder.Log.Failed(x.meta.ID, "origin of a stream not logged", zap.Error(err))
 	}
-	// If the planned build is gone, its streams can't go on anyway, and the boxes that keep the origin suffice.
 	x.trace.Step(record.Step{Kind: record.StepElsewhere, Build: other, Text: planned})
 	x.r.m.StreamsElsewhere.Inc()
 	x.plannedBuild = other
