Begin no stream at a box that has not read the plans

Callers saw: found by reading, after a stream of two builds that was not traced before: a box that starts while the store is silent, and knows the endpoints from other boxes for 5 s, began streams by its own list though a plan exists. Cause: the 5 s after which a box goes on without a plan counted from when it learned of the service, not from when it had read that there is none. Change: they count from the first read of the table; before it streams are refused as not run. Result: TestBoxThatHasNotReadThePlansBeginsNoStream.

--- a/internal/builds/planner.go
+++ b/internal/builds/planner.go
@@ -63,8 +63,9 @@
 	settledAt, learnedAt map[Group]time.Time
 	// servedAt is when a build last served. A build that is only in a plan counts as serving when this box first saw the plan.
 	servedAt map[servedBuild]time.Time
-	// read is set once the table was read.
-	read bool
+	// read is set once the table was read, at readAt.
+	read   bool
+	readAt time.Time
 	// pendingSince is since when a group's plan has differed from what serves, and changedAt when it last changed.
 	pendingSince, changedAt map[Group]time.Time
 	// confirmed is when the last read of the table began that the store answered.
@@ -98,7 +99,8 @@
 	minChangeInterval = time.Second
 	minWeightInterval = 5 * time.Second
 	// The first plan of a group waits until the list of endpoints has not changed for settleTime. New streams wait for it
-	// for firstPlanWait, and are refused then. A box that has known a group for firstPlanTime goes on without a plan.
+	// for firstPlanWait, and are refused then. A box goes on without a plan that has known the
+	// group, and the table without one, for firstPlanTime.
 	settleTime    = 200 * time.Millisecond
 	firstPlanWait = time.Second
 	firstPlanTime = 5 * time.Second
@@ -199,7 +201,9 @@
 func (p *Planner) readRows(rows map[string][]byte) (changes [][2]*Plan) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.read = true
+	if !p.read {
+		p.read, p.readAt = true, clock.Now()
+	}
 	for key, value := range rows {
 		if plan, ok := parsePlan(key, value); ok {
 			if before, changed := p.adopt(plan); changed {
@@ -269,15 +273,19 @@
 // ErrNoPlan means that the first plan of a group is not written yet.
 var ErrNoPlan = errors.New("there is no plan yet for the builds of the service")
 
-// awaitPlan returns the plan of a group. It waits for the first one. If none can be written for firstPlanTime, it returns the
-// builds that serve.
+// awaitPlan returns the plan of a group. It waits for the first one. If the table has none, and none can be written for
+// firstPlanTime, it returns the builds that serve. A box that has not read the table can't tell whether there is a plan.
 func (p *Planner) awaitPlan(ctx context.Context, g Group) (*Plan, Shares, error) {
 	for end := clock.Now().Add(firstPlanWait); ; time.Sleep(firstPlanWait / 50) {
 		p.mu.Lock()
-		plan, serving, learned := p.plans[g], p.serving[g], p.learnedAt[g]
+		plan, serving, read := p.plans[g], p.serving[g], p.read
+		since := p.learnedAt[g]
+		if p.readAt.After(since) {
+			since = p.readAt
+		}
 		p.mu.Unlock()
 		switch now := clock.Now(); {
-		case plan != nil || len(serving) == 0 || now.Sub(learned) > firstPlanTime:
+		case plan != nil || len(serving) == 0 || read && now.Sub(since) > firstPlanTime:
 			return plan, serving, nil
 		case now.After(end) || ctx.Err() != nil:
 			return nil, nil, ErrNoPlan
--- a/internal/builds/planner_test.go
+++ b/internal/builds/planner_test.go
@@ -532,3 +532,27 @@
 		}
 	})
 }
+
+// Guards against a box that has just started, can't read the plans, and begins streams by its own list.
+func TestBoxThatHasNotReadThePlansBeginsNoStream(t *testing.T) {
+	run(t, 2, func(t *testing.T, s *site) {
+		s.serve(map[string]int{"v1": 3, "v2": 3})
+		time.Sleep(5 * time.Second)
+		s.mu.Lock()
+		s.silent = true
+		s.mu.Unlock()
+		fresh := s.newPlanner(0, 2)
+		fresh.SetServing(map[Group]Serving{testGroup: {Counts: map[string]int{"v1": 2, "v2": 3}, Listed: []string{"v1", "v2"}}})
+		for range 10 {
+			if build, err := fresh.Begin(t.Context(), testGroup, 7, time.Now().Add(time.Minute)); !errors.Is(err, ErrNoPlan) {
+				t.Fatalf("expected no stream to begin, got %q, %v", build, err)
+			}
+		}
+		s.mu.Lock()
+		s.silent = false
+		s.mu.Unlock()
+		if build, err := fresh.Begin(t.Context(), testGroup, 7, time.Now().Add(time.Minute)); err != nil || build != s.plan(t, 0).Shares.BuildOf(7) {
+			t.Errorf("expected the planned build, got %q, %v", build, err)
+		}
+	})
+}
