Begin no stream elsewhere than planned

Cause: starved engines lapse from the list for a moment. Their build then seems gone, and streams of it began at the other build; the log that said so was silent or lost by the restore, and the plan named the first build again. The code for beginning elsewhere goes.

--- a/internal/builds/originlog.go
+++ b/internal/builds/originlog.go
@@ -11,9 +11,8 @@
 	"github.com/stoatramp/stoatramp/internal/origins"
 )
 
-// This file keeps the origins of streams that the plans don't tell. There are three kinds: a stream for which a plan that was
-// replaced lately names another build; a stream that begins elsewhere because the planned build is gone; and all streams
-// of several builds while some may have begun without a plan. The store has such an origin before the caller has a byte of the
+// This file keeps the origins of streams that the plans don't tell. There are two kinds: a stream for which a plan that was
+// replaced lately names another build; and all streams of several builds while some may have begun without a plan. The store has such an origin before the caller has a byte of the
 // stream. No box follows these rows: a box reads one when it is asked to go on with a stream that no box knows.
 //
 // So if all streams began as planned, a stream that is not in the log began at the build that the oldest plan names under
--- a/internal/builds/planner.go
+++ b/internal/builds/planner.go
@@ -293,26 +293,6 @@
 	}
 }
 
-// BeginElsewhere logs that a new stream begins at another build than Begin returned. After an error only the boxes that keep the origin know it.
-func (p *Planner) BeginElsewhere(ctx context.Context, g Group, k origins.Key, build string, until time.Time) error {
-	return p.logOrigin(ctx, g, k, build, until)
-}
-
-// Elsewhere returns the build at which a stream may begin instead of the given one; empty if no other serves.
-func (p *Planner) Elsewhere(g Group, k origins.Key, build string) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	others := slices.DeleteFunc(slices.Clone(p.serving[g]), func(s Share) bool { return s.Build == build })
-	return others.BuildOf(k)
-}
-
-// Gone reports whether a build has no engine left that begins streams.
-func (p *Planner) Gone(g Group, build string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !p.serving[g].has(build)
-}
-
 // Verdict is what is known of the origin of a stream.
 type Verdict uint8
 
--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -115,8 +115,6 @@
 			how = fmt.Sprintf("plan %d says so of its ID", s.Plan)
 		}
 		return fmt.Sprintf("No box knew where the stream began; %s: at build %s, and only engines of that build may go on with it.", how, s.Build)
-	case StepElsewhere:
-		return fmt.Sprintf("The planned build %s has no engine left, so it begins at build %s; the store keeps its origin.", s.Text, s.Build)
 	case StepConnWait:
 		return fmt.Sprintf("The call to %s waited %s that this box may open to it.", s.Decode, s.Text)
 	case StepSlot:
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -46,8 +46,6 @@
 	// StepPlannedOrigin means that no box knew the origin of the stream that the caller takes up, and that plan Plan names the
 	// build Build. Plan is 0 if the store has the origin.
 	StepPlannedOrigin StepKind = "planned_origin"
-	// StepElsewhere means that a new stream begins at the build Build, because the planned build Text has no engine left.
-	StepElsewhere StepKind = "elsewhere"
 	// StepSlot means that a slot of a plain service's endpoints was granted or refused. Slot has the details. Decode is
 	// the endpoint of a granted slot. Text is the reason of a refusal.
 	StepSlot StepKind = "slot"
--- a/internal/relay/builds.go
+++ b/internal/relay/builds.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/stoatramp/stoatramp/internal/builds"
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/decide"
@@ -21,9 +19,6 @@
 type BuildPlanner interface {
 	SetServing(groups map[builds.Group]builds.Serving)
 	Begin(ctx context.Context, g builds.Group, k origins.Key, until time.Time) (build string, err error)
-	Elsewhere(g builds.Group, k origins.Key, build string) string
-	Gone(g builds.Group, build string) bool
-	BeginElsewhere(ctx context.Context, g builds.Group, k origins.Key, build string, until time.Time) error
 	Origin(ctx context.Context, g builds.Group, k origins.Key) (build string, plan int64, v builds.Verdict)
 }
 
@@ -94,28 +89,6 @@
 	return outcome.Outcome{}, true
 }
 
-// beginElsewhere has a new stream begin at another build, if the planned one has no engine left that takes it. It returns false
-// if the stream must stay refused: one that only has no room begins nowhere else, since its origin would not follow from the
-// plan any more, and its caller comes back with another ID.
-func (x *exchange) beginElsewhere(ctx context.Context, o outcome.Outcome) bool {
-	if x.plannedBuild == "" || x.begun || o.Kind != outcome.NotRun || !isCapacityRefusal(o.Reason) {
-		return false
-	}
-	planned, g := x.plannedBuild, x.group()
-	other := x.r.o.Builds.Elsewhere(g, x.ownKey(), planned)
-	if other == "" || !x.r.o.Builds.Gone(g, planned) {
-		return false
-	}
-	if err := x.r.o.Builds.BeginElsewhere(ctx, g, x.ownKey(), other, x.returnsUntil()); err != nil {
-		// The boxes that keep the origin know it.
-		x.r.o.Recorder.Log.Failed(x.meta.ID, "origin of a stream not logged", zap.Error(err))
-	}
-	x.trace.Step(record.Step{Kind: record.StepElsewhere, Build: other, Text: planned})
-	x.r.m.StreamsElsewhere.Inc()
-	x.plannedBuild = other
-	return true
-}
-
 // plannedOrigin sets the origin of a stream that no box knows, if the plans or the log tell it. hasPlan is false if there is no
 // plan for the service.
 func (x *exchange) plannedOrigin(ctx context.Context) (hasPlan bool) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -179,9 +179,6 @@
 		return
 	}
 	o := x.runStream(ctx)
-	if x.beginElsewhere(ctx, o) {
-		o = x.runStream(ctx)
-	}
 	switch {
 	case o.Kind == outcome.Answered:
 		x.extendWriteDeadline() // The server still has to write the answer's end, perhaps long after the last event.
@@ -193,6 +190,9 @@
 		x.cutOff(o) // A plain return would make the incomplete answer look complete.
 	default:
 		o.RetryAfter = refusalDelay(o)
+		if x.plannedBuild != "" && o.Reason == outcome.BuildGone {
+			o.RetryAfter = jitter(retryAfter) // The next attempt has another ID, and may get another build.
+		}
 		x.refuse(o)
 	}
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -33,9 +33,7 @@
 	framings map[h1.Framing]*metrics.Counter
 
 	// plannedOrigins counts the streams whose origin no box knew, by what the plan says of them.
-	plannedOrigins map[builds.Verdict]*metrics.Counter
-	// StreamsElsewhere counts the streams that began at another build than planned.
-	StreamsElsewhere    *metrics.Counter
+	plannedOrigins      map[builds.Verdict]*metrics.Counter
 	Moves               *metrics.Counter
 	CompletedMigrations *metrics.Counter
 	AbortedMigrations   *metrics.Counter
@@ -157,7 +155,6 @@
 		incomplete:          map[outcome.Reason]*metrics.Counter{},
 		framings:            map[h1.Framing]*metrics.Counter{},
 		plannedOrigins:      map[builds.Verdict]*metrics.Counter{},
-		StreamsElsewhere:    s.NewCounter("stoatramp_streams_elsewhere_total"),
 		Moves:               s.NewCounter("stoatramp_moves_total"),
 		CompletedMigrations: s.NewCounter(`stoatramp_migrations_total{outcome="moved"}`),
 		AbortedMigrations:   s.NewCounter(`stoatramp_migrations_total{outcome="stayed"}`),
