--- a/internal/builds/planner_test.go
+++ b/internal/builds/planner_test.go
@@ -223,6 +223,16 @@
 	return list[0]
 }
 
+// expectOrigins expects that a planner knows at which builds streams began.
+func expectOrigins(t *testing.T, p *Planner, began map[origins.Key]string) {
+	t.Helper()
+	for k, want := range began {
+		if build, _, v := p.Origin(t.Context(), testGroup, k); build != want {
+			t.Errorf("stream %d: expected %s, got %q (%s)", k, want, build, v)
+		}
+	}
+}
+
 // run runs a test of a site in virtual time.
 func run(t *testing.T, boxes int, test func(t *testing.T, s *site)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -428,11 +438,7 @@
 			t.Errorf("expected that the streams share writes, got %d", s.callCount()-before)
 		}
 		fresh := s.newPlanner(0, 4)
-		for k, want := range began {
-			if build, _, v := fresh.Origin(t.Context(), testGroup, k); build != want {
-				t.Errorf("stream %d: expected %s, got %q (%s)", k, want, build, v)
-			}
-		}
+		expectOrigins(t, fresh, began)
 		time.Sleep(time.Minute)
 		if s.logged() > 0 {
 			t.Errorf("expected that expired rows are removed, got %d", s.logged())
@@ -491,11 +497,7 @@
 		setSilent(false)
 		time.Sleep(5 * time.Second)
 		fresh := s.newPlanner(1, 2)
-		for k, want := range began {
-			if build, _, v := fresh.Origin(t.Context(), testGroup, k); build != want {
-				t.Errorf("stream %d: expected %s, got %q (%s)", k, want, build, v)
-			}
-		}
+		expectOrigins(t, fresh, began)
 	})
 }
 
@@ -525,11 +527,7 @@
 			t.Errorf("expected that all streams begin, got %d", len(began))
 		}
 		fresh := s.newPlanner(0, 3)
-		for k, want := range began {
-			if build, _, v := fresh.Origin(t.Context(), testGroup, k); build != want {
-				t.Errorf("stream %d: expected %s, got %q (%s)", k, want, build, v)
-			}
-		}
+		expectOrigins(t, fresh, began)
 	})
 }
 
