Show how far a transfer came that a box gave up

'followed box failed' and 'store unreachable' named a time limit, not whether bytes still arrived, so that a slow transfer could not be told from a silent peer. Both lines say now how many bytes of the message had arrived and when the last ones did. Counted: bytes of updates and of the store by table, ends of following by cause.

--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -206,6 +206,7 @@
 			restored()
 		}
 	}
+	t.OnBytes = b.Metrics.Set.NewCounter(fmt.Sprintf("stoatramp_store_read_bytes_total{table=%q}", name)).Add
 	t.OnLost = func(err error) {
 		b.recorder.Log.StateChange("store unreachable", zap.String("table", name), zap.Duration("age", freshness.Age()), zap.Error(err))
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/transfer"
 )
 
 // Row is one row of a table.
@@ -143,6 +144,8 @@
 	// is for how long the store did not answer. Either function may be nil.
 	OnLost      func(error)
 	OnRecovered func(away time.Duration)
+	// OnBytes is called with the number of bytes of each read of the store's responses. It may be nil.
+	OnBytes func(n int)
 	// linkEra is the value of the link's era when the store last answered a call for this table; see Link.
 	linkEra context.Context
 	// lostSince is when the store stopped answering this box; zero while it answers. Only Run's goroutine uses it.
@@ -301,6 +304,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+t.o.CallTimeout)
 	defer cancel()
+	progress := transfer.NewProgress(t.OnBytes)
+	ctx = transfer.WithProgress(ctx, progress)
+	defer func() {
+		if err != nil && ctx.Err() != nil {
+			err = fmt.Errorf("%w: %v", err, progress)
+		}
+	}()
 	if wait > t.o.FollowedWait {
 		defer t.allowCancel(cancel)()
 	}
--- a/internal/overlay/link.go
+++ b/internal/overlay/link.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 	"github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1/stoatrampv1connect"
+	"github.com/stoatramp/stoatramp/internal/transfer"
 )
 
 // maxMessageBytes bounds a message from another box. The largest configuration fits in it.
@@ -59,7 +61,9 @@
 func (l *link) follow(ctx context.Context, better func() bool) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(silenceTimeout, func() { cancel(errUnresponsiveUpstream) })
+	progress := transfer.NewProgress(l.n.count.updateBytes.Add)
+	ctx = transfer.WithProgress(ctx, progress)
+	watchdog := time.AfterFunc(silenceTimeout, func() { cancel(fmt.Errorf("%w: %v", errUnresponsiveUpstream, progress)) })
 	defer watchdog.Stop()
 	req := connect.NewRequest(&v1.FollowRequest{
 		Box: l.n.o.Self.Name, Incarnation: l.n.o.Self.Incarnation, Protocol: protocolVersion, Packed: true,
@@ -79,6 +83,7 @@
 	}()
 	for stream.Receive() {
 		watchdog.Reset(silenceTimeout)
+		progress.Done()
 		if !l.established {
 			l.onEstablished(ctx)
 		}
@@ -96,6 +101,37 @@
 	return fmt.Errorf("receive updates: %w", errors.Join(stream.Err(), errStreamEnded))
 }
 
+// The causes for which this box stops following an upstream, as metrics name them.
+const (
+	followEndBetter    = "better_upstream"
+	followEndStoreLost = "store_lost"
+	followEndCycle     = "cycle"
+	followEndStalled   = "stalled"
+	followEndEnded     = "ended"
+)
+
+func newFollowEnds(set *metrics.Set) map[string]*metrics.Counter {
+	ends := map[string]*metrics.Counter{}
+	for _, cause := range []string{followEndBetter, followEndStoreLost, followEndCycle, followEndStalled, followEndEnded} {
+		ends[cause] = set.NewCounter(fmt.Sprintf("stoatramp_overlay_follow_ends_total{cause=%q}", cause))
+	}
+	return ends
+}
+
+func followEndCause(err error) string {
+	switch {
+	case errors.Is(err, errBetterUpstream):
+		return followEndBetter
+	case errors.Is(err, errUpstreamStoreLost):
+		return followEndStoreLost
+	case errors.Is(err, errCycle):
+		return followEndCycle
+	case errors.Is(err, errUnresponsiveUpstream):
+		return followEndStalled
+	}
+	return followEndEnded
+}
+
 var errStreamEnded = errors.New("the upstream ended the stream")
 
 // onEstablished is called when the first update arrives. It sets the upstream of this box and starts publishLoop.
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -42,6 +42,7 @@
 	"github.com/stoatramp/stoatramp/internal/quota"
 	"github.com/stoatramp/stoatramp/internal/retry"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
+	"github.com/stoatramp/stoatramp/internal/transfer"
 )
 
 const (
@@ -188,7 +189,11 @@
 }
 
 type counters struct {
-	published, received, dropped, refused, switches      *metrics.Counter
+	published, received, dropped, refused, switches *metrics.Counter
+	// updateBytes counts the bytes of the updates that the upstreams of this box sent. followEnds counts the times that
+	// this box stopped following an upstream, by cause.
+	updateBytes                                          *metrics.Counter
+	followEnds                                           map[string]*metrics.Counter
 	roomGranted, roomDenied, roomYielded, roomUnanswered *metrics.Counter
 	lent, lendFailed, allowAnswered, allowUnanswered     *metrics.Counter
 	// These count the requests for slots to other boxes.
@@ -207,7 +212,7 @@
 	}
 	n.stopped, n.stop = context.WithCancel(context.Background())
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
-	n.httpClient = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true}}
+	n.httpClient = &http.Client{Transport: transfer.RoundTripper{Base: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true}}}
 	n.slots = newSlotState(dialer.DialContext)
 	n.origins.count = newOriginCounters(o.Metrics)
 	n.count = counters{
@@ -216,6 +221,8 @@
 		dropped:         o.Metrics.NewCounter("stoatramp_overlay_facts_dropped_total"),
 		refused:         o.Metrics.NewCounter("stoatramp_overlay_refused_total"),
 		switches:        o.Metrics.NewCounter("stoatramp_overlay_switches_total"),
+		updateBytes:     o.Metrics.NewCounter("stoatramp_overlay_update_bytes_total"),
+		followEnds:      newFollowEnds(o.Metrics),
 		roomGranted:     o.Metrics.NewCounter(`stoatramp_overlay_rooms_total{answer="granted"}`),
 		roomDenied:      o.Metrics.NewCounter(`stoatramp_overlay_rooms_total{answer="denied"}`),
 		roomYielded:     o.Metrics.NewCounter(`stoatramp_overlay_rooms_total{answer="yielded"}`),
@@ -483,6 +490,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	n.count.followEnds[followEndCause(err)].Inc()
 	switch {
 	case errors.Is(err, errBetterUpstream):
 		n.members.recordSuccess(m)
