Test that a transfer which makes progress is not taken for a failure; known red

Nine boxes with links of 10 Mbit/s (a stand-in, standin.Link) and a configuration of 1.5 MB of which one route changes each 1.5 s: the last version is never in force, since each transfer takes longer than the timeouts.

--- /dev/null
+++ b/cmd/stoatrampd/links_test.go
@@ -0,0 +1,346 @@
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stoatramp/stoatramp/internal/box"
+	"github.com/stoatramp/stoatramp/internal/config"
+	"github.com/stoatramp/stoatramp/internal/telemetry"
+	"github.com/stoatramp/stoatramp/platform/standin"
+)
+
+// The flags of TestConfigurationsOnSlowLinksAreInForceInTime.
+var (
+	linkBoxes   = flag.Int("links.boxes", 12, "boxes, in three halls")
+	linkMbps    = flag.Float64("links.mbps", 10, "what each box can send to others, and read from the store, in Mbit/s")
+	linkRoutes  = flag.Int("links.routes", 2400, "routes that every second configuration has in addition")
+	linkRandom  = flag.Int("links.random", 60, "random characters in each of these routes")
+	linkChanges = flag.Int("links.changes", 10, "configurations")
+	linkTimed   = flag.Bool("links.timed", false, "check bounds in time, which need a machine without other load")
+	linkLogs    = flag.String("links.logs", "", "directory for the boxes' logs")
+	linkSingle  = flag.Bool("links.single", false, "keep the additional routes and change one of them each time")
+)
+
+// linkSite is a set of boxes with links of limited bandwidth, before one store.
+type linkSite struct {
+	t     *testing.T
+	store *standin.Store
+	boxes []*linkedBox
+	// lis is the store's listener.
+	lis net.Listener
+}
+
+// linkedBox is a box and its links: one for what it sends to other boxes, and one for what it reads from the store.
+type linkedBox struct {
+	*box.RelayBox
+	log        *logBuffer
+	sent, read *standin.Link
+	stop       func()
+}
+
+const linkedSettings = `
+[box]
+name = box-%d
+region = r
+hall = hall-%d
+linger = 50ms
+stop_timeout = 5s
+memory_mb = 112
+[callers]
+listen = 127.0.0.1:0
+[readiness]
+listen = 127.0.0.1:0
+[operators]
+listen = 127.0.0.1:0
+key_sha256 = %s
+open_metrics = true
+[peers]
+listen = 127.0.0.1:0
+address = %s
+[store]
+address = %s
+reread_within = 4s
+leaving_within = 3s
+config_within = %s
+`
+
+// linkedConfigWithin is the site's bound on the time until a configuration is in force.
+const linkedConfigWithin = 3 * time.Second
+
+func newLinkSite(t *testing.T, boxes int, mbps float64) *linkSite {
+	t.Helper()
+	s := &linkSite{t: t, store: standin.NewStore()}
+	var err error
+	if s.lis, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: s.store}
+	go func() { _ = srv.Serve(s.lis) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	s.put(1, nil)
+	for n := range boxes {
+		s.boxes = append(s.boxes, s.start(n, mbps))
+	}
+	for _, b := range s.boxes {
+		s.until("the first configuration is in force", func() bool { return b.Relay.Version() == 1 })
+	}
+	time.Sleep(4 * time.Second) // By then the boxes follow one another.
+	return s
+}
+
+func (s *linkSite) start(n int, mbps float64) *linkedBox {
+	s.t.Helper()
+	b := &linkedBox{log: &logBuffer{}, sent: standin.NewLink(mbps), read: standin.NewLink(mbps)}
+	peers, err := standin.NewLinkProxy(b.sent)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = peers.Close() })
+	store, err := standin.NewLinkProxy(b.read)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = store.Close() })
+	store.SetTarget(s.lis.Addr().String())
+	text := fmt.Appendf(nil, linkedSettings, n, n%3, config.KeyDigest(operatorKey), peers.Address(), store.Address(), linkedConfigWithin)
+	cfg, err := config.ParseRelay("box", text)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if b.RelayBox, err = newRelay(cfg, telemetry.NewLogger(b.log)); err != nil {
+		s.t.Fatal(err)
+	}
+	peers.SetTarget(b.Peers)
+	exited := make(chan error, 1)
+	go func() { exited <- b.Run() }()
+	stopped := false
+	b.stop = func() {
+		if !stopped {
+			stopped = true
+			_ = b.Stop()
+			<-exited
+		}
+	}
+	s.t.Cleanup(b.stop)
+	return b
+}
+
+func (s *linkSite) until(what string, ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("expected %s", what)
+		}
+	}
+}
+
+type linkRoute struct {
+	Name     string `json:"name"`
+	Host     string `json:"hostname"`
+	Prefix   string `json:"pathPrefix"`
+	Kind     string `json:"kind"`
+	Timeout  int    `json:"timeoutMs"`
+	Target   int    `json:"targetLatencyMs"`
+	Service  string `json:"service"`
+	Attempts int    `json:"maxAttempts"`
+}
+
+// linkRoutesOf returns n routes whose paths have a number of random characters.
+func linkRoutesOf(n, random int) []linkRoute {
+	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
+	routes := make([]linkRoute, n)
+	for i := range routes {
+		var path strings.Builder
+		for range random {
+			path.WriteByte(letters[rand.IntN(len(letters))])
+		}
+		routes[i] = linkRoute{fmt.Sprintf("more-%d", i), "h.example", fmt.Sprintf("/m%d%s/", i, path.String()), "safe", 2000, 300, "s", 2}
+	}
+	return routes
+}
+
+// put writes a configuration of 40 routes and more to the store, and returns its size.
+func (s *linkSite) put(version int, more []linkRoute) int {
+	s.t.Helper()
+	text, err := json.Marshal(map[string]any{
+		"version": version, "routes": append(linkRoutesOf(40, 8), more...),
+		"services": []map[string]string{{"name": "s"}}, "limits": map[string]int{"maxBodyBytes": 1000},
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.Put("op", "config", text, 0)
+	return len(text)
+}
+
+// watch records when each box first has each version or a newer one in force, until the versions up to last are in force
+// everywhere or the time is over.
+func (s *linkSite) watch(last int, within time.Duration) (done chan struct{}, inForce []map[int]time.Time) {
+	done, inForce = make(chan struct{}), make([]map[int]time.Time, len(s.boxes))
+	for i := range inForce {
+		inForce[i] = map[int]time.Time{}
+	}
+	go func() {
+		defer close(done)
+		for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			behind := 0
+			for i, b := range s.boxes {
+				have, now := int(b.Relay.Version()), time.Now()
+				for v := have; v > 0 && inForce[i][v].IsZero(); v-- {
+					inForce[i][v] = now
+				}
+				if have < last {
+					behind++
+				}
+			}
+			if behind == 0 {
+				return
+			}
+		}
+	}()
+	return done, inForce
+}
+
+// logged counts the log lines of all boxes that have a text.
+func (s *linkSite) logged(part string) (n int) {
+	for _, b := range s.boxes {
+		b.log.mu.Lock()
+		n += strings.Count(b.log.text.String(), part)
+		b.log.mu.Unlock()
+	}
+	return n
+}
+
+func (s *linkSite) writeLogs(dir string) {
+	for i, b := range s.boxes {
+		b.log.mu.Lock()
+		if err := os.WriteFile(filepath.Join(dir, fmt.Sprintf("box-%d.log", i)), b.log.text.Bytes(), 0o600); err != nil {
+			s.t.Error(err)
+		}
+		b.log.mu.Unlock()
+	}
+}
+
+// carried sums up what the boxes sent to others and what they read from the store, in bytes.
+func (s *linkSite) carried() (sent, most, read int64) {
+	for _, b := range s.boxes {
+		sent, most, read = sent+b.sent.Carried(), max(most, b.sent.Carried()), read+b.read.Carried()
+	}
+	return sent, most, read
+}
+
+// lag is how long a version took until it was in force on a box. Missing means that it was not in force at the end.
+type lag struct {
+	version, box int
+	took         time.Duration
+	missing      bool
+}
+
+// changeInSeries writes configurations with a pause of 1.5 s, and returns how long each box took for each.
+func (s *linkSite) changeInSeries(changes int, more func(version int) []linkRoute) (lags []lag) {
+	s.t.Helper()
+	const pause = 1500 * time.Millisecond
+	last := changes + 1
+	done, inForce := s.watch(last, time.Duration(changes)*pause+10*time.Second)
+	written := map[int]time.Time{}
+	for v := 2; v <= last; v++ {
+		size := s.put(v, more(v))
+		written[v] = time.Now()
+		if v <= 3 {
+			s.t.Logf("version %d has %d bytes", v, size)
+		}
+		time.Sleep(pause)
+	}
+	<-done
+	for i := range s.boxes {
+		for v := 2; v <= last; v++ {
+			at := inForce[i][v]
+			lags = append(lags, lag{v, i, at.Sub(written[v]), at.IsZero()})
+		}
+	}
+	slices.SortFunc(lags, func(a, b lag) int {
+		if a.missing != b.missing {
+			if a.missing {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.took, b.took)
+	})
+	return lags
+}
+
+// report logs the distribution of lags and what the links carried, and returns how many are over a bound.
+func (s *linkSite) report(lags []lag, bound time.Duration) (late int) {
+	s.t.Helper()
+	for _, l := range lags {
+		if l.missing || l.took > bound {
+			late++
+		}
+	}
+	if *linkLogs != "" {
+		s.writeLogs(*linkLogs)
+	}
+	worst := lags[len(lags)-1]
+	sent, most, read := s.carried()
+	s.t.Logf("p50 %v, worst %v (version %d at box %d, missing %v), later than %v: %d of %d", lags[len(lags)/2].took, worst.took, worst.version, worst.box, worst.missing, bound, late, len(lags))
+	s.t.Logf("sent %d KB, %d KB by one box at most; read from the store %d KB", sent>>10, most>>10, read>>10)
+	for _, part := range []string{"store unreachable", "within the silence timeout", "pass through this box", "the store does not answer the upstream", "followed box failed", "following another box"} {
+		s.t.Logf("logged %q: %d", part, s.logged(part))
+	}
+	return late
+}
+
+// Configurations in series on slow links, without any fault. The flags choose the size; by hand with -links.timed.
+func TestConfigurationsOnSlowLinksAreInForceInTime(t *testing.T) {
+	if !*linkTimed {
+		t.Skip("needs -args -links.timed and a machine without other load")
+	}
+	s := newLinkSite(t, *linkBoxes, *linkMbps)
+	large := linkRoutesOf(*linkRoutes, *linkRandom)
+	lags := s.changeInSeries(*linkChanges, func(version int) []linkRoute {
+		switch {
+		case *linkSingle:
+			large[version*37%len(large)].Timeout = 2000 + version
+			return large
+		case version%2 == 0:
+			return large
+		}
+		return nil
+	})
+	if late := s.report(lags, linkedConfigWithin*2/3); late > 0 {
+		t.Errorf("%d of %d configurations were in force too late on a box", late, len(lags))
+	}
+}
+
+// A configuration whose transfer takes longer than the timeouts of calls and updates.
+func TestTransferThatMakesProgressIsNotTakenForAFailure(t *testing.T) {
+	s := newLinkSite(t, 9, 10)
+	large := linkRoutesOf(6000, 100)
+	size := s.put(2, large)
+	const versions = 5
+	for v := 3; v <= versions; v++ {
+		time.Sleep(1500 * time.Millisecond)
+		large[v].Timeout = 2000 + v
+		s.put(v, large)
+	}
+	for _, b := range s.boxes {
+		s.until("the last configuration is in force", func() bool { return b.Relay.Version() == versions })
+	}
+	// One box reads for all; each other box may read once, as it starts.
+	if _, _, read := s.carried(); read > int64(2*len(s.boxes)*size) {
+		t.Errorf("the boxes read %d KB from the store for %d versions of %d KB", read>>10, versions-1, size>>10)
+	}
+}
