Take a transfer that makes progress for alive, whatever its size

What callers saw: routes refused as an older configuration says. Cause: a follower ended an update that took longer than 0.6 s, a box ended a read of the store that took 0.6 s longer than its wait, and a sender ended an update that took longer than 1 s to write. Each was begun anew elsewhere on the same links, and a box that so took its store for lost followed younger boxes: cycles.

Now MinBytes in each idle timeout keep a transfer alive (package transfer); fewer end it, so that a peer that trickles is no upstream. While the table's bytes arrive it is not overdue, and the store is not read beside an update. A probe whose response begins lets the other tables ask. The same for seeds and PassConfig; writes get time by the size of the message. Reads are bounded, since net/http fills a buffer of a chunked body before it returns.

--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -263,6 +263,25 @@
 	}
 }
 
+// ExtendDelegation extends the present delegation by a duration, because bytes of the other box arrive. It does not
+// delegate the reads again once the delegation has ended. Transferring means that these bytes are this table's. Otherwise
+// the delegation ends when the table is older than StaleAfter.
+func (t *Table) ExtendDelegation(duration time.Duration, transferring bool) {
+	if transferring {
+		t.markProgress()
+	} else {
+		duration = min(duration, t.o.StaleAfter-t.Fresh.Age())
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if clock.Until(t.delegation.until) <= 0 {
+		return
+	}
+	if until := clock.Now().Add(duration); t.delegation.until.Before(until) {
+		t.delegation.until = until
+	}
+}
+
 // delegated reports whether another box sends the table, so that this box does not read the store.
 func (t *Table) delegated() bool {
 	t.mu.Lock()
--- a/internal/follow/feed_test.go
+++ b/internal/follow/feed_test.go
@@ -125,7 +125,7 @@
 			case 0, 1:
 				s.change(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), rapid.IntRange(0, 3).Draw(t, "gone") == 0)
 			case 2:
-				if _, err := tables[i].callOnce(context.Background(), true); errors.Is(err, ErrHistoryLost) {
+				if _, err := tables[i].callOnce(context.Background(), &permit{link: &Link{}}, true); errors.Is(err, ErrHistoryLost) {
 					tables[i].requireReread()
 				}
 			case 3:
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -55,7 +55,8 @@
 	// Link limits the calls to the store. Tables that share a link are limited together. If Link is nil, the table
 	// gets its own link.
 	Link *Link
-	// CallTimeout is how long a call may take in addition to Wait.
+	// CallTimeout is how long a call may take in addition to Wait until its response begins, and how long a response may
+	// make no progress.
 	CallTimeout time.Duration
 	// FollowedWait and FollowedPause apply while other boxes follow this box. Then the shorter one of Wait and
 	// FollowedWait is used, and the shorter one of Pause and FollowedPause.
@@ -113,8 +114,19 @@
 }
 
 // Overdue reports that the table was read, and that since then neither the store nor another box has confirmed it for
-// OverdueAfter.
-func (t *Table) Overdue() bool { return t.Fresh.Age() > t.OverdueAfter() }
+// OverdueAfter. While the table is being transferred, it is not overdue.
+func (t *Table) Overdue() bool { return t.Fresh.Age() > t.OverdueAfter() && !t.transferring() }
+
+// transferring reports whether a transfer of the table has made progress within CallTimeout.
+func (t *Table) transferring() bool {
+	at := t.progressAt.Load()
+	return at != nil && clock.Since(*at) < t.o.CallTimeout
+}
+
+func (t *Table) markProgress() {
+	now := clock.Now()
+	t.progressAt.Store(&now)
+}
 
 // Table is a copy of a table of the store.
 type Table struct {
@@ -146,6 +158,8 @@
 	OnRecovered func(away time.Duration)
 	// OnBytes is called with the number of bytes of each read of the store's responses. It may be nil.
 	OnBytes func(n int)
+	// progressAt is when a transfer of the table, from the store or another box, last made progress.
+	progressAt atomic.Pointer[time.Time]
 	// linkEra is the value of the link's era when the store last answered a call for this table; see Link.
 	linkEra context.Context
 	// lostSince is when the store stopped answering this box; zero while it answers. Only Run's goroutine uses it.
@@ -234,14 +248,14 @@
 	start := clock.Now()
 	// Some calls must return immediately instead of waiting for a change, so that missed changes are read now. These
 	// are a probe, the first call of a link era, and the first call after another box has stopped sending the table.
-	changed, err := t.callInEra(ctx, p.era, p.probe || wasDelegated || p.era != t.linkEra)
+	changed, err := t.callInEra(ctx, p, p.probe || wasDelegated || p.era != t.linkEra)
 	if err == nil {
 		t.linkEra = p.era
 	}
 	if t.callCancelled.Swap(false) && err != nil && ctx.Err() == nil {
 		return 0, errNoCall // The call is repeated immediately, with the shorter wait that applies now.
 	}
-	if err != nil && p.era.Err() != nil && ctx.Err() == nil {
+	if err != nil && p.era.Err() != nil && !p.answering() && ctx.Err() == nil {
 		return 0, errNoCall // The store is back. This call began before its return and was cancelled.
 	}
 	p.finish(clock.Now(), err == nil || errors.Is(err, ErrHistoryLost) || errors.Is(err, ErrOld))
@@ -285,16 +299,21 @@
 	}
 }
 
-// callInEra makes one call, and cancels it when the link era in which it began ends.
-func (t *Table) callInEra(ctx, era context.Context, probe bool) (changed bool, err error) {
+// callInEra makes one call, and cancels it when the link era in which it began ends. A probe ends that era itself as soon
+// as its response begins.
+func (t *Table) callInEra(ctx context.Context, p *permit, probe bool) (changed bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer context.AfterFunc(era, cancel)()
-	return t.callOnce(ctx, probe)
+	defer context.AfterFunc(p.era, func() {
+		if !p.answering() {
+			cancel()
+		}
+	})()
+	return t.callOnce(ctx, p, probe)
 }
 
 // callOnce makes one call and applies the result. The store answers a probe immediately, without waiting for a change.
-func (t *Table) callOnce(ctx context.Context, probe bool) (changed bool, err error) {
+func (t *Table) callOnce(ctx context.Context, p *permit, probe bool) (changed bool, err error) {
 	wait, _ := t.pace()
 	if t.o.FirstWait > 0 && clock.Since(t.startedAt) < firstWaitTime {
 		wait = min(wait, t.o.FirstWait)
@@ -302,10 +321,11 @@
 	if probe {
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+t.o.CallTimeout)
+	ctx, progress, cancel := transfer.WithIdleTimeout(ctx, wait+t.o.CallTimeout, t.o.CallTimeout, t.OnBytes, func() {
+		t.markProgress()
+		p.markAnswering(clock.Now(), t.o.CallTimeout+probeSlack)
+	})
 	defer cancel()
-	progress := transfer.NewProgress(t.OnBytes)
-	ctx = transfer.WithProgress(ctx, progress)
 	defer func() {
 		if err != nil && ctx.Err() != nil {
 			err = fmt.Errorf("%w: %v", err, progress)
--- a/internal/follow/link.go
+++ b/internal/follow/link.go
@@ -60,6 +60,44 @@
 	from, until time.Time
 	// era is the link era that the call belongs to.
 	era context.Context
+	// responding means that the response of a probe has begun. The link's mu guards it.
+	responding bool
+}
+
+// answering reports whether the response of a probe has begun.
+func (p *permit) answering() bool {
+	p.link.mu.Lock()
+	defer p.link.mu.Unlock()
+	return p.responding
+}
+
+// markAnswering records that the response to a call makes progress. If the call is a probe, the store has answered, so
+// that the other tables need not wait until a long response is complete.
+func (p *permit) markAnswering(now time.Time, probeTimeout time.Duration) {
+	l := p.link
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !p.probe {
+		return
+	}
+	p.until = now.Add(probeTimeout)
+	if p.responding {
+		return
+	}
+	p.responding = true
+	if l.down && l.probe == p {
+		l.markUp()
+		l.wake()
+	}
+}
+
+// markUp records that the store answers again, and starts the next link era. The lock is held.
+func (l *Link) markUp() {
+	if l.down && l.nextEra != nil {
+		l.nextEra()
+		l.era, l.nextEra = nil, nil
+	}
+	l.down, l.pause = false, 0
 }
 
 // markShared records that another box reported that it gets no answer from the store either.
@@ -181,11 +219,7 @@
 	defer l.mu.Unlock()
 	switch {
 	case answered:
-		if l.down && l.nextEra != nil {
-			l.nextEra()
-			l.era, l.nextEra = nil, nil
-		}
-		l.down, l.pause = false, 0
+		l.markUp()
 	case !l.down || p.probe:
 		l.down = true
 		l.pause = min(l.maxPause(now), max(l.minPause(now), 2*l.pause))
--- a/internal/overlay/link.go
+++ b/internal/overlay/link.go
@@ -55,16 +55,22 @@
 
 var errUnresponsiveUpstream = errors.New("no update received within the silence timeout")
 
-// follow receives updates of the upstream. It returns an error when the upstream sends no update for silenceTimeout or
-// ends the stream. It also returns an error when an update shows that this upstream should not be followed now, or when
+// follow receives updates of the upstream. It returns an error when the upstream sends no update for silenceTimeout, and
+// no progress of one, or ends the stream. It also returns an error when an update shows that this upstream should not be followed now, or when
 // better reports that another upstream should be followed.
 func (l *link) follow(ctx context.Context, better func() bool) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	progress := transfer.NewProgress(l.n.count.updateBytes.Add)
+	var watch *transfer.Watch
+	progress := transfer.NewProgress(func(n int) {
+		l.n.count.updateBytes.Add(n)
+		if watch.Add(n) {
+			l.n.extendDelegations()
+		}
+	})
+	watch = transfer.NewWatch(silenceTimeout, silenceTimeout, func() { cancel(fmt.Errorf("%w: %v", errUnresponsiveUpstream, progress)) })
+	defer watch.Stop()
 	ctx = transfer.WithProgress(ctx, progress)
-	watchdog := time.AfterFunc(silenceTimeout, func() { cancel(fmt.Errorf("%w: %v", errUnresponsiveUpstream, progress)) })
-	defer watchdog.Stop()
 	req := connect.NewRequest(&v1.FollowRequest{
 		Box: l.n.o.Self.Name, Incarnation: l.n.o.Self.Incarnation, Protocol: protocolVersion, Packed: true,
 	})
@@ -82,7 +88,7 @@
 		_ = stream.Close()
 	}()
 	for stream.Receive() {
-		watchdog.Reset(silenceTimeout)
+		watch.Renew()
 		progress.Done()
 		if !l.established {
 			l.onEstablished(ctx)
@@ -134,6 +140,13 @@
 
 var errStreamEnded = errors.New("the upstream ended the stream")
 
+// extendDelegations keeps this box from reading the store while an update of the upstream arrives.
+func (n *Node) extendDelegations() {
+	for _, t := range n.o.Tables {
+		t.ExtendDelegation(silenceTimeout, false)
+	}
+}
+
 // onEstablished is called when the first update arrives. It sets the upstream of this box and starts publishLoop.
 func (l *link) onEstablished(ctx context.Context) {
 	l.n.count.switches.Inc()
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -47,7 +47,8 @@
 
 const (
 	// heartbeatInterval is how often a follower is sent an update even if nothing has changed. silenceTimeout is how
-	// long a follower waits for an update. After that the follower reads the store itself.
+	// long a follower waits for an update, or for progress of one that has begun. After that the follower reads the
+	// store itself.
 	heartbeatInterval = 200 * time.Millisecond
 	silenceTimeout    = 600 * time.Millisecond
 	// minSendInterval is the minimum time between two sends to one follower, or to the upstream. Messages that
@@ -91,6 +92,7 @@
 	PartSince(since follow.Version) follow.Part
 	Receive(p follow.Part, duration time.Duration) bool
 	EndDelegation()
+	ExtendDelegation(duration time.Duration, transferring bool)
 	SetFollowed(yes bool)
 	Changed() <-chan struct{}
 	Version() follow.Version
@@ -540,7 +542,7 @@
 }
 
 func (n *Node) fetchFromSeed(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, _, cancel := transfer.WithIdleTimeout(ctx, callTimeout, callTimeout, nil, nil)
 	defer cancel()
 	msg, err := n.fetchTables(ctx, address)
 	if err != nil {
--- a/internal/overlay/serve.go
+++ b/internal/overlay/serve.go
@@ -16,6 +16,7 @@
 	"github.com/stoatramp/stoatramp/internal/follow"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 	"github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1/stoatrampv1connect"
+	"github.com/stoatramp/stoatramp/internal/transfer"
 )
 
 // follower is a box that follows this box.
@@ -37,7 +38,7 @@
 const (
 	// maxRequestBytes bounds a request from another box, in bytes.
 	maxRequestBytes = 256 << 10
-	// writeTimeout bounds the sending of an update to a follower that does not read.
+	// writeTimeout bounds the sending of a short update to a follower that does not read.
 	writeTimeout = time.Second
 	// seedCallsPerSecond bounds the calls of boxes that fetch tables without the shared key.
 	seedCallsPerSecond = 20
@@ -148,10 +149,10 @@
 	beat := time.NewTicker(heartbeatInterval)
 	defer beat.Stop()
 	for {
+		msg := n.nextUpdate(f)
 		if rc != nil {
-			_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+			_ = rc.SetWriteDeadline(time.Now().Add(transfer.WriteTimeout(writeTimeout, proto.Size(msg))))
 		}
-		msg := n.nextUpdate(f)
 		if err := stream.Send(msg); err != nil {
 			return err
 		}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,6 +20,7 @@
 	"github.com/stoatramp/stoatramp/internal/platform"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 	"github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1/stoatrampv1connect"
+	"github.com/stoatramp/stoatramp/internal/transfer"
 )
 
 const (
@@ -62,8 +63,12 @@
 	since time.Time
 }
 
-// New returns the Peers of the box with the name self. Its list of boxes is empty until Run has read the list.
+// New returns the Peers of the box with the name self. Its list of boxes is empty until Run has read the list. It calls
+// the other boxes by hc, whose transport it wraps.
 func New(self, key string, list Lister, hc *http.Client) *Peers {
+	counted := *hc
+	counted.Transport = transfer.RoundTripper{Base: cmp.Or(hc.Transport, http.DefaultTransport)}
+	hc = &counted
 	return &Peers{self: self, key: key, lister: list, hc: hc}
 }
 
@@ -181,7 +186,7 @@
 }
 
 func (p *Peers) passConfig(ctx context.Context, b platform.BoxInfo, known int64) (*v1.PassConfigResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, _, cancel := transfer.WithIdleTimeout(ctx, callTimeout, callTimeout, nil, nil)
 	defer cancel()
 	resp, err := p.client(b).PassConfig(ctx, connect.NewRequest(&v1.PassConfigRequest{Known: known}))
 	if err != nil {
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -92,8 +92,11 @@
 	p *Progress
 }
 
+// maxReadBytes bounds each read: net/http returns from a read of a chunked body only when the buffer is full.
+const maxReadBytes = 4 << 10
+
 func (r *countingReader) Read(b []byte) (int, error) {
-	n, err := r.ReadCloser.Read(b)
+	n, err := r.ReadCloser.Read(b[:min(len(b), maxReadBytes)])
 	r.p.Add(n)
 	return n, err
 }
--- a/internal/transfer/transfer_test.go
+++ b/internal/transfer/transfer_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 )
 
 func TestRoundTripperCountsBodies(t *testing.T) {
@@ -36,3 +38,46 @@
 		t.Errorf("expected no bytes of the next message, got %d", p.Bytes())
 	}
 }
+
+// A body of one long chunk is read with a buffer that the chunk does not fill soon.
+func TestBytesOfAChunkCountAsTheyArrive(t *testing.T) {
+	const half = 10 * maxReadBytes
+	rest := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, out, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", 2*half, make([]byte, half))
+		_ = out.Flush()
+		<-rest
+		_, _ = fmt.Fprintf(out, "%s\r\n0\r\n\r\n", make([]byte, half))
+		_ = out.Flush()
+	}))
+	defer srv.Close()
+	halfRead := make(chan struct{})
+	total := 0
+	p := NewProgress(func(n int) {
+		if total += n; total == half {
+			close(halfRead)
+		}
+	})
+	req, err := http.NewRequestWithContext(WithProgress(context.Background(), p), http.MethodGet, srv.URL, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		<-halfRead
+		close(rest)
+	}()
+	resp, err := (&http.Client{Transport: RoundTripper{Base: http.DefaultTransport}, Timeout: 30 * time.Second}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if n, err := io.ReadFull(resp.Body, make([]byte, 2*half)); err != nil {
+		t.Errorf("read %d bytes: %v", n, err)
+	}
+}
--- /dev/null
+++ b/internal/transfer/watch.go
@@ -0,0 +1,91 @@
+package transfer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// MinBytes is the number of bytes that must arrive in each idle timeout. A peer that sends fewer counts as silent.
+const MinBytes = 1 << 10
+
+// minBytesPerSecond is the slowest rate at which a peer must take what is written to it.
+const minBytesPerSecond = 4 << 10
+
+// WriteTimeout returns how long it may take to write a message of a number of bytes. Base is for a message without any.
+func WriteTimeout(base time.Duration, bytes int) time.Duration {
+	return base + time.Duration(bytes)*time.Second/minBytesPerSecond
+}
+
+// ErrStalled means that fewer than MinBytes arrived within an idle timeout.
+var ErrStalled = errors.New("the transfer makes no progress")
+
+// Watch ends a transfer that makes no progress. While MinBytes arrive in each idle timeout, it never ends.
+type Watch struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	idle  time.Duration
+	// bytes counts the bytes since the last renewal.
+	bytes int
+}
+
+// NewWatch returns a watch that calls stalled if nothing renews it for the first timeout, or for idle after that.
+func NewWatch(first, idle time.Duration, stalled func()) *Watch {
+	return &Watch{idle: idle, timer: time.AfterFunc(first, stalled)}
+}
+
+// Add counts bytes that have arrived. It returns true if they renew the watch.
+func (w *Watch) Add(n int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.bytes += n; w.bytes < MinBytes {
+		return false
+	}
+	w.renew()
+	return true
+}
+
+// Renew starts the idle timeout again, because a message is complete.
+func (w *Watch) Renew() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.renew()
+}
+
+func (w *Watch) renew() {
+	w.bytes = 0
+	if w.timer.Stop() { // A watch that has ended the transfer stays so.
+		w.timer.Reset(w.idle)
+	}
+}
+
+// Stop ends the watch.
+func (w *Watch) Stop() { w.timer.Stop() }
+
+// WithIdleTimeout returns a context that ends when its transfer has not begun within the first timeout, or makes no
+// progress for idle after that. The transfer's bytes must be counted by the context's Progress. Its cause then names
+// the progress. OnProgress is called with each renewal; it may be nil.
+func WithIdleTimeout(ctx context.Context, first, idle time.Duration, onBytes func(n int), onProgress func()) (context.Context, *Progress, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	var watch *Watch
+	progress := NewProgress(func(n int) {
+		if onBytes != nil {
+			onBytes(n)
+		}
+		if watch.Add(n) && onProgress != nil {
+			onProgress()
+		}
+	})
+	watch = NewWatch(first, idle, func() { cancel(stalledError{progress}) })
+	return WithProgress(ctx, progress), progress, func() {
+		watch.Stop()
+		cancel(context.Canceled)
+	}
+}
+
+// stalledError is an ErrStalled that names how far the transfer came.
+type stalledError struct{ progress *Progress }
+
+func (e stalledError) Error() string { return ErrStalled.Error() + ": " + e.progress.String() }
+func (e stalledError) Unwrap() error { return ErrStalled }
--- /dev/null
+++ b/internal/transfer/watch_test.go
@@ -0,0 +1,88 @@
+package transfer
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+)
+
+// The timeouts of the tests below. A renewal comes long before the watch ends, so that a busy machine fails no test.
+const (
+	testIdle  = 500 * time.Millisecond
+	testRenew = 20 * time.Millisecond
+)
+
+func expectEnd(t *testing.T, ctx context.Context, want bool) {
+	t.Helper()
+	select {
+	case <-ctx.Done():
+		if !want {
+			t.Fatalf("expected the transfer to go on, it ended: %v", context.Cause(ctx))
+		}
+		if !errors.Is(context.Cause(ctx), ErrStalled) {
+			t.Errorf("expected ErrStalled, got %v", context.Cause(ctx))
+		}
+	case <-time.After(30 * time.Second):
+		if want {
+			t.Fatal("expected the transfer to end")
+		}
+	}
+}
+
+func TestSlowTransferOutlastsItsTimeout(t *testing.T) {
+	renewals := 0
+	ctx, p, cancel := WithIdleTimeout(context.Background(), testIdle, testIdle, nil, func() { renewals++ })
+	defer cancel()
+	for end := time.Now().Add(3 * testIdle); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(testRenew) {
+		FromContext(ctx).Add(MinBytes)
+	}
+	if ctx.Err() != nil {
+		t.Fatalf("expected the transfer to go on, it ended: %v", context.Cause(ctx))
+	}
+	if renewals == 0 || p.Bytes() < 2*MinBytes {
+		t.Errorf("expected renewals, got %d with %d bytes", renewals, p.Bytes())
+	}
+	expectEnd(t, ctx, true)
+}
+
+func TestTrickleIsNoProgress(t *testing.T) {
+	ctx, p, cancel := WithIdleTimeout(context.Background(), testIdle, testIdle, nil, nil)
+	defer cancel()
+	go func() {
+		for range MinBytes / 2 {
+			p.Add(1)
+			time.Sleep(testRenew)
+		}
+	}()
+	expectEnd(t, ctx, true)
+}
+
+func TestSilentPeerEndsTheTransfer(t *testing.T) {
+	ctx, _, cancel := WithIdleTimeout(context.Background(), testRenew, testIdle, nil, nil)
+	defer cancel()
+	expectEnd(t, ctx, true)
+}
+
+func TestMessagesWithFewBytesAreProgress(t *testing.T) {
+	ended := make(chan struct{})
+	w := NewWatch(testIdle, testIdle, func() { close(ended) })
+	defer w.Stop()
+	for end := time.Now().Add(3 * testIdle); time.Now().Before(end); time.Sleep(testRenew) {
+		w.Renew()
+	}
+	select {
+	case <-ended:
+		t.Error("expected the watch to go on")
+	default:
+	}
+}
+
+func TestWriteTimeoutGrowsWithTheMessage(t *testing.T) {
+	if got := WriteTimeout(time.Second, 0); got != time.Second {
+		t.Errorf("expected 1 s for nothing, got %v", got)
+	}
+	if got := WriteTimeout(time.Second, 10*minBytesPerSecond); got != 11*time.Second {
+		t.Errorf("expected 11 s for ten seconds at the slowest rate, got %v", got)
+	}
+}
