Do not read the store beside a response that the upstream is receiving

Cause: the age of a table counts from the last complete answer of the store. While the box that reads for all receives a response of 2 MB at 10 Mbit/s, 1.6 s, the age passes the bound down the tree, and all boxes read the same 2 MB themselves. Now each part says that its table is being transferred; the reads stay delegated meanwhile, and the table is neither overdue nor confirmed.

--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -26,6 +26,8 @@
 	Age time.Duration
 	// Lost means that the table is unavailable to the sender; see Unavailable.
 	Lost bool
+	// Transferring means that the table is on its way to the sender. To read the store beside would not be faster.
+	Transferring bool
 }
 
 // changeLog records at which version each row of a table last changed. Removed rows are included.
@@ -204,7 +206,7 @@
 func (t *Table) PartSince(since Version) Part {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := Part{Version: t.ver, Age: t.Fresh.Age(), Lost: t.Unavailable()}
+	p := Part{Version: t.ver, Age: t.Fresh.Age(), Lost: t.Unavailable(), Transferring: t.transferring()}
 	if t.rows == nil {
 		return Part{Lost: true}
 	}
@@ -233,7 +235,8 @@
 }
 
 // Receive applies a part that another box sent. If the part is fresh, this box does not read the store for a duration,
-// or until EndDelegation is called. The duration is shortened so that the table does not get older than StaleAfter.
+// or until EndDelegation is called. The duration is shortened so that the table does not get older than StaleAfter,
+// unless the table is being transferred.
 // Receive returns false if the part could not be applied. Then versions are missing in between, or the sender is in an
 // older era, and this box continues to read the store. If the part is lost, Receive tells the link.
 func (t *Table) Receive(p Part, duration time.Duration) bool {
@@ -255,13 +258,23 @@
 	if p.Lost {
 		t.o.Link.markShared(clock.Now())
 	}
-	if p.Lost || p.Age > t.o.StaleAfter || !fits {
+	if p.Transferring {
+		t.markProgress()
+	}
+	switch {
+	case p.Lost || !fits:
 		return fits
+	case p.Age <= t.o.StaleAfter:
+		t.Fresh.markAnsweredAgo(p.Age)
+	case !p.Transferring:
+		return true
+	}
+	if !p.Transferring {
+		duration = min(duration, t.o.StaleAfter-p.Age)
 	}
-	t.Fresh.markAnsweredAgo(p.Age)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.delegation.until = clock.Now().Add(min(duration, t.o.StaleAfter-p.Age))
+	t.delegation.until = clock.Now().Add(duration)
 	return true
 }
 
--- a/internal/follow/late_test.go
+++ b/internal/follow/late_test.go
@@ -59,3 +59,40 @@
 func TestFirstReadAtOnce(t *testing.T)    { expectFirstRead(t, true, false, 1, 1) }
 func TestFirstReadDelayed(t *testing.T)   { expectFirstRead(t, false, false, 0, 1) }
 func TestFirstReadNotNeeded(t *testing.T) { expectFirstRead(t, false, true, 0, 0) }
+
+// The box that reads the store for others is receiving a long response, which takes longer than StaleAfter.
+func TestStoreIsNotReadBesideALongTransferOfTheUpstream(t *testing.T) {
+	table := New(nil, Options{StaleAfter: time.Second, CallTimeout: time.Minute}, func(map[string][]byte) {})
+	part := Part{Version: Version{Number: 1}, Rows: []Row{{Key: "k"}}}
+	if table.Receive(part, time.Hour); !table.delegated() {
+		t.Fatal("expected the reads to be delegated to a box with a fresh table")
+	}
+	table.EndDelegation()
+	part.Age, part.Transferring = time.Minute, true
+	if table.Receive(part, time.Hour); !table.delegated() || table.Overdue() {
+		t.Error("expected the reads to stay delegated while the upstream receives the table")
+	}
+	if !table.PartSince(part.Version).Transferring {
+		t.Error("expected the followers of this box to be told so")
+	}
+	table.EndDelegation()
+	part.Transferring = false
+	if table.Receive(part, time.Hour); table.delegated() {
+		t.Error("expected the reads not to be delegated to a box with an old table")
+	}
+}
+
+// A delegation that has ended stays so: the box reads the store.
+func TestBytesDoNotBeginADelegation(t *testing.T) {
+	table := New(nil, Options{StaleAfter: time.Second, CallTimeout: time.Minute}, func(map[string][]byte) {})
+	if table.ExtendDelegation(time.Hour, true); table.delegated() {
+		t.Error("expected no delegation")
+	}
+	table.Receive(Part{Version: Version{Number: 1}, Rows: []Row{{Key: "k"}}}, time.Millisecond)
+	for table.delegated() {
+		time.Sleep(time.Millisecond)
+	}
+	if table.ExtendDelegation(time.Hour, true); table.delegated() {
+		t.Error("expected the delegation to stay ended")
+	}
+}
--- a/internal/overlay/link.go
+++ b/internal/overlay/link.go
@@ -193,7 +193,7 @@
 		// This box may have read a newer version from the store, and then no longer has the bases of the deltas.
 		switch have := t.Version(); {
 		case !have.Before(tableVersion(p)):
-			part, err = decodePart(&v1.Table{Version: p.Version, Era: p.Era, Since: p.Version, SinceEra: p.Era, AgeMs: p.AgeMs}, t.Value)
+			part, err = decodePart(&v1.Table{Version: p.Version, Era: p.Era, Since: p.Version, SinceEra: p.Era, AgeMs: p.AgeMs, Transferring: p.Transferring}, t.Value)
 		case have != sinceVersion(p):
 			err = errOtherVersion
 		default:
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -589,7 +589,7 @@
 // decodePart decodes a part of a table: its changes since a version, or all its rows. Value returns the present value of
 // a row of that table.
 func decodePart(p *v1.Table, value func(key string) []byte) (follow.Part, error) {
-	out := follow.Part{Version: tableVersion(p), Since: sinceVersion(p), OmitsReverted: p.Skips, Age: time.Duration(p.AgeMs) * time.Millisecond, Lost: p.AgeMs < 0}
+	out := follow.Part{Version: tableVersion(p), Since: sinceVersion(p), OmitsReverted: p.Skips, Age: time.Duration(p.AgeMs) * time.Millisecond, Lost: p.AgeMs < 0, Transferring: p.Transferring}
 	rows := p.Rows
 	if len(p.Packed) > 0 {
 		var err error
@@ -616,7 +616,7 @@
 // encodePart encodes a part of a table, as briefly as the receiver can read.
 func (n *Node) encodePart(name string, p follow.Part, can encodings) *v1.Table {
 	out := &v1.Table{
-		Name: name, Version: p.Version.Number, Era: p.Version.Era, Since: p.Since.Number, SinceEra: p.Since.Era, Skips: p.OmitsReverted, AgeMs: p.Age.Milliseconds(),
+		Name: name, Version: p.Version.Number, Era: p.Version.Era, Since: p.Since.Number, SinceEra: p.Since.Era, Skips: p.OmitsReverted, AgeMs: p.Age.Milliseconds(), Transferring: p.Transferring,
 	}
 	if p.Lost {
 		out.AgeMs = -1
