Let followers fetch long parts of tables beside the updates, in stripes from one another

Cause: a part that is longer than an update sent with it delayed heartbeats and the list of endpoints, and a box with seven followers sent seven copies over its link, one level of the tree after the other.

Now a part of 16 KB and more is a blob: the update carries an offer, and followers fetch pieces of 8 KB over connections of their own. Each follower fetches one stripe from the upstream and the others from its siblings, and passes pieces on as they come, also to its own followers. A stripe that a sibling does not deliver comes from the upstream. The follower acknowledges the blob; until then it is sent no rows of the table, so that changes meanwhile are sent together. Boxes of the release before are sent whole parts in updates.

--- a/internal/overlay/delta_test.go
+++ b/internal/overlay/delta_test.go
@@ -76,7 +76,7 @@
 	first, second, third := longText(1000, -1, ""), longText(1000, 500, "another"), longText(1000, 501, "another")
 	up, upTable := newTableNode(1, first)
 	down, downTable := newTableNode(1, "X"+first)
-	f := &follower{queue: newMessageQueue(), can: encodings{packed: true, deltas: true}, versions: map[string]follow.Version{}}
+	f := &follower{queue: newMessageQueue(), fetching: map[string]follow.Version{}, can: encodings{packed: true, deltas: true}, versions: map[string]follow.Version{}}
 	send := func() error {
 		for _, p := range down.known() {
 			f.versions[p.Name] = tableVersion(p)
@@ -104,7 +104,7 @@
 	first, second := longText(1000, -1, ""), longText(1000, 500, "another")
 	up, upTable := newTableNode(1, first)
 	down, downTable := newTableNode(1, first)
-	f := &follower{queue: newMessageQueue(), can: encodings{packed: true, deltas: true}, versions: map[string]follow.Version{"config": {Number: 1}}}
+	f := &follower{queue: newMessageQueue(), fetching: map[string]follow.Version{}, can: encodings{packed: true, deltas: true}, versions: map[string]follow.Version{"config": {Number: 1}}}
 	change(upTable, 2, second)
 	p := up.nextUpdate(f).Tables[0]
 	change(downTable, 2, second)
@@ -117,7 +117,7 @@
 func TestDeltaFromAnOlderVersionThanKnownIsAskedForAnew(t *testing.T) {
 	down, downTable := newTableNode(1, longText(1000, -1, ""))
 	up, upTable := newTableNode(1, longText(1000, -1, ""))
-	f := &follower{queue: newMessageQueue(), can: encodings{packed: true, deltas: true}, versions: map[string]follow.Version{"config": {Number: 1}}}
+	f := &follower{queue: newMessageQueue(), fetching: map[string]follow.Version{}, can: encodings{packed: true, deltas: true}, versions: map[string]follow.Version{"config": {Number: 1}}}
 	change(upTable, 2, longText(1000, 500, "another"))
 	change(downTable, 2, longText(1000, 500, "another"))
 	last := longText(1000, 501, "another")
--- a/internal/overlay/link.go
+++ b/internal/overlay/link.go
@@ -29,6 +29,9 @@
 	client stoatrampv1connect.OverlayClient
 	key    string
 	queue  messageQueue
+	// fetches are the blobs that the upstream has offered. fail ends this link.
+	fetches fetches
+	fail    context.CancelCauseFunc
 	// established is set once the upstream has sent an update.
 	established bool
 	// storeLostSince is when the upstream began to report that it gets no answer from the store. It is zero if the
@@ -63,6 +66,7 @@
 func (l *link) follow(ctx context.Context, better func() bool) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	l.fail = cancel
 	var watch *transfer.Watch
 	progress := transfer.NewProgress(func(n int) {
 		l.n.count.updateBytes.Add(n)
@@ -74,7 +78,7 @@
 	defer watch.Stop()
 	ctx = transfer.WithProgress(ctx, progress)
 	req := connect.NewRequest(&v1.FollowRequest{
-		Box: l.n.o.Self.Name, Incarnation: l.n.o.Self.Incarnation, Protocol: protocolVersion, Packed: true, Deltas: true,
+		Box: l.n.o.Self.Name, Incarnation: l.n.o.Self.Incarnation, Protocol: protocolVersion, Packed: true, Deltas: true, Blobs: true,
 		Known: l.n.known(),
 	})
 	authorize(req.Header(), l.key)
@@ -93,7 +97,7 @@
 			l.onEstablished(ctx)
 		}
 		l.established = true
-		if err := l.apply(stream.Msg()); err != nil {
+		if err := l.apply(ctx, stream.Msg()); err != nil {
 			return err
 		}
 		if better() {
@@ -163,7 +167,7 @@
 
 // apply applies an update of the upstream: gossip messages, counts of omitted streams, and tables. An error means that
 // this upstream should not be followed now.
-func (l *link) apply(msg *v1.Update) error {
+func (l *link) apply(ctx context.Context, msg *v1.Update) error {
 	for _, f := range msg.Facts {
 		l.n.receive(f, l, nil)
 	}
@@ -177,7 +181,7 @@
 	lost := false
 	for _, p := range msg.Tables {
 		if t := l.n.o.Tables[p.Name]; t != nil {
-			if err := l.n.receiveTable(t, p); err != nil {
+			if err := l.receiveTable(ctx, t, p); err != nil {
 				return err
 			}
 			lost = lost || p.AgeMs < 0
@@ -186,7 +190,21 @@
 	return l.checkStoreLost(lost, clock.Now())
 }
 
-// receiveTable applies a part of a table that the upstream sent.
+// receiveTable applies a part of a table that the upstream sent, or begins to fetch it if it is a blob. While the table is
+// fetched, updates only say that the upstream is alive.
+func (l *link) receiveTable(ctx context.Context, t Table, p *v1.Table) error {
+	switch {
+	case p.Offer != nil && l.fetches.begin(p.Name):
+		go l.fetchTable(ctx, l.fail, t, p)
+	case l.fetches.isRunning(p.Name):
+	default:
+		return l.n.receiveTable(t, p)
+	}
+	t.ExtendDelegation(silenceTimeout, true)
+	return nil
+}
+
+// receiveTable applies a part of a table that another box sent.
 func (n *Node) receiveTable(t Table, p *v1.Table) error {
 	part, err := decodePart(p, t.Value)
 	if errors.Is(err, errUnknownBase) {
@@ -274,12 +292,16 @@
 		return
 	}
 	interest := l.n.interests.takeChange(l.n.Followers() > 0)
-	if len(messages) == 0 && interest == nil {
+	fetched := l.fetches.takeAcknowledged()
+	if len(messages) == 0 && interest == nil && len(fetched) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req := connect.NewRequest(&v1.TellRequest{Box: l.n.o.Self.Name, Incarnation: l.n.o.Self.Incarnation, Facts: messages, Interest: interest})
+	for table, ver := range fetched {
+		req.Msg.Fetched = append(req.Msg.Fetched, &v1.Table{Name: table, Version: ver.Number, Era: ver.Era})
+	}
 	authorize(req.Header(), l.key)
 	if _, err := l.client.Tell(ctx, req); err != nil {
 		l.n.count.dropped.Add(len(messages))
@@ -287,5 +309,9 @@
 			l.n.interests.markUnconfirmed()
 			l.queue.signal()
 		}
+		if len(fetched) > 0 {
+			l.fetches.restoreAcknowledged(fetched)
+			l.queue.signal()
+		}
 	}
 }
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -165,6 +165,8 @@
 	// interests holds the engines that this box has a use for messages about, and those that its upstream knows.
 	interests interestState
 	packer    packer
+	blobs     blobStore
+	blobCount blobCounters
 	startedAt time.Time
 	// keyMissingSince is when this box first found that the members table has no shared key. Only register
 	// uses it.
@@ -223,6 +225,7 @@
 	n.httpClient = &http.Client{Transport: transfer.RoundTripper{Base: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true}}}
 	n.slots = newSlotState(dialer.DialContext)
 	n.origins.count = newOriginCounters(o.Metrics)
+	n.blobCount = newBlobCounters(o.Metrics)
 	n.count = counters{
 		published:       o.Metrics.NewCounter("stoatramp_overlay_facts_told_total"),
 		received:        o.Metrics.NewCounter("stoatramp_overlay_facts_heard_total"),
@@ -610,7 +613,8 @@
 // encodings are the encodings of parts that a box can read.
 type encodings struct {
 	// packed stands for compressed rows, and deltas for rows that are the difference to an earlier value.
-	packed, deltas bool
+	// Blobs stands for parts that are fetched beside the updates.
+	packed, deltas, blobs bool
 }
 
 // encodePart encodes a part of a table, as briefly as the receiver can read.
--- a/internal/overlay/overlay_test.go
+++ b/internal/overlay/overlay_test.go
@@ -419,7 +419,7 @@
 	now := follow.Version{Era: 2, Number: 5}
 	table.Receive(follow.Part{Version: now, Rows: []follow.Row{{Key: "k", Value: []byte("v")}}}, 0)
 	n := New(Options{Tables: map[string]Table{"config": table}, Metrics: metrics.NewSet()})
-	f := &follower{queue: newMessageQueue(), versions: map[string]follow.Version{"config": tableVersion(&v1.Table{Version: 7})}}
+	f := &follower{queue: newMessageQueue(), fetching: map[string]follow.Version{}, versions: map[string]follow.Version{"config": tableVersion(&v1.Table{Version: 7})}}
 	first, second := n.nextUpdate(f).Tables[0], n.nextUpdate(f).Tables[0]
 	if first.Version != now.Number || first.Since != 0 || len(first.Rows) != 1 {
 		t.Errorf("expected the whole table by its plain version, got %v", first)
--- a/internal/overlay/serve.go
+++ b/internal/overlay/serve.go
@@ -23,8 +23,10 @@
 type follower struct {
 	name  string
 	queue messageQueue
-	// versions are the versions of the tables that the follower has.
+	// versions are the versions of the tables that the follower has, and fetching those of the blobs that it was offered
+	// and has not acknowledged. The node's lock guards both.
 	versions map[string]follow.Version
+	fetching map[string]follow.Version
 	can      encodings
 	// interest selects the engines whose messages the follower is sent. omittedPlaced counts, for each service,
 	// the placed streams whose messages were left out since the last update. The node's lock guards both.
@@ -88,7 +90,8 @@
 		s.n.count.refused.Inc()
 		return connect.NewError(connect.CodeFailedPrecondition, errors.New("the box speaks another version of the overlay's messages"))
 	}
-	f := &follower{name: r.Msg.Box, queue: newMessageQueue(), versions: map[string]follow.Version{}, can: encodings{packed: r.Msg.Packed, deltas: r.Msg.Deltas}}
+	f := &follower{name: r.Msg.Box, queue: newMessageQueue(), versions: map[string]follow.Version{}, fetching: map[string]follow.Version{},
+		can: encodings{packed: r.Msg.Packed, deltas: r.Msg.Deltas, blobs: r.Msg.Blobs}}
 	for _, t := range r.Msg.Known {
 		if s.n.o.Tables[t.Name] != nil {
 			f.versions[t.Name] = tableVersion(t)
@@ -191,20 +194,40 @@
 		msg.Placed = append(msg.Placed, &v1.StreamsPlaced{Service: service, N: streams})
 	}
 	for name, t := range n.o.Tables {
-		p := t.PartSince(f.versions[name])
-		if f.versions[name].Before(p.Version) {
-			f.versions[name] = p.Version
-		}
-		msg.Tables = append(msg.Tables, n.encodePart(name, p, f.can))
+		msg.Tables = append(msg.Tables, n.nextPart(f, name, t))
 	}
 	return msg
 }
 
+// nextPart returns what a follower is sent of a table in the next update.
+func (n *Node) nextPart(f *follower, name string, t Table) *v1.Table {
+	n.mu.Lock()
+	since := f.versions[name]
+	_, fetching := f.fetching[name]
+	n.mu.Unlock()
+	p := t.PartSince(since)
+	if fetching {
+		p.Version, p.Since, p.Rows = since, since, nil
+		return n.encodePart(name, p, f.can)
+	}
+	out := n.encodePart(name, p, f.can)
+	if f.can.blobs && n.offerBlob(f, out, since) {
+		return out
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if since.Before(p.Version) {
+		f.versions[name] = p.Version
+	}
+	return out
+}
+
 // Tell receives the gossip messages and the interest of a follower.
 func (s *server) Tell(_ context.Context, r *connect.Request[v1.TellRequest]) (*connect.Response[v1.TellResponse], error) {
 	if err := s.n.authenticate(r.Header()); err != nil {
 		return nil, err
 	}
+	s.n.acknowledge(r.Msg.Box, r.Msg.Fetched)
 	from := s.n.followerNamed(r.Msg.Box)
 	if from != nil && r.Msg.Interest != nil {
 		s.n.setInterest(from, decodeInterest(r.Msg.Interest))
--- a/internal/rpc/stoatrampv1/stoatrampv1connect/overlay.connect.go
+++ b/internal/rpc/stoatrampv1/stoatrampv1connect/overlay.connect.go
@@ -39,6 +39,8 @@
 	OverlayTellProcedure = "/stoatramp.v1.Overlay/Tell"
 	// OverlayTablesProcedure is the fully-qualified name of the Overlay's Tables RPC.
 	OverlayTablesProcedure = "/stoatramp.v1.Overlay/Tables"
+	// OverlayFetchBlobProcedure is the fully-qualified name of the Overlay's FetchBlob RPC.
+	OverlayFetchBlobProcedure = "/stoatramp.v1.Overlay/FetchBlob"
 	// OverlayRoomProcedure is the fully-qualified name of the Overlay's Room RPC.
 	OverlayRoomProcedure = "/stoatramp.v1.Overlay/Room"
 	// OverlayLendProcedure is the fully-qualified name of the Overlay's Lend RPC.
@@ -66,6 +68,8 @@
 	// Tables returns the open tables once, to a box that starts while the store is unavailable. It
 	// requires no key.
 	Tables(context.Context, *connect.Request[stoatrampv1.TablesRequest]) (*connect.Response[stoatrampv1.Update], error)
+	// FetchBlob returns pieces of a blob that was offered, as the box has them.
+	FetchBlob(context.Context, *connect.Request[stoatrampv1.FetchBlobRequest]) (*connect.ServerStreamForClient[stoatrampv1.Piece], error)
 	// Room asks the owner of an engine whether the engine has room for a stream, and reserves it if so.
 	Room(context.Context, *connect.Request[stoatrampv1.RoomRequest]) (*connect.Response[stoatrampv1.RoomResponse], error)
 	// Lend lends the calling box's shares of client accounts' limits to the owner of these accounts for
@@ -116,6 +120,12 @@
 			connect.WithSchema(overlayMethods.ByName("Tables")),
 			connect.WithClientOptions(opts...),
 		),
+		fetchBlob: connect.NewClient[stoatrampv1.FetchBlobRequest, stoatrampv1.Piece](
+			httpClient,
+			baseURL+OverlayFetchBlobProcedure,
+			connect.WithSchema(overlayMethods.ByName("FetchBlob")),
+			connect.WithClientOptions(opts...),
+		),
 		room: connect.NewClient[stoatrampv1.RoomRequest, stoatrampv1.RoomResponse](
 			httpClient,
 			baseURL+OverlayRoomProcedure,
@@ -172,6 +182,7 @@
 	follow        *connect.Client[stoatrampv1.FollowRequest, stoatrampv1.Update]
 	tell          *connect.Client[stoatrampv1.TellRequest, stoatrampv1.TellResponse]
 	tables        *connect.Client[stoatrampv1.TablesRequest, stoatrampv1.Update]
+	fetchBlob     *connect.Client[stoatrampv1.FetchBlobRequest, stoatrampv1.Piece]
 	room          *connect.Client[stoatrampv1.RoomRequest, stoatrampv1.RoomResponse]
 	lend          *connect.Client[stoatrampv1.LendRequest, stoatrampv1.LendResponse]
 	allow         *connect.Client[stoatrampv1.AllowRequest, stoatrampv1.AllowResponse]
@@ -197,6 +208,11 @@
 	return c.tables.CallUnary(ctx, req)
 }
 
+// FetchBlob calls stoatramp.v1.Overlay.FetchBlob.
+func (c *overlayClient) FetchBlob(ctx context.Context, req *connect.Request[stoatrampv1.FetchBlobRequest]) (*connect.ServerStreamForClient[stoatrampv1.Piece], error) {
+	return c.fetchBlob.CallServerStream(ctx, req)
+}
+
 // Room calls stoatramp.v1.Overlay.Room.
 func (c *overlayClient) Room(ctx context.Context, req *connect.Request[stoatrampv1.RoomRequest]) (*connect.Response[stoatrampv1.RoomResponse], error) {
 	return c.room.CallUnary(ctx, req)
@@ -246,6 +262,8 @@
 	// Tables returns the open tables once, to a box that starts while the store is unavailable. It
 	// requires no key.
 	Tables(context.Context, *connect.Request[stoatrampv1.TablesRequest]) (*connect.Response[stoatrampv1.Update], error)
+	// FetchBlob returns pieces of a blob that was offered, as the box has them.
+	FetchBlob(context.Context, *connect.Request[stoatrampv1.FetchBlobRequest], *connect.ServerStream[stoatrampv1.Piece]) error
 	// Room asks the owner of an engine whether the engine has room for a stream, and reserves it if so.
 	Room(context.Context, *connect.Request[stoatrampv1.RoomRequest]) (*connect.Response[stoatrampv1.RoomResponse], error)
 	// Lend lends the calling box's shares of client accounts' limits to the owner of these accounts for
@@ -292,6 +310,12 @@
 		connect.WithSchema(overlayMethods.ByName("Tables")),
 		connect.WithHandlerOptions(opts...),
 	)
+	overlayFetchBlobHandler := connect.NewServerStreamHandler(
+		OverlayFetchBlobProcedure,
+		svc.FetchBlob,
+		connect.WithSchema(overlayMethods.ByName("FetchBlob")),
+		connect.WithHandlerOptions(opts...),
+	)
 	overlayRoomHandler := connect.NewUnaryHandler(
 		OverlayRoomProcedure,
 		svc.Room,
@@ -348,6 +372,8 @@
 			overlayTellHandler.ServeHTTP(w, r)
 		case OverlayTablesProcedure:
 			overlayTablesHandler.ServeHTTP(w, r)
+		case OverlayFetchBlobProcedure:
+			overlayFetchBlobHandler.ServeHTTP(w, r)
 		case OverlayRoomProcedure:
 			overlayRoomHandler.ServeHTTP(w, r)
 		case OverlayLendProcedure:
@@ -385,6 +411,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Overlay.Tables is not implemented"))
 }
 
+func (UnimplementedOverlayHandler) FetchBlob(context.Context, *connect.Request[stoatrampv1.FetchBlobRequest], *connect.ServerStream[stoatrampv1.Piece]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Overlay.FetchBlob is not implemented"))
+}
+
 func (UnimplementedOverlayHandler) Room(context.Context, *connect.Request[stoatrampv1.RoomRequest]) (*connect.Response[stoatrampv1.RoomResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("stoatramp.v1.Overlay.Room is not implemented"))
 }
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -19,6 +19,7 @@
 	bytes      int64
 	from, last time.Time
 	onBytes    func(n int)
+	onDone     func()
 }
 
 // NewProgress returns a counter that calls onBytes for the bytes of each read. OnBytes may be nil; it must not block.
@@ -43,8 +44,11 @@
 // Done starts a new count, because a message is complete.
 func (p *Progress) Done() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.bytes, p.from, p.last = 0, time.Now(), time.Time{}
+	p.mu.Unlock()
+	if p.onDone != nil {
+		p.onDone()
+	}
 }
 
 // Bytes returns the number of bytes since the last call of Done.
--- a/internal/transfer/watch.go
+++ b/internal/transfer/watch.go
@@ -64,8 +64,8 @@
 func (w *Watch) Stop() { w.timer.Stop() }
 
 // WithIdleTimeout returns a context that ends when its transfer has not begun within the first timeout, or makes no
-// progress for idle after that. The transfer's bytes must be counted by the context's Progress. Its cause then names
-// the progress. OnProgress is called with each renewal; it may be nil.
+// progress for idle after that. The transfer's bytes must be counted by the context's Progress; a complete message (Done)
+// is progress too. The context's cause names how far the transfer came. OnProgress is called with each renewal; it may be nil.
 func WithIdleTimeout(ctx context.Context, first, idle time.Duration, onBytes func(n int), onProgress func()) (context.Context, *Progress, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var watch *Watch
@@ -78,6 +78,7 @@
 		}
 	})
 	watch = NewWatch(first, idle, func() { cancel(stalledError{progress}) })
+	progress.onDone = watch.Renew
 	return WithProgress(ctx, progress), progress, func() {
 		watch.Stop()
 		cancel(context.Canceled)
