Cancel a box's own wait for a change once another sends the table, and send a change before it is applied

Two gaps in which boxes read a long configuration from the store beside their upstream. A box that began to follow kept its own call for the next change for up to 3.2 s more and was sent that change twice; the call is cancelled now, unless its response has begun. And a table's lock was held while its box parsed the change, so that followers got neither the change nor heartbeats: half a second and more for 1.5 MB on a slow processor. Changes are serialized by a lock of their own now, and followers are sent them before this box has applied them.

--- a/cmd/stoatrampd/links_test.go
+++ b/cmd/stoatrampd/links_test.go
@@ -342,5 +342,8 @@
 	// One box reads for all; each other box may read once, as it starts.
 	if _, _, read := s.carried(); read > int64(2*len(s.boxes)*size) {
 		t.Errorf("the boxes read %d KB from the store for %d versions of %d KB", read>>10, versions-1, size>>10)
+		for i, b := range s.boxes {
+			t.Logf("box %d read %d KB from the store, and sent %d KB", i, b.read.Carried()>>10, b.sent.Carried()>>10)
+		}
 	}
 }
--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -275,6 +275,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.delegation.until = clock.Now().Add(duration)
+	t.cancelWaiting() // Otherwise each box that has just begun to follow is sent the next change twice.
 	return true
 }
 
@@ -293,9 +294,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.cancelCall != nil {
-		t.callCancelled.Store(true)
-		t.cancelCall()
+	if t.waiting != nil && t.waiting.wait > t.o.FollowedWait {
+		t.cancelWaiting()
 	}
 }
 
@@ -310,8 +310,8 @@
 // Reapply calls first, and then OnChange with the unchanged table. It is for an OnChange whose result also depends on
 // something other than the rows, such as the time.
 func (t *Table) Reapply(first func()) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.applyMu.Lock()
+	defer t.applyMu.Unlock()
 	first()
 	if t.rows != nil {
 		t.OnChange(t.rows)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -135,7 +135,10 @@
 	src Source
 	o   Options
 
-	// mu guards the fields from rows to delegation, and is held while OnChange is called.
+	// applyMu serializes the changes of the rows, and is held while OnChange is called. It is locked before mu.
+	applyMu sync.Mutex
+	// mu guards the fields from rows to delegation. Rows are changed only with applyMu held too. It is not held while
+	// OnChange is called, so that followers are sent a long change, and heartbeats, while this box still applies it.
 	mu sync.Mutex
 	// rows is the table as of version ver; nil before the whole table was read.
 	rows map[string][]byte
@@ -146,7 +149,7 @@
 	delegation delegation
 
 	// OnChange is called with the whole table after each change. It must neither keep the map nor change it.
-	// Calls do not overlap.
+	// Calls do not overlap. The followers may be sent the change earlier.
 	OnChange func(rows map[string][]byte)
 	// Fresh records when the store last answered. New sets it, and it may be replaced before Run.
 	Fresh *Freshness
@@ -176,11 +179,25 @@
 	// begun to do so.
 	followed    atomic.Bool
 	paceChanged chan struct{}
-	// callCancelled means that the call in progress was cancelled, to be repeated with a shorter wait.
-	// cancelCall cancels the call in progress; nil if there is none or its wait is not longer than FollowedWait.
-	// mu guards cancelCall.
+	// callCancelled means that the call in progress was cancelled, because it waits too long or is not needed.
+	// waiting is the call in progress; nil if there is none or the store answers it immediately. mu guards waiting.
 	callCancelled atomic.Bool
-	cancelCall    context.CancelFunc
+	waiting       *waitingCall
+}
+
+// waitingCall is a call that the store may answer late.
+type waitingCall struct {
+	cancel   context.CancelFunc
+	wait     time.Duration
+	progress *transfer.Progress
+}
+
+// cancelWaiting cancels the call in progress, unless its response has begun. t.mu must be held.
+func (t *Table) cancelWaiting() {
+	if t.waiting != nil && t.waiting.progress.Bytes() == 0 {
+		t.callCancelled.Store(true)
+		t.waiting.cancel()
+	}
 }
 
 // New returns a table that follows src and calls apply as OnChange.
@@ -333,8 +350,9 @@
 			err = fmt.Errorf("%w: %v", err, progress)
 		}
 	}()
-	if wait > t.o.FollowedWait {
-		defer t.allowCancel(cancel)()
+	if wait > 0 {
+		t.setWaiting(&waitingCall{cancel, wait, progress})
+		defer t.setWaiting(nil)
 	}
 	since, known := t.knownVersion()
 	if !known {
@@ -344,20 +362,17 @@
 	if err != nil {
 		return false, err
 	}
+	if len(rows) > 0 {
+		t.markProgress() // Decoding a long response may have taken a while.
+	}
 	t.markRecovered()
 	return t.merge(rows, since, ver, false), nil
 }
 
-// allowCancel lets SetFollowed cancel a call until done is called.
-func (t *Table) allowCancel(cancel context.CancelFunc) (done func()) {
-	t.setCancelCall(cancel)
-	return func() { t.setCancelCall(nil) }
-}
-
-func (t *Table) setCancelCall(cancel context.CancelFunc) {
+func (t *Table) setWaiting(c *waitingCall) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.cancelCall = cancel
+	t.waiting = c
 }
 
 // knownVersion returns the version to read changes from; ok is false if the whole table must be read.
@@ -378,10 +393,21 @@
 // answer whose version since is after the known version, because that would leave a gap. Incomplete means that the rows
 // do not name all changes between since and ver. Such rows apply only if the known version is exactly since.
 func (t *Table) merge(rows []Row, since, ver Version, incomplete bool) bool {
+	t.applyMu.Lock()
+	defer t.applyMu.Unlock()
+	merged, changed := t.mergeRows(rows, since, ver, incomplete)
+	if changed {
+		t.OnChange(t.rows)
+	}
+	return merged && len(rows) > 0
+}
+
+// mergeRows changes the rows. Changed means that OnChange must be called. t.applyMu must be held.
+func (t *Table) mergeRows(rows []Row, since, ver Version, incomplete bool) (merged, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.rows == nil || ver.Before(t.ver) || t.ver.Before(since) || incomplete && since != t.ver {
-		return false
+		return false, false
 	}
 	if incomplete {
 		t.changes.addGap(gap{t.ver, ver})
@@ -396,11 +422,8 @@
 		}
 		t.rows[r.Key] = r.Value
 	}
-	if len(rows) > 0 || restored {
-		t.OnChange(t.rows)
-	}
 	t.changes.notifyAll()
-	return len(rows) > 0
+	return true, len(rows) > 0 || restored
 }
 
 // setVersion sets the version of the state that is about to be applied. It reports whether the store was restored from
@@ -434,19 +457,29 @@
 
 // replace replaces the whole table by its rows as of a version. It returns false if a newer version is known.
 func (t *Table) replace(rows []Row, ver Version) bool {
+	all := make(map[string][]byte, len(rows))
+	for _, r := range rows {
+		all[r.Key] = r.Value
+	}
+	t.applyMu.Lock()
+	defer t.applyMu.Unlock()
+	if !t.replaceRows(all, ver) {
+		return false
+	}
+	t.OnChange(all)
+	return true
+}
+
+// replaceRows replaces the rows. t.applyMu must be held.
+func (t *Table) replaceRows(all map[string][]byte, ver Version) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if ver.Before(t.ver) {
 		return false
 	}
-	all := make(map[string][]byte, len(rows))
-	for _, r := range rows {
-		all[r.Key] = r.Value
-	}
 	t.recordReplaced(all, ver)
 	t.setVersion(ver)
 	t.rows, t.reread = all, false
-	t.OnChange(all)
 	t.changes.notifyAll()
 	return true
 }
--- a/internal/follow/late_test.go
+++ b/internal/follow/late_test.go
@@ -96,3 +96,43 @@
 		t.Error("expected the delegation to stay ended")
 	}
 }
+
+// waitingSource answers no call for changes until its context ends.
+type waitingSource struct{ waiting chan struct{} }
+
+func (s waitingSource) All(context.Context) ([]Row, Version, error) {
+	return []Row{{Key: "k"}}, Version{Number: 1}, nil
+}
+
+func (s waitingSource) Changed(ctx context.Context, _ Version, wait time.Duration) ([]Row, Version, error) {
+	if wait == 0 {
+		return nil, Version{Number: 1}, nil
+	}
+	s.waiting <- struct{}{}
+	<-ctx.Done()
+	return nil, Version{}, ctx.Err()
+}
+
+// A box begins to follow another while its own call waits for the next change.
+func TestCallThatWaitsIsCancelledWhenAnotherBoxSendsTheTable(t *testing.T) {
+	src := waitingSource{make(chan struct{})}
+	table := New(src, Options{Wait: time.Hour, CallTimeout: time.Minute, FollowedWait: time.Hour, StaleAfter: time.Hour}, func(map[string][]byte) {})
+	table.OnLost = func(err error) { t.Errorf("expected the store not to be lost, got %v", err) }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go table.Run(ctx)
+	<-src.waiting
+	table.Receive(Part{Version: Version{Number: 1}, Since: Version{Number: 1}}, time.Hour)
+	cancelled := func() bool {
+		table.mu.Lock()
+		defer table.mu.Unlock()
+		return table.waiting == nil
+	}
+	for end := time.Now().Add(30 * time.Second); !cancelled(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("expected the call to be cancelled")
+		}
+	}
+	table.EndDelegation()
+	<-src.waiting // The store is asked again.
+}
