--- a/internal/overlay/delta_test.go
+++ b/internal/overlay/delta_test.go
@@ -32,6 +32,11 @@
 	s.set("config", follow.Row{Key: "k", Value: []byte(text)})
 }
 
+// receivedBytes is what a box was sent by others of tables.
+func (b *box) receivedBytes() uint64 {
+	return b.count.updateBytes.Get() + b.blobCount.bytesFetched.Get()
+}
+
 // A change of one line of a long configuration, at each step down the tree.
 func TestChangeOfALongRowIsSentAsItsDifference(t *testing.T) {
 	const lines = 4000
@@ -41,7 +46,7 @@
 	eventually(t, "all have the configuration", allHave(all, longText(lines, -1, "")))
 	before := make([]uint64, len(all))
 	for i, b := range all {
-		before[i] = b.count.updateBytes.Get()
+		before[i] = b.receivedBytes()
 	}
 	const changes = 5
 	for n := range changes {
@@ -50,7 +55,7 @@
 		eventually(t, "all have the change", allHave(all, text))
 	}
 	for i, b := range all {
-		if got, size := b.count.updateBytes.Get()-before[i], len(longText(lines, -1, "")); got > uint64(size) {
+		if got, size := b.receivedBytes()-before[i], len(longText(lines, -1, "")); got > uint64(size) {
 			t.Errorf("box %d was sent %d bytes for %d changes of one line of %d bytes", i, got, changes, size)
 		}
 		if got := b.count.unknownBases.Get(); got != 0 {
--- a/internal/transfer/watch_test.go
+++ b/internal/transfer/watch_test.go
@@ -47,10 +47,12 @@
 }
 
 func TestTrickleIsNoProgress(t *testing.T) {
-	ctx, p, cancel := WithIdleTimeout(context.Background(), testIdle, testIdle, nil, nil)
+	ctx, cancelAll := context.WithTimeout(context.Background(), time.Minute)
+	defer cancelAll()
+	ctx, p, cancel := WithIdleTimeout(ctx, testIdle, testIdle, nil, nil)
 	defer cancel()
 	go func() {
-		for range MinBytes / 2 {
+		for ctx.Err() == nil {
 			p.Add(1)
 			time.Sleep(testRenew)
 		}
