--- a/cmd/stoatrampd/links_test.go
+++ b/cmd/stoatrampd/links_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 	linkBoxes   = flag.Int("links.boxes", 12, "boxes, in three halls")
 	linkMbps    = flag.Float64("links.mbps", 10, "what each box can send to others, and read from the store, in Mbit/s")
 	linkFast    = flag.Int("links.fast", 0, "how many of the boxes, the last to start, have links of 200 Mbit/s")
+	linkTraffic = flag.Float64("links.traffic", 0, "share of each box's links that other traffic takes")
+	linkFaults  = flag.Bool("links.faults", false, "let a third of the boxes lose the store by turns, and restart others")
 	linkRoutes  = flag.Int("links.routes", 2400, "routes that every second configuration has in addition")
 	linkRandom  = flag.Int("links.random", 60, "random characters in each of these routes")
 	linkChanges = flag.Int("links.changes", 10, "configurations")
@@ -38,6 +41,8 @@
 type linkSite struct {
 	t     *testing.T
 	store *standin.Store
+	// mu guards the elements of boxes.
+	mu    sync.Mutex
 	boxes []*linkedBox
 	// lis is the store's listener.
 	lis net.Listener
@@ -48,7 +53,10 @@
 	*box.RelayBox
 	log        *logBuffer
 	sent, read *standin.Link
+	store      *standin.LinkProxy
 	stop       func()
+	// restarted is when the box was last started again by the test.
+	restarted time.Time
 }
 
 const linkedSettings = `
@@ -120,6 +128,7 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { _ = store.Close() })
+	b.store = store
 	store.SetTarget(s.lis.Addr().String())
 	text := fmt.Appendf(nil, linkedSettings, n, n%3, mbps, config.KeyDigest(operatorKey), peers.Address(), store.Address(), linkedConfigWithin)
 	cfg, err := config.ParseRelay("box", text)
@@ -144,6 +153,63 @@
 	return b
 }
 
+// addTraffic has other traffic take a share of the links of all boxes.
+func (s *linkSite) addTraffic(share float64, stop <-chan struct{}) {
+	if share == 0 {
+		return
+	}
+	for _, b := range s.boxes {
+		for _, l := range []*standin.Link{b.sent, b.read} {
+			go func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					began := time.Now()
+					l.Occupy(standin.LinkSegmentBytes)
+					time.Sleep(time.Duration(float64(l.Duration(standin.LinkSegmentBytes))/share) - time.Since(began))
+				}
+			}()
+		}
+	}
+}
+
+// addFaults has a third of the boxes lose the store for 4 s, by turns, and a box restart each 2 s.
+func (s *linkSite) addFaults(mbps float64, stop <-chan struct{}) (done chan struct{}) {
+	done = make(chan struct{})
+	go func() {
+		defer close(done)
+		for turn := 0; ; turn++ {
+			for i, b := range s.boxes {
+				b.store.SetDown(turn/2%2 == 0 && i%3 == turn/4%3)
+			}
+			victim := (turn*7 + 3) % len(s.boxes)
+			s.boxes[victim].stop()
+			s.mu.Lock()
+			s.boxes[victim] = s.start(victim, mbps)
+			s.boxes[victim].restarted = time.Now()
+			s.mu.Unlock()
+			select {
+			case <-stop:
+				for _, b := range s.boxes {
+					b.store.SetDown(false)
+				}
+				return
+			case <-time.After(2 * time.Second):
+			}
+		}
+	}()
+	return done
+}
+
+func (s *linkSite) box(i int) *linkedBox {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.boxes[i]
+}
+
 func (s *linkSite) until(what string, ok func() bool) {
 	s.t.Helper()
 	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
@@ -193,7 +259,7 @@
 }
 
 // watch records when each box first has each version or a newer one in force, until the versions up to last are in force
-// everywhere or the time is over.
+// everywhere or the time is over. What a box has within restartExcuse after its start is recorded as time.Unix(1, 0).
 func (s *linkSite) watch(last int, within time.Duration) (done chan struct{}, inForce []map[int]time.Time) {
 	done, inForce = make(chan struct{}), make([]map[int]time.Time, len(s.boxes))
 	for i := range inForce {
@@ -203,10 +269,15 @@
 		defer close(done)
 		for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 			behind := 0
-			for i, b := range s.boxes {
+			for i := range s.boxes {
+				b := s.box(i)
 				have, now := int(b.Relay.Version()), time.Now()
+				excused := now.Sub(b.restarted) < restartExcuse
 				for v := have; v > 0 && inForce[i][v].IsZero(); v-- {
 					inForce[i][v] = now
+					if excused {
+						inForce[i][v] = time.Unix(1, 0)
+					}
 				}
 				if have < last {
 					behind++
@@ -220,6 +291,9 @@
 	return done, inForce
 }
 
+// restartExcuse is how long a box that has just started may lack a version.
+const restartExcuse = 4 * time.Second
+
 // logged counts the log lines of all boxes that have a text.
 func (s *linkSite) logged(part string) (n int) {
 	for _, b := range s.boxes {
@@ -274,6 +348,9 @@
 	for i := range s.boxes {
 		for v := 2; v <= last; v++ {
 			at := inForce[i][v]
+			if at.Equal(time.Unix(1, 0)) {
+				continue
+			}
 			lags = append(lags, lag{v, i, at.Sub(written[v]), at.IsZero()})
 		}
 	}
@@ -317,6 +394,14 @@
 	}
 	s := newLinkSite(t, *linkBoxes, *linkMbps)
 	large := linkRoutesOf(*linkRoutes, *linkRandom)
+	stop := make(chan struct{})
+	s.addTraffic(*linkTraffic, stop)
+	faults := make(chan struct{})
+	if *linkFaults {
+		faults = s.addFaults(*linkMbps, stop)
+	} else {
+		close(faults)
+	}
 	lags := s.changeInSeries(*linkChanges, func(version int) []linkRoute {
 		switch {
 		case *linkSingle:
@@ -327,6 +412,8 @@
 		}
 		return nil
 	})
+	close(stop)
+	<-faults
 	if late := s.report(lags, linkedConfigWithin*2/3); late > 0 {
 		t.Errorf("%d of %d configurations were in force too late on a box", late, len(lags))
 	}
