--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -275,10 +275,28 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.delegation.until = clock.Now().Add(duration)
-	t.cancelWaiting() // Otherwise each box that has just begun to follow is sent the next change twice.
+	if t.awaitsLongRow() {
+		t.cancelWaiting() // Otherwise each box that has just begun to follow is sent the next change twice.
+	}
 	return true
 }
 
+// longRowBytes is the size from which it costs less to repeat a call to the store than to read a row in vain.
+const longRowBytes = 64 << 10
+
+// awaitsLongRow reports whether a call waits and its response may have a long row. t.mu must be held.
+func (t *Table) awaitsLongRow() bool {
+	if t.waiting == nil {
+		return false
+	}
+	for _, value := range t.rows {
+		if len(value) >= longRowBytes {
+			return true
+		}
+	}
+	return false
+}
+
 // SetFollowed sets whether other boxes follow this box. If they do, this box calls the store more often, so that the
 // table that it sends them is fresh. The change takes effect immediately: a call that waits long is cancelled. Before,
 // when 20 boxes started together, the box that the others followed called the store rarely for 5 s more. Meanwhile the
