--- a/internal/overlay/delta_test.go
+++ b/internal/overlay/delta_test.go
@@ -86,7 +86,7 @@
 		for _, p := range down.known() {
 			f.versions[p.Name] = tableVersion(p)
 		}
-		return down.receiveTable(downTable, up.nextUpdate(f).Tables[0])
+		return down.applyTable(downTable, up.nextUpdate(f).Tables[0])
 	}
 	change(upTable, 2, second)
 	if err := send(); !errors.Is(err, errUnknownBase) {
@@ -113,7 +113,7 @@
 	change(upTable, 2, second)
 	p := up.nextUpdate(f).Tables[0]
 	change(downTable, 2, second)
-	if err := down.receiveTable(downTable, p); err != nil || string(downTable.Value("k")) != second {
+	if err := down.applyTable(downTable, p); err != nil || string(downTable.Value("k")) != second {
 		t.Errorf("expected the delta to be ignored, got %v", err)
 	}
 }
@@ -127,14 +127,14 @@
 	change(downTable, 2, longText(1000, 500, "another"))
 	last := longText(1000, 501, "another")
 	change(upTable, 3, last)
-	if err := down.receiveTable(downTable, up.nextUpdate(f).Tables[0]); !errors.Is(err, errOtherVersion) {
+	if err := down.applyTable(downTable, up.nextUpdate(f).Tables[0]); !errors.Is(err, errOtherVersion) {
 		t.Fatalf("expected errOtherVersion, got %v", err)
 	}
 	if v := down.known()[0].Version; v != 2 {
 		t.Fatalf("expected version 2 to be known, got %d", v)
 	}
 	f.versions["config"] = follow.Version{Number: 2}
-	if err := down.receiveTable(downTable, up.nextUpdate(f).Tables[0]); err != nil || string(downTable.Value("k")) != last {
+	if err := down.applyTable(downTable, up.nextUpdate(f).Tables[0]); err != nil || string(downTable.Value("k")) != last {
 		t.Errorf("expected the delta to fit, got %v", err)
 	}
 }
--- a/internal/overlay/fetch.go
+++ b/internal/overlay/fetch.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// offerBlob replaces the rows of a part by the offer of a blob, if they are long. A blob that this box is still fetching
-// is offered too. It returns false if the part has nothing to offer.
+// offerBlob replaces the rows of a part by the offer of a blob, if they are long. If this box is still fetching the next
+// change of the table, it offers that blob. It returns false if nothing is offered.
 func (n *Node) offerBlob(f *follower, t *v1.Table, since follow.Version) bool {
 	version := tableVersion(t)
 	b := n.blobs.from(t.Name, since)
@@ -209,7 +209,7 @@
 	if p.AgeMs >= 0 {
 		whole.AgeMs = p.AgeMs + clock.Since(began).Milliseconds()
 	}
-	return b.version, l.n.receiveTable(t, &whole)
+	return b.version, l.n.applyTable(t, &whole)
 }
 
 // fetchStripes fetches the missing pieces of a blob.
--- a/internal/overlay/link.go
+++ b/internal/overlay/link.go
@@ -198,14 +198,14 @@
 		go l.fetchTable(ctx, l.fail, t, p)
 	case l.fetches.isRunning(p.Name):
 	default:
-		return l.n.receiveTable(t, p)
+		return l.n.applyTable(t, p)
 	}
 	t.ExtendDelegation(silenceTimeout, true)
 	return nil
 }
 
-// receiveTable applies a part of a table that another box sent.
-func (n *Node) receiveTable(t Table, p *v1.Table) error {
+// applyTable applies a part of a table that another box sent.
+func (n *Node) applyTable(t Table, p *v1.Table) error {
 	part, err := decodePart(p, t.Value)
 	if errors.Is(err, errUnknownBase) {
 		// This box may have read a newer version from the store, and then no longer has the bases of the deltas.
