--- a/internal/relay/accounts.go
+++ b/internal/relay/accounts.go
@@ -202,7 +202,7 @@
 
 // refundLimit gives the request's units back to the limit, if no request to an endpoint was built.
 func (x *exchange) refundLimit() {
-	if x.units > 0 && !x.dispatched {
+	if x.units > 0 && !x.dispatched.Load() {
 		x.r.o.Limits.Refund(x.account.Name, x.units, x.refundUntil)
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -418,9 +418,10 @@
 	spentBefore time.Duration
 	// dispatched is set once a request was built for an endpoint. ran is set once a call has failed at an endpoint that
 	// may have run the request.
-	dispatched, ran bool
-	meta            RequestMeta
-	body            []byte
+	dispatched atomic.Bool
+	ran        bool
+	meta       RequestMeta
+	body       []byte
 	// reservedBytes is the memory of this box that is reserved for the request.
 	reservedBytes int64
 	// writeDeadline is the time by which the caller must have taken the data that is being written.
@@ -575,7 +576,7 @@
 	h.Del("Expect")
 	run.TimeLeft = x.timeLeft()
 	run.Account = x.account
-	x.dispatched = true
+	x.dispatched.Store(true)
 	if run.LastEvent == "" {
 		run.LastEvent = x.meta.LastEvent
 	}
