Restore two reasons that were dropped, and keep only the addresses of a blob's sources

The pages of packed rows and of the pace of updates had lost the figures that justify them (230 B a row, 2.3 MB for 10,000; 14 followers on a link of 20 Mbit/s). A blob kept the names of its sources, which nobody read. A delta with a wrong sum was reported with '%!w(<nil>)'. A comment on cancelled calls said half. No behaviour changes but that message. make check passes, and the tests of blobs, deltas and packed rows; the whole make test was not run on it.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -272,7 +272,7 @@
 		t.linkEra = p.era
 	}
 	if t.callCancelled.Swap(false) && err != nil && ctx.Err() == nil {
-		return 0, errNoCall // The call is repeated immediately, with the shorter wait that applies now.
+		return 0, errNoCall // The call is repeated immediately with a shorter wait, or another box sends the table.
 	}
 	if err != nil && p.era.Err() != nil && !p.answering() && ctx.Err() == nil {
 		return 0, errNoCall // The store is back. This call began before its return and was cancelled.
--- a/internal/overlay/blob.go
+++ b/internal/overlay/blob.go
@@ -51,12 +51,10 @@
 	failed  bool
 	// changed is closed and replaced with each new piece.
 	changed chan struct{}
-	// sources are the followers that fetch one stripe each from this box; nil before the first offer.
-	sources []blobSource
+	// sources are the addresses of the followers that fetch one stripe each from this box; nil before the first offer.
+	sources []string
 }
 
-type blobSource struct{ box, address string }
-
 func newBlob(table string, since, version follow.Version, digest uint64, size int) *blob {
 	pieces := (size + pieceBytes - 1) / pieceBytes
 	return &blob{
@@ -144,17 +142,13 @@
 }
 
 // offer returns the offer of the blob to a follower. At the first offer, all present followers become sources of stripes.
-func (b *blob) offer(candidates func() []blobSource) *v1.BlobOffer {
+func (b *blob) offer(candidates func() []string) *v1.BlobOffer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.sources == nil {
 		b.sources = candidates()
 	}
-	o := &v1.BlobOffer{Digest: b.digest, Bytes: int32(len(b.data))}
-	for _, s := range b.sources {
-		o.Sources = append(o.Sources, s.address)
-	}
-	return o
+	return &v1.BlobOffer{Digest: b.digest, Bytes: int32(len(b.data)), Sources: b.sources}
 }
 
 // blobStore keeps the blobs that this box can pass on. The zero value is ready to use.
--- a/internal/overlay/fetch.go
+++ b/internal/overlay/fetch.go
@@ -58,31 +58,32 @@
 	}
 	t.Rows, t.Packed = nil, nil
 	t.Version, t.Era, t.Since, t.SinceEra = b.version.Number, b.version.Era, since.Number, since.Era
-	t.Offer = b.offer(func() []blobSource { return n.blobSources(b) })
+	t.Offer = b.offer(func() []string { return n.blobSources(b) })
 	n.setFetching(f, b)
 	return true
 }
 
-// blobSources selects the followers that fetch one stripe of a blob each: those that need the same blob.
-func (n *Node) blobSources(b *blob) (out []blobSource) {
+// blobSources returns the addresses of the followers that fetch one stripe of a blob each: those that need the same blob.
+func (n *Node) blobSources(b *blob) []string {
+	var boxes []string
 	n.mu.Lock()
 	for f := range n.followers {
 		if f.can.blobs && f.versions[b.table] == b.since {
-			out = append(out, blobSource{box: f.name})
+			boxes = append(boxes, f.name)
 		}
 	}
 	n.mu.Unlock()
-	mrand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	listed := []blobSource{}
-	for _, s := range out {
-		if m, ok := n.members.get(s.box); ok && len(listed) < maxBlobSources {
-			listed = append(listed, blobSource{s.box, m.Address})
+	mrand.Shuffle(len(boxes), func(i, j int) { boxes[i], boxes[j] = boxes[j], boxes[i] })
+	sources := []string{}
+	for _, box := range boxes {
+		if m, ok := n.members.get(box); ok && len(sources) < maxBlobSources {
+			sources = append(sources, m.Address)
 		}
 	}
-	if len(listed) < 2 {
-		return []blobSource{}
+	if len(sources) < 2 {
+		return []string{}
 	}
-	return listed
+	return sources
 }
 
 // setFetching notes that a follower was offered a blob.
--- a/internal/overlay/link.go
+++ b/internal/overlay/link.go
@@ -61,8 +61,8 @@
 var errUnresponsiveUpstream = errors.New("no update received within the silence timeout")
 
 // follow receives updates of the upstream. It returns an error when the upstream sends no update for silenceTimeout, and
-// no progress of one, or ends the stream. It also returns an error when an update shows that this upstream should not be followed now, or when
-// better reports that another upstream should be followed.
+// no progress of one, or ends the stream. It also returns an error when an update shows that this upstream should not be
+// followed now, or when better reports that another upstream should be followed.
 func (l *link) follow(ctx context.Context, better func() bool) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -56,7 +56,9 @@
 	// are queued meanwhile are sent together.
 	minSendInterval = 60 * time.Millisecond
 	// followerBytesPerSecond limits the rate at which one follower is sent long updates. maxSendInterval bounds the
-	// pause after a long update. It is shorter than silenceTimeout. Parts of maxInlineBytes and more are not in updates.
+	// pause after a long update. It is shorter than silenceTimeout. In a hall of 200 boxes, a box with a link of
+	// 20 Mbit/s, which is 2.5 MB/s, has fourteen followers. A third of the link is for tables. Parts of more than
+	// maxInlineBytes are not in updates.
 	followerBytesPerSecond = 50e3
 	maxSendInterval        = 400 * time.Millisecond
 	// minFollowTime is how long a box keeps its upstream although a better upstream is available or the box needs no
--- a/internal/overlay/pack.go
+++ b/internal/overlay/pack.go
@@ -18,7 +18,8 @@
 
 // This file encodes the rows of parts of tables. A long row that changed is sent as its difference to the value that the
 // follower has. Long parts are compressed. A part is encoded once for all followers that are sent the same part, and a
-// box that is sent a part forwards the encoding that it received.
+// box that is sent a part forwards the encoding that it received. A row of the list of endpoints is 230 B of repetitive
+// text: 10,000 rows are 2.3 MB for each follower, and a box with a link of 20 Mbit/s has fourteen followers.
 
 // minPackBytes is the size of keys and values from which rows are compressed. Heartbeats and single changes are shorter
 // than that. Their compression is not worth the processor time.
@@ -173,9 +174,12 @@
 		return out, fmt.Errorf("row %s: %w", r.Key, errUnknownBase)
 	}
 	text, err := delta.Decode(base, r.Delta)
-	if err != nil || delta.Sum(text) != r.Sum {
+	if err != nil {
 		return out, fmt.Errorf("row %s: %w: %w", r.Key, errUnknownBase, err)
 	}
+	if delta.Sum(text) != r.Sum {
+		return out, fmt.Errorf("row %s: %w", r.Key, errUnknownBase)
+	}
 	out.Value = text
 	return out, nil
 }
