Bound the lack of progress of the gateway's platform calls, not their length

What was seen: nothing by callers so far. The postmortem of slow transfers named these calls as the last ones of its class: a row or object of any size had 2 s, so that one of 16 MB, which is accepted, never arrives over 10 Mbit/s, and each retry loads the same link.

Cause: platform.Client set one deadline for a whole call.

Ruled out: a deadline by size. It would wait minutes for a silent service.

Change: a call ends when fewer than 1 KB pass in 2 s, in either direction. The error names how far it came. internal/transfer moves to a layer below, since internal/platform uses it; the test of layers still requires every package to be listed.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -14,6 +14,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/stoatramp/stoatramp/internal/transfer"
 )
 
 // Paths of the platform's HTTP interface.
@@ -62,6 +64,7 @@
 }
 
 const (
+	// callTimeout is how long a call may make no progress. A long row or object may take longer as a whole.
 	callTimeout      = 2 * time.Second
 	maxResponseBytes = 16 << 20
 )
@@ -86,10 +89,24 @@
 	}}}
 }
 
+// newRequest returns a request whose body is counted by the progress of ctx as it is sent.
+func (c *Client) newRequest(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, http.NoBody)
+	if err != nil || len(body) == 0 {
+		return req, err
+	}
+	req.ContentLength = int64(len(body))
+	req.GetBody = func() (io.ReadCloser, error) {
+		return transfer.Reader(ctx, io.NopCloser(bytes.NewReader(body))), nil
+	}
+	req.Body, err = req.GetBody()
+	return req, err
+}
+
 func (c *Client) do(ctx context.Context, method, path string, body []byte, header http.Header) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, _, cancel := transfer.WithIdleTimeout(ctx, callTimeout, callTimeout, nil, nil)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	req, err := c.newRequest(ctx, method, path, body)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -101,12 +118,12 @@
 	}
 	resp, err := c.hc.Do(req)
 	if err != nil {
-		return 0, nil, fmt.Errorf("platform: %w", err)
+		return 0, nil, callError(ctx, err)
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	b, err := io.ReadAll(io.LimitReader(transfer.Reader(ctx, resp.Body), maxResponseBytes+1))
 	if err != nil {
-		return 0, nil, fmt.Errorf("platform: %w", err)
+		return 0, nil, callError(ctx, err)
 	}
 	if len(b) > maxResponseBytes {
 		return 0, nil, errTooLarge
@@ -114,6 +131,14 @@
 	return resp.StatusCode, b, nil
 }
 
+// callError returns the error of a call. It names how far the transfer came if that is why the call has ended.
+func callError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); errors.Is(cause, transfer.ErrStalled) {
+		err = cause
+	}
+	return fmt.Errorf("platform: %w", err)
+}
+
 // Get reads a row. If known is above 0 and the row has that version, Get returns ErrUnchanged.
 func (c *Client) Get(ctx context.Context, key string, known int64) (Row, error) {
 	header := http.Header{}
--- a/layers_test.go
+++ b/layers_test.go
@@ -73,7 +73,7 @@
 		}
 	}
 	for name, list := range imports {
-		if layers[name] == 0 {
+		if _, listed := layers[name]; !listed {
 			t.Errorf("%s is missing from the table in docs/architecture.md", name)
 		}
 		for other := range list {
