Measure the list of endpoints on slow links, and links that stand still

The rig of slow links played configurations only. Named as not measured in the postmortem: the list of endpoints, also after a restore, and frozen boxes.

Change: TestEndpointListsOnSlowLinksAreInForceInTime (by hand, -links.timed) lets all endpoints of a site begin at once, one leave at each change, and restores the store. -links.pauses lets both links of a box stand still for 0.3 to 1.2 s by turns, for both tests. Bounds are the site's settings: 3 s for an endpoint that leaves, 4 s after a restore.

Endpoints that leave say so in their row, and the test now waits for that.

--- a/cmd/stoatrampd/links_test.go
+++ b/cmd/stoatrampd/links_test.go
@@ -22,13 +22,15 @@
 	"github.com/stoatramp/stoatramp/platform/standin"
 )
 
-// The flags of TestConfigurationsOnSlowLinksAreInForceInTime.
+// The flags of the tests of configurations and of lists of endpoints on slow links.
 var (
 	linkBoxes   = flag.Int("links.boxes", 12, "boxes, in three halls")
 	linkMbps    = flag.Float64("links.mbps", 10, "what each box can send to others, and read from the store, in Mbit/s")
 	linkFast    = flag.Int("links.fast", 0, "how many of the boxes, the last to start, have links of 200 Mbit/s")
 	linkTraffic = flag.Float64("links.traffic", 0, "share of each box's links that other traffic takes")
 	linkFaults  = flag.Bool("links.faults", false, "let a third of the boxes lose the store by turns, and restart others")
+	linkPauses  = flag.Bool("links.pauses", false, "let the links of a box stand still for 0.3 to 1.2 s, another one each second")
+	linkServers = flag.Int("links.endpoints", 1000, "endpoints of the site")
 	linkRoutes  = flag.Int("links.routes", 2400, "routes that every second configuration has in addition")
 	linkRandom  = flag.Int("links.random", 60, "random characters in each of these routes")
 	linkChanges = flag.Int("links.changes", 10, "configurations")
@@ -46,6 +48,8 @@
 	boxes []*linkedBox
 	// lis is the store's listener.
 	lis net.Listener
+	// version returns the newest version that a box has in force.
+	version func(b *linkedBox) int
 }
 
 // linkedBox is a box and its links: one for what it sends to other boxes, and one for what it reads from the store.
@@ -93,7 +97,7 @@
 
 func newLinkSite(t *testing.T, boxes int, mbps float64) *linkSite {
 	t.Helper()
-	s := &linkSite{t: t, store: standin.NewStore()}
+	s := &linkSite{t: t, store: standin.NewStore(), version: func(b *linkedBox) int { return int(b.Relay.Version()) }}
 	var err error
 	if s.lis, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		t.Fatal(err)
@@ -204,6 +208,25 @@
 	return done
 }
 
+// addPauses has both links of a box stand still by turns.
+func (s *linkSite) addPauses(stop <-chan struct{}) {
+	if !*linkPauses {
+		return
+	}
+	go func() {
+		for turn := 0; ; turn++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Second):
+			}
+			b, d := s.box((turn*11+5)%len(s.boxes)), time.Duration(300+turn*450%900)*time.Millisecond
+			b.sent.Pause(d)
+			b.read.Pause(d)
+		}
+	}()
+}
+
 func (s *linkSite) box(i int) *linkedBox {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -271,7 +294,7 @@
 			behind := 0
 			for i := range s.boxes {
 				b := s.box(i)
-				have, now := int(b.Relay.Version()), time.Now()
+				have, now := s.version(b), time.Now()
 				excused := now.Sub(b.restarted) < restartExcuse
 				for v := have; v > 0 && inForce[i][v].IsZero(); v-- {
 					inForce[i][v] = now
@@ -329,19 +352,16 @@
 	missing      bool
 }
 
-// changeInSeries writes configurations with a pause of 1.5 s, and returns how long each box took for each.
-func (s *linkSite) changeInSeries(changes int, more func(version int) []linkRoute) (lags []lag) {
+// changeInSeries has write make changes with a pause of 1.5 s, and returns how long each box took for each.
+func (s *linkSite) changeInSeries(changes int, write func(version int)) (lags []lag) {
 	s.t.Helper()
 	const pause = 1500 * time.Millisecond
 	last := changes + 1
 	done, inForce := s.watch(last, time.Duration(changes)*pause+10*time.Second)
 	written := map[int]time.Time{}
 	for v := 2; v <= last; v++ {
-		size := s.put(v, more(v))
+		write(v)
 		written[v] = time.Now()
-		if v <= 3 {
-			s.t.Logf("version %d has %d bytes", v, size)
-		}
 		time.Sleep(pause)
 	}
 	<-done
@@ -387,6 +407,22 @@
 	return late
 }
 
+// disturb begins the faults and the traffic that the flags ask for. They last until end is called.
+func (s *linkSite) disturb() (end func()) {
+	stop, faults := make(chan struct{}), make(chan struct{})
+	s.addTraffic(*linkTraffic, stop)
+	s.addPauses(stop)
+	if *linkFaults {
+		faults = s.addFaults(*linkMbps, stop)
+	} else {
+		close(faults)
+	}
+	return func() {
+		close(stop)
+		<-faults
+	}
+}
+
 // Configurations in series on slow links, without any fault. The flags choose the size; by hand with -links.timed.
 func TestConfigurationsOnSlowLinksAreInForceInTime(t *testing.T) {
 	if !*linkTimed {
@@ -394,31 +430,100 @@
 	}
 	s := newLinkSite(t, *linkBoxes, *linkMbps)
 	large := linkRoutesOf(*linkRoutes, *linkRandom)
-	stop := make(chan struct{})
-	s.addTraffic(*linkTraffic, stop)
-	faults := make(chan struct{})
-	if *linkFaults {
-		faults = s.addFaults(*linkMbps, stop)
-	} else {
-		close(faults)
-	}
-	lags := s.changeInSeries(*linkChanges, func(version int) []linkRoute {
+	end := s.disturb()
+	lags := s.changeInSeries(*linkChanges, func(version int) {
+		var more []linkRoute
 		switch {
 		case *linkSingle:
 			large[version*37%len(large)].Timeout = 2000 + version
-			return large
+			more = large
 		case version%2 == 0:
-			return large
+			more = large
+		}
+		if size := s.put(version, more); version <= 3 {
+			t.Logf("version %d has %d bytes", version, size)
 		}
-		return nil
 	})
-	close(stop)
-	<-faults
+	end()
 	if late := s.report(lags, linkedConfigWithin*2/3); late > 0 {
 		t.Errorf("%d of %d configurations were in force too late on a box", late, len(lags))
 	}
 }
 
+func linkedEndpointAddress(n int) string {
+	return fmt.Sprintf("10.%d.%d.%d:80", n>>16, n>>8&255, n&255)
+}
+
+func (s *linkSite) putEndpoint(n int, state, address string) {
+	s.store.Put("servers", fmt.Sprintf("i-%06d", n), fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"hall-%d","version":"v1","slots":8,"state":%q,"coldRemainingMs":0,"sequence":0}`,
+		address, n%3, state), 0)
+}
+
+// hasEndpoints reports whether a box lists the endpoints below n, except the first ones.
+func (b *linkedBox) hasEndpoints(n, except int) bool {
+	for i := except; i < n; i++ {
+		if !b.Relay.HasEndpointAt(linkedEndpointAddress(i)) {
+			return false
+		}
+	}
+	return true
+}
+
+// A list of endpoints on slow links: all of them begin at once, then one begins to leave at each change, and then the store
+// is restored to an older state. By hand with -links.timed.
+func TestEndpointListsOnSlowLinksAreInForceInTime(t *testing.T) {
+	if !*linkTimed {
+		t.Skip("needs -args -links.timed and a machine without other load")
+	}
+	s := newLinkSite(t, *linkBoxes, *linkMbps)
+	n := *linkServers
+	began := time.Now()
+	for i := range n {
+		s.putEndpoint(i, "ready", linkedEndpointAddress(i))
+	}
+	for _, b := range s.boxes {
+		s.until("all endpoints are listed", func() bool { return b.hasEndpoints(n, 0) })
+	}
+	t.Logf("%d endpoints that begin at once are listed by all boxes after %v", n, time.Since(began))
+	// An endpoint that leaves gets another address, by which the test sees that its new row is in force.
+	leavingAt := func(version int) string { return linkedEndpointAddress(n + version) }
+	s.version = func(b *linkedBox) int {
+		for v := *linkChanges + 1; v > 1; v-- {
+			if b.Relay.HasEndpointAt(leavingAt(v)) {
+				return v
+			}
+		}
+		return 1
+	}
+	end := s.disturb()
+	lags := s.changeInSeries(*linkChanges, func(version int) {
+		s.putEndpoint(version-2, "draining", leavingAt(version))
+	})
+	end()
+	late := s.report(lags, linkedListWithin)
+	began = time.Now()
+	s.store.Restore(standin.RestoreRequest{AgeMS: 4000})
+	last := linkedEndpointAddress(2 * n)
+	s.putEndpoint(2*n, "ready", last)
+	for _, b := range s.boxes {
+		s.until("a change after a restore is in force", func() bool {
+			return b.Relay.HasEndpointAt(last) && b.hasEndpoints(n, *linkChanges)
+		})
+	}
+	restored := time.Since(began)
+	t.Logf("a change right after a restore is in force on all boxes after %v", restored)
+	if late > 0 || restored > linkedRestoreWithin {
+		t.Errorf("%d of %d changes were in force too late on a box, and the one after the restore after %v", late, len(lags), restored)
+	}
+}
+
+// linkedListWithin and linkedRestoreWithin are the site's bounds on the time until a change of the list of endpoints is in
+// force: of the settings leaving_within, and reread_within.
+const (
+	linkedListWithin    = 3 * time.Second
+	linkedRestoreWithin = 4 * time.Second
+)
+
 // A configuration whose transfer takes longer than the timeouts of calls and updates.
 func TestTransferThatMakesProgressIsNotTakenForAFailure(t *testing.T) {
 	s := newLinkSite(t, 9, 1.6)
