Log reads of the store that take long, with their size

What operators saw: a configuration that is too long for the link of the box that reads it comes late, and nothing says so. They had to infer it from a byte counter that grows on one box.

Change: follow.Table reports the size of each response that brought a change and the time from its first byte to its last. The box counts the time (stoatramp_store_read_seconds_total{table}) and logs "long read of the store" above 0.5 s.

Ruled out: the time of the whole call, which is mostly the wait for a change.

Conclusion: observability only, no decision depends on it.

--- a/cmd/stoatrampd/links_test.go
+++ b/cmd/stoatrampd/links_test.go
@@ -538,6 +538,9 @@
 	for _, b := range s.boxes {
 		s.until("the last configuration is in force", func() bool { return b.Relay.Version() == versions })
 	}
+	if s.logged("long read of the store") == 0 {
+		t.Error("expected the box that reads for all to log that its reads take long")
+	}
 	// One box reads for all; each other box may read once, as it starts.
 	if _, _, read := s.carried(); read > int64(2*len(s.boxes)*size) {
 		t.Errorf("the boxes read %d KB from the store for %d versions of %d KB", read>>10, versions-1, size>>10)
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -196,6 +196,11 @@
 	}
 }
 
+// longReadTime is how long the bytes of a response of the store may take to arrive before a line is logged. A change of the
+// configuration or of the list of endpoints must be in force on all boxes within a few seconds, and the read is the first
+// step.
+const longReadTime = 500 * time.Millisecond
+
 func (b *RelayBox) newTable(name string, src follow.Source, o follow.Options, freshness *follow.Freshness, apply func(map[string][]byte), restored func()) *follow.Table {
 	t := follow.New(src, o, apply)
 	t.Fresh = freshness
@@ -207,6 +212,13 @@
 		}
 	}
 	t.OnBytes = b.Metrics.Set.NewCounter(fmt.Sprintf("stoatramp_store_read_bytes_total{table=%q}", name)).Add
+	readSeconds := b.Metrics.Set.NewFloatCounter(fmt.Sprintf("stoatramp_store_read_seconds_total{table=%q}", name))
+	t.OnRead = func(bytes int64, took time.Duration) {
+		readSeconds.Add(took.Seconds())
+		if took > longReadTime {
+			b.recorder.Log.StateChange("long read of the store", zap.String("table", name), zap.Int64("bytes", bytes), zap.Duration("took", took))
+		}
+	}
 	t.OnLost = func(err error) {
 		b.recorder.Log.StateChange("store unreachable", zap.String("table", name), zap.Duration("age", freshness.Age()), zap.Error(err))
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -163,6 +163,9 @@
 	OnRecovered func(away time.Duration)
 	// OnBytes is called with the number of bytes of each read of the store's responses. It may be nil.
 	OnBytes func(n int)
+	// OnRead is called after a read of the store that brought a change, with the size of the response and the time from its
+	// first byte to its last. It may be nil.
+	OnRead func(bytes int64, took time.Duration)
 	// progressAt is when a transfer of the table, from the store or another box, last made progress.
 	progressAt atomic.Pointer[time.Time]
 	// linkEra is the value of the link's era when the store last answered a call for this table; see Link.
@@ -349,6 +352,9 @@
 		if err != nil && ctx.Err() != nil {
 			err = fmt.Errorf("%w: %v", err, progress)
 		}
+		if err == nil && changed && t.OnRead != nil {
+			t.OnRead(progress.Bytes(), progress.Took())
+		}
 	}()
 	if wait > 0 {
 		t.setWaiting(&waitingCall{cancel, wait, progress})
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -14,12 +14,12 @@
 // Progress counts the bytes of one transfer as they arrive.
 type Progress struct {
 	mu sync.Mutex
-	// bytes counts the bytes since the last call of Done, of which the last ones arrived at last. From is when the count
-	// began.
-	bytes      int64
-	from, last time.Time
-	onBytes    func(n int)
-	onDone     func()
+	// bytes counts the bytes since the last call of Done, of which the first ones arrived at first and the last ones at
+	// last. From is when the count began.
+	bytes             int64
+	from, first, last time.Time
+	onBytes           func(n int)
+	onDone            func()
 }
 
 // NewProgress returns a counter that calls onBytes for the bytes of each read. OnBytes may be nil; it must not block.
@@ -33,8 +33,11 @@
 		return
 	}
 	p.mu.Lock()
-	p.bytes += int64(n)
 	p.last = time.Now()
+	if p.bytes == 0 {
+		p.first = p.last
+	}
+	p.bytes += int64(n)
 	p.mu.Unlock()
 	if p.onBytes != nil {
 		p.onBytes(n)
@@ -44,7 +47,7 @@
 // Done starts a new count, because a message is complete.
 func (p *Progress) Done() {
 	p.mu.Lock()
-	p.bytes, p.from, p.last = 0, time.Now(), time.Time{}
+	p.bytes, p.from, p.first, p.last = 0, time.Now(), time.Time{}, time.Time{}
 	p.mu.Unlock()
 	if p.onDone != nil {
 		p.onDone()
@@ -58,6 +61,13 @@
 	return p.bytes
 }
 
+// Took returns the time from the first to the last of the bytes since the last call of Done.
+func (p *Progress) Took() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.last.Sub(p.first)
+}
+
 // String describes how far an incomplete transfer has come.
 func (p *Progress) String() string {
 	p.mu.Lock()
