Use one watch of progress, and one search for missing pieces, in the overlay

Cause: link.follow built its own transfer.Watch and Progress although transfer.WithIdleTimeout is exactly that pair; it now calls it, and still reports errUnresponsiveUpstream with how far the update came. fetchPieces searched a stripe for missing pieces in two loops, one lock for each piece; blob.nextMissing serves both. Two cases of followMember with the same body are one.

Ruled out: a change of behavior. Timeouts, errors and log lines are the same: in a play of 12 boxes with links that stand still, "no update received within the silence timeout" is logged with its bytes as before.

No bound, check or expectation changed.

--- a/internal/overlay/blob.go
+++ b/internal/overlay/blob.go
@@ -128,6 +128,18 @@
 	return nil, b.changed, nil
 }
 
+// nextMissing returns the first missing piece of a stripe; ok is false if it has them all.
+func (b *blob) nextMissing(stripe, stripes int) (i int, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i = stripe; i < len(b.have); i += stripes {
+		if !b.have[i] {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
 // text returns the encoded part once all pieces are there.
 func (b *blob) text() ([]byte, error) {
 	b.mu.Lock()
--- a/internal/overlay/fetch.go
+++ b/internal/overlay/fetch.go
@@ -250,13 +250,8 @@
 func (l *link) fetchPieces(ctx context.Context, address string, b *blob, stripe, stripes int) error {
 	ctx, progress, cancel := transfer.WithIdleTimeout(ctx, callTimeout+blobAwaitTime, silenceTimeout, nil, nil)
 	defer cancel()
-	from := stripe
-	for ; from < len(b.have); from += stripes {
-		if data, _, _ := b.piece(from); data == nil {
-			break
-		}
-	}
-	if from >= len(b.have) {
+	from, missing := b.nextMissing(stripe, stripes)
+	if !missing {
 		return nil
 	}
 	req := connect.NewRequest(&v1.FetchBlobRequest{Digest: b.digest, Stripe: int32(stripe), Stripes: int32(stripes), From: int32(from)})
@@ -280,10 +275,8 @@
 	if err := stream.Err(); err != nil {
 		return errors.Join(err, context.Cause(ctx))
 	}
-	for i := stripe; i < len(b.have); i += stripes {
-		if data, _, _ := b.piece(i); data == nil {
-			return fmt.Errorf("%s ended the stream without piece %d", address, i)
-		}
+	if i, missing := b.nextMissing(stripe, stripes); missing {
+		return fmt.Errorf("%s ended the stream without piece %d", address, i)
 	}
 	return nil
 }
--- a/internal/overlay/link.go
+++ b/internal/overlay/link.go
@@ -67,16 +67,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	l.fail = cancel
-	var watch *transfer.Watch
-	progress := transfer.NewProgress(func(n int) {
-		l.n.count.updateBytes.Add(n)
-		if watch.Add(n) {
-			l.n.extendDelegations()
-		}
-	})
-	watch = transfer.NewWatch(silenceTimeout, silenceTimeout, func() { cancel(fmt.Errorf("%w: %v", errUnresponsiveUpstream, progress)) })
-	defer watch.Stop()
-	ctx = transfer.WithProgress(ctx, progress)
+	ctx, progress, stop := transfer.WithIdleTimeout(ctx, silenceTimeout, silenceTimeout, l.n.count.updateBytes.Add, l.n.extendDelegations)
+	defer stop()
 	req := connect.NewRequest(&v1.FollowRequest{
 		Box: l.n.o.Self.Name, Incarnation: l.n.o.Self.Incarnation, Protocol: protocolVersion, Packed: true, Deltas: true, Blobs: true,
 		Known: l.n.known(),
@@ -91,7 +83,6 @@
 		_ = stream.Close()
 	}()
 	for stream.Receive() {
-		watch.Renew()
 		progress.Done()
 		if !l.established {
 			l.onEstablished(ctx)
@@ -104,7 +95,10 @@
 			return errBetterUpstream
 		}
 	}
-	if cause := context.Cause(ctx); cause != nil {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, transfer.ErrStalled):
+		return fmt.Errorf("%w: %v", errUnresponsiveUpstream, progress)
+	case cause != nil:
 		return cause
 	}
 	return fmt.Errorf("receive updates: %w", errors.Join(stream.Err(), errStreamEnded))
--- a/internal/overlay/node.go
+++ b/internal/overlay/node.go
@@ -506,10 +506,7 @@
 	}
 	n.count.followEnds[followEndCause(err)].Inc()
 	switch {
-	case errors.Is(err, errBetterUpstream):
-		n.members.recordSuccess(m)
-		return
-	case errors.Is(err, errOtherVersion):
+	case errors.Is(err, errBetterUpstream), errors.Is(err, errOtherVersion):
 		n.members.recordSuccess(m)
 		return
 	case errors.Is(err, errUnknownBase):
