Keep the newer list of boxes when two reads overlap

A box reads the list in a loop and, without the store, also when it asks another box for a configuration. Of two reads that overlapped, the one that ended last won, so a list from before a box joined could replace the newer one, until the next read. The box then took itself for the only one and granted the whole of each client's limit.

Change: reads are numbered when they begin; a list is dropped if a read that began later has set its own. TestOverlappingReadsKeepTheNewerList holds back the first of two reads; red before, green after.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -53,6 +53,8 @@
 
 	mu    sync.Mutex
 	boxes []platform.BoxInfo
+	// reads is the number of reads of the list that have begun. listRead is the number of the read whose list is in use.
+	reads, listRead int
 	// missing has the boxes that were in the list before and are not in it now, until their retention is over.
 	missing map[string]missingBox
 }
@@ -92,8 +94,12 @@
 	return listInterval * time.Duration(max(1, length/smallListSize))
 }
 
-// Refresh reads the list once.
+// Refresh reads the list once. If several reads overlap, the list of the one that began last stays in use.
 func (p *Peers) Refresh(ctx context.Context) {
+	p.mu.Lock()
+	p.reads++
+	read := p.reads
+	p.mu.Unlock()
 	boxes, err := p.lister.Boxes(ctx)
 	if err != nil {
 		return
@@ -102,6 +108,10 @@
 	slices.SortFunc(boxes, func(a, b platform.BoxInfo) int { return cmp.Compare(a.Name, b.Name) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if read < p.listRead {
+		return
+	}
+	p.listRead = read
 	p.recordMissing(boxes, clock.Now())
 	p.boxes = boxes
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -96,3 +96,37 @@
 func (unreachable) RoundTrip(*http.Request) (*http.Response, error) {
 	return nil, errors.New("unreachable")
 }
+
+// heldList holds back the answer to the first read of the list.
+type heldList struct {
+	lists   chan []platform.BoxInfo // The lists, in the order of the reads.
+	release chan struct{}
+	first   bool
+}
+
+func (l *heldList) Boxes(context.Context) ([]platform.BoxInfo, error) {
+	list, held := <-l.lists, !l.first
+	l.first = true
+	if held {
+		<-l.release
+	}
+	return list, nil
+}
+
+// Two reads of the list overlap. The one that began first ends last. Its older list must not replace the newer one.
+func TestOverlappingReadsKeepTheNewerList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &heldList{lists: make(chan []platform.BoxInfo, 2), release: make(chan struct{})}
+		l.lists <- nil
+		l.lists <- []platform.BoxInfo{{Name: "b"}}
+		p := New("a", "key", l, http.DefaultClient)
+		go p.Refresh(t.Context())
+		synctest.Wait()
+		p.Refresh(t.Context())
+		close(l.release)
+		synctest.Wait()
+		if got := p.Others(); len(got) != 1 {
+			t.Errorf("expected the newer list with one box, got %v", got)
+		}
+	})
+}
