--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -135,7 +135,14 @@
 	ttl := min(x.service.Engines.ReservationTTL, reservationTTL)
 	c := r.protocol.Reserve(x.meta.PromptTokens+min(x.outputReserve(), x.reservedOutput()), ttl)
 	resp, body, err := r.controlPool.DoShort(context.WithoutCancel(ctx), controlCallTimeout+ttl, controlRequest(engine, r.disp.Address(engine), c), maxControlAnswer)
-	if err != nil || resp.StatusCode != http.StatusOK {
+	if err != nil {
+		var e *h1.Error
+		if !errors.As(err, &e) || e.Sent {
+			r.m.UnansweredReservations.Inc()
+		}
+		return ""
+	}
+	if resp.StatusCode != http.StatusOK {
 		return ""
 	}
 	id, err := r.protocol.ParseReservation(body)
