Take the close of an answer without a length for its end only if the endpoint still answers

Cause: the box looked once, at the close, for an idle connection that is open or a connection that is accepted. The operating system closes a process's descriptors one after the other, so both outlive the process for a moment, and neither needs a process. For an endpoint that leaves, or is not listed, any close counted.

Change: after the close the box asks the endpoint for its load; only an answer of the start that was listed when the head of the answer came counts. A refused connection ends the check, other failures are repeated for up to 2 s, so a frozen endpoint is not taken for a dead one. Answers that end together share a request. The control pool's answers are documents and need no check. stoatramp_answer_ends_unconfirmed_total counts.

TestLeavingEndpointEndsItsAnswer expected that the end of an endpoint which leaves completes its answers. That was wrong: what still runs when it ends is broken off. Its case is now in TestEndOfUnframedAnswerIsConfirmed, with the opposite result, beside an endpoint that leaves and still runs.

--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -76,7 +76,7 @@
 	}
 	n, err := b.ReadCloser.Read(buf)
 	if errors.Is(err, io.EOF) && !b.confirmed() {
-		err = fmt.Errorf("the connection was closed, and not by an endpoint that still runs: %w", io.ErrUnexpectedEOF)
+		err = fmt.Errorf("the connection was closed, and the endpoint did not confirm that it still runs: %w", io.ErrUnexpectedEOF)
 	}
 	b.end = err
 	return n, err
@@ -87,21 +87,21 @@
 	EndConfirmed(ctx context.Context) bool
 }
 
-// endConfirmed reports whether the close of a connection may be the regular end of a body that has no length.
-func (p *Pool) endConfirmed(ctx context.Context, c *conn) bool {
-	if c.via != "" {
-		e, ok := c.Conn.(endConfirmer)
-		return ok && e.EndConfirmed(ctx)
+// endConfirmed returns a function that reports whether the close of a connection was the regular end of a body that has no
+// length.
+func (p *Pool) endConfirmed(ctx context.Context, c *conn) func() bool {
+	check := func(context.Context) bool { return true }
+	if p.EndCheck != nil {
+		check = p.EndCheck(c.addr)
+	}
+	return func() bool {
+		if c.via != "" {
+			if e, ok := c.Conn.(endConfirmer); !ok || !e.EndConfirmed(ctx) {
+				return false
+			}
+		}
+		return check(ctx)
 	}
-	return p.Alive == nil || p.hasOpenIdle(c.addr) || p.Alive(ctx, c.addr)
-}
-
-// hasOpenIdle reports whether there is an idle connection that the endpoint has left open.
-func (p *Pool) hasOpenIdle(addr string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	h := p.hosts[addr]
-	return h != nil && slices.ContainsFunc(h.idle, (*conn).isQuiet)
 }
 
 // restWriteTimeout applies to an endpoint that answers before it has received the whole request. It bounds the time for
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -140,9 +140,9 @@
 	DialDirect func(ctx context.Context, addr string) (net.Conn, error)
 	// Usable reports whether an idle connection may be used for another request; nil if all may.
 	Usable func(addr, via string) bool
-	// Alive reports whether an endpoint may still run. It is called when the endpoint has closed a direct connection, which
-	// ends an answer without a length. It may be nil.
-	Alive func(ctx context.Context, addr string) bool
+	// EndCheck is called when the head of a response without a length has arrived. When the connection was closed, the
+	// returned function reports whether this was the end of the response, and not that of the endpoint. EndCheck may be nil.
+	EndCheck func(addr string) func(ctx context.Context) bool
 	// OnConnLost is called when a direct connection that had carried a request was reset before the next request got an
 	// answer. It must not block. It may be nil.
 	OnConnLost func(addr string)
@@ -317,7 +317,7 @@
 		p.OnResponse(r, resp, sentAt)
 	}
 	if FramingOf(resp) == CloseDelimited {
-		resp.Body = &closeDelimited{ReadCloser: resp.Body, confirmed: func() bool { return p.endConfirmed(ctx, c) }}
+		resp.Body = &closeDelimited{ReadCloser: resp.Body, confirmed: p.endConfirmed(ctx, c)}
 	}
 	resp.Body = &body{ReadCloser: resp.Body, p: p, c: c, resp: resp, cancelClose: stop, sendResult: sendResult}
 	return resp, nil
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -123,7 +123,7 @@
 	byAddress := make(map[string]listedAt, len(list))
 	for i, e := range list {
 		f.index[e.ID] = i
-		byAddress[e.Address] = listedAt{e.ID, e.Hall, e.Service}
+		byAddress[e.Address] = listedAt{e.ID, e.Hall, e.Service, e.Started}
 	}
 	f.byAddress.Store(&byAddress)
 	f.countCells()
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,29 +27,15 @@
 	})
 	for _, p := range []*h1.Pool{r.callerPool, r.controlPool} {
 		p.Dial, p.DialDirect, p.Usable = r.paths.Dial, r.paths.DialDirect, r.paths.Usable
-		p.OnConnLost, p.Alive = r.paths.ConnLost, r.endpointAlive
+		p.OnConnLost = r.paths.ConnLost
 		p.OnSlow, p.SlowAfter = r.paths.CheckSlow, r.paths.SlowAfter()
 		p.OnDialFailed = r.countConnectFailure
 		p.OnConnected = func(addr string, took time.Duration) { r.delays.Connected(clock.Now(), addr, took) }
 	}
+	// The answers to the box's own calls are documents that cannot be parsed unless they are complete.
+	r.callerPool.EndCheck = r.endCheck
 }
 
-// endpointAlive reports whether the endpoint at an address may still run. It does not if its port refuses connections. An
-// endpoint that leaves may stop right after its last answer, so its closed port says nothing.
-func (r *Relay) endpointAlive(ctx context.Context, addr string) bool {
-	e, listed := r.fleet.at(addr)
-	if !listed || !r.fleet.isOpen(e.id) {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
-	defer cancel()
-	_, err := r.paths.Verify(ctx, addr)
-	return !errors.Is(err, syscall.ECONNREFUSED)
-}
-
-// aliveTimeout bounds endpointAlive. The end of an answer waits for it.
-const aliveTimeout = 200 * time.Millisecond
-
 // Paths returns the dialer of this box's connections to endpoints.
 func (r *Relay) Paths() *paths.Dialer { return r.paths }
 
@@ -138,8 +123,11 @@
 	return listed
 }
 
-// listedAt is the part of a listed endpoint that package paths needs.
-type listedAt struct{ id, hall, service string }
+// listedAt is the part of a listed endpoint that is needed by its address.
+type listedAt struct {
+	id, hall, service string
+	started           int64
+}
 
 // at returns the endpoint that is listed at an address. It needs no lock, because the connection pools call it while the
 // fleet is locked.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -112,6 +112,7 @@
 	callerPool  *h1.Pool
 	controlPool *h1.Pool
 	paths       *paths.Dialer
+	endChecks   endChecks
 	plain       *plainTable
 	// contentions says for which plain services the box asks for slots.
 	contentions contentions
@@ -184,6 +185,7 @@
 		disp:        dispatch.New(o.Core, nil, o.Recorder.Metrics),
 		callerPool:  h1.NewPool(),
 		controlPool: h1.NewPool(),
+		endChecks:   endChecks{endpoints: map[string]*endpointCheck{}},
 		plain:       newPlainTable(o.Hall),
 		m:           o.Recorder.Metrics,
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -84,6 +84,9 @@
 	SlotsInUse     *metrics.Gauge
 	// UnconfirmedConns counts new connections that an endpoint closed before a request was sent.
 	UnconfirmedConns *metrics.Counter
+	// UnconfirmedEnds counts answers without a length whose endpoint did not confirm, after the close of the connection,
+	// that it still runs.
+	UnconfirmedEnds *metrics.Counter
 	// SilentCalls counts calls that were ended because the box has lost its direct path to their endpoint.
 	SilentCalls *metrics.Counter
 	// ConnectsFailed counts the connections to endpoints that could not be established: "refused", "unanswered" (no
@@ -204,6 +207,7 @@
 		SlotsWaiting:     s.NewGauge("stoatramp_slots_waiting", nil),
 		SlotsInUse:       s.NewGauge("stoatramp_slots_in_use", nil),
 		UnconfirmedConns: s.NewCounter("stoatramp_connections_unconfirmed_total"),
+		UnconfirmedEnds:  s.NewCounter("stoatramp_answer_ends_unconfirmed_total"),
 		SilentCalls:      s.NewCounter("stoatramp_silent_calls_total"),
 		TunneledCalls:    s.NewCounter("stoatramp_tunneled_calls_total"),
 		ConnectsFailed: map[string]*metrics.Counter{
