Quarantine a part of prompts only after the other boxes could know of the suspicion

The silence of boxes that were not asked was taken for their consent.

Ruled out: a wrong count (the six crashes are real and each ran the part), runs that lasted and were not counted (the box answered about four streams a second, all at engines that ended within 0.5 s), and the other boxes' own judgement (none of them suspected the part).

Change: the second begins when the store has accepted the box's rows about the crashes; while it accepts nothing, the wait ends after 5 s. A request with a suspected part waits and is not sent, as before. Two tests expected the quarantine after one second without any write; they now have the rows written first. TestPartsWhileStoreIsAway expected it within 2 s without the store; it now expects the suspicion until 5 s and the quarantine then.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -19,9 +19,11 @@
 // in verdicts.go and cover.go.
 
 const (
-	// verifyTime is how long the evidence against a part must stand before the part is quarantined. In this time a box
-	// whose runs cleared the part says so. Until then requests with the part wait.
-	verifyTime = time.Second
+	// verifyTime is how long the evidence against a part must stand before the part is quarantined, after the table has
+	// what this box observed. In this time a box whose runs cleared the part says so. Until then requests with the part wait.
+	// maxVerifyTime applies while the table can't be written.
+	verifyTime    = time.Second
+	maxVerifyTime = 5 * time.Second
 	// maxClearDelay bounds the random delay after which a box says that its runs cleared a part. Only few boxes then do.
 	maxClearDelay = 500 * time.Millisecond
 	// maxPartCrashes bounds the recorded crashes. The oldest one that no suspected part explains is dropped when the bound
@@ -69,6 +71,8 @@
 	Crashes  []string // The endpoints that crashed.
 	// Since is when the evidence became sufficient.
 	Since time.Time
+	// askedAt is when the table had all that this box observed of the crashes; zero before that.
+	askedAt time.Time
 }
 
 // String describes the verdict for operators.
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -34,6 +34,9 @@
 	}
 }
 
+// writeRows has the table accept all that a box has to write.
+func writeRows(l *List) { l.markWritten(l.nextBatch()) }
+
 func noAccount() string { return "" }
 
 func stateOf(l *List, id string) PartState {
@@ -81,6 +84,7 @@
 			crashUnder(l, fmt.Sprint("e", n), fmt.Sprint("r", n), fmt.Sprint("own", n), "bad")
 		}
 		expectPart(t, l, "bad", Suspected)
+		writeRows(l)
 		time.Sleep(verifyTime)
 		synctest.Wait()
 		expectPart(t, l, "bad", Quarantined)
@@ -177,6 +181,7 @@
 		time.Sleep(servedTTL + time.Second)
 		crashThree(l, func(int) []string { return []string{"part"} })
 		expectPart(t, l, "part", Suspected)
+		writeRows(l)
 		time.Sleep(2 * verifyTime)
 		expectPart(t, l, "part", Quarantined)
 	})
@@ -238,6 +243,41 @@
 	})
 }
 
+// The store accepts nothing for a second when a box suspects a sound part, so the other boxes do not know of it. The box
+// must not quarantine the part before they do and have had time to clear it.
+func TestPartIsNotHeldBeforeOtherBoxesKnowOfIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newFleet(ctx, 8, 1)
+		s.propagationDelay = 100 * time.Millisecond // So that the longest maxClearDelay is within verifyTime.
+		for _, l := range s.boxes[1:] {
+			l.RecordLasted(partsOf("shared"))
+		}
+		quarantined := false
+		for _, l := range s.boxes {
+			l.SetBoxes(len(s.boxes))
+			l.SetRows(nil) // The first read of the table, when the box starts.
+			l.OnPart = func(v PartVerdict) { quarantined = quarantined || v.Part == partOf("shared") && v.State == Quarantined }
+		}
+		s.unavailable = true
+		for n := range 6 {
+			crashUnder(s.boxes[0], fmt.Sprint("e", n), fmt.Sprint("r", n), "shared", fmt.Sprint("own", n))
+		}
+		time.Sleep(900 * time.Millisecond)
+		expectPart(t, s.boxes[0], "shared", Suspected)
+		s.mu.Lock()
+		s.unavailable = false
+		s.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		expectPart(t, s.boxes[0], "shared", Released)
+		if quarantined {
+			t.Error("expected the shared part not to be quarantined at any time")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // The row that clears a part is lost: another box replaced it by one about fewer crashes. It is written again.
 func TestReplacedClearIsWrittenAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -315,7 +355,10 @@
 		s := newFleet(ctx, 3, 1)
 		s.unavailable = true
 		crashThree(s.boxes[0], func(int) []string { return []string{"bad"} })
-		time.Sleep(2 * time.Second)
+		expectPart(t, s.boxes[0], "bad", Suspected)
+		time.Sleep(maxVerifyTime - time.Millisecond)
+		expectPart(t, s.boxes[0], "bad", Suspected)
+		time.Sleep(2 * time.Millisecond)
 		expectPart(t, s.boxes[0], "bad", Quarantined)
 		expectPart(t, s.boxes[1], "bad", Released)
 		s.mu.Lock()
@@ -475,6 +518,7 @@
 			}
 		}
 		expectTrial("shared", false)
+		writeRows(l)
 		time.Sleep(verifyTime + sharedTrialDelay)
 		expectTrial("shared", true)
 		expectTrial("shared", false, "bad")
@@ -502,6 +546,7 @@
 		for n := range 3 {
 			crashUnder(l, "i-5@a", fmt.Sprint("r", n), "bad")
 			crashUnder(l, "i-5@a", fmt.Sprint("beside", n), fmt.Sprint("x", n)) // The same crash.
+			writeRows(l)
 			time.Sleep(time.Second)
 		}
 		time.Sleep(verifyTime)
--- a/internal/quarantine/rows.go
+++ b/internal/quarantine/rows.go
@@ -89,9 +89,13 @@
 func (l *List) markWritten(put map[string][]byte, remove []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	partsWritten := false
 	for key, value := range put {
 		if row := l.rows[key]; row != nil {
 			row.writeAcked = string(row.value) == string(value) // It may have changed during the call.
+			if row.writeAcked && isPartRow(key) {
+				partsWritten = true
+			}
 		}
 	}
 	for _, key := range remove {
@@ -99,6 +103,9 @@
 			l.removing[key] = true
 		}
 	}
+	if partsWritten && len(l.parts.verdicts) > 0 {
+		l.updateParts(clock.Now())
+	}
 }
 
 // SetRows reads all rows of the shared table into the list. What a row says is forgotten when the row has gone from the
--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -62,16 +62,23 @@
 func (l *List) judge(p Part, t tally, now time.Time) (v *PartVerdict, changed bool) {
 	v = &PartVerdict{Part: p, State: Suspected, Account: t.account, Bits: t.bits, Requests: t.requests, Crashes: t.crashes, Since: now, Shared: t.shared > 0}
 	old := l.parts.verdicts[p]
+	if old != nil {
+		v.Since, v.askedAt = old.Since, old.askedAt
+	}
+	if v.askedAt.IsZero() && !l.hasUnwritten(t.crashes) {
+		v.askedAt = now
+		time.AfterFunc(verifyTime, l.verifyParts)
+	}
+	asked := !v.askedAt.IsZero() && now.Sub(v.askedAt) >= verifyTime
 	if old == nil {
 		if l.parts.verified {
 			v.State = Quarantined
 		} else {
-			time.AfterFunc(verifyTime, l.verifyParts)
+			time.AfterFunc(maxVerifyTime, l.verifyParts)
 		}
 		return v, true
 	}
-	v.Since = old.Since
-	if old.State == Quarantined || now.Sub(v.Since) >= verifyTime || l.parts.verified {
+	if old.State == Quarantined || asked || now.Sub(v.Since) >= maxVerifyTime || l.parts.verified {
 		v.State = Quarantined
 	}
 	if old.State == Quarantined && len(v.Crashes) > len(old.Crashes) && now.Sub(v.Since) > verifyTime+l.firstTrialDelay(p) {
@@ -80,6 +87,18 @@
 	return v, old.State != v.State
 }
 
+// hasUnwritten reports whether the table may lack what this box observed of the crashes of endpoints. l.mu must be held.
+func (l *List) hasUnwritten(endpoints []string) bool {
+	for _, endpoint := range endpoints {
+		for key := range l.parts.crashes[endpoint].rows {
+			if row := l.rows[key]; row.own && !row.writeAcked {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // verifyParts quarantines the parts against which the evidence has stood for long enough.
 func (l *List) verifyParts() {
 	l.mu.Lock()
