Test that an answering probe lets the other tables call the store

Two tests in virtual time: the other tables of a box call the store as soon as the response of a probe begins, and a probe lasts for as long as its response makes progress, then it is replaced. Each fails when the line it guards is taken out (two guards).

--- a/internal/follow/probe_test.go
+++ b/internal/follow/probe_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/stoatramp/stoatramp/internal/clock"
 )
 
 // These tests guard against a probe whose permit is never released. A probe is the call by which a box checks whether
@@ -193,3 +195,56 @@
 		}
 	})
 }
+
+// Guards against tables that wait for the end of another table's long response although the store has answered.
+func TestOtherTablesCallOnceAProbeIsAnswering(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &Link{}
+		l.acquire(t.Context(), time.Second).finish(clock.Now(), false)
+		time.Sleep(maxRetryPause)
+		probe := l.acquire(t.Context(), time.Second)
+		if !probe.probe || !l.State(clock.Now()).Down {
+			t.Fatal("expected the call after an outage to be a probe")
+		}
+		called := false
+		go func() {
+			l.acquire(t.Context(), time.Second)
+			called = true
+		}()
+		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
+		if called {
+			t.Error("expected the other tables to wait before the store answers")
+		}
+		probe.markAnswering(clock.Now(), time.Second)
+		synctest.Wait()
+		if !called || l.State(clock.Now()).Down {
+			t.Error("expected the other tables to call the store when the probe's response begins")
+		}
+		if probe.era.Err() == nil || !probe.answering() {
+			t.Error("expected an answering probe in a new link era")
+		}
+	})
+}
+
+// Guards against a second probe beside one whose long response makes progress, and against one that is never replaced.
+func TestProbeLastsForAsLongAsItAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &Link{}
+		l.acquire(t.Context(), time.Second).finish(clock.Now(), false)
+		time.Sleep(maxRetryPause)
+		probe := l.acquire(t.Context(), time.Second)
+		for range 5 {
+			time.Sleep(800 * time.Millisecond)
+			probe.markAnswering(clock.Now(), time.Second)
+		}
+		if left := probe.until.Sub(clock.Now()); left != time.Second {
+			t.Errorf("expected the probe to have another second, got %s", left)
+		}
+		l.acquire(t.Context(), time.Second).finish(clock.Now(), false) // The store is lost again meanwhile.
+		time.Sleep(1200 * time.Millisecond)
+		if p, _, _ := l.tryAcquire(clock.Now(), time.Second); p == nil || !p.probe {
+			t.Error("expected another probe after the first has made no progress for its time")
+		}
+	})
+}
