Send nothing to an engine that has accepted this box's order, and tell the others

Cause: a box that had an engine change its role went on sending it requests until its next poll of the load, up to 3 s later; the engine refuses them while it carries out the order (PROTOCOL: 503, not executed). Each costs a retry, and a box whose retries are used up refuses the caller with retry_budget.

Ruled out: that the box learns it from the refusals alone: the first one leads to a poll, but its request has failed by then.

Change: an order answered with 202 is applied as a load that says that an order is carried out, here and at the boxes that follow the engine's loads. An answer of 200, which says that the engine has the role already, changes nothing.

Result: TestEngineThatAcceptsAnOrderGetsNoRequests fails before (the engine is ready) and passes after.

--- a/internal/relay/orders.go
+++ b/internal/relay/orders.go
@@ -75,5 +75,18 @@
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusAccepted {
 		return fmt.Errorf("the engine answered the order with %s", resp.Status)
 	}
+	if resp.StatusCode == http.StatusAccepted {
+		r.applyAcceptedOrder(engine, load)
+	}
 	return nil
 }
+
+// applyAcceptedOrder records that an engine carries out an order, and tells the other boxes. The engine refuses requests
+// until its next reports say that the order is done.
+func (r *Relay) applyAcceptedOrder(engine string, load Load) {
+	now := clock.Now()
+	load.ExecutingOrder = true
+	load.Orders++
+	r.applyLoad(engine, now, &load)
+	r.publishLoad(engine, now, &load)
+}
