Take the bandwidth of a box's link from the environment

Ruled out: leaving the bandwidth out (boxes with fast links could not be told from the others), and a default in the template (wrong on every other link).

Anything but a number from 0 to 1,000,000 is refused with the variable's name. The line "start" has link_mbps.

--- a/cmd/stoatrampd/main.go
+++ b/cmd/stoatrampd/main.go
@@ -6,6 +6,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 
 	"github.com/alecthomas/kong"
 	"go.uber.org/zap"
@@ -58,10 +59,27 @@
 
 type relayCmd struct {
 	File string `arg:"" env:"STOATRAMP_BOOT" help:"The box's INI settings."`
+	// LinkMbps is a text, because a platform that does not know the link sets the variable to an empty one.
+	LinkMbps string `env:"STOATRAMP_LINK_MBPS" help:"The bandwidth of the box's link in Mbit/s, if the settings do not give it."`
 }
 
-func (c *relayCmd) Run() error {
+// maxLinkMbps is the largest bandwidth that is accepted, as in the settings.
+const maxLinkMbps = 1e6
+
+// load reads the settings.
+func (c *relayCmd) load() (*config.Relay, error) {
 	cfg, err := config.LoadRelay(c.File)
+	if err != nil || cfg.LinkMbps != 0 || c.LinkMbps == "" {
+		return cfg, err
+	}
+	if cfg.LinkMbps, err = strconv.ParseFloat(c.LinkMbps, 64); err != nil || !(cfg.LinkMbps >= 0 && cfg.LinkMbps <= maxLinkMbps) {
+		return nil, fmt.Errorf("the link's bandwidth (--link-mbps or STOATRAMP_LINK_MBPS) must be a number of Mbit/s, not %q", c.LinkMbps)
+	}
+	return cfg, nil
+}
+
+func (c *relayCmd) Run() error {
+	cfg, err := c.load()
 	if err != nil {
 		return err
 	}
@@ -70,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	b.Reload = func() (*config.Relay, error) { return config.LoadRelay(c.File) }
+	b.Reload = c.load
 	return b.Run()
 }
 
--- a/internal/box/relay.go
+++ b/internal/box/relay.go
@@ -258,7 +258,8 @@
 	defer b.cancel()
 	cfg := b.settings.Load()
 	b.log.Info("start", zap.String("box", cfg.Name), zap.String("hall", cfg.Hall), zap.String("region", cfg.Region),
-		zap.String("callers", b.Callers), zap.String("readiness", b.Readiness), zap.String("operators", b.Operators), zap.String("peers", b.Peers), zap.String("store", cfg.Store), zap.Float64("logged_rate", cfg.LoggedRate))
+		zap.String("callers", b.Callers), zap.String("readiness", b.Readiness), zap.String("operators", b.Operators), zap.String("peers", b.Peers), zap.String("store", cfg.Store), zap.Float64("logged_rate", cfg.LoggedRate),
+		zap.Float64("link_mbps", cfg.LinkMbps))
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
