--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -91,7 +91,7 @@
 func (l *List) hasUnwritten(endpoints []string) bool {
 	for _, endpoint := range endpoints {
 		for key := range l.parts.crashes[endpoint].rows {
-			if row := l.rows[key]; row.own && !row.writeAcked {
+			if row := l.rows[key]; row != nil && row.own && !row.writeAcked {
 				return true
 			}
 		}
--- a/internal/relay/endcheck.go
+++ b/internal/relay/endcheck.go
@@ -67,7 +67,7 @@
 	if c == nil {
 		c = &endpointCheck{}
 		r.endChecks.endpoints[addr] = c
-		defer func() { go r.runEndChecks(addr, c) }()
+		go r.runEndChecks(addr, c)
 	}
 	if c.next == nil {
 		c.next = &startQuery{done: make(chan struct{})}
