Take any answer after the close for a sign that the endpoint runs

The check read that answer to its end, and took the failure for silence.

Ruled out: the load of the machine (each call failed) and the endpoints' starts (none in these rows).

Change: the head of an answer suffices. Only an endpoint that runs sends one; a load with another start still means another process.

Result, race detector: TestWholeAnswersWithoutLengthAreNotReset, TestAnswerThrough- ABoxThatEndsDoesNotLookWhole, TestSlowCallerHasTheEndOfItsAnswerAfterTheBoxStopped and the tests of the end check in platform pass.

--- a/internal/relay/endcheck.go
+++ b/internal/relay/endcheck.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/stoatramp/stoatramp/internal/h1"
 )
 
 // This file finds out whether an answer without a length is complete. Such an answer ends with its connection, and the
@@ -92,24 +94,17 @@
 	}
 }
 
-// askStart asks an endpoint for its load until it answers, at most for endCheckTimeout. Any answer shows that it runs;
-// started is 0 if the answer does not say since when. A refused connection shows that it does not run.
+// askStart asks an endpoint for its load until it answers, at most for endCheckTimeout. The head of any answer shows that
+// it runs; started is 0 if the answer does not say since when. A refused connection shows that it does not run.
 func (r *Relay) askStart(addr string) (started int64, answered bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 	defer cancel()
 	for {
-		e, _ := r.fleet.at(addr)
-		resp, body, err := r.controlPool.DoShort(ctx, endQueryTimeout, controlRequest(e.id, addr, r.protocol.LoadCall()), maxControlAnswer)
-		switch {
-		case err == nil && resp.StatusCode == http.StatusOK:
-			load, err := r.protocol.ParseLoad(body)
-			if err != nil {
-				return 0, true
-			}
-			return load.Started, true
-		case err == nil:
-			return 0, true
-		case errors.Is(err, syscall.ECONNREFUSED):
+		started, err := r.queryLoadStart(ctx, addr)
+		if err == nil {
+			return started, true
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
 			return 0, false
 		}
 		select {
@@ -119,3 +114,23 @@
 		}
 	}
 }
+
+// queryLoadStart asks an endpoint for its load once. The error is nil if the head of an answer arrives. Some endpoints give
+// another answer than a load.
+func (r *Relay) queryLoadStart(ctx context.Context, addr string) (started int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, endQueryTimeout)
+	defer cancel()
+	e, _ := r.fleet.at(addr)
+	resp, err := r.controlPool.Do(ctx, controlRequest(e.id, addr, r.protocol.LoadCall()))
+	if err != nil {
+		return 0, err
+	}
+	body, err := h1.ReadLimited(resp, maxControlAnswer)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return 0, nil
+	}
+	if load, err := r.protocol.ParseLoad(body); err == nil {
+		return load.Started, nil
+	}
+	return 0, nil
+}
