--- a/cmd/stoatrampd/main.go
+++ b/cmd/stoatrampd/main.go
@@ -63,16 +63,13 @@
 	LinkMbps string `env:"STOATRAMP_LINK_MBPS" help:"The bandwidth of the box's link in Mbit/s, if the settings do not give it."`
 }
 
-// maxLinkMbps is the largest bandwidth that is accepted, as in the settings.
-const maxLinkMbps = 1e6
-
 // load reads the settings.
 func (c *relayCmd) load() (*config.Relay, error) {
 	cfg, err := config.LoadRelay(c.File)
 	if err != nil || cfg.LinkMbps != 0 || c.LinkMbps == "" {
 		return cfg, err
 	}
-	if cfg.LinkMbps, err = strconv.ParseFloat(c.LinkMbps, 64); err != nil || !(cfg.LinkMbps >= 0 && cfg.LinkMbps <= maxLinkMbps) {
+	if cfg.LinkMbps, err = strconv.ParseFloat(c.LinkMbps, 64); err != nil || !(cfg.LinkMbps >= 0 && cfg.LinkMbps <= config.MaxLinkMbps) {
 		return nil, fmt.Errorf("the link's bandwidth (--link-mbps or STOATRAMP_LINK_MBPS) must be a number of Mbit/s, not %q", c.LinkMbps)
 	}
 	return cfg, nil
--- a/internal/config/relay.go
+++ b/internal/config/relay.go
@@ -19,6 +19,9 @@
 	defaultRevokedWithinMS    = 5000
 )
 
+// MaxLinkMbps is the largest bandwidth of a box's link that is accepted.
+const MaxLinkMbps = 1e6
+
 // Relay holds the settings of a relay box. A box is a machine that runs the router. A relay box forwards requests byte
 // for byte to endpoints (back ends). Its platform lists the routes and the endpoints. The other kind of box is a
 // gateway box: its settings are in Box, and its routes are in Shared.
@@ -34,7 +37,7 @@
 	// that exceeds the limit. 0 means no limit.
 	MemoryMB float64
 
-	// LinkMbps is the bandwidth of the box's network link in Mbit/s; 0 if it is not known.
+	// LinkMbps is the bandwidth of the box's network link in Mbit/s, up to MaxLinkMbps; 0 if it is not known.
 	LinkMbps float64
 
 	// Callers, Readiness and Operators are listen addresses of the box, "ip:port". The box receives requests at
@@ -154,7 +157,7 @@
 		r.Halls = parseHalls(s)
 		r.LoggedRate = s.number("logged_rate", 40, 0, 1e6)
 		r.MemoryMB = s.numberOrBlank("memory_mb", 0, 0, 1<<30)
-		r.LinkMbps = s.numberOrBlank("link_mbps", 0, 0, 1e6)
+		r.LinkMbps = s.numberOrBlank("link_mbps", 0, 0, MaxLinkMbps)
 		r.Queue = s.integer("queue", 256, 1, 1<<20)
 		r.GracePeriod = s.duration("linger", 2500*time.Millisecond, 0, time.Minute)
 		r.StopTimeout = s.duration("stop_timeout", 7500*time.Millisecond, time.Second, 24*time.Hour)
--- a/internal/follow/probe_test.go
+++ b/internal/follow/probe_test.go
@@ -196,16 +196,23 @@
 	})
 }
 
+// probeLostLink returns a link whose store did not answer, and the permit of a probe that lasts for one second.
+func probeLostLink(t *testing.T) (l *Link, probe *permit) {
+	t.Helper()
+	l = &Link{}
+	l.acquire(t.Context(), time.Second).finish(clock.Now(), false)
+	time.Sleep(maxRetryPause)
+	probe = l.acquire(t.Context(), time.Second)
+	if !probe.probe || !l.State(clock.Now()).Down {
+		t.Fatal("expected the call after an outage to be a probe")
+	}
+	return l, probe
+}
+
 // Guards against tables that wait for the end of another table's long response although the store has answered.
 func TestOtherTablesCallOnceAProbeIsAnswering(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := &Link{}
-		l.acquire(t.Context(), time.Second).finish(clock.Now(), false)
-		time.Sleep(maxRetryPause)
-		probe := l.acquire(t.Context(), time.Second)
-		if !probe.probe || !l.State(clock.Now()).Down {
-			t.Fatal("expected the call after an outage to be a probe")
-		}
+		l, probe := probeLostLink(t)
 		called := false
 		go func() {
 			l.acquire(t.Context(), time.Second)
@@ -230,10 +237,7 @@
 // Guards against a second probe beside one whose long response makes progress, and against one that is never replaced.
 func TestProbeLastsForAsLongAsItAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := &Link{}
-		l.acquire(t.Context(), time.Second).finish(clock.Now(), false)
-		time.Sleep(maxRetryPause)
-		probe := l.acquire(t.Context(), time.Second)
+		l, probe := probeLostLink(t)
 		for range 5 {
 			time.Sleep(800 * time.Millisecond)
 			probe.markAnswering(clock.Now(), time.Second)
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -90,7 +90,8 @@
 	return v.Since.Add(verifyTime + l.firstTrialDelay(p)), true
 }
 
-// firstTrialDelay returns the time from the quarantine of a part until its first trial. l.mu must be held.
+// firstTrialDelay returns the time from the quarantine of a part until its first trial. A quarantine that came later than
+// verifyTime after the evidence sufficed counts from then. l.mu must be held.
 func (l *List) firstTrialDelay(p Part) time.Duration {
 	if v := l.parts.verdicts[p]; v != nil && v.Shared {
 		return sharedTrialDelay
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -136,9 +136,8 @@
 	c := r.protocol.Reserve(x.meta.PromptTokens+min(x.outputReserve(), x.reservedOutput()), ttl)
 	resp, body, err := r.controlPool.DoShort(context.WithoutCancel(ctx), controlCallTimeout+ttl, controlRequest(engine, r.disp.Address(engine), c), maxControlAnswer)
 	if err != nil {
-		var e *h1.Error
-		if !errors.As(err, &e) || e.Sent {
-			r.m.UnansweredReservations.Inc()
+		if mayHaveArrived(err) {
+			r.m.ReservationsLost.Inc()
 		}
 		return ""
 	}
@@ -162,11 +161,16 @@
 	return &h1.Request{Address: address, Endpoint: endpoint, Method: c.Method, Target: c.Target, Host: address, Header: h, Body: c.Body}
 }
 
+// mayHaveArrived reports whether a call that failed may have reached the endpoint.
+func mayHaveArrived(err error) bool {
+	var e *h1.Error
+	return !errors.As(err, &e) || e.Sent
+}
+
 // reasonOf returns the reason why a call got no answer, derived from the error of the call.
 func reasonOf(err error) outcome.Reason {
-	var e *h1.Error
 	switch {
-	case errors.As(err, &e) && !e.Sent:
+	case !mayHaveArrived(err):
 		return outcome.ConnectFailed
 	case errors.Is(err, h1.ErrSurplus), errors.Is(err, h1.ErrHeadTooLong):
 		return outcome.WrongAnswer
@@ -244,9 +248,7 @@
 		return
 	}
 	if err != nil {
-		var e *h1.Error
-		ran := !errors.As(err, &e) || e.Sent
-		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), ran: ran, connLoss: connLossFrom(err), dropped: isConnDropped(err), pathBroke: x.r.pathBroke(q.Address, q.Via, err), detail: err.Error()}})
+		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: reasonOf(err), ran: mayHaveArrived(err), connLoss: connLossFrom(err), dropped: isConnDropped(err), pathBroke: x.r.pathBroke(q.Address, q.Via, err), detail: err.Error()}})
 		return
 	}
 	defer resp.Body.Close()
--- a/internal/relay/endcheck.go
+++ b/internal/relay/endcheck.go
@@ -13,14 +13,14 @@
 
 // This file finds out whether an answer without a length is complete. Such an answer ends with its connection, and the
 // operating system closes the connections of a crashed endpoint too. For some time its port and its other connections may
-// still be open. So only an answer of the same start of the endpoint to a request that was sent after the close counts.
+// still be open. So only an answer of the same start of the endpoint to a request that was sent after the close counts. An
+// endpoint that leaves gets no exception, because what it still runs when it ends is broken off.
 
 const (
 	// endCheckTimeout bounds the check. The end of the caller's answer waits for it.
 	endCheckTimeout = 2 * time.Second
-	// endQueryTimeout bounds one request of a check, and endQueryPause is the pause before the next one.
-	endQueryTimeout = 700 * time.Millisecond
-	endQueryPause   = 50 * time.Millisecond
+	// endQueryPause is the pause between two requests of a check.
+	endQueryPause = 50 * time.Millisecond
 )
 
 // endChecks has the checks that go on. Answers of one endpoint that end at the same time share a request.
@@ -118,7 +118,7 @@
 // queryLoadStart asks an endpoint for its load once. The error is nil if the head of an answer arrives. Some endpoints give
 // another answer than a load.
 func (r *Relay) queryLoadStart(ctx context.Context, addr string) (started int64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, endQueryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	e, _ := r.fleet.at(addr)
 	resp, err := r.controlPool.Do(ctx, controlRequest(e.id, addr, r.protocol.LoadCall()))
--- a/internal/relay/loads.go
+++ b/internal/relay/loads.go
@@ -18,7 +18,7 @@
 	// A box that receives no messages from other boxes polls each engine for its load every standalonePollPeriod. Two
 	// polls are at least minPollInterval apart, so that their cost does not grow with the fleet. In a large fleet loads
 	// are therefore old. In exchange, some engines are polled when a stream is placed (sampleLoads). An engine that
-	// refuses a reservation also shows that its load is stale. loadTimeout bounds one poll.
+	// refuses a reservation also shows that its load is stale. loadTimeout bounds one request for a load.
 	standalonePollPeriod = 3 * time.Second
 	minPollInterval      = 400 * time.Millisecond
 	loadTimeout          = 700 * time.Millisecond
--- a/internal/relay/orders.go
+++ b/internal/relay/orders.go
@@ -81,8 +81,8 @@
 	return nil
 }
 
-// applyAcceptedOrder records that an engine carries out an order, and tells the other boxes. The engine refuses requests
-// until its next reports say that the order is done.
+// applyAcceptedOrder records and publishes that an engine carries out an order. The engine refuses requests until the order
+// is done.
 func (r *Relay) applyAcceptedOrder(engine string, load Load) {
 	now := clock.Now()
 	load.ExecutingOrder = true
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -333,8 +333,8 @@
 		a.reset, a.connsBusy = wasReset(err), errors.Is(err, h1.ErrConnsBusy)
 		a.notAllowed = errors.Is(err, h1.ErrNotAllowed)
 		var failed *h1.Error
-		sent := !errors.As(err, &failed) || failed.Sent
-		if failed != nil && failed.Sent {
+		sent := mayHaveArrived(err)
+		if errors.As(err, &failed) && failed.Sent {
 			a.lostAfter = clock.Since(failed.SentAt)
 		}
 		a.sent, a.ran, a.reason = sent, sent, outcome.EndpointLost
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -55,17 +55,14 @@
 	// The box selects from a subset of a service's endpoints. WidenedSubsets counts how often it doubled a subset.
 	WidenedSubsets *metrics.Counter
 	AbortsLost     *metrics.Counter
-	// UnansweredReservations counts calls to reserve memory at an endpoint whose answer did not arrive. The endpoint may
-	// then keep memory that nobody uses until the reservation expires.
-	UnansweredReservations *metrics.Counter
-	ForeignChunks          *metrics.Counter
-	Repeated               *metrics.Counter
-	PrefillTokens          *metrics.Counter
-	OutputTokens           *metrics.Counter
-	PolicyFaults           *metrics.Counter
-	Goodput                *metrics.Counter
-	OnTime                 *metrics.Counter
-	LogLeftOut             *metrics.Counter
+	ForeignChunks  *metrics.Counter
+	Repeated       *metrics.Counter
+	PrefillTokens  *metrics.Counter
+	OutputTokens   *metrics.Counter
+	PolicyFaults   *metrics.Counter
+	Goodput        *metrics.Counter
+	OnTime         *metrics.Counter
+	LogLeftOut     *metrics.Counter
 	// Stalls counts how often the process was found to have had no CPU time for a while.
 	Stalls        *metrics.Counter
 	ControlBytes  *metrics.Counter
@@ -84,6 +81,9 @@
 	SlotsInUse     *metrics.Gauge
 	// UnconfirmedConns counts new connections that an endpoint closed before a request was sent.
 	UnconfirmedConns *metrics.Counter
+	// ReservationsLost counts calls to reserve memory at an endpoint whose answer did not arrive. The endpoint may then
+	// keep memory that nobody uses until the reservation expires.
+	ReservationsLost *metrics.Counter
 	// UnconfirmedEnds counts answers without a length whose endpoint did not confirm, after the close of the connection,
 	// that it still runs.
 	UnconfirmedEnds *metrics.Counter
@@ -177,29 +177,26 @@
 		MalformedNotices:    s.NewCounter(`stoatramp_endpoint_notices_total{notice="unread"}`),
 		WidenedSubsets:      s.NewCounter("stoatramp_circles_widened_total"),
 		AbortsLost:          s.NewCounter("stoatramp_aborts_lost_total"),
-
-		UnansweredReservations: s.NewCounter("stoatramp_unanswered_reservations_total"),
-
-		ForeignChunks:  s.NewCounter(`stoatramp_dropped_chunks_total{cause="crossed"}`),
-		Repeated:       s.NewCounter(`stoatramp_dropped_chunks_total{cause="repeated"}`),
-		PrefillTokens:  s.NewCounter("stoatramp_prefill_tokens_total"),
-		OutputTokens:   s.NewCounter("stoatramp_output_tokens_total"),
-		PolicyFaults:   s.NewCounter("stoatramp_policy_faults_total"),
-		Goodput:        s.NewCounter("stoatramp_goodput_total"),
-		OnTime:         s.NewCounter("stoatramp_on_time_total"),
-		Stalls:         s.NewCounter("stoatramp_stalls_total"),
-		LogLeftOut:     s.NewCounter("stoatramp_log_requests_left_out_total"),
-		routes:         routeHistograms{set: s, histograms: map[string][]string{}},
-		ControlBytes:   s.NewCounter("stoatramp_control_bytes_total"),
-		RecordsLost:    s.NewCounter("stoatramp_records_lost_total"),
-		FirstToken:     s.NewHistogram("stoatramp_first_token_seconds"),
-		BetweenTokens:  s.NewHistogram("stoatramp_between_tokens_seconds"),
-		LimitCheckTime: s.NewHistogram("stoatramp_limit_seconds"),
-		ConnectionWait: s.NewHistogram("stoatramp_connection_wait_seconds"),
-		ReadConns:      s.NewCounter(`stoatramp_caller_connections_total{result="read"}`),
-		UnreadConns:    s.NewCounter(`stoatramp_caller_connections_total{result="unread"}`),
-		SlotsGranted:   map[string]*metrics.Counter{},
-		SlotsRefused:   map[slots.Reason]*metrics.Counter{},
+		ForeignChunks:       s.NewCounter(`stoatramp_dropped_chunks_total{cause="crossed"}`),
+		Repeated:            s.NewCounter(`stoatramp_dropped_chunks_total{cause="repeated"}`),
+		PrefillTokens:       s.NewCounter("stoatramp_prefill_tokens_total"),
+		OutputTokens:        s.NewCounter("stoatramp_output_tokens_total"),
+		PolicyFaults:        s.NewCounter("stoatramp_policy_faults_total"),
+		Goodput:             s.NewCounter("stoatramp_goodput_total"),
+		OnTime:              s.NewCounter("stoatramp_on_time_total"),
+		Stalls:              s.NewCounter("stoatramp_stalls_total"),
+		LogLeftOut:          s.NewCounter("stoatramp_log_requests_left_out_total"),
+		routes:              routeHistograms{set: s, histograms: map[string][]string{}},
+		ControlBytes:        s.NewCounter("stoatramp_control_bytes_total"),
+		RecordsLost:         s.NewCounter("stoatramp_records_lost_total"),
+		FirstToken:          s.NewHistogram("stoatramp_first_token_seconds"),
+		BetweenTokens:       s.NewHistogram("stoatramp_between_tokens_seconds"),
+		LimitCheckTime:      s.NewHistogram("stoatramp_limit_seconds"),
+		ConnectionWait:      s.NewHistogram("stoatramp_connection_wait_seconds"),
+		ReadConns:           s.NewCounter(`stoatramp_caller_connections_total{result="read"}`),
+		UnreadConns:         s.NewCounter(`stoatramp_caller_connections_total{result="unread"}`),
+		SlotsGranted:        map[string]*metrics.Counter{},
+		SlotsRefused:        map[slots.Reason]*metrics.Counter{},
 		SlotsReturning: map[bool]*metrics.Counter{
 			true:  s.NewCounter(`stoatramp_slots_returning_total{answer="granted"}`),
 			false: s.NewCounter(`stoatramp_slots_returning_total{answer="refused"}`),
@@ -207,6 +204,7 @@
 		SlotsWaiting:     s.NewGauge("stoatramp_slots_waiting", nil),
 		SlotsInUse:       s.NewGauge("stoatramp_slots_in_use", nil),
 		UnconfirmedConns: s.NewCounter("stoatramp_connections_unconfirmed_total"),
+		ReservationsLost: s.NewCounter("stoatramp_unanswered_reservations_total"),
 		UnconfirmedEnds:  s.NewCounter("stoatramp_answer_ends_unconfirmed_total"),
 		SilentCalls:      s.NewCounter("stoatramp_silent_calls_total"),
 		TunneledCalls:    s.NewCounter("stoatramp_tunneled_calls_total"),
--- a/internal/transfer/watch.go
+++ b/internal/transfer/watch.go
@@ -57,6 +57,7 @@
 	}
 }
 
+// expired reports whether the transfer ends now. If not, it starts the timer again.
 func (w *Watch) expired(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
