Record how engines answer each migration request, and ends before the answer

A part of a stopped stream looked complete, and no line could tell which of the migration requests were answered and how, or whether the stream's end was read before or after the result.

The decisions migrate_answers and source_ended and the counter stoatramp_migration_requests_total{answer} say so. Nothing is decided differently.

--- a/internal/record/explain.go
+++ b/internal/record/explain.go
@@ -139,6 +139,10 @@
 		return fmt.Sprintf("It went on at %s.", s.Decode+buildText(s.Build))
 	case StepMigrationAborted:
 		return fmt.Sprintf("It was not moved: %s.", s.Text)
+	case StepMigrationAnswers:
+		return fmt.Sprintf("The answers of %s to the request to move it: %s.", s.Decode, s.Text)
+	case StepSourceEnded:
+		return fmt.Sprintf("The answer of %s ended while the request to move it was not settled: %s.", s.Decode, s.Text)
 	case StepNoRoom:
 		if s.Text != "" {
 			return fmt.Sprintf("Box %s, the home of %s, said that it has no room; nothing was sent yet, and the request was placed again.", s.Text, s.Decode)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -33,6 +33,10 @@
 	StepMigrate          StepKind = "migrate"  // A stream is to be migrated to the engine Decode; Text is why.
 	StepMigrated         StepKind = "migrated" // The stream continues at the engine Decode.
 	StepMigrationAborted StepKind = "stayed"   // The migration was aborted, and the stream continues at its old engine.
+	// StepMigrationAnswers means that a migration request is settled. Text has the answers of the engine to each try, and
+	// StepSourceEnded means that the answer of the engine Decode ended before that; Text says how.
+	StepMigrationAnswers StepKind = "migrate_answers"
+	StepSourceEnded      StepKind = "source_ended"
 	// StepNoRoom means that memory on a decode engine was refused. If Text is empty, the engine refused. Otherwise
 	// Text names the box that refused. That box grants the engine's memory to the other boxes.
 	StepNoRoom StepKind = "no_room"
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 	"github.com/stoatramp/stoatramp/internal/record"
+	"github.com/stoatramp/stoatramp/internal/telemetry"
 )
 
 // This file migrates a running stream from one engine, the source, to another engine, the target. The source stops the
@@ -60,8 +63,19 @@
 	copied bool   // The target engine has the memory too.
 	// unanswered is set if the request was not answered. The run may or may not have been stopped then.
 	unanswered bool
-	// detail says why the stream was not migrated, for the trace of the request.
-	detail string
+	// detail says why the stream was not migrated, and answers how the engine answered each try, for the trace of the request. Equal
+	// answers in a row stand once.
+	detail  string
+	answers []string
+}
+
+// note counts and records the answer to a try.
+func (m *migrationResult) note(r *Relay, answer telemetry.MigrationAnswer, detail string) {
+	r.m.MigrationAnswers[answer].Inc()
+	m.detail = detail
+	if text := fmt.Sprintf("%s (%s)", answer, detail); len(m.answers) == 0 || m.answers[len(m.answers)-1] != text {
+		m.answers = append(m.answers, text)
+	}
 }
 
 // drop starts to free the memory of the stopped run, if the result has a handle for it. drop does not wait for the call
@@ -124,19 +138,27 @@
 			answer, err = f.x.r.protocol.ParseMigration(resp.StatusCode, body)
 		}
 		if err != nil {
-			out.detail = err.Error()
+			kind := telemetry.MigrationLost
+			if !mayHaveArrived(err) {
+				kind = telemetry.MigrationUnsent
+			}
+			out.note(f.x.r, kind, err.Error())
 			lost++
 			continue
 		}
-		out.detail = "the engine answered " + resp.Status
+		detail := "the engine answered " + resp.Status
 		if answer.InProgress {
+			out.note(f.x.r, telemetry.MigrationInProgress, detail)
 			sleepCtx(ctx, migratePollInterval)
 			continue
 		}
 		out.unanswered = false
-		if answer.Handle != "" {
-			out.source, out.copied = Source{Engine: a.From, Address: address, Handle: answer.Handle}, answer.Copied
+		if answer.Handle == "" {
+			out.note(f.x.r, telemetry.MigrationUnnamed, detail)
+			break
 		}
+		out.note(f.x.r, telemetry.MigrationStopped, detail)
+		out.source, out.copied = Source{Engine: a.From, Address: address, Handle: answer.Handle}, answer.Copied
 		break
 	}
 	f.send(flightEvent{attempt: a.Attempt, migrated: out})
@@ -158,6 +180,7 @@
 	m := f.migration
 	switch {
 	case ev.migrated != nil:
+		f.x.trace.Step(record.Step{Kind: record.StepMigrationAnswers, Decode: m.sourceEngine, Text: strings.Join(ev.migrated.answers, "; ")})
 		f.applyMigrationResult(ev.migrated)
 	case ev.overdue:
 		if !m.resumed {
@@ -172,11 +195,13 @@
 	case ev.err != nil && m.is(ev.attempt):
 		f.handleResumeFailure(*ev.err)
 	case ev.err != nil:
+		f.recordSourceEnd(ev.err.detail)
 		m.sourceEnd = ev.err
 		m.sourceEnd.dropped = false // The engine may have stopped the run.
 		f.awaitAnswer()
 		f.resumeWhenStopped()
 	case ev.ended && !m.is(ev.attempt):
+		f.recordSourceEnd(endTexts[ev.unframed])
 		m.sourceEnd, m.unframed = &callError{}, ev.unframed
 		f.resumeWhenStopped()
 	default:
@@ -185,6 +210,17 @@
 	return true
 }
 
+// endTexts say how an answer ended, by whether it had no frame.
+var endTexts = map[bool]string{false: "its frame is complete", true: "it had no length, and its connection was closed"}
+
+// recordSourceEnd adds the end of the source engine's answer to the trace of the request, if it precedes the answer to the
+// migration request.
+func (f *flight) recordSourceEnd(how string) {
+	if m := f.migration; m.source.Handle == "" {
+		f.x.trace.Step(record.Step{Kind: record.StepSourceEnded, Decode: m.sourceEngine, Text: how})
+	}
+}
+
 // applyMigrationResult applies the answer to the migration request. If the engine stopped the run, the stream is
 // resumed once its call has ended. If the engine did not stop the run, the migration is aborted. The stream then
 // continues, or it has already ended, and the withheld end is now sent to the loop.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -39,7 +39,9 @@
 	Moves               *metrics.Counter
 	CompletedMigrations *metrics.Counter
 	AbortedMigrations   *metrics.Counter
-	Resumes             *metrics.Counter
+	// MigrationAnswers counts migration requests by their answers.
+	MigrationAnswers map[MigrationAnswer]*metrics.Counter
+	Resumes          *metrics.Counter
 	// RepeatedCalls counts calls to endpoints. It leaves out the first call of each request, and the call that only
 	// runs the prefill.
 	RepeatedCalls *metrics.Counter
@@ -172,6 +174,7 @@
 		Moves:               s.NewCounter("stoatramp_moves_total"),
 		CompletedMigrations: s.NewCounter(`stoatramp_migrations_total{outcome="moved"}`),
 		AbortedMigrations:   s.NewCounter(`stoatramp_migrations_total{outcome="stayed"}`),
+		MigrationAnswers:    map[MigrationAnswer]*metrics.Counter{},
 		Resumes:             s.NewCounter("stoatramp_resumes_total"),
 		RepeatedCalls:       s.NewCounter("stoatramp_calls_again_total"),
 		SuspectedCrashes:    s.NewCounter("stoatramp_ended_under_total"),
@@ -230,6 +233,9 @@
 	for r := slots.NoEndpoint; r <= slots.Stopping; r++ {
 		m.SlotsRefused[r] = s.NewCounter(fmt.Sprintf("stoatramp_slots_refused_total{reason=%q}", r))
 	}
+	for _, a := range []MigrationAnswer{MigrationStopped, MigrationUnnamed, MigrationInProgress, MigrationLost, MigrationUnsent} {
+		m.MigrationAnswers[a] = s.NewCounter(fmt.Sprintf("stoatramp_migration_requests_total{answer=%q}", a))
+	}
 	decide.RerunResults(func(r decide.RerunResult) {
 		m.reruns[r] = s.NewCounter(fmt.Sprintf("stoatramp_reruns_total{result=%q}", r))
 	})
@@ -275,6 +281,18 @@
 	}
 }
 
+// MigrationAnswer is how an engine answered a request to migrate a run.
+type MigrationAnswer string
+
+// The answers.
+const (
+	MigrationStopped    MigrationAnswer = "stopped"     // The run is stopped, and the answer has the handle of its memory.
+	MigrationUnnamed    MigrationAnswer = "no_handle"   // Any other complete answer: the run may have been stopped or not.
+	MigrationInProgress MigrationAnswer = "in_progress" // The engine works on an earlier request.
+	MigrationLost       MigrationAnswer = "lost"        // No readable answer arrived.
+	MigrationUnsent     MigrationAnswer = "not_sent"    // Nothing of the request was sent.
+)
+
 // CountFraming counts an endpoint's answer that is passed on, by how it is delimited.
 func (m *Metrics) CountFraming(f h1.Framing) {
 	if c := m.framings[f]; c != nil {
