Pass on no end of a stream whose run a migration request may have stopped

Callers got a part of a stream as a complete answer: its engine had stopped the run for a migration, closed the stream, which had no frame, and given an answer that named no handle, or none.

Cause: every status but 200 and 409 was read as 'not stopped', a result that came before the end of the stream was forgotten, and the check of the end shows that the process runs, not that the run went on. The class: a close counts as an end unless something speaks against it.

A flight now remembers its migration requests by engine. An end without a frame counts only if no request may have stopped the run: none was sent, or the engine answered all of them and bytes of the stream arrived later than 50 ms after that, on a socket that was empty by then. A request that got no answer leaves the doubt for good, since engines may carry it out late. In doubt the caller's connection is reset, or the stream goes on elsewhere if it may be resumed, after 2 s at most. A request is not sent any more once the stream has ended.

--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -104,6 +104,13 @@
 	}
 }
 
+// IsQuiet reports whether no byte of a response's body waits to be read. It must not be called during a read. If it returns
+// false, nothing is known.
+func IsQuiet(resp *http.Response) bool {
+	b, ok := resp.Body.(*body)
+	return ok && b.c.isQuiet()
+}
+
 // restWriteTimeout applies to an endpoint that answers before it has received the whole request. It bounds the time for
 // sending the rest of the request.
 const restWriteTimeout = 200 * time.Millisecond
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -265,7 +265,7 @@
 		}
 		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: outcome.EndpointLost, ran: true, detail: "the engine did not confirm that it is the start that the list names"}})
 	default:
-		f.reportStream(a.Attempt, resp, sent, run.LastEvent != "" || x.meta.LastEvent != "")
+		f.reportStream(a, resp, sent, run.LastEvent != "" || x.meta.LastEvent != "")
 	}
 }
 
@@ -297,17 +297,22 @@
 // event. The stream is then resumed at another engine after the last complete event. If the stream was resumed, the
 // caller may have received the last event before. An empty answer is then complete, unless only the close of the
 // connection ended it.
-func (f *flight) reportStream(a decide.Attempt, resp *http.Response, sent time.Time, resumed bool) {
+func (f *flight) reportStream(d decide.StartDecode, resp *http.Response, sent time.Time, resumed bool) {
 	var s splitter
-	framing := h1.FramingOf(resp)
+	a, framing := d.Attempt, h1.FramingOf(resp)
 	unframed := framing == h1.CloseDelimited
+	body := io.Reader(resp.Body)
+	if unframed {
+		body = &lifeReader{&f.stopRequests, d.Decode, func() bool { return h1.IsQuiet(resp) }, resp.Body.Read}
+	}
 	buf := make([]byte, 4<<10)
 	begun := false
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := body.Read(buf)
 		p := s.add(buf[:n])
 		ended := errors.Is(err, io.EOF)
 		if ended {
+			f.endedAttempt.Store(int64(a))
 			last, inside := s.finish()
 			p.join(last)
 			if inside {
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -61,8 +61,11 @@
 type migrationResult struct {
 	source Source // The memory of the stopped run; empty if the run was not stopped.
 	copied bool   // The target engine has the memory too.
-	// unanswered is set if the request was not answered. The run may or may not have been stopped then.
+	// unanswered is set if a try that may have arrived got no answer. The engine may then have stopped the run, or stop it
+	// later.
 	unanswered bool
+	// answeredAt is when the engine answered the last try; zero if it answered none.
+	answeredAt time.Time
 	// detail says why the stream was not migrated, and answers how the engine answered each try, for the trace of the request. Equal
 	// answers in a row stand once.
 	detail  string
@@ -116,43 +119,53 @@
 		return
 	}
 	f.migration = &migration{attempt: a.Attempt, sourceEngine: a.From, targetEngine: a.To}
-	f.calls.Go(func() { f.callMigrate(a) })
+	f.stopRequests.begin(a.From)
+	running := f.decodeAttempt
+	f.calls.Go(func() { f.callMigrate(a, running) })
 }
 
 // callMigrate sends a migration request, and reports the engine's answer. An engine stops the run before it copies the
 // memory. A late answer therefore does not mean that the run continues, and only the answer has the handle of the
 // memory. callMigrate waits for the answer until the caller's deadline, and for migrateAnswerTimeout or the time for
 // which the engine stores the memory longer, also if the caller has left.
-func (f *flight) callMigrate(a decide.Migrate) {
+func (f *flight) callMigrate(a decide.Migrate, running decide.Attempt) {
 	gracePeriod := max(f.x.service.Engines.HandleTTL, migrateAnswerTimeout)
 	limit := f.x.timeLeft() + gracePeriod
 	ctx, cancel := withGracePeriod(f.ctx, gracePeriod)
 	defer cancel()
 	address := f.x.r.disp.Address(a.From)
 	call := f.x.r.protocol.Migrate(f.x.meta.ID, f.x.r.disp.Address(a.To))
-	out := &migrationResult{unanswered: true}
+	out := &migrationResult{}
+	inProgress := false
 	for lost := 0; lost < migrateTries && ctx.Err() == nil; {
-		resp, body, err := f.x.r.controlPool.DoShort(ctx, limit, controlRequest(a.From, address, call), maxControlAnswer)
-		var answer Migration
-		if err == nil {
-			answer, err = f.x.r.protocol.ParseMigration(resp.StatusCode, body)
+		if !out.unanswered && !inProgress && f.endedAttempt.Load() == int64(running) {
+			out.note(f.x.r, telemetry.MigrationUnsent, "the stream has ended")
+			break
 		}
+		resp, body, err := f.x.r.controlPool.DoShort(ctx, limit, controlRequest(a.From, address, call), maxControlAnswer)
 		if err != nil {
-			kind := telemetry.MigrationLost
-			if !mayHaveArrived(err) {
-				kind = telemetry.MigrationUnsent
+			lost++
+			if mayHaveArrived(err) {
+				out.unanswered = true
+				out.note(f.x.r, telemetry.MigrationLost, err.Error())
+			} else {
+				out.note(f.x.r, telemetry.MigrationUnsent, err.Error())
 			}
-			out.note(f.x.r, kind, err.Error())
+			continue
+		}
+		out.answeredAt = clock.Now()
+		answer, err := f.x.r.protocol.ParseMigration(resp.StatusCode, body)
+		if err != nil { // A repeated request may still get the handle.
 			lost++
+			out.note(f.x.r, telemetry.MigrationUnnamed, err.Error())
 			continue
 		}
 		detail := "the engine answered " + resp.Status
-		if answer.InProgress {
+		if inProgress = answer.InProgress; inProgress {
 			out.note(f.x.r, telemetry.MigrationInProgress, detail)
 			sleepCtx(ctx, migratePollInterval)
 			continue
 		}
-		out.unanswered = false
 		if answer.Handle == "" {
 			out.note(f.x.r, telemetry.MigrationUnnamed, detail)
 			break
@@ -161,6 +174,7 @@
 		out.source, out.copied = Source{Engine: a.From, Address: address, Handle: answer.Handle}, answer.Copied
 		break
 	}
+	out.unanswered = out.unanswered || inProgress
 	f.send(flightEvent{attempt: a.Attempt, migrated: out})
 }
 
@@ -203,6 +217,9 @@
 	case ev.ended && !m.is(ev.attempt):
 		f.recordSourceEnd(endTexts[ev.unframed])
 		m.sourceEnd, m.unframed = &callError{}, ev.unframed
+		if ev.unframed {
+			f.awaitAnswer()
+		}
 		f.resumeWhenStopped()
 	default:
 		return false
@@ -222,10 +239,11 @@
 }
 
 // applyMigrationResult applies the answer to the migration request. If the engine stopped the run, the stream is
-// resumed once its call has ended. If the engine did not stop the run, the migration is aborted. The stream then
-// continues, or it has already ended, and the withheld end is now sent to the loop.
+// resumed once its call has ended. If the answer does not say so, the migration is aborted. The stream then continues, or
+// it has already ended, and the withheld end is now sent to the loop, which checks stopRequests.
 func (f *flight) applyMigrationResult(result *migrationResult) {
 	m := f.migration
+	f.stopRequests.settle(m.sourceEngine, result)
 	if result.source.Handle != "" {
 		m.source, m.copied = result.source, result.copied
 		m.keptUntil = clock.Now().Add(f.x.service.Engines.HandleTTL)
@@ -239,10 +257,6 @@
 	f.abortMigration(m.attempt, result.detail)
 	switch {
 	case m.sourceEnd == nil:
-	case m.sourceEnd.reason == outcome.OK && m.unframed && result.unanswered:
-		f.requeue(flightEvent{attempt: f.decodeAttempt, err: &callError{
-			reason: outcome.Truncated, ran: true, detail: "the answer had no length, and the run may have been stopped",
-		}})
 	case m.sourceEnd.reason == outcome.OK:
 		f.requeue(flightEvent{attempt: f.decodeAttempt, ended: true, unframed: m.unframed})
 	default:
@@ -276,9 +290,18 @@
 	}
 	f.migration = nil
 	f.abortMigration(m.attempt, "its run has ended, and the engine does not answer")
+	if m.sourceEnd.reason == outcome.OK {
+		f.x.r.m.DoubtfulEnds.Inc()
+		*m.sourceEnd = stoppedError()
+	}
 	f.handleFailure(f.decodeAttempt, *m.sourceEnd)
 }
 
+// stoppedError returns the failure of a call whose answer had no frame, and whose run may have been stopped when it ended.
+func stoppedError() callError {
+	return callError{reason: outcome.Truncated, ran: true, detail: "the answer had no length, and a migration request may have stopped the run"}
+}
+
 // sendAfter sends the loop an event after a delay.
 func (f *flight) sendAfter(delay time.Duration, ev flightEvent) {
 	f.calls.Go(func() {
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -171,6 +171,7 @@
 // startRun records that the stream is sent to an engine.
 func (f *flight) startRun(engine string) {
 	f.run, f.x.runLasted = openRun{engine: engine, sent: clock.Now()}, false
+	f.stopRequests.beginRun(engine)
 }
 
 // endRun records that the open run has ended, but not because its connection was lost.
--- a/internal/relay/split_test.go
+++ b/internal/relay/split_test.go
@@ -15,6 +15,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/stoatramp/stoatramp/internal/decide"
 	"github.com/stoatramp/stoatramp/internal/outcome"
 )
 
@@ -169,7 +170,7 @@
 	defer resp.Body.Close()
 	events := make(chan flightEvent, 8)
 	f := &flight{ctx: t.Context(), events: events, x: &exchange{r: cellRelay(1)}}
-	f.reportStream(1, resp, time.Now(), false)
+	f.reportStream(decide.StartDecode{Attempt: 1}, resp, time.Now(), false)
 	close(events)
 	var last flightEvent
 	for ev := range events {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -66,6 +67,10 @@
 	run openRun
 	// migration is the migration in progress; nil if there is none.
 	migration *migration
+	// stopRequests are the migration requests that were sent. endedAttempt is the attempt whose answer has been read to its
+	// end. The calls to engines use them too.
+	stopRequests stopRequests
+	endedAttempt atomic.Int64
 	// partsChanged is closed when the verdict on a part of any prompt changes; nil for a prompt without shared parts.
 	partsChanged <-chan struct{}
 	// stopDecode cancels the current decode call; nil before the first decode call.
@@ -468,6 +473,9 @@
 		return f.passEvents(ev.part)
 	case ev.errorAnswer != nil:
 		return f.passErrorAnswer(ev.errorAnswer), true
+	case ev.ended && ev.unframed && f.stopRequests.mayHaveStopped(f.decodeEngine):
+		f.x.r.m.DoubtfulEnds.Inc()
+		f.handleFailure(ev.attempt, stoppedError())
 	case ev.ended && ev.unframed && !h1.EndsWithConn(f.x.req, f.x.w.Header()):
 		f.handleFailure(ev.attempt, callError{
 			reason: outcome.Truncated, ran: true, dropped: true, detail: "the answer had no length, and the caller's answer has a frame",
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -91,6 +91,8 @@
 	// UnconfirmedEnds counts answers without a length whose endpoint did not confirm, after the close of the connection,
 	// that it still runs.
 	UnconfirmedEnds *metrics.Counter
+	// DoubtfulEnds counts streams without a length whose run a migration request may have stopped when they ended.
+	DoubtfulEnds *metrics.Counter
 	// UnprovenStarts counts streams that an engine had begun to answer, and that were ended because the engine did not
 	// confirm that it is the start that the list of endpoints names.
 	UnprovenStarts *metrics.Counter
@@ -217,6 +219,7 @@
 		UnconfirmedConns: s.NewCounter("stoatramp_connections_unconfirmed_total"),
 		ReservationsLost: s.NewCounter("stoatramp_unanswered_reservations_total"),
 		UnconfirmedEnds:  s.NewCounter("stoatramp_answer_ends_unconfirmed_total"),
+		DoubtfulEnds:     s.NewCounter("stoatramp_stream_ends_in_doubt_total"),
 		UnprovenStarts:   s.NewCounter("stoatramp_engine_starts_unconfirmed_total"),
 		AnswersRejected:  s.NewCounter("stoatramp_endpoint_answers_rejected_total"),
 		SilentCalls:      s.NewCounter("stoatramp_silent_calls_total"),
