Continue no stream at an engine that the list shows under another build now

A stream that its caller took up went on at another build, if the rows of engines name no start: the engine restarted as that build under its ID, and the list changed between the choice of the engine and its answer.

Cause: the choice binds the stream to a build, but the call names the engine's ID alone, and the check of the start needs a start. The build that the list names is compared again before the call is sent and when the head of its answer has arrived; the stream is then placed anew.

A restart that the list does not show yet stays unknown where rows name no start.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -237,6 +237,10 @@
 // callDecode has a decode engine generate the answer, and reports the parts of the answer.
 func (f *flight) callDecode(ctx context.Context, a decide.StartDecode, run Run) {
 	x := f.x
+	if !f.hasItsBuild(a.Decode) {
+		f.send(flightEvent{attempt: a.Attempt, err: &callError{reason: outcome.ConnectFailed, detail: "the list names another build for the engine now"}})
+		return
+	}
 	sent := clock.Now()
 	q := x.request(x.r.disp.Address(a.Decode), run)
 	q.EndIfSilent = func() bool { return x.r.disp.CanResume(f.id) }
--- a/internal/relay/startcheck.go
+++ b/internal/relay/startcheck.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"sync"
@@ -60,6 +61,9 @@
 // for others: most are then not worth a call. It does the same if the platform does not say when engines start.
 func (f *flight) isCalledStart(ctx context.Context, engine string, q *h1.Request) bool {
 	x := f.x
+	if !f.hasItsBuild(engine) {
+		return false
+	}
 	e, known := x.r.fleet.findCalled(engine)
 	if !x.route.Resumable || !known || e.Started == 0 || e.Build == "" || !x.r.mixesBuilds(&e) && !x.continues() || x.r.starts.confirmedSince(engine, q.ConnAnswered) {
 		return true
@@ -81,6 +85,18 @@
 	return true
 }
 
+// hasItsBuild reports whether the list names the build at which the stream must run for an engine that was chosen earlier. If
+// rows name no starts, an engine that has restarted as another build keeps its ID.
+func (f *flight) hasItsBuild(engine string) bool {
+	x := f.x
+	if !x.route.Resumable {
+		return true
+	}
+	began, _ := f.beganBuild.Load().(string)
+	want, listed := cmp.Or(x.origin.Build, x.plannedBuild, began), x.r.fleet.buildOf(engine)
+	return want == "" || listed == "" || want == listed
+}
+
 // mixesBuilds reports whether several builds of an engine's service serve in its region, or did lately.
 func (r *Relay) mixesBuilds(e *Endpoint) bool {
 	several, _ := r.fleet.severalBuilds(clock.Now(), e.Service, r.fleet.regionOf(e.Hall), e.Build)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -71,6 +71,8 @@
 	// end. The calls to engines use them too.
 	stopRequests stopRequests
 	endedAttempt atomic.Int64
+	// beganBuild is the build, a string, that wrote the first event. The calls to engines use it too.
+	beganBuild atomic.Value
 	// partsChanged is closed when the verdict on a part of any prompt changes; nil for a prompt without shared parts.
 	partsChanged <-chan struct{}
 	// stopDecode cancels the current decode call; nil before the first decode call.
--- a/internal/relay/stream_answer.go
+++ b/internal/relay/stream_answer.go
@@ -24,6 +24,7 @@
 		return outcome.Outcome{}, false
 	}
 	if f.firstEventAt.IsZero() {
+		f.beganBuild.Store(f.x.r.fleet.buildOf(f.decodeEngine))
 		f.firstEventAt = clock.Now()
 		f.x.rec.FirstToken = f.firstEventAt.Sub(f.x.arrived)
 		f.x.r.m.FirstToken.Update(f.x.rec.FirstToken.Seconds())
