--- a/internal/relay/release_test.go
+++ b/internal/relay/release_test.go
@@ -29,6 +29,10 @@
 
 func (fakeProtocol) ParseReservation(body []byte) (string, error) { return string(body), nil }
 
+func (fakeProtocol) Migrate(request, address string) Call {
+	return Call{Method: http.MethodPost, Target: "/migrate/" + request + "/" + address}
+}
+
 func (fakeProtocol) ReleaseHandle(handle string) Call {
 	return Call{Method: http.MethodDelete, Target: "/handle/" + handle}
 }
--- a/internal/relay/stoprequests_test.go
+++ b/internal/relay/stoprequests_test.go
@@ -1,8 +1,12 @@
 package relay
 
 import (
+	"context"
+	"net"
 	"testing"
 	"time"
+
+	"github.com/stoatramp/stoatramp/internal/decide"
 )
 
 // Guards against the end of a stopped run that counts as the end of its stream, and against whole streams that are broken off.
@@ -61,3 +65,21 @@
 		}
 	}
 }
+
+// Guards against a migration request for a stream whose end was read before: the answer would leave a whole stream in doubt.
+func TestEndedStreamIsNotAskedToMigrate(t *testing.T) {
+	r, f, _ := arrivedFlight(t, t.Context(), decide.Request{}, "writer", "other")
+	r.controlPool.Dial = func(context.Context, string) (net.Conn, string, error) {
+		t.Error("a request is about to be sent")
+		return nil, "", net.ErrClosed
+	}
+	f.x.deadline = time.Now().Add(time.Second)
+	f.endedAttempt.Store(7)
+	f.stopRequests.begin("writer")
+	f.callMigrate(decide.Migrate{Attempt: 8, From: "writer", To: "other"}, 7)
+	ev := <-f.events
+	f.stopRequests.settle("writer", ev.migrated)
+	if f.stopRequests.mayHaveStopped("writer") {
+		t.Errorf("expected no doubt, got %+v", ev.migrated)
+	}
+}
