Count the end of an answer only once its request was taken

Callers got a part of an answer without a length as a complete one, if its endpoint reset the connection, or closed it unread, while the request was still being written.

The operating system reports a reset to one call. The write in the background got it, the read saw a regular end, and the check of the end asks only whether the endpoint still runs.

An end without a frame now counts only if the endpoint's operating system has acknowledged the whole request and the write did not fail. The end of a connection whose request was not taken is a reset, whichever call was told of it: the state of the connection remains when the report is gone.

--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -19,7 +20,7 @@
 	c           *conn
 	resp        *http.Response
 	cancelClose func() bool
-	sendResult  <-chan error
+	sending     *sending
 	reachedEOF  bool
 	once        sync.Once
 }
@@ -62,12 +63,46 @@
 	return CloseDelimited
 }
 
+// EndCause is why the end of a connection was not the end of a response without a length.
+type EndCause string
+
+// The causes.
+const (
+	// EndReset means that the connection was reset or timed out.
+	EndReset EndCause = "reset"
+	// EndUnread means that the endpoint did not read the rest of the request.
+	EndUnread EndCause = "request_unread"
+	// EndUnconfirmed means that neither the endpoint nor the box between confirmed the end.
+	EndUnconfirmed EndCause = "unconfirmed"
+)
+
+// EndCauses calls f for each cause.
+func EndCauses(f func(EndCause)) {
+	for _, v := range []EndCause{EndReset, EndUnread, EndUnconfirmed} {
+		f(v)
+	}
+}
+
+// endCauseOf returns the cause of an error of a body's end; empty if the error has another reason.
+func endCauseOf(err error) EndCause {
+	switch {
+	case errors.Is(err, ErrRequestLost), errors.Is(err, syscall.ECONNRESET):
+		return EndReset
+	case errors.Is(err, ErrRequestUnread):
+		return EndUnread
+	case errors.Is(err, ErrEndUnconfirmed):
+		return EndUnconfirmed
+	}
+	return ""
+}
+
 // closeDelimited is a body that ends with its connection. The connections of an endpoint that has crashed, or of a box
-// between that has died, are closed too. The body then ends with io.ErrUnexpectedEOF.
+// between that has died, are closed too. If the close was not the end of the body, the body ends with io.ErrUnexpectedEOF.
 type closeDelimited struct {
 	io.ReadCloser
-	confirmed func() bool
-	end       error // The error of the body's end, once it was read.
+	checkEnd func() error
+	rejected func(EndCause)
+	end      error // The error of the body's end, once it was read.
 }
 
 func (b *closeDelimited) Read(buf []byte) (int, error) {
@@ -75,32 +110,50 @@
 		return 0, b.end
 	}
 	n, err := b.ReadCloser.Read(buf)
-	if errors.Is(err, io.EOF) && !b.confirmed() {
-		err = fmt.Errorf("the connection was closed, and the endpoint did not confirm that it still runs: %w", io.ErrUnexpectedEOF)
+	if errors.Is(err, io.EOF) {
+		if endErr := b.checkEnd(); endErr != nil {
+			err = fmt.Errorf("%w: %w", endErr, io.ErrUnexpectedEOF)
+		}
+	}
+	if cause := endCauseOf(err); cause != "" {
+		b.rejected(cause)
 	}
 	b.end = err
 	return n, err
 }
 
-// endConfirmer is a connection that can tell whether the endpoint has closed it.
+// endConfirmer is a connection that can tell whether the endpoint has closed it. sent is the number of bytes that the endpoint
+// has to take before.
 type endConfirmer interface {
-	EndConfirmed(ctx context.Context) bool
+	EndConfirmed(ctx context.Context, sent uint64) bool
 }
 
-// endConfirmed returns a function that reports whether the close of a connection was the regular end of a body that has no
-// length.
-func (p *Pool) endConfirmed(ctx context.Context, c *conn) func() bool {
-	check := func(context.Context) bool { return true }
+// endCheck returns a function that returns nil if the close of a connection was the regular end of a body that has no length:
+// the endpoint has taken the whole request, and still runs.
+func (p *Pool) endCheck(ctx context.Context, c *conn, s *sending) func() error {
+	runs := func(context.Context) bool { return true }
 	if p.EndCheck != nil {
-		check = p.EndCheck(c.addr)
+		runs = p.EndCheck(c.addr)
 	}
-	return func() bool {
+	return func() error {
+		if err := c.awaitTaken(ctx, s); err != nil {
+			return err
+		}
 		if c.via != "" {
-			if e, ok := c.Conn.(endConfirmer); !ok || !e.EndConfirmed(ctx) {
-				return false
+			if e, ok := c.Conn.(endConfirmer); !ok || !e.EndConfirmed(ctx, c.sentBytes) {
+				return ErrEndUnconfirmed
 			}
 		}
-		return check(ctx)
+		if !runs(ctx) {
+			return ErrEndUnconfirmed
+		}
+		return nil
+	}
+}
+
+func (p *Pool) reportRejectedEnd(cause EndCause) {
+	if p.OnEndRejected != nil {
+		p.OnEndRejected(cause)
 	}
 }
 
@@ -111,31 +164,38 @@
 	return ok && b.c.isQuiet()
 }
 
-// restWriteTimeout applies to an endpoint that answers before it has received the whole request. It bounds the time for
-// sending the rest of the request.
-const restWriteTimeout = 200 * time.Millisecond
-
 // Close returns the connection to the pool under three conditions. The response was read to its end, the request was
 // sent completely, and the request's context has not closed the connection. In all other cases Close closes the
-// connection, because the next request could read bytes of this response.
+// connection, because the next request could read bytes of this response. The endpoint may still read the rest of a request
+// after its whole response. Then Close returns, and the rest is sent in the background.
 func (b *body) Close() error {
 	b.once.Do(func() {
-		if b.cancelClose() && b.reachedEOF && b.fullySent() {
-			b.p.release(b.c, b.resp)
-			return
+		switch {
+		case !b.cancelClose() || !b.reachedEOF:
+			b.p.discard(b.c)
+		case b.sending.isDone():
+			b.releaseIf(b.sending.err)
+		default:
+			go b.sendRest()
 		}
-		b.p.discard(b.c)
 	})
 	return nil
 }
 
-func (b *body) fullySent() bool {
-	select {
-	case err := <-b.sendResult:
-		return err == nil
-	case <-time.After(restWriteTimeout):
-		return false
+// sendRest waits until the rest of the request was sent. Until then the connection must not be closed.
+func (b *body) sendRest() {
+	ctx, cancel := context.WithTimeout(context.Background(), restTimeout)
+	defer cancel()
+	b.releaseIf(b.c.awaitTaken(ctx, b.sending))
+}
+
+// releaseIf returns the connection to the pool if the request was sent without an error, and closes it otherwise.
+func (b *body) releaseIf(err error) {
+	if err == nil {
+		b.p.release(b.c, b.resp)
+		return
 	}
+	b.p.discard(b.c)
 }
 
 // ReadLimited reads and closes a body of at most maxBytes. A longer body is an error, and its connection is closed.
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -146,6 +147,9 @@
 	// EndCheck is called when the head of a response without a length has arrived. When the connection was closed, the
 	// returned function reports whether this was the end of the response, and not that of the endpoint. EndCheck may be nil.
 	EndCheck func(addr string) func(ctx context.Context) bool
+	// OnEndRejected is called when the end of the connection of a response without a length was not the end of the
+	// response. It must not block. It may be nil.
+	OnEndRejected func(cause EndCause)
 	// OnConnLost is called when a direct connection that had carried a request was reset before the next request got an
 	// answer. It must not block. It may be nil.
 	OnConnLost func(addr string)
@@ -225,6 +229,17 @@
 	// bounded is set while no more than readLeft bytes may be read. Only the goroutine that reads uses them.
 	bounded  bool
 	readLeft int
+	// sentBytes is the number of bytes of all requests on the connection, and ackedBefore that of the bytes that were
+	// acknowledged before the first of them.
+	sentBytes, ackedBefore uint64
+	// peekedReset is set once isQuiet was told that the connection was reset.
+	peekedReset atomic.Bool
+}
+
+// Write writes to the connection.
+func (c *conn) Write(b []byte) (int, error) {
+	c.sentBytes += uint64(len(b))
+	return c.Conn.Write(b)
 }
 
 // boundReads lets the reads from now on fail with ErrHeadTooLong after n bytes.
@@ -246,6 +261,9 @@
 	if n > 0 {
 		c.heardAt.Store(clock.Now().UnixNano())
 	}
+	if (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)) && c.lost() {
+		err = fmt.Errorf("%w: %w", ErrRequestLost, syscall.ECONNRESET)
+	}
 	if err != nil && c.ended.Load() {
 		err = ErrSilent
 	}
@@ -290,17 +308,17 @@
 		p.discard(c)
 		return nil, &Error{Err: ErrNotAllowed}
 	}
-	sendResult, sentAt := make(chan error, 1), clock.Now()
+	sending, sentAt := newSending(), clock.Now()
 	c.heardAt.Store(sentAt.UnixNano())
 	p.setEndable(c, r.EndIfSilent)
-	p.write(c, r, sendResult)
+	c.send(r, sending)
 	answered := p.watchSlow(ctx, c)
 	resp, err := c.readResponse(r, p.reportSurplus)
 	answered()
 	if err != nil {
 		stop()
 		p.discard(c)
-		sendErr := <-sendResult // The write has ended, because the connection is closed.
+		sendErr := sending.wait() // The write has ended, because the connection is closed.
 		reset := fresh && (errors.Is(err, syscall.ECONNRESET) || isReset(sendErr))
 		if !fresh && c.via == "" && ctx.Err() == nil && p.OnConnLost != nil && (errors.Is(err, syscall.ECONNRESET) || isReset(sendErr)) {
 			p.OnConnLost(c.addr)
@@ -326,9 +344,9 @@
 		p.OnResponse(r, resp, sentAt)
 	}
 	if FramingOf(resp) == CloseDelimited {
-		resp.Body = &closeDelimited{ReadCloser: resp.Body, confirmed: p.endConfirmed(ctx, c)}
+		resp.Body = &closeDelimited{ReadCloser: resp.Body, checkEnd: p.endCheck(ctx, c, sending), rejected: p.reportRejectedEnd}
 	}
-	resp.Body = &body{ReadCloser: resp.Body, p: p, c: c, resp: resp, cancelClose: stop, sendResult: sendResult}
+	resp.Body = &body{ReadCloser: resp.Body, p: p, c: c, resp: resp, cancelClose: stop, sending: sending}
 	return resp, nil
 }
 
@@ -336,8 +354,7 @@
 // before.
 var errNothingSent = errors.New("no byte of the request was sent")
 
-// isReset reports whether a write failed because the endpoint reset the connection. The operating system reports a reset
-// only once. If the write has got that report, the read sees the end of the data.
+// isReset reports whether a write failed because the endpoint reset the connection.
 func isReset(sendErr error) bool {
 	return errors.Is(sendErr, syscall.ECONNRESET) || errors.Is(sendErr, syscall.EPIPE)
 }
@@ -348,9 +365,9 @@
 	}
 }
 
-// write sends the request. An endpoint may respond before it has read the whole body. So write sends a request longer
-// than bufferBytes in the background.
-func (p *Pool) write(c *conn, r *Request, sendResult chan<- error) {
+// send sends the request. An endpoint may respond before it has read the whole body. So send sends a request longer than
+// bufferBytes in the background.
+func (c *conn) send(r *Request, s *sending) {
 	var head strings.Builder
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	if r.Body != nil {
@@ -361,13 +378,14 @@
 	if head.Len()+len(r.Body) <= bufferBytes {
 		head.Write(r.Body)
 		n, err := c.Write([]byte(head.String()))
-		sendResult <- sendError(int64(n), err)
+		s.finish(sendError(int64(n), err))
 		return
 	}
+	c.sentBytes += uint64(head.Len()) + uint64(len(r.Body))
 	go func() {
 		bufs := net.Buffers{[]byte(head.String()), r.Body}
 		n, err := bufs.WriteTo(c.Conn)
-		sendResult <- sendError(n, err)
+		s.finish(sendError(n, err))
 	}()
 }
 
@@ -524,6 +542,9 @@
 		return nil, err
 	}
 	c := &conn{Conn: nc, addr: addr, via: via, dialTime: time.Since(began), fresh: true, keep: r.keepConns()}
+	if st, err := tcpopt.StatusOf(nc); err == nil {
+		c.ackedBefore = st.Acked
+	}
 	if via == "" && p.OnConnected != nil {
 		p.OnConnected(addr, c.dialTime)
 	}
@@ -588,6 +609,9 @@
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(err, syscall.EAGAIN)
+		if errors.Is(err, syscall.ECONNRESET) {
+			c.peekedReset.Store(true)
+		}
 		return true
 	})
 	return err == nil && quiet
--- a/internal/paths/carried.go
+++ b/internal/paths/carried.go
@@ -41,7 +41,7 @@
 }
 
 // EndConfirmed reports whether it was the endpoint that closed the connection, and not the box between.
-func (c *carriedConn) EndConfirmed(ctx context.Context) bool {
+func (c *carriedConn) EndConfirmed(ctx context.Context, _ uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
 	return tunnel.Ended(ctx, c.d.toBox, c.box.Address, c.id, c.d.o.Peers.Key()) == nil
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -166,7 +166,7 @@
 			delete(p.tried, e.ID) // With another slot, the endpoint may get the call.
 		}
 		if a.reason != outcome.OK {
-			x.trace.Step(record.Step{Kind: record.StepFailed, Decode: e.ID, Reason: a.reason})
+			x.trace.Step(record.Step{Kind: record.StepFailed, Decode: e.ID, Reason: a.reason, Text: a.detail})
 		}
 		if a.sent {
 			arrived++
@@ -268,7 +268,8 @@
 	ran    bool // The request may have run.
 	good   bool // The answer is a success.
 	reason outcome.Reason
-	full   bool // The endpoint rejected the request because it is full.
+	detail string // The error of the connection, if there was one.
+	full   bool   // The endpoint rejected the request because it is full.
 	// connWait is how long the call waited for one of maxConns connections of this box to the endpoint.
 	connWait time.Duration
 	maxConns int
@@ -329,6 +330,7 @@
 	a.connWait, a.maxConns = q.ConnWait, q.MaxConns
 	x.recordVia(e.ID, q)
 	if err != nil {
+		a.detail = err.Error()
 		a.pathBroke = x.r.pathBroke(e.Address, q.Via, err)
 		a.reset, a.connsBusy = wasReset(err), errors.Is(err, h1.ErrConnsBusy)
 		a.notAllowed = errors.Is(err, h1.ErrNotAllowed)
@@ -361,6 +363,9 @@
 	if err != nil || !reply.Signed || resp.Header.Get("Content-Encoding") != "" {
 		_ = resp.Body.Close()
 		a.reason, a.pathBroke = outcome.Truncated, x.r.pathBroke(e.Address, q.Via, err)
+		if err != nil {
+			a.detail = err.Error()
+		}
 		if err != nil && ctx.Err() == nil {
 			a.connLoss = lossInAnswer(start, err)
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -204,6 +204,7 @@
 	r.revoked.Store(&revoked{})
 	r.callerPool.OnSurplus = r.m.ForeignChunks.Inc
 	r.callerPool.OnUnconfirmed = r.m.UnconfirmedConns.Inc
+	r.callerPool.OnEndRejected = func(cause h1.EndCause) { r.m.EndsRejected[cause].Inc() }
 	r.makePaths()
 	r.callerPool.OnResponse, r.controlPool.OnResponse = r.observeRun, r.observeControl
 	r.disp.OnStateChange = r.logStateChange
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -91,6 +91,8 @@
 	// UnconfirmedEnds counts answers without a length whose endpoint did not confirm, after the close of the connection,
 	// that it still runs.
 	UnconfirmedEnds *metrics.Counter
+	// EndsRejected counts answers without a length whose connection ended, by why that was not the end of the answer.
+	EndsRejected map[h1.EndCause]*metrics.Counter
 	// DoubtfulEnds counts streams without a length whose run a migration request may have stopped when they ended.
 	DoubtfulEnds *metrics.Counter
 	// UnprovenStarts counts streams that an engine had begun to answer, and that were ended because the engine did not
@@ -176,6 +178,7 @@
 		Moves:               s.NewCounter("stoatramp_moves_total"),
 		CompletedMigrations: s.NewCounter(`stoatramp_migrations_total{outcome="moved"}`),
 		AbortedMigrations:   s.NewCounter(`stoatramp_migrations_total{outcome="stayed"}`),
+		EndsRejected:        map[h1.EndCause]*metrics.Counter{},
 		MigrationAnswers:    map[MigrationAnswer]*metrics.Counter{},
 		Resumes:             s.NewCounter("stoatramp_resumes_total"),
 		RepeatedCalls:       s.NewCounter("stoatramp_calls_again_total"),
@@ -230,6 +233,9 @@
 			ConnectOther:      s.NewCounter(`stoatramp_connects_failed_total{cause="other"}`),
 		},
 	}
+	h1.EndCauses(func(c h1.EndCause) {
+		m.EndsRejected[c] = s.NewCounter(fmt.Sprintf("stoatramp_answer_ends_rejected_total{cause=%q}", c))
+	})
 	for _, by := range []string{SlotByOwner, SlotBySelf, SlotByPart} {
 		m.SlotsGranted[by] = s.NewCounter(fmt.Sprintf("stoatramp_slots_granted_total{by=%q}", by))
 	}
