--- a/internal/paths/carried.go
+++ b/internal/paths/carried.go
@@ -40,16 +40,15 @@
 	return sc.SyscallConn()
 }
 
-// EndConfirmed reports whether it was the endpoint that closed the connection, and not the box between.
-func (c *carriedConn) EndConfirmed(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, endTimeout)
-	defer cancel()
-	err := tunnel.Ended(ctx, c.d.toBox, c.box.Address, c.id, c.d.o.Peers.Key())
+// EndConfirmed reports whether it was the endpoint that closed the connection, and not the box between, and whether the
+// endpoint has taken the sent bytes.
+func (c *carriedConn) EndConfirmed(ctx context.Context, sent uint64) bool {
+	err := tunnel.Ended(ctx, c.d.toBox, c.box.Address, c.id, c.d.o.Peers.Key(), sent, endTimeout)
 	c.d.reportMalformed(c.box.Name, err)
 	return err == nil
 }
 
-// endTimeout bounds the question how a tunnel ended.
+// endTimeout bounds each question how a tunnel ended. The other box may wait for a third of it.
 const endTimeout = 300 * time.Millisecond
 
 func (c *carriedConn) Close() error {
