Play heads that are cut off or without end, for all clients of a box

What callers saw: nothing of the cut heads (net/http finds the end of the connection inside a head); heads without end filled the memory of the box that called.

Cause of the growth: the clients of net/http had no limit of their own, and a head of short lines takes many times its bytes once it is parsed.

Change: no further one in the product but two: internal/peer falls back on no transport of net/http, and the reason crossed says that the answer may have been malformed.

--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -141,7 +141,7 @@
 	PrefillExpired:     {"prefill_expired", 504, "the prefill engine dropped the KV cache before a decode engine had it"},
 	DecodeSilent:       {"decode_silent", 504, "the decode engine stopped sending tokens"},
 	Truncated:          {"truncated", 502, "the endpoint closed the answer before its end"},
-	WrongAnswer:        {"crossed", 502, "the endpoint sent the answer of another request"},
+	WrongAnswer:        {"crossed", 502, "the endpoint sent the answer of another request, or one that is malformed"},
 	CrashesEndpoints:   {"ends_endpoints", 500, "each endpoint that ran this request ended, so it is sent to no other"},
 	CallerGone:         {"caller_gone", 499, "the caller closed its connection"},
 	CallerSlow:         {"caller_slow", 499, "the caller stopped reading the answer"},
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,6 +17,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
+	"github.com/stoatramp/stoatramp/internal/httphead"
 	"github.com/stoatramp/stoatramp/internal/platform"
 	v1 "github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1"
 	"github.com/stoatramp/stoatramp/internal/rpc/stoatrampv1/stoatrampv1connect"
@@ -69,7 +70,10 @@
 // the other boxes by hc, whose transport it wraps.
 func New(self, key string, list Lister, hc *http.Client) *Peers {
 	counted := *hc
-	counted.Transport = transfer.RoundTripper{Base: cmp.Or(hc.Transport, http.DefaultTransport)}
+	if counted.Transport == nil {
+		counted.Transport = httphead.NewTransport(&http.Transport{}, nil)
+	}
+	counted.Transport = transfer.RoundTripper{Base: counted.Transport}
 	hc = &counted
 	return &Peers{self: self, key: key, lister: list, hc: hc}
 }
