Confirm the end of a tunnel only once the endpoint has taken the request

Callers got a part of an answer without a length as a complete one also where another box carried the connection: 8 to 10 of 10 plays of 8 MB, reset or closed unread, and 10 of 10 closed and then reset.

In the box that carries it, the write to the endpoint got the report of the reset and the read saw a regular end, which the box then confirmed. And what the caller's box has written may still wait in the buffers between, so that it can't know whether the endpoint takes it.

The carrying box looks at the state of its connection at the end, remembers a failed write, and keeps reading the rest of the request after the endpoint has closed its side. The caller's box says how much it has sent and is told yes only once the endpoint has acknowledged so much (202 until then).

--- a/internal/paths/carried.go
+++ b/internal/paths/carried.go
@@ -40,14 +40,13 @@
 	return sc.SyscallConn()
 }
 
-// EndConfirmed reports whether it was the endpoint that closed the connection, and not the box between.
-func (c *carriedConn) EndConfirmed(ctx context.Context, _ uint64) bool {
-	ctx, cancel := context.WithTimeout(ctx, endTimeout)
-	defer cancel()
-	return tunnel.Ended(ctx, c.d.toBox, c.box.Address, c.id, c.d.o.Peers.Key()) == nil
+// EndConfirmed reports whether it was the endpoint that closed the connection, and not the box between, and whether the
+// endpoint has taken the sent bytes.
+func (c *carriedConn) EndConfirmed(ctx context.Context, sent uint64) bool {
+	return tunnel.Ended(ctx, c.d.toBox, c.box.Address, c.id, c.d.o.Peers.Key(), sent, endTimeout) == nil
 }
 
-// endTimeout bounds the question how a tunnel ended.
+// endTimeout bounds each question how a tunnel ended. The other box may wait for a third of it.
 const endTimeout = 300 * time.Millisecond
 
 func (c *carriedConn) Close() error {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -55,14 +55,6 @@
 	ends     endLog
 }
 
-// carried is a tunnel that a server carries.
-type carried struct{ caller, endpoint net.Conn }
-
-func (t *carried) reset() {
-	reset(t.caller)
-	reset(t.endpoint)
-}
-
 // Open returns the number of open tunnels.
 func (s *Server) Open() int {
 	s.mu.Lock()
@@ -109,7 +101,7 @@
 		s.reject(w, Failed)
 		return
 	}
-	t := &carried{caller, endpoint}
+	t := &carried{caller: caller, endpoint: endpoint}
 	if !s.add(t) {
 		t.reset()
 		s.ended(Stopping, 0)
@@ -117,7 +109,7 @@
 	}
 	defer s.remove(t)
 	name := tunnelName(from, r.Header.Get(idHeader))
-	s.ended("", splice(caller, endpoint, func() { s.ends.add(name) }))
+	s.ended("", t.splice(func() { s.ends.add(name, t) }))
 }
 
 func (s *Server) authorized(h http.Header) bool {
