Check in the first front that an upload was taken before its answer ends

Callers of a plain service got a part of an answer without a length as a complete one, if its endpoint reset the connection, or closed its side, while the upload was still being passed on.

net/http's Transport keeps the result of its write to itself, and ends a body without a length with any end of the data. The connections of plain services now look at the state of the connection at that end, wait until the request was sent, and fail the read if it was not taken. The cut off request names the error, and stoatramp_answer_ends_rejected_total counts it.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -50,7 +50,7 @@
 	d := &net.Dialer{Timeout: plainDialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         d.DialContext,
+			DialContext:         h1.CheckedDial(d.DialContext),
 			DisableKeepAlives:   singleUse,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: 64,
@@ -175,7 +175,7 @@
 func (x *exchange) callEndpoint(ctx context.Context, e *config.Endpoint, load *atomic.Int64) (*http.Response, bool, error) {
 	var maybeSent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { maybeSent.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), x.r.Method, "http://"+e.Address+x.r.URL.RequestURI(), nil)
+	req, err := http.NewRequestWithContext(h1.TraceSending(httptrace.WithClientTrace(ctx, trace)), x.r.Method, "http://"+e.Address+x.r.URL.RequestURI(), nil)
 	if err != nil {
 		return nil, false, err
 	}
@@ -220,7 +220,8 @@
 	id := x.w.Header().Get(HeaderRequestID)
 	h1.CopyHeaders(x.w.Header(), resp.Header)
 	x.w.Header().Set(HeaderRequestID, id)
-	if h1.FramingOf(resp) == h1.CloseDelimited {
+	unframed := h1.FramingOf(resp) == h1.CloseDelimited
+	if unframed {
 		h1.CloseDelimit(x.w, x.r)
 	}
 	x.responseStarted = true
@@ -231,7 +232,10 @@
 			x.finish(writeErrorOutcome(writeErr.error))
 			return
 		}
-		x.finish(outcome.Outcome{Kind: outcome.CutOff, Reason: outcome.Truncated})
+		if c := x.g.m.EndsRejected[h1.EndCauseOf(err)]; c != nil && unframed {
+			c.Inc()
+		}
+		x.finish(outcome.Outcome{Kind: outcome.CutOff, Reason: outcome.Truncated, Detail: err.Error()})
 		h1.Abort(x.w, x.r)
 	}
 	x.finish(outcome.Outcome{Kind: outcome.Answered})
--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -83,8 +83,8 @@
 	}
 }
 
-// endCauseOf returns the cause of an error of a body's end; empty if the error has another reason.
-func endCauseOf(err error) EndCause {
+// EndCauseOf returns the cause of an error of a body's end; empty if the error has another reason.
+func EndCauseOf(err error) EndCause {
 	switch {
 	case errors.Is(err, ErrRequestLost), errors.Is(err, syscall.ECONNRESET):
 		return EndReset
@@ -115,7 +115,7 @@
 			err = fmt.Errorf("%w: %w", endErr, io.ErrUnexpectedEOF)
 		}
 	}
-	if cause := endCauseOf(err); cause != "" {
+	if cause := EndCauseOf(err); cause != "" {
 		b.rejected(cause)
 	}
 	b.end = err
--- a/internal/h1/sending_test.go
+++ b/internal/h1/sending_test.go
@@ -113,7 +113,7 @@
 	}
 	defer resp.Body.Close()
 	// The operating system may end the connection before the check does.
-	if _, err := io.ReadAll(resp.Body); !errors.Is(err, ErrRequestUnread) && !errors.Is(err, ErrRequestLost) || cause != endCauseOf(err) {
+	if _, err := io.ReadAll(resp.Body); !errors.Is(err, ErrRequestUnread) && !errors.Is(err, ErrRequestLost) || cause != EndCauseOf(err) {
 		t.Errorf("expected an end that is rejected, got %v, cause %q", err, cause)
 	}
 }
