Pass on the rest of an upload after an early answer in the first front

An endpoint of a plain service that answered before it had read the upload did not get the rest, and its answer was then broken off as one to a lost upload.

The server of net/http reads up to 256 KB of the rest of a request itself before it writes the head of an answer, unless full duplex is enabled. What it read was missing from the upload.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/stoatramp/stoatramp/internal/config"
 	"github.com/stoatramp/stoatramp/internal/h1"
 	"github.com/stoatramp/stoatramp/internal/outcome"
@@ -225,6 +227,10 @@
 		h1.CloseDelimit(x.w, x.r)
 	}
 	x.responseStarted = true
+	// Without full duplex, the server reads the rest of the request itself before it writes the head.
+	if err := http.NewResponseController(x.w).EnableFullDuplex(); err != nil {
+		x.g.log.Debug("the rest of a request may be lost after an early answer", zap.Error(err))
+	}
 	x.w.WriteHeader(resp.StatusCode)
 	if err := x.copyBody(resp.Body); err != nil {
 		var writeErr *callerWriteError
--- a/internal/gateway/uploads_test.go
+++ b/internal/gateway/uploads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -124,3 +125,25 @@
 		}
 	}
 }
+
+// Guards against a sound answer that is broken off, or a rest of its upload that is, because the endpoint closes its side before
+// it has read the upload.
+func TestEarlyAnswerToAnUploadStaysWhole(t *testing.T) {
+	body := bytes.Repeat([]byte("0123456789abcdef"), uploadBytes/16)
+	for _, n := range []int{1, uploadBytes} {
+		got := make(chan []byte, 1)
+		address, _ := newUploadGateway(t, false, func(c *net.TCPConn, r io.Reader) {
+			_ = c.CloseWrite()
+			time.Sleep(300 * time.Millisecond)
+			b := make([]byte, n)
+			_, _ = io.ReadFull(r, b)
+			got <- b
+		})
+		if text, complete := rawUpload(t, address, body[:n]); text != answerPart || !complete {
+			t.Errorf("%d bytes: expected a whole answer, got %q, complete %t", n, text, complete)
+		}
+		if !bytes.Equal(<-got, body[:n]) {
+			t.Errorf("%d bytes: expected the endpoint to get the rest", n)
+		}
+	}
+}
