Refuse answers without a length from the first front's platform

A box of the first front took half of an object for the whole one, and a write for done, if the connection of an answer without a length was closed early. Only documents in JSON show by themselves that they are whole.

The client now refuses answers of HTTP/1 with neither a length nor chunks, as the relay's client of the store already does for objects.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -37,6 +37,10 @@
 
 var errTooLarge = fmt.Errorf("platform: the answer is larger than %d bytes", maxResponseBytes)
 
+// errNoLength means that an answer ended with its connection. Such an end does not show that the answer is whole, or that the
+// service has read the whole call.
+var errNoLength = errors.New("platform: the answer has neither a length nor chunks")
+
 // Row is one row of the table.
 type Row struct {
 	Key string `json:"key"`
@@ -121,6 +125,9 @@
 		return 0, nil, callError(ctx, err)
 	}
 	defer resp.Body.Close()
+	if endsWithConn(resp) {
+		return 0, nil, errNoLength
+	}
 	b, err := io.ReadAll(io.LimitReader(transfer.Reader(ctx, resp.Body), maxResponseBytes+1))
 	if err != nil {
 		return 0, nil, callError(ctx, err)
@@ -131,6 +138,11 @@
 	return resp.StatusCode, b, nil
 }
 
+// endsWithConn reports whether only the end of its connection ends an answer.
+func endsWithConn(resp *http.Response) bool {
+	return resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed
+}
+
 // callError returns the error of a call. It names how far the transfer came if that is why the call has ended.
 func callError(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); errors.Is(cause, transfer.ErrStalled) {
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -144,3 +144,24 @@
 		})
 	}
 }
+
+// Guards against half of an object that is taken for the whole, and a write that counts as done, because the service, or what
+// stands in front of it, closed the connection of an answer without a length.
+func TestAnswerWithoutLengthIsRefused(t *testing.T) {
+	for unframed, want := range map[bool]error{true: errNoLength, false: nil} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if unframed {
+				w.Header().Set("Transfer-Encoding", "identity")
+			}
+			_, _ = io.WriteString(w, "half of an obj")
+		}))
+		defer srv.Close()
+		c := NewClient(srv.URL, "")
+		if _, err := c.GetObject(context.Background(), "x"); !errors.Is(err, want) {
+			t.Errorf("read, without a length %t: expected %v, got %v", unframed, want, err)
+		}
+		if err := c.PutObject(context.Background(), "x", []byte("object")); !errors.Is(err, want) {
+			t.Errorf("write, without a length %t: expected %v, got %v", unframed, want, err)
+		}
+	}
+}
