--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -114,6 +114,9 @@
 // maxInterim bounds the informational responses before a response.
 const maxInterim = 5
 
+// NetConn returns the connection whose heads are checked.
+func (c *strictConn) NetConn() net.Conn { return c.Conn }
+
 func (c *strictConn) expectHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/tunnel/splice.go
+++ b/internal/tunnel/splice.go
@@ -29,7 +29,7 @@
 	// was reset, or timed out. The operating system reports that only once: after a write has got the report, a read sees a
 	// regular end.
 	closed, failed bool
-	// copied is the number of bytes of the caller that were written to the endpoint's connection.
+	// copied is the number of bytes of the caller whose write to the endpoint's connection was begun.
 	copied uint64
 	// taken is the number of these bytes that the endpoint has acknowledged. It is valid once the tunnel has ended.
 	taken uint64
@@ -102,12 +102,13 @@
 	for {
 		r, err := t.caller.Read(buf[:])
 		if r > 0 {
+			t.addCopied(r) // Before the write: a reset that it is told of must find bytes that were not taken.
 			w, writeErr := t.endpoint.Write(buf[:r])
 			n += int64(w)
 			if writeErr != nil {
 				return n, nil, writeErr
 			}
-			t.addCopied(r)
+			t.extend()
 		}
 		if err != nil {
 			if errors.Is(err, io.EOF) {
@@ -118,11 +119,17 @@
 	}
 }
 
-// addCopied records bytes that were written to the endpoint's connection.
+// addCopied records bytes that are written to the endpoint's connection.
 func (t *carried) addCopied(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.copied += uint64(n)
+}
+
+// extend lets the caller send more of its request after the endpoint has closed its side.
+func (t *carried) extend() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.closed {
 		_ = t.caller.SetReadDeadline(time.Now().Add(endpointCloseGrace))
 	}
