Test the end of a planned stop in a process, and write out its log

Process tests lost the last 0.2 s of a box's log, because their main did not call Sync as the program's main does. So the lines at the end of a stop could not be checked.

--- a/cmd/stoatrampd/process_test.go
+++ b/cmd/stoatrampd/process_test.go
@@ -23,7 +23,9 @@
 func TestMain(m *testing.M) {
 	if file := os.Getenv(boxFileEnv); file != "" {
 		cmd := relayCmd{File: file}
-		if err := cmd.Run(); err != nil {
+		err := cmd.Run()
+		_ = logOutput.Sync() // As main does.
+		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
--- a/cmd/stoatrampd/stop_test.go
+++ b/cmd/stoatrampd/stop_test.go
@@ -73,6 +73,10 @@
 	s.mu.Lock()
 	s.runs[r.URL.Path]++
 	s.mu.Unlock()
+	if strings.HasSuffix(r.URL.Path, "/stuck") {
+		<-r.Context().Done()
+		return
+	}
 	if !strings.HasPrefix(r.URL.Path, "/fast/") {
 		select {
 		case <-time.After(slowCallTime):
@@ -178,6 +182,46 @@
 	}
 }
 
+// Guards against closing the connection of a caller whose request still runs or arrives at the end of a planned stop, and
+// against a log that does not tell the requests that were cut off from those that ended late.
+func TestEndOfPlannedStopIsAnswered(t *testing.T) {
+	s := newStopSite(t)
+	if status, text, err := s.call("/slow/warm", strings.NewReader("!")); status != http.StatusOK || err != nil {
+		t.Fatalf("expected an answer, got %d %s, %v", status, text, err)
+	}
+	expect := func(path string, body io.Reader, want int, parts ...string) func() {
+		return func() {
+			status, text, err := s.call(path, body)
+			for _, part := range parts {
+				if status != want || err != nil || !strings.Contains(text, part) {
+					t.Errorf("%s: expected %d with %s, got %d %s, %v", path, want, part, status, text, err)
+				}
+			}
+		}
+	}
+	body, w := io.Pipe()
+	defer w.Close()
+	time.AfterFunc(30*time.Second, func() { _ = w.Close() })
+	var calls sync.WaitGroup
+	calls.Go(expect("/slow/stuck", strings.NewReader("!"), http.StatusBadGateway, `"draining"`, `"may_have_run"`))
+	calls.Go(expect("/slow/upload", body, http.StatusServiceUnavailable, `"draining"`, `"not_run"`))
+	_, _ = w.Write([]byte("!"))
+	for end := time.Now().Add(10 * time.Second); s.runsOf("/slow/stuck") == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("expected the call to reach its endpoint")
+		}
+	}
+	s.b.signal(syscall.SIGTERM)
+	calls.Wait()
+	<-s.b.done
+	if n := s.runsOf("/slow/upload"); n != 0 {
+		t.Errorf("expected the upload not to be sent, got %d", n)
+	}
+	if !s.b.log.has("these requests are cut off", `"cut_off":1`, `"refused_late":1`, `"requests":["id-slow-stuck"]`) {
+		t.Errorf("expected the log to name the call, got %s", s.b.log.all())
+	}
+}
+
 // all returns the whole log.
 func (l *logBuffer) all() string {
 	l.mu.Lock()
