--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -144,7 +144,11 @@
 		}
 		ran = ran || maybeSent
 		o = plainFailure(x.r.Context(), ctx, ran, maybeSent, err)
-		x.trace.Step(record.Step{Kind: record.StepFailed, Decode: e.Name, Reason: o.Reason})
+		var why string
+		if httphead.IsMalformed(err) {
+			why = err.Error()
+		}
+		x.trace.Step(record.Step{Kind: record.StepFailed, Decode: e.Name, Reason: o.Reason, Text: why})
 		bodyless := x.r.ContentLength == 0
 		if x.r.Context().Err() != nil || maybeSent && !(x.repeatable && bodyless) {
 			break
--- a/internal/httphead/head_test.go
+++ b/internal/httphead/head_test.go
@@ -98,6 +98,7 @@
 		"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nx",
 		"HTTP/1.1 103 Hints\r\nX Y: 1\r\n\r\n" + okHead + "Content-Length: 1\r\n\r\nx",
 		"HTTP/1.1 103 Hints\r\n\r\n" + okHead + "X Y: 1\r\nContent-Length: 1\r\n\r\nx",
+		"HTTP/1.1 103 Hints\r\n\r\n" + okHead + "X: 1\r\n Y: 1\r\nContent-Length: 1\r\n\r\nx",
 	} {
 		address := server(t, func(c net.Conn) { _, _ = io.WriteString(c, text) })
 		var counted atomic.Int32
@@ -151,7 +152,7 @@
 						_, _ = io.WriteString(c, "HTTP/1.1 103 Hints\r\n\r\n"+okHead+"Content-Length: 1\r\n\r\nx")
 						continue
 					}
-					for _, b := range []byte(okHead + "A: b\r\nContent-Length : 1\r\n\r\nx") {
+					for _, b := range []byte(okHead + "A: b\r\n c\r\nContent-Length: 1\r\n\r\nx") {
 						_, _ = c.Write([]byte{b})
 						time.Sleep(100 * time.Microsecond)
 					}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -167,7 +167,7 @@
 			delete(p.tried, e.ID) // With another slot, the endpoint may get the call.
 		}
 		if a.reason != outcome.OK {
-			x.trace.Step(record.Step{Kind: record.StepFailed, Decode: e.ID, Reason: a.reason})
+			x.trace.Step(record.Step{Kind: record.StepFailed, Decode: e.ID, Reason: a.reason, Text: a.detail})
 		}
 		if a.sent {
 			arrived++
@@ -269,7 +269,8 @@
 	ran    bool // The request may have run.
 	good   bool // The answer is a success.
 	reason outcome.Reason
-	full   bool // The endpoint rejected the request because it is full.
+	detail string // Why the endpoint gave a wrong answer; may be empty.
+	full   bool   // The endpoint rejected the request because it is full.
 	// connWait is how long the call waited for one of maxConns connections of this box to the endpoint.
 	connWait time.Duration
 	maxConns int
@@ -343,7 +344,7 @@
 			a.reason = outcome.ConnectFailed
 		}
 		if errors.Is(err, h1.ErrSurplus) || httphead.IsMalformed(err) {
-			a.reason = outcome.WrongAnswer
+			a.reason, a.detail = outcome.WrongAnswer, err.Error()
 		}
 		if ctx.Err() == nil {
 			a.connLoss = connLossFrom(err)
