--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -286,7 +286,7 @@
 	ran    bool // The request may have run.
 	good   bool // The answer is a success.
 	reason outcome.Reason
-	detail string // The error of the connection, if there was one.
+	detail string // The error of the connection, or why the answer was wrong; may be empty.
 	full   bool   // The endpoint rejected the request because it is full.
 	// connWait is how long the call waited for one of maxConns connections of this box to the endpoint.
 	connWait time.Duration
@@ -372,7 +372,7 @@
 			a.reason = outcome.ConnectFailed
 		}
 		if errors.Is(err, h1.ErrSurplus) || httphead.IsMalformed(err) {
-			a.reason = outcome.WrongAnswer
+			a.reason, a.detail = outcome.WrongAnswer, err.Error()
 		}
 		if ctx.Err() == nil {
 			a.connLoss = connLossFrom(err)
