--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -372,7 +372,7 @@
 			a.reason = outcome.ConnectFailed
 		}
 		if errors.Is(err, h1.ErrSurplus) || httphead.IsMalformed(err) {
-			a.reason, a.detail = outcome.WrongAnswer, err.Error()
+			a.reason = outcome.WrongAnswer
 		}
 		if ctx.Err() == nil {
 			a.connLoss = connLossFrom(err)
