Release each request's registration for the end of a stop

Each plain request that ended without an answer of an endpoint stayed registered on the context of the stop's end, for as long as the process lives. Found by reading; no test shows it.

--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -108,6 +108,7 @@
 		defer x.r.plain.addRepeatable(x.service.Name, -1)
 	}
 	ctx, release := x.untilStopOver(ctx)
+	defer release()
 	p := plainRuns{tried: map[string]bool{}, ranAt: map[string]bool{}, failedAt: map[string]bool{}}
 	// failed is an endpoint's own error answer. It is passed on if no other call follows.
 	var failed *plainAnswer
