--- a/internal/gateway/uploads_test.go
+++ b/internal/gateway/uploads_test.go
@@ -147,3 +147,31 @@
 		}
 	}
 }
+
+// Guards against a server that reads the rest of an upload itself before it passes the head of an early answer on.
+func TestUploadThatFollowsItsEarlyAnswerArrives(t *testing.T) {
+	got := make(chan string, 1)
+	address, _ := newUploadGateway(t, false, func(c *net.TCPConn, r io.Reader) {
+		b := make([]byte, 4)
+		n, _ := io.ReadFull(r, b)
+		got <- string(b[:n])
+	})
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprint(c, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(c, "rest")
+	if b, err := io.ReadAll(resp.Body); string(b) != answerPart || err != nil {
+		t.Errorf("expected the whole answer, got %q, %v", b, err)
+	}
+	if b := <-got; b != "rest" {
+		t.Errorf("expected the endpoint to get the rest, got %q", b)
+	}
+}
