--- a/internal/builds/begin_test.go
+++ b/internal/builds/begin_test.go
@@ -284,3 +284,27 @@
 		}
 	})
 }
+
+// Guards against streams that begin during an outage after a release and are refused once all boxes were killed, although their build serves.
+func TestUnloggedStreamsGoOnAfterAllBoxesWereKilled(t *testing.T) {
+	// goOnShare of the streams that are taken up must go on where all new ones begin.
+	const goOnShare = 0.5
+	run(t, 2, func(t *testing.T, s *site) {
+		s.serve(map[string]int{"v1": 3})
+		time.Sleep(5 * time.Second)
+		s.serve(both)
+		time.Sleep(3 * time.Second)
+		s.serve(map[string]int{"v2": 3})
+		time.Sleep(time.Minute) // No caller comes back any more with a stream of v1.
+		setSilent(s, true)
+		began, refused := beginStreams(t, s.planners[0], 1, 100, 14*time.Second)
+		if refused > 2 {
+			t.Errorf("expected that the streams begin, got %d of 99 refused", refused)
+		}
+		s.stop() // All boxes are killed.
+		setSilent(s, false)
+		fresh := s.newPlanner(0, 2)
+		fresh.SetServing(map[Group]Serving{testGroup: {Counts: map[string]int{"v2": 3}, Listed: []string{"v2"}}})
+		expectNoOtherBuild(t, fresh, began, goOnShare)
+	})
+}
