Declare at which builds streams begin that the log does not get

Cause: a stream that the log does not have is taken for one of the oldest plan's build, for five minutes after that build has left, and nothing says that no such stream can have begun any more. The class: the absence of a record, which here tells too little.

From the first change of a plan on each box writes a row with the builds at which its unlogged streams begin, and begins none elsewhere. A stream that neither the log nor the oldest plan tells began at the only declared build, if there is just one and all boxes that the first plan lists have declared theirs. In every doubt the stream is refused as before. Nothing is written while nothing is released; a box without streams waits until a build has left.

TestUnloggedStreamsGoOnAfterAllBoxesWereKilled failed before (0 of 99 told) and passes.

fakeBoxes, simBoxes and plansOnly of the tests have the new methods; nothing else in existing tests has changed.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -517,6 +517,7 @@
 	}
 	defer x.refundLimit()
 	if x.service.Engines != nil {
+		defer x.withdrawBeginning()
 		x.serveStream(ctx)
 		return
 	}
