--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -507,6 +507,7 @@
 		return
 	}
 	if x.service.Engines != nil {
+		defer x.withdrawBeginning()
 		x.serveStream(ctx)
 		return
 	}
