Count the rest of a request in memory while it follows an early answer

The rest of a request is sent on after an early answer with a frame, for up to 30 s. Its body was no longer counted in the box's memory by then, so that endpoints that answer early and read slowly could bring a box over its limit.

The body is now reserved until the rest was sent.

--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -21,6 +21,7 @@
 	resp        *http.Response
 	cancelClose func() bool
 	sending     *sending
+	keepBody    func() (release func(), ok bool)
 	reachedEOF  bool
 	once        sync.Once
 }
@@ -176,14 +177,23 @@
 		case b.sending.isDone():
 			b.releaseIf(b.sending.err)
 		default:
-			go b.sendRest()
+			release, ok := func() {}, true
+			if b.keepBody != nil {
+				release, ok = b.keepBody()
+			}
+			if !ok {
+				b.p.discard(b.c)
+				return
+			}
+			go b.sendRest(release)
 		}
 	})
 	return nil
 }
 
 // sendRest waits until the rest of the request was sent. Until then the connection must not be closed.
-func (b *body) sendRest() {
+func (b *body) sendRest(release func()) {
+	defer release()
 	ctx, cancel := context.WithTimeout(context.Background(), restTimeout)
 	defer cancel()
 	b.releaseIf(b.c.awaitTaken(ctx, b.sending))
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -93,6 +93,10 @@
 	// EndIfSilent reports whether the request should be ended now if the direct path to the endpoint is lost, so that it
 	// can be sent again. It is called by Pool.EndSilent. If it is nil, the request goes on.
 	EndIfSilent func() bool
+	// KeepBody is called if the rest of Body is still to be sent when the whole response has been read and closed. If it
+	// returns false, the connection is closed instead. release is called once Body is not used any more. If KeepBody is nil,
+	// the rest is sent.
+	KeepBody func() (release func(), ok bool)
 	// Via is set by Do: the box that carried the request's connection. It is empty for a direct connection.
 	Via string
 	// ConnWait is set by Do: how long the request waited because Address had MaxConns connections.
@@ -346,7 +350,7 @@
 	if FramingOf(resp) == CloseDelimited {
 		resp.Body = &closeDelimited{ReadCloser: resp.Body, checkEnd: p.endCheck(ctx, c, sending), rejected: p.reportRejectedEnd}
 	}
-	resp.Body = &body{ReadCloser: resp.Body, p: p, c: c, resp: resp, cancelClose: stop, sending: sending}
+	resp.Body = &body{ReadCloser: resp.Body, p: p, c: c, resp: resp, cancelClose: stop, sending: sending, keepBody: r.KeepBody}
 	return resp, nil
 }
 
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -82,6 +82,16 @@
 	x.reservedBytes = 0
 }
 
+// keepBody returns a function that reserves n bytes for a body of which the rest is sent after the request has ended.
+func (r *Relay) keepBody(n int64) func() (release func(), ok bool) {
+	return func() (func(), bool) {
+		if !r.memory.reserve(n) {
+			return nil, false
+		}
+		return func() { r.memory.release(n) }, true
+	}
+}
+
 var errBoxFull = errors.New("not enough memory on this box for the request body")
 
 // countedBody is a body of unknown length. Memory for the body is reserved while the body is read.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -590,7 +590,8 @@
 	x.r.protocol.SetHeaders(h, run)
 	q := &h1.Request{
 		Address: address, Endpoint: run.Instance, Method: x.req.Method, Target: x.req.RequestURI, Host: x.req.Host, Header: h, Body: x.body,
-		Matches: func(h http.Header) bool { return x.r.protocol.IsAnswerTo(h, x.meta.ID) },
+		Matches:  func(h http.Header) bool { return x.r.protocol.IsAnswerTo(h, x.meta.ID) },
+		KeepBody: x.r.keepBody(int64(len(x.body))),
 	}
 	if q.Body == nil && x.req.Method != http.MethodGet && x.req.Method != http.MethodHead {
 		q.Body = []byte{}
