--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -95,6 +95,10 @@
 	// EndIfSilent reports whether the request should be ended now if the direct path to the endpoint is lost, so that it
 	// can be sent again. It is called by Pool.EndSilent. If it is nil, the request goes on.
 	EndIfSilent func() bool
+	// KeepBody is called if the rest of Body is still to be sent when the whole response has been read and closed. If it
+	// returns false, the connection is closed instead. release is called once Body is not used any more. If KeepBody is nil,
+	// the rest is sent.
+	KeepBody func() (release func(), ok bool)
 	// Via is set by Do: the box that carried the request's connection. It is empty for a direct connection.
 	Via string
 	// ConnWait is set by Do: how long the request waited because Address had MaxConns connections.
@@ -329,57 +333,16 @@
 	if FramingOf(resp) == CloseDelimited {
 		resp.Body = &closeDelimited{ReadCloser: resp.Body, checkEnd: p.endCheck(ctx, c, sending), rejected: p.reportRejectedEnd}
 	}
-	resp.Body = &body{ReadCloser: resp.Body, p: p, c: c, resp: resp, cancelClose: stop, sending: sending}
+	resp.Body = &body{ReadCloser: resp.Body, p: p, c: c, resp: resp, cancelClose: stop, sending: sending, keepBody: r.KeepBody}
 	return resp, nil
 }
 
-// errNothingSent means that the operating system accepted no byte of a request, because the connection was reset or closed
-// before.
-var errNothingSent = errors.New("no byte of the request was sent")
-
-// isReset reports whether a write failed because the endpoint reset the connection.
-func isReset(sendErr error) bool {
-	return errors.Is(sendErr, syscall.ECONNRESET) || errors.Is(sendErr, syscall.EPIPE)
-}
-
 func (p *Pool) reportUnconfirmed() {
 	if p.OnUnconfirmed != nil {
 		p.OnUnconfirmed()
 	}
 }
 
-// send sends the request. An endpoint may respond before it has read the whole body. So send sends a request longer than
-// bufferBytes in the background.
-func (c *conn) send(r *Request, s *sending) {
-	var head strings.Builder
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
-	if r.Body != nil {
-		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(r.Body))
-	}
-	_ = r.Header.Write(&head) // Writes to a strings.Builder never fail.
-	head.WriteString("\r\n")
-	if head.Len()+len(r.Body) <= bufferBytes {
-		head.Write(r.Body)
-		n, err := c.Write([]byte(head.String()))
-		s.finish(sendError(int64(n), err))
-		return
-	}
-	c.sentBytes += uint64(head.Len()) + uint64(len(r.Body))
-	go func() {
-		bufs := net.Buffers{[]byte(head.String()), r.Body}
-		n, err := bufs.WriteTo(c.Conn)
-		s.finish(sendError(n, err))
-	}()
-}
-
-// sendError returns the error of a write of n bytes. It wraps errNothingSent if the write failed before the first byte.
-func sendError(n int64, err error) error {
-	if err != nil && n == 0 {
-		return fmt.Errorf("%w: %w", errNothingSent, err)
-	}
-	return err
-}
-
 // readHead reads the head of a response, informational ones too.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	return c.heads.ReadHead(c.r, req, httphead.MaxBytes)
