Check the values of a head in one loop

The check took 2.2 to 4 µs for a head of 190 bytes, a call of a function for each byte. Nothing is kept of most values, so their bytes are looked at in a loop.

The tests of heads and the eight guards hold.

--- a/internal/httphead/head.go
+++ b/internal/httphead/head.go
@@ -96,11 +96,23 @@
 
 // scan checks bytes up to the end of the head or its first fault, and returns how many they are.
 func (s *scanner) scan(b []byte) (int, error) {
-	for i, c := range b {
+	for i := 0; i < len(b); i++ {
 		if s.state == done {
 			return i, nil
 		}
-		if err := s.next(c); err != nil {
+		if s.state == inValue && s.name == "" && !s.cr { // Most bytes of a head. Nothing of them is kept.
+			start := i
+			for i < len(b) && !isControl(b[i]) {
+				i++
+			}
+			if s.bytes += i - start; s.bytes > MaxBytes {
+				return i, ErrTooLong
+			}
+			if i == len(b) {
+				return i, nil
+			}
+		}
+		if err := s.next(b[i]); err != nil {
 			return i, err
 		}
 	}
