Leave declarations of boxes with a longer name alone

A box that starts read the rows whose keys begin with its name and a dot, answered for the builds of another box whose name goes on with a dot, and removed its row, so that nothing was told. Found by reading. TestStartedBoxKeepsDeclarationsOfOtherBoxes failed before.

--- a/internal/builds/declare.go
+++ b/internal/builds/declare.go
@@ -488,6 +488,9 @@
 	}
 	found := false
 	for key, row := range rows {
+		if row.Box != p.o.Box { // Its name begins like this box's.
+			continue
+		}
 		d.older = append(d.older, key)
 		if row.Sequence != plan.Sequence {
 			continue
--- a/internal/builds/declare_test.go
+++ b/internal/builds/declare_test.go
@@ -132,3 +132,22 @@
 		{2, "serve v2:2; wait 90s; fail writes 0 hang; begin 0 60s; wait 1s; kill 0; heal; serve v2:2,v3:2; wait 2s; serve v3:2; wait 20s; kill 0; wait 5s; take 1"},
 	})
 }
+
+// Guards against a box that removes the declaration of another box whose name begins like its own.
+func TestStartedBoxKeepsDeclarationsOfOtherBoxes(t *testing.T) {
+	run(t, 2, func(t *testing.T, s *site) {
+		released(s)
+		key := declarationsOf(testGroup) + "box-1.hall." + strings.Repeat("0", 9)
+		s.mu.Lock()
+		s.log[key] = []byte(`{"box":"box-1.hall","sequence":2,"builds":[{"build":"v2"}],"term_ms":14000,"expires_ms":99999999999999}`)
+		s.mu.Unlock()
+		p, _ := s.faultyBox(t, 2, func(o *Options) { o.Box = "box-1" })
+		p.SetServing(onlyV2)
+		time.Sleep(3 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.log[key] == nil {
+			t.Error("expected the row of the other box")
+		}
+	})
+}
