--- a/internal/box/plans.go
+++ b/internal/box/plans.go
@@ -32,14 +32,6 @@
 	return p.b.node.CountIn(region)
 }
 
-// Names returns no names for a box without peers, whose plans then tell nothing of streams that are not logged.
-func (p planBoxes) Names() []string {
-	if p.b.settings.Load().Peers == "" {
-		return nil
-	}
-	return p.b.node.Names()
-}
-
 func (p planBoxes) Isolated() bool {
 	return p.b.settings.Load().Peers != "" && p.b.node.Isolated()
 }
--- a/internal/builds/begin.go
+++ b/internal/builds/begin.go
@@ -73,7 +73,6 @@
 		return Beginning{Plan: plan.Number, How: Refused}, err
 	}
 	now := p.o.Now()
-	p.noteTerm(g, until.Sub(now))
 	b := Beginning{Plan: plan.Number, How: ByPlan}
 	var log bool
 	b.Build, log = plan.begin(k, now)
@@ -82,7 +81,7 @@
 		_, only := p.onlyBuild(g, plan)
 		log = !only
 	}
-	if !log && p.mayBeginUnlogged(plan, k, b.Build, now, until) {
+	if !log {
 		return b, nil
 	}
 	err = p.logOrigin(ctx, g, k, b.Build, until)
@@ -104,18 +103,13 @@
 func (p *Planner) beginUnlogged(plan *Plan, k origins.Key, until time.Time, planned Beginning, err error) (Beginning, error) {
 	now := p.o.Now()
 	planned.How = Unlogged
-	if build := p.fallbackBuild(plan); build != "" && build != planned.Build && !errors.Is(err, errUncertain) && plan.tellsUnlogged(k, build, now, until) && p.mayBeginUnlogged(plan, k, build, now, until) {
-		planned.Build = build
-		p.addToLog(k, &pendingRow{newLoggedOrigin(plan.Group, build, until), nil})
-		return planned, nil
-	}
-	if plan.tellsUnlogged(k, planned.Build, now, until) && p.mayBeginUnlogged(plan, k, planned.Build, now, until) {
+	if plan.tellsUnlogged(k, planned.Build, now, until) {
 		// The store gets the row once it takes writes again, so that the stream can go on then.
 		p.addToLog(k, &pendingRow{newLoggedOrigin(plan.Group, planned.Build, until), nil})
 		return planned, nil
 	}
 	// A write without an answer may still take effect, and would then name the planned build.
-	if oldest := plan.candidates(now)[0].BuildOf(k); !errors.Is(err, errUncertain) && plan.tellsUnlogged(k, oldest, now, until) && p.serves(plan.Group, oldest) && p.mayBeginUnlogged(plan, k, oldest, now, until) {
+	if oldest := plan.candidates(now)[0].BuildOf(k); !errors.Is(err, errUncertain) && plan.tellsUnlogged(k, oldest, now, until) && p.serves(plan.Group, oldest) {
 		planned.Build = oldest
 		return planned, nil
 	}
--- a/internal/builds/origin.go
+++ b/internal/builds/origin.go
@@ -32,11 +32,9 @@
 	Unconfirmed
 	// Gone streams have begun at a build that has left the plan.
 	Gone
-	// Declared streams have begun at the only build at which boxes begin streams that are not logged.
-	Declared
 )
 
-var verdictNames = [...]string{"unknown", "planned", "logged", "unplannable", "confirmed", "unconfirmed", "gone", "declared"}
+var verdictNames = [...]string{"unknown", "planned", "logged", "unplannable", "confirmed", "unconfirmed", "gone"}
 
 func (v Verdict) String() string { return verdictNames[v] }
 
@@ -130,7 +128,7 @@
 // ConfirmOrigin finds out for another box at which build a stream began. It reads the store once.
 func (p *Planner) ConfirmOrigin(ctx context.Context, g Group, k origins.Key) (build string, ok bool) {
 	f := p.readOrigin(ctx, g, k, clock.Now())
-	return f.Build, f.Verdict == Planned || f.Verdict == Logged || f.Verdict == Declared
+	return f.Build, f.Verdict == Planned || f.Verdict == Logged
 }
 
 // readOrigin finds out by reads of the store that begin after since at which build a stream began.
@@ -173,18 +171,6 @@
 		return Finding{Verdict: Unconfirmed}
 	case !known:
 		return Finding{Plan: plan.Number}
-	case !plan.Shares.has(out.Build) && k != 0 && logErr == nil && !p.mayBeUnplanned(plan):
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		build, err := p.declaredBuild(ctx, plan)
-		switch {
-		case err != nil:
-			p.o.Failed("declared builds not read", err)
-			return Finding{Verdict: Unconfirmed}
-		case build != "":
-			return Finding{Verdict: Declared, Build: build, Plan: plan.Number}
-		}
-		return Finding{Verdict: Gone, Plan: plan.Number}
 	case !plan.Shares.has(out.Build):
 		return Finding{Verdict: Gone, Plan: plan.Number}
 	}
--- a/internal/builds/originlog.go
+++ b/internal/builds/originlog.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/stoatramp/stoatramp/internal/clock"
@@ -202,7 +201,7 @@
 	plan := p.plans[g]
 	p.mu.Unlock()
 	now := p.o.Now()
-	if plan != nil && (outlivesPlans(now, until) || !plan.tellsUnlogged(k, build, now, until) || !p.mayBeginUnlogged(plan, k, build, now, until)) && !p.addToLog(k, &pendingRow{newLoggedOrigin(g, build, until), nil}) {
+	if plan != nil && (outlivesPlans(now, until) || !plan.tellsUnlogged(k, build, now, until)) && !p.addToLog(k, &pendingRow{newLoggedOrigin(g, build, until), nil}) {
 		p.o.Failed("origin of a longer stream not logged", errNotWritten)
 	}
 }
@@ -299,28 +298,15 @@
 	for key, row := range rows {
 		put[key], _ = json.Marshal(row.loggedOrigin) // Strings and numbers always encode.
 	}
-	var due []*dueDeclaration
-	var remove []string
-	if len(put) > 0 {
-		for _, plan := range p.plans {
-			if d := p.startDeclaration(plan, false); d != nil {
-				due, remove = append(due, d), append(remove, d.remove...)
-				put[d.key], _ = json.Marshal(d.row)
-			}
-		}
-	}
 	p.mu.Unlock()
 	if len(put) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	err := p.o.Log.Write(ctx, put, remove)
+	err := p.o.Log.Write(ctx, put, nil)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, d := range due {
-		d.endDeclaration(err)
-	}
 	if err == nil && p.log.refused {
 		p.log.refused = false
 		p.onLogging(true)
@@ -386,12 +372,6 @@
 	replace := map[string][]byte{}
 	for key, value := range rows {
 		last = max(last, key)
-		if strings.HasPrefix(key, declarationPrefix) {
-			if p.declarationEnded(key, value, now) {
-				expired = append(expired, key)
-			}
-			continue
-		}
 		var o loggedOrigin
 		switch err := json.Unmarshal(value, &o); {
 		case err != nil || o.Expires > now.Add(maxExpiry).UnixMilli():
--- a/internal/builds/plan.go
+++ b/internal/builds/plan.go
@@ -9,7 +9,7 @@
 // Where the plans don't tell the origin of a stream, the store has it before the caller has a byte of the stream
 // (originlog.go). If the store can't take it, the stream begins at the build that the plans tell without the log, or not at
 // all (begin.go). What the plans tell is read from the store for each stream that is taken up, since a box may have been out of
-// step for any time (origin.go). While earlier plans count, boxes declare in the store where they begin streams unlogged (declare.go).
+// step for any time (origin.go).
 package builds
 
 import (
@@ -117,12 +117,6 @@
 	// LogLostUntil is until when the log may lack origins: the store was restored from an older copy, or a build is back that
 	// an earlier plan has and the last one had not. It is in Unix milliseconds, and 0 if the log is complete.
 	LogLostUntil int64 `json:"log_lost_until_ms,omitempty"`
-	// Sequence is the number of the first plan since no earlier one counted; 0 if it is not known, or if no earlier plan counts.
-	// Undeclared are the boxes that may have begun streams before it without declaring where (declare.go), and UnknownUntil is
-	// until when others may have, in Unix milliseconds.
-	Sequence     int64    `json:"sequence,omitempty"`
-	Undeclared   []string `json:"undeclared,omitempty"`
-	UnknownUntil int64    `json:"unknown_until_ms,omitempty"`
 }
 
 const (
@@ -292,7 +286,7 @@
 		return nil, false
 	}
 	latest := now.Add(maxAhead).UnixMilli()
-	if p.Number <= 0 || p.Number > maxNumber || p.Era < 0 || p.Era > maxEra || len(p.Earlier) > maxEarlier || p.UnplannedUntil > latest || p.LogLostUntil > latest || p.UnknownUntil > latest || p.Sequence < 0 || p.Sequence > p.Number {
+	if p.Number <= 0 || p.Number > maxNumber || p.Era < 0 || p.Era > maxEra || len(p.Earlier) > maxEarlier || p.UnplannedUntil > latest || p.LogLostUntil > latest {
 		return nil, false
 	}
 	for i, e := range p.Earlier {
--- a/internal/builds/planner.go
+++ b/internal/builds/planner.go
@@ -31,8 +31,6 @@
 	AllPlan(region string) bool
 	// Count returns the number of boxes of a region.
 	Count(region string) int
-	// Names returns the names of all boxes that are known. Those of other regions begin streams of this one too.
-	Names() []string
 	// Isolated reports whether there are other boxes, and none of them sends this box anything.
 	Isolated() bool
 }
@@ -100,15 +98,6 @@
 	// box isolated.
 	checkedAt, outOfStepAt time.Time
 	log                    originLog
-	declarations           map[Group]*declaring
-	// started and startedAt are when this planner started. plannedAtStart has the rows of plans that its first read found.
-	started        time.Time
-	startedAt      time.Time
-	plannedAtStart map[string]bool
-	// boxSeenAt has the boxes seen lately. Since boxesKnownSince, none can have been missed.
-	boxSeenAt       map[string]time.Time
-	boxesKnownSince time.Time
-	declareNow      chan struct{}
 
 	wake chan struct{}
 }
@@ -164,9 +153,6 @@
 		o: o, plans: map[Group]*Plan{}, serving: map[Group]Shares{}, listed: map[Group][]string{},
 		pendingSince: map[Group]time.Time{}, servedAt: map[servedBuild]time.Time{}, settledAt: map[Group]time.Time{}, changedAt: map[Group]time.Time{}, seen: map[Group]int64{}, restoredAt: map[Group]time.Time{}, wake: make(chan struct{}, 1),
 	}
-	p.declarations, p.boxSeenAt, p.declareNow = map[Group]*declaring{}, map[string]time.Time{}, make(chan struct{}, 1)
-	p.started, p.startedAt = o.Now(), clock.Now()
-	p.boxesKnownSince = p.startedAt
 	p.log.init()
 	return p
 }
@@ -237,12 +223,6 @@
 func (p *Planner) readRows(rows map[string][]byte) (changes [][2]*Plan) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.read {
-		p.plannedAtStart = map[string]bool{}
-		for key := range rows {
-			p.plannedAtStart[key] = true
-		}
-	}
 	p.read = true
 	rejected := map[string]string{}
 	for key, value := range rows {
@@ -280,8 +260,6 @@
 		return before, false
 	}
 	p.plans[plan.Group] = plan
-	p.declaringOf(plan.Group).follow(before, plan)
-	p.wakeDeclare()
 	for _, s := range plan.Shares {
 		if b := (servedBuild{plan.Group, s.Build}); p.servedAt[b].IsZero() {
 			p.servedAt[b] = clock.Now()
--- a/internal/builds/replan.go
+++ b/internal/builds/replan.go
@@ -15,7 +15,6 @@
 // Run changes plans as builds come and go, and writes the log, until ctx is done.
 func (p *Planner) Run(ctx context.Context) {
 	go p.runLog(ctx)
-	go p.runDeclarations(ctx)
 	tick := time.NewTicker(checkInterval)
 	defer tick.Stop()
 	for {
@@ -36,7 +35,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
-	p.noteBoxes(now)
 	p.noteCheck(now, p.o.Boxes.Isolated())
 	for g, shares := range p.serving {
 		if p.read && !p.needsChange(g, shares, now) {
@@ -194,7 +192,6 @@
 	case !p.o.Boxes.AllPlan(g.Region):
 		next.UnplannedUntil = max(next.UnplannedUntil, p.o.Now().Add(unplannedTime).UnixMilli())
 	}
-	p.setSequence(next, known, stored)
 	p.mu.Unlock()
 	_, err = p.o.Table.Put(ctx, g.rowKey(), row, next.encode())
 	switch {
--- a/internal/overlay/members.go
+++ b/internal/overlay/members.go
@@ -308,16 +308,6 @@
 	return out
 }
 
-// names returns the names of all members.
-func (s *members) names() (out []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, m := range s.all {
-		out = append(out, m.Name)
-	}
-	return out
-}
-
 // recordFailure records that a member could not be followed.
 func (s *members) recordFailure(m Member, now time.Time) {
 	s.mu.Lock()
--- a/internal/overlay/plans.go
+++ b/internal/overlay/plans.go
@@ -17,9 +17,6 @@
 // CountIn returns the number of boxes of a region.
 func (n *Node) CountIn(region string) int { return len(n.members.list(region)) }
 
-// Names returns the names of all boxes.
-func (n *Node) Names() []string { return n.members.names() }
-
 // AllPlan reports whether all boxes of a region begin only streams whose build the log or the plans tell.
 func (n *Node) AllPlan(region string) bool {
 	return !slices.ContainsFunc(n.members.list(region), func(m Member) bool { return m.PlanRules < PlanRulesTraceable })
--- a/internal/relay/builds.go
+++ b/internal/relay/builds.go
@@ -20,7 +20,6 @@
 type BuildPlanner interface {
 	SetServing(groups map[builds.Group]builds.Serving)
 	Begin(ctx context.Context, g builds.Group, k origins.Key, until time.Time) (builds.Beginning, error)
-	Withdraw(g builds.Group, k origins.Key)
 	Origin(ctx context.Context, g builds.Group, k origins.Key) builds.Finding
 	Extend(g builds.Group, k origins.Key, build string, until time.Time)
 }
@@ -107,13 +106,6 @@
 	return outcome.Outcome{}, true
 }
 
-// withdrawBeginning tells the planner that a stream has not begun, if no request to an engine was built.
-func (x *exchange) withdrawBeginning() {
-	if x.planned && !x.dispatched.Load() {
-		x.r.o.Builds.Withdraw(x.group(), x.ownKey())
-	}
-}
-
 // plannedOrigin sets the origin of a stream that no box knows, if the store tells it. It returns the reason to refuse the
 // stream otherwise; OK if the endpoints name no builds.
 func (x *exchange) plannedOrigin(ctx context.Context) outcome.Reason {
@@ -123,7 +115,7 @@
 	f := x.r.o.Builds.Origin(ctx, x.group(), x.origin.Key)
 	x.r.m.CountPlannedOrigin(f.Verdict)
 	switch f.Verdict {
-	case builds.Planned, builds.Logged, builds.Confirmed, builds.Declared:
+	case builds.Planned, builds.Logged, builds.Confirmed:
 		x.origin.Service, x.origin.Build = x.service.Name, f.Build
 		x.trace.Step(record.Step{Kind: record.StepPlannedOrigin, Build: f.Build, Plan: f.Plan, Text: f.By})
 		return outcome.OK
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -507,7 +507,6 @@
 		return
 	}
 	if x.service.Engines != nil {
-		defer x.withdrawBeginning()
 		x.serveStream(ctx)
 		return
 	}
