--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -185,7 +185,7 @@
 				b.p.discard(b.c)
 				return
 			}
-			go b.sendRest(release)
+			b.p.rests.Go(func() { b.sendRest(release) })
 		}
 	})
 	return nil
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -173,6 +173,8 @@
 	// OnUnconfirmed is called for each connection that failed the check of ConfirmOpen; it may be nil.
 	OnUnconfirmed func()
 
+	rests sync.WaitGroup // The requests whose rest is still sent after their answer.
+
 	mu    sync.Mutex
 	hosts map[string]*host // By address. A host without connections and waiting requests has no entry.
 }
@@ -348,17 +350,25 @@
 	return c.heads.ReadHead(c.r, req, httphead.MaxBytes)
 }
 
-// readResponse reads responses until one response belongs to the request. It skips informational (1xx) responses.
+// readFinalHead reads the head of a response. It skips informational (1xx) responses before it.
+func (c *conn) readFinalHead(req *http.Request) (*http.Response, error) {
+	for range httphead.MaxInterim + 1 {
+		resp, err := c.readHead(req)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+	return nil, fmt.Errorf("%w: more than %d informational responses", ErrHeadTooLong, httphead.MaxInterim)
+}
+
+// readResponse reads responses until one response belongs to the request.
 func (c *conn) readResponse(r *Request, surplus func()) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	for range maxSurplusResponses {
-		resp, err := c.readHead(req)
+		resp, err := c.readFinalHead(req)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		if r.Matches == nil || r.Matches(resp.Header) {
 			return resp, nil
 		}
--- a/internal/h1/sending.go
+++ b/internal/h1/sending.go
@@ -146,3 +146,6 @@
 	}
 	return err
 }
+
+// WaitSent waits until no request is being sent whose answer has ended.
+func (p *Pool) WaitSent() { p.rests.Wait() }
--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -111,8 +111,8 @@
 	interim int // The informational heads since the last request.
 }
 
-// maxInterim bounds the informational responses before a response.
-const maxInterim = 5
+// MaxInterim bounds the informational responses before a response.
+const MaxInterim = 5
 
 // NetConn returns the connection whose heads are checked.
 func (c *strictConn) NetConn() net.Conn { return c.Conn }
@@ -140,8 +140,8 @@
 		rest = rest[c.heads.check(rest):]
 		if c.heads.scanner.isInterim() && c.heads.scanner.status != http.StatusSwitchingProtocols {
 			c.heads.expect()
-			if c.interim++; c.interim > maxInterim {
-				c.heads.err = fmt.Errorf("%w: more than %d informational responses", ErrTooLong, maxInterim)
+			if c.interim++; c.interim > MaxInterim {
+				c.heads.err = fmt.Errorf("%w: more than %d informational responses", ErrTooLong, MaxInterim)
 			}
 		}
 	}
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -57,6 +57,11 @@
 // false.
 func (m *migration) is(a decide.Attempt) bool { return m != nil && m.attempt == a }
 
+// endedWhole reports whether the source engine's answer has ended with its frame. A stopped run's answer lacks the end of it.
+func (m *migration) endedWhole() bool {
+	return m.sourceEnd != nil && m.sourceEnd.reason == outcome.OK && !m.unframed
+}
+
 // migrationResult is the result of a migration request.
 type migrationResult struct {
 	source Source // The memory of the stopped run; empty if the run was not stopped.
@@ -138,7 +143,7 @@
 	out := &migrationResult{}
 	inProgress := false
 	for lost := 0; lost < migrateTries && ctx.Err() == nil; {
-		if !out.unanswered && !inProgress && f.endedAttempt.Load() == int64(running) {
+		if len(out.answers) == 0 && f.endedAttempt.Load() == int64(running) {
 			out.note(f.x.r, telemetry.MigrationUnsent, "the stream has ended")
 			break
 		}
@@ -217,9 +222,7 @@
 	case ev.ended && !m.is(ev.attempt):
 		f.recordSourceEnd(endTexts[ev.unframed])
 		m.sourceEnd, m.unframed = &callError{}, ev.unframed
-		if ev.unframed {
-			f.awaitAnswer()
-		}
+		f.awaitAnswer()
 		f.resumeWhenStopped()
 	default:
 		return false
@@ -267,10 +270,10 @@
 // requeue sends the loop an event of the source engine's call that was withheld during a migration.
 func (f *flight) requeue(ev flightEvent) { f.calls.Go(func() { f.send(ev) }) }
 
-// awaitAnswer starts a timer for the answer to the migration request of a resumable stream. After migrateAnswerTimeout
-// the loop gets an unanswered event. The loop ignores the event if the answer has arrived.
+// awaitAnswer starts a timer for the answer to the migration request of a stream that can go on without the answer: it may
+// be resumed, or has ended with its frame. After migrateAnswerTimeout the loop gets an unanswered event. The loop ignores the event if the answer has arrived.
 func (f *flight) awaitAnswer() {
-	if !f.x.route.Resumable || f.migration.source.Handle != "" {
+	if m := f.migration; !f.x.route.Resumable && !m.endedWhole() || m.source.Handle != "" {
 		return
 	}
 	f.sendAfter(migrateAnswerTimeout, flightEvent{attempt: f.migration.attempt, unanswered: true})
@@ -284,6 +287,12 @@
 	if m.source.Handle != "" {
 		return
 	}
+	if m.endedWhole() {
+		f.migration = nil
+		f.abortMigration(m.attempt, "its stream has ended, and the engine does not answer")
+		f.requeue(flightEvent{attempt: f.decodeAttempt, ended: true})
+		return
+	}
 	if !f.x.r.disp.CanResume(f.id) {
 		f.awaitAnswer()
 		return
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -203,7 +203,9 @@
 		if a.resp != nil && (a.good || !x.mayCallAgain(&p, budget)) {
 			release()
 			x.passAnswer(a)
-			x.r.callTimes.Record(x.callKey(), clock.Since(a.start)-a.connWait)
+			if a.resp.StatusCode < http.StatusBadRequest { // Errors are often quick.
+				x.r.callTimes.Record(x.callKey(), clock.Since(a.start)-a.connWait)
+			}
 			if a.good && a.whole {
 				x.recordRunEnd(e.ID, clock.Now().Add(-a.took), true)
 			}
--- a/internal/relay/stop.go
+++ b/internal/relay/stop.go
@@ -64,8 +64,13 @@
 	return ids
 }
 
-// Drain refuses new requests. It waits until the running requests are done, and the calls that free their memory.
-func (r *Relay) Drain(ctx context.Context) error { return r.gate.Drain(ctx, r.cleanups.Wait) }
+// Drain refuses new requests. It waits until the running requests are done and sent, and the calls that free their memory.
+func (r *Relay) Drain(ctx context.Context) error {
+	return r.gate.Drain(ctx, func() {
+		r.callerPool.WaitSent()
+		r.cleanups.Wait()
+	})
+}
 
 // stopOutcome refuses a request because this box stops.
 func stopOutcome() outcome.Outcome {
