--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -129,10 +129,11 @@
 	f.calls.Go(func() { f.callMigrate(a, running) })
 }
 
-// callMigrate sends a migration request, and reports the engine's answer. An engine stops the run before it copies the
-// memory. A late answer therefore does not mean that the run continues, and only the answer has the handle of the
-// memory. callMigrate waits for the answer until the caller's deadline, and for migrateAnswerTimeout or the time for
-// which the engine stores the memory longer, also if the caller has left.
+// callMigrate sends a migration request, unless the answer to the attempt running has ended, and reports the engine's
+// answer. An engine stops the run before it copies the memory. A late answer therefore does not mean that the run
+// continues, and only the answer has the handle of the memory. callMigrate waits for the answer until the caller's
+// deadline, and for migrateAnswerTimeout or the time for which the engine stores the memory longer, also if the caller
+// has left.
 func (f *flight) callMigrate(a decide.Migrate, running decide.Attempt) {
 	gracePeriod := max(f.x.service.Engines.HandleTTL, migrateAnswerTimeout)
 	limit := f.x.timeLeft() + gracePeriod
@@ -270,8 +271,9 @@
 // requeue sends the loop an event of the source engine's call that was withheld during a migration.
 func (f *flight) requeue(ev flightEvent) { f.calls.Go(func() { f.send(ev) }) }
 
-// awaitAnswer starts a timer for the answer to the migration request of a stream that can go on without the answer: it may
-// be resumed, or has ended with its frame. After migrateAnswerTimeout the loop gets an unanswered event. The loop ignores the event if the answer has arrived.
+// awaitAnswer starts a timer for the answer to the migration request, if the stream can do without it: it may be resumed, or
+// has ended with its frame. After migrateAnswerTimeout the loop gets an unanswered event. The loop ignores the event if the
+// answer has arrived.
 func (f *flight) awaitAnswer() {
 	if m := f.migration; !f.x.route.Resumable && !m.endedWhole() || m.source.Handle != "" {
 		return
