Restore two reasons in comments of moved code

The bound of heads holds for informational ones too, and a read sees the end of the data if a write was told of the reset: both stood in comments before the code moved and had become shorter.

--- a/internal/h1/sending.go
+++ b/internal/h1/sending.go
@@ -110,7 +110,8 @@
 // before.
 var errNothingSent = errors.New("no byte of the request was sent")
 
-// isReset reports whether a write failed because the endpoint reset the connection.
+// isReset reports whether a write failed because the endpoint reset the connection. The read then sees the end of the data,
+// because the operating system reports a reset only once.
 func isReset(sendErr error) bool {
 	return errors.Is(sendErr, syscall.ECONNRESET) || errors.Is(sendErr, syscall.EPIPE)
 }
--- a/internal/httphead/head.go
+++ b/internal/httphead/head.go
@@ -45,7 +45,7 @@
 func isControl(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f }
 
 const (
-	// MaxBytes bounds a head.
+	// MaxBytes bounds the head of each response, informational ones too.
 	MaxBytes = 64 << 10
 	// bufferBytes is the size of the buffer of ReadResponse.
 	bufferBytes = 4 << 10
