--- a/review/standins-2/lib.go
+++ b/review/standins-2/lib_test.go
@@ -1,9 +1,10 @@
 //go:build review2
 
-// Command standins-2 plays the cases of this review that have a run.sh. It starts boxes as the deploy file does, with the
+// Package standins plays the cases of this review that have a run.sh. It starts boxes as the deploy file does, with the
 // settings template of the deploy file, before stand-ins of the platform: the project's own store and workers
 // (platform/standin), wrapped where a case needs a worker that is late or silent. Everything listens on loopback addresses.
-package main
+// The files are test files behind a build tag, so that they stay out of the default test run and of the program's layers.
+package standins
 
 import (
 	"bufio"
@@ -21,6 +22,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 
 	"github.com/stoatramp/stoatramp/platform/standin"
@@ -440,7 +442,8 @@
 
 const engineService = `{"name":"llm","engine":{"slots":64,"kvTokens":60000,"tokenKvBytes":100,"linkMbps":100000,"handleTtlS":0.5,"holdMs":2000,"stride":10,"moves":true}}`
 
-func main() {
+// TestMain takes the place of main. review/build-2.sh builds the package into one program.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: standins-2 CASE FOLDER")
 		os.Exit(2)
--- a/review/standins-2/split.go
+++ b/review/standins-2/split_test.go
@@ -1,6 +1,6 @@
 //go:build review2
 
-package main
+package standins
 
 import (
 	"fmt"
