--- a/internal/box/plans.go
+++ b/internal/box/plans.go
@@ -10,6 +10,7 @@
 	"github.com/stoatramp/stoatramp/internal/clock"
 	"github.com/stoatramp/stoatramp/internal/config"
 	"github.com/stoatramp/stoatramp/internal/origins"
+	"github.com/stoatramp/stoatramp/internal/overlay"
 )
 
 // This file connects the plans of builds to the box.
@@ -36,20 +37,23 @@
 	return p.b.settings.Load().Peers != "" && p.b.node.Isolated()
 }
 
-func (p planBoxes) AllPlan(region string) bool {
-	return p.b.settings.Load().Peers == "" || p.b.node.AllPlan(region)
+func (p planBoxes) PlanRules(region string) int {
+	if p.b.settings.Load().Peers == "" {
+		return overlay.PlanRulesByID
+	}
+	return p.b.node.PlanRules(region)
 }
 
 // planPeers asks other boxes at which build a stream began.
 type planPeers struct{ b *RelayBox }
 
-func (p planPeers) ConfirmOrigin(ctx context.Context, g builds.Group, k origins.Key) (build, by string, ok bool) {
-	return p.b.node.ConfirmOrigin(ctx, g.Service, g.Region, k)
+func (p planPeers) ConfirmOrigin(ctx context.Context, g builds.Group, s origins.Stream) (build, by string, ok bool) {
+	return p.b.node.ConfirmOrigin(ctx, g.Service, g.Region, s)
 }
 
 // confirmOrigin tells another box at which build a stream began.
-func (b *RelayBox) confirmOrigin(ctx context.Context, service, region string, k origins.Key) (build string, ok bool) {
-	return b.plans.ConfirmOrigin(ctx, builds.Group{Service: service, Region: region}, k)
+func (b *RelayBox) confirmOrigin(ctx context.Context, service, region string, s origins.Stream) (build string, ok bool) {
+	return b.plans.ConfirmOrigin(ctx, builds.Group{Service: service, Region: region}, s)
 }
 
 func (b *RelayBox) newPlanner(site Site, cfg *config.Relay) *builds.Planner {
@@ -83,7 +87,7 @@
 func (b *RelayBox) logPlan(before, after *builds.Plan) {
 	fields := []zap.Field{
 		zap.String("service", after.Service), zap.String("region", after.Region), zap.Int64("plan", after.Number),
-		zap.Any("shares", after.Shares), zap.Int("earlier", len(after.Earlier)),
+		zap.Any("shares", after.Shares), zap.Bool("by_id", after.ByID), zap.Int("earlier", len(after.Earlier)),
 	}
 	if before != nil {
 		fields = append(fields, zap.Any("shares_before", before.Shares))
@@ -97,7 +101,7 @@
 // logForeignOrigin logs an origin that another box has this box keep. Boxes of earlier releases log none themselves.
 func (b *RelayBox) logForeignOrigin(o origins.Origin) {
 	g := builds.Group{Service: o.Service, Region: b.settings.Load().Region}
-	b.plans.LogForOthers(g, o.Key, o.Build, time.Now().Add(clock.Until(o.Expires)))
+	b.plans.LogForOthers(g, o, time.Now().Add(clock.Until(o.Expires)))
 }
 
 // applyCrashes reads the table that has the suspected crashes, and the plans of builds.
--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -149,7 +149,7 @@
 	b.node = overlay.New(overlay.Options{
 		Self: overlay.Member{
 			Name: cfg.Name, Region: cfg.Region, Hall: cfg.Hall, Incarnation: time.Now().UnixNano(), LinkMbps: cfg.LinkMbps,
-			Plans: true, PlanRules: overlay.PlanRulesTraceable,
+			Plans: true, PlanRules: overlay.PlanRulesByID,
 		},
 		Register: b.site.MemberTable,
 		Tables:   shared,
--- a/internal/builds/begin.go
+++ b/internal/builds/begin.go
@@ -61,7 +61,7 @@
 // Begin decides at which build a new stream begins. The caller may take the stream up until the given time of day. Begin waits
 // for the first read of the table and for the first plan. If the plans alone don't tell the origin, it waits until the origin
 // is logged. After an error the stream must not begin.
-func (p *Planner) Begin(ctx context.Context, g Group, k origins.Key, until time.Time) (Beginning, error) {
+func (p *Planner) Begin(ctx context.Context, g Group, s origins.Stream, until time.Time) (Beginning, error) {
 	if !p.hasRead() {
 		_ = p.confirm(ctx, clock.Now())
 	}
@@ -75,7 +75,7 @@
 	now := p.o.Now()
 	b := Beginning{Plan: plan.Number, How: ByPlan}
 	var log bool
-	b.Build, log = plan.begin(k, now)
+	b.Build, log = plan.begin(s, now)
 	log = log || outlivesPlans(now, until)
 	if !log && p.mayBeUnplanned(plan) {
 		_, only := p.onlyBuild(g, plan)
@@ -84,12 +84,12 @@
 	if !log {
 		return b, nil
 	}
-	err = p.logOrigin(ctx, g, k, b.Build, until)
+	err = p.logOrigin(ctx, g, s, b.Build, until)
 	if err == nil {
 		b.How = ByLog
 		return b, nil
 	}
-	return p.beginUnlogged(plan, k, until, b, err)
+	return p.beginUnlogged(plan, s, until, b, err)
 }
 
 func refusedOr(how How, err error) Beginning {
@@ -100,16 +100,16 @@
 }
 
 // beginUnlogged decides where a stream begins after an error of logOrigin. planned is where it would begin if it were logged.
-func (p *Planner) beginUnlogged(plan *Plan, k origins.Key, until time.Time, planned Beginning, err error) (Beginning, error) {
+func (p *Planner) beginUnlogged(plan *Plan, s origins.Stream, until time.Time, planned Beginning, err error) (Beginning, error) {
 	now := p.o.Now()
 	planned.How = Unlogged
-	if plan.tellsUnlogged(k, planned.Build, now, until) {
+	if plan.tellsUnlogged(s, planned.Build, now, until) {
 		// The store gets the row once it takes writes again, so that the stream can go on then.
-		p.addToLog(k, &pendingRow{newLoggedOrigin(plan.Group, planned.Build, until), nil})
+		p.addToLog(p.logKeys(plan, s), &pendingRow{newLoggedOrigin(plan.Group, planned.Build, s.Caller, until), nil})
 		return planned, nil
 	}
 	// A write without an answer may still take effect, and would then name the planned build.
-	if oldest := plan.candidates(now)[0].BuildOf(k); !errors.Is(err, errUncertain) && plan.tellsUnlogged(k, oldest, now, until) && p.serves(plan.Group, oldest) {
+	if oldest, ok := plan.candidates(now)[0].buildOf(s); ok && !errors.Is(err, errUncertain) && plan.tellsUnlogged(s, oldest, now, until) && p.serves(plan.Group, oldest) {
 		planned.Build = oldest
 		return planned, nil
 	}
--- a/internal/builds/origin.go
+++ b/internal/builds/origin.go
@@ -66,13 +66,13 @@
 	peersDelay = 100 * time.Millisecond
 )
 
-// Origin finds out at which build a stream began. The key is 0 if the caller does not name the stream. What the plans tell is
+// Origin finds out at which build a stream began. What the plans tell is
 // read from the store after the call, by this box or another one: this box may have been suspended or cut off for any time.
-func (p *Planner) Origin(ctx context.Context, g Group, k origins.Key) Finding {
+func (p *Planner) Origin(ctx context.Context, g Group, s origins.Stream) Finding {
 	ctx, cancel := context.WithTimeout(ctx, originWait)
 	defer cancel()
 	for since := clock.Now(); ; {
-		f := p.readOriginAnywhere(ctx, g, k, since)
+		f := p.readOriginAnywhere(ctx, g, s, since)
 		if f.Verdict != Unconfirmed {
 			return f
 		}
@@ -85,14 +85,14 @@
 }
 
 // readOriginAnywhere finds out by reads of this box, or of others if its own don't succeed soon, at which build a stream began.
-func (p *Planner) readOriginAnywhere(ctx context.Context, g Group, k origins.Key, since time.Time) Finding {
-	if p.o.Peers == nil || k == 0 {
-		return p.readOrigin(ctx, g, k, since)
+func (p *Planner) readOriginAnywhere(ctx context.Context, g Group, s origins.Stream, since time.Time) Finding {
+	if p.o.Peers == nil || s.IsZero() {
+		return p.readOrigin(ctx, g, s, since)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	own := make(chan Finding, 1)
-	go func() { own <- p.readOrigin(ctx, g, k, since) }()
+	go func() { own <- p.readOrigin(ctx, g, s, since) }()
 	pending := own
 	select {
 	case f := <-own:
@@ -104,7 +104,7 @@
 	}
 	confirmed := make(chan Finding, 1)
 	go func() {
-		build, by, ok := p.o.Peers.ConfirmOrigin(ctx, g, k)
+		build, by, ok := p.o.Peers.ConfirmOrigin(ctx, g, s)
 		if !ok {
 			confirmed <- Finding{Verdict: Unconfirmed}
 			return
@@ -126,28 +126,33 @@
 }
 
 // ConfirmOrigin finds out for another box at which build a stream began. It reads the store once.
-func (p *Planner) ConfirmOrigin(ctx context.Context, g Group, k origins.Key) (build string, ok bool) {
-	f := p.readOrigin(ctx, g, k, clock.Now())
+func (p *Planner) ConfirmOrigin(ctx context.Context, g Group, s origins.Stream) (build string, ok bool) {
+	f := p.readOrigin(ctx, g, s, clock.Now())
 	return f.Build, f.Verdict == Planned || f.Verdict == Logged
 }
 
 // readOrigin finds out by reads of the store that begin after since at which build a stream began.
-func (p *Planner) readOrigin(ctx context.Context, g Group, k origins.Key, since time.Time) Finding {
+func (p *Planner) readOrigin(ctx context.Context, g Group, s origins.Stream, since time.Time) Finding {
 	confirmed := make(chan error, 1)
 	go func() { confirmed <- p.confirm(ctx, since) }()
+	var logged string
 	var logErr error
-	if k != 0 {
-		var build string
-		build, logErr = p.loggedBuild(ctx, g, k)
-		switch {
-		case build != "":
-			return Finding{Verdict: Logged, Build: build}
-		case errors.Is(logErr, errOtherService):
-			return Finding{}
+	if s.Key != 0 {
+		logged, logErr = p.loggedBuild(ctx, g, s.Caller, s.Key)
+	}
+	if logged == "" && !errors.Is(logErr, errOtherStream) {
+		if <-confirmed != nil {
+			return Finding{Verdict: Unconfirmed}
+		}
+		if logErr == nil && p.mayBeLoggedByName(g) {
+			logged, logErr = p.loggedBuild(ctx, g, s.Caller, s.AccountKeys...)
 		}
 	}
-	if <-confirmed != nil {
-		return Finding{Verdict: Unconfirmed}
+	switch {
+	case logged != "":
+		return Finding{Verdict: Logged, Build: logged}
+	case errors.Is(logErr, errOtherStream):
+		return Finding{}
 	}
 	p.mu.Lock()
 	plan, mayHaveBuilds := p.plans[g], !p.hasList || len(p.listed[g]) > 0
@@ -160,11 +165,11 @@
 	}
 	out := Finding{Verdict: Planned, Plan: plan.Number}
 	known := false
-	if k == 0 || p.mayBeUnplanned(plan) {
+	if s.IsZero() || p.mayBeUnplanned(plan) {
 		out.Build, known = p.onlyBuild(g, plan)
 		known = known && plan.Era >= p.o.Era() && plan.LogLostUntil <= p.o.Now().UnixMilli()
 	} else {
-		out.Build, known = p.plannedBuild(plan, k, logErr == nil)
+		out.Build, known = p.plannedBuild(plan, s, logErr == nil)
 	}
 	switch {
 	case !known && logErr != nil:
@@ -179,7 +184,15 @@
 
 // mayBeUnplanned reports whether a stream that is taken up now may have begun at a box that knows no plans.
 func (p *Planner) mayBeUnplanned(plan *Plan) bool {
-	return plan.unplanned(p.o.Now()) || !p.o.Boxes.AllPlan(plan.Region)
+	return plan.unplanned(p.o.Now()) || !p.allFollow(plan.Region, plan.division())
+}
+
+// mayBeLoggedByName reports whether streams that are taken up now may have rows for the names of their accounts alone.
+func (p *Planner) mayBeLoggedByName(g Group) bool {
+	p.mu.Lock()
+	plan := p.plans[g]
+	p.mu.Unlock()
+	return plan != nil && (p.mayBeUnplanned(plan) || slices.ContainsFunc(plan.candidates(p.o.Now()), func(d division) bool { return !d.byID }))
 }
 
 // onlyBuild returns the only build that serves, or that served when a stream began that may be taken up now. ok is false if
@@ -188,8 +201,8 @@
 	p.mu.Lock()
 	only := slices.Clone(p.listed[g])
 	p.mu.Unlock()
-	for _, shares := range plan.candidates(p.o.Now()) {
-		for _, s := range shares {
+	for _, d := range plan.candidates(p.o.Now()) {
+		for _, s := range d.shares {
 			only = append(only, s.Build)
 		}
 	}
@@ -202,13 +215,13 @@
 
 // plannedBuild returns the build at which a stream began. notLogged is set if the log has been read, and does not have the
 // stream. ok is false if the plans differ and the log does not tell.
-func (p *Planner) plannedBuild(plan *Plan, k origins.Key, notLogged bool) (build string, ok bool) {
+func (p *Planner) plannedBuild(plan *Plan, s origins.Stream, notLogged bool) (build string, ok bool) {
 	now := p.o.Now()
-	build, agreed := plan.origin(k, now)
+	build, agreed := plan.origin(s, now)
 	if plan.Era < p.o.Era() { // The restored store may lack a plan that this box has not seen. A box writes it again (replan).
 		return "", false
 	}
-	return build, agreed || notLogged && plan.LogLostUntil <= now.UnixMilli()
+	return build, agreed || build != "" && notLogged && plan.LogLostUntil <= now.UnixMilli()
 }
 
 // tableRead is a read of the table in progress. done is closed at its end.
--- a/internal/builds/originlog.go
+++ b/internal/builds/originlog.go
@@ -1,6 +1,7 @@
 package builds
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -59,10 +60,12 @@
 	Service string `json:"service"`
 	Build   string `json:"build"`
 	Expires int64  `json:"expires_ms"` // Unix milliseconds.
+	// Caller identifies the API key of the caller that began the stream; 0 if it had none or is not known.
+	Caller uint64 `json:"caller,omitempty"`
 }
 
-func newLoggedOrigin(g Group, build string, until time.Time) loggedOrigin {
-	return loggedOrigin{g.Service, build, until.Add(logRetention).UnixMilli()}
+func newLoggedOrigin(g Group, build string, caller uint64, until time.Time) loggedOrigin {
+	return loggedOrigin{g.Service, build, until.Add(logRetention).UnixMilli(), caller}
 }
 
 func (o *loggedOrigin) expired(now time.Time) bool {
@@ -78,6 +81,15 @@
 
 func logKey(k origins.Key) string { return strconv.FormatUint(uint64(k), 36) }
 
+// logKeys returns the keys of the rows that a stream gets. Boxes that don't know ByID look for the account's key.
+func (p *Planner) logKeys(plan *Plan, s origins.Stream) []string {
+	keys := []string{logKey(s.Key)}
+	if account := s.AccountKey(); account != 0 && (plan == nil || !plan.ByID || p.o.Boxes.PlanRules(plan.Region) < PlanRulesByID) {
+		keys = append(keys, logKey(account))
+	}
+	return keys
+}
+
 // originLog is this box's part of the log. Planner.mu protects it.
 type originLog struct {
 	// pending are the rows that the next write sets.
@@ -90,12 +102,20 @@
 	write    chan struct{}
 }
 
-// pendingRow is a row that is to be written. written, if it is not nil, receives the result.
+// pendingRow is a row that is to be written, perhaps under two keys. written, if it is not nil, receives the result once.
 type pendingRow struct {
 	loggedOrigin
 	written chan error
 }
 
+// finish reports the result of the write.
+func (r *pendingRow) finish(err error) {
+	select {
+	case r.written <- err:
+	default: // The row's other key was written with it.
+	}
+}
+
 func (l *originLog) init() {
 	l.pending, l.write, l.tokens = map[string]*pendingRow{}, make(chan struct{}, 1), logBurst
 }
@@ -108,14 +128,17 @@
 )
 
 // logOrigin has the store keep the origin of a stream that is about to begin.
-func (p *Planner) logOrigin(ctx context.Context, g Group, k origins.Key, build string, until time.Time) error {
-	row := &pendingRow{newLoggedOrigin(g, build, until), make(chan error, 1)}
-	if !p.addToLog(k, row) {
+func (p *Planner) logOrigin(ctx context.Context, g Group, s origins.Stream, build string, until time.Time) error {
+	p.mu.Lock()
+	keys := p.logKeys(p.plans[g], s)
+	p.mu.Unlock()
+	row := &pendingRow{newLoggedOrigin(g, build, s.Caller, until), make(chan error, 1)}
+	if !p.addToLog(keys, row) {
 		return errNotWritten
 	}
-	err := p.awaitLogged(ctx, k, row)
+	err := p.awaitLogged(ctx, keys, row)
 	if errors.Is(err, errUncertain) { // Perhaps only the answer was lost.
-		if logged, _ := p.loggedBuild(ctx, g, k); logged == build {
+		if logged, _ := p.loggedBuild(ctx, g, s.Caller, s.Key); logged == build {
 			return nil
 		}
 	}
@@ -123,22 +146,22 @@
 }
 
 // awaitLogged returns the result of the write of a row, for which it waits at most logWait.
-func (p *Planner) awaitLogged(ctx context.Context, k origins.Key, row *pendingRow) error {
+func (p *Planner) awaitLogged(ctx context.Context, keys []string, row *pendingRow) error {
 	timeout := time.NewTimer(logWait)
 	defer timeout.Stop()
 	select {
 	case err := <-row.written:
 		return err
 	case <-timeout.C:
-		return p.withdraw(k, row, true)
+		return p.withdraw(keys, row, true)
 	case <-ctx.Done(): // The caller has left, which says nothing of the store.
-		return p.withdraw(k, row, false)
+		return p.withdraw(keys, row, false)
 	}
 }
 
 // withdraw takes a row back that waits for a write. If the write is already under way, its result is uncertain. If it is late, no
 // row is written until the store has answered.
-func (p *Planner) withdraw(k origins.Key, row *pendingRow, late bool) error {
+func (p *Planner) withdraw(keys []string, row *pendingRow, late bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	select {
@@ -146,8 +169,10 @@
 		return err
 	default:
 	}
-	if p.log.pending[logKey(k)] == row {
-		delete(p.log.pending, logKey(k))
+	if p.log.pending[keys[0]] == row {
+		for _, key := range keys {
+			delete(p.log.pending, key)
+		}
 		return errNotWritten
 	}
 	if late {
@@ -160,7 +185,7 @@
 func (p *Planner) stopLogging(err error) {
 	for key, row := range p.log.pending {
 		if row.written != nil {
-			row.written <- errNotWritten
+			row.finish(errNotWritten)
 			delete(p.log.pending, key)
 		}
 	}
@@ -186,38 +211,41 @@
 
 // LogForOthers logs the origin of a stream that another box has begun, while boxes of an earlier release may begin some. It
 // does not wait.
-func (p *Planner) LogForOthers(g Group, k origins.Key, build string, until time.Time) {
+func (p *Planner) LogForOthers(g Group, o origins.Origin, until time.Time) {
 	p.mu.Lock()
 	plan := p.plans[g]
 	p.mu.Unlock()
-	if plan != nil && p.mayBeUnplanned(plan) && !p.addToLog(k, &pendingRow{newLoggedOrigin(g, build, until), nil}) {
+	if plan != nil && p.mayBeUnplanned(plan) && !p.addToLog([]string{logKey(o.Key)}, &pendingRow{newLoggedOrigin(g, o.Build, o.Caller, until), nil}) {
 		p.o.Failed("origin of another box's stream not logged", errNotWritten)
 	}
 }
 
 // Extend is called when a caller has taken a stream up, and may come back until a later time than before. It does not wait.
-func (p *Planner) Extend(g Group, k origins.Key, build string, until time.Time) {
+func (p *Planner) Extend(g Group, s origins.Stream, build string, until time.Time) {
 	p.mu.Lock()
 	plan := p.plans[g]
 	p.mu.Unlock()
 	now := p.o.Now()
-	if plan != nil && (outlivesPlans(now, until) || !plan.tellsUnlogged(k, build, now, until)) && !p.addToLog(k, &pendingRow{newLoggedOrigin(g, build, until), nil}) {
+	if plan != nil && (outlivesPlans(now, until) || !plan.tellsUnlogged(s, build, now, until)) && !p.addToLog(p.logKeys(plan, s), &pendingRow{newLoggedOrigin(g, build, s.Caller, until), nil}) {
 		p.o.Failed("origin of a longer stream not logged", errNotWritten)
 	}
 }
 
-// addToLog has the next write set a row. It returns false if the store takes no writes, or too many rows wait for one.
-func (p *Planner) addToLog(k origins.Key, row *pendingRow) bool {
+// addToLog has the next write set a row, under all of its keys. It returns false if the store takes no writes, or too many rows
+// wait for one.
+func (p *Planner) addToLog(keys []string, row *pendingRow) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := &p.log
-	if l.refused && row.written != nil || len(l.pending) >= maxRowsPerWrite {
+	if l.refused && row.written != nil || len(l.pending)+len(keys) > maxRowsPerWrite {
 		return false
 	}
-	if old := l.pending[logKey(k)]; old != nil && old.written != nil {
+	if old := l.pending[keys[0]]; old != nil && old.written != nil {
 		return row.written == nil // The box that begins the stream knows best.
 	}
-	l.pending[logKey(k)] = row
+	for _, key := range keys {
+		l.pending[key] = row
+	}
 	p.wakeLog()
 	return true
 }
@@ -319,7 +347,7 @@
 	}
 	for _, row := range rows {
 		if row.written != nil {
-			row.written <- err
+			row.finish(err)
 		}
 	}
 }
@@ -398,13 +426,30 @@
 
 var (
 	errUnreadableOrigin = errors.New("the row of the origin can't be read")
-	errOtherService     = errors.New("the stream began at another service")
+	// errOtherStream means that the log does not tell whose stream a row is about, or that the stream began at another service.
+	errOtherStream = errors.New("the row may be that of another stream")
 )
 
-// loggedBuild reads the logged origin of a stream; build is empty if the log has none. A row holds also after it has expired.
-func (p *Planner) loggedBuild(ctx context.Context, g Group, k origins.Key) (build string, err error) {
+// loggedBuild reads the logged origin of a stream under some of its keys; build is empty if the log has none. A row holds also
+// after it has expired.
+func (p *Planner) loggedBuild(ctx context.Context, g Group, caller uint64, keys ...origins.Key) (build string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	for _, k := range keys {
+		logged, err := p.readLogRow(ctx, g, k, caller)
+		switch {
+		case err != nil:
+			return "", err
+		case build != "" && logged != "" && logged != build:
+			return "", errOtherStream
+		}
+		build = cmp.Or(build, logged)
+	}
+	return build, nil
+}
+
+// readLogRow reads a row of the log.
+func (p *Planner) readLogRow(ctx context.Context, g Group, k origins.Key, caller uint64) (build string, err error) {
 	value, err := p.o.Log.Read(ctx, logKey(k))
 	var o loggedOrigin
 	if err == nil && value != nil && (json.Unmarshal(value, &o) != nil || o.Service == "" || o.Build == "" || len(o.Build) > maxBuild) {
@@ -416,8 +461,8 @@
 		}
 		return "", err
 	}
-	if value != nil && o.Service != g.Service {
-		return "", errOtherService
+	if value != nil && (o.Service != g.Service || caller != 0 && o.Caller != 0 && o.Caller != caller) {
+		return "", errOtherStream
 	}
 	return o.Build, nil
 }
--- a/internal/builds/plan.go
+++ b/internal/builds/plan.go
@@ -1,5 +1,5 @@
 // Package builds decides at which build of a service each new stream begins, so that any box can tell the origin of a stream
-// from the stream's ID alone. A build is a version of the endpoints' software. A stream may go on only at the build that began
+// from the stream's ID alone (division.go). A build is a version of the endpoints' software. A stream may go on only at the build that began
 // it, and its caller takes it up at any box.
 //
 // The plan of a service and region divides new streams among the builds that serve, by a hash of each stream's key. It is a
@@ -97,7 +97,8 @@
 // Earlier are the shares of a plan that was replaced. Streams that began under them may be taken up until Until.
 type Earlier struct {
 	Shares Shares `json:"shares"`
-	Until  int64  `json:"until_ms"` // Unix milliseconds.
+	Until  int64  `json:"until_ms"`        // Unix milliseconds.
+	ByID   bool   `json:"by_id,omitempty"` // As in Plan.
 }
 
 // Plan says at which build each new stream of a group begins.
@@ -109,6 +110,9 @@
 	// higher, and plans that were written in the meantime are lost.
 	Era    int64  `json:"era"`
 	Shares Shares `json:"shares"`
+	// ByID is set if the shares divide streams by their IDs alone. Otherwise they do so by the account's name too, as boxes of
+	// earlier releases do.
+	ByID bool `json:"by_id,omitempty"`
 	// Earlier are sorted by Until, which is the order in which they were replaced.
 	Earlier []Earlier `json:"earlier,omitempty"`
 	// UnplannedUntil is until when streams may be taken up that began at any build: boxes of an earlier release began them, or
@@ -117,6 +121,9 @@
 	// LogLostUntil is until when the log may lack origins: the store was restored from an older copy, or a build is back that
 	// an earlier plan has and the last one had not. It is in Unix milliseconds, and 0 if the log is complete.
 	LogLostUntil int64 `json:"log_lost_until_ms,omitempty"`
+	// OpaqueUntil is until when boxes that don't know ByID take no stream for one that the plan tells (encode). It is in Unix
+	// milliseconds, and 0 if the plan and the earlier shares divide streams as these boxes do.
+	OpaqueUntil int64 `json:"opaque_until_ms,omitempty"`
 }
 
 const (
@@ -130,26 +137,28 @@
 // maxEarlier bounds the earlier shares of a plan. They are replaced at most every minChangeInterval.
 const maxEarlier = 64
 
-// candidates returns all shares under which a stream may have begun that is taken up now, the oldest first.
-func (p *Plan) candidates(now time.Time) []Shares {
-	var out []Shares
+// candidates returns all divisions under which a stream may have begun that is taken up now, the oldest first.
+func (p *Plan) candidates(now time.Time) []division {
+	var out []division
 	for _, e := range p.Earlier {
 		if e.Until > now.UnixMilli() {
-			out = append(out, e.Shares)
+			out = append(out, division{e.Shares, e.ByID})
 		}
 	}
-	return append(out, p.Shares)
+	return append(out, p.division())
 }
 
+func (p *Plan) division() division { return division{p.Shares, p.ByID} }
+
 // begin returns the build at which a new stream begins. log reports whether its origin must be logged, because a box with
 // another clock may still take an earlier plan into account that names another build.
-func (p *Plan) begin(k origins.Key, now time.Time) (build string, log bool) {
-	build = p.Shares.BuildOf(k)
-	return build, slices.ContainsFunc(p.candidates(now.Add(-clockSlack)), func(s Shares) bool { return s.BuildOf(k) != build })
+func (p *Plan) begin(s origins.Stream, now time.Time) (build string, log bool) {
+	build, _ = p.division().buildOf(s)
+	return build, slices.ContainsFunc(p.candidates(now.Add(-clockSlack)), func(d division) bool { return d.mayName(s, build) })
 }
 
-// oldestWithin returns all shares that are the oldest candidates at some time from now until a later time, by any box's clock.
-func (p *Plan) oldestWithin(now, until time.Time) []Shares {
+// oldestWithin returns all divisions that are the oldest candidates at some time from now until a later time, by any box's clock.
+func (p *Plan) oldestWithin(now, until time.Time) []division {
 	list := p.candidates(now.Add(-clockSlack))
 	for i, e := range p.Earlier[len(p.Earlier)-len(list)+1:] {
 		if e.Until > until.Add(clockSlack).UnixMilli() {
@@ -166,23 +175,25 @@
 
 // tellsUnlogged reports whether a stream that begins now at a build, and whose origin is not logged, is taken for one of that
 // build, or for one whose origin is not known, until its caller can't come back any more.
-func (p *Plan) tellsUnlogged(k origins.Key, build string, now, until time.Time) bool {
-	if build == p.Shares.BuildOf(k) && p.LogLostUntil > until.Add(clockSlack).UnixMilli() {
+func (p *Plan) tellsUnlogged(s origins.Stream, build string, now, until time.Time) bool {
+	if own, ok := p.division().buildOf(s); ok && build == own && p.LogLostUntil > until.Add(clockSlack).UnixMilli() {
 		return true
 	}
-	return !slices.ContainsFunc(p.oldestWithin(now, until), func(s Shares) bool {
-		told := s.BuildOf(k)
+	return !slices.ContainsFunc(p.oldestWithin(now, until), func(d division) bool {
 		// Streams of a build that has left the plan are refused, also after its return (successor).
-		return told != build && p.Shares.has(told)
+		return slices.ContainsFunc(d.builds(s), func(told string) bool { return told != build && p.Shares.has(told) })
 	})
 }
 
-// origin returns the build at which a stream began that is not logged. agreed is false if that is only so if the log has lost
-// nothing.
-func (p *Plan) origin(k origins.Key, now time.Time) (build string, agreed bool) {
+// origin returns the build at which a stream began that is not logged; empty if the plans don't tell. agreed is false if that is
+// only so if the log has lost nothing.
+func (p *Plan) origin(s origins.Stream, now time.Time) (build string, agreed bool) {
 	list := p.candidates(now)
-	build = list[0].BuildOf(k)
-	return build, !slices.ContainsFunc(list, func(s Shares) bool { return s.BuildOf(k) != build })
+	build, ok := list[0].buildOf(s)
+	if !ok {
+		return "", false
+	}
+	return build, !slices.ContainsFunc(list, func(d division) bool { return d.mayName(s, build) })
 }
 
 // CountEarlier returns the number of plans that this one replaced and under which streams may have begun that are taken up now.
@@ -196,10 +207,10 @@
 	return other == nil || cmp.Or(cmp.Compare(p.Number, other.Number), cmp.Compare(p.Era, other.Era)) > 0
 }
 
-// successor returns a plan with new shares. It follows all of the given plans, each of which may be nil: streams may have
+// successor returns a plan with a new division. It follows all of the given plans, each of which may be nil: streams may have
 // begun under any of them.
-func successor(g Group, era int64, now time.Time, shares Shares, plans ...*Plan) *Plan {
-	out := &Plan{Group: g, Era: era, Shares: shares}
+func successor(g Group, era int64, now time.Time, d division, plans ...*Plan) *Plan {
+	out := &Plan{Group: g, Era: era, Shares: d.shares, ByID: d.byID}
 	until := now.Add(returnTime).UnixMilli()
 	for _, p := range plans { // The order of Until is that of the plans, whatever the clocks of the boxes say.
 		if p != nil && len(p.Earlier) > 0 {
@@ -207,7 +218,9 @@
 		}
 	}
 	add := func(e Earlier) {
-		same := func(o Earlier) bool { return o.Until == e.Until && slices.Equal(o.Shares, e.Shares) }
+		same := func(o Earlier) bool {
+			return o.Until == e.Until && o.ByID == e.ByID && slices.Equal(o.Shares, e.Shares)
+		}
 		if e.Until > now.UnixMilli() && !slices.ContainsFunc(out.Earlier, same) {
 			out.Earlier = append(out.Earlier, e)
 		}
@@ -225,7 +238,7 @@
 		for _, e := range p.Earlier {
 			add(e)
 		}
-		add(Earlier{p.Shares, until})
+		add(Earlier{p.Shares, until, p.ByID})
 	}
 	out.Number++
 	slices.SortStableFunc(out.Earlier, func(a, b Earlier) int { return cmp.Compare(a.Until, b.Until) })
@@ -234,13 +247,16 @@
 		out.UnplannedUntil = max(out.UnplannedUntil, until)
 	}
 	// While a build was not in the plan, streams that earlier plans have begin there may have begun elsewhere unlogged.
-	if latest := latestOf(plans); latest != nil && slices.ContainsFunc(shares, func(s Share) bool {
+	if latest := latestOf(plans); latest != nil && slices.ContainsFunc(d.shares, func(s Share) bool {
 		return !latest.Shares.has(s.Build) && slices.ContainsFunc(out.Earlier, func(e Earlier) bool { return e.Shares.has(s.Build) })
 	}) {
 		out.LogLostUntil = max(out.LogLostUntil, until)
 	}
-	if n := len(out.Earlier); n > 0 && slices.Equal(out.Earlier[n-1].Shares, shares) {
-		out.Earlier = out.Earlier[:n-1] // The shares stay.
+	if n := len(out.Earlier); n > 0 && out.Earlier[n-1].ByID == d.byID && slices.Equal(out.Earlier[n-1].Shares, d.shares) {
+		out.Earlier = out.Earlier[:n-1] // The division stays.
+	}
+	if out.dividesByID() {
+		out.OpaqueUntil = now.Add(opaqueTime).UnixMilli()
 	}
 	return out
 }
@@ -263,8 +279,20 @@
 	return planRowPrefix + strconv.FormatUint(xxhash.Sum64String(g.Service+"\x00"+g.Region), 36)
 }
 
+// planRow is the value of a row.
+type planRow struct {
+	Plan
+	// UnplannedByID is UnplannedUntil of a plan that divides streams by ID. Boxes that don't know ByID would take streams
+	// for ones of another build, so UnplannedUntil in the row has them take a stream for none that the plan tells.
+	UnplannedByID *int64 `json:"unplanned_by_id_until_ms,omitempty"`
+}
+
 func (p *Plan) encode() []byte {
-	b, _ := json.Marshal(p) // Strings and numbers always encode.
+	row := planRow{Plan: *p}
+	if p.OpaqueUntil > 0 {
+		row.UnplannedByID, row.UnplannedUntil = &p.UnplannedUntil, max(p.UnplannedUntil, p.OpaqueUntil)
+	}
+	b, _ := json.Marshal(row) // Strings and numbers always encode.
 	return b
 }
 
@@ -281,12 +309,16 @@
 
 // parsePlan decodes a row. ok is false for a row that no box can have written.
 func parsePlan(key string, value []byte, now time.Time) (p *Plan, ok bool) {
-	p = &Plan{}
-	if !strings.HasPrefix(key, planRowPrefix) || json.Unmarshal(value, p) != nil || p.rowKey() != key {
+	var row planRow
+	if !strings.HasPrefix(key, planRowPrefix) || json.Unmarshal(value, &row) != nil || row.rowKey() != key {
 		return nil, false
 	}
+	p = &row.Plan
+	if row.UnplannedByID != nil {
+		p.UnplannedUntil = *row.UnplannedByID
+	}
 	latest := now.Add(maxAhead).UnixMilli()
-	if p.Number <= 0 || p.Number > maxNumber || p.Era < 0 || p.Era > maxEra || len(p.Earlier) > maxEarlier || p.UnplannedUntil > latest || p.LogLostUntil > latest {
+	if p.Number <= 0 || p.Number > maxNumber || p.Era < 0 || p.Era > maxEra || len(p.Earlier) > maxEarlier || p.UnplannedUntil > latest || p.LogLostUntil > latest || p.OpaqueUntil > latest {
 		return nil, false
 	}
 	for i, e := range p.Earlier {
--- a/internal/builds/planner.go
+++ b/internal/builds/planner.go
@@ -27,8 +27,9 @@
 	// Rank returns the position of this box among the boxes of a region in the order in which they write a row. It is
 	// negative if this box is in another region that has boxes.
 	Rank(region, key string) int
-	// AllPlan reports whether all boxes of a region begin streams as planned. Boxes of earlier releases don't.
-	AllPlan(region string) bool
+	// PlanRules returns the version of the rules for plans that all boxes of a region know; 0 if some begin streams without
+	// plans.
+	PlanRules(region string) int
 	// Count returns the number of boxes of a region.
 	Count(region string) int
 	// Isolated reports whether there are other boxes, and none of them sends this box anything.
@@ -39,7 +40,7 @@
 type Peers interface {
 	// ConfirmOrigin has other boxes read from the store at which build a stream began (Planner.ConfirmOrigin). by is the box
 	// that answered. ok is false if none can tell.
-	ConfirmOrigin(ctx context.Context, g Group, k origins.Key) (build, by string, ok bool)
+	ConfirmOrigin(ctx context.Context, g Group, s origins.Stream) (build, by string, ok bool)
 }
 
 // Options configure a Planner.
@@ -81,6 +82,8 @@
 	seen map[Group]int64
 	// restoredAt is when this box first saw that a group's plan is of an earlier era than the store.
 	restoredAt map[Group]time.Time
+	// rules says by region what the boxes know.
+	rules map[string]ruleState
 	// settledAt is when the builds that serve in a group last changed.
 	settledAt map[Group]time.Time
 	// servedAt is when a build last served. A build that is only in a plan counts as serving when this box first saw the plan.
@@ -151,7 +154,7 @@
 	}
 	p := &Planner{
 		o: o, plans: map[Group]*Plan{}, serving: map[Group]Shares{}, listed: map[Group][]string{},
-		pendingSince: map[Group]time.Time{}, servedAt: map[servedBuild]time.Time{}, settledAt: map[Group]time.Time{}, changedAt: map[Group]time.Time{}, seen: map[Group]int64{}, restoredAt: map[Group]time.Time{}, wake: make(chan struct{}, 1),
+		pendingSince: map[Group]time.Time{}, servedAt: map[servedBuild]time.Time{}, settledAt: map[Group]time.Time{}, changedAt: map[Group]time.Time{}, seen: map[Group]int64{}, restoredAt: map[Group]time.Time{}, rules: map[string]ruleState{}, wake: make(chan struct{}, 1),
 	}
 	p.log.init()
 	return p
--- a/internal/builds/replan.go
+++ b/internal/builds/replan.go
@@ -79,7 +79,7 @@
 		return p.knowsRestored(plan, now)
 	}
 	delete(p.restoredAt, g)
-	return damaged || p.saysUnplannedLate(plan) || !slices.Equal(p.nextShares(g, plan, now), plan.Shares)
+	return damaged || p.saysUnplannedLate(plan) || plan.opaqueLate(p.o.Now()) || !p.nextDivision(g, plan, now).equal(plan.division())
 }
 
 // knowsRestored reports whether this box can say what has become of a plan that is of an earlier era than the store. p.mu is held.
@@ -94,13 +94,13 @@
 }
 
 // mayHaveLostPlans reports whether the store may have lost plans after this one by a restore: this box has not seen it in its era, and
-// it does not fit what serves. p.mu is held.
+// it does not fit what serves or what the boxes know. p.mu is held.
 func (p *Planner) mayHaveLostPlans(plan *Plan) bool {
 	if plan == nil || plan.Era >= p.o.Era() || p.seen[plan.Group] >= plan.Number {
 		return false
 	}
 	serving := p.serving[plan.Group]
-	return !sameBuilds(serving, plan.Shares) || serving.maxDifference(plan.Shares) > maxFractionError
+	return plan.ByID != p.rules[plan.Region].byID || !sameBuilds(serving, plan.Shares) || serving.maxDifference(plan.Shares) > maxFractionError
 }
 
 // nextShares returns the shares that a plan of a group should have: the plan's own, unless they don't fit the builds that
@@ -158,9 +158,14 @@
 	return slices.EqualFunc(a, b, func(x, y Share) bool { return x.Build == y.Build })
 }
 
+// allFollow reports whether all boxes of a region know the rules of a division.
+func (p *Planner) allFollow(region string, d division) bool {
+	return p.o.Boxes.PlanRules(region) >= d.rules()
+}
+
 // saysUnplannedLate reports whether a plan must say, again, that boxes of earlier releases begin streams.
 func (p *Planner) saysUnplannedLate(plan *Plan) bool {
-	return !p.o.Boxes.AllPlan(plan.Region) && plan.UnplannedUntil < p.o.Now().Add(unplannedTime/2).UnixMilli()
+	return !p.allFollow(plan.Region, plan.division()) && plan.UnplannedUntil < p.o.Now().Add(unplannedTime/2).UnixMilli()
 }
 
 // replan writes a new plan of a group. A box that writes at the same time wins: its plan is then read, and compared again.
@@ -184,16 +189,28 @@
 		p.mu.Unlock()
 		return
 	}
-	next := successor(g, row.Era, p.o.Now(), p.nextShares(g, known, clock.Now()), known, stored)
+	if stored != nil && known.Number == stored.Number && known.Era >= row.Era && known.opaqueLate(p.o.Now()) &&
+		!p.saysUnplannedLate(known) && p.nextDivision(g, known, clock.Now()).equal(known.division()) {
+		next := known.renewed(p.o.Now())
+		p.mu.Unlock()
+		p.write(ctx, g, row, next)
+		return
+	}
+	next := successor(g, row.Era, p.o.Now(), p.nextDivision(g, known, clock.Now()), known, stored)
 	switch {
 	case damaged || p.mayHaveLostPlans(known) || known == nil && row.Era > firstEra: // Streams may have begun by a plan that is lost.
 		next.UnplannedUntil = p.o.Now().Add(returnTime).UnixMilli()
 		next.LogLostUntil = next.UnplannedUntil
-	case !p.o.Boxes.AllPlan(g.Region):
+	case !p.allFollow(g.Region, next.division()):
 		next.UnplannedUntil = max(next.UnplannedUntil, p.o.Now().Add(unplannedTime).UnixMilli())
 	}
 	p.mu.Unlock()
-	_, err = p.o.Table.Put(ctx, g.rowKey(), row, next.encode())
+	p.write(ctx, g, row, next)
+}
+
+// write writes a plan in place of a row that was read.
+func (p *Planner) write(ctx context.Context, g Group, row lease.Row, next *Plan) {
+	_, err := p.o.Table.Put(ctx, g.rowKey(), row, next.encode())
 	switch {
 	case errors.Is(err, lease.ErrConflict):
 		p.postpone(g)
--- a/internal/overlay/confirmations.go
+++ b/internal/overlay/confirmations.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -60,15 +61,18 @@
 // ConfirmOrigin returns the build that a stream began at, as another box confirms it, and that box. It waits at most
 // confirmOriginTimeout for its turn, and as long for the answers of each originAsked boxes. If two boxes confirm different
 // builds, ok is false.
-func (n *Node) ConfirmOrigin(ctx context.Context, service, region string, k origins.Key) (build, by string, ok bool) {
+func (n *Node) ConfirmOrigin(ctx context.Context, service, region string, s origins.Stream) (build, by string, ok bool) {
 	count := &n.confirmations.count
 	if !n.beginAsking(ctx) {
 		count.unanswered.Inc()
 		return "", "", false
 	}
 	defer func() { <-n.confirmations.asking }()
-	msg := &v1.ConfirmOriginRequest{Key: uint64(k), Service: service, Region: region}
-	order := n.confirmationOrder(k)
+	msg := &v1.ConfirmOriginRequest{Key: uint64(s.AccountKey()), Service: service, Region: region, IdKey: uint64(s.Key), Caller: s.Caller}
+	for _, k := range s.AccountKeys[min(1, len(s.AccountKeys)):] {
+		msg.FormerAccountKeys = append(msg.FormerAccountKeys, uint64(k))
+	}
+	order := n.confirmationOrder(s)
 	answered := 0
 	for len(order) > 0 && ctx.Err() == nil {
 		round := order[:min(originAsked, len(order))]
@@ -78,7 +82,7 @@
 		case a.conflicting.build != "":
 			count.conflicting.Inc()
 			n.o.OnStateChange("boxes name different builds for a stream", zap.String("service", service), zap.String("region", region),
-				zap.String("key", strconv.FormatUint(uint64(k), 36)), zap.String("box", a.first.box), zap.String("build", a.first.build),
+				zap.String("key", strconv.FormatUint(uint64(s.Key), 36)), zap.String("box", a.first.box), zap.String("build", a.first.build),
 				zap.String("other_box", a.conflicting.box), zap.String("other_build", a.conflicting.build))
 			return "", "", false
 		case a.first.build != "":
@@ -95,10 +99,14 @@
 }
 
 // confirmationOrder lists the boxes that are asked about a stream: those that are asked for its origin, and then as many others, by
-// chance. A caller that comes back gets other ones then, in case few boxes reach the store.
-func (n *Node) confirmationOrder(k origins.Key) []Member {
+// chance. A caller that comes back gets other ones then, in case few boxes reach the store. Boxes of earlier releases know only the
+// present name of an account, so they are not asked about a stream whose account had another one.
+func (n *Node) confirmationOrder(s origins.Stream) []Member {
 	const first = originAsked * originRounds
-	order := n.originOrder(k, math.MaxInt)
+	order := n.originOrder(s.Key, math.MaxInt)
+	if len(s.AccountKeys) > 1 {
+		order = slices.DeleteFunc(order, func(m Member) bool { return m.PlanRules < PlanRulesByID })
+	}
 	if len(order) <= first {
 		return order
 	}
@@ -173,7 +181,7 @@
 }
 
 var (
-	errConfirmationInvalid = connect.NewError(connect.CodeInvalidArgument, errors.New("the service or the region of the stream is missing or too long"))
+	errConfirmationInvalid = connect.NewError(connect.CodeInvalidArgument, errors.New("the service or the region of the stream is missing or too long, or it has too many keys"))
 	errConfirmationsBusy   = connect.NewError(connect.CodeResourceExhausted, errors.New("too many origins are being confirmed"))
 )
 
@@ -184,7 +192,7 @@
 		return nil, err
 	}
 	m, count := r.Msg, &n.confirmations.count
-	if m.Service == "" || m.Region == "" || len(m.Service) > maxServiceName || len(m.Region) > maxServiceName {
+	if len(m.FormerAccountKeys) > maxFormerKeys || m.Service == "" || m.Region == "" || len(m.Service) > maxServiceName || len(m.Region) > maxServiceName {
 		n.count.refused.Inc()
 		return nil, errConfirmationInvalid
 	}
@@ -202,7 +210,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmOriginTimeout)
 	defer cancel()
-	if build, ok := n.o.ConfirmOrigin(ctx, m.Service, m.Region, origins.Key(m.Key)); ok {
+	if build, ok := n.o.ConfirmOrigin(ctx, m.Service, m.Region, decodeStream(m)); ok {
 		out.Build = build
 	}
 	if out.Build == "" {
@@ -212,3 +220,18 @@
 	}
 	return connect.NewResponse(out), nil
 }
+
+// maxFormerKeys bounds the former account keys in a request.
+const maxFormerKeys = 64
+
+// decodeStream returns the stream that a request is about.
+func decodeStream(m *v1.ConfirmOriginRequest) origins.Stream {
+	s := origins.Stream{Key: origins.Key(m.IdKey), Caller: m.Caller}
+	if m.Key != 0 {
+		s.AccountKeys = append(s.AccountKeys, origins.Key(m.Key))
+	}
+	for _, k := range m.FormerAccountKeys {
+		s.AccountKeys = append(s.AccountKeys, origins.Key(k))
+	}
+	return s
+}
--- a/internal/overlay/members.go
+++ b/internal/overlay/members.go
@@ -42,6 +42,9 @@
 // tell. Later versions must keep to that.
 const PlanRulesTraceable = 1
 
+// PlanRulesByID is the first version of the rules by which a box knows plans that divide streams by ID (package builds).
+const PlanRulesByID = 2
+
 // keyRow is the name of the row of the members table that holds the shared key. The shared key authenticates the
 // connections between all boxes. No box has the name keyRow, since no name of a box contains a slash.
 const keyRow = "/key"
--- a/internal/overlay/options.go
+++ b/internal/overlay/options.go
@@ -39,7 +39,7 @@
 	OnOrigin func(o origins.Origin)
 	// ConfirmOrigin returns the build that a stream began at by the plans and the log of the store; ok is false if this box
 	// can't tell. It may block until ctx ends, and is called from several goroutines. If it is nil, this box can't tell.
-	ConfirmOrigin func(ctx context.Context, service, region string, k origins.Key) (build string, ok bool)
+	ConfirmOrigin func(ctx context.Context, service, region string, s origins.Stream) (build string, ok bool)
 	// OnMessage is called with each gossip message of another box, and must not block.
 	OnMessage func(Message)
 	// OnStateChange is called when this box observes a change in the state of another box, and must not block.
--- a/internal/overlay/origins.go
+++ b/internal/overlay/origins.go
@@ -80,9 +80,18 @@
 	return order[:min(limit, len(order))]
 }
 
-// PublishOrigin keeps the origin of a stream that this box begins, and has other boxes keep it. It does not wait for them.
+// PublishOrigin keeps the origin of a stream that this box begins, and has other boxes keep it. It does not wait for them. While
+// boxes of earlier releases serve, the boxes that these would ask keep it too.
 func (n *Node) PublishOrigin(o origins.Origin) {
 	n.origins.directory.Put(clock.Now(), o)
+	n.sendToHolders(o)
+	if o.AccountKey != 0 && n.PlanRules(n.o.Self.Region) < PlanRulesByID {
+		o.Key, o.AccountKey = o.AccountKey, 0
+		n.sendToHolders(o)
+	}
+}
+
+func (n *Node) sendToHolders(o origins.Origin) {
 	for rank, m := range n.originOrder(o.Key, originHolders) {
 		n.sendOrigin(m, pendingOrigin{o, rank, originTries - 1})
 	}
@@ -133,29 +142,51 @@
 }
 
 // FindOrigin returns the origin of a stream, and the box that knew it; by is empty if this box did. It asks the boxes that
-// hold it, and waits for them at most originRounds times findOriginTimeout.
-func (n *Node) FindOrigin(ctx context.Context, k origins.Key) (o origins.Origin, by string, ok bool) {
-	if o, ok = n.origins.directory.Get(clock.Now(), k); ok {
+// hold it, and waits for them at most originRounds times findOriginTimeout for each of the stream's keys. A box of an earlier
+// release has published the streams that it began by the account's name.
+func (n *Node) FindOrigin(ctx context.Context, s origins.Stream) (o origins.Origin, by string, ok bool) {
+	answered := 0
+	for _, k := range append([]origins.Key{s.Key}, s.AccountKeys...) {
+		var a int
+		o, by, a, ok = n.findByKey(ctx, k, s.Caller)
+		if answered += a; ok {
+			break
+		}
+	}
+	switch {
+	case !ok && answered == 0:
+		n.origins.count.unanswered.Inc()
+	case !ok:
+		n.origins.count.unknown.Inc()
+	case by == "":
 		n.origins.count.foundHere.Inc()
-		return o, "", true
+	default:
+		n.origins.count.foundElsewhere.Inc()
+	}
+	return o, by, ok
+}
+
+// findByKey returns the origin that this box or those that hold it have under a key. If this box has one of another caller, the
+// others may have that of the caller's own stream. answered is how many other boxes answered.
+func (n *Node) findByKey(ctx context.Context, k origins.Key, caller uint64) (o origins.Origin, by string, answered int, ok bool) {
+	own, known := n.origins.directory.Get(clock.Now(), k)
+	if known && own.Exact(caller) {
+		return own, "", 0, true
 	}
 	order := n.originOrder(k, originAsked*originRounds)
-	answered := 0
 	for len(order) > 0 && ctx.Err() == nil {
 		round := order[:min(originAsked, len(order))]
 		order = order[len(round):]
 		o, by, a := n.askOrigin(ctx, k, round)
-		if answered += a; by != "" {
-			n.origins.count.foundElsewhere.Inc()
-			return o, by, true
+		if answered += a; by == "" {
+			continue
 		}
+		if known {
+			o = origins.Combine(own, o)
+		}
+		return o, by, answered, true
 	}
-	if answered == 0 {
-		n.origins.count.unanswered.Inc()
-	} else {
-		n.origins.count.unknown.Inc()
-	}
-	return origins.Origin{}, "", false
+	return own, "", answered, known
 }
 
 // askOrigin asks several boxes at the same time, and returns the first origin that one of them has. by is empty if none has
@@ -227,7 +258,10 @@
 
 func encodeOrigin(o origins.Origin, now time.Time) *v1.Origin {
 	left := min(max(0, o.Expires.Sub(now)), maxOriginTime)
-	return &v1.Origin{Key: uint64(o.Key), Service: o.Service, Build: o.Build, Revision: o.Revision, LeftMs: uint32(left.Milliseconds())}
+	return &v1.Origin{
+		Key: uint64(o.Key), AccountKey: uint64(o.AccountKey), Caller: o.Caller, Service: o.Service, Build: o.Build, Revision: o.Revision,
+		Ambiguous: o.Ambiguous, LeftMs: uint32(left.Milliseconds()),
+	}
 }
 
 func decodeOrigin(m *v1.Origin, now time.Time) (o origins.Origin, ok bool) {
@@ -235,7 +269,10 @@
 	if m == nil || m.Service == "" || m.Build == "" || len(m.Service) > maxServiceName || len(m.Build) > maxServiceName || left > maxOriginTime {
 		return o, false
 	}
-	return origins.Origin{Key: origins.Key(m.Key), Service: m.Service, Build: m.Build, Revision: m.Revision, Expires: now.Add(left)}, true
+	return origins.Origin{
+		Key: origins.Key(m.Key), AccountKey: origins.Key(m.AccountKey), Caller: m.Caller, Service: m.Service, Build: m.Build, Revision: m.Revision,
+		Ambiguous: m.Ambiguous, Expires: now.Add(left),
+	}, true
 }
 
 var errOriginsInvalid = connect.NewError(connect.CodeInvalidArgument, errors.New("the origins are too many or invalid"))
--- a/internal/overlay/plans.go
+++ b/internal/overlay/plans.go
@@ -17,7 +17,12 @@
 // CountIn returns the number of boxes of a region.
 func (n *Node) CountIn(region string) int { return len(n.members.list(region)) }
 
-// AllPlan reports whether all boxes of a region begin only streams whose build the log or the plans tell.
-func (n *Node) AllPlan(region string) bool {
-	return !slices.ContainsFunc(n.members.list(region), func(m Member) bool { return m.PlanRules < PlanRulesTraceable })
+// PlanRules returns the version of the rules for plans that all boxes of a region know. A box with rules below
+// PlanRulesTraceable begins streams whose build neither the log nor the plans tell.
+func (n *Node) PlanRules(region string) int {
+	lowest := PlanRulesByID
+	for _, m := range n.members.list(region) {
+		lowest = min(lowest, max(0, m.PlanRules))
+	}
+	return lowest
 }
--- a/internal/relay/builds.go
+++ b/internal/relay/builds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"time"
 
@@ -19,9 +20,9 @@
 // BuildPlanner says at which build each new stream begins, and at which one began.
 type BuildPlanner interface {
 	SetServing(groups map[builds.Group]builds.Serving)
-	Begin(ctx context.Context, g builds.Group, k origins.Key, until time.Time) (builds.Beginning, error)
-	Origin(ctx context.Context, g builds.Group, k origins.Key) builds.Finding
-	Extend(g builds.Group, k origins.Key, build string, until time.Time)
+	Begin(ctx context.Context, g builds.Group, s origins.Stream, until time.Time) (builds.Beginning, error)
+	Origin(ctx context.Context, g builds.Group, s origins.Stream) builds.Finding
+	Extend(g builds.Group, s origins.Stream, build string, until time.Time)
 }
 
 // group returns the group whose plan holds for the request.
@@ -29,8 +30,36 @@
 	return builds.Group{Service: x.service.Name, Region: x.region}
 }
 
-// ownKey returns the key under which the stream is known that this request begins.
-func (x *exchange) ownKey() origins.Key { return origins.KeyOf(x.accountName(), x.meta.ID) }
+// ownStream identifies the stream that this request begins.
+func (x *exchange) ownStream() origins.Stream {
+	return origins.Stream{Key: origins.KeyOf(x.meta.ID), AccountKeys: []origins.Key{origins.AccountKeyOf(x.accountName(), x.meta.ID)}, Caller: x.callerTag()}
+}
+
+// resumedStream identifies the stream that this request takes up. It is zero if the caller does not name the stream.
+func (x *exchange) resumedStream() origins.Stream {
+	if x.meta.Resumes == "" {
+		return origins.Stream{}
+	}
+	s := origins.Stream{Key: origins.KeyOf(x.meta.Resumes), Caller: x.callerTag()}
+	for _, name := range x.accountNames() {
+		s.AccountKeys = append(s.AccountKeys, origins.AccountKeyOf(name, x.meta.Resumes))
+	}
+	return s
+}
+
+// accountNames returns the present name of the request's account, and then the names that the account of its API key has had
+// lately.
+func (x *exchange) accountNames() []string {
+	return x.r.accountHistory.Load().names(x.meta.Key, x.accountName(), clock.Now())
+}
+
+// callerTag identifies the API key of the caller; 0 if it has none.
+func (x *exchange) callerTag() uint64 {
+	if x.meta.KeyState != OneKey {
+		return 0
+	}
+	return binary.BigEndian.Uint64(x.meta.Key[:8])
+}
 
 // returnsUntil is the time of day until which the caller may take the stream up.
 func (x *exchange) returnsUntil() time.Time {
@@ -90,7 +119,7 @@
 	if x.r.o.Builds == nil || !x.route.Resumable || x.continues() {
 		return outcome.Outcome{}, true
 	}
-	b, err := x.r.o.Builds.Begin(ctx, x.group(), x.ownKey(), x.returnsUntil())
+	b, err := x.r.o.Builds.Begin(ctx, x.group(), x.ownStream(), x.returnsUntil())
 	x.r.m.CountBeginning(b.How)
 	if err != nil {
 		o := outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.NoEndpointsKnown, Detail: err.Error(), RetryAfter: retryAfter}
@@ -112,7 +141,7 @@
 	if x.r.o.Builds == nil {
 		return outcome.OK
 	}
-	f := x.r.o.Builds.Origin(ctx, x.group(), x.origin.Key)
+	f := x.r.o.Builds.Origin(ctx, x.group(), x.resumed)
 	x.r.m.CountPlannedOrigin(f.Verdict)
 	switch f.Verdict {
 	case builds.Planned, builds.Logged, builds.Confirmed:
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -20,7 +21,7 @@
 	// PublishOrigin makes an origin known to the other boxes. It does not wait for them.
 	PublishOrigin(o origins.Origin)
 	// FindOrigin returns an origin, and the other box that knew it; by is empty if this box did.
-	FindOrigin(ctx context.Context, k origins.Key) (o origins.Origin, by string, ok bool)
+	FindOrigin(ctx context.Context, s origins.Stream) (o origins.Origin, by string, ok bool)
 }
 
 const (
@@ -81,10 +82,10 @@
 		return outcome.Outcome{}, true
 	}
 	now := clock.Now()
-	if x.meta.Resumes != "" {
-		x.origin.Key = origins.KeyOf(x.accountName(), x.meta.Resumes)
-		o, by, ok := x.r.o.Origins.FindOrigin(ctx, x.origin.Key)
-		if ok && o.Service != x.service.Name { // A split route now picks another service for it.
+	if x.resumed = x.resumedStream(); !x.resumed.IsZero() {
+		o, by, ok := x.r.o.Origins.FindOrigin(ctx, x.resumed)
+		// A split route may pick another service for the stream now.
+		if ok && (o.Ambiguous || o.Service != x.service.Name) {
 			return outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.BuildUnknown, RetryAfter: jitter(streamRetryAfter)}, false
 		}
 		if ok {
@@ -114,12 +115,15 @@
 
 // extendOrigin keeps the origin of a stream that was taken up for as long as the caller may come back once more.
 func (x *exchange) extendOrigin(now time.Time) {
-	if until := x.callerReturnsUntil(); x.origin.Key != 0 && until.After(x.origin.Expires) {
+	if until := x.callerReturnsUntil(); !x.resumed.IsZero() && until.After(x.origin.Expires) {
 		o := x.origin
-		o.Expires = until
+		o.Key, o.AccountKey, o.Expires = x.resumed.Key, x.resumed.AccountKey(), until
+		o.Caller = cmp.Or(o.Caller, x.resumed.Caller)
 		x.r.o.Origins.PublishOrigin(o)
 		if x.r.o.Builds != nil {
-			x.r.o.Builds.Extend(x.group(), o.Key, o.Build, x.returnsUntil())
+			s := x.resumed
+			s.Caller = o.Caller
+			x.r.o.Builds.Extend(x.group(), s, o.Build, x.returnsUntil())
 		}
 	}
 }
@@ -145,8 +149,9 @@
 		return
 	}
 	f.publishedBuild = build
+	s := x.ownStream()
 	x.r.o.Origins.PublishOrigin(origins.Origin{
-		Key: origins.KeyOf(x.accountName(), x.meta.ID), Service: x.service.Name, Build: build, Revision: uint32(attempt),
+		Key: s.Key, AccountKey: s.AccountKey(), Caller: s.Caller, Service: x.service.Name, Build: build, Revision: uint32(attempt),
 		Expires: x.callerReturnsUntil(),
 	})
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -143,6 +143,8 @@
 	policies atomic.Pointer[policies]
 	// weights are the shares of client accounts by name; nil before any were set.
 	weights atomic.Pointer[map[string]float64]
+	// accountHistory has the former names of accounts; never nil.
+	accountHistory atomic.Pointer[accountHistory]
 	// revoked are the keys that were removed from the configuration; never nil.
 	revoked atomic.Pointer[revoked]
 	fleet   fleet
@@ -204,6 +206,7 @@
 	r.fleet.box, r.fleet.hall, r.fleet.region, r.fleet.halls = o.Box, o.Hall, o.Region, o.Halls
 	r.memory.limit = o.Memory
 	r.revoked.Store(&revoked{})
+	r.accountHistory.Store(&accountHistory{})
 	r.callerPool.OnSurplus = r.m.ForeignChunks.Inc
 	r.callerPool.OnUnconfirmed = r.m.UnconfirmedConns.Inc
 	r.callerPool.OnMalformed, r.controlPool.OnMalformed = r.rejectHead, r.rejectHead
@@ -225,6 +228,7 @@
 	r.callTimes.Keep(func(k calltimes.Key) bool { return c.Services[k.Service] != nil && c.has(k.Route) })
 	next := r.revoked.Load().updated(r.cfg.Load(), c)
 	r.revoked.Store(&next)
+	r.accountHistory.Store(r.accountHistory.Load().updated(r.cfg.Load(), c, clock.Now()))
 	callers := keepCallerTimes(r.callerTimes.Load(), c)
 	r.callerTimes.Store(&callers)
 	r.cfg.Store(c)
@@ -420,6 +424,8 @@
 	// origin says at which build the stream began that the caller takes up; its Build is empty if that is not known, and for
 	// other requests.
 	origin origins.Origin
+	// resumed identifies that stream.
+	resumed origins.Stream
 	// planned is set once the planner has decided where a new stream begins. plannedBuild is its build; empty if the endpoints
 	// name none.
 	planned      bool
