Bind the timers of a migration to its state

Cause: awaitAnswer started a timer for the answer to a migration request that nothing ended. Its event had the attempt number of the migration, which becomes that of the stream's call, so it was current again 2 s later. A stream may migrate again after 1.5 s. The event was then applied to the second migration: - whose run goes on, because its engine has not answered yet: resumeElsewhere uses the end of a call that has not ended, and panics; - whose run has ended: the wait for its answer ends early, without a panic and without a trace, and the prompt is read again. Ruled out: the stop of the box, without which the streams are cut off as well.

Change: a migration has at most one timer, that of its present state, which ends with the state. The event of a timer names the timer and no attempt, and the loop takes it only while it is that of the present migration and state (isCurrent). An answer to a migration request is taken only by its own migration. overdue, unanswered and reoffer are no events any more.

TestSecondMigrationIsNotEndedByTheFirst fails before in all 4 of 8 cases whose streams may be resumed: two cut off after 190 and 194 of 330 events, two prefilled twice.

--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -51,6 +51,23 @@
 	pauseRetries int
 	// refusal is the source engine's refusal of the stopped run while the run waits to be sent again.
 	refusal *callError
+	// timer is the timer of the migration's present state; nil if that waits for no time.
+	timer *migrationTimer
+}
+
+// migrationTimer ends a state of a migration after a delay. The loop ignores it unless it is the timer of the present migration and
+// state: it may expire while the event that ended the state waits in the loop's buffer.
+type migrationTimer struct {
+	expired func() // Called by the loop.
+	stop    context.CancelFunc
+}
+
+// stopTimer is called when the state ends that the timer belongs to.
+func (m *migration) stopTimer() {
+	if m.timer != nil {
+		m.timer.stop()
+		m.timer = nil
+	}
 }
 
 // is reports whether an attempt is the attempt that resumes the stream. If there is no migration (m is nil), it is
@@ -202,16 +219,9 @@
 	case ev.migrated != nil:
 		f.x.trace.Step(record.Step{Kind: record.StepMigrationAnswers, Decode: m.sourceEngine, Text: strings.Join(ev.migrated.answers, "; ")})
 		f.applyMigrationResult(ev.migrated)
-	case ev.overdue:
-		if !m.resumed {
-			f.stopDecode()
-			m.sourceEnd = &callError{reason: outcome.Truncated, ran: true, detail: "ended by the box after the run had stopped"}
-			f.resumeWhenStopped()
-		}
-	case ev.unanswered:
-		f.resumeElsewhere()
-	case ev.reoffer:
-		f.reoffer()
+	case ev.timer != nil:
+		m.timer = nil
+		ev.timer.expired()
 	case ev.err != nil && m.is(ev.attempt):
 		f.handleResumeFailure(*ev.err)
 	case ev.err != nil:
@@ -247,17 +257,18 @@
 // it has already ended, and the withheld end is now sent to the loop, which checks stopRequests.
 func (f *flight) applyMigrationResult(result *migrationResult) {
 	m := f.migration
+	m.stopTimer()
 	f.stopRequests.settle(m.sourceEngine, result)
 	if result.source.Handle != "" {
 		m.source, m.copied = result.source, result.copied
 		m.keptUntil = clock.Now().Add(f.x.service.Engines.HandleTTL)
 		if m.sourceEnd == nil {
-			f.sendAfter(stopTimeout, flightEvent{attempt: m.attempt, overdue: true}) // Then the loop ends the call.
+			f.startTimer(stopTimeout, f.endStoppedCall)
 		}
 		f.resumeWhenStopped()
 		return
 	}
-	f.migration = nil
+	f.endMigration()
 	f.abortMigration(m.attempt, result.detail)
 	switch {
 	case m.sourceEnd == nil:
@@ -268,17 +279,29 @@
 	}
 }
 
+// endStoppedCall closes the connection of the source engine's call, which has not ended although the engine has stopped the run.
+func (f *flight) endStoppedCall() {
+	f.stopDecode()
+	f.migration.sourceEnd = &callError{reason: outcome.Truncated, ran: true, detail: "ended by the box after the run had stopped"}
+	f.resumeWhenStopped()
+}
+
+// endMigration forgets the migration in progress.
+func (f *flight) endMigration() {
+	f.migration.stopTimer()
+	f.migration = nil
+}
+
 // requeue sends the loop an event of the source engine's call that was withheld during a migration.
 func (f *flight) requeue(ev flightEvent) { f.calls.Go(func() { f.send(ev) }) }
 
 // awaitAnswer starts a timer for the answer to the migration request, if the stream can do without it: it may be resumed, or
-// has ended with its frame. After migrateAnswerTimeout the loop gets an unanswered event. The loop ignores the event if the
-// answer has arrived.
+// has ended with its frame.
 func (f *flight) awaitAnswer() {
 	if m := f.migration; !f.x.route.Resumable && !m.endedWhole() || m.source.Handle != "" {
 		return
 	}
-	f.sendAfter(migrateAnswerTimeout, flightEvent{attempt: f.migration.attempt, unanswered: true})
+	f.startTimer(migrateAnswerTimeout, f.resumeElsewhere)
 }
 
 // resumeElsewhere aborts a migration whose run has ended without an answer to the migration request. The stream is then
@@ -286,11 +309,8 @@
 // answer is then started again.
 func (f *flight) resumeElsewhere() {
 	m := f.migration
-	if m.source.Handle != "" {
-		return
-	}
 	if m.endedWhole() {
-		f.migration = nil
+		f.endMigration()
 		f.abortMigration(m.attempt, "its stream has ended, and the engine does not answer")
 		f.requeue(flightEvent{attempt: f.decodeAttempt, ended: true})
 		return
@@ -299,7 +319,7 @@
 		f.awaitAnswer()
 		return
 	}
-	f.migration = nil
+	f.endMigration()
 	f.abortMigration(m.attempt, "its run has ended, and the engine does not answer")
 	if m.sourceEnd.reason == outcome.OK {
 		f.x.r.m.DoubtfulEnds.Inc()
@@ -313,11 +333,16 @@
 	return callError{reason: outcome.Truncated, ran: true, detail: "the answer had no length, and a migration request may have stopped the run"}
 }
 
-// sendAfter sends the loop an event after a delay.
-func (f *flight) sendAfter(delay time.Duration, ev flightEvent) {
+// startTimer starts the timer of the migration's present state.
+func (f *flight) startTimer(delay time.Duration, expired func()) {
+	f.migration.stopTimer()
+	ctx, stop := context.WithCancel(f.ctx)
+	t := &migrationTimer{expired, stop}
+	f.migration.timer = t
 	f.calls.Go(func() {
-		sleepCtx(f.ctx, delay)
-		f.send(ev)
+		if sleepCtx(ctx, delay); ctx.Err() == nil {
+			f.send(flightEvent{timer: t})
+		}
 	})
 }
 
@@ -350,6 +375,7 @@
 // callResume has the stream resumed. If atSource is set, the source engine resumes it, and otherwise the target engine.
 func (f *flight) callResume(atSource bool) {
 	m := f.migration
+	m.stopTimer()
 	m.atSource = atSource
 	engine := m.targetEngine
 	if atSource {
@@ -396,7 +422,7 @@
 	f.x.r.m.AbortedMigrations.Inc()
 	f.x.r.disp.Step(decide.Migrated{ID: f.id, Attempt: m.attempt, Aborted: m.atSource})
 	f.freeMigration()
-	f.migration = nil
+	f.endMigration()
 	f.handleFailure(f.decodeAttempt, e)
 }
 
@@ -410,10 +436,8 @@
 	return !f.mustResumeAtSource() || !f.x.r.notices.IsPaused(m.sourceEngine, now) || m.pauseRetries < maxPauseRetries
 }
 
-// awaitReoffer sends the loop a reoffer event after reofferDelay.
-func (f *flight) awaitReoffer() {
-	f.sendAfter(reofferDelay, flightEvent{attempt: f.migration.attempt, reoffer: true})
-}
+// awaitReoffer sends the stopped run again after reofferDelay.
+func (f *flight) awaitReoffer() { f.startTimer(reofferDelay, f.reoffer) }
 
 // reoffer sends a stopped run again to the engines that store its memory. While the box has no retry left, reoffer is
 // repeated until the memory expires: other boxes may lend retries, and used ones stop counting.
@@ -441,7 +465,7 @@
 // resumed the stream, the migration counts as aborted.
 func (f *flight) finishMigration() {
 	m := f.migration
-	f.migration = nil
+	f.endMigration()
 	f.x.r.disp.Step(decide.Migrated{ID: f.id, Attempt: m.attempt, Aborted: m.atSource})
 	if m.atSource {
 		f.x.r.m.AbortedMigrations.Inc()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -114,10 +114,7 @@
 	err         *callError       // The call failed.
 	migrated    *migrationResult // An engine has answered a migration request.
 	carried     *carried         // Another box carries the connection of the call.
-	overdue     bool             // A run was stopped for a migration, but its call has not ended in time.
-	// unanswered is set if the engine did not answer a migration request in time, and the stream's run has ended.
-	unanswered bool
-	reoffer    bool // A stopped run that its engine has refused may be sent again.
+	timer       *migrationTimer  // A timer of a migration has expired. The event has no attempt.
 }
 
 // noRoom reports that no memory was reserved. owner is the box that denied the memory, as the owner of the engine.
@@ -444,8 +441,7 @@
 // handleEvent handles an event that a call has reported. If the event ends the request, handleEvent returns the outcome
 // and true. An event that does not belong to a current call is ignored, and the memory that it reports is freed.
 func (f *flight) handleEvent(ev flightEvent) (outcome.Outcome, bool) {
-	current := ev.attempt == f.prefillAttempt || ev.attempt == f.decodeAttempt || f.migration.is(ev.attempt)
-	if !current || ev.attempt == f.abandonedAttempt {
+	if !f.isCurrent(ev) {
 		f.freeEvent(ev)
 		return outcome.Outcome{}, false
 	}
@@ -496,6 +492,20 @@
 	return outcome.Outcome{}, false
 }
 
+// isCurrent reports whether an event belongs to a call, a migration or a timer that the flight still waits for. The attempt number
+// of a migration becomes that of the stream's call, so it does not tell whether an event belongs to the present migration.
+func (f *flight) isCurrent(ev flightEvent) bool {
+	switch {
+	case ev.timer != nil:
+		return f.migration != nil && f.migration.timer == ev.timer
+	case ev.migrated != nil:
+		return f.migration.is(ev.attempt)
+	case ev.attempt == f.abandonedAttempt:
+		return false
+	}
+	return ev.attempt == f.prefillAttempt || ev.attempt == f.decodeAttempt || f.migration.is(ev.attempt)
+}
+
 // freeEvent frees the memory that an event reports, if the loop does not handle the event. This is memory reserved on
 // this box, memory reserved at an engine, or a KV cache stored at an engine.
 func (f *flight) freeEvent(ev flightEvent) {
