Let no row of another program leave out the endpoints

Cause: once any row that can be read said when its endpoint started, all rows that don't say so were left out, in all services: the absence of a field in one row was read as a statement about it because of another row. The entry has a start and a service that is not configured; the workers' own entries have no start.

--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -332,6 +332,8 @@
 	// foreign means that the row names no endpoint to use. There are two causes. A program other than the platform's
 	// endpoints wrote the row, or the row comes from an older snapshot of the store.
 	foreign bool
+	// used is set once the row has named an endpoint to use (usable).
+	used bool
 	// replacement replaces the row at a later time if the row has not changed by then. It is nil if no replacement
 	// is planned.
 	replacement *rowReplacement
@@ -449,7 +451,7 @@
 		if err != nil {
 			b.rejected[tableEndpoints].reject("endpoint row rejected", key, err)
 		}
-		read := listedEndpoint{text: text, endpoint: e, foreign: err != nil}
+		read := listedEndpoint{text: text, endpoint: e, foreign: err != nil, used: old.used}
 		if b.listRestored {
 			read = b.restoredRow(key, read, old, known)
 		}
@@ -458,19 +460,3 @@
 	}
 	return next, changed, inPlace
 }
-
-// usable returns the endpoints to use. A foreign row names no endpoint. If any endpoint of the platform states when it
-// started, usable also leaves out rows without a start time. Another program wrote those rows.
-func usable(rows map[string]listedEndpoint) []relay.Endpoint {
-	anyStarted := false
-	for _, l := range rows {
-		anyStarted = anyStarted || l.endpoint.Started > 0
-	}
-	out := make([]relay.Endpoint, 0, len(rows))
-	for _, l := range rows {
-		if !l.foreign && (l.endpoint.Started > 0 || !anyStarted) {
-			out = append(out, l.endpoint)
-		}
-	}
-	return out
-}
