Resume streams of a split route at the service that began them

Cause: the service of a request that takes a stream up was picked by the present weights. The origin, which names the service, was only compared with that choice, and the stream refused if they differed. If no box knows the origin any more, the stream went on at the service of the present weights by that one's plan (builds.md, What falls short).

Change: the origin's service serves the stream, if the route still has it as a target. A service that has left the route serves none of its streams any more.

--- a/internal/relay/builds.go
+++ b/internal/relay/builds.go
@@ -135,13 +135,31 @@
 	return outcome.Outcome{}, true
 }
 
+// findPlannedOrigin finds out from the store where a stream began. If the weights of its route have changed lately, only its logged
+// origin tells the service.
+func (x *exchange) findPlannedOrigin(ctx context.Context) builds.Finding {
+	services := x.r.splits.Load().servicesOf(x.route, x.splitID(), clock.Now())
+	if len(services) == 1 {
+		return x.r.o.Builds.Origin(ctx, x.group(), x.resumed)
+	}
+	for _, name := range services {
+		if !x.takeService(name) {
+			continue
+		}
+		if f := x.r.o.Builds.Origin(ctx, x.group(), x.resumed); f.Verdict == builds.Logged {
+			return f
+		}
+	}
+	return builds.Finding{Verdict: builds.Unknown}
+}
+
 // plannedOrigin sets the origin of a stream that no box knows, if the store tells it. It returns the reason to refuse the
 // stream otherwise; OK if the endpoints name no builds.
 func (x *exchange) plannedOrigin(ctx context.Context) outcome.Reason {
 	if x.r.o.Builds == nil {
 		return outcome.OK
 	}
-	f := x.r.o.Builds.Origin(ctx, x.group(), x.resumed)
+	f := x.findPlannedOrigin(ctx)
 	x.r.m.CountPlannedOrigin(f.Verdict)
 	switch f.Verdict {
 	case builds.Planned, builds.Logged, builds.Confirmed:
--- a/internal/relay/origins.go
+++ b/internal/relay/origins.go
@@ -84,8 +84,7 @@
 	now := clock.Now()
 	if x.resumed = x.resumedStream(); !x.resumed.IsZero() {
 		o, by, ok := x.r.o.Origins.FindOrigin(ctx, x.resumed)
-		// A split route may pick another service for the stream now.
-		if ok && (o.Ambiguous || o.Service != x.service.Name) {
+		if ok && (o.Ambiguous || o.Service != x.service.Name && !x.takeService(o.Service)) {
 			return outcome.Outcome{Kind: outcome.NotRun, Reason: outcome.BuildUnknown, RetryAfter: jitter(streamRetryAfter)}, false
 		}
 		if ok {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -143,6 +143,8 @@
 	policies atomic.Pointer[policies]
 	// weights are the shares of client accounts by name; nil before any were set.
 	weights atomic.Pointer[map[string]float64]
+	// splits has the former targets of routes; never nil.
+	splits atomic.Pointer[splitHistory]
 	// accountHistory has the former names of accounts; never nil.
 	accountHistory atomic.Pointer[accountHistory]
 	// revoked are the keys that were removed from the configuration; never nil.
@@ -206,6 +208,7 @@
 	r.fleet.box, r.fleet.hall, r.fleet.region, r.fleet.halls = o.Box, o.Hall, o.Region, o.Halls
 	r.memory.limit = o.Memory
 	r.revoked.Store(&revoked{})
+	r.splits.Store(&splitHistory{})
 	r.accountHistory.Store(&accountHistory{})
 	r.callerPool.OnSurplus = r.m.ForeignChunks.Inc
 	r.callerPool.OnUnconfirmed = r.m.UnconfirmedConns.Inc
@@ -228,6 +231,8 @@
 	r.callTimes.Keep(func(k calltimes.Key) bool { return c.Services[k.Service] != nil && c.has(k.Route) })
 	next := r.revoked.Load().updated(r.cfg.Load(), c)
 	r.revoked.Store(&next)
+	splits := r.splits.Load().updated(r.cfg.Load(), c, clock.Now())
+	r.splits.Store(&splits)
 	r.accountHistory.Store(r.accountHistory.Load().updated(r.cfg.Load(), c, clock.Now()))
 	callers := keepCallerTimes(r.callerTimes.Load(), c)
 	r.callerTimes.Store(&callers)
