Ask an engine for its start before a begun stream goes on there

Cause: while the list names one build alone, an engine was asked for its start only for streams that their callers had taken up, not for those that the box resumes itself; and a later start that a report of its load named was ignored: an absence (no other build on the list) was read as a statement about an engine that the list does not describe any more.

Change: an engine is asked once a connection for each stream that has begun, and for new ones while the list is older than 3 s. An engine that is known to have restarted since the listed start has a build of its own until the list shows the new start: planned streams do not begin there, and none goes on there or from there elsewhere; streams that can't be resumed still run there. While several builds serve it gets no streams, as before. A fresh list costs no further call (TestStartIsAskedOnceForEachConnection).

Still open: a new stream that begins within the second until a fresh list shows the restart has the build of the earlier start as its origin (docs/open-faults.md).

--- a/internal/relay/builds.go
+++ b/internal/relay/builds.go
@@ -94,12 +94,13 @@
 		if !known {
 			s.Counts = map[string]int{}
 		}
-		if _, listed := s.Counts[e.Build]; !listed {
-			s.Counts[e.Build] = 0
-			s.Listed = append(s.Listed, e.Build)
+		build := f.endpoints[i].Build
+		if _, listed := s.Counts[build]; !listed {
+			s.Counts[build] = 0
+			s.Listed = append(s.Listed, build)
 		}
-		if e.open() {
-			s.Counts[e.Build]++
+		if e.open() && build == e.Build {
+			s.Counts[build]++
 		}
 		out[g] = s
 	}
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -68,7 +68,7 @@
 	// servingRegions has, for each service, the regions with an endpoint of the service that accepts requests.
 	servingRegions map[string]map[string]bool
 	// superseded are the engines of the list that have restarted, as their own reports say. The list does not show the new
-	// start yet, nor its build.
+	// start yet, nor its build. The value is set for those that get no streams, because several builds serve.
 	superseded map[string]bool
 	// cold are the endpoints that have a cold period, after a start or after an evacuation, by ID.
 	cold map[string]*coldEndpoint
@@ -170,6 +170,11 @@
 // buildOf returns the build of an endpoint that a request was sent to; empty if it is not known.
 func (f *fleet) buildOf(id string) string {
 	e, _ := f.findCalled(id)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, restarted := f.superseded[id]; restarted {
+		return ""
+	}
 	return e.Build
 }
 
--- a/internal/relay/halls.go
+++ b/internal/relay/halls.go
@@ -34,7 +34,11 @@
 	e := knownEndpoint{Endpoint: f.endpoints[i]}
 	e.Role = f.roles[e.ID].role()
 	// The list may be older than the endpoint's announcement that it is leaving, or than its restart.
-	e.Leaving = e.Leaving || f.superseded[e.ID] || f.hasAnnouncedLeaving != nil && f.hasAnnouncedLeaving(e.ID)
+	noStreams, restarted := f.superseded[e.ID]
+	if restarted && e.Build != "" {
+		e.Build = unlistedBuild + e.ID
+	}
+	e.Leaving = e.Leaving || noStreams || f.hasAnnouncedLeaving != nil && f.hasAnnouncedLeaving(e.ID)
 	e.Region, e.Evacuated = f.regionOf(e.Hall), f.evacuated[e.Hall]
 	return e
 }
--- a/internal/relay/startcheck.go
+++ b/internal/relay/startcheck.go
@@ -56,16 +56,26 @@
 	maps.DeleteFunc(s.at, func(id string, _ time.Time) bool { return !isListed(id) })
 }
 
+const (
+	// unlistedBuild begins the name of the build of an engine that has restarted since the listed start. No other engine has that
+	// build, so that no stream goes on there, or from there elsewhere.
+	unlistedBuild = "unlisted "
+	// staleListAge is how old the list may be for a box that does not ask for the starts of new streams. The list shows a new
+	// start within about a second.
+	staleListAge = 3 * time.Second
+)
+
 // isCalledStart reports whether the head of the answer to the call q came from the start of the engine that the list names.
-// While the list names one build alone, it asks the engine only for streams that their callers have taken up, and returns true
-// for others: most are then not worth a call. It does the same if the platform does not say when engines start.
+// While the list names one build alone and is fresh, it asks the engine only for streams that have begun, and returns true for new
+// ones: most are then not worth a call. It does the same if the platform does not say when engines start.
 func (f *flight) isCalledStart(ctx context.Context, engine string, q *h1.Request) bool {
 	x := f.x
 	if !f.hasItsBuild(engine) {
 		return false
 	}
 	e, known := x.r.fleet.findCalled(engine)
-	if !x.route.Resumable || !known || e.Started == 0 || e.Build == "" || !x.r.mixesBuilds(&e) && !x.continues() || x.r.starts.confirmedSince(engine, q.ConnAnswered) {
+	worthACall := x.continues() || f.hasBegun() || x.r.listAge() > staleListAge || x.r.mixesBuilds(&e)
+	if !x.route.Resumable || !known || e.Started == 0 || e.Build == "" || !worthACall || x.r.starts.confirmedSince(engine, q.ConnAnswered) {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
@@ -85,6 +95,12 @@
 	return true
 }
 
+// hasBegun reports whether the caller may have events of the stream.
+func (f *flight) hasBegun() bool {
+	_, begun := f.beganBuild.Load().(string)
+	return begun
+}
+
 // hasItsBuild reports whether the list names the build at which the stream must run for an engine that was chosen earlier. If
 // rows name no starts, an engine that has restarted as another build keeps its ID.
 func (f *flight) hasItsBuild(engine string) bool {
@@ -103,20 +119,22 @@
 	return several
 }
 
-// noteLaterStart records that an engine has restarted since the start that the list names. While several builds serve, it gets
-// no streams until the list shows the new start, because its build is not known.
+// noteLaterStart records that an engine has restarted since the start that the list names. Its build is not known until the list shows
+// the new start. While several builds serve, it gets no streams until then, and else only those that no other engine goes on with.
 func (r *Relay) noteLaterStart(e *Endpoint, started int64) {
-	if started <= e.Started || !r.mixesBuilds(e) {
+	if started <= e.Started {
 		return
 	}
+	noStreams := r.mixesBuilds(e)
 	r.fleet.mu.Lock()
 	_, listed := r.fleet.index[e.ID]
-	known := !listed || r.fleet.superseded[e.ID]
+	was, restarted := r.fleet.superseded[e.ID]
+	known := !listed || restarted && (was || !noStreams)
 	if !known {
 		if r.fleet.superseded == nil {
 			r.fleet.superseded = map[string]bool{}
 		}
-		r.fleet.superseded[e.ID] = true
+		r.fleet.superseded[e.ID] = noStreams
 	}
 	r.fleet.mu.Unlock()
 	if known {
