Count crashes of a request under all names of its account

The fingerprint of a request has its account's name, so that a renamed account, or a key that moved, freed a request that was quarantined because it crashes endpoints: the same cause as that of streams that were not found after a change of the accounts.

Fingerprints stay as they are, so that boxes of the release before count the same.

--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -183,18 +183,20 @@
 func (l *List) Empty() bool { return l.count.Load() == 0 }
 
 // Check returns the evidence against a request.
-func (l *List) Check(f Fingerprint) Verdict {
+func (l *List) Check(fingerprints ...Fingerprint) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.verdict(f)
+	return l.verdict(fingerprints...)
 }
 
-// verdict adds up the evidence of the crashes of a request. A crash that a quarantined part explains is no evidence
+// verdict adds up the evidence of the crashes of a request, which may have several fingerprints. A crash that a quarantined part explains is no evidence
 // against the requests beside it. l.mu must be held.
-func (l *List) verdict(f Fingerprint) (v Verdict) {
-	for _, record := range l.byRequest[f] {
-		if !l.parts.explained[record.Endpoint] {
-			v.Crashes = append(v.Crashes, record.Crash)
+func (l *List) verdict(fingerprints ...Fingerprint) (v Verdict) {
+	for _, f := range fingerprints {
+		for _, record := range l.byRequest[f] {
+			if !l.parts.explained[record.Endpoint] {
+				v.Crashes = append(v.Crashes, record.Crash)
+			}
 		}
 	}
 	v.Bits = totalBits(v.Crashes)
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -50,7 +50,7 @@
 	if x.r.o.Crashes.Empty() {
 		return "", false
 	}
-	v := x.r.o.Crashes.Check(x.fingerprint())
+	v := x.r.o.Crashes.Check(x.fingerprints()...)
 	return "fingerprint " + x.fingerprint().String() + ", " + v.String(), v.Quarantined
 }
 
@@ -197,7 +197,7 @@
 // suspected reports whether an equal request is known to have crashed an endpoint. The evidence may not suffice for a
 // quarantine.
 func (x *exchange) suspected() bool {
-	return !x.r.o.Crashes.Empty() && len(x.r.o.Crashes.Check(x.fingerprint()).Crashes) > 0
+	return !x.r.o.Crashes.Empty() && len(x.r.o.Crashes.Check(x.fingerprints()...).Crashes) > 0
 }
 
 // maxRememberedBody is the longest body, in bytes, of an answered request that is recorded while the list of crashes is
@@ -211,18 +211,21 @@
 	}
 }
 
-// fingerprint returns the request's fingerprint. It is computed on first use, because most requests never need it.
-func (x *exchange) fingerprint() quarantine.Fingerprint {
-	if x.cachedFingerprint == nil {
-		id := quarantine.Identity{
-			Method: x.req.Method, Host: strings.ToLower(hostOnly(x.req.Host)),
-			Target: x.req.RequestURI, Model: x.meta.Model, Body: x.body,
-		}
-		if x.account != nil {
-			id.Account = x.account.Name
+// fingerprint returns the request's fingerprint, under the present name of its account.
+func (x *exchange) fingerprint() quarantine.Fingerprint { return x.fingerprints()[0] }
+
+// fingerprints returns the fingerprints that the request has, and has had under former names of its account: a request that crashes
+// endpoints stays the same request when its account is renamed. They are computed on first use, because most requests never need
+// them.
+func (x *exchange) fingerprints() []quarantine.Fingerprint {
+	if x.cachedFingerprints == nil {
+		for _, name := range x.accountNames() {
+			id := quarantine.Identity{
+				Method: x.req.Method, Host: strings.ToLower(hostOnly(x.req.Host)),
+				Target: x.req.RequestURI, Model: x.meta.Model, Body: x.body, Account: name,
+			}
+			x.cachedFingerprints = append(x.cachedFingerprints, id.Fingerprint())
 		}
-		f := id.Fingerprint()
-		x.cachedFingerprint = &f
 	}
-	return *x.cachedFingerprint
+	return x.cachedFingerprints
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -424,8 +424,8 @@
 	deadline time.Time
 	// waits is the context of all waits before the request is sent to an endpoint; see beforeStop.
 	waits context.Context
-	// cachedFingerprint is the request's fingerprint; nil until it is needed.
-	cachedFingerprint *quarantine.Fingerprint
+	// cachedFingerprints are the request's fingerprints; nil until they are needed.
+	cachedFingerprints []quarantine.Fingerprint
 	// origin says at which build the stream began that the caller takes up; its Build is empty if that is not known, and for
 	// other requests.
 	origin origins.Origin
