--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 	go test ./platform/soak -run 'TestSoak$$' -count=1 -v -timeout 60m -args -soak.dir=$(CURDIR)/bin/soak \
 		$(if $(SEED),-soak.seed=$(SEED),$(if $(FILE),-soak.file=$(abspath $(FILE)),-soak.seeds=$(SEEDS))) $(ARGS)
 
-soak-ci: ## A short soak with the same seeds each time and no bounds in time; the last eight with lost paths, with builds, with parts of prompts that crash workers, with a crowd at one box, with boxes that end in the midst of answers, with slow links, with builds that join while the store or boxes fail, and with odd answers and late calls.
+soak-ci: ## A short soak with the same seeds each time and no bounds in time; the last ten with lost paths, with builds, with parts of prompts that crash workers, with a crowd at one box, with boxes that end in the midst of answers, with slow links, with builds that join while the store or boxes fail, with odd answers and late calls, and with accounts that change and engines that leave one after the other.
 	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=11 -soak.length=6s -soak.untimed
 	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=12 -soak.length=6s -soak.untimed
 	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=14 -soak.length=6s -soak.untimed -soak.paths
@@ -66,6 +66,8 @@
 	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=19 -soak.length=10s -soak.untimed -soak.links
 	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=56 -soak.length=10s -soak.untimed -soak.origins
 	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=57 -soak.length=10s -soak.untimed -soak.answers
+	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=58 -soak.length=10s -soak.untimed -soak.origins -soak.changes
+	go test ./platform/soak -run 'TestSoak$$' -count=1 -timeout 10m -args -soak.seed=59 -soak.length=10s -soak.untimed -soak.changes
 
 soak-kinds: ## Each kind of fault alone: how long nobody was served.
 	go test ./platform/soak -run TestSoakKinds -count=1 -v -timeout 60m -args -soak.kinds -soak.atonce=4
