--- a/internal/box/usable.go
+++ b/internal/box/usable.go
@@ -2,8 +2,8 @@
 
 import "github.com/stoatramp/stoatramp/internal/relay"
 
-// This file says which rows of the list name endpoints to use. Another program may write rows, some of which can't be told from
-// those of endpoints but by a start time that they lack, or have.
+// This file says which rows of the list name endpoints to use. Another program may write rows. Some of them differ from those of
+// endpoints only in that they have, or lack, a start time.
 
 // startCount counts the rows of a service, and those that say when the endpoint started.
 type startCount struct{ rows, started int }
--- a/internal/builds/division.go
+++ b/internal/builds/division.go
@@ -11,14 +11,14 @@
 //
 // Boxes of earlier releases hash the name of the client account together with the ID of the attempt that began a stream. An
 // operator may change the first while the stream runs. Boxes of this release hash the ID alone, as soon as all boxes of a region
-// can. Until then they divide streams as the others do, so that all boxes tell the same of a stream. The change from one to the
-// other is a change of the plan: for returnTime, streams for which the two differ are logged.
+// can. Until then they divide streams as the others do, so that all boxes derive the same build for a stream. The change from one
+// division to the other is a change of the plan: for returnTime, streams for which the two differ are logged.
 //
-// A box of an earlier release that starts after the change would misread the plan. The row tells it for at least returnTime that
-// streams may have begun without a plan: it then goes on only with streams whose origin the directory or the log has.
+// A box of an earlier release that starts after the change would misread the plan. For at least returnTime the row marks streams
+// as possibly unplanned for it: it then goes on only with streams whose origin the directory or the log has.
 
 // PlanRulesByID is the first version of the rules by which a box knows plans that divide streams by ID. PlanRulesByName is the
-// first by which it begins no stream whose build neither the log nor the plans tell.
+// first by which the build of each stream that it begins follows from the log or the plans.
 const (
 	PlanRulesByName = 1
 	PlanRulesByID   = 2
@@ -28,8 +28,8 @@
 	// rulesSettleTime is for how long all boxes of a region must know ByID before a plan uses it. Boxes that are replaced one
 	// after the other leave the list for some seconds each.
 	rulesSettleTime = 10 * time.Second
-	// A row is written again once boxes that don't know ByID would trust it in less than opaqueMargin. That bounds an outage of
-	// the store after which such a box misreads the row: opaqueMargin - returnTime.
+	// A row is written again once boxes that don't know ByID would trust it in less than opaqueMargin. Such a box misreads the row
+	// only after an outage of the store that is longer than opaqueMargin - returnTime.
 	opaqueTime   = 4 * returnTime
 	opaqueMargin = 3 * returnTime
 )
@@ -41,7 +41,7 @@
 }
 
 // builds returns the builds at which a stream may have begun under the division. There are several if the account of the caller
-// has had several names, and none if a box of an earlier release asks that does not say the ID.
+// has had several names, and none if the stream lacks the key that the division needs, as in a request of an earlier release.
 func (d division) builds(s origins.Stream) (out []string) {
 	if len(d.shares) == 1 {
 		return []string{d.shares[0].Build}
--- a/internal/builds/origin.go
+++ b/internal/builds/origin.go
@@ -66,8 +66,8 @@
 	peersDelay = 100 * time.Millisecond
 )
 
-// Origin finds out at which build a stream began. What the plans tell is
-// read from the store after the call, by this box or another one: this box may have been suspended or cut off for any time.
+// Origin finds out at which build a stream began. The plans are read from the store after the call, by this box or another one:
+// this box may have been suspended or cut off for any time.
 func (p *Planner) Origin(ctx context.Context, g Group, s origins.Stream) Finding {
 	ctx, cancel := context.WithTimeout(ctx, originWait)
 	defer cancel()
--- a/internal/builds/originlog.go
+++ b/internal/builds/originlog.go
@@ -426,7 +426,7 @@
 
 var (
 	errUnreadableOrigin = errors.New("the row of the origin can't be read")
-	// errOtherStream means that the log does not tell whose stream a row is about, or that the stream began at another service.
+	// errOtherStream means that a row may be that of another caller's stream, or that the stream began at another service.
 	errOtherStream = errors.New("the row may be that of another stream")
 )
 
--- a/internal/builds/plan.go
+++ b/internal/builds/plan.go
@@ -121,7 +121,7 @@
 	// LogLostUntil is until when the log may lack origins: the store was restored from an older copy, or a build is back that
 	// an earlier plan has and the last one had not. It is in Unix milliseconds, and 0 if the log is complete.
 	LogLostUntil int64 `json:"log_lost_until_ms,omitempty"`
-	// OpaqueUntil is until when boxes that don't know ByID take no stream for one that the plan tells (encode). It is in Unix
+	// OpaqueUntil is until when boxes that don't know ByID derive no build from the plan (encode). It is in Unix
 	// milliseconds, and 0 if the plan and the earlier shares divide streams as these boxes do.
 	OpaqueUntil int64 `json:"opaque_until_ms,omitempty"`
 }
@@ -181,11 +181,11 @@
 	}
 	return !slices.ContainsFunc(p.oldestWithin(now, until), func(d division) bool {
 		// Streams of a build that has left the plan are refused, also after its return (successor).
-		return slices.ContainsFunc(d.builds(s), func(told string) bool { return told != build && p.Shares.has(told) })
+		return slices.ContainsFunc(d.builds(s), func(other string) bool { return other != build && p.Shares.has(other) })
 	})
 }
 
-// origin returns the build at which a stream began that is not logged; empty if the plans don't tell. agreed is false if that is
+// origin returns the build at which a stream began that is not logged; empty if it does not follow from the plans. agreed is false if that is
 // only so if the log has lost nothing.
 func (p *Plan) origin(s origins.Stream, now time.Time) (build string, agreed bool) {
 	list := p.candidates(now)
@@ -282,8 +282,8 @@
 // planRow is the value of a row.
 type planRow struct {
 	Plan
-	// UnplannedByID is UnplannedUntil of a plan that divides streams by ID. Boxes that don't know ByID would take streams
-	// for ones of another build, so UnplannedUntil in the row has them take a stream for none that the plan tells.
+	// UnplannedByID is UnplannedUntil of a plan that divides streams by ID. Boxes that don't know ByID read UnplannedUntil,
+	// which is later in the row: until then they derive no build from the plan.
 	UnplannedByID *int64 `json:"unplanned_by_id_until_ms,omitempty"`
 }
 
--- a/internal/overlay/plans.go
+++ b/internal/overlay/plans.go
@@ -18,7 +18,7 @@
 func (n *Node) CountIn(region string) int { return len(n.members.list(region)) }
 
 // PlanRules returns the version of the rules for plans that all boxes of a region know. A box with rules below
-// PlanRulesTraceable begins streams whose build neither the log nor the plans tell.
+// PlanRulesTraceable begins streams whose build follows neither from the log nor from the plans.
 func (n *Node) PlanRules(region string) int {
 	lowest := PlanRulesByID
 	for _, m := range n.members.list(region) {
--- a/internal/relay/builds.go
+++ b/internal/relay/builds.go
@@ -136,8 +136,8 @@
 	return outcome.Outcome{}, true
 }
 
-// findPlannedOrigin finds out from the store where a stream began. If the weights of its route have changed lately, only its logged
-// origin tells the service.
+// findPlannedOrigin finds out from the store where a stream began. If the weights of its route have changed lately, the service
+// follows from its logged origin alone.
 func (x *exchange) findPlannedOrigin(ctx context.Context) builds.Finding {
 	services := x.r.splits.Load().servicesOf(x.route, x.splitID(), clock.Now())
 	if len(services) == 1 {
--- a/internal/relay/splithistory.go
+++ b/internal/relay/splithistory.go
@@ -6,8 +6,8 @@
 )
 
 // This file says at which service of a split route a stream began that its caller takes up. The weights of the route may have
-// changed since. The origin of the stream names the service; if no box knows the origin, the former weights tell where it may have
-// begun.
+// changed since. The origin of the stream names the service. If no box knows the origin, the stream may have begun at any service that
+// the former weights pick.
 
 // splitTime is for how long callers may come back with streams that began under earlier weights.
 const splitTime = 5 * time.Minute
