Count a row as used without a start only while it lacks one

A row that had said when its endpoint started, and then does not any more, is another program's. The mark is now that of a row that was in use without a start, and ends as it states one. TestRowsOfAnotherWriter and usable_test.go pass.

--- a/internal/box/relay_follow.go
+++ b/internal/box/relay_follow.go
@@ -332,8 +332,8 @@
 	// foreign means that the row names no endpoint to use. There are two causes. A program other than the platform's
 	// endpoints wrote the row, or the row comes from an older snapshot of the store.
 	foreign bool
-	// used is set once the row has named an endpoint to use (usable).
-	used bool
+	// usedWithoutStart is set while the row lacks a start time, once it has named an endpoint to use (usable).
+	usedWithoutStart bool
 	// replacement replaces the row at a later time if the row has not changed by then. It is nil if no replacement
 	// is planned.
 	replacement *rowReplacement
@@ -451,7 +451,7 @@
 		if err != nil {
 			b.rejected[tableEndpoints].reject("endpoint row rejected", key, err)
 		}
-		read := listedEndpoint{text: text, endpoint: e, foreign: err != nil, used: old.used}
+		read := listedEndpoint{text: text, endpoint: e, foreign: err != nil, usedWithoutStart: old.usedWithoutStart && e.Started == 0}
 		if b.listRestored {
 			read = b.restoredRow(key, read, old, known)
 		}
--- a/internal/box/usable.go
+++ b/internal/box/usable.go
@@ -32,12 +32,12 @@
 	}
 	out := make([]relay.Endpoint, 0, len(rows))
 	for key, l := range rows {
-		if l.foreign || l.endpoint.Started == 0 && !l.used && counts[l.endpoint.Service].statesStarts() {
+		if l.foreign || l.endpoint.Started == 0 && !l.usedWithoutStart && counts[l.endpoint.Service].statesStarts() {
 			continue
 		}
 		out = append(out, l.endpoint)
-		if !l.used {
-			l.used = true
+		if l.endpoint.Started == 0 && !l.usedWithoutStart {
+			l.usedWithoutStart = true
 			rows[key] = l // The key exists, so the iteration goes on as before.
 		}
 	}
--- a/internal/builds/releases_test.go
+++ b/internal/builds/releases_test.go
@@ -140,6 +140,13 @@
 	})
 }
 
+// storedPlan returns the row of the plan.
+func (s *fakeStore) storedPlan() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.plans[testGroup.rowKey()].Value
+}
+
 // Guards against a box of the earlier release that trusts a plan which divides streams by ID, also long after the plan's last
 // change.
 func TestEarlierReleaseDoesNotTrustPlansByID(t *testing.T) {
@@ -147,7 +154,7 @@
 		s.serve(map[string]int{"v1": 3, "v2": 3})
 		time.Sleep(5 * time.Second)
 		for range 20 {
-			plan, ok := parsePlan(testGroup.rowKey(), asEarlierRelease(s.plans[testGroup.rowKey()].Value), time.Now())
+			plan, ok := parsePlan(testGroup.rowKey(), asEarlierRelease(s.storedPlan()), time.Now())
 			if left := time.Until(time.UnixMilli(plan.UnplannedUntil)); !ok || plan.ByID || left < returnTime {
 				t.Fatalf("expected that streams may have begun without the plan for %s, got %s", returnTime, left)
 			}
