Check the cheap conditions first before an engine is asked for its start

Two comments say again what they said (the time of a migration's wait, a wrapped line). The tests of starts and migrations of platform pass (39 s).

--- a/internal/builds/plan.go
+++ b/internal/builds/plan.go
@@ -1,6 +1,6 @@
 // Package builds decides at which build of a service each new stream begins, so that any box can tell the origin of a stream
-// from the stream's ID alone (division.go). A build is a version of the endpoints' software. A stream may go on only at the build that began
-// it, and its caller takes it up at any box.
+// from the stream's ID alone (division.go). A build is a version of the endpoints' software. A stream may go on only at the build
+// that began it, and its caller takes it up at any box.
 //
 // The plan of a service and region divides new streams among the builds that serve, by a hash of each stream's key. It is a
 // row of the platform's store, so it outlives every box. While nothing is released, nothing is written. A plan that was
--- a/internal/relay/migrate.go
+++ b/internal/relay/migrate.go
@@ -296,7 +296,7 @@
 func (f *flight) requeue(ev flightEvent) { f.calls.Go(func() { f.send(ev) }) }
 
 // awaitAnswer starts a timer for the answer to the migration request, if the stream can do without it: it may be resumed, or
-// has ended with its frame.
+// has ended with its frame. After migrateAnswerTimeout the stream does without it.
 func (f *flight) awaitAnswer() {
 	if m := f.migration; !f.x.route.Resumable && !m.endedWhole() || m.source.Handle != "" {
 		return
--- a/internal/relay/startcheck.go
+++ b/internal/relay/startcheck.go
@@ -74,8 +74,7 @@
 		return false
 	}
 	e, known := x.r.fleet.findCalled(engine)
-	worthACall := x.continues() || f.hasBegun() || x.r.listAge() > staleListAge || x.r.mixesBuilds(&e)
-	if !x.route.Resumable || !known || e.Started == 0 || e.Build == "" || !worthACall || x.r.starts.confirmedSince(engine, q.ConnAnswered) {
+	if !x.route.Resumable || !known || e.Started == 0 || e.Build == "" || !f.needsStart(&e) || x.r.starts.confirmedSince(engine, q.ConnAnswered) {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
@@ -95,6 +94,11 @@
 	return true
 }
 
+// needsStart reports whether an engine must confirm its start before its answer is passed on.
+func (f *flight) needsStart(e *Endpoint) bool {
+	return f.x.continues() || f.hasBegun() || f.x.r.listAge() > staleListAge || f.x.r.mixesBuilds(e)
+}
+
 // hasBegun reports whether the caller may have events of the stream.
 func (f *flight) hasBegun() bool {
 	_, begun := f.beganBuild.Load().(string)
